Reconstruct the missing notices module

This module is a reconstruction, written against those callers, the notices part of the protocol and tests/sockets.

--- /dev/null
+++ b/src/net/notices.rs
@@ -0,0 +1,105 @@
+//! Final answers to the platform: each is sent again until it is acknowledged, in the order in which they came.
+use super::host::Input;
+use super::pool::{CallError, Connection, request};
+use super::store::End;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::{Method, StatusCode};
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::time::{sleep, timeout};
+
+/// Notices in one request: the longest ids stay under the 64 KiB of a body.
+const MOST_LINES: usize = 50;
+/// The platform answers at once; a connection that stays silent for so long is given up.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// Pause after a request that failed.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Bodies of answers mean nothing and are read up to this, so that the connection can be used again.
+const MOST_ANSWER: usize = 64 * 1024;
+
+/// How a message ended that was not delivered, on its way to the platform.
+pub struct Notice {
+    pub number: u32,
+    pub id: String,
+    pub end: End,
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    id: &'a str,
+    state: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    after_ms: Option<u64>,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum NoticeError {
+    #[error("no answer")]
+    Silent,
+    #[error(transparent)]
+    Call(#[from] CallError),
+    #[error("status {0}")]
+    Status(StatusCode),
+}
+
+/// Sends what comes from `queue` to the platform and tells the host what was acknowledged, for as long as both
+/// are there.
+pub async fn run(platform: SocketAddr, mut queue: UnboundedReceiver<Notice>, host: UnboundedSender<Input>) {
+    let (mut connection, mut batch, mut failing) = (None, Vec::new(), false);
+    while queue.recv_many(&mut batch, MOST_LINES).await > 0 {
+        let body = lines(&batch);
+        loop {
+            let sent = timeout(PATIENCE, send(platform, body.clone(), &mut connection)).await;
+            match sent.unwrap_or(Err(NoticeError::Silent)) {
+                Ok(()) => break,
+                Err(e) => {
+                    // One line an outage, not one a request.
+                    if !failing {
+                        eprintln!("notices: {e}");
+                    }
+                    failing = true;
+                    connection = None;
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+        failing = false;
+        let numbers = batch.drain(..).map(|notice| notice.number).collect();
+        if host.send(Input::Noticed(numbers)).is_err() {
+            return;
+        }
+    }
+}
+
+/// One JSON object a line.
+fn lines(batch: &[Notice]) -> Bytes {
+    let mut body = Vec::new();
+    for notice in batch {
+        let (state, after_ms) = match notice.end {
+            End::Failed => ("failed", None),
+            End::Returned(after) => ("returned", after),
+        };
+        // Strings and numbers always have a JSON form.
+        body.extend(serde_json::to_vec(&Line { id: &notice.id, state, after_ms }).unwrap_or_default());
+        body.push(b'\n');
+    }
+    body.into()
+}
+
+async fn send(platform: SocketAddr, body: Bytes, kept: &mut Option<Connection>) -> Result<(), NoticeError> {
+    let mut connection = match kept.take() {
+        Some(connection) => connection,
+        None => Connection::open(platform, PATIENCE).await?,
+    };
+    let answer = connection.send(request(Method::POST, "/v1/notices", platform), body).await?;
+    let status = answer.status();
+    let read = Limited::new(answer.into_body(), MOST_ANSWER).collect().await;
+    if !status.is_success() {
+        return Err(NoticeError::Status(status));
+    }
+    *kept = read.is_ok().then_some(connection);
+    Ok(())
+}
