Try a silent line again before its lost call has timed out

A capture of the loopback traffic showed single calls that were written whole, acknowledged by the kernel and never answered, while other connections to the same endpoint went on being answered. Once those had finished, the module began no further call: `stalled` looks at the last answer, and with no call allowed out there could be no answer until the lost one timed out, 1.2 aims later.

Now another call may try once all calls out are overdue, at doubling spans, so lasting silence still takes few slots.

Ruled out: a connection closed under the call (no FIN or RST before our own), a request cut short (lengths match), slow endpoints (others answer in 45 ms), discovery (list unchanged).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,6 +22,8 @@
 const LEARN: f64 = 0.2;
 /// A call is overdue this many mean deviations past the mean.
 const OVERDUE_DEVS: f64 = 4.0;
+/// Into silence another call goes after the slowest healthy answer's time, doubled so often at the most.
+const MOST_TRIAL_DOUBLINGS: usize = 4;
 /// A call is given up this many mean deviations past the mean: far in the tail of healthy answers.
 const GIVE_UP_DEVS: f64 = 8.0;
 /// Repeatable messages: shortest time-out as a share of the aim, so that one retry still makes the aim.
@@ -231,10 +233,19 @@
         self.latency + deviations * self.deviation
     }
 
-    /// Silent for longer than a healthy answer takes, with a call out for as long.
+    /// Silent for longer than a healthy answer takes, with a call out for as long. One lost answer must not
+    /// hold the line until that call times out: once all calls out are overdue another may try, ever more
+    /// rarely.
     fn stalled(&self, now: Time) -> bool {
-        let Some((_, oldest)) = self.out.first().filter(|_| self.endpoint.is_some()) else { return false };
-        self.latency > 0.0 && since(now, self.last_answer.max(*oldest)) as f64 > self.slowest(OVERDUE_DEVS)
+        let (Some((_, oldest)), Some((_, youngest))) = (self.out.first(), self.out.last()) else {
+            return false;
+        };
+        let slowest = self.slowest(OVERDUE_DEVS);
+        let doublings = (self.out.len() - 1).min(MOST_TRIAL_DOUBLINGS) as i32;
+        self.endpoint.is_some()
+            && self.latency > 0.0
+            && since(now, self.last_answer.max(*oldest)) as f64 > slowest
+            && since(now, *youngest) as f64 <= slowest * 2f64.powi(doublings)
     }
 
     /// Brings the learned rate and the pace's tokens up to `now`: on use, as a list may be long.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -160,3 +160,27 @@
     host.now += 3 * SECOND;
     assert!(!closes(&host.raw(&[message(34, SAFE, 2, None)]), 1), "trusted again");
 }
+
+/// One lost answer does not hold its partner until that call times out (case6025): what waits is tried again
+/// soon, and an answer sets the line free. Into lasting silence calls go ever more rarely.
+#[test]
+fn one_lost_answer_holds_its_line_only_for_a_moment() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 1, 0)]);
+    warm_up(&mut host, 0, SAFE, 1, 10);
+    assert!(sent(&host.message(20, SAFE, 1), 20).is_some(), "this call's answer gets lost");
+    host.now += 10_000;
+    host.message(21, SAFE, 1);
+    host.now += 90_000;
+    host.ended(21, 0, Outcome::Success);
+    host.now += 700_000;
+    assert!(sent(&host.message(22, SAFE, 1), 22).is_some(), "silent, but all calls out are overdue");
+    host.now += 100_000;
+    host.ended(22, 0, Outcome::Success);
+    assert!(sent(&host.message(23, SAFE, 1), 23).is_some(), "it answers: held no longer");
+    // From here on nothing answers any more.
+    let waiting: Vec<Event> = (30..60).map(|id| message(id, SAFE, 1, None)).collect();
+    host.now += 500_000;
+    host.step(&waiting);
+    let trials = host.run(2 * SECOND).len();
+    assert!((1..=4).contains(&trials), "{trials} calls into silence");
+}
