Count refusals of calls that went out together as one sign of a limit

The capture shows why: eighteen messages that had gathered go out in one step, thirteen find the endpoint's connections taken and are answered 503 within 20 ms. The module booked them as thirteen refusals in a row, more than the four that mean "shut", closed the partner and tried it again seconds later, by when the next pile was larger.

A refusal of a call that was out already when the last one was booked is now the same news: it neither counts towards "shut" nor lowers the pace again.

Ruled out: told waits (the answers carry none), outages of these partners (calls on the connections already open were answered in the same milliseconds).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -137,6 +137,8 @@
     failing: f64,
     streak: u32,
     fulls: u32,
+    /// When a refusal was last booked: those of calls already out then are the same news.
+    full_at: Time,
     latency: f64,
     deviation: f64,
     out: Vec<(u64, Time)>,
@@ -790,13 +792,17 @@
                 }
             }
             Outcome::Full(wait) => {
-                line.fulls += 1;
+                // Calls that went out together are refused together: one sign of a limit, not a row of them.
+                let news = line.full_at == Time(0) || sent >= line.full_at;
+                if news {
+                    (line.fulls, line.full_at) = (line.fulls + 1, now);
+                }
                 if wait.is_none() || !gate {
                     let pause =
-                        fall * PAUSE_OF_FALL * f64::from(1 << (line.fulls.min(4) - 1)) * (0.5 + jitter);
+                        fall * PAUSE_OF_FALL * f64::from(1 << (line.fulls.clamp(1, 4) - 1)) * (0.5 + jitter);
                     line.hold_until = after(now, pause);
                 }
-                if gate {
+                if gate && (news || wait.is_some()) {
                     // At the end of a told wait there is room; otherwise the next call waits its turn.
                     line.pace = (line.rate.min(line.pace) * SLOW_DOWN).max(line.least_rate(s));
                     line.tokens = if wait.is_some() { line.tokens.clamp(0.0, 1.0) } else { 0.0 };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -184,3 +184,21 @@
     let trials = host.run(2 * SECOND).len();
     assert!((1..=4).contains(&trials), "{trials} calls into silence");
 }
+
+/// Calls that went out together and are refused together are one sign of a limit, not a row of refusals that
+/// shuts the partner (case6025): it is called again after a pause, not after an outage's trials.
+#[test]
+fn refusals_of_one_burst_count_once() {
+    let mut host = Host::new(Settings { slots: 40, ..settings() }, vec![entry(1, 0, 0, 0)]);
+    warm_up(&mut host, 100, SAFE, 1, 20);
+    let burst: Vec<Event> = (0..12).map(|id| message(id, SAFE, 1, None)).collect();
+    assert_eq!(host.step(&burst).len(), 12);
+    // One a step, as they come in; none of them was sent after another one was refused.
+    for id in 0..12 {
+        host.now += 1_000;
+        host.raw(&[ended(id, 0, Outcome::Full(None))]);
+    }
+    let run = host.run(3 * SECOND / 2);
+    let again = run.iter().filter(|(_, a)| matches!(a, Action::Send { .. })).count();
+    assert!(again >= 3, "{again} calls in the second and a half after one burst");
+}
