Take a full connection table for what it is and learn how much it holds

Each single refusal paused the whole partner, and the pause gathered the next burst.

The capture tells the reasons apart: 1041 of 1066 refusals were 503 with Connection: close as the first answer on a new connection, that is a full table of connections. The pool now reports such a connection as not made, and the module, where the endpoint has answered in the last moments, takes the number of calls that were out as the room of its table: no more go there at once, and in time one more is tried. Where it has not, nothing changes.

Ruled out: a rate limit (no told waits, calls on open connections answered in the same milliseconds), idle connections of ours filling the table (five kept).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -112,6 +112,8 @@
     left: usize,
     /// How long its endpoint had been without an answer when it was sent, in seconds.
     idle: f64,
+    /// Calls out at its endpoint with it.
+    rank: usize,
     lines: [Option<usize>; 2],
     reported: bool,
 }
@@ -142,6 +144,9 @@
     latency: f64,
     deviation: f64,
     out: Vec<(u64, Time)>,
+    /// Calls that its endpoint's table of connections was seen to hold at once, and since when; 0: unknown.
+    room: usize,
+    room_at: Time,
     last_answer: Time,
     last_success: Time,
     rate: f64,
@@ -709,7 +714,7 @@
     /// Books an outcome to the lines of its call; a batch shares one fate and counts once.
     fn call_ended(&mut self, tried: Try, outcome: Outcome, report: Option<Report>) {
         let Some(call) = self.calls.get_mut(&tried.call) else { return };
-        let (sent, lines, first) = (call.sent, call.lines, !call.reported);
+        let (sent, lines, first, rank) = (call.sent, call.lines, !call.reported, call.rank);
         call.reported = true;
         call.left -= 1;
         let done = call.left == 0;
@@ -725,6 +730,9 @@
                 self.lines[line].out.retain(|(call, _)| *call != tried.call);
             }
             if first {
+                if self.no_room(line, sent, rank, outcome) {
+                    continue;
+                }
                 self.learn(line, gate == Some(line), sent, outcome, report);
             }
             // Each message of a batch may be told its own wait: the longest holds.
@@ -756,6 +764,30 @@
         }
     }
 
+    /// An endpoint that answers and has no connection for one call more has a full table, not an outage: no
+    /// more calls go there at once than it held, and in time one more is tried.
+    fn no_room(&mut self, at: usize, sent: Time, rank: usize, outcome: Outcome) -> bool {
+        let (now, rules) = (self.now, self.settings.rules);
+        let quick = since(now, sent) < self.settings.connect_timeout.0 / 2;
+        let line = &mut self.lines[at];
+        match outcome {
+            Outcome::ConnectFailed if quick && rank > 1 && since(sent, line.last_success) < rules.fall.0 => {
+                if line.endpoint.is_some() {
+                    line.room = if line.room == 0 { rank - 1 } else { line.room.min(rank - 1) };
+                    line.room_at = now;
+                }
+                true
+            }
+            Outcome::Success if line.room > 0 && rank >= line.room => {
+                if since(now, line.room_at) >= rules.fall.0 {
+                    (line.room, line.room_at) = (line.room + 1, now);
+                }
+                false
+            }
+            _ => false,
+        }
+    }
+
     fn learn(&mut self, at: usize, gate: bool, sent: Time, outcome: Outcome, report: Option<Report>) {
         let (now, jitter) = (self.now, self.chance());
         let s = &self.settings;
@@ -847,7 +879,8 @@
 
     /// Limits of our own making: pauses after a refusal, silence, the share of slots, the learned pace.
     fn paced(&self, line: &Line) -> bool {
-        self.now >= line.hold_until && !line.stalled(self.now) && line.tokens >= 1.0
+        let room = line.room == 0 || line.out.len() < line.room;
+        room && self.now >= line.hold_until && !line.stalled(self.now) && line.tokens >= 1.0
     }
 
     /// Share of the slots that one destination may fill, whatever its routes.
@@ -1031,7 +1064,8 @@
             if idle >= self.trusted_idle && line.latency > 0.0 {
                 actions.push(Action::CloseIdle(endpoint));
             }
-            self.calls.insert(call, Call { sent: self.now, left: 0, idle, lines, reported: false });
+            let rank = line.out.len() + 1;
+            self.calls.insert(call, Call { sent: self.now, left: 0, idle, rank, lines, reported: false });
             for line in lines.into_iter().flatten() {
                 self.lines[line].out.push((call, self.now));
                 self.lines[line].tokens -= 1.0;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::header::{CONTENT_TYPE, HOST, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
 use hyper::http::request::Builder;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -285,7 +285,7 @@
         host: &UnboundedSender<Input>,
     ) -> Option<Connection> {
         let done = |called| drop(host.send(Input::Called(called)));
-        let mut connection = match self.connection(kept, host).await {
+        let (mut connection, fresh) = match self.connection(kept, host).await {
             Ok(Some(connection)) => connection,
             Ok(None) => {
                 done(self.called(self.all(Outcome::Void), None, None));
@@ -313,7 +313,12 @@
             }
             Ok(Ok(answer)) => {
                 let told = told(answer.headers());
-                let (outcome, over) = outcome(answer.status(), answer.headers(), told);
+                let (outcome, over) = match told {
+                    None if fresh && no_room(answer.status(), answer.headers()) => {
+                        (Outcome::ConnectFailed, false)
+                    }
+                    _ => outcome(answer.status(), answer.headers(), told),
+                };
                 let ends = self.parcels.iter().map(|p| (p.number, outcome, over)).collect();
                 done(self.called(ends, told, fields.read(answer.headers())));
                 let body = Limited::new(answer.into_body(), MOST_ANSWER).collect();
@@ -335,16 +340,17 @@
         }
     }
 
-    /// A connection for the call; none if its messages may not go out any more once there is one.
+    /// A connection for the call, and whether it is new; none if its messages may not go out any more once
+    /// there is one.
     async fn connection(
         &self,
         kept: Option<Connection>,
         host: &UnboundedSender<Input>,
-    ) -> Result<Option<Connection>, CallError> {
+    ) -> Result<Option<(Connection, bool)>, CallError> {
         if let Some(mut kept) = kept
             && kept.is_alive().await
         {
-            return Ok(Some(kept));
+            return Ok(Some((kept, false)));
         }
         let left = self.expires.saturating_duration_since(Instant::now());
         let new = Connection::open(self.address, left.min(self.connect_timeout)).await?;
@@ -352,7 +358,7 @@
         let messages = self.parcels.iter().map(|p| p.number).collect();
         let _ = host.send(Input::Connected { endpoint: self.endpoint, messages, may_begin });
         // A host that has ended has no more calls to make.
-        Ok(allowed.await.unwrap_or(false).then_some(new))
+        Ok(allowed.await.unwrap_or(false).then_some((new, true)))
     }
 
     fn request(&self) -> (Builder, Bytes) {
@@ -424,6 +430,15 @@
     }
 }
 
+/// Whether a new connection was taken only to be turned away: the endpoint holds no more of them. Refusals for
+/// any other reason leave the connection open.
+fn no_room(status: StatusCode, headers: &HeaderMap) -> bool {
+    let closes = headers.get(CONNECTION).and_then(|value| value.to_str().ok());
+    status == StatusCode::SERVICE_UNAVAILABLE
+        && !headers.contains_key("X-No-Slot")
+        && closes.is_some_and(|value| value.split(',').any(|word| word.trim().eq_ignore_ascii_case("close")))
+}
+
 /// A told wait: seconds, with decimals.
 fn told(headers: &HeaderMap) -> Option<Span> {
     let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
@@ -501,4 +516,55 @@
         let (second, ()) = tokio::join!(calls, peer);
         assert!(matches!(second, Err(CallError::Reset(_))), "{second:?}");
     }
+
+    /// Guards against taking a full table of connections for a refusal by the partner behind it: only a new
+    /// connection can find no room.
+    #[tokio::test]
+    async fn a_new_connection_that_is_turned_away_found_no_room() {
+        let full = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        let busy = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+        let cases = [(full, true, Outcome::ConnectFailed), (busy, true, Outcome::Full(None))];
+        for (answer, fresh, outcome) in cases.into_iter().chain([(full, false, Outcome::Full(None))]) {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let peer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut got = Vec::new();
+                while !got.ends_with(b"whole") {
+                    stream.read_buf(&mut got).await.unwrap();
+                }
+                stream.write_all(answer.as_bytes()).await.unwrap();
+            };
+            let parcel =
+                Parcel { number: 1, id: "m1".to_owned(), idempotency_key: None, body: "whole".into() };
+            let call = Call {
+                number: 1,
+                endpoint: EndpointId(0),
+                address,
+                parcels: vec![parcel],
+                expires: Instant::now() + Duration::from_secs(20),
+                connect_timeout: Duration::from_secs(20),
+            };
+            let kept = match fresh {
+                true => None,
+                false => Some(Connection::open(address, Duration::from_secs(20)).await.unwrap()),
+            };
+            let (to_host, mut host) = tokio::sync::mpsc::unbounded_channel();
+            let allowing = async {
+                loop {
+                    match host.recv().await {
+                        Some(Input::Connected { may_begin, .. }) => drop(may_begin.send(true)),
+                        Some(Input::Called(called)) => return called,
+                        _ => panic!("the call has not ended"),
+                    }
+                }
+            };
+            let (_, called, ()) = tokio::join!(
+                call.run(kept, ReportFields { left: false, limit: false }, &to_host),
+                allowing,
+                peer
+            );
+            assert_eq!(called.ends, [(1, outcome, false)], "new: {fresh}, {answer}");
+        }
+    }
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -202,3 +202,23 @@
     let again = run.iter().filter(|(_, a)| matches!(a, Action::Send { .. })).count();
     assert!(again >= 3, "{again} calls in the second and a half after one burst");
 }
+
+/// An endpoint that answers but has no connection for more calls has a full table (case6025): it is not shut,
+/// gets no more at once than it held, and goes on being called.
+#[test]
+fn a_full_connection_table_bounds_the_calls_at_once() {
+    let mut host = Host::new(Settings { slots: 40, ..settings() }, vec![entry(1, 0, 1, 0)]);
+    warm_up(&mut host, 100, SAFE, 1, 20);
+    let burst: Vec<Event> = (0..12).map(|id| message(id, SAFE, 1, None)).collect();
+    assert_eq!(host.step(&burst).len(), 12);
+    // The table holds five: the other seven hear so at once.
+    for id in 5..12 {
+        host.now += 1_000;
+        host.raw(&[ended(id, 0, Outcome::ConnectFailed)]);
+    }
+    let answers: Vec<Event> = (0..5).map(|id| ended(id, 0, Outcome::Success)).collect();
+    host.now += 20_000;
+    assert!(host.step(&answers).is_empty(), "the others wait their backoff");
+    let more: Vec<Event> = (20..32).map(|id| message(id, SAFE, 1, None)).collect();
+    assert_eq!(host.step(&more).len(), 5, "as many at once as the table held");
+}
