Shorten time-outs once an answer was seen to get lost

About 3% of the calls are never answered; each keeps one of the five connections that the endpoint grants for 4.8 s (1.2 aims), while other calls take 47 ms. At 40 calls a second that is the whole table. Each such time-out was also learned as an answer of 4.8 s, so the partner looked a hundred times slower than it is, and the next time-outs grew to 9.6 s. The module had a guard for lost answers, but it acts from 7.5% on.

A call that times out although calls begun later on the same line were answered is now taken for a lost answer: it says nothing of the pace, and for one ramp what may be repeated waits no longer than for the slowest healthy answer, as the guard has it. Unsafe messages keep their time-out.

Ruled out: slow endpoints (every answered call takes 35 to 75 ms on an open connection, 140 to 240 ms on a new one), requests cut short, closed connections.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -201,6 +201,8 @@
     crowded: Vec<f64>,
     /// Learned share of all calls that got no answer.
     lost: f64,
+    /// When it was last seen that an answer got lost for certain.
+    lost_at: Option<Time>,
     /// Seconds for which an idle connection is trusted to be alive.
     trusted_idle: f64,
     log: Vec<String>,
@@ -325,6 +327,7 @@
             list_failures: 0,
             crowded: vec![0.0; settings.kinds.len()],
             lost: 0.0,
+            lost_at: None,
             trusted_idle: f64::INFINITY,
             log: Vec::new(),
             settings,
@@ -798,11 +801,16 @@
         }
         let elapsed = since(now, sent) as f64;
         let fall = s.rules.fall.0 as f64;
+        // Calls that began later have been answered: this answer got lost, the endpoint is not slow.
+        let overtaken = outcome == Outcome::TimedOut && line.last_success > sent;
+        if overtaken && line.endpoint.is_some() {
+            self.lost_at = Some(now);
+        }
         match outcome {
             Outcome::Success | Outcome::TimedOut if line.latency == 0.0 => {
                 (line.latency, line.deviation) = (elapsed, elapsed / 2.0);
             }
-            Outcome::TimedOut if self.lost > LOST_SHARE => {} // says nothing of the pace
+            Outcome::TimedOut if self.lost > LOST_SHARE || overtaken => {} // says nothing of the pace
             Outcome::Success | Outcome::TimedOut => {
                 line.deviation += LEARN * ((elapsed - line.latency).abs() - line.deviation);
                 line.latency += LEARN * (elapsed - line.latency);
@@ -903,7 +911,8 @@
         let aims = if may_repeat { TIMEOUT_OF_AIM } else { UNSAFE_TIMEOUT_OF_AIM };
         // While answers get lost, a repeatable message waits no longer than for the slowest healthy one.
         let most = 2.0 * class.aim.0 as f64 * aims;
-        let early = may_repeat && self.lost > LOST_SHARE && line.latency > 0.0;
+        let seen = self.lost_at.is_some_and(|at| since(self.now, at) < self.settings.rules.ramp.0);
+        let early = may_repeat && (seen || self.lost > LOST_SHARE) && line.latency > 0.0;
         let least = if early { most * KNOWN_TIMEOUT } else { most / 2.0 };
         let span = line.slowest(GIVE_UP_DEVS).clamp(least, most);
         after(self.now, span).min(Time(held.deadline.0 - self.settings.period.0))
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -222,3 +222,25 @@
     let more: Vec<Event> = (20..32).map(|id| message(id, SAFE, 1, None)).collect();
     assert_eq!(host.step(&more).len(), 5, "as many at once as the table held");
 }
+
+/// An answer that gets lost where later calls are answered does not make its partner look slow, and what may
+/// be repeated is tried again in time for its aim (case6025: each lost answer held a connection for 4.8 s, and
+/// lengthened the time-outs of those after it).
+#[test]
+fn one_lost_answer_shortens_the_next_time_outs() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 1, 0)]);
+    warm_up(&mut host, 100, SAFE, 1, 10);
+    host.message(1, SAFE, 1);
+    host.now += 10_000;
+    warm_up(&mut host, 120, SAFE, 1, 10);
+    host.step(&[ended(1, 0, Outcome::TimedOut), Event::Withdrawn(MessageId(1))]);
+    let span = |host: &mut Host, id: u32| match host.message(id, SAFE, 1)[..] {
+        [Action::Send { expires, .. }] => expires.0 - host.now,
+        ref other => panic!("{other:?}"),
+    };
+    assert!(span(&mut host, 2) < SECOND, "half an aim is left for another try");
+    host.now += 100_000;
+    host.ended(2, 0, Outcome::Success);
+    host.run(15 * SECOND);
+    assert!(span(&mut host, 3) > 2 * SECOND, "nothing lost for a while: slow partners are waited for again");
+}
