--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -12,12 +12,13 @@
 const HEADER: usize = 8;
 /// No record is longer: a message's body is 64 KiB at most, its headers are bounded by the server.
 const MOST_RECORD: usize = 256 * 1024;
-/// Room that a message takes besides its body, also for the records of its attempts.
-const OVERHEAD: u64 = 1024;
+/// Room that a message takes besides its body and names: numbers, framing, the attempts that may be on record.
+const OVERHEAD: u64 = 128;
 /// The file is written anew past this share of the disk ...
 const COMPACT_AT: u64 = 3;
-/// ... and what is owed may fill this share of it, so that old and new file together stay far below.
-const OWED_MOST: u64 = 5;
+/// ... and what is owed may fill this share of it, so that old and new file together stay well below: the old
+/// one is twice as long at the most when the new one is written.
+const OWED_MOST: u64 = 4;
 
 /// How a message ended that was not delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -68,8 +69,12 @@
         Self { message, deadline, attempts: 0, ran: None, out: None, end: None }
     }
 
+    /// Room in a journal written anew, at the most.
     fn size(&self) -> u64 {
-        self.message.body.len() as u64 + OVERHEAD
+        let Handed { id, class, tenant, key, idempotency_key, body, .. } = &self.message;
+        let names = [Some(id), Some(class), tenant.as_ref(), key.as_ref(), idempotency_key.as_ref()];
+        let names = names.into_iter().flatten().map(String::len).sum::<usize>();
+        (body.len() + names) as u64 + OVERHEAD
     }
 }
 
@@ -120,6 +125,11 @@
     Ok(frame)
 }
 
+/// The record that stands for a message in a journal written anew.
+fn taken(number: u32, owed: &Owed) -> io::Result<Vec<u8>> {
+    frame(&Record::Taken(number, Box::new(owed.clone())))
+}
+
 fn checksum(length: &[u8], payload: &[u8]) -> u32 {
     let mut sum = crc32fast::Hasher::new();
     sum.update(length);
@@ -305,7 +315,7 @@
         let mut file = io::BufWriter::new(File::create(self.new_path())?);
         let mut length = 0;
         for (number, owed) in &self.owed {
-            let frame = frame(&Record::Taken(*number, Box::new(owed.clone())))?;
+            let frame = taken(*number, owed)?;
             file.write_all(&frame)?;
             length += frame.len() as u64;
         }
@@ -439,4 +449,24 @@
         let (store, _) = Store::open(folder.path(), DISK).unwrap();
         assert_eq!(store.owed().count(), taken);
     }
+
+    /// Guards against refusing messages for room that the journal has (case6025): as many as a sender may hold
+    /// fit in, at their usual size, and the folder still keeps its limit while it is written anew.
+    #[test]
+    fn a_thousand_usual_messages_fit_in() {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut store, _) = Store::open(folder.path(), DISK).unwrap();
+        for n in 0..1_000u64 {
+            let mut owed = message(&format!("{n:016}"), 500);
+            owed.message.idempotency_key = Some(format!("{n:032}"));
+            let number = store.take_on(owed).unwrap_or_else(|e| panic!("message {n}: {e}"));
+            for at in 0..8 {
+                store.begin(number, attempt(u64::MAX - at)).unwrap();
+                store.outcome(number, true).unwrap();
+                assert!(store.length + store.owed_bytes < DISK, "{} and {}", store.length, store.owed_bytes);
+            }
+        }
+        let written: u64 = store.owed.iter().map(|(n, o)| taken(*n, o).unwrap().len() as u64).sum();
+        assert!(written <= store.owed_bytes, "{written} bytes, booked {}", store.owed_bytes);
+    }
 }
