--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -19,6 +19,8 @@
 /// ... and what is owed may fill this share of it, so that old and new file together stay well below: the old
 /// one is twice as long at the most when the new one is written.
 const OWED_MOST: u64 = 4;
+/// Room on the disk that nothing is written to: files count in whole blocks.
+const SLACK: u64 = 16 * 1024;
 
 /// How a message ended that was not delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -236,7 +238,12 @@
     /// A record that cannot be written is applied all the same, but for a message that is to be taken on:
     /// this process goes on by what it knows, and the next compaction writes it down.
     fn append(&mut self, record: Record) -> Result<(), StoreError> {
+        // Where the file cannot be written anew, it still leaves room for that: full, it takes no more.
+        let most = self.disk - (self.disk / OWED_MOST) - SLACK.min(self.disk / 8);
         let written = frame(&record).and_then(|frame| {
+            if self.length + frame.len() as u64 > most {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
             let done = self.file.write_all(&frame);
             if done.is_err() {
                 // Half a record must not stand between whole ones.
@@ -469,4 +476,27 @@
         let written: u64 = store.owed.iter().map(|(n, o)| taken(*n, o).unwrap().len() as u64).sum();
         assert!(written <= store.owed_bytes, "{written} bytes, booked {}", store.owed_bytes);
     }
+
+    /// Guards against a folder over its limit where the journal cannot be written anew (case5360: no descriptor
+    /// was left for the new file): it stops growing, refuses, and takes messages on again once it can.
+    #[test]
+    fn a_journal_that_cannot_be_written_anew_stops_growing() {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut store, _) = Store::open(folder.path(), DISK).unwrap();
+        std::fs::create_dir(store.new_path()).unwrap();
+        let mut refused = 0;
+        for n in 0..8_000 {
+            match store.take_on(message(&n.to_string(), 500)) {
+                Ok(number) => drop(store.over(number)),
+                Err(_) => refused += 1,
+            }
+            let length = std::fs::metadata(&store.path).unwrap().len();
+            assert!(length + store.owed_bytes < DISK, "{length} bytes after {n} messages");
+        }
+        assert!(refused > 0);
+        std::fs::remove_dir(store.new_path()).unwrap();
+        assert!(store.take_on(message("one", 500)).is_err(), "the file is written anew only now");
+        store.take_on(message("two", 500)).unwrap();
+        assert_eq!(ids(&store), ["two"]);
+    }
 }
