Share out the configured descriptors; idle connections give way

The program took up to 512 connections from clients and kept 256 idle ones to endpoints, whatever the configuration said.

`limits.sockets` is read now and shared out: 32 for the process itself, half of the rest for clients, half for endpoints. The slots stay within the latter, and idle connections to endpoints are closed, oldest first, as calls need the room. Where clients' room is full, the oldest connection is closed once it is idle.

--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 mod net;
 
 use micadrum::profile::Profile;
+use net::Descriptors;
 use net::discovery::{self, Targets};
 use net::host::{Host, Input, Links};
 use net::notices;
@@ -32,6 +33,7 @@
 #[derive(Deserialize)]
 struct Limits {
     disk_mb: f64,
+    sockets: usize,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -79,7 +81,9 @@
     let (doors, at_doors) = watch::channel(Doors::Open);
     let revision = config.known.revision;
     let links = Links { inputs: inputs.clone(), notices, doors };
-    let host = Host::new(&config.settings, seed, config.known, store, links).map_err(StartError::Settings)?;
+    let descriptors = Descriptors::share(config.limits.sockets);
+    let host = Host::new(&config.settings, seed, config.known, store, descriptors.endpoints, links)
+        .map_err(StartError::Settings)?;
     // Only now: a sender that can be reached has taken up what it owes.
     let address = config.listen;
     let listener =
@@ -97,7 +101,7 @@
         }
         let _ = on_signal.send(Input::WindDown);
     });
-    let server = tokio::spawn(server::serve(listener, inputs, at_doors));
+    let server = tokio::spawn(server::serve(listener, descriptors.clients, inputs, at_doors));
     host.run(from_all).await;
     let _ = tokio::time::timeout(LAST_ANSWERS, server).await;
     Ok(())
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -100,6 +100,8 @@
     names: Names,
     store: Store,
     pool: Pool,
+    /// Connections to endpoints that may be open at once.
+    most_connections: usize,
     fields: ReportFields,
     clock: Clock,
     endpoints: Vec<Endpoint>,
@@ -133,10 +135,13 @@
         seed: u64,
         known: Targets,
         store: Store,
+        most_connections: usize,
         links: Links,
     ) -> Result<Self, String> {
         let names = profile.names();
-        let settings = Settings { ends_noticed: true, calls_expire_whole: true, ..profile.settings(&names)? };
+        let told = profile.settings(&names)?;
+        let slots = told.slots.min(most_connections);
+        let settings = Settings { slots, ends_noticed: true, calls_expire_whole: true, ..told };
         let idle = profile.connection_idle().unwrap_or(Span(5_000_000));
         let mut host = Self {
             sender: Sender::new(settings.clone(), seed).map_err(|e| e.to_string())?,
@@ -144,6 +149,7 @@
             names,
             store,
             pool: Pool::new(Duration::from_micros(idle.0)),
+            most_connections,
             fields: ReportFields {
                 left: profile.report_field("x0").is_some(),
                 limit: profile.report_field("x1").is_some(),
@@ -229,7 +235,10 @@
                 let ok = messages.iter().all(|n| self.sender.may_begin(now, MessageId(*n), endpoint));
                 let _ = may_begin.send(ok);
             }
-            Input::Idle(address, connection) => self.pool.put(address, connection),
+            Input::Idle(address, connection) => {
+                self.pool.put(address, connection);
+                self.trim_pool();
+            }
             Input::Targets(targets) => self.targets(targets),
             Input::Noticed(numbers) => {
                 for number in numbers {
@@ -501,6 +510,7 @@
             connect_timeout: Duration::from_micros(self.settings.connect_timeout.0),
         };
         let (kept, fields, inputs) = (self.pool.take(address), self.fields, self.inputs.clone());
+        self.trim_pool();
         tokio::spawn(async move {
             if let Some(connection) = call.run(kept, fields, &inputs).await {
                 let _ = inputs.send(Input::Idle(address, connection));
@@ -508,6 +518,11 @@
         });
     }
 
+    /// Idle connections give way to calls.
+    fn trim_pool(&mut self) {
+        self.pool.trim(self.most_connections.saturating_sub(self.calls.len()));
+    }
+
     fn end(&mut self, number: u32, end: End) {
         let Some(owed) = self.store.get(number) else { return };
         let id = owed.message.id.clone();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,3 +5,24 @@
 pub mod pool;
 pub mod server;
 pub mod store;
+
+/// Descriptors besides those of clients and endpoints: standard streams, the loop's and the signals' own, the
+/// listener, the journal's two files, discovery, notices, the configuration at a reload.
+const OWN: usize = 32;
+
+/// How the descriptors that the process may hold are shared out.
+#[derive(Clone, Copy, Debug)]
+pub struct Descriptors {
+    /// Connections from clients at once: they use a third of all at the most, the rest is for strangers.
+    pub clients: usize,
+    /// Connections to endpoints at once, idle ones counted.
+    pub endpoints: usize,
+}
+
+impl Descriptors {
+    /// The parts of so many descriptors.
+    pub fn share(all: usize) -> Self {
+        let left = all.saturating_sub(OWN).max(2);
+        Self { clients: left / 2, endpoints: left - left / 2 }
+    }
+}
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -26,8 +26,6 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// Idle connections kept over all endpoints: with the calls out they stay well under the descriptors.
-const MOST_IDLE: usize = 256;
 /// Bodies of answers are read up to this; longer ones cost their connection.
 const MOST_ANSWER: usize = 1 << 20;
 /// How long the body of an answer may take once its status is known.
@@ -231,8 +229,19 @@
     /// Keeps a connection for the next call.
     pub fn put(&mut self, address: SocketAddr, connection: Connection) {
         self.prune();
-        if self.idle.values().map(Vec::len).sum::<usize>() < MOST_IDLE {
-            self.idle.entry(address).or_default().push((connection, Instant::now()));
+        self.idle.entry(address).or_default().push((connection, Instant::now()));
+    }
+
+    /// Closes the connections that have been idle for longest, all but `most`.
+    pub fn trim(&mut self, most: usize) {
+        let over = self.idle.values().map(Vec::len).sum::<usize>().saturating_sub(most);
+        for _ in 0..over {
+            // Each address keeps its own in the order in which they fell idle.
+            let oldest = self.idle.iter_mut().min_by_key(|(_, idle)| idle.first().map(|(_, since)| *since));
+            if let Some((_, idle)) = oldest.filter(|(_, idle)| !idle.is_empty()) {
+                idle.remove(0);
+            }
+            self.idle.retain(|_, idle| !idle.is_empty());
         }
     }
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 const MOST_BODY: usize = 64 * 1024;
@@ -21,8 +21,6 @@
 const MOST_REMAINING: f64 = 86_400.0;
 /// Longest header field that is kept with a message.
 const MOST_FIELD: usize = 1024;
-/// Client connections at once; with calls and idle connections well under the descriptors.
-const MOST_CLIENTS: usize = 512;
 /// A client that has not sent the rest of its request by then has gone.
 const READ_PATIENCE: Duration = Duration::from_secs(10);
 /// A connection on which nothing was begun for so long makes room for others.
@@ -38,17 +36,28 @@
     Shut,
 }
 
-/// Serves clients until the doors are shut and every request that was read has its answer.
-pub async fn serve(listener: TcpListener, host: UnboundedSender<Input>, mut doors: watch::Receiver<Doors>) {
-    let room = Arc::new(Semaphore::new(MOST_CLIENTS));
+/// Serves clients, on `most` connections at once, until the doors are shut and every request that was read has
+/// its answer.
+pub async fn serve(
+    listener: TcpListener,
+    most: usize,
+    host: UnboundedSender<Input>,
+    mut doors: watch::Receiver<Doors>,
+) {
+    let room = Arc::new(Semaphore::new(most));
+    let crowded = Arc::new(Notify::new());
     loop {
         let accepted = tokio::select! {
             _ = doors.wait_for(|doors| *doors == Doors::Shut) => break,
-            accepted = accept(&listener, &room) => accepted,
+            accepted = accept(&listener, &room, &crowded) => accepted,
         };
         match accepted {
             Ok((stream, permit)) => {
-                tokio::spawn(connection(stream, permit, host.clone(), doors.clone()));
+                let connection = connection(stream, host.clone(), crowded.clone(), doors.clone());
+                tokio::spawn(async move {
+                    connection.await;
+                    drop(permit);
+                });
             }
             Err(e) => {
                 // Out of descriptors, say: what is open goes on, and closing makes room.
@@ -59,13 +68,19 @@
     }
     drop(listener);
     // With all permits back, every connection has ended.
-    let _ = room.acquire_many(MOST_CLIENTS as u32).await;
+    let _ = room.acquire_many(u32::try_from(most).unwrap_or(u32::MAX)).await;
 }
 
+/// The next connection, once there is room for it: where there is none, the oldest one makes it, at once if
+/// it is idle and else with its next answer.
 async fn accept(
     listener: &TcpListener,
     room: &Arc<Semaphore>,
+    crowded: &Notify,
 ) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    if room.available_permits() == 0 {
+        crowded.notify_one();
+    }
     let permit = room.clone().acquire_owned().await.map_err(std::io::Error::other)?;
     let (stream, _) = listener.accept().await?;
     Ok((stream, permit))
@@ -73,8 +88,8 @@
 
 async fn connection(
     stream: TcpStream,
-    _permit: OwnedSemaphorePermit,
     host: UnboundedSender<Input>,
+    crowded: Arc<Notify>,
     mut doors: watch::Receiver<Doors>,
 ) {
     let _ = stream.set_nodelay(true);
@@ -94,6 +109,7 @@
     tokio::select! {
         _ = connection.as_mut() => return,
         _ = doors.wait_for(|doors| *doors == Doors::Shut) => connection.as_mut().graceful_shutdown(),
+        () = crowded.notified() => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
 }
--- a/tests/sockets/clients.rs
+++ b/tests/sockets/clients.rs
@@ -117,3 +117,22 @@
     assert_eq!(call.id(), "small");
     call.ok();
 }
+
+/// Guards against running out of descriptors: however many connections stand open, a further client is served
+/// and the configured limit holds.
+#[tokio::test]
+async fn connections_that_stand_open_leave_room_for_others() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let member = member("s-1", endpoint.address, "single", "SERVING");
+    let few = |config: &mut serde_json::Value| config["limits"]["sockets"] = json!(64);
+    let node = Node::start_with(&platform, &[member], few).await;
+    let mut open = Vec::new();
+    for n in 0..120 {
+        open.push(tokio::net::TcpStream::connect(node.address).await.unwrap());
+        if n % 10 == 9 {
+            assert_eq!(node.hand_in(&format!("m{n}"), "unsafe", "").await.status(), 202);
+            endpoint.call().await.ok();
+            assert!(node.descriptors() <= 64, "{} descriptors", node.descriptors());
+        }
+    }
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -291,6 +291,12 @@
         timeout(PATIENCE, wait).await.expect("an end").unwrap()
     }
 
+    /// Descriptors that the process holds.
+    pub fn descriptors(&self) -> usize {
+        let folder = format!("/proc/{}/fd", self.process.as_ref().unwrap().id());
+        std::fs::read_dir(folder).unwrap().count()
+    }
+
     pub fn journal(&self) -> std::path::PathBuf {
         self.folder.path().join("messages.wal")
     }
