Reload on SIGHUP: move the watch and the notices to the new discovery

Nothing handled SIGHUP, so the platform's reload ended the process.

The configuration file is read again at each SIGHUP. The watch goes on at the address it names, from the version last told, and notices go there too; calls under way to the old address are given up at once. A file that cannot be read or used leaves a log line and the running configuration.

Test: bad files, then a good one; the process ended at the first before.

--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
 /// How long answers on their way out may take once the host has ended.
@@ -70,6 +70,8 @@
 }
 
 async fn run() -> Result<(), StartError> {
+    // Before all else: a signal that comes early must not end the process.
+    let hung_up = signal(SignalKind::hangup())?;
     let config = config()?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed))?;
     let (store, damage) = Store::open(&variable("PROXY_STATE")?, (config.limits.disk_mb * 1e6) as u64)?;
@@ -79,6 +81,7 @@
     let (inputs, from_all) = mpsc::unbounded_channel();
     let (notices, queue) = mpsc::unbounded_channel();
     let (doors, at_doors) = watch::channel(Doors::Open);
+    let (to_discovery, at_discovery) = watch::channel(config.discovery);
     let revision = config.known.revision;
     let links = Links { inputs: inputs.clone(), notices, doors };
     let descriptors = Descriptors::share(config.limits.sockets);
@@ -89,8 +92,8 @@
     let listener =
         TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })?;
     eprintln!("listening on {}", listener.local_addr()?);
-    tokio::spawn(discovery::watch(config.discovery, revision, inputs.clone()));
-    tokio::spawn(notices::run(config.discovery, queue, inputs.clone()));
+    tokio::spawn(discovery::watch(at_discovery.clone(), revision, inputs.clone()));
+    tokio::spawn(notices::run(at_discovery, queue, inputs.clone()));
     let (mut terminated, mut interrupted) =
         (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let on_signal = inputs.clone();
@@ -101,12 +104,31 @@
         }
         let _ = on_signal.send(Input::WindDown);
     });
+    tokio::spawn(reload(hung_up, to_discovery));
     let server = tokio::spawn(server::serve(listener, descriptors.clients, inputs, at_doors));
     host.run(from_all).await;
     let _ = tokio::time::timeout(LAST_ANSWERS, server).await;
     Ok(())
 }
 
+/// Takes up where discovery is from the configuration file at each SIGHUP. A file that cannot be used changes
+/// nothing; whatever else differs in a good one holds from the next start.
+async fn reload(mut hung_up: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hung_up.recv().await.is_some() {
+        let new = config().and_then(|new| {
+            new.settings.settings(&new.settings.names()).map_err(StartError::Settings)?;
+            Ok(new)
+        });
+        match new {
+            Ok(new) => {
+                eprintln!("reloaded: discovery is at {}", new.discovery);
+                discovery.send_replace(new.discovery);
+            }
+            Err(e) => eprintln!("not reloaded, the running configuration stays: {e}"),
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     match runtime.map_err(StartError::from).and_then(|runtime| runtime.block_on(run())) {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// How long one call of the watch may wait for news: short, as an agent that fell silent shows only by it.
@@ -62,12 +63,24 @@
     Json(#[from] serde_json::Error),
 }
 
-/// Watches the list from `revision` on, for as long as the host listens.
-pub async fn watch(agent: SocketAddr, mut revision: u64, host: UnboundedSender<Input>) {
+/// Watches the list from `revision` on, for as long as the host listens, at the address that is told last.
+pub async fn watch(
+    mut address: watch::Receiver<SocketAddr>,
+    mut revision: u64,
+    host: UnboundedSender<Input>,
+) {
     let mut connection = None;
     let mut failing = false;
     loop {
-        let answer = timeout(HOLD + PATIENCE, next(agent, revision, &mut connection)).await;
+        let agent = *address.borrow_and_update();
+        let answer = tokio::select! {
+            // The old address answers no more: the watch goes on at the new one, from what was told.
+            Ok(()) = address.changed() => {
+                connection = None;
+                continue;
+            }
+            answer = timeout(HOLD + PATIENCE, next(agent, revision, &mut connection)) => answer,
+        };
         match answer.unwrap_or(Err(WatchError::Silent)) {
             Ok(targets) => {
                 failing = false;
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// Notices in one request: the longest ids stay under the 64 KiB of a body.
@@ -45,14 +46,30 @@
     Status(StatusCode),
 }
 
-/// Sends what comes from `queue` to the platform and tells the host what was acknowledged, for as long as both
-/// are there.
-pub async fn run(platform: SocketAddr, mut queue: UnboundedReceiver<Notice>, host: UnboundedSender<Input>) {
+/// Sends what comes from `queue` to the platform, at the address that is told last, and tells the host what was
+/// acknowledged, for as long as both are there.
+pub async fn run(
+    mut address: watch::Receiver<SocketAddr>,
+    mut queue: UnboundedReceiver<Notice>,
+    host: UnboundedSender<Input>,
+) {
     let (mut connection, mut batch, mut failing) = (None, Vec::new(), false);
     while queue.recv_many(&mut batch, MOST_LINES).await > 0 {
+        // One that changed while nothing was to be sent is not the kept connection's.
+        if address.has_changed().unwrap_or(false) {
+            connection = None;
+        }
         let body = lines(&batch);
         loop {
-            let sent = timeout(PATIENCE, send(platform, body.clone(), &mut connection)).await;
+            let platform = *address.borrow_and_update();
+            let sent = tokio::select! {
+                // A notice that reached the old address too does no harm.
+                Ok(()) = address.changed() => {
+                    connection = None;
+                    continue;
+                }
+                sent = timeout(PATIENCE, send(platform, body.clone(), &mut connection)) => sent,
+            };
             match sent.unwrap_or(Err(NoticeError::Silent)) {
                 Ok(()) => break,
                 Err(e) => {
--- a/tests/sockets/restarts.rs
+++ b/tests/sockets/restarts.rs
@@ -102,3 +102,42 @@
     }
     assert!(endpoint.quiet(Duration::from_millis(300)).await, "a message went out after its end");
 }
+
+/// Guards against an end on SIGHUP, and against staying with a discovery that has moved: watch and notices go
+/// on at the address that the file names then. A file that cannot be used changes nothing.
+#[tokio::test]
+async fn a_reload_moves_discovery() {
+    let (mut endpoint, mut old, mut new) =
+        (Peer::start().await, Platform::start().await, Platform::start().await);
+    let once = |config: &mut serde_json::Value| config["settings"]["limits"]["max_attempts"] = json!(1);
+    let node = Node::start_with(&old, &[], once).await;
+    old.tell(&[member("s-1", endpoint.address, "single", "SERVING")]);
+    let error = || answer("500 Internal Server Error", "", "");
+    for bad in ["", "{", "{\"discovery\": \"127.0.0.1:1\"}"] {
+        node.reload(bad);
+        let id = format!("after {}", bad.len());
+        assert_eq!(node.hand_in(&id, "unsafe", "").await.status(), 202);
+        endpoint.call().await.ok();
+    }
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    endpoint.call().await.reply(error());
+    assert_eq!(old.notice().await["id"], "m1");
+    node.reload(&node.config_at(new.address));
+    let mut moved = Peer::start().await;
+    new.tell(&[
+        member("s-1", endpoint.address, "single", "DELETED"),
+        member("s-2", moved.address, "single", "SERVING"),
+    ]);
+    let mut n = 0;
+    let call = loop {
+        assert_eq!(node.hand_in(&format!("n{n}"), "unsafe", "").await.status(), 202);
+        n += 1;
+        tokio::select! {
+            call = endpoint.call() => call.ok(),
+            call = moved.call() => break call,
+        }
+    };
+    let id = call.id().to_owned();
+    call.reply(error());
+    assert_eq!(new.notice().await["id"], id.as_str());
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -280,7 +280,11 @@
 
     /// Begins a planned restart: SIGTERM.
     pub fn terminate(&self) {
-        let kill = format!("kill -TERM {}", self.process.as_ref().unwrap().id());
+        self.signal("TERM");
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.process.as_ref().unwrap().id());
         assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
     }
 
@@ -291,6 +295,19 @@
         timeout(PATIENCE, wait).await.expect("an end").unwrap()
     }
 
+    /// Has the process read its configuration file again, which holds `text` now.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(self.folder.path().join("config.json"), text).unwrap();
+        self.signal("HUP");
+    }
+
+    /// The configuration with discovery at another address.
+    pub fn config_at(&self, discovery: SocketAddr) -> String {
+        let mut config = self.config.clone();
+        config["discovery"] = json!(discovery.to_string());
+        config.to_string()
+    }
+
     /// Descriptors that the process holds.
     pub fn descriptors(&self) -> usize {
         let folder = format!("/proc/{}/fd", self.process.as_ref().unwrap().id());
