Turn strangers away in time: bound how long a first request may take

The server waited 60 s for a head and 10 s for a body, and such peers held descriptors meanwhile.

Who has not sent a whole request 2.2 s after connecting is cut off; the body of a later one may take 2 s, and idle connections end after 10 s. A message without Content-Length, without Host, or with a field given twice is answered 4xx, and a length over 64 KiB at once.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,13 +3,15 @@
 use super::store::Handed;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::future::pending;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
@@ -21,10 +23,13 @@
 const MOST_REMAINING: f64 = 86_400.0;
 /// Longest header field that is kept with a message.
 const MOST_FIELD: usize = 1024;
+/// Whoever has not sent a whole request so long after connecting is cut off: strangers are owed an error or a
+/// close within 3 s.
+const FIRST_PATIENCE: Duration = Duration::from_millis(2200);
 /// A client that has not sent the rest of its request by then has gone.
-const READ_PATIENCE: Duration = Duration::from_secs(10);
+const READ_PATIENCE: Duration = Duration::from_secs(2);
 /// A connection on which nothing was begun for so long makes room for others.
-const IDLE: Duration = Duration::from_secs(60);
+const IDLE: Duration = Duration::from_secs(10);
 
 /// What winding down asks of the connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -94,9 +99,11 @@
 ) {
     let _ = stream.set_nodelay(true);
     let at_door = doors.clone();
+    let heard = Arc::new(AtomicBool::new(false));
+    let asked = heard.clone();
     let service = service_fn(move |request| {
-        let (host, doors) = (host.clone(), *at_door.borrow());
-        async move { Ok::<_, Infallible>(respond(request, &host, doors).await) }
+        let (host, doors, asked) = (host.clone(), *at_door.borrow(), asked.clone());
+        async move { Ok::<_, Infallible>(respond(request, &host, doors, &asked).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -110,22 +117,37 @@
         _ = connection.as_mut() => return,
         _ = doors.wait_for(|doors| *doors == Doors::Shut) => connection.as_mut().graceful_shutdown(),
         () = crowded.notified() => connection.as_mut().graceful_shutdown(),
+        () = unheard(&heard) => return,
+    }
+    tokio::select! {
+        _ = connection => {}
+        () = unheard(&heard) => {}
+    }
+}
+
+/// Ends when a connection's patience for its first request is over, and never once that has come.
+async fn unheard(heard: &AtomicBool) {
+    sleep(FIRST_PATIENCE).await;
+    if heard.load(Ordering::Relaxed) {
+        pending::<()>().await;
     }
-    let _ = connection.await;
 }
 
 async fn respond(
     request: Request<Incoming>,
     host: &UnboundedSender<Input>,
     doors: Doors,
+    heard: &AtomicBool,
 ) -> Response<Full<Bytes>> {
     let mut response = match (request.method(), request.uri().path()) {
+        _ if !request.headers().contains_key(HOST) => plain(StatusCode::BAD_REQUEST, "Host is missing\n"),
         (&Method::GET, "/-/ready") if doors == Doors::Open => plain(StatusCode::OK, "ready\n"),
         (&Method::GET, "/-/ready") => plain(StatusCode::SERVICE_UNAVAILABLE, "winding down\n"),
-        (&Method::POST, "/api") => hand_in(request, host).await,
+        (&Method::POST, "/api") => hand_in(request, host, heard).await,
         (_, "/-/ready" | "/api") => plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n"),
         _ => plain(StatusCode::NOT_FOUND, "not found\n"),
     };
+    heard.store(true, Ordering::Relaxed);
     if doors != Doors::Open {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -138,9 +160,20 @@
     response
 }
 
-async fn hand_in(request: Request<Incoming>, host: &UnboundedSender<Input>) -> Response<Full<Bytes>> {
-    let came = Instant::now();
+async fn hand_in(
+    request: Request<Incoming>,
+    host: &UnboundedSender<Input>,
+    heard: &AtomicBool,
+) -> Response<Full<Bytes>> {
     let (head, body) = request.into_parts();
+    // Clients tell the length of a message: without it, where one ends is a matter of opinion.
+    match body.size_hint().exact() {
+        None => return plain(StatusCode::LENGTH_REQUIRED, "Content-Length is missing\n"),
+        Some(length) if length > MOST_BODY as u64 => {
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n");
+        }
+        Some(_) => {}
+    }
     let body = match timeout(READ_PATIENCE, Limited::new(body, MOST_BODY).collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
@@ -149,6 +182,8 @@
         Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body cannot be read\n"),
         Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
     };
+    let came = Instant::now();
+    heard.store(true, Ordering::Relaxed);
     let (message, remaining) = match read(&head.headers, body) {
         Ok(read) => read,
         Err(what) => return plain(StatusCode::BAD_REQUEST, format!("{what}\n")),
@@ -166,6 +201,9 @@
 /// A message and how long it may still be delivered.
 fn read(headers: &HeaderMap, body: Bytes) -> Result<(Handed, Duration), String> {
     let optional = |name: &str| -> Result<Option<String>, String> {
+        if headers.get_all(name).iter().nth(1).is_some() {
+            return Err(format!("{name} comes more than once"));
+        }
         let text = headers.get(name).map(|value| value.to_str().map(|text| text.trim().to_owned()));
         let text = text.transpose().map_err(|_| format!("{name} is not text"))?;
         match text {
--- a/tests/sockets/clients.rs
+++ b/tests/sockets/clients.rs
@@ -1,7 +1,10 @@
 //! The side of the clients.
 use super::world::*;
 use serde_json::json;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Guards against changing what is carried: id, key and body go on as they came.
 #[tokio::test]
@@ -128,7 +131,7 @@
     let node = Node::start_with(&platform, &[member], few).await;
     let mut open = Vec::new();
     for n in 0..120 {
-        open.push(tokio::net::TcpStream::connect(node.address).await.unwrap());
+        open.push(TcpStream::connect(node.address).await.unwrap());
         if n % 10 == 9 {
             assert_eq!(node.hand_in(&format!("m{n}"), "unsafe", "").await.status(), 202);
             endpoint.call().await.ok();
@@ -136,3 +139,45 @@
         }
     }
 }
+
+/// Guards against strangers who hold a connection with half a request, or none: each gets an error or a close
+/// within 3 s. A client that has been heard keeps its connection.
+#[tokio::test]
+async fn strangers_are_turned_away_in_time() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    let mut client = TcpStream::connect(node.address).await.unwrap();
+    let ready = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+    client.write_all(ready).await.unwrap();
+    assert_eq!(Http::read(&mut client).await.unwrap().status(), 200);
+    let fields = "X-Txn: s\r\nX-Lane: unsafe\r\nX-Remaining: 9\r\nX-Envelope: dest=7\r\n";
+    let strangers = [
+        String::new(),
+        "POST /ap".to_owned(),
+        format!("POST /api HTTP/1.1\r\nHost: a\r\n{fields}"),
+        format!("POST /api HTTP/1.1\r\nHost: a\r\n{fields}Content-Length: 9\r\n\r\nhalf"),
+        format!(
+            "POST /api HTTP/1.1\r\nHost: a\r\n{fields}Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+        ),
+        format!("POST /api HTTP/1.1\r\nHost: a\r\n{fields}Content-Length: 62914560\r\n\r\nhuge"),
+        format!("POST /api HTTP/1.1\r\n{fields}Content-Length: 4\r\n\r\nbody"),
+        format!("POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: t\r\n{fields}Content-Length: 4\r\n\r\nbody"),
+    ];
+    let ends = strangers.map(|sent| {
+        let address = node.address;
+        tokio::spawn(async move {
+            let (mut stream, began) = (TcpStream::connect(address).await.unwrap(), Instant::now());
+            stream.write_all(sent.as_bytes()).await.unwrap();
+            // An error, or nothing but the end.
+            let status = Http::read(&mut stream).await.map_or(400, |answer| answer.status());
+            (sent, status, began.elapsed())
+        })
+    });
+    for end in ends {
+        let (sent, status, took) = timeout(PATIENCE, end).await.expect("an end").unwrap();
+        assert!(status >= 400 && took < Duration::from_secs(3), "{status} after {took:?}: {sent}");
+    }
+    client.write_all(ready).await.unwrap();
+    assert_eq!(Http::read(&mut client).await.unwrap().status(), 200);
+    assert!(endpoint.quiet(Duration::from_millis(100)).await, "a stranger's message went out");
+}
