Use no idle connection for longer than others were seen to live

A capture sorted the calls by how long their connection had been idle: of those on new connections or idle for less than 0.1 s 5% are reset, from 0.1 s on 19%, from 0.2 s on 41%, from 0.4 s on 50%. Something on the way drops idle connections long before the settings' 5 s, and the pool kept them for 4 s. The module's guard sees only when a partner answered last, not how old a connection is.

The pool now learns, by idle time, how many calls break, against those on new connections, and uses none idle for longer than the first span that breaks markedly more often. What is not seen again fades, so longer spans are tried again.

Ruled out: endpoints down (others answer in the same milliseconds), requests broken off by us (every reset comes from the endpoint's side).

--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -343,6 +343,11 @@
     fn called(&mut self, called: Called) {
         let at = self.clock.at(called.at);
         let sent = self.calls.remove(&called.number).unwrap_or(at);
+        match called.ends.first() {
+            Some((_, Outcome::Reset, _)) => self.pool.learn(called.idle, true),
+            Some((_, Outcome::TimedOut | Outcome::ConnectFailed, _)) | None => {}
+            Some(_) => self.pool.learn(called.idle, false),
+        }
         let heeded = called.ends.iter().any(|(_, outcome, _)| matches!(outcome, Outcome::Full(Some(_))));
         self.ended(sent, at, called.ends, called.report);
         if let Some(wait) = called.wait.filter(|_| !heeded) {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -26,6 +26,14 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
+/// Idle times, in milliseconds, between which connections are told apart when some break.
+const IDLE_STEPS: [u64; 7] = [50, 100, 200, 400, 800, 1600, 3200];
+/// Weight of one more call in the learned shares of calls that broke.
+const TRUST_LEARN: f64 = 0.1;
+/// More broken calls than on new connections, as a share, at which a longer idle connection is not used.
+const SUSPECT_SHARE: f64 = 0.08;
+/// Time over which the learned shares fade.
+const TRUST_FADES: Duration = Duration::from_secs(10);
 /// Bodies of answers are read up to this; longer ones cost their connection.
 const MOST_ANSWER: usize = 1 << 20;
 /// How long the body of an answer may take once its status is known.
@@ -198,6 +206,8 @@
     /// A wait that the answer told.
     pub wait: Option<Span>,
     pub report: Option<Report>,
+    /// How long its connection had been idle before, unless that was new.
+    pub idle: Option<Duration>,
 }
 
 /// Where the fields of a load report stand.
@@ -207,23 +217,71 @@
     pub limit: bool,
 }
 
+/// What is learned of how long an idle connection can still be used. Something on the way may drop those idle
+/// for far less than the settings' time; a call on such a one ends as a reset, and may cost a message its try.
+struct Trust {
+    /// Learned share of calls on new connections that broke: what breaks anyway.
+    base: f64,
+    /// The same for connections that had been idle up to each of `IDLE_STEPS`, and for longer.
+    broken: [f64; IDLE_STEPS.len() + 1],
+    at: Instant,
+}
+
+impl Trust {
+    fn new() -> Self {
+        Self { base: 0.0, broken: [0.0; IDLE_STEPS.len() + 1], at: Instant::now() }
+    }
+
+    fn learn(&mut self, idle: Option<Duration>, broke: bool) {
+        self.forget();
+        let share = match idle {
+            Some(idle) => {
+                &mut self.broken
+                    [IDLE_STEPS.iter().filter(|step| idle.as_millis() >= u128::from(**step)).count()]
+            }
+            None => &mut self.base,
+        };
+        *share += TRUST_LEARN * (f64::from(u8::from(broke)) - *share);
+    }
+
+    /// What is not seen again fades, so that longer idle times are tried again.
+    fn forget(&mut self) {
+        let fading = (-self.at.elapsed().as_secs_f64() / TRUST_FADES.as_secs_f64()).exp();
+        self.broken.iter_mut().for_each(|share| *share *= fading);
+        self.at = Instant::now();
+    }
+
+    /// The idle time from which on connections break markedly more often than new ones.
+    fn limit(&self) -> Option<Duration> {
+        let suspect = |share: &f64| *share > self.base + SUSPECT_SHARE;
+        let step = self.broken[1..].iter().position(suspect)?;
+        IDLE_STEPS.get(step).copied().map(Duration::from_millis)
+    }
+}
+
 /// Idle connections by address, the last used one first out: an endpoint that moves leaves its old ones behind.
 pub struct Pool {
     idle: HashMap<SocketAddr, Vec<(Connection, Instant)>>,
     keep: Duration,
+    trust: Trust,
 }
 
 impl Pool {
     /// `idle_time` is how long endpoints keep an idle connection open: ours are dropped well before.
     pub fn new(idle_time: Duration) -> Self {
-        Self { idle: HashMap::new(), keep: idle_time * 4 / 5 }
+        Self { idle: HashMap::new(), keep: idle_time * 4 / 5, trust: Trust::new() }
     }
 
-    /// The youngest idle connection to the address, if any is young enough.
-    pub fn take(&mut self, address: SocketAddr) -> Option<Connection> {
+    /// The youngest idle connection to the address, if any is young enough, and how long it was idle.
+    pub fn take(&mut self, address: SocketAddr) -> Option<(Connection, Duration)> {
         self.prune();
         let idle = self.idle.get_mut(&address)?;
-        idle.pop().map(|(connection, _)| connection)
+        idle.pop().map(|(connection, since)| (connection, since.elapsed()))
+    }
+
+    /// Takes in whether a connection that had been idle for so long, or was new, broke under its call.
+    pub fn learn(&mut self, idle: Option<Duration>, broke: bool) {
+        self.trust.learn(idle, broke);
     }
 
     /// Keeps a connection for the next call.
@@ -252,7 +310,8 @@
 
     /// Closes connections that have been idle for too long.
     fn prune(&mut self) {
-        let keep = self.keep;
+        self.trust.forget();
+        let keep = self.trust.limit().map_or(self.keep, |limit| limit.min(self.keep));
         self.idle.retain(|_, idle| {
             idle.retain(|(connection, since)| since.elapsed() < keep && !connection.requests.is_closed());
             !idle.is_empty()
@@ -289,12 +348,12 @@
     /// connection comes back if it can carry another call.
     pub async fn run(
         self,
-        kept: Option<Connection>,
+        kept: Option<(Connection, Duration)>,
         fields: ReportFields,
         host: &UnboundedSender<Input>,
     ) -> Option<Connection> {
         let done = |called| drop(host.send(Input::Called(called)));
-        let (mut connection, fresh) = match self.connection(kept, host).await {
+        let (mut connection, idle) = match self.connection(kept, host).await {
             Ok(Some(connection)) => connection,
             Ok(None) => {
                 done(self.called(self.all(Outcome::Void), None, None));
@@ -305,6 +364,7 @@
                 return None;
             }
         };
+        let done = |called| done(Called { idle, ..called });
         let (request, body) = self.request();
         match timeout_at(self.expires, connection.send(request, body)).await {
             Ok(Ok(answer)) if self.parcels.len() > 1 && answer.status() == StatusCode::OK => {
@@ -323,7 +383,7 @@
             Ok(Ok(answer)) => {
                 let told = told(answer.headers());
                 let (outcome, over) = match told {
-                    None if fresh && no_room(answer.status(), answer.headers()) => {
+                    None if idle.is_none() && no_room(answer.status(), answer.headers()) => {
                         (Outcome::ConnectFailed, false)
                     }
                     _ => outcome(answer.status(), answer.headers(), told),
@@ -349,17 +409,17 @@
         }
     }
 
-    /// A connection for the call, and whether it is new; none if its messages may not go out any more once
-    /// there is one.
+    /// A connection for the call, and how long it was idle unless it is new; none if its messages may not go
+    /// out any more once there is one.
     async fn connection(
         &self,
-        kept: Option<Connection>,
+        kept: Option<(Connection, Duration)>,
         host: &UnboundedSender<Input>,
-    ) -> Result<Option<(Connection, bool)>, CallError> {
-        if let Some(mut kept) = kept
+    ) -> Result<Option<(Connection, Option<Duration>)>, CallError> {
+        if let Some((mut kept, idle)) = kept
             && kept.is_alive().await
         {
-            return Ok(Some((kept, false)));
+            return Ok(Some((kept, Some(idle))));
         }
         let left = self.expires.saturating_duration_since(Instant::now());
         let new = Connection::open(self.address, left.min(self.connect_timeout)).await?;
@@ -367,7 +427,7 @@
         let messages = self.parcels.iter().map(|p| p.number).collect();
         let _ = host.send(Input::Connected { endpoint: self.endpoint, messages, may_begin });
         // A host that has ended has no more calls to make.
-        Ok(allowed.await.unwrap_or(false).then_some((new, true)))
+        Ok(allowed.await.unwrap_or(false).then_some((new, None)))
     }
 
     fn request(&self) -> (Builder, Bytes) {
@@ -421,7 +481,8 @@
     }
 
     fn called(&self, ends: Vec<(u32, Outcome, bool)>, wait: Option<Span>, report: Option<Report>) -> Called {
-        Called { number: self.number, endpoint: self.endpoint, at: Instant::now(), ends, wait, report }
+        let (number, endpoint) = (self.number, self.endpoint);
+        Called { number, endpoint, at: Instant::now(), ends, wait, report, idle: None }
     }
 }
 
@@ -556,7 +617,10 @@
             };
             let kept = match fresh {
                 true => None,
-                false => Some(Connection::open(address, Duration::from_secs(20)).await.unwrap()),
+                false => {
+                    let open = Connection::open(address, Duration::from_secs(20)).await.unwrap();
+                    Some((open, Duration::ZERO))
+                }
             };
             let (to_host, mut host) = tokio::sync::mpsc::unbounded_channel();
             let allowing = async {
@@ -576,4 +640,34 @@
             assert_eq!(called.ends, [(1, outcome, false)], "new: {fresh}, {answer}");
         }
     }
+
+    /// Guards against calls on connections that something on the way has dropped (case6958: half of those idle
+    /// for 0.2 s or more): what was idle for so long is not used, what is fresher is, and in time more is.
+    #[tokio::test(start_paused = true)]
+    async fn idle_connections_are_trusted_only_as_long_as_they_live() {
+        let mut trust = Trust::new();
+        for n in 0..20 {
+            trust.learn(None, n % 20 == 0);
+            trust.learn(Some(Duration::from_millis(30)), n % 20 == 0);
+            trust.learn(Some(Duration::from_millis(300)), n % 2 == 0);
+        }
+        assert_eq!(trust.limit(), Some(Duration::from_millis(200)));
+        tokio::time::advance(Duration::from_secs(30)).await;
+        trust.forget();
+        assert_eq!(trust.limit(), None, "none broke for a while: tried again");
+    }
+
+    /// Guards against handing out a connection that has been idle for longer than others lived.
+    #[tokio::test]
+    async fn a_connection_idle_for_too_long_is_closed() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut pool = Pool::new(Duration::from_secs(60));
+        (0..20).for_each(|_| pool.learn(Some(Duration::from_millis(60)), true));
+        pool.put(address, Connection::open(address, Duration::from_secs(20)).await.unwrap());
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        assert!(pool.take(address).is_none());
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert_eq!(stream.read(&mut [0]).await.unwrap(), 0, "closed");
+    }
 }
