Let no notice that the platform cannot read hold up the others

Found on reading the reconstructed module against the protocol, which has the platform answer 400 to what it cannot read: such a batch was sent again for good, and every final answer behind it waited.

After a 400 the notices go one by one, and the one that is turned down is logged and dropped.

--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -59,8 +59,10 @@
         if address.has_changed().unwrap_or(false) {
             connection = None;
         }
-        let body = lines(&batch);
-        loop {
+        let mut take = batch.len();
+        while !batch.is_empty() {
+            take = take.min(batch.len());
+            let body = lines(&batch[..take]);
             let platform = *address.borrow_and_update();
             let sent = tokio::select! {
                 // A notice that reached the old address too does no harm.
@@ -68,10 +70,18 @@
                     connection = None;
                     continue;
                 }
-                sent = timeout(PATIENCE, send(platform, body.clone(), &mut connection)) => sent,
+                sent = timeout(PATIENCE, send(platform, body, &mut connection)) => sent,
             };
             match sent.unwrap_or(Err(NoticeError::Silent)) {
-                Ok(()) => break,
+                Ok(()) => failing = false,
+                // One that cannot be read must not hold up the others: each goes alone, and that one nowhere.
+                Err(NoticeError::Status(StatusCode::BAD_REQUEST)) if take > 1 => {
+                    take = 1;
+                    continue;
+                }
+                Err(NoticeError::Status(StatusCode::BAD_REQUEST)) => {
+                    eprintln!("notices: the platform cannot read the one of {:?}: dropped", batch[0].id);
+                }
                 Err(e) => {
                     // One line an outage, not one a request.
                     if !failing {
@@ -80,13 +90,13 @@
                     failing = true;
                     connection = None;
                     sleep(PAUSE).await;
+                    continue;
                 }
             }
-        }
-        failing = false;
-        let numbers = batch.drain(..).map(|notice| notice.number).collect();
-        if host.send(Input::Noticed(numbers)).is_err() {
-            return;
+            let numbers = batch.drain(..take).map(|notice| notice.number).collect();
+            if host.send(Input::Noticed(numbers)).is_err() {
+                return;
+            }
         }
     }
 }
--- a/tests/sockets/calls.rs
+++ b/tests/sockets/calls.rs
@@ -181,3 +181,15 @@
     call.ok();
     drop(first);
 }
+
+/// Guards against one notice that the platform cannot read holding up all that come after it.
+#[tokio::test]
+async fn a_notice_that_cannot_be_read_holds_up_no_other() {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    for id in ["unreadable", "m2"] {
+        assert_eq!(node.hand_in(id, "unsafe", "").await.status(), 202);
+        endpoint.call().await.reply(answer("500 Internal Server Error", "", ""));
+    }
+    assert_eq!(platform.notice().await, json!({"id": "m2", "state": "failed"}));
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -135,7 +135,7 @@
     }
 }
 
-/// Discovery's agent and the platform that takes notices.
+/// Discovery's agent and the platform that takes notices, but for those of ids that hold "unreadable".
 pub struct Platform {
     pub address: SocketAddr,
     notices: mpsc::UnboundedReceiver<Value>,
@@ -167,6 +167,8 @@
                             watch = Some(call);
                         } else if is_deaf.load(Ordering::SeqCst) {
                             call.reply(Reply::Break);
+                        } else if call.http.body.windows(10).any(|bytes| bytes == b"unreadable") {
+                            call.reply(answer("400 Bad Request", "", ""));
                         } else {
                             for line in call.http.body.split(|b| *b == b'\n').filter(|l| !l.is_empty()) {
                                 let _ = noticed.send(serde_json::from_slice(line).unwrap());
