--- a/src/brain.rs
+++ b/src/brain.rs
@@ -162,9 +162,17 @@
     zone: ZoneId,
     kind: KindId,
     listing: Listing,
+    /// Taken out of service by staff, apart from what the list says.
+    excluded: bool,
     line: usize,
 }
 
+impl Endpoint {
+    fn in_service(&self) -> bool {
+        self.listing == Listing::Active && !self.excluded
+    }
+}
+
 #[derive(Default)]
 struct Destination {
     shared: Option<usize>,
@@ -377,6 +385,8 @@
                 self.list(entries);
             }
             Event::ListChanges(entries) => self.list(entries),
+            Event::Excluded(endpoint) => self.exclude(*endpoint, actions),
+            Event::Included(endpoint) => self.include(*endpoint, actions),
             Event::ListFailed => {
                 // The list's keeper is short of room itself: ask again ever more slowly, by chance apart.
                 self.list_failures = (self.list_failures + 1).min(4);
@@ -452,10 +462,31 @@
             }
             let (line, Entry { destination, zone, kind, listing, .. }) = (self.lines.len(), *entry);
             self.lines.push(Line::new(destination, Some(entry.endpoint), if apart { hint } else { 0.0 }));
-            self.endpoints.insert(entry.endpoint, Endpoint { destination, zone, kind, listing, line });
+            self.endpoints
+                .insert(entry.endpoint, Endpoint { destination, zone, kind, listing, excluded: false, line });
+        }
+    }
+
+    /// Nothing more goes to the endpoint; what is out there comes to its end.
+    fn exclude(&mut self, endpoint: EndpointId, actions: &mut Vec<Action>) {
+        let Some(at) = self.endpoints.get_mut(&endpoint) else { return };
+        if !std::mem::replace(&mut at.excluded, true) {
+            self.lines[at.line].refresh(self.now, &self.settings);
+            actions.push(Action::CloseIdle(endpoint));
         }
     }
 
+    /// An endpoint that is put back comes cold and with no connection left: as after an outage it is paced by
+    /// the ramp, from the rate that it had when it went.
+    fn include(&mut self, endpoint: EndpointId, actions: &mut Vec<Action>) {
+        let Some(at) = self.endpoints.get_mut(&endpoint).filter(|at| at.excluded) else { return };
+        at.excluded = false;
+        let (now, line) = (self.now, &mut self.lines[at.line]);
+        (line.rate_at, line.tokens_at, line.tokens) = (now, now, 0.0);
+        (line.health, line.failing, line.streak, line.fulls) = (Health::Returning(now), 0.0, 0, 0);
+        actions.push(Action::CloseIdle(endpoint));
+    }
+
     fn ended(&mut self, event: &Event, actions: &mut Vec<Action>) {
         let Event::Ended { message: id, attempt, outcome, last, report, .. } = *event else { return };
         let Some(held) = self.held.get_mut(&id) else { return };
@@ -569,9 +600,9 @@
         self.repeatable(held, self.now) && held.ran.is_none_or(|ran| !here || at.zone == ran.zone)
     }
 
-    /// Rule 3: nothing new to what drains or is gone, from the moment it is known: stricter than the grace.
+    /// Rule 3: nothing new to what drains, is gone or excluded, once that is known: stricter than the grace.
     fn rule_drain(&self, at: &Endpoint) -> bool {
-        at.listing == Listing::Active
+        at.in_service()
     }
 
     /// Rule 4: one call at a time into an outage; afterwards the ramp, by tokens.
@@ -654,7 +685,7 @@
         };
         let destination = self.destinations.get(&held.message.destination)?;
         let endpoints = destination.endpoints.iter().map(|e| &self.endpoints[e]);
-        let active = endpoints.filter(|at| at.listing == Listing::Active);
+        let active = endpoints.filter(|at| at.in_service());
         let own = active.map(|at| opens(&self.lines[at.line])).min()?;
         let at = destination.shared.map_or(own, |line| own.max(opens(&self.lines[line])));
         (self.now < at && at < held.deadline).then(|| Span(at.0 - self.now.0))
@@ -754,7 +785,7 @@
         let Some(d) = self.destinations.get(&destination) else { return };
         let Some(shared) = d.shared else { return };
         let health = |e: &EndpointId| self.lines[self.endpoints[e].line].health;
-        let mut active = d.endpoints.iter().filter(|e| self.endpoints[*e].listing == Listing::Active);
+        let mut active = d.endpoints.iter().filter(|e| self.endpoints[*e].in_service());
         let next = d.endpoints.iter().filter_map(|e| match health(e) {
             Health::Down(next) => Some(next),
             _ => None,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -329,6 +329,10 @@
     FullList(Vec<Entry>),
     /// Changed lines of the list.
     ListChanges(Vec<Entry>),
+    /// Staff take this endpoint out of service for this sender, whatever the list says of it.
+    Excluded(EndpointId),
+    /// And put it back: it may have been restarted meanwhile.
+    Included(EndpointId),
     /// Asking for the list failed, or the subscription broke.
     ListFailed,
     /// A health check has ended.
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 use net::Descriptors;
 use net::discovery::{self, Targets};
 use net::host::{Host, Input, Links};
+use net::mgmt::{self, Standing};
 use net::notices;
 use net::server::{self, Doors};
 use net::store::Store;
@@ -23,6 +24,8 @@
 #[derive(Deserialize)]
 struct Config {
     listen: SocketAddr,
+    /// The second address, where staff's calls come.
+    mgmt: Option<SocketAddr>,
     discovery: SocketAddr,
     seed: String,
     limits: Limits,
@@ -46,6 +49,8 @@
     NotConfig { path: PathBuf, source: serde_json::Error },
     #[error("configuration: seed {0:?} is not hexadecimal")]
     Seed(String),
+    #[error("$PROXY_MGMT: {0:?} is no address")]
+    Mgmt(std::ffi::OsString),
     #[error(transparent)]
     Store(#[from] net::store::StoreError),
     #[error("settings: {0}")]
@@ -66,7 +71,17 @@
         Ok(text) => text,
         Err(source) => return Err(StartError::Unreadable { path, source }),
     };
-    serde_json::from_slice(&text).map_err(|source| StartError::NotConfig { path, source })
+    let mut config: Config = match serde_json::from_slice(&text) {
+        Ok(config) => config,
+        Err(source) => return Err(StartError::NotConfig { path, source }),
+    };
+    if config.mgmt.is_none()
+        && let Some(address) = std::env::var_os("PROXY_MGMT").filter(|address| !address.is_empty())
+    {
+        let parsed = address.to_str().and_then(|address| address.parse().ok());
+        config.mgmt = Some(parsed.ok_or(StartError::Mgmt(address))?);
+    }
+    Ok(config)
 }
 
 async fn run() -> Result<(), StartError> {
@@ -78,12 +93,20 @@
     if damage != net::store::Damage::default() {
         eprintln!("journal: {} bytes cut off at the end, {} passed over", damage.torn, damage.skipped);
     }
+    let (standing, stands) = watch::channel(Standing::Starting);
+    let (to_host, orders) = mpsc::channel(mgmt::MOST_CALLERS);
+    if let Some(address) = config.mgmt {
+        let error = |source| StartError::Listen { address, source };
+        let listener = std::net::TcpListener::bind(address).map_err(error)?;
+        eprintln!("second address: {}", listener.local_addr().map_err(error)?);
+        mgmt::spawn(listener, to_host, stands).map_err(error)?;
+    }
     let (inputs, from_all) = mpsc::unbounded_channel();
     let (notices, queue) = mpsc::unbounded_channel();
     let (doors, at_doors) = watch::channel(Doors::Open);
     let (to_discovery, at_discovery) = watch::channel(config.discovery);
     let revision = config.known.revision;
-    let links = Links { inputs: inputs.clone(), notices, doors };
+    let links = Links { inputs: inputs.clone(), notices, doors, standing };
     let descriptors = Descriptors::share(config.limits.sockets);
     let host = Host::new(&config.settings, seed, config.known, store, descriptors.endpoints, links)
         .map_err(StartError::Settings)?;
@@ -106,7 +129,7 @@
     });
     tokio::spawn(reload(hung_up, to_discovery));
     let server = tokio::spawn(server::serve(listener, descriptors.clients, inputs, at_doors));
-    host.run(from_all).await;
+    host.run(from_all, orders).await;
     let _ = tokio::time::timeout(LAST_ANSWERS, server).await;
     Ok(())
 }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -1,6 +1,7 @@
 //! The loop round the decision module: feeds it events, carries out its actions, and keeps the journal ahead
 //! of both. It maps the wire's names to the module's numbers.
 use super::discovery::{Phase, Targets};
+use super::mgmt::{Asked, Order, Standing};
 use super::notices::Notice;
 use super::pool::{Call, Called, Connection, Parcel, Pool, ReportFields};
 use super::server::Doors;
@@ -14,7 +15,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
@@ -23,6 +24,9 @@
 /// From SIGTERM on, clients still come for 0.4 s.
 const STILL_COMING: Duration = Duration::from_millis(600);
 
+/// Inputs taken in before staff's orders are looked at again.
+const MOST_INPUTS: usize = 256;
+
 /// What the client is told.
 pub enum Answer {
     TakenOn,
@@ -117,6 +121,7 @@
     wake_at: Option<Instant>,
     winding_down: Option<WindDown>,
     doors: watch::Sender<Doors>,
+    standing: watch::Sender<Standing>,
     inputs: UnboundedSender<Input>,
     notices: UnboundedSender<Notice>,
 }
@@ -126,6 +131,7 @@
     pub inputs: UnboundedSender<Input>,
     pub notices: UnboundedSender<Notice>,
     pub doors: watch::Sender<Doors>,
+    pub standing: watch::Sender<Standing>,
 }
 
 impl Host {
@@ -165,6 +171,7 @@
             wake_at: None,
             winding_down: None,
             doors: links.doors,
+            standing: links.standing,
             inputs: links.inputs,
             notices: links.notices,
         };
@@ -175,17 +182,21 @@
     }
 
     /// Works until it has wound down.
-    pub async fn run(mut self, mut inputs: UnboundedReceiver<Input>) {
+    pub async fn run(mut self, mut inputs: UnboundedReceiver<Input>, mut orders: Receiver<Asked>) {
+        self.standing.send_replace(Standing::Serving);
         loop {
             let due = self.due();
             tokio::select! {
+                biased;
+                Some(asked) = orders.recv() => self.order(asked),
                 input = inputs.recv() => match input {
                     Some(input) => self.take_in(input),
                     None => return,
                 },
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
             }
-            while let Ok(input) = inputs.try_recv() {
+            for _ in 0..MOST_INPUTS {
+                let Ok(input) = inputs.try_recv() else { break };
                 self.take_in(input);
             }
             let now = Instant::now();
@@ -250,8 +261,52 @@
         }
     }
 
+    /// Carries out what staff ask for. The answer goes out once it is in force, and journaled where it lasts.
+    fn order(&mut self, asked: Asked) {
+        // A caller that was told that nothing changed must be right.
+        if asked.answer.is_closed() {
+            return;
+        }
+        let done = match &asked.order {
+            Order::Exclude(id) => self.ban(id, true),
+            Order::Include(id) => self.ban(id, false),
+            Order::Evacuate => self.drain(true),
+            Order::Activate => self.drain(false),
+        };
+        match &done {
+            Ok(()) => eprintln!("staff: {:?}", asked.order),
+            Err(why) => eprintln!("staff: {:?}: {why}", asked.order),
+        }
+        let _ = asked.answer.send(done);
+    }
+
+    fn ban(&mut self, id: &str, excluded: bool) -> Result<(), String> {
+        let endpoint = self.endpoint_ids.get(id).copied();
+        if endpoint.is_none() && !self.store.is_excluded(id) {
+            return Err(format!("no endpoint {id:?} was ever listed"));
+        }
+        let journaled = if excluded { self.store.exclude(id) } else { self.store.include(id) };
+        journaled.map_err(|e| e.to_string())?;
+        if let Some(endpoint) = endpoint {
+            let event = if excluded { Event::Excluded(endpoint) } else { Event::Included(endpoint) };
+            self.pending.push((self.now(), event));
+            self.step();
+        }
+        Ok(())
+    }
+
+    /// Sends the clients away, or has them back. What is held, and what still comes, is delivered either way.
+    fn drain(&mut self, away: bool) -> Result<(), String> {
+        if self.winding_down.is_some() {
+            return Err("this process is ending".to_owned());
+        }
+        self.doors.send_replace(if away { Doors::Draining } else { Doors::Open });
+        Ok(())
+    }
+
     fn wind_down(&mut self) {
         if self.winding_down.is_none() {
+            self.standing.send_replace(Standing::Ending);
             let now = Instant::now();
             let wind_down = WindDown { shut: now + STILL_COMING, end: now + WIND_DOWN };
             self.winding_down = Some(wind_down);
@@ -379,6 +434,7 @@
 
     fn targets(&mut self, targets: Targets) {
         let mut entries = Vec::with_capacity(targets.members.len());
+        let mut bans = Vec::new();
         for member in targets.members {
             let (Some(kind), Some(zone)) =
                 (self.names.kinds.get(&member.flavor), self.names.zones.get(&member.locality))
@@ -396,6 +452,9 @@
                 None => {
                     let id = EndpointId(self.endpoints.len() as u32);
                     self.endpoints.push(new);
+                    if self.store.is_excluded(&member.id) {
+                        bans.push((self.now(), Event::Excluded(id)));
+                    }
                     self.endpoint_ids.insert(member.id, id);
                     id
                 }
@@ -418,6 +477,8 @@
         } else if !entries.is_empty() {
             self.pending.push((self.now(), Event::ListChanges(entries)));
         }
+        // In the same step, and so before anything can go out.
+        self.pending.append(&mut bans);
     }
 
     // ---- one round -----------------------------------------------------------------------------------
--- /dev/null
+++ b/src/net/mgmt.rs
@@ -0,0 +1,216 @@
+//! The second address, for staff: a line in, a line out. It runs on a thread of its own, so that neither a busy
+//! step nor the clients' traffic delays its accept loop; only calls that change something wait for the host.
+use std::collections::VecDeque;
+use std::future::pending;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::Sender;
+use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::time::{sleep, timeout};
+
+/// Connections at once. Past that the oldest caller that has not sent its line makes room.
+pub const MOST_CALLERS: usize = 16;
+/// Longest line: a word and an id.
+const MOST_LINE: usize = 512;
+/// A caller that has not sent its line by then is told so and cut off.
+const LINE_PATIENCE: Duration = Duration::from_secs(2);
+/// Answers are due within a second: a host that takes longer is not waited for, and the call is void.
+const HOST_PATIENCE: Duration = Duration::from_millis(800);
+/// For a caller to take its answer, and to close after it.
+const LAST_PATIENCE: Duration = Duration::from_millis(500);
+
+/// What a caller may ask for that changes the sender.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Nothing more to this endpoint, until it is included again.
+    Exclude(String),
+    /// The end of its exclusion, however often that was asked for.
+    Include(String),
+    /// Send the clients away; deliver what is held.
+    Evacuate,
+    /// The end of that.
+    Activate,
+}
+
+/// An order on its way to the host, with the place for its answer: none is waited for once that is closed.
+pub struct Asked {
+    pub order: Order,
+    pub answer: oneshot::Sender<Result<(), String>>,
+}
+
+/// Whether this process can serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Starting,
+    Serving,
+    Ending,
+}
+
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+enum CallError {
+    #[error("no call in the line")]
+    Empty,
+    #[error("unknown call {0:?}")]
+    Unknown(String),
+    #[error("{0} needs the id of an endpoint")]
+    NoId(&'static str),
+    #[error("{0:?} is a word too many")]
+    Extra(String),
+}
+
+#[derive(Debug, PartialEq, Eq)]
+enum Parsed {
+    Ready,
+    Order(Order),
+}
+
+fn parse(line: &str) -> Result<Parsed, CallError> {
+    let mut words = line.split_ascii_whitespace();
+    let call = words.next().ok_or(CallError::Empty)?;
+    let mut id = |call| words.next().map(str::to_owned).ok_or(CallError::NoId(call));
+    let parsed = match call {
+        "readyz" => Parsed::Ready,
+        "exclude" => Parsed::Order(Order::Exclude(id("exclude")?)),
+        "include" => Parsed::Order(Order::Include(id("include")?)),
+        "evacuate" => Parsed::Order(Order::Evacuate),
+        "activate" => Parsed::Order(Order::Activate),
+        other => return Err(CallError::Unknown(other.to_owned())),
+    };
+    match words.next() {
+        None => Ok(parsed),
+        Some(extra) => Err(CallError::Extra(extra.to_owned())),
+    }
+}
+
+/// Answers callers on a thread of its own, for as long as the process lives.
+pub fn spawn(
+    listener: std::net::TcpListener,
+    orders: Sender<Asked>,
+    standing: watch::Receiver<Standing>,
+) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let serving = async move {
+        match TcpListener::from_std(listener) {
+            Ok(listener) => serve(listener, orders, standing).await,
+            Err(e) => eprintln!("second address: {e}"),
+        }
+    };
+    std::thread::Builder::new().name("mgmt".to_owned()).spawn(move || runtime.block_on(serving))?;
+    Ok(())
+}
+
+async fn serve(listener: TcpListener, orders: Sender<Asked>, standing: watch::Receiver<Standing>) {
+    let room = Arc::new(Semaphore::new(MOST_CALLERS));
+    // Those whose line has not come, the oldest first.
+    let mut silent: VecDeque<oneshot::Sender<()>> = VecDeque::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                eprintln!("second address: accepting: {e}");
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        silent.retain(|caller| !caller.is_closed());
+        if room.available_permits() == 0 {
+            while silent.pop_front().is_some_and(|caller| caller.send(()).is_err()) {}
+        }
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let (make_room, asked_to_leave) = oneshot::channel();
+        silent.push_back(make_room);
+        let (orders, standing) = (orders.clone(), standing.clone());
+        tokio::spawn(async move {
+            // A caller that breaks off has nobody to be told of it.
+            let _ = caller(stream, asked_to_leave, &orders, &standing).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn caller(
+    stream: TcpStream,
+    asked_to_leave: oneshot::Receiver<()>,
+    orders: &Sender<Asked>,
+    standing: &watch::Receiver<Standing>,
+) -> io::Result<()> {
+    let mut stream = BufReader::new(stream);
+    let mut line = Vec::new();
+    let read = {
+        let mut limited = (&mut stream).take(MOST_LINE as u64 + 1);
+        tokio::select! {
+            read = timeout(LINE_PATIENCE, limited.read_until(b'\n', &mut line)) => read,
+            Ok(()) = asked_to_leave => return Ok(()),
+        }
+    };
+    let answer = match read {
+        Err(_) => Err("no whole line came in time".to_owned()),
+        Ok(Err(e)) => return Err(e),
+        Ok(Ok(_)) if line.len() > MOST_LINE => Err(format!("the line is longer than {MOST_LINE} bytes")),
+        Ok(Ok(0)) => return Ok(()),
+        // Half a line could be half an id.
+        Ok(Ok(_)) if line.last() != Some(&b'\n') => Err("the line has no end".to_owned()),
+        Ok(Ok(_)) => match std::str::from_utf8(&line).map(parse) {
+            Err(_) => Err("the line is not text".to_owned()),
+            Ok(Err(e)) => Err(e.to_string()),
+            Ok(Ok(Parsed::Ready)) => match *standing.borrow() {
+                Standing::Serving => Ok(()),
+                Standing::Starting => Err("starting".to_owned()),
+                Standing::Ending => Err("this process is ending".to_owned()),
+            },
+            Ok(Ok(Parsed::Order(order))) => ask(order, orders).await,
+        },
+    };
+    let text = match answer {
+        Ok(()) => "done\n".to_owned(),
+        Err(why) => format!("error {why}\n"),
+    };
+    let rest = async {
+        stream.get_mut().write_all(text.as_bytes()).await?;
+        stream.get_mut().shutdown().await?;
+        // What was sent beyond the line is read, or closing would take back the answer with a reset.
+        tokio::io::copy(&mut stream, &mut tokio::io::sink()).await
+    };
+    let _ = timeout(LAST_PATIENCE, rest).await;
+    Ok(())
+}
+
+async fn ask(order: Order, orders: &Sender<Asked>) -> Result<(), String> {
+    let (answer, answered) = oneshot::channel();
+    let asking = async {
+        if orders.send(Asked { order, answer }).await.is_err() {
+            return pending().await;
+        }
+        answered.await
+    };
+    match timeout(HOST_PATIENCE, asking).await {
+        Ok(Ok(answer)) => answer,
+        _ => Err("the sender is busy, starting or ending: not done in time".to_owned()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against taking a call for another: a word missing or too many must not change anything.
+    #[test]
+    fn calls_are_read_word_by_word() {
+        let exclude = |id: &str| Parsed::Order(Order::Exclude(id.to_owned()));
+        assert_eq!(parse("readyz\r\n"), Ok(Parsed::Ready));
+        assert_eq!(parse("  exclude  s-1\n"), Ok(exclude("s-1")));
+        assert_eq!(parse("include s-1"), Ok(Parsed::Order(Order::Include("s-1".to_owned()))));
+        assert_eq!(parse("evacuate"), Ok(Parsed::Order(Order::Evacuate)));
+        assert_eq!(parse("activate"), Ok(Parsed::Order(Order::Activate)));
+        assert_eq!(parse(" \n"), Err(CallError::Empty));
+        assert_eq!(parse("READYZ"), Err(CallError::Unknown("READYZ".to_owned())));
+        assert_eq!(parse("exclude\n"), Err(CallError::NoId("exclude")));
+        assert_eq!(parse("include"), Err(CallError::NoId("include")));
+        assert_eq!(parse("exclude a b"), Err(CallError::Extra("b".to_owned())));
+        assert_eq!(parse("evacuate now"), Err(CallError::Extra("now".to_owned())));
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,14 +1,15 @@
 //! The sender on real sockets: everything round the decision module that does I/O or reads a clock.
 pub mod discovery;
 pub mod host;
+pub mod mgmt;
 pub mod notices;
 pub mod pool;
 pub mod server;
 pub mod store;
 
-/// Descriptors besides those of clients and endpoints: standard streams, the loop's and the signals' own, the
-/// listener, the journal's two files, discovery, notices, the configuration at a reload.
-const OWN: usize = 32;
+/// Descriptors besides those of clients and endpoints: standard streams, the loops' and the signals' own, the
+/// listeners, the journal's two files, discovery, notices, the configuration at a reload, staff's callers.
+const OWN: usize = 32 + mgmt::MOST_CALLERS;
 
 /// How the descriptors that the process may hold are shared out.
 #[derive(Clone, Copy, Debug)]
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -28,6 +28,9 @@
 const FIRST_PATIENCE: Duration = Duration::from_millis(2200);
 /// A client that has not sent the rest of its request by then has gone.
 const READ_PATIENCE: Duration = Duration::from_secs(2);
+/// While the clients are sent away, an idle connection stays open this long: the front still deals out new
+/// ones for 0.2 s after it heard the no, and asks ten times a second.
+const DRAIN_STAY: Duration = Duration::from_millis(400);
 /// A connection on which nothing was begun for so long makes room for others.
 const IDLE: Duration = Duration::from_secs(10);
 
@@ -35,6 +38,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Doors {
     Open,
+    /// Staff send the clients away: readiness says no, each connection ends with its next answer, and idle ones
+    /// are closed after a short stay. New ones are served all the same.
+    Draining,
     /// Each connection ends with its next answer, so that its client goes elsewhere.
     Closing,
     /// No new connections, and idle ones are closed.
@@ -115,7 +121,7 @@
     // A client that breaks its connection off hears nothing more: there is nobody to tell of the error.
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = doors.wait_for(|doors| *doors == Doors::Shut) => connection.as_mut().graceful_shutdown(),
+        () = sent_away(&mut doors) => connection.as_mut().graceful_shutdown(),
         () = crowded.notified() => connection.as_mut().graceful_shutdown(),
         () = unheard(&heard) => return,
     }
@@ -125,6 +131,20 @@
     }
 }
 
+/// Ends once an idle connection is to be closed.
+async fn sent_away(doors: &mut watch::Receiver<Doors>) {
+    loop {
+        match doors.wait_for(|doors| matches!(doors, Doors::Shut | Doors::Draining)).await.as_deref() {
+            Ok(Doors::Draining) => {}
+            _ => return,
+        }
+        // Back at work before that, nobody has to go.
+        if timeout(DRAIN_STAY, doors.wait_for(|doors| *doors != Doors::Draining)).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Ends when a connection's patience for its first request is over, and never once that has come.
 async fn unheard(heard: &AtomicBool) {
     sleep(FIRST_PATIENCE).await;
@@ -142,6 +162,9 @@
     let mut response = match (request.method(), request.uri().path()) {
         _ if !request.headers().contains_key(HOST) => plain(StatusCode::BAD_REQUEST, "Host is missing\n"),
         (&Method::GET, "/-/ready") if doors == Doors::Open => plain(StatusCode::OK, "ready\n"),
+        (&Method::GET, "/-/ready") if doors == Doors::Draining => {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
+        }
         (&Method::GET, "/-/ready") => plain(StatusCode::SERVICE_UNAVAILABLE, "winding down\n"),
         (&Method::POST, "/api") => hand_in(request, host, heard).await,
         (_, "/-/ready" | "/api") => plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n"),
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -4,7 +4,7 @@
 //! folder is lost only with the machine, and then its messages are handed to others.
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
@@ -84,9 +84,16 @@
 enum Record {
     Taken(u32, Box<Owed>),
     Begun(u32, Attempt),
-    Outcome { number: u32, may_have_run: bool },
+    Outcome {
+        number: u32,
+        may_have_run: bool,
+    },
     Ended(u32, End),
     Over(u32),
+    /// Staff took the endpoint of this id out of service.
+    Excluded(String),
+    /// And put it back.
+    Included(String),
 }
 
 /// What the journal held when it was opened, besides the messages.
@@ -115,9 +122,16 @@
     disk: u64,
     owed: BTreeMap<u32, Owed>,
     owed_bytes: u64,
+    /// Ids of the endpoints that staff took out of service.
+    excluded: BTreeSet<String>,
     next: u32,
 }
 
+/// Room that an excluded endpoint takes.
+fn size_of_id(id: &str) -> u64 {
+    (id.len() + 2 * HEADER) as u64
+}
+
 fn frame(record: &Record) -> io::Result<Vec<u8>> {
     let mut frame = postcard::to_extend(record, vec![0; HEADER]).map_err(io::Error::other)?;
     let length = u32::try_from(frame.len() - HEADER).map_err(io::Error::other)?;
@@ -172,6 +186,7 @@
             disk,
             owed: BTreeMap::new(),
             owed_bytes: 0,
+            excluded: BTreeSet::new(),
             next: 0,
         };
         let (mut at, mut sound, mut damage) = (0, 0, Damage::default());
@@ -235,8 +250,33 @@
         self.append(Record::Over(number))
     }
 
-    /// A record that cannot be written is applied all the same, but for a message that is to be taken on:
-    /// this process goes on by what it knows, and the next compaction writes it down.
+    /// Records that staff took an endpoint out of service; an error means that it is not.
+    pub fn exclude(&mut self, id: &str) -> Result<(), StoreError> {
+        if self.excluded.contains(id) {
+            return Ok(());
+        }
+        if self.owed_bytes + size_of_id(id) > self.disk / OWED_MOST {
+            return Err(self.error("excluding", io::ErrorKind::StorageFull.into()));
+        }
+        self.append(Record::Excluded(id.to_owned()))
+    }
+
+    /// Records that staff put an endpoint back; an error means that they did not.
+    pub fn include(&mut self, id: &str) -> Result<(), StoreError> {
+        if !self.excluded.contains(id) {
+            return Ok(());
+        }
+        self.append(Record::Included(id.to_owned()))
+    }
+
+    /// Whether staff took the endpoint out of service.
+    pub fn is_excluded(&self, id: &str) -> bool {
+        self.excluded.contains(id)
+    }
+
+    /// A record that cannot be written is applied all the same, but for what is refused then (a message that is
+    /// to be taken on, a change by staff): this process goes on by what it knows, and the next compaction
+    /// writes it down.
     fn append(&mut self, record: Record) -> Result<(), StoreError> {
         // Where the file cannot be written anew, it still leaves room for that: full, it takes no more.
         let most = self.disk - (self.disk / OWED_MOST) - SLACK.min(self.disk / 8);
@@ -252,7 +292,8 @@
             }
             done.map(|()| self.length += frame.len() as u64)
         });
-        let refused = written.is_err() && matches!(record, Record::Taken(..));
+        let refuses = matches!(record, Record::Taken(..) | Record::Excluded(_) | Record::Included(_));
+        let refused = written.is_err() && refuses;
         if !refused {
             self.apply(record);
         }
@@ -296,6 +337,17 @@
                     self.owed_bytes -= owed.size();
                 }
             }
+            Record::Excluded(id) => {
+                let size = size_of_id(&id);
+                if self.excluded.insert(id) {
+                    self.owed_bytes += size;
+                }
+            }
+            Record::Included(id) => {
+                if self.excluded.remove(&id) {
+                    self.owed_bytes -= size_of_id(&id);
+                }
+            }
         }
     }
 
@@ -321,8 +373,10 @@
     fn rewritten(&self) -> io::Result<(File, u64)> {
         let mut file = io::BufWriter::new(File::create(self.new_path())?);
         let mut length = 0;
-        for (number, owed) in &self.owed {
-            let frame = taken(*number, owed)?;
+        let bans = self.excluded.iter().map(|id| frame(&Record::Excluded(id.clone())));
+        let owed = self.owed.iter().map(|(number, owed)| taken(*number, owed));
+        for frame in bans.chain(owed) {
+            let frame = frame?;
             file.write_all(&frame)?;
             length += frame.len() as u64;
         }
@@ -457,6 +511,31 @@
         assert_eq!(store.owed().count(), taken);
     }
 
+    /// Guards against a ban that a restart or a compaction forgets, or one that outlives its end.
+    #[test]
+    fn exclusions_outlast_restarts_and_compactions() {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut store, _) = Store::open(folder.path(), DISK).unwrap();
+        for id in ["s-1", "s-1", "s-2"] {
+            store.exclude(id).unwrap();
+        }
+        store.include("s-2").unwrap();
+        let before = store.length;
+        for compacts in [false, true] {
+            drop(store);
+            store = Store::open(folder.path(), DISK).unwrap().0;
+            assert!(store.is_excluded("s-1") && !store.is_excluded("s-2"));
+            if !compacts {
+                store.compact();
+                assert!(store.length < before, "written anew");
+            }
+        }
+        store.include("s-1").unwrap();
+        drop(store);
+        let (store, _) = Store::open(folder.path(), DISK).unwrap();
+        assert_eq!((store.is_excluded("s-1"), store.owed_bytes), (false, 0));
+    }
+
     /// Guards against refusing messages for room that the journal has (case6025): as many as a sender may hold
     /// fit in, at their usual size, and the folder still keeps its limit while it is written anew.
     #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -398,3 +398,30 @@
     assert_eq!(host.message(3, SAFE, 1), vec![]);
     assert!(!host.sender.admits(Time(host.now), 0));
 }
+
+/// Guards against discovery undoing what staff decided, and against a rush to an endpoint that comes back cold.
+#[test]
+fn an_excluded_endpoint_waits_for_staff_and_comes_back_on_the_ramp() {
+    let both = vec![entry(1, 0, 0, 0), entry(1, 1, 0, 0)];
+    let mut host = Host::new(settings(), both.clone());
+    let closed = host.raw(&[Event::Excluded(EndpointId(0))]);
+    assert!(closed.contains(&Action::CloseIdle(EndpointId(0))));
+    for (id, event) in [(1, Event::FullList(both.clone())), (2, Event::ListChanges(both.clone()))] {
+        host.step(&[event]);
+        assert_eq!(sent(&host.message(id, UNSAFE, 1), id), Some(1));
+        host.now += 100_000;
+        host.ended(id, 0, Outcome::Success);
+        host.now += 100_000;
+    }
+    host.step(&[Event::ListChanges(vec![Entry { listing: Listing::Removed, ..entry(1, 1, 0, 0) }])]);
+    assert_eq!(sent(&host.message(3, SAFE, 1), 3), None);
+    for id in 4..24 {
+        assert_eq!(sent(&host.message(id, SAFE, 1), id), None);
+    }
+    assert!(host.raw(&[Event::Included(EndpointId(0))]).contains(&Action::CloseIdle(EndpointId(0))));
+    let second = host.run(SECOND);
+    let calls = second.iter().filter(|(_, a)| matches!(a, Action::Send { .. })).count();
+    assert!(calls <= 2, "{calls} calls in the first second");
+    let ramp = host.run(11 * SECOND);
+    assert!(ramp.iter().any(|(_, a)| matches!(a, Action::Send { .. })), "it is not used again");
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -2,4 +2,5 @@
 mod calls;
 mod clients;
 mod restarts;
+mod staff;
 mod world;
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -210,6 +210,7 @@
     config: Value,
     process: Option<Child>,
     pub address: SocketAddr,
+    pub mgmt: SocketAddr,
 }
 
 impl Node {
@@ -223,7 +224,7 @@
                 "repeat": repeat, "group": "all", "key_ttl": 20_000_000, "fifo_by_key": fifo})
         };
         let mut config = json!({
-            "name": "n1", "listen": "127.0.0.1:0", "discovery": platform.address.to_string(), "seed": "8c1f30d27a5be964",
+            "name": "n1", "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0", "discovery": platform.address.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
             "known": {"revision": 1, "complete": true, "members": members},
             "settings": {
@@ -245,6 +246,7 @@
             config,
             process: None,
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            mgmt: SocketAddr::from(([127, 0, 0, 1], 0)),
         };
         node.begin().await;
         node
@@ -262,14 +264,15 @@
             .unwrap();
         let mut log = BufReader::new(process.stderr.take().unwrap()).lines().map_while(Result::ok);
         self.process = Some(process);
-        let (told, address) = oneshot::channel();
+        let (told, addresses) = oneshot::channel();
         std::thread::spawn(move || {
-            let listens = log.find_map(|line| line.strip_prefix("listening on ").map(str::to_owned));
-            let _ = told.send(listens);
+            let mut find = |start: &str| log.find_map(|line| line.strip_prefix(start).map(str::to_owned));
+            let _ = told.send((find("second address: "), find("listening on ")));
             // Read on, so that the process never waits for room in the pipe.
             log.for_each(|line| println!("sender: {line}"));
         });
-        let address = timeout(PATIENCE, address).await.expect("a start").unwrap();
+        let (mgmt, address) = timeout(PATIENCE, addresses).await.expect("a start").unwrap();
+        self.mgmt = mgmt.expect("a second address").parse().unwrap();
         self.address = address.expect("a listening sender").parse().unwrap();
     }
 
@@ -320,6 +323,15 @@
         self.folder.path().join("messages.wal")
     }
 
+    /// One line at the second address, and the line that comes back.
+    pub async fn staff(&self, line: &str) -> String {
+        let mut stream = TcpStream::connect(self.mgmt).await.unwrap();
+        stream.write_all(format!("{line}\n").as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        timeout(PATIENCE, stream.read_to_string(&mut answer)).await.expect("an answer").unwrap();
+        answer
+    }
+
     /// Hands in a message for destination 7.
     pub async fn hand_in(&self, id: &str, class: &str, key: &str) -> Http {
         self.hand_in_for(id, class, key, "30.0").await
