--- a/src/brain.rs
+++ b/src/brain.rs
@@ -313,10 +313,7 @@
 impl Sender {
     /// A sender with no messages and no list; an error names a setting that cannot be acted on.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        let check = |ok: bool, what| if ok { Ok(()) } else { Err(SettingsError(what)) };
-        check(!settings.classes.is_empty() && !settings.kinds.is_empty(), "classes or kinds: none given")?;
-        check(settings.slots > 0, "slots: 0 calls may be out")?;
-        check(settings.senders > 0 && settings.max_attempts > 0, "senders or max_attempts: 0")?;
+        settings.check()?;
         let asks = settings.discovery == Discovery::OnRequest;
         Ok(Sender {
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -363,10 +360,6 @@
 
     fn take_in(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
-            // A class that the settings do not name cannot be decided on: refused, nothing has run.
-            Event::Message(message) if message.class.0 >= self.settings.classes.len() => {
-                actions.push(Action::Refuse { message: message.id, after: None });
-            }
             Event::Message(message) => self.message(*message),
             Event::Resumed(resumed) => self.resumed(resumed),
             Event::Told { endpoint, wait } => self.told(*endpoint, *wait),
@@ -387,6 +380,10 @@
             Event::ListChanges(entries) => self.list(entries),
             Event::Excluded(endpoint) => self.exclude(*endpoint, actions),
             Event::Included(endpoint) => self.include(*endpoint, actions),
+            Event::Retuned(settings) => {
+                self.crowded.resize(settings.kinds.len(), 0.0);
+                self.settings = (**settings).clone();
+            }
             Event::ListFailed => {
                 // The list's keeper is short of room itself: ask again ever more slowly, by chance apart.
                 self.list_failures = (self.list_failures + 1).min(4);
@@ -400,8 +397,7 @@
     }
 
     fn message(&mut self, message: Message) {
-        let ordered = self.settings.classes[message.class.0].ordered;
-        if let Some(key) = message.key.filter(|_| ordered) {
+        if let Some(key) = message.key.filter(|_| message.class.ordered) {
             self.keys.entry(key).or_default().queue.push(message.id);
         }
         let deadline = Time(self.now.0 + message.budget.0);
@@ -412,16 +408,13 @@
     /// A message of an earlier process: its attempts count, and what may have run is known.
     fn resumed(&mut self, resumed: &Resumed) {
         let Resumed { message, attempts, ran, ended } = *resumed;
-        if message.class.0 >= self.settings.classes.len() {
-            return;
-        }
         self.message(message);
         if ended {
             self.leave(message.id);
             return;
         }
         // All senders that restart with an outage come back together: by chance apart.
-        let wait = self.settings.classes[message.class.0].aim.0 as f64 * BACKOFF_OF_AIM * self.chance();
+        let wait = message.class.aim.0 as f64 * BACKOFF_OF_AIM * self.chance();
         let at = if attempts > 0 { after(self.now, wait) } else { self.now };
         let Some(held) = self.held.get_mut(&message.id) else { return };
         held.attempts = attempts;
@@ -595,7 +588,7 @@
 
     /// Rule 2: what may have run is repeated as its kind permits, in the window of the first such try.
     fn rule_effect(&self, held: &Held, at: &Endpoint) -> bool {
-        let repeat = self.settings.classes[held.message.class.0].repeat;
+        let repeat = held.message.class.repeat;
         let here = matches!(repeat, Repeat::Keyed { group: Group::Zone, .. });
         self.repeatable(held, self.now) && held.ran.is_none_or(|ran| !here || at.zone == ran.zone)
     }
@@ -624,7 +617,7 @@
         let Some(key) = held.message.key.and_then(|k| self.keys.get(&k)) else { return true };
         match key.queue.first() {
             Some(first) if *first == held.message.id => held.attempts > 0 || self.now >= key.rest_until,
-            _ => !self.settings.classes[held.message.class.0].ordered,
+            _ => !held.message.class.ordered,
         }
     }
 
@@ -634,7 +627,7 @@
     fn retry(&mut self, id: MessageId, outcome: Outcome, actions: &mut Vec<Action>) {
         let jitter = self.chance();
         let Some(held) = self.held.get_mut(&id) else { return };
-        let class = &self.settings.classes[held.message.class.0];
+        let class = &held.message.class;
         let base = class.aim.0 as f64 * BACKOFF_OF_AIM;
         let doubled = base * f64::from(1u32 << held.attempts.saturating_sub(1).min(8)).min(BACKOFF_CAP);
         let wait = match outcome {
@@ -654,7 +647,7 @@
     /// Whether some endpoint could still be sent the message at `at` by the effect rule.
     fn repeatable(&self, held: &Held, at: Time) -> bool {
         let Some(ran) = held.ran else { return true };
-        match self.settings.classes[held.message.class.0].repeat {
+        match held.message.class.repeat {
             Repeat::Safe => true,
             Repeat::Unsafe => false,
             Repeat::Keyed { window, .. } => since(at, ran.sent) + self.settings.period.0 < window.0,
@@ -665,7 +658,7 @@
     /// coming again is harmless.
     fn end(&mut self, id: MessageId, actions: &mut Vec<Action>) {
         let Some(held) = self.held.get(&id) else { return };
-        let harmless = match self.settings.classes[held.message.class.0].repeat {
+        let harmless = match held.message.class.repeat {
             Repeat::Safe | Repeat::Keyed { group: Group::All, .. } => true,
             Repeat::Keyed { .. } | Repeat::Unsafe => held.ran.is_none(),
         };
@@ -700,7 +693,8 @@
         let late: Vec<MessageId> = (self.held.iter())
             .filter(|(_, h)| {
                 matches!(h.stage, Stage::Waiting(at)
-                if self.now >= self.last_moment(h) || !self.repeatable(h, self.now.max(at)))
+                if self.now >= self.last_moment(h) || !self.repeatable(h, self.now.max(at))
+                    || h.attempts >= self.settings.max_attempts)
             })
             .map(|(id, _)| *id)
             .collect();
@@ -940,7 +934,7 @@
 
     /// How long an attempt may take.
     fn expiry(&self, held: &Held, line: &Line) -> Time {
-        let class = &self.settings.classes[held.message.class.0];
+        let class = &held.message.class;
         let may_repeat = class.repeat != Repeat::Unsafe;
         let aims = if may_repeat { TIMEOUT_OF_AIM } else { UNSAFE_TIMEOUT_OF_AIM };
         // While answers get lost, a repeatable message waits no longer than for the slowest healthy one.
@@ -954,7 +948,7 @@
 
     /// What delivering the message after `delay` more would earn.
     fn worth(&self, held: &Held, delay: f64) -> f64 {
-        let class = &self.settings.classes[held.message.class.0];
+        let class = &held.message.class;
         let born = held.deadline.0 as f64 - class.deadline.0 as f64;
         let (aim, end) = (class.aim.0 as f64, class.deadline.0 as f64);
         let late = (self.now.0 as f64 + delay - born - aim).max(0.0);
@@ -1077,7 +1071,7 @@
     fn choose(&self, id: MessageId) -> Option<EndpointId> {
         let held = self.held.get(&id)?;
         let destination = self.destinations.get(&held.message.destination)?;
-        let class = &self.settings.classes[held.message.class.0];
+        let class = &held.message.class;
         // An endpoint not yet called counts as fast as the fastest known, faster where many calls follow.
         let lines = || destination.endpoints.iter().map(|e| &self.lines[self.endpoints[e].line]);
         let calls = lines().map(|l| l.rate).sum::<f64>() * seconds(self.settings.rules.fall.0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,12 +2,14 @@
 //!
 //! Nothing here decides anything. All times are whole microseconds on the host's clock.
 
+use serde::{Deserialize, Serialize};
+
 /// A point on the host's clock, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Time(pub u64);
 
 /// A length of time, in microseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Span(pub u64);
 
 /// A message, as the host numbers it; never used again within the life of a sender.
@@ -43,7 +45,7 @@
 pub struct ZoneId(pub usize);
 
 /// Which endpoints of a destination drop a repeat of a keyed message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Group {
     /// All of them.
     All,
@@ -52,7 +54,7 @@
 }
 
 /// What a repeat of a message would do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
     /// Nothing: it may be repeated freely.
     Safe,
@@ -67,8 +69,8 @@
     Unsafe,
 }
 
-/// A class of messages.
-#[derive(Clone, Debug, PartialEq)]
+/// A class of messages. Journals hold its fields in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Delivered within this time, a message earns its full worth.
     pub aim: Span,
@@ -201,13 +203,25 @@
 
 impl std::error::Error for SettingsError {}
 
+impl Settings {
+    /// Whether they can be acted on; the error names the first setting that cannot.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let check = |ok: bool, what| if ok { Ok(()) } else { Err(SettingsError(what)) };
+        check(!self.classes.is_empty() && !self.kinds.is_empty(), "classes or kinds: none given")?;
+        check(self.classes.iter().all(|c| c.deadline.0 > 0 && c.aim.0 > 0), "a deadline or aim: 0")?;
+        check(self.slots > 0, "slots: 0 calls may be out")?;
+        check(self.most_held > 0, "most_held: 0 messages may be held")?;
+        check(self.senders > 0 && self.max_attempts > 0, "senders or max_attempts: 0")
+    }
+}
+
 /// A new message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Message {
     /// Its id.
     pub id: MessageId,
-    /// Its class.
-    pub class: ClassId,
+    /// Its class, as it is when the message is taken on: it keeps that, whatever the settings say later.
+    pub class: Class,
     /// Its tenant, if there are tenants.
     pub tenant: Option<TenantId>,
     /// Its key, if it keeps order.
@@ -219,7 +233,7 @@
 }
 
 /// A message that an earlier process of this sender took on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Resumed {
     /// The message, with the time that is left to it now.
     pub message: Message,
@@ -333,6 +347,9 @@
     Excluded(EndpointId),
     /// And put it back: it may have been restarted meanwhile.
     Included(EndpointId),
+    /// New settings: they hold for all decisions from now on, but for the classes of messages under way. Kinds,
+    /// zones and tenants keep their numbers.
+    Retuned(Box<Settings>),
     /// Asking for the list failed, or the subscription broke.
     ListFailed,
     /// A health check has ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,13 +20,14 @@
 //!         fall: Span(second), order_settle: Span(0), must_ask_in: Span(10 * second),
 //!     },
 //! };
+//! let class = settings.classes[0];
 //! let mut sender = Sender::new(settings, 7)?;
 //! let entry = Entry {
 //!     endpoint: EndpointId(0), destination: DestinationId(9), kind: KindId(0), zone: ZoneId(0),
 //!     listing: Listing::Active, hint: 1.0,
 //! };
 //! let message = Message {
-//!     id: MessageId(1), class: ClassId(0), tenant: None, key: None, destination: DestinationId(9),
+//!     id: MessageId(1), class, tenant: None, key: None, destination: DestinationId(9),
 //!     budget: Span(16 * second),
 //! };
 //! let mut actions = Vec::new();
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,19 +4,21 @@
 use micadrum::profile::Profile;
 use net::Descriptors;
 use net::discovery::{self, Targets};
-use net::host::{Host, Input, Links};
+use net::host::{Host, Input, Links, Tuning};
 use net::mgmt::{self, Standing};
 use net::notices;
 use net::server::{self, Doors};
 use net::store::Store;
 use serde::Deserialize;
+use serde_json::{Map, Value};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{mpsc, oneshot, watch};
 
 /// How long answers on their way out may take once the host has ended.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
@@ -55,6 +57,8 @@
     Store(#[from] net::store::StoreError),
     #[error("settings: {0}")]
     Settings(String),
+    #[error("settings: {0:?} is missing, which the running ones have")]
+    Short(String),
     #[error("listening on {address}: {source}")]
     Listen { address: SocketAddr, source: std::io::Error },
     #[error("starting: {0}")]
@@ -65,14 +69,17 @@
     std::env::var_os(name).map(PathBuf::from).ok_or(StartError::Unset(name))
 }
 
-fn config() -> Result<Config, StartError> {
+/// The configuration, as it stands in the file and in its parts.
+fn config() -> Result<(Value, Config), StartError> {
     let path = variable("PROXY_CONFIG")?;
     let text = match std::fs::read(&path) {
         Ok(text) => text,
         Err(source) => return Err(StartError::Unreadable { path, source }),
     };
-    let mut config: Config = match serde_json::from_slice(&text) {
-        Ok(config) => config,
+    let parsed =
+        serde_json::from_slice::<Value>(&text).and_then(|value| Ok((Config::deserialize(&value)?, value)));
+    let (mut config, value) = match parsed {
+        Ok(parsed) => parsed,
         Err(source) => return Err(StartError::NotConfig { path, source }),
     };
     if config.mgmt.is_none()
@@ -81,13 +88,36 @@
         let parsed = address.to_str().and_then(|address| address.parse().ok());
         config.mgmt = Some(parsed.ok_or(StartError::Mgmt(address))?);
     }
-    Ok(config)
+    Ok((value, config))
+}
+
+/// A key that `old` has and `new` lacks, in the objects that both hold. Of the objects of a list, such as the
+/// classes, each needs the keys that all had.
+fn missing_key(old: &Value, new: &Value) -> Option<String> {
+    let lacks = |old: &Map<String, Value>, new: &Map<String, Value>| {
+        old.iter().find_map(|(key, value)| match new.get(key) {
+            None => Some(key.clone()),
+            Some(other) => missing_key(value, other),
+        })
+    };
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => lacks(old, new),
+        (Value::Array(old), Value::Array(new)) => {
+            let mut rows = old.iter().filter_map(Value::as_object);
+            let first = rows.next()?;
+            let common: Vec<&String> =
+                first.keys().filter(|key| rows.clone().all(|row| row.contains_key(*key))).collect();
+            let mut new = new.iter().filter_map(Value::as_object);
+            new.find_map(|row| common.iter().find(|key| !row.contains_key(**key)).map(|key| key.to_string()))
+        }
+        _ => None,
+    }
 }
 
 async fn run() -> Result<(), StartError> {
     // Before all else: a signal that comes early must not end the process.
     let hung_up = signal(SignalKind::hangup())?;
-    let config = config()?;
+    let (file, config) = config()?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed))?;
     let (store, damage) = Store::open(&variable("PROXY_STATE")?, (config.limits.disk_mb * 1e6) as u64)?;
     if damage != net::store::Damage::default() {
@@ -108,7 +138,8 @@
     let revision = config.known.revision;
     let links = Links { inputs: inputs.clone(), notices, doors, standing };
     let descriptors = Descriptors::share(config.limits.sockets);
-    let host = Host::new(&config.settings, seed, config.known, store, descriptors.endpoints, links)
+    let tuning = Tuning::new(config.settings).map_err(StartError::Settings)?;
+    let host = Host::new(tuning, seed, config.known, store, descriptors.endpoints, links)
         .map_err(StartError::Settings)?;
     // Only now: a sender that can be reached has taken up what it owes.
     let address = config.listen;
@@ -127,31 +158,46 @@
         }
         let _ = on_signal.send(Input::WindDown);
     });
-    tokio::spawn(reload(hung_up, to_discovery));
+    tokio::spawn(reload(hung_up, file, to_discovery, inputs.clone()));
     let server = tokio::spawn(server::serve(listener, descriptors.clients, inputs, at_doors));
     host.run(from_all, orders).await;
     let _ = tokio::time::timeout(LAST_ANSWERS, server).await;
     Ok(())
 }
 
-/// Takes up where discovery is from the configuration file at each SIGHUP. A file that cannot be used changes
-/// nothing; whatever else differs in a good one holds from the next start.
-async fn reload(mut hung_up: Signal, discovery: watch::Sender<SocketAddr>) {
+/// Takes up the settings and where discovery is from the configuration file at each SIGHUP, as a whole: a file
+/// that cannot be used changes nothing. Addresses to listen at and limits hold from the next start.
+async fn reload(
+    mut hung_up: Signal,
+    mut running: Value,
+    discovery: watch::Sender<SocketAddr>,
+    host: UnboundedSender<Input>,
+) {
     while hung_up.recv().await.is_some() {
-        let new = config().and_then(|new| {
-            new.settings.settings(&new.settings.names()).map_err(StartError::Settings)?;
-            Ok(new)
-        });
-        match new {
-            Ok(new) => {
-                eprintln!("reloaded: discovery is at {}", new.discovery);
-                discovery.send_replace(new.discovery);
+        match reloaded(&running, &host).await {
+            Ok((file, address)) => {
+                eprintln!("reloaded: new settings hold, discovery is at {address}");
+                running = file;
+                discovery.send_replace(address);
             }
             Err(e) => eprintln!("not reloaded, the running configuration stays: {e}"),
         }
     }
 }
 
+async fn reloaded(running: &Value, host: &UnboundedSender<Input>) -> Result<(Value, SocketAddr), StartError> {
+    let (file, new) = config()?;
+    if let Some(key) = missing_key(&running["settings"], &file["settings"]) {
+        return Err(StartError::Short(key));
+    }
+    let tuning = Tuning::new(new.settings).map_err(StartError::Settings)?;
+    let (done, swapped) = oneshot::channel();
+    let _ = host.send(Input::Retune(Box::new(tuning), done));
+    // A host that has ended answers nothing, and nothing is to be done.
+    swapped.await.unwrap_or(Ok(())).map_err(StartError::Settings)?;
+    Ok((file, new.discovery))
+}
+
 fn main() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     match runtime.map_err(StartError::from).and_then(|runtime| runtime.block_on(run())) {
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -8,7 +8,7 @@
 use super::store::{Attempt, End, Handed, Owed, Store, StoreError};
 use micadrum::profile::{Names, Profile, look};
 use micadrum::{
-    Action, ClassId, DestinationId, EndpointId, Entry, Event, Listing, Message, MessageId, OrderKey, Outcome,
+    Action, Class, DestinationId, EndpointId, Entry, Event, Listing, Message, MessageId, OrderKey, Outcome,
     Repeat, Report, Resumed, Sender, Settings, Span, TenantId, Time, ZoneId,
 };
 use std::collections::HashMap;
@@ -52,6 +52,8 @@
     /// A connection that can carry another call.
     Idle(SocketAddr, Connection),
     Targets(Targets),
+    /// New settings, checked; whether they hold now.
+    Retune(Box<Tuning>, oneshot::Sender<Result<(), String>>),
     /// Notices that the platform has acknowledged.
     Noticed(Vec<u32>),
     WindDown,
@@ -97,16 +99,46 @@
     end: Instant,
 }
 
+/// All that the settings say, in the forms that the host needs.
+pub struct Tuning {
+    profile: Profile,
+    settings: Settings,
+    names: Names,
+    fields: ReportFields,
+}
+
+impl Tuning {
+    /// Checks the settings whole; the error says what cannot be acted on.
+    pub fn new(profile: Profile) -> Result<Self, String> {
+        let names = profile.names();
+        let told = profile.settings(&names)?;
+        let settings = Settings { ends_noticed: true, calls_expire_whole: true, ..told };
+        let fields = ReportFields {
+            left: profile.report_field("x0").is_some(),
+            limit: profile.report_field("x1").is_some(),
+        };
+        Ok(Self { profile, settings, names, fields })
+    }
+
+    /// How long an endpoint keeps an idle connection open.
+    fn idle(&self) -> Duration {
+        Duration::from_micros(self.profile.connection_idle().map_or(5_000_000, |span| span.0))
+    }
+
+    /// The module's settings, where no more connections than that may be open.
+    fn settings(&self, most_connections: usize) -> Settings {
+        Settings { slots: self.settings.slots.min(most_connections), ..self.settings.clone() }
+    }
+}
+
 /// A sender at work.
 pub struct Host {
     sender: Sender,
-    settings: Settings,
-    names: Names,
+    tuning: Tuning,
     store: Store,
     pool: Pool,
     /// Connections to endpoints that may be open at once.
     most_connections: usize,
-    fields: ReportFields,
     clock: Clock,
     endpoints: Vec<Endpoint>,
     endpoint_ids: HashMap<String, EndpointId>,
@@ -137,29 +169,20 @@
 impl Host {
     /// A host that takes up what the journal still owes.
     pub fn new(
-        profile: &Profile,
+        tuning: Tuning,
         seed: u64,
         known: Targets,
         store: Store,
         most_connections: usize,
         links: Links,
     ) -> Result<Self, String> {
-        let names = profile.names();
-        let told = profile.settings(&names)?;
-        let slots = told.slots.min(most_connections);
-        let settings = Settings { slots, ends_noticed: true, calls_expire_whole: true, ..told };
-        let idle = profile.connection_idle().unwrap_or(Span(5_000_000));
+        let settings = tuning.settings(most_connections);
         let mut host = Self {
-            sender: Sender::new(settings.clone(), seed).map_err(|e| e.to_string())?,
-            settings,
-            names,
+            sender: Sender::new(settings, seed).map_err(|e| e.to_string())?,
             store,
-            pool: Pool::new(Duration::from_micros(idle.0)),
+            pool: Pool::new(tuning.idle()),
+            tuning,
             most_connections,
-            fields: ReportFields {
-                left: profile.report_field("x0").is_some(),
-                limit: profile.report_field("x1").is_some(),
-            },
             clock: Clock::new(),
             endpoints: Vec::new(),
             endpoint_ids: HashMap::new(),
@@ -220,7 +243,7 @@
 
     /// The next step: no sooner than a period after the last.
     fn step_at(&self) -> Option<Instant> {
-        let earliest = self.last_step + Duration::from_micros(self.settings.period.0);
+        let earliest = self.last_step + Duration::from_micros(self.tuning.settings.period.0);
         if self.pending.is_empty() { self.wake_at.map(|at| at.max(earliest)) } else { Some(earliest) }
     }
 
@@ -257,10 +280,21 @@
                     self.pending.push((self.now(), Event::Noticed(MessageId(number))));
                 }
             }
+            Input::Retune(tuning, done) => drop(done.send(self.retune(*tuning))),
             Input::WindDown => self.wind_down(),
         }
     }
 
+    /// Swaps the settings, all of them or none.
+    fn retune(&mut self, tuning: Tuning) -> Result<(), String> {
+        self.tuning.profile.same_numbers(&tuning.profile)?;
+        let settings = tuning.settings(self.most_connections);
+        self.pool.keep_for(tuning.idle());
+        self.tuning = tuning;
+        self.pending.push((self.now(), Event::Retuned(Box::new(settings))));
+        Ok(())
+    }
+
     /// Carries out what staff ask for. The answer goes out once it is in force, and journaled where it lasts.
     fn order(&mut self, asked: Asked) {
         // A caller that was told that nothing changed must be right.
@@ -319,7 +353,11 @@
         if self.numbers.contains_key(&message.id) {
             return Answer::TakenOn;
         }
-        let owed = Owed::new(message, self.clock.at(deadline).0);
+        let class = match self.class(&message.class) {
+            Ok(class) => class,
+            Err(what) => return Answer::Malformed(what),
+        };
+        let owed = Owed::new(message, self.clock.at(deadline).0, class);
         let mut known = match self.message(0, &owed) {
             Ok(known) => known,
             Err(what) => return Answer::Malformed(what),
@@ -343,19 +381,28 @@
         }
     }
 
+    fn class(&self, name: &str) -> Result<Class, String> {
+        Ok(self.tuning.settings.classes[look(&self.tuning.names.classes, name, "class")?.0])
+    }
+
     /// A message in the module's terms; the error says what cannot be understood.
     fn message(&self, number: u32, owed: &Owed) -> Result<Message, String> {
-        let class: ClassId = look(&self.names.classes, &owed.message.class, "class")?;
-        let of_class = &self.settings.classes[class.0];
-        if matches!(of_class.repeat, Repeat::Keyed { .. }) && owed.message.idempotency_key.is_none() {
+        let class = match owed.class {
+            Some(class) => class,
+            // Taken on before journals held the class: as the settings have it now.
+            None => self.class(&owed.message.class)?,
+        };
+        if matches!(class.repeat, Repeat::Keyed { .. }) && owed.message.idempotency_key.is_none() {
             return Err(format!("class {:?} needs an idempotency key", owed.message.class));
         }
         let tenant: Option<TenantId> = match &owed.message.tenant {
-            Some(name) if !self.names.tenants.is_empty() => Some(look(&self.names.tenants, name, "tenant")?),
+            Some(name) if !self.tuning.names.tenants.is_empty() => {
+                Some(look(&self.tuning.names.tenants, name, "tenant")?)
+            }
             _ => None,
         };
         // Two keys of one hash would wait for each other: harmless.
-        let key = owed.message.key.as_ref().filter(|_| of_class.ordered).map(|key| {
+        let key = owed.message.key.as_ref().filter(|_| class.ordered).map(|key| {
             let mut hasher = DefaultHasher::new();
             key.hash(&mut hasher);
             OrderKey(hasher.finish())
@@ -383,7 +430,7 @@
                 log_failure(self.store.outcome(number, true));
             }
             let ran = owed.ran.as_ref().or(owed.out.as_ref()).map(|first| {
-                let zone = self.names.zones.get(&first.zone).copied();
+                let zone = self.tuning.names.zones.get(&first.zone).copied();
                 (Time(first.at), zone.unwrap_or(ZoneId(usize::MAX)))
             });
             let ended = owed.end.is_some();
@@ -437,12 +484,12 @@
         let mut bans = Vec::new();
         for member in targets.members {
             let (Some(kind), Some(zone)) =
-                (self.names.kinds.get(&member.flavor), self.names.zones.get(&member.locality))
+                (self.tuning.names.kinds.get(&member.flavor), self.tuning.names.zones.get(&member.locality))
             else {
                 eprintln!("discovery: {} is of an unknown kind or zone", member.id);
                 continue;
             };
-            let batch = self.settings.kinds[kind.0].batch.max(1);
+            let batch = self.tuning.settings.kinds[kind.0].batch.max(1);
             let new = Endpoint { address: member.host_port, zone: member.locality, batch };
             let endpoint = match self.endpoint_ids.get(&member.id) {
                 Some(known) => {
@@ -573,9 +620,9 @@
             address,
             parcels,
             expires: self.clock.instant(expires),
-            connect_timeout: Duration::from_micros(self.settings.connect_timeout.0),
+            connect_timeout: Duration::from_micros(self.tuning.settings.connect_timeout.0),
         };
-        let (kept, fields, inputs) = (self.pool.take(address), self.fields, self.inputs.clone());
+        let (kept, fields, inputs) = (self.pool.take(address), self.tuning.fields, self.inputs.clone());
         self.trim_pool();
         tokio::spawn(async move {
             if let Some(connection) = call.run(kept, fields, &inputs).await {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -272,6 +272,11 @@
         Self { idle: HashMap::new(), keep: idle_time * 4 / 5, trust: Trust::new() }
     }
 
+    /// From now on, endpoints keep an idle connection open that long.
+    pub fn keep_for(&mut self, idle_time: Duration) {
+        self.keep = idle_time * 4 / 5;
+    }
+
     /// The youngest idle connection to the address, if any is young enough, and how long it was idle.
     pub fn take(&mut self, address: SocketAddr) -> Option<(Connection, Duration)> {
         self.prune();
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -3,6 +3,7 @@
 //! Each record is framed by its length and a checksum over both. `write` is enough, without a sync: the
 //! folder is lost only with the machine, and then its messages are handed to others.
 use bytes::Bytes;
+use micadrum::Class;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{File, OpenOptions};
@@ -12,8 +13,8 @@
 const HEADER: usize = 8;
 /// No record is longer: a message's body is 64 KiB at most, its headers are bounded by the server.
 const MOST_RECORD: usize = 256 * 1024;
-/// Room that a message takes besides its body and names: numbers, framing, the attempts that may be on record.
-const OVERHEAD: u64 = 128;
+/// Room that a message takes besides its body and names: numbers, framing, the attempts that may be on record, its class.
+const OVERHEAD: u64 = 160;
 /// The file is written anew past this share of the disk ...
 const COMPACT_AT: u64 = 3;
 /// ... and what is owed may fill this share of it, so that old and new file together stay well below: the old
@@ -51,7 +52,7 @@
 }
 
 /// A message that this sender owes its end, or the notice of it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Owed {
     pub message: Handed,
     /// Wall clock, microseconds: it binds across processes.
@@ -63,12 +64,15 @@
     pub out: Option<Attempt>,
     /// Set once it is over and only the notice is owed.
     pub end: Option<End>,
+    /// Its class when it was taken on, in a record's own field; none in journals of before that was kept.
+    #[serde(skip)]
+    pub class: Option<Class>,
 }
 
 impl Owed {
     /// A message that nobody has tried to deliver yet.
-    pub fn new(message: Handed, deadline: u64) -> Self {
-        Self { message, deadline, attempts: 0, ran: None, out: None, end: None }
+    pub fn new(message: Handed, deadline: u64, class: Class) -> Self {
+        Self { message, deadline, attempts: 0, ran: None, out: None, end: None, class: Some(class) }
     }
 
     /// Room in a journal written anew, at the most.
@@ -94,6 +98,8 @@
     Excluded(String),
     /// And put it back.
     Included(String),
+    /// A message taken on, with its class as it was then.
+    TakenAs(u32, Class, Box<Owed>),
 }
 
 /// What the journal held when it was opened, besides the messages.
@@ -141,9 +147,16 @@
     Ok(frame)
 }
 
+fn taking(number: u32, owed: Owed) -> Record {
+    match owed.class {
+        Some(class) => Record::TakenAs(number, class, Box::new(owed)),
+        None => Record::Taken(number, Box::new(owed)),
+    }
+}
+
 /// The record that stands for a message in a journal written anew.
 fn taken(number: u32, owed: &Owed) -> io::Result<Vec<u8>> {
-    frame(&Record::Taken(number, Box::new(owed.clone())))
+    frame(&taking(number, owed.clone()))
 }
 
 fn checksum(length: &[u8], payload: &[u8]) -> u32 {
@@ -226,7 +239,7 @@
             return Err(self.error("taking on", io::ErrorKind::StorageFull.into()));
         }
         let number = self.next;
-        self.append(Record::Taken(number, Box::new(owed)))?;
+        self.append(taking(number, owed))?;
         Ok(number)
     }
 
@@ -292,7 +305,10 @@
             }
             done.map(|()| self.length += frame.len() as u64)
         });
-        let refuses = matches!(record, Record::Taken(..) | Record::Excluded(_) | Record::Included(_));
+        let refuses = !matches!(
+            record,
+            Record::Begun(..) | Record::Outcome { .. } | Record::Ended(..) | Record::Over(_)
+        );
         let refused = written.is_err() && refuses;
         if !refused {
             self.apply(record);
@@ -312,6 +328,10 @@
                     self.owed_bytes -= before.size();
                 }
             }
+            Record::TakenAs(number, class, mut owed) => {
+                owed.class = Some(class);
+                self.apply(Record::Taken(number, owed));
+            }
             Record::Begun(number, attempt) => {
                 if let Some(owed) = self.owed.get_mut(&number) {
                     owed.attempts += 1;
@@ -393,6 +413,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use micadrum::{Group, Repeat, Span};
 
     const DISK: u64 = 3_000_000;
 
@@ -406,7 +427,16 @@
             destination: 7,
             body: vec![b'x'; body].into(),
         };
-        Owed::new(message, 1)
+        let second = Span(1_000_000);
+        let class = Class {
+            aim: second,
+            deadline: Span(u64::MAX),
+            worth: 1.0,
+            late_worth: 0.5,
+            repeat: Repeat::Keyed { group: Group::All, window: second },
+            ordered: false,
+        };
+        Owed::new(message, 1, class)
     }
 
     fn attempt(at: u64) -> Attempt {
@@ -511,6 +541,23 @@
         assert_eq!(store.owed().count(), taken);
     }
 
+    /// Guards against a message that changes its class over a restart, and against journals of before that was
+    /// kept: those messages are still owed.
+    #[test]
+    fn a_message_keeps_its_class_over_restarts_and_compactions() {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut store, _) = Store::open(folder.path(), DISK).unwrap();
+        let new = store.take_on(message("new", 10)).unwrap();
+        let old = store.take_on(Owed { class: None, ..message("old", 10) }).unwrap();
+        for _ in 0..2 {
+            store.compact();
+            drop(store);
+            store = Store::open(folder.path(), DISK).unwrap().0;
+            assert_eq!(store.get(new).unwrap().class, message("new", 10).class);
+            assert_eq!(store.get(old).unwrap().class, None);
+        }
+    }
+
     /// Guards against a ban that a restart or a compaction forgets, or one that outlives its end.
     #[test]
     fn exclusions_outlast_restarts_and_compactions() {
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -150,6 +150,20 @@
         }
     }
 
+    /// Whether messages and endpoints that are known by this one's numbers keep them under another's.
+    pub fn same_numbers(&self, other: &Self) -> Result<(), String> {
+        let tenants = |p: &Self| p.tenants.iter().map(|t| t.name.clone()).collect::<Vec<_>>();
+        let same = [
+            ("zones", self.azs == other.azs && self.zone == other.zone),
+            ("kinds", self.kinds == other.kinds),
+            ("tenants", tenants(self) == tenants(other)),
+        ];
+        match same.iter().find(|(_, same)| !same) {
+            None => Ok(()),
+            Some((what, _)) => Err(format!("{what} hold from a start on, and differ")),
+        }
+    }
+
     /// Where the named field stands among those of a load report.
     pub fn report_field(&self, name: &str) -> Option<usize> {
         self.report.names.iter().position(|n| n == name)
@@ -160,7 +174,7 @@
         self.limits.conn_idle.map(Span)
     }
 
-    /// The settings of the decision module.
+    /// The settings of the decision module, checked.
     pub fn settings(&self, names: &Names) -> Result<Settings, String> {
         let s = &self.specifics;
         let kinds = (0..self.kinds.len())
@@ -170,7 +184,12 @@
             })
             .collect();
         let r = &self.invariants;
-        Ok(Settings {
+        for (i, lane) in self.lanes.iter().enumerate() {
+            if self.lanes[..i].iter().any(|other| other.name == lane.name) {
+                return Err(format!("class {:?} comes more than once", lane.name));
+            }
+        }
+        let settings = Settings {
             classes: self.lanes.iter().map(Lane::class).collect::<Result<_, _>>()?,
             kinds,
             tenants: self.tenants.iter().map(|t| Tenant { allowance_per_s: t.allowance_per_s }).collect(),
@@ -201,6 +220,8 @@
                 order_settle: Span(r.order_settle.unwrap_or(0)),
                 must_ask_in: Span(r.must_ask_in.unwrap_or(0)),
             },
-        })
+        };
+        settings.check().map_err(|e| e.to_string())?;
+        Ok(settings)
     }
 }
--- a/tests/sockets/restarts.rs
+++ b/tests/sockets/restarts.rs
@@ -141,3 +141,66 @@
     call.reply(error());
     assert_eq!(new.notice().await["id"], id.as_str());
 }
+
+/// Guards against half a change: new settings hold soon after the signal, for new messages, while those under
+/// way keep their class even over a kill; and a file with anything broken in it changes nothing at all.
+#[tokio::test]
+async fn a_reload_retunes_as_a_whole() {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let member = member("s-1", endpoint.address, "single", "SERVING");
+    let mut node = Node::start(&platform, &[member]).await;
+    assert_eq!(node.hand_in("old", "unsafe", "").await.status(), 202);
+    let old = endpoint.call().await;
+    let mut new = node.config.clone();
+    let mut strict = new["settings"]["lanes"][0].clone();
+    strict["name"] = json!("strict");
+    new["settings"]["lanes"] = json!([strict, new["settings"]["lanes"][1]]);
+    new["settings"]["limits"]["max_attempts"] = json!(1);
+    let set = |path: &str, value: serde_json::Value| {
+        let mut broken = new.clone();
+        *broken.pointer_mut(path).unwrap() = value;
+        // Where a broken file was half taken over, this shows it too.
+        broken["discovery"] = json!("127.0.0.1:1");
+        broken.to_string()
+    };
+    let mut short = new.clone();
+    short["settings"]["invariants"].as_object_mut().unwrap().remove("must_ask_in");
+    let mut bare = new.clone();
+    bare["settings"]["lanes"][0].as_object_mut().unwrap().remove("fifo_by_key");
+    let broken = [
+        String::new(),
+        new.to_string()[..900].to_owned(),
+        short.to_string(),
+        bare.to_string(),
+        set("/settings/lanes/0/hard_limit", json!(0)),
+        set("/settings/lanes/0/hard_limit", json!(-1)),
+        set("/settings/limits/max_attempts", json!(0)),
+        set("/settings/lanes/1/name", json!("strict")),
+        set("/settings/kinds", json!(["single", "other"])),
+    ];
+    for (n, text) in broken.iter().enumerate() {
+        node.reload(text);
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        assert_eq!(node.hand_in(&format!("s{n}"), "strict", "").await.status(), 400, "{text}");
+        assert_eq!(node.hand_in(&format!("u{n}"), "unsafe", "").await.status(), 202, "{text}");
+        endpoint.call().await.ok();
+    }
+    node.reload(&new.to_string());
+    let mut n = 0;
+    while node.hand_in(&format!("strict{n}"), "strict", "").await.status() != 202 {
+        n += 1;
+        assert!(n < 100, "the new class is not known");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // One attempt is allowed now, and that one never ran.
+    endpoint.call().await.reply(answer("503 Service Unavailable", "", ""));
+    assert_eq!(platform.notice().await["state"], "returned");
+    assert_eq!(node.hand_in("gone", "unsafe", "").await.status(), 400);
+    node.config = new;
+    node.kill();
+    drop(old);
+    node.begin().await;
+    // Its class is in no settings any more: as unsafe as it came, it may have run.
+    assert_eq!(platform.notice().await, json!({"id": "old", "state": "failed"}));
+    assert!(endpoint.quiet(Duration::from_millis(300)).await, "repeated what may have run");
+}
