--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,6 +8,7 @@
 use crate::interface::*;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 // ---- constants ---------------------------------------------------------------------------------------
@@ -74,14 +75,14 @@
 // ---- state -------------------------------------------------------------------------------------------
 
 /// An attempt that is out.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Serialize, Deserialize)]
 struct Try {
     endpoint: EndpointId,
     call: u64,
 }
 
 /// Where a message stands.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Serialize, Deserialize)]
 enum Stage {
     /// For its turn, not before this.
     Waiting(Time),
@@ -92,12 +93,13 @@
 }
 
 /// The first attempt that may have run.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Serialize, Deserialize)]
 struct Ran {
     sent: Time,
     zone: ZoneId,
 }
 
+#[derive(Serialize, Deserialize)]
 struct Held {
     message: Message,
     deadline: Time,
@@ -107,6 +109,7 @@
 }
 
 /// One call, carrying one message or a batch.
+#[derive(Serialize, Deserialize)]
 struct Call {
     sent: Time,
     left: usize,
@@ -119,7 +122,7 @@
 }
 
 /// State of a line. Only sends that `rule_return` lets through reach one that is not `Up`.
-#[derive(Clone, Copy, PartialEq, Default)]
+#[derive(Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 enum Health {
     #[default]
     Up,
@@ -129,7 +132,7 @@
     Returning(Time),
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Line {
     destination: DestinationId,
     endpoint: Option<EndpointId>,
@@ -157,6 +160,7 @@
     limit: f64,
 }
 
+#[derive(Serialize, Deserialize)]
 struct Endpoint {
     destination: DestinationId,
     zone: ZoneId,
@@ -173,22 +177,25 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Destination {
     shared: Option<usize>,
     endpoints: Vec<EndpointId>,
     calls: usize,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Key {
     queue: Vec<MessageId>,
     rest_until: Time,
 }
 
-/// A sender's decisions: see the crate's page for an example.
+/// A sender's decisions: see the crate's page for an example. Its serialized form is all that it knows, for
+/// the process that takes over from this one; see [`Sender::taken_over`].
+#[derive(Serialize, Deserialize)]
 pub struct Sender {
     settings: Settings,
+    #[serde(skip, default = "unseeded")]
     random: ChaCha8Rng,
     now: Time,
     held: BTreeMap<MessageId, Held>,
@@ -213,9 +220,14 @@
     lost_at: Option<Time>,
     /// Seconds for which an idle connection is trusted to be alive.
     trusted_idle: f64,
+    #[serde(skip)]
     log: Vec<String>,
 }
 
+fn unseeded() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(0)
+}
+
 fn pool(share: &mut f64, seen: bool) {
     *share += POOLED_LEARN * (f64::from(u8::from(seen)) - *share);
 }
@@ -339,6 +351,15 @@
         })
     }
 
+    /// The same sender in another process, under the settings that hold there.
+    pub fn taken_over(mut self, settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.check()?;
+        self.random = ChaCha8Rng::seed_from_u64(seed);
+        self.woken_at = None;
+        self.retune(settings);
+        Ok(self)
+    }
+
     /// Takes in all events of a round, then decides once; what the host is to do is added to `actions`.
     pub fn step(&mut self, now: Time, events: &[Event], actions: &mut Vec<Action>) {
         self.trusted_idle *= (seconds(since(now, self.now)) / RATE_S).exp();
@@ -380,10 +401,7 @@
             Event::ListChanges(entries) => self.list(entries),
             Event::Excluded(endpoint) => self.exclude(*endpoint, actions),
             Event::Included(endpoint) => self.include(*endpoint, actions),
-            Event::Retuned(settings) => {
-                self.crowded.resize(settings.kinds.len(), 0.0);
-                self.settings = (**settings).clone();
-            }
+            Event::Retuned(settings) => self.retune((**settings).clone()),
             Event::ListFailed => {
                 // The list's keeper is short of room itself: ask again ever more slowly, by chance apart.
                 self.list_failures = (self.list_failures + 1).min(4);
@@ -396,6 +414,11 @@
         }
     }
 
+    fn retune(&mut self, settings: Settings) {
+        self.crowded.resize(settings.kinds.len(), 0.0);
+        self.settings = settings;
+    }
+
     fn message(&mut self, message: Message) {
         if let Some(key) = message.key.filter(|_| message.class.ordered) {
             self.keys.entry(key).or_default().queue.push(message.id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// A point on the host's clock, in microseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Time(pub u64);
 
 /// A length of time, in microseconds.
@@ -13,35 +13,35 @@
 pub struct Span(pub u64);
 
 /// A message, as the host numbers it; never used again within the life of a sender.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MessageId(pub u32);
 
 /// A destination: the firm's system that a message is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct DestinationId(pub u64);
 
 /// An endpoint, interned by the host in the order in which it first heard of them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointId(pub u32);
 
 /// What an ordered message is about: messages of one key go out one at a time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct OrderKey(pub u64);
 
 /// Index into [`Settings::classes`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ClassId(pub usize);
 
 /// Index into [`Settings::tenants`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TenantId(pub usize);
 
 /// Index into [`Settings::kinds`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct KindId(pub usize);
 
 /// A zone, numbered by the host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ZoneId(pub usize);
 
 /// Which endpoints of a destination drop a repeat of a keyed message.
@@ -87,7 +87,7 @@
 }
 
 /// How worth falls after the aim.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decay {
     /// Evenly, down to the late worth at the deadline.
     Even,
@@ -96,7 +96,7 @@
 }
 
 /// A kind of destination.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Kind {
     /// Its endpoints are separate routes, each with its own limit, pace and outages.
     pub routes_apart: bool,
@@ -105,14 +105,14 @@
 }
 
 /// A tenant.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Messages a second, over all senders, that count as within its share.
     pub allowance_per_s: f64,
 }
 
 /// How the list of endpoints reaches the sender.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Discovery {
     /// By itself.
     Pushed,
@@ -121,7 +121,7 @@
 }
 
 /// What the capacity hint of a list entry says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Hints {
     /// Nothing.
     None,
@@ -130,7 +130,7 @@
 }
 
 /// Figures of the six rules.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Rules {
     /// Sends to a draining or removed endpoint stop within this.
     pub drain_grace: Span,
@@ -149,7 +149,7 @@
 }
 
 /// Everything a sender is told at its start.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// Classes of messages.
     pub classes: Vec<Class>,
@@ -216,7 +216,7 @@
 }
 
 /// A new message.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     /// Its id.
     pub id: MessageId,
@@ -233,7 +233,7 @@
 }
 
 /// A message that an earlier process of this sender took on.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Resumed {
     /// The message, with the time that is left to it now.
     pub message: Message,
@@ -247,7 +247,7 @@
 }
 
 /// What the list says of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Listing {
     /// In service, as far as the list knows.
     Active,
@@ -258,7 +258,7 @@
 }
 
 /// One line of the list.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -275,7 +275,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Delivered.
     Success,
@@ -296,7 +296,7 @@
 }
 
 /// What an answer tells of a limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Share of the limit that is left.
     pub left: f64,
@@ -305,7 +305,7 @@
 }
 
 /// What has happened.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
     /// A message was handed in.
     Message(Message),
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,8 @@
 use micadrum::profile::Profile;
 use net::Descriptors;
 use net::discovery::{self, Targets};
-use net::host::{Host, Input, Links, Tuning};
+use net::handover::{self, Inherited};
+use net::host::{Estate, Host, Input, Links, Origin, Tuning};
 use net::mgmt::{self, Standing};
 use net::notices;
 use net::server::{self, Doors};
@@ -14,12 +15,19 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep, timeout};
 
+/// How long another process may keep the address: one that is told to end is killed within 4 s, and told after 6 s.
+const BIND_PATIENCE: Duration = Duration::from_secs(12);
+const BIND_PAUSE: Duration = Duration::from_millis(50);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
 /// How long answers on their way out may take once the host has ended.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
@@ -54,6 +62,8 @@
     #[error("$PROXY_MGMT: {0:?} is no address")]
     Mgmt(std::ffi::OsString),
     #[error(transparent)]
+    Handover(#[from] handover::HandoverError),
+    #[error(transparent)]
     Store(#[from] net::store::StoreError),
     #[error("settings: {0}")]
     Settings(String),
@@ -114,40 +124,85 @@
     }
 }
 
+/// Listens where clients come. A process that cannot hand over may still be there, and about to end.
+async fn bind(address: SocketAddr) -> Result<std::net::TcpListener, StartError> {
+    let error = |source| StartError::Listen { address, source };
+    let given_up = Instant::now() + BIND_PATIENCE;
+    loop {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+        let socket = socket.map_err(error)?;
+        socket.set_reuseaddr(true).map_err(error)?;
+        match socket.bind(address).and_then(|()| socket.listen(BACKLOG)) {
+            Ok(listener) => return listener.into_std().map_err(error),
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && Instant::now() < given_up => {
+                sleep(BIND_PAUSE).await;
+            }
+            Err(source) => return Err(error(source)),
+        }
+    }
+}
+
 async fn run() -> Result<(), StartError> {
     // Before all else: a signal that comes early must not end the process.
     let hung_up = signal(SignalKind::hangup())?;
     let (file, config) = config()?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed))?;
-    let (store, damage) = Store::open(&variable("PROXY_STATE")?, (config.limits.disk_mb * 1e6) as u64)?;
-    if damage != net::store::Damage::default() {
-        eprintln!("journal: {} bytes cut off at the end, {} passed over", damage.torn, damage.skipped);
-    }
     let (standing, stands) = watch::channel(Standing::Starting);
-    let (to_host, orders) = mpsc::channel(mgmt::MOST_CALLERS);
+    let (to_host, mut orders) = mpsc::channel(mgmt::MOST_CALLERS);
     if let Some(address) = config.mgmt {
         let error = |source| StartError::Listen { address, source };
         let listener = std::net::TcpListener::bind(address).map_err(error)?;
         eprintln!("second address: {}", listener.local_addr().map_err(error)?);
         mgmt::spawn(listener, to_host, stands).map_err(error)?;
     }
-    let (inputs, from_all) = mpsc::unbounded_channel();
+    let tuning = Tuning::new(config.settings).map_err(StartError::Settings)?;
+    let folder = variable("PROXY_STATE")?;
+    // From here on the journal is this process's alone; the one that had it may have handed over the rest.
+    let (lock, inherited) = handover::claim(&folder, &tuning.numbering()).await?;
+    let (inputs, mut from_all) = mpsc::unbounded_channel();
     let (notices, queue) = mpsc::unbounded_channel();
     let (doors, at_doors) = watch::channel(Doors::Open);
     let (to_discovery, at_discovery) = watch::channel(config.discovery);
-    let revision = config.known.revision;
-    let links = Links { inputs: inputs.clone(), notices, doors, standing };
     let descriptors = Descriptors::share(config.limits.sockets);
-    let tuning = Tuning::new(config.settings).map_err(StartError::Settings)?;
-    let host = Host::new(tuning, seed, config.known, store, descriptors.endpoints, links)
+    let (listener, origin, revision, taken) = match inherited {
+        None => {
+            let revision = config.known.revision;
+            (bind(config.listen).await?, Origin::Listed(config.known), revision, 0)
+        }
+        Some(Inherited { state, listener, stream }) => {
+            let passed_on = inputs.clone();
+            let (to_old, _) = handover::link(stream, move |came| passed_on.send(Input::Old(came)).is_ok());
+            let (revision, clients) = (state.revision, state.clients);
+            (listener, Origin::Inherited(state, to_old), revision, clients)
+        }
+    };
+    let (store, damage) = Store::open(&folder, (config.limits.disk_mb * 1e6) as u64)?;
+    if damage != net::store::Damage::default() {
+        eprintln!("journal: {} bytes cut off at the end, {} passed over", damage.torn, damage.skipped);
+    }
+    let room = Arc::new(Semaphore::new(descriptors.clients.saturating_sub(taken)));
+    let listening = |source| StartError::Listen { address: config.listen, source };
+    let estate = Estate { lock, store, listener: listener.try_clone().map_err(listening)? };
+    let links = Links {
+        inputs: inputs.clone(),
+        notices,
+        doors,
+        standing,
+        room: room.clone(),
+        most_clients: descriptors.clients,
+    };
+    let host = Host::new(tuning, seed, origin, estate, descriptors.endpoints, links)
         .map_err(StartError::Settings)?;
     // Only now: a sender that can be reached has taken up what it owes.
-    let address = config.listen;
-    let listener =
-        TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })?;
+    listener.set_nonblocking(true).map_err(listening)?;
+    let listener = TcpListener::from_std(listener).map_err(listening)?;
     eprintln!("listening on {}", listener.local_addr()?);
-    tokio::spawn(discovery::watch(at_discovery.clone(), revision, inputs.clone()));
+    let watching = tokio::spawn(discovery::watch(at_discovery.clone(), revision, inputs.clone()));
     tokio::spawn(notices::run(at_discovery, queue, inputs.clone()));
+    let asked = inputs.clone();
+    if let Err(e) = handover::listen(&folder, move |stream| asked.send(Input::TakeOver(stream)).is_ok()) {
+        eprintln!("no upgrade can take over from this process: {e}");
+    }
     let (mut terminated, mut interrupted) =
         (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let on_signal = inputs.clone();
@@ -159,9 +214,14 @@
         let _ = on_signal.send(Input::WindDown);
     });
     tokio::spawn(reload(hung_up, file, to_discovery, inputs.clone()));
-    let server = tokio::spawn(server::serve(listener, descriptors.clients, inputs, at_doors));
-    host.run(from_all, orders).await;
-    let _ = tokio::time::timeout(LAST_ANSWERS, server).await;
+    let server = tokio::spawn(server::serve(listener, room, descriptors.clients, inputs, at_doors));
+    match host.run(&mut from_all, &mut orders).await {
+        Some(remains) => {
+            watching.abort();
+            remains.pass_on(from_all, orders, server).await;
+        }
+        None => drop(timeout(LAST_ANSWERS, server).await),
+    }
     Ok(())
 }
 
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -1,6 +1,7 @@
 //! The loop round the decision module: feeds it events, carries out its actions, and keeps the journal ahead
 //! of both. It maps the wire's names to the module's numbers.
 use super::discovery::{Phase, Targets};
+use super::handover::{self, Given, Known, Lock, Remains, ToNew, ToOld};
 use super::mgmt::{Asked, Order, Standing};
 use super::notices::Notice;
 use super::pool::{Call, Called, Connection, Parcel, Pool, ReportFields};
@@ -11,23 +12,29 @@
     Action, Class, DestinationId, EndpointId, Entry, Event, Listing, Message, MessageId, OrderKey, Outcome,
     Repeat, Report, Resumed, Sender, Settings, Span, TenantId, Time, ZoneId,
 };
-use std::collections::HashMap;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::UnixStream;
 use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender};
-use tokio::sync::{oneshot, watch};
-use tokio::time::{Instant, sleep_until};
+use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// From SIGTERM to the end of the process: the platform kills no sooner than 3.7 s after it.
 const WIND_DOWN: Duration = Duration::from_millis(3400);
 /// From SIGTERM on, clients still come for 0.4 s.
 const STILL_COMING: Duration = Duration::from_millis(600);
 
+/// A new process takes over within this, or it does not: meanwhile nothing is decided.
+const HAND_OVER_PATIENCE: Duration = Duration::from_secs(1);
 /// Inputs taken in before staff's orders are looked at again.
 const MOST_INPUTS: usize = 256;
 
 /// What the client is told.
+#[derive(Serialize, Deserialize)]
 pub enum Answer {
     TakenOn,
     Malformed(String),
@@ -57,6 +64,10 @@
     /// Notices that the platform has acknowledged.
     Noticed(Vec<u32>),
     WindDown,
+    /// A new process asks to take over.
+    TakeOver(UnixStream),
+    /// What the old process passes on; none once it has ended.
+    Old(Option<ToNew>),
 }
 
 /// The module's clock: wall time at the start, so that deadlines hold across processes, carried on by the
@@ -125,6 +136,11 @@
         Duration::from_micros(self.profile.connection_idle().map_or(5_000_000, |span| span.0))
     }
 
+    /// The names that the module's numbers stand for.
+    pub fn numbering(&self) -> Vec<Vec<String>> {
+        self.profile.numbering()
+    }
+
     /// The module's settings, where no more connections than that may be open.
     fn settings(&self, most_connections: usize) -> Settings {
         Settings { slots: self.settings.slots.min(most_connections), ..self.settings.clone() }
@@ -147,6 +163,19 @@
     /// Calls that are out, with when they began.
     calls: HashMap<u64, Time>,
     next_call: u64,
+    /// Messages that an old process has calls out with.
+    elsewhere: BTreeSet<u32>,
+    /// To that process.
+    old: Option<UnboundedSender<ToOld>>,
+    /// A process that asks to take over.
+    new: Option<UnixStream>,
+    lock: Lock,
+    listener: TcpListener,
+    room: Arc<Semaphore>,
+    most_clients: usize,
+    /// The part of that room which an old process still fills.
+    withheld: usize,
+    revision: u64,
     /// Events for the next step, with when they happened.
     pending: Vec<(Time, Event)>,
     last_step: Instant,
@@ -164,6 +193,24 @@
     pub notices: UnboundedSender<Notice>,
     pub doors: watch::Sender<Doors>,
     pub standing: watch::Sender<Standing>,
+    /// Room for connections from clients, and how much that is in all.
+    pub room: Arc<Semaphore>,
+    pub most_clients: usize,
+}
+
+/// The folder that lasts, and the socket that clients come to: what one process at a time has.
+pub struct Estate {
+    pub lock: Lock,
+    pub store: Store,
+    pub listener: TcpListener,
+}
+
+/// Where a host begins.
+pub enum Origin {
+    /// With a list of endpoints, and what the journal holds.
+    Listed(Targets),
+    /// Where another process left off.
+    Inherited(Box<Known>, UnboundedSender<ToOld>),
 }
 
 impl Host {
@@ -171,15 +218,22 @@
     pub fn new(
         tuning: Tuning,
         seed: u64,
-        known: Targets,
-        store: Store,
+        origin: Origin,
+        estate: Estate,
         most_connections: usize,
         links: Links,
     ) -> Result<Self, String> {
         let settings = tuning.settings(most_connections);
+        let (sender, known, inherited) = match origin {
+            Origin::Listed(known) => (Sender::new(settings, seed), Some(known), None),
+            Origin::Inherited(state, old) => {
+                let (sender, rest) = state.split();
+                (sender.taken_over(settings, seed), None, Some((rest, old)))
+            }
+        };
         let mut host = Self {
-            sender: Sender::new(settings, seed).map_err(|e| e.to_string())?,
-            store,
+            sender: sender.map_err(|e| e.to_string())?,
+            store: estate.store,
             pool: Pool::new(tuning.idle()),
             tuning,
             most_connections,
@@ -189,6 +243,15 @@
             numbers: HashMap::new(),
             calls: HashMap::new(),
             next_call: 0,
+            elsewhere: BTreeSet::new(),
+            old: None,
+            new: None,
+            lock: estate.lock,
+            listener: estate.listener,
+            room: links.room,
+            most_clients: links.most_clients,
+            withheld: 0,
+            revision: 0,
             pending: Vec::new(),
             last_step: Instant::now(),
             wake_at: None,
@@ -198,14 +261,23 @@
             inputs: links.inputs,
             notices: links.notices,
         };
-        host.targets(known);
-        host.resume();
+        if let Some(known) = known {
+            host.targets(known);
+            host.resume();
+        }
+        if let Some((state, old)) = inherited {
+            host.inherit(state, old);
+        }
         host.step();
         Ok(host)
     }
 
-    /// Works until it has wound down.
-    pub async fn run(mut self, mut inputs: UnboundedReceiver<Input>, mut orders: Receiver<Asked>) {
+    /// Works until it has wound down, or another process has taken over.
+    pub async fn run(
+        mut self,
+        inputs: &mut UnboundedReceiver<Input>,
+        orders: &mut Receiver<Asked>,
+    ) -> Option<Remains> {
         self.standing.send_replace(Standing::Serving);
         loop {
             let due = self.due();
@@ -214,7 +286,7 @@
                 Some(asked) = orders.recv() => self.order(asked),
                 input = inputs.recv() => match input {
                     Some(input) => self.take_in(input),
-                    None => return,
+                    None => return None,
                 },
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
             }
@@ -222,6 +294,12 @@
                 let Ok(input) = inputs.try_recv() else { break };
                 self.take_in(input);
             }
+            if let Some(stream) = self.new.take() {
+                match self.hand_over(stream).await {
+                    Ok(stream) => return Some(self.remains(stream).await),
+                    Err(e) => eprintln!("not handed over, this process goes on: {e}"),
+                }
+            }
             let now = Instant::now();
             if self.step_at().is_some_and(|at| at <= now) {
                 self.step();
@@ -231,7 +309,7 @@
             {
                 self.doors.send_replace(Doors::Shut);
                 if now >= wind_down.end || (self.calls.is_empty() && self.store.owed().next().is_none()) {
-                    return;
+                    return None;
                 }
             }
         }
@@ -282,12 +360,17 @@
             }
             Input::Retune(tuning, done) => drop(done.send(self.retune(*tuning))),
             Input::WindDown => self.wind_down(),
+            // One that ends soon leaves the journal to the next one, as it is.
+            Input::TakeOver(stream) => self.new = Some(stream).filter(|_| self.winding_down.is_none()),
+            Input::Old(passed) => self.passed_on(passed),
         }
     }
 
     /// Swaps the settings, all of them or none.
     fn retune(&mut self, tuning: Tuning) -> Result<(), String> {
-        self.tuning.profile.same_numbers(&tuning.profile)?;
+        if self.tuning.numbering() != tuning.numbering() {
+            return Err("zones, kinds and tenants hold from a start on, and differ".to_owned());
+        }
         let settings = tuning.settings(self.most_connections);
         self.pool.keep_for(tuning.idle());
         self.tuning = tuning;
@@ -301,17 +384,21 @@
         if asked.answer.is_closed() {
             return;
         }
-        let done = match &asked.order {
+        let _ = asked.answer.send(self.carry_out(&asked.order));
+    }
+
+    fn carry_out(&mut self, order: &Order) -> Result<(), String> {
+        let done = match order {
             Order::Exclude(id) => self.ban(id, true),
             Order::Include(id) => self.ban(id, false),
             Order::Evacuate => self.drain(true),
             Order::Activate => self.drain(false),
         };
         match &done {
-            Ok(()) => eprintln!("staff: {:?}", asked.order),
-            Err(why) => eprintln!("staff: {:?}: {why}", asked.order),
+            Ok(()) => eprintln!("staff: {order:?}"),
+            Err(why) => eprintln!("staff: {order:?}: {why}"),
         }
-        let _ = asked.answer.send(done);
+        done
     }
 
     fn ban(&mut self, id: &str, excluded: bool) -> Result<(), String> {
@@ -442,6 +529,100 @@
         }
     }
 
+    // ---- the upgrade ---------------------------------------------------------------------------------
+
+    /// Goes on where another process left off. The module knows its messages; the journal tells which of them
+    /// that process has calls out with.
+    fn inherit(&mut self, state: handover::Rest, old: UnboundedSender<ToOld>) {
+        self.pending = state.pending;
+        self.revision = state.revision;
+        self.withheld = state.clients;
+        for (number, (id, address, zone, batch)) in state.endpoints.into_iter().enumerate() {
+            self.endpoint_ids.insert(id, EndpointId(number as u32));
+            self.endpoints.push(Endpoint { address, zone, batch });
+        }
+        for (number, owed) in self.store.owed() {
+            self.numbers.insert(owed.message.id.clone(), number);
+            if owed.out.is_some() {
+                self.elsewhere.insert(number);
+            }
+            if let Some(end) = owed.end {
+                let _ = self.notices.send(Notice { number, id: owed.message.id.clone(), end });
+            }
+        }
+        self.doors.send_replace(if state.draining { Doors::Draining } else { Doors::Open });
+        self.old = Some(old);
+    }
+
+    fn passed_on(&mut self, passed: Option<ToNew>) {
+        match passed {
+            Some(ToNew::Called { sent, at, endpoint, mut ends, wait, report }) => {
+                ends.retain(|(number, ..)| self.elsewhere.remove(number));
+                self.told(at, endpoint, wait, &ends);
+                self.ended(sent, at, ends, report);
+            }
+            Some(ToNew::HandIn { id, message, deadline }) => {
+                let answer = self.hand_in(message, self.clock.instant(deadline));
+                self.to_old(ToOld::Answer { id, answer });
+            }
+            Some(ToNew::Order { id, order }) => {
+                let done = self.carry_out(&order);
+                self.to_old(ToOld::Ordered { id, done });
+            }
+            Some(ToNew::Yours) => {}
+            None => {
+                eprintln!("the old process has ended, {} of its calls were out", self.elsewhere.len());
+                self.old = None;
+                self.room.add_permits(std::mem::take(&mut self.withheld));
+                let now = self.now();
+                let cut = std::mem::take(&mut self.elsewhere);
+                let ends = cut.into_iter().map(|number| (number, Outcome::Reset, false)).collect();
+                self.ended(now, now, ends, None);
+            }
+        }
+    }
+
+    fn to_old(&self, what: ToOld) {
+        if let Some(old) = &self.old {
+            let _ = old.send(what);
+        }
+    }
+
+    /// Gives all to a process that asks; on an error nothing was given.
+    async fn hand_over(&mut self, mut stream: UnixStream) -> Result<UnixStream, handover::HandoverError> {
+        let endpoints = self.endpoints.iter().map(|e| (e.address, e.zone.clone(), e.batch));
+        let mut ids: Vec<(&String, &EndpointId)> = self.endpoint_ids.iter().collect();
+        ids.sort_by_key(|(_, number)| **number);
+        let state = Given {
+            sender: &self.sender,
+            pending: &self.pending,
+            endpoints: (ids.into_iter().zip(endpoints))
+                .map(|((id, _), (address, zone, batch))| (id.clone(), address, zone, batch))
+                .collect(),
+            numbering: self.tuning.numbering(),
+            revision: self.revision,
+            draining: *self.doors.borrow() == Doors::Draining,
+            clients: self.most_clients.saturating_sub(self.room.available_permits() + self.withheld),
+        };
+        timeout(HAND_OVER_PATIENCE, handover::offer(&mut stream, &self.listener, &state)).await??;
+        Ok(stream)
+    }
+
+    /// What is left once the other process has it all: the journal's lock goes, then the other one is told.
+    async fn remains(self, mut stream: UnixStream) -> Remains {
+        let draining = *self.doors.borrow() == Doors::Draining;
+        self.standing.send_replace(Standing::Ending);
+        self.doors.send_replace(Doors::Leaving { ready: !draining });
+        let (clock, calls, doors) = (self.clock, self.calls, self.doors);
+        drop((self.store, self.lock));
+        // One that cannot be told any more has ended, which shows soon.
+        let _ = handover::write(&mut stream, &ToNew::Yours).await;
+        eprintln!("handed over to another process, {} calls are out", calls.len());
+        Remains { stream, calls, time_of: Box::new(move |instant| clock.at(instant)), doors }
+    }
+
+    // ---- calls and the list --------------------------------------------------------------------------
+
     fn called(&mut self, called: Called) {
         let at = self.clock.at(called.at);
         let sent = self.calls.remove(&called.number).unwrap_or(at);
@@ -450,10 +631,15 @@
             Some((_, Outcome::TimedOut | Outcome::ConnectFailed, _)) | None => {}
             Some(_) => self.pool.learn(called.idle, false),
         }
-        let heeded = called.ends.iter().any(|(_, outcome, _)| matches!(outcome, Outcome::Full(Some(_))));
+        self.told(at, called.endpoint, called.wait, &called.ends);
         self.ended(sent, at, called.ends, called.report);
-        if let Some(wait) = called.wait.filter(|_| !heeded) {
-            self.pending.push((at, Event::Told { endpoint: called.endpoint, wait }));
+    }
+
+    /// Takes in a wait that turned no message away.
+    fn told(&mut self, at: Time, endpoint: EndpointId, wait: Option<Span>, ends: &[(u32, Outcome, bool)]) {
+        let heeded = ends.iter().any(|(_, outcome, _)| matches!(outcome, Outcome::Full(Some(_))));
+        if let Some(wait) = wait.filter(|_| !heeded) {
+            self.pending.push((at, Event::Told { endpoint, wait }));
         }
     }
 
@@ -480,6 +666,7 @@
     }
 
     fn targets(&mut self, targets: Targets) {
+        self.revision = targets.revision;
         let mut entries = Vec::with_capacity(targets.members.len());
         let mut bans = Vec::new();
         for member in targets.members {
@@ -633,7 +820,7 @@
 
     /// Idle connections give way to calls.
     fn trim_pool(&mut self) {
-        self.pool.trim(self.most_connections.saturating_sub(self.calls.len()));
+        self.pool.trim(self.most_connections.saturating_sub(self.calls.len() + self.elsewhere.len()));
     }
 
     fn end(&mut self, number: u32, end: End) {
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -1,5 +1,6 @@
 //! The second address, for staff: a line in, a line out. It runs on a thread of its own, so that neither a busy
 //! step nor the clients' traffic delays its accept loop; only calls that change something wait for the host.
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::future::pending;
 use std::io;
@@ -23,7 +24,7 @@
 const LAST_PATIENCE: Duration = Duration::from_millis(500);
 
 /// What a caller may ask for that changes the sender.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
     /// Nothing more to this endpoint, until it is included again.
     Exclude(String),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The sender on real sockets: everything round the decision module that does I/O or reads a clock.
 pub mod discovery;
+pub mod handover;
 pub mod host;
 pub mod mgmt;
 pub mod notices;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -41,25 +41,37 @@
     /// Staff send the clients away: readiness says no, each connection ends with its next answer, and idle ones
     /// are closed after a short stay. New ones are served all the same.
     Draining,
+    /// Another process serves new clients: those that are still here are sent to it as in a drain.
+    Leaving {
+        ready: bool,
+    },
     /// Each connection ends with its next answer, so that its client goes elsewhere.
     Closing,
     /// No new connections, and idle ones are closed.
     Shut,
 }
 
+impl Doors {
+    /// Whether idle connections are closed after a short stay.
+    fn send_away(self) -> bool {
+        matches!(self, Doors::Draining | Doors::Leaving { .. })
+    }
+}
+
 /// Serves clients, on `most` connections at once, until the doors are shut and every request that was read has
 /// its answer.
 pub async fn serve(
     listener: TcpListener,
+    room: Arc<Semaphore>,
     most: usize,
     host: UnboundedSender<Input>,
     mut doors: watch::Receiver<Doors>,
 ) {
-    let room = Arc::new(Semaphore::new(most));
     let crowded = Arc::new(Notify::new());
     loop {
         let accepted = tokio::select! {
-            _ = doors.wait_for(|doors| *doors == Doors::Shut) => break,
+            // The socket itself is another process's then too: what is in its queue is not lost.
+            _ = doors.wait_for(|doors| matches!(doors, Doors::Shut | Doors::Leaving { .. })) => break,
             accepted = accept(&listener, &room, &crowded) => accepted,
         };
         match accepted {
@@ -134,12 +146,12 @@
 /// Ends once an idle connection is to be closed.
 async fn sent_away(doors: &mut watch::Receiver<Doors>) {
     loop {
-        match doors.wait_for(|doors| matches!(doors, Doors::Shut | Doors::Draining)).await.as_deref() {
-            Ok(Doors::Draining) => {}
+        match doors.wait_for(|doors| doors.send_away() || *doors == Doors::Shut).await.as_deref() {
+            Ok(doors) if doors.send_away() => {}
             _ => return,
         }
         // Back at work before that, nobody has to go.
-        if timeout(DRAIN_STAY, doors.wait_for(|doors| *doors != Doors::Draining)).await.is_err() {
+        if timeout(DRAIN_STAY, doors.wait_for(|doors| !doors.send_away())).await.is_err() {
             return;
         }
     }
@@ -161,7 +173,9 @@
 ) -> Response<Full<Bytes>> {
     let mut response = match (request.method(), request.uri().path()) {
         _ if !request.headers().contains_key(HOST) => plain(StatusCode::BAD_REQUEST, "Host is missing\n"),
-        (&Method::GET, "/-/ready") if doors == Doors::Open => plain(StatusCode::OK, "ready\n"),
+        (&Method::GET, "/-/ready") if matches!(doors, Doors::Open | Doors::Leaving { ready: true }) => {
+            plain(StatusCode::OK, "ready\n")
+        }
         (&Method::GET, "/-/ready") if doors == Doors::Draining => {
             plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
         }
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -150,18 +150,10 @@
         }
     }
 
-    /// Whether messages and endpoints that are known by this one's numbers keep them under another's.
-    pub fn same_numbers(&self, other: &Self) -> Result<(), String> {
-        let tenants = |p: &Self| p.tenants.iter().map(|t| t.name.clone()).collect::<Vec<_>>();
-        let same = [
-            ("zones", self.azs == other.azs && self.zone == other.zone),
-            ("kinds", self.kinds == other.kinds),
-            ("tenants", tenants(self) == tenants(other)),
-        ];
-        match same.iter().find(|(_, same)| !same) {
-            None => Ok(()),
-            Some((what, _)) => Err(format!("{what} hold from a start on, and differ")),
-        }
+    /// The names that the module's numbers for zones, kinds and tenants stand for, and this sender's zone.
+    pub fn numbering(&self) -> Vec<Vec<String>> {
+        let tenants = self.tenants.iter().map(|t| t.name.clone()).collect();
+        vec![vec![self.zone.clone()], self.azs.clone(), self.kinds.clone(), tenants]
     }
 
     /// Where the named field stands among those of a load report.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -220,7 +220,7 @@
             }
             false
         });
-        if t % 50_000 == 0 {
+        if t.is_multiple_of(50_000) {
             id += 1;
             events.push(message(id, SAFE, 1, None));
         }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -3,4 +3,5 @@
 mod clients;
 mod restarts;
 mod staff;
+mod upgrade;
 mod world;
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -206,7 +206,7 @@
 
 /// A sender's folder and what it is told; `process` is there while it runs.
 pub struct Node {
-    folder: TempDir,
+    folder: Arc<TempDir>,
     pub config: Value,
     process: Option<Child>,
     pub address: SocketAddr,
@@ -242,7 +242,7 @@
         });
         change(&mut config);
         let mut node = Self {
-            folder: tempfile::tempdir().unwrap(),
+            folder: Arc::new(tempfile::tempdir().unwrap()),
             config,
             process: None,
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
@@ -252,6 +252,11 @@
         node
     }
 
+    /// A second process of the same sender, not yet started.
+    pub fn beside(&self) -> Self {
+        Self { folder: self.folder.clone(), config: self.config.clone(), process: None, ..*self }
+    }
+
     /// Starts the process on what its folder holds, and waits until it serves.
     pub async fn begin(&mut self) {
         let file = self.folder.path().join("config.json");
@@ -286,6 +291,11 @@
         }
     }
 
+    /// Stops the process where it is: it answers nothing, and does not end.
+    pub fn stop(&self) {
+        self.signal("STOP");
+    }
+
     /// Begins a planned restart: SIGTERM.
     pub fn terminate(&self) {
         self.signal("TERM");
