Give up calls that many later ones have overtaken, where others wait for the slot

Ruled out: told waits and paces (tokens and holds were free), slow endpoints (answers in 0.05 to 0.1 s), late processing (0 ms). A call counts as lost once it is far over the usual time and 6 calls that its endpoint got later were answered.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,6 +31,8 @@
 const TIMEOUT_OF_AIM: f64 = 1.2;
 /// Unsafe messages: time-out in aims. A time-out costs them their only try, a late answer only some worth.
 const UNSAFE_TIMEOUT_OF_AIM: f64 = 2.3;
+/// A call is taken for lost, late as above, once so many that its endpoint got later were answered.
+const OVERTAKEN: u32 = 6;
 /// Learned share of calls without an answer at which answers count as getting lost.
 const LOST_SHARE: f64 = 0.075;
 /// Shortest time-out of a repeatable message while answers get lost, as a share of the longest.
@@ -118,6 +120,9 @@
     /// Calls out at its endpoint with it.
     rank: usize,
     lines: [Option<usize>; 2],
+    /// Calls that its endpoint got later and has answered.
+    overtaken: u32,
+    given_up: bool,
     reported: bool,
 }
 
@@ -370,6 +375,7 @@
         self.end_in_time(actions);
         self.shed(actions);
         self.give_turns(actions);
+        self.give_up_lost(actions);
         if self.ask_list_at.take_if(|at| *at <= now).is_some() {
             actions.push(Action::Subscribe);
         }
@@ -726,6 +732,37 @@
         }
     }
 
+    /// A lost answer holds a slot, and a place in a table of connections, until its call times out.
+    /// Where others wait for the place it is given up sooner; and where answers were seen to get lost, so are
+    /// those of messages that may be repeated, which then still make their aim.
+    fn give_up_lost(&mut self, actions: &mut Vec<Action>) {
+        let mut lost = Vec::new();
+        let seen = self.seen_lost();
+        for (id, held) in self.held.iter().filter(|_| self.settings.cancel) {
+            let Stage::Out(tried) = held.stage else { continue };
+            let line = &self.lines[self.endpoints[&tried.endpoint].line];
+            let Some(call) = self.calls.get(&tried.call) else { continue };
+            let short = self.calls.len() >= self.settings.slots
+                || !self.slots_left(held.message.destination)
+                || (line.room > 0 && line.out.len() >= line.room);
+            let needed = short || (seen && held.message.class.repeat != Repeat::Unsafe);
+            let late = since(self.now, call.sent) as f64 > line.slowest(GIVE_UP_DEVS);
+            if needed && late && call.overtaken >= OVERTAKEN && call.left == 1 && !call.given_up {
+                lost.push((*id, held.attempts - 1, tried.call));
+            }
+        }
+        for (message, attempt, call) in lost {
+            actions.push(Action::Cancel { message, attempt });
+            self.calls.entry(call).and_modify(|call| call.given_up = true);
+            self.lost_at = self.lost_at.map(|_| self.now);
+        }
+    }
+
+    /// Whether it was seen lately that an answer got lost for certain.
+    fn seen_lost(&self) -> bool {
+        self.lost_at.is_some_and(|at| since(self.now, at) < self.settings.rules.ramp.0)
+    }
+
     fn chance(&mut self) -> f64 {
         f64::from(self.random.next_u32()) / 4_294_967_296.0
     }
@@ -769,7 +806,13 @@
         call.reported = true;
         call.left -= 1;
         let done = call.left == 0;
-        let destination = self.endpoints[&tried.endpoint].destination;
+        let at = &self.endpoints[&tried.endpoint];
+        let destination = at.destination;
+        if outcome == Outcome::Success && first {
+            for (before, _) in self.lines[at.line].out.iter().filter(|(_, began)| *began < sent) {
+                self.calls.entry(*before).and_modify(|call| call.overtaken += 1);
+            }
+        }
         self.refresh(destination);
         if done {
             self.calls.remove(&tried.call);
@@ -962,8 +1005,7 @@
         let aims = if may_repeat { TIMEOUT_OF_AIM } else { UNSAFE_TIMEOUT_OF_AIM };
         // While answers get lost, a repeatable message waits no longer than for the slowest healthy one.
         let most = 2.0 * class.aim.0 as f64 * aims;
-        let seen = self.lost_at.is_some_and(|at| since(self.now, at) < self.settings.rules.ramp.0);
-        let early = may_repeat && (seen || self.lost > LOST_SHARE) && line.latency > 0.0;
+        let early = may_repeat && (self.seen_lost() || self.lost > LOST_SHARE) && line.latency > 0.0;
         let least = if early { most * KNOWN_TIMEOUT } else { most / 2.0 };
         let span = line.slowest(GIVE_UP_DEVS).clamp(least, most);
         after(self.now, span).min(Time(held.deadline.0 - self.settings.period.0))
@@ -1143,7 +1185,19 @@
                 actions.push(Action::CloseIdle(endpoint));
             }
             let rank = line.out.len() + 1;
-            self.calls.insert(call, Call { sent: self.now, left: 0, idle, rank, lines, reported: false });
+            self.calls.insert(
+                call,
+                Call {
+                    sent: self.now,
+                    left: 0,
+                    idle,
+                    rank,
+                    lines,
+                    overtaken: 0,
+                    given_up: false,
+                    reported: false,
+                },
+            );
             for line in lines.into_iter().flatten() {
                 self.lines[line].out.push((call, self.now));
                 self.lines[line].tokens -= 1.0;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -10,7 +10,7 @@
 //!
 //! Before 4 the old one goes on as if nothing had been asked where anything fails; the new one asks again until it
 //! has the lock. After 4 the old one finishes its calls and passes on what still reaches it.
-use super::host::{Answer, Input};
+use super::host::{Answer, Input, Out};
 use super::mgmt::{Asked, Order};
 use super::server::Doors;
 use super::store::Handed;
@@ -342,8 +342,7 @@
 /// What is left of a process that has handed over.
 pub struct Remains {
     pub stream: UnixStream,
-    /// Calls that are out, with when they began.
-    pub calls: HashMap<u64, Time>,
+    pub calls: HashMap<u64, Out>,
     pub time_of: Box<dyn Fn(Instant) -> Time + Send>,
     pub doors: watch::Sender<Doors>,
 }
@@ -393,7 +392,7 @@
                 Some(input) = inputs.recv() => match input {
                     Input::Called(called) => {
                         let at = (self.time_of)(called.at);
-                        let sent = self.calls.remove(&called.number).unwrap_or(at);
+                        let sent = self.calls.remove(&called.number).map_or(at, |out| out.began);
                         let (endpoint, ends, wait, report) =
                             (called.endpoint, called.ends, called.wait, called.report);
                         let _ = to_new.send(ToNew::Called { sent, at, endpoint, ends, wait, report });
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -103,6 +103,15 @@
     batch: usize,
 }
 
+/// A call that is out.
+pub struct Out {
+    /// When it began.
+    pub began: Time,
+    /// Its only message, if it has but one.
+    message: Option<u32>,
+    call_off: oneshot::Sender<()>,
+}
+
 /// When the process winds down.
 #[derive(Clone, Copy)]
 struct WindDown {
@@ -160,8 +169,8 @@
     endpoint_ids: HashMap<String, EndpointId>,
     /// The number of each message held, by its id.
     numbers: HashMap<String, u32>,
-    /// Calls that are out, with when they began.
-    calls: HashMap<u64, Time>,
+    /// Calls that are out.
+    calls: HashMap<u64, Out>,
     next_call: u64,
     /// Messages that an old process has calls out with.
     elsewhere: BTreeSet<u32>,
@@ -613,7 +622,9 @@
         let draining = *self.doors.borrow() == Doors::Draining;
         self.standing.send_replace(Standing::Ending);
         self.doors.send_replace(Doors::Leaving { ready: !draining });
-        let (clock, calls, doors) = (self.clock, self.calls, self.doors);
+        let (clock, doors) = (self.clock, self.doors);
+        // Kept whole: a call ends with what may call it off.
+        let calls = self.calls;
         drop((self.store, self.lock));
         // One that cannot be told any more has ended, which shows soon.
         let _ = handover::write(&mut stream, &ToNew::Yours).await;
@@ -625,7 +636,7 @@
 
     fn called(&mut self, called: Called) {
         let at = self.clock.at(called.at);
-        let sent = self.calls.remove(&called.number).unwrap_or(at);
+        let sent = self.calls.remove(&called.number).map_or(at, |out| out.began);
         match called.ends.first() {
             Some((_, Outcome::Reset, _)) => self.pool.learn(called.idle, true),
             Some((_, Outcome::TimedOut | Outcome::ConnectFailed, _)) | None => {}
@@ -650,7 +661,10 @@
             if last {
                 self.over(number);
             } else {
-                let may_have_run = matches!(outcome, Outcome::Failure | Outcome::TimedOut | Outcome::Reset);
+                let may_have_run = matches!(
+                    outcome,
+                    Outcome::Failure | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled
+                );
                 log_failure(self.store.outcome(number, may_have_run));
             }
             let event = Event::Ended {
@@ -763,8 +777,9 @@
                 }
                 Action::CloseIdle(endpoint) => self.pool.close(self.endpoints[endpoint.0 as usize].address),
                 Action::Log(line) => eprintln!("{line}"),
-                // The watch is always on; the module neither calls off nor probes.
-                Action::Subscribe | Action::FetchList | Action::Cancel { .. } | Action::Probe(_) => {}
+                Action::Cancel { message, .. } => self.call_off(message),
+                // The watch is always on; the module does not probe.
+                Action::Subscribe | Action::FetchList | Action::Probe(_) => {}
             }
         }
         for (endpoint, messages, expires) in sends {
@@ -800,7 +815,9 @@
         }
         let number = self.next_call;
         self.next_call += 1;
-        self.calls.insert(number, now);
+        let (call_off, called_off) = oneshot::channel();
+        let message = parcels.first().filter(|_| parcels.len() == 1).map(|parcel| parcel.number);
+        self.calls.insert(number, Out { began: now, message, call_off });
         let call = Call {
             number,
             endpoint,
@@ -812,12 +829,23 @@
         let (kept, fields, inputs) = (self.pool.take(address), self.tuning.fields, self.inputs.clone());
         self.trim_pool();
         tokio::spawn(async move {
-            if let Some(connection) = call.run(kept, fields, &inputs).await {
+            if let Some(connection) = call.run(kept, fields, called_off, &inputs).await {
                 let _ = inputs.send(Input::Idle(address, connection));
             }
         });
     }
 
+    /// Closes the connection of the call with that message; the call tells how it ended. One that an old process
+    /// has out goes on.
+    fn call_off(&mut self, message: MessageId) {
+        let number =
+            self.calls.iter().find_map(|(number, out)| (out.message == Some(message.0)).then_some(*number));
+        if let Some(out) = number.and_then(|number| self.calls.get_mut(&number)) {
+            let (spent, _) = oneshot::channel();
+            let _ = std::mem::replace(&mut out.call_off, spent).send(());
+        }
+    }
+
     /// Idle connections give way to calls.
     fn trim_pool(&mut self) {
         self.pool.trim(self.most_connections.saturating_sub(self.calls.len() + self.elsewhere.len()));
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -355,6 +355,7 @@
         self,
         kept: Option<(Connection, Duration)>,
         fields: ReportFields,
+        mut called_off: oneshot::Receiver<()>,
         host: &UnboundedSender<Input>,
     ) -> Option<Connection> {
         let done = |called| drop(host.send(Input::Called(called)));
@@ -371,7 +372,11 @@
         };
         let done = |called| done(Called { idle, ..called });
         let (request, body) = self.request();
-        match timeout_at(self.expires, connection.send(request, body)).await {
+        let answer = tokio::select! {
+            answer = timeout_at(self.expires, connection.send(request, body)) => answer.map_err(|_| Outcome::TimedOut),
+            Ok(()) = &mut called_off => Err(Outcome::Cancelled),
+        };
+        match answer {
             Ok(Ok(answer)) if self.parcels.len() > 1 && answer.status() == StatusCode::OK => {
                 // A batch is answered with its whole body, and until then its messages' fates are open.
                 let (head, body) = answer.into_parts();
@@ -403,10 +408,9 @@
                 done(self.ended_by(&e));
                 None
             }
-            Err(_) => {
+            Err(given_up) => {
                 // Closed first: what was never written whole then never runs.
-                let outcome =
-                    if connection.request_written() { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                let outcome = if connection.request_written() { given_up } else { Outcome::ConnectFailed };
                 drop(connection);
                 done(self.called(self.all(outcome), None, None));
                 None
@@ -628,6 +632,7 @@
                 }
             };
             let (to_host, mut host) = tokio::sync::mpsc::unbounded_channel();
+            let (_call_off, called_off) = oneshot::channel();
             let allowing = async {
                 loop {
                     match host.recv().await {
@@ -638,7 +643,7 @@
                 }
             };
             let (_, called, ()) = tokio::join!(
-                call.run(kept, ReportFields { left: false, limit: false }, &to_host),
+                call.run(kept, ReportFields { left: false, limit: false }, called_off, &to_host),
                 allowing,
                 peer
             );
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -278,3 +278,34 @@
     assert!(first.iter().all(|wait| (280_000..=440_000).contains(wait)), "{first:?}");
     assert!(first.iter().sum::<u64>() / 20 >= 335_000, "{first:?}");
 }
+
+/// Guards against lost answers that hold the slots until their time-outs (the day of silent connections: 60% of
+/// the slots' time): where others wait for the slot, a call that many later ones have overtaken is given up. One
+/// that is merely slow, or whose slot nobody needs, is not.
+#[test]
+fn an_overtaken_call_gives_its_slot_up_where_others_wait() {
+    for (slots, gives_up) in [(4, true), (40, false)] {
+        let mut host =
+            Host::new(Settings { slots, ..settings() }, vec![entry(1, 0, 0, 0), entry(2, 1, 0, 0)]);
+        warm_up(&mut host, 100, UNSAFE, 1, 8);
+        host.message(1, UNSAFE, 1);
+        for id in [2, 3] {
+            host.message(id, UNSAFE, 2);
+        }
+        host.now += 400_000;
+        let mut cancelled = Vec::new();
+        for id in 10..30 {
+            let mut actions = host.message(id, UNSAFE, 1);
+            host.now += 100_000;
+            actions.extend(host.ended(id, 0, Outcome::Success));
+            cancelled.extend(actions.into_iter().filter_map(|a| match a {
+                Action::Cancel { message, attempt } => Some((message.0, attempt)),
+                _ => None,
+            }));
+        }
+        // Destination 2 has answered nothing: its calls are overtaken by none.
+        assert_eq!(cancelled, if gives_up { vec![(1, 0)] } else { vec![] }, "{slots} slots");
+        let ends = host.ended(1, 0, Outcome::Cancelled);
+        assert!(ends.contains(&Action::Fail(MessageId(1))), "it may have run");
+    }
+}
--- a/tests/sockets/calls.rs
+++ b/tests/sockets/calls.rs
@@ -193,3 +193,31 @@
     }
     assert_eq!(platform.notice().await, json!({"id": "m2", "state": "failed"}));
 }
+
+/// Guards against a lost answer that holds its slot until the time-out, three quarters of a minute here: once many
+/// later calls were answered, it is given up for the sake of those that wait.
+#[tokio::test]
+async fn a_lost_answer_gives_its_slot_up() {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let slow = |config: &mut serde_json::Value| {
+        config["settings"]["specifics"]["max_calls"] = json!(2);
+        config["settings"]["lanes"][0]["aim"] = json!(20_000_000);
+        config["settings"]["lanes"][0]["hard_limit"] = json!(90_000_000);
+    };
+    let node =
+        Node::start_with(&platform, &[member("s-1", endpoint.address, "single", "SERVING")], slow).await;
+    assert_eq!(node.hand_in_for("lost", "unsafe", "", "90").await.status(), 202);
+    let lost = endpoint.call().await;
+    let others = async {
+        for n in 0.. {
+            assert_eq!(node.hand_in_for(&format!("m{n}"), "unsafe", "", "90").await.status(), 202);
+            endpoint.call().await.ok();
+        }
+    };
+    let notice = tokio::select! {
+        notice = platform.notice() => notice,
+        () = others => unreachable!(),
+    };
+    assert_eq!(notice, json!({"id": "lost", "state": "failed"}));
+    drop(lost);
+}
