--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,6 +33,8 @@
 const UNSAFE_TIMEOUT_OF_AIM: f64 = 2.3;
 /// A call is taken for lost, late as above, once so many that its endpoint got later were answered.
 const OVERTAKEN: u32 = 6;
+/// And this many tell for certain that answers get lost, before any time-out does.
+const SURELY_OVERTAKEN: u32 = 12;
 /// Learned share of calls without an answer at which answers count as getting lost.
 const LOST_SHARE: f64 = 0.075;
 /// Shortest time-out of a repeatable message while answers get lost, as a share of the longest.
@@ -737,7 +739,7 @@
     /// those of messages that may be repeated, which then still make their aim.
     fn give_up_lost(&mut self, actions: &mut Vec<Action>) {
         let mut lost = Vec::new();
-        let seen = self.seen_lost();
+        let (seen, mut certain) = (self.seen_lost(), false);
         for (id, held) in self.held.iter().filter(|_| self.settings.cancel) {
             let Stage::Out(tried) = held.stage else { continue };
             let line = &self.lines[self.endpoints[&tried.endpoint].line];
@@ -747,6 +749,7 @@
                 || (line.room > 0 && line.out.len() >= line.room);
             let needed = short || (seen && held.message.class.repeat != Repeat::Unsafe);
             let late = since(self.now, call.sent) as f64 > line.slowest(GIVE_UP_DEVS);
+            certain |= late && call.overtaken >= SURELY_OVERTAKEN;
             if needed && late && call.overtaken >= OVERTAKEN && call.left == 1 && !call.given_up {
                 lost.push((*id, held.attempts - 1, tried.call));
             }
@@ -754,7 +757,10 @@
         for (message, attempt, call) in lost {
             actions.push(Action::Cancel { message, attempt });
             self.calls.entry(call).and_modify(|call| call.given_up = true);
-            self.lost_at = self.lost_at.map(|_| self.now);
+            certain |= seen;
+        }
+        if certain {
+            self.lost_at = Some(self.now);
         }
     }
 
