--- a/src/brain.rs
+++ b/src/brain.rs
@@ -495,17 +495,25 @@
     fn exclude(&mut self, endpoint: EndpointId, actions: &mut Vec<Action>) {
         let Some(at) = self.endpoints.get_mut(&endpoint) else { return };
         if !std::mem::replace(&mut at.excluded, true) {
-            self.lines[at.line].refresh(self.now, &self.settings);
+            let line = &mut self.lines[at.line];
+            line.refresh(self.now, &self.settings);
+            // Its rate stands still, as in an outage: the pace of its return is measured by it.
+            line.health = Health::Down(Time(u64::MAX));
             actions.push(Action::CloseIdle(endpoint));
         }
     }
 
     /// An endpoint that is put back comes cold and with no connection left: as after an outage it is paced by
-    /// the ramp, from the rate that it had when it went.
+    /// the ramp, from the rate that it had when it went, or else from its part of the destination's.
     fn include(&mut self, endpoint: EndpointId, actions: &mut Vec<Action>) {
         let Some(at) = self.endpoints.get_mut(&endpoint).filter(|at| at.excluded) else { return };
         at.excluded = false;
-        let (now, line) = (self.now, &mut self.lines[at.line]);
+        let (own, destination) = (at.line, &self.destinations[&at.destination]);
+        let sharing = destination.endpoints.iter().filter(|e| self.endpoints[*e].in_service()).count();
+        let limit = destination.shared.map_or(0.0, |line| self.lines[line].limit);
+        let part = limit * SLOW_DOWN / (self.settings.senders * sharing.max(1)) as f64;
+        let (now, line) = (self.now, &mut self.lines[own]);
+        line.rate = line.rate.max(part);
         (line.rate_at, line.tokens_at, line.tokens) = (now, now, 0.0);
         (line.health, line.failing, line.streak, line.fulls) = (Health::Returning(now), 0.0, 0, 0);
         actions.push(Action::CloseIdle(endpoint));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -453,3 +453,37 @@
             .contains(&Action::Refuse { message: MessageId(3), after: None })
     );
 }
+
+/// Guards against a crawl after maintenance: the ramp starts from the rate that the endpoint had before, however
+/// long it was away, and here grows over what one call a second would be.
+#[test]
+fn an_endpoint_is_put_back_at_the_rate_that_it_had() {
+    let mut host = Host::new(settings(), vec![entry(1, 0, 0, 0)]);
+    let mut id = 0;
+    for _ in 0..200 {
+        id += 1;
+        assert_eq!(sent(&host.message(id, SAFE, 1), id), Some(0));
+        host.now += 50_000;
+        host.ended(id, 0, Outcome::Success);
+    }
+    host.step(&[Event::Excluded(EndpointId(0))]);
+    for _ in 0..60 {
+        id += 1;
+        host.message(id, SAFE, 1);
+        host.now += 100_000;
+    }
+    host.step(&[Event::Included(EndpointId(0))]);
+    let mut calls = 0;
+    let end = host.now + 2 * SECOND;
+    while host.now < end {
+        host.now += 20_000;
+        for action in host.step(&[Event::Woken]) {
+            if let Action::Send { message, .. } = action {
+                calls += 1;
+                host.ended(message.0, 0, Outcome::Success);
+            }
+        }
+    }
+    // 20 a second before; cold it takes a fifth, of which the rule allows twice as much.
+    assert!((8..=24).contains(&calls), "{calls} calls in two seconds");
+}
