Keep a failure during maintenance from shutting a destination for good

With its only endpoint excluded, a call that found no room closed the shared line until a time that never comes. Found by reading, shown by a test that fails without.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -860,7 +860,9 @@
         let Some(shared) = d.shared else { return };
         let health = |e: &EndpointId| self.lines[self.endpoints[e].line].health;
         let mut active = d.endpoints.iter().filter(|e| self.endpoints[*e].in_service());
-        let next = d.endpoints.iter().filter_map(|e| match health(e) {
+        // An excluded one comes back by staff's word alone.
+        let counted = d.endpoints.iter().filter(|e| !self.endpoints[*e].excluded);
+        let next = counted.filter_map(|e| match health(e) {
             Health::Down(next) => Some(next),
             _ => None,
         });
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -487,3 +487,29 @@
     // 20 a second before; cold it takes a fifth, of which the rule allows twice as much.
     assert!((8..=24).contains(&calls), "{calls} calls in two seconds");
 }
+
+/// Guards against a destination that stays shut after maintenance: a call that ends badly while all of its endpoints
+/// are excluded says nothing of when it opens again.
+#[test]
+fn a_failure_during_maintenance_does_not_outlast_it() {
+    for outcome in [Outcome::ConnectFailed, Outcome::Reset, Outcome::Full(None), Outcome::TimedOut] {
+        let mut host = Host::new(settings(), vec![entry(1, 0, 0, 0)]);
+        for id in [1, 2] {
+            host.message(id, SAFE, 1);
+            host.now += 50_000;
+        }
+        host.ended(1, 0, Outcome::Success);
+        for id in [3, 4] {
+            host.message(id, SAFE, 1);
+        }
+        host.step(&[Event::Excluded(EndpointId(0))]);
+        host.now += 100_000;
+        for id in [4, 3, 2] {
+            host.ended(id, 0, outcome);
+        }
+        host.now += SECOND;
+        host.step(&[Event::Included(EndpointId(0))]);
+        let run = host.run(12 * SECOND);
+        assert!(run.iter().any(|(_, a)| matches!(a, Action::Send { .. })), "{outcome:?}: shut for good");
+    }
+}
