Let a third process take over only once the first one's calls have ended

The second one would end with calls of the first one still out, and the third take them for cut off: two attempts of a message could overlap. The test fails without.

--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -369,8 +369,11 @@
             }
             Input::Retune(tuning, done) => drop(done.send(self.retune(*tuning))),
             Input::WindDown => self.wind_down(),
-            // One that ends soon leaves the journal to the next one, as it is.
-            Input::TakeOver(stream) => self.new = Some(stream).filter(|_| self.winding_down.is_none()),
+            // One that ends soon leaves the journal to the next one, as it is; and calls that an old process has
+            // out are told of to this one only: who asks sooner asks again.
+            Input::TakeOver(stream) => {
+                self.new = Some(stream).filter(|_| self.winding_down.is_none() && self.old.is_none());
+            }
             Input::Old(passed) => self.passed_on(passed),
         }
     }
--- a/tests/sockets/upgrade.rs
+++ b/tests/sockets/upgrade.rs
@@ -162,3 +162,25 @@
     }
     assert_eq!(node.staff("readyz").await, "done\n");
 }
+
+/// Guards against two attempts of a message at once where upgrades follow each other closely: a third process takes
+/// over only when the first one's calls have ended, and a message goes out once.
+#[tokio::test]
+async fn upgrades_follow_each_other_one_at_a_time() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let mut first = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    assert_eq!(first.hand_in("out", "keyed", "").await.status(), 202);
+    let out = endpoint.call().await;
+    let mut second = first.beside();
+    second.begin().await;
+    let mut third = second.beside();
+    let finishing = async {
+        assert!(endpoint.quiet(Duration::from_millis(700)).await, "two attempts of one message");
+        assert_eq!(second.staff("readyz").await, "done\n", "handed over while calls were out elsewhere");
+        out.ok();
+        assert!(first.ends_well().await);
+    };
+    tokio::join!(third.begin(), finishing);
+    assert!(second.ends_well().await);
+    assert!(endpoint.quiet(Duration::from_millis(500)).await, "a delivered message went out again");
+}
