Keep idle connections only as long as the tables of a kind leave room for them

An endpoint's table holds two to four times the calls it serves at once, and each of a hundred senders kept one idle for up to 4 s (half of the kept ones had stood for 0.3 to 0.9 s). Ruled out: more calls at once than the endpoints serve (calls out never reach half of the slots). Wrong: brain.rs `distrust`. Who called less than once in 2 s kept none, so everybody who called a little more often did, whatever the tables said; and 32 good answers were enough to forget that they were full. The time for which a connection is kept is now learned by kind: halved with each call that finds no room, growing by 2% with each other one; and no room at one endpoint ends the idle ones at all of the kind that are called too rarely.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,8 +67,10 @@
 const FAR: f64 = 1.2;
 /// Weight of the learned failing share in choosing an endpoint.
 const AVOID: f64 = 4.0;
-/// Learned share of a kind's calls without a connection at which its tables count as crowded.
-const CROWDED_SHARE: f64 = 0.01;
+/// Longest wait for the next call, in `fall`s, for which a connection into a small table is kept ...
+const MOST_KEPT: f64 = 2.0;
+/// ... halved with each call that gets none, so often at the most; it grows by this share with each other one.
+const LESS_KEPT: (i32, f64) = (6, 0.02);
 /// Weight of one more call in a share that is learned over many lines.
 const POOLED_LEARN: f64 = 0.05;
 /// Steps between wake-ups at the least; messages that something holds are looked at half as often.
@@ -219,8 +221,8 @@
     woken_at: Option<Time>,
     ask_list_at: Option<Time>,
     list_failures: u32,
-    /// By kind: learned share of calls that get no connection.
-    crowded: Vec<f64>,
+    /// By kind: for how long an idle connection is worth its place in a table of them, in `fall`s.
+    kept: Vec<f64>,
     /// Learned share of all calls that got no answer.
     lost: f64,
     /// When it was last seen that an answer got lost for certain.
@@ -349,7 +351,7 @@
             woken_at: None,
             ask_list_at: asks.then_some(Time(0)),
             list_failures: 0,
-            crowded: vec![0.0; settings.kinds.len()],
+            kept: vec![MOST_KEPT; settings.kinds.len()],
             lost: 0.0,
             lost_at: None,
             trusted_idle: f64::INFINITY,
@@ -423,7 +425,7 @@
     }
 
     fn retune(&mut self, settings: Settings) {
-        self.crowded.resize(settings.kinds.len(), 0.0);
+        self.kept.resize(settings.kinds.len(), MOST_KEPT);
         self.settings = settings;
     }
 
@@ -785,19 +787,29 @@
 
     /// Idle connections can be dead without a word: each call on one is lost, though the endpoint is well.
     /// After silence they are closed; and those idle for as long as the lost call's was are used nowhere, a
-    /// span that grows again. They also fill small tables: while a kind's calls get no connection, who
-    /// calls rarely keeps none. Both cost handshakes where a partner is merely slow or down.
+    /// span that grows again. They also fill small tables, of which nobody knows its share: who expects no next
+    /// call within the time for which a kind's tables leave room keeps none. Both cost handshakes where a
+    /// partner is merely slow or down.
     fn distrust(&mut self, tried: Try, outcome: Outcome, actions: &mut Vec<Action>) {
         let at = &self.endpoints[&tried.endpoint];
-        let (line, share) = (&self.lines[at.line], &mut self.crowded[at.kind.0]);
+        let (line, kind) = (&self.lines[at.line], at.kind);
         let silent = matches!(outcome, Outcome::TimedOut | Outcome::Reset);
+        let crowded = matches!(outcome, Outcome::ConnectFailed | Outcome::NoRoom);
         if !silent {
-            pool(share, matches!(outcome, Outcome::ConnectFailed | Outcome::NoRoom));
+            let (kept, (halvings, growth)) = (&mut self.kept[kind.0], LESS_KEPT);
+            *kept *= if crowded { 0.5 } else { 1.0 + growth };
+            *kept = kept.clamp(MOST_KEPT * 0.5f64.powi(halvings), MOST_KEPT);
         }
-        let rare = line.rate * seconds(self.settings.rules.fall.0) < 1.0;
-        if silent || (*share > CROWDED_SHARE && rare && line.out.len() <= 1) {
+        let span = self.kept[kind.0] * seconds(self.settings.rules.fall.0);
+        let rare =
+            |line: &Line| self.kept[kind.0] < MOST_KEPT && line.rate * span < 1.0 && line.out.len() <= 1;
+        if silent || rare(line) {
             actions.push(Action::CloseIdle(tried.endpoint));
         }
+        if outcome == Outcome::NoRoom {
+            let others = self.endpoints.iter().filter(|(_, e)| e.kind == kind && rare(&self.lines[e.line]));
+            actions.extend(others.map(|(endpoint, _)| Action::CloseIdle(*endpoint)));
+        }
         let healthy = seconds(line.slowest(OVERDUE_DEVS) as u64);
         if let Some(call) = self.calls.get(&tried.call).filter(|call| silent && call.idle > healthy) {
             self.trusted_idle = self.trusted_idle.min(call.idle);
