--- a/src/brain.rs
+++ b/src/brain.rs
@@ -69,7 +69,7 @@
 const AVOID: f64 = 4.0;
 /// Longest wait for the next call, in `fall`s, for which a connection into a small table is kept ...
 const MOST_KEPT: f64 = 2.0;
-/// ... halved with each call that gets none, so often at the most; it grows by this share with each other one.
+/// ... halved with each call that gets none, so often at most; it grows by this share with each other one.
 const LESS_KEPT: (i32, f64) = (6, 0.02);
 /// Weight of one more call in a share that is learned over many lines.
 const POOLED_LEARN: f64 = 0.05;
@@ -787,8 +787,8 @@
 
     /// Idle connections can be dead without a word: each call on one is lost, though the endpoint is well.
     /// After silence they are closed; and those idle for as long as the lost call's was are used nowhere, a
-    /// span that grows again. They also fill small tables, of which nobody knows its share: who expects no next
-    /// call within the time for which a kind's tables leave room keeps none. Both cost handshakes where a
+    /// span that grows again. They also fill small tables, of which nobody knows its part: who expects no call
+    /// within the time for which a kind's tables leave room keeps none. Both cost handshakes where a
     /// partner is merely slow or down.
     fn distrust(&mut self, tried: Try, outcome: Outcome, actions: &mut Vec<Action>) {
         let at = &self.endpoints[&tried.endpoint];
