--- a/src/brain.rs
+++ b/src/brain.rs
@@ -787,7 +787,7 @@
 
     /// Idle connections can be dead without a word: each call on one is lost, though the endpoint is well.
     /// After silence they are closed; and those idle for as long as the lost call's was are used nowhere, a
-    /// span that grows again. They also fill small tables, of which nobody knows its part: who expects no call
+    /// span that grows again. They also fill small tables, no one knowing its part: who expects no call
     /// within the time for which a kind's tables leave room keeps none. Both cost handshakes where a
     /// partner is merely slow or down.
     fn distrust(&mut self, tried: Try, outcome: Outcome, actions: &mut Vec<Action>) {
