Ask discovery again after a doubling, jittered pause instead of every 50 ms

Discovery takes calls in turn; the senders that were turned away kept its queue full themselves. Ruled out: discovery being down (those that had a watch kept it), the watch's own renewals (20 a second at most). Wrong: discovery.rs, the fixed `PAUSE` of 50 ms after any failure, the same for every sender. Pauses now double from 100 ms up to half the time that the settings allow between calls, by chance between half and whole, and start over with an answer or a new address.

--- a/src/main.rs
+++ b/src/main.rs
@@ -156,6 +156,7 @@
         mgmt::spawn(listener, to_host, stands).map_err(error)?;
     }
     let tuning = Tuning::new(config.settings).map_err(StartError::Settings)?;
+    let pauses = discovery::Pauses::new(seed, tuning.must_ask_in() / 2);
     let folder = variable("PROXY_STATE")?;
     // From here on the journal is this process's alone; the one that had it may have handed over the rest.
     let (lock, inherited) = handover::claim(&folder, &tuning.numbering()).await?;
@@ -197,7 +198,7 @@
     listener.set_nonblocking(true).map_err(listening)?;
     let listener = TcpListener::from_std(listener).map_err(listening)?;
     eprintln!("listening on {}", listener.local_addr()?);
-    let watching = tokio::spawn(discovery::watch(at_discovery.clone(), revision, inputs.clone()));
+    let watching = tokio::spawn(discovery::watch(at_discovery.clone(), revision, pauses, inputs.clone()));
     tokio::spawn(notices::run(at_discovery, queue, inputs.clone()));
     let asked = inputs.clone();
     if let Err(e) = handover::listen(&folder, move |stream| asked.send(Input::TakeOver(stream)).is_ok()) {
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -28,6 +28,8 @@
 /// From SIGTERM on, clients still come for 0.4 s.
 const STILL_COMING: Duration = Duration::from_millis(600);
 
+/// Where the settings do not say how long a sender may go without asking discovery.
+const MUST_ASK_IN: Duration = Duration::from_secs(10);
 /// A new process takes over within this, or it does not: meanwhile nothing is decided.
 const HAND_OVER_PATIENCE: Duration = Duration::from_secs(1);
 /// Inputs taken in before staff's orders are looked at again.
@@ -145,6 +147,14 @@
         Duration::from_micros(self.profile.connection_idle().map_or(5_000_000, |span| span.0))
     }
 
+    /// A sender that does not ask discovery for so long counts as told all the same.
+    pub fn must_ask_in(&self) -> Duration {
+        match self.settings.rules.must_ask_in {
+            Span(0) => MUST_ASK_IN,
+            Span(span) => Duration::from_micros(span),
+        }
+    }
+
     /// The names that the module's numbers stand for.
     pub fn numbering(&self) -> Vec<Vec<String>> {
         self.profile.numbering()
