Spread the senders' first calls for the list over 50 ms a sender, and those after a failure

Wrong: discovery.rs, no pause before a first call, and pauses after failures that know nothing of how many ask. A round gives each sender 50 ms; the first call comes by chance within it, and pauses after failures start from it. For three senders that is 150 ms. Pauses are capped by the time in which the settings want discovery asked.

--- a/src/main.rs
+++ b/src/main.rs
@@ -156,7 +156,7 @@
         mgmt::spawn(listener, to_host, stands).map_err(error)?;
     }
     let tuning = Tuning::new(config.settings).map_err(StartError::Settings)?;
-    let pauses = discovery::Pauses::new(seed, tuning.must_ask_in() / 2);
+    let pauses = discovery::Pauses::new(seed, tuning.senders(), tuning.must_ask_in());
     let folder = variable("PROXY_STATE")?;
     // From here on the journal is this process's alone; the one that had it may have handed over the rest.
     let (lock, inherited) = handover::claim(&folder, &tuning.numbering()).await?;
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -147,6 +147,11 @@
         Duration::from_micros(self.profile.connection_idle().map_or(5_000_000, |span| span.0))
     }
 
+    /// How many senders share the traffic, this one counted.
+    pub fn senders(&self) -> usize {
+        self.settings.senders
+    }
+
     /// A sender that does not ask discovery for so long counts as told all the same.
     pub fn must_ask_in(&self) -> Duration {
         match self.settings.rules.must_ask_in {
