Pace trials into an outage by the list's rate over the senders, not by one constant

Each sender that saw it down waits 9 to 27 s for its next trial, then 9 s for a token. Ruled out: connection tables (no failed connects from the 14th second on), limits (no refusals), slots (1 or 2 of 5 out). Wrong: brain.rs `trial_rate`, 0.027 calls a second for each of a hundred senders whatever the partner takes (38 to 220 a second), and no token at the return, so that each of them was silent for a whole gap more. A sender's part of what the rule lets all of them send to a cold partner is known at the start: the listed rate, times cold share and factor, over the senders; an endpoint counts for its part of its destination's rate. The return begins with a token by chance, as the return from a told wait does. Where no rate is listed, nothing changes.

The test counts a fleet of 100: 35 had found their partner 8 s after its return, now over 80 and within the rule's budget in every span.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -241,14 +241,6 @@
     *share += POOLED_LEARN * (f64::from(u8::from(seen)) - *share);
 }
 
-/// Calls a second that are safe towards anything: one a `fall` from all senders together. Among many only
-/// those with a message waiting call: each may send the cold share of one message a ramp.
-fn trial_rate(s: &Settings) -> f64 {
-    let equal = 1.0 / (s.senders as f64 * seconds(s.rules.fall.0).max(0.1));
-    let cold = s.rules.cold_share * s.rules.overload_factor * RETURN_SHARE;
-    equal.max(cold / seconds(s.rules.ramp.0).max(0.1))
-}
-
 fn seconds(span: u64) -> f64 {
     span as f64 / 1e6
 }
@@ -317,12 +309,21 @@
         let share = r.cold_share + (1.0 - r.cold_share) * warm.min(1.0);
         let equal = self.limit / s.senders as f64 * SLOW_DOWN;
         let usual = self.rate.max(equal).max(1.0 / seconds(r.ramp.0).max(0.1));
-        (usual * share * r.overload_factor * RETURN_SHARE).min(self.pace).max(trial_rate(s))
+        (usual * share * r.overload_factor * RETURN_SHARE).min(self.pace).max(self.trial_rate(s))
+    }
+
+    /// Calls a second that are safe while nothing is known of the line's health: this sender's part of what
+    /// the rule lets all of them send to one that is cold. Where no limit is known that is one a `fall`; but only
+    /// those with a message waiting call, so each may send the cold share of one message a ramp.
+    fn trial_rate(&self, s: &Settings) -> f64 {
+        let cold = s.rules.cold_share * s.rules.overload_factor * RETURN_SHARE;
+        let equal = 1.0 / (s.senders as f64 * seconds(s.rules.fall.0).max(0.1));
+        equal.max(cold * (self.limit / s.senders as f64).max(1.0 / seconds(s.rules.ramp.0).max(0.1)))
     }
 
     /// The pace that refusals never push below: half the known limit's equal part, and the rate of trials.
     fn least_rate(&self, s: &Settings) -> f64 {
-        (self.limit / s.senders as f64 / 2.0).max(trial_rate(s))
+        (self.limit / s.senders as f64 / 2.0).max(self.trial_rate(s))
     }
 
     fn name(&self) -> String {
@@ -491,6 +492,13 @@
             self.endpoints
                 .insert(entry.endpoint, Endpoint { destination, zone, kind, listing, excluded: false, line });
         }
+        for d in self.destinations.values() {
+            let Some(shared) = d.shared else { continue };
+            let sharing: Vec<&Endpoint> =
+                d.endpoints.iter().map(|e| &self.endpoints[e]).filter(|at| at.in_service()).collect();
+            let part = self.lines[shared].limit / sharing.len().max(1) as f64;
+            sharing.iter().for_each(|at| self.lines[at.line].limit = part);
+        }
     }
 
     /// Nothing more goes to the endpoint; what is out there comes to its end.
@@ -954,7 +962,7 @@
                 line.failing -= LEARN * line.failing;
                 line.rate += 1.0 / RATE_S;
                 if let Health::Down(_) = line.health {
-                    (line.health, line.tokens) = (Health::Returning(now), 0.0);
+                    (line.health, line.tokens) = (Health::Returning(now), jitter);
                 }
             }
             Outcome::Full(wait) => {
@@ -1005,7 +1013,9 @@
         }
         line.last_answer = now;
         if let Health::Down(_) = line.health {
-            line.health = Health::Down(after(wait_end, (0.5 + jitter) / (2.0 * trial_rate(s)) * 1e6));
+            let gap = 1e6 * (0.5 + jitter) / line.trial_rate(s);
+            let gap = if line.limit > 0.0 { gap } else { gap / 2.0 };
+            line.health = Health::Down(after(wait_end, gap));
         }
         if before == Health::Up && line.health != Health::Up {
             self.log.push(format!("{} closed: {:?}", self.lines[at].name(), outcome));
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -240,3 +240,54 @@
     assert_eq!(call(&mut host, 1, Outcome::NoRoom), [0].into());
     assert!(call(&mut host, 2, Outcome::Success).is_empty(), "another kind");
 }
+
+/// A hundred senders that saw a partner fail find it back soon, by its listed rate, and together stay under what the
+/// recovery rule lets them send while it is cold. Trials were 9 to 27 s apart for each, whatever the rate: a partner
+/// that was down for 5 s got a third of its messages for the rest of the day.
+#[test]
+fn a_fleet_finds_a_partner_back_soon_and_does_not_push_it_over() {
+    const RATE: f64 = 40.0;
+    let settings = Settings { senders: 100, hints: Hints::CallsPerSecond, ..settings() };
+    let rules = settings.rules;
+    let listed = Entry { hint: RATE, ..entry(1, 0, 0, 0) };
+    let mut fleet: Vec<Sender> = (0..100).map(|seed| Sender::new(settings.clone(), seed).unwrap()).collect();
+    let start = 100 * SECOND;
+    let back = start + 5 * SECOND;
+    let mut out: Vec<Vec<(u32, u32)>> = vec![Vec::new(); 100];
+    let mut attempts = std::collections::HashMap::new();
+    let (mut calls, mut next) = (Vec::new(), 0);
+    for now in (start..back + 8 * SECOND).step_by(20_000) {
+        for (number, sender) in fleet.iter_mut().enumerate() {
+            let mut events: Vec<Event> = Vec::new();
+            if now == start {
+                events.push(Event::FullList(vec![listed]));
+            }
+            // Each has a message every two seconds and a half for the partner: the whole of its rate.
+            if (now / 20_000 + number as u64) % 125 == 0 {
+                next += 1;
+                events.push(message(next, SAFE, 1, None));
+            }
+            let outcome = if now < back { Outcome::ConnectFailed } else { Outcome::Success };
+            events.extend(out[number].drain(..).map(|(id, attempt)| ended(id, attempt, outcome)));
+            let mut actions = Vec::new();
+            sender.step(Time(now), &events, &mut actions);
+            for action in actions {
+                if let Action::Send { message, .. } = action {
+                    let attempt = attempts.entry(message.0).and_modify(|n| *n += 1).or_insert(0);
+                    out[number].push((message.0, *attempt));
+                    calls.push((now, number));
+                }
+            }
+        }
+    }
+    let served = calls.iter().filter(|(at, _)| *at >= back);
+    let found: std::collections::HashSet<usize> = served.clone().map(|(_, sender)| *sender).collect();
+    assert!(found.len() >= 80, "{} senders found it back within 8 s", found.len());
+    for from in (back..back + 6 * SECOND).step_by(100_000) {
+        let warm = (from - back) as f64 / rules.ramp.0 as f64;
+        let capacity = RATE * (rules.cold_share + (1.0 - rules.cold_share) * warm);
+        let most = rules.overload_factor * capacity * rules.fall.0 as f64 / 1e6;
+        let got = served.clone().filter(|(at, _)| (from..from + rules.fall.0).contains(at)).count();
+        assert!(got as f64 <= most, "{got} calls in a fall, {warm} after its return, {most} are allowed");
+    }
+}
