--- a/src/brain.rs
+++ b/src/brain.rs
@@ -313,8 +313,8 @@
     }
 
     /// Calls a second that are safe while nothing is known of the line's health: this sender's part of what
-    /// the rule lets all of them send to one that is cold. Where no limit is known that is one a `fall`; but only
-    /// those with a message waiting call, so each may send the cold share of one message a ramp.
+    /// the rule lets all of them send to one that is cold. Where no limit is known that is one a `fall`; but
+    /// only those with a message waiting call, so each may send the cold share of one message a ramp.
     fn trial_rate(&self, s: &Settings) -> f64 {
         let cold = s.rules.cold_share * s.rules.overload_factor * RETURN_SHARE;
         let equal = 1.0 / (s.senders as f64 * seconds(s.rules.fall.0).max(0.1));
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -263,7 +263,7 @@
                 events.push(Event::FullList(vec![listed]));
             }
             // Each has a message every two seconds and a half for the partner: the whole of its rate.
-            if (now / 20_000 + number as u64) % 125 == 0 {
+            if (now / 20_000 + number as u64).is_multiple_of(125) {
                 next += 1;
                 events.push(message(next, SAFE, 1, None));
             }
