Pace calls to an endpoint without room by its part of the listed rate

Ruled out: idle connections (28 of 1200 calls came on kept ones), its limit (1 refusal a second), our slots. Wrong: brain.rs `no_room` bounded the calls at once of one sender, which is one in any case; each waiting message came again by its own backoff, and a hundred senders' backoffs add up. No room now sets the endpoint's pace to this sender's part of the listed rate, or to what it had taken if that is more.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -914,6 +914,13 @@
                     let held = (rank - 1).max(1);
                     line.room = if line.room == 0 { held } else { line.room.min(held) };
                     line.room_at = now;
+                    // Connections that find no room cost the endpoint work too: all senders together try no
+                    // more of them than it takes calls.
+                    let part = line.limit / self.settings.senders as f64;
+                    if part > 0.0 && outcome == Outcome::NoRoom {
+                        line.pace = line.pace.min(part.max(line.rate));
+                        line.tokens = line.tokens.min(0.0);
+                    }
                 }
                 true
             }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -322,3 +322,12 @@
     assert!(taken >= 70, "{taken} calls taken in twelve seconds that allow 120");
     assert!(refused <= 290, "{refused} calls refused, which use the limit up");
 }
+
+/// Connections that find no room take work from those that do: a hundred senders try little more of them than the listed
+/// rate (on a quick day an endpoint listed at 48 calls a second turned 200 connections a second away and served 30).
+#[test]
+fn a_fleet_tries_a_full_table_little_more_often_than_its_partner_takes_calls() {
+    let calls = play_fleet(40.0, 12 * SECOND, |_| Outcome::NoRoom);
+    let tried = calls.iter().filter(|(at, ..)| *at >= 4 * SECOND).count();
+    assert!((200..=480).contains(&tried), "{tried} calls in eight seconds at 40 a second");
+}
