Repeat failed notices after doubling, jittered pauses instead of every 50 ms

Where the platform refuses, each sender tried again every 50 ms, all of them in step. Wrong: notices.rs, the fixed `PAUSE`. It is the mean of the first pause now; they double up to 400 ms, by chance between half and one and a half, and start over with an answer. A notice stays in time for one that fails twice. The test counts the tries of two seconds of refusals: 40 before, at most 15 now.

--- a/src/main.rs
+++ b/src/main.rs
@@ -199,7 +199,7 @@
     let listener = TcpListener::from_std(listener).map_err(listening)?;
     eprintln!("listening on {}", listener.local_addr()?);
     let watching = tokio::spawn(discovery::watch(at_discovery.clone(), revision, pauses, inputs.clone()));
-    tokio::spawn(notices::run(at_discovery, queue, inputs.clone()));
+    tokio::spawn(notices::run(at_discovery, queue, !seed, inputs.clone()));
     let asked = inputs.clone();
     if let Err(e) = handover::listen(&folder, move |stream| asked.send(Input::TakeOver(stream)).is_ok()) {
         eprintln!("no upgrade can take over from this process: {e}");
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -75,6 +75,8 @@
     chance: ChaCha8Rng,
     /// The time in which all senders can ask, each once.
     round: Duration,
+    /// Before the second try, on average.
+    start: Duration,
     most: Duration,
     next: Duration,
 }
@@ -83,8 +85,13 @@
     /// Those of one of so many senders; none is longer than `most`.
     pub fn new(seed: u64, senders: usize, most: Duration) -> Self {
         let round = CALL * u32::try_from(senders).unwrap_or(u32::MAX).min(MOST_ROUND);
+        Self { round, ..Self::between(seed, round.max(PAUSE), most) }
+    }
+
+    /// Pauses between tries where no others are reckoned with.
+    pub fn between(seed: u64, start: Duration, most: Duration) -> Self {
         let chance = ChaCha8Rng::seed_from_u64(seed);
-        Self { chance, round, most, next: Duration::ZERO }.restarted()
+        Self { chance, round: Duration::ZERO, start, most, next: start }
     }
 
     /// Before the first call: all senders may be starting together.
@@ -93,19 +100,15 @@
     }
 
     /// After a failed call: doubling up to the cap, by chance apart.
-    fn next(&mut self) -> Duration {
+    pub fn next(&mut self) -> Duration {
         let full = self.next.min(self.most * 2 / 3);
         self.next = full * 2;
         full.mul_f64(0.5 + self.chance())
     }
 
-    fn start_over(&mut self) {
-        self.next = self.round.max(PAUSE);
-    }
-
-    fn restarted(mut self) -> Self {
-        self.start_over();
-        self
+    /// The next failure is the first one again.
+    pub fn start_over(&mut self) {
+        self.next = self.start;
     }
 
     fn chance(&mut self) -> f64 {
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -1,4 +1,5 @@
 //! Final answers to the platform: each is sent again until it is acknowledged, in the order in which they came.
+use super::discovery::Pauses;
 use super::host::Input;
 use super::pool::{CallError, Connection, request};
 use super::store::End;
@@ -16,8 +17,10 @@
 const MOST_LINES: usize = 50;
 /// The platform answers at once; a connection that stays silent for so long is given up.
 const PATIENCE: Duration = Duration::from_millis(500);
-/// Pause after a request that failed.
+/// Pause after a first request that failed, on average: a notice is late 300 ms after its message's time.
 const PAUSE: Duration = Duration::from_millis(50);
+/// The longest pause: the platform answers even while discovery is down.
+const MOST_PAUSE: Duration = Duration::from_millis(400);
 /// Bodies of answers mean nothing and are read up to this, so that the connection can be used again.
 const MOST_ANSWER: usize = 64 * 1024;
 
@@ -51,9 +54,12 @@
 pub async fn run(
     mut address: watch::Receiver<SocketAddr>,
     mut queue: UnboundedReceiver<Notice>,
+    seed: u64,
     host: UnboundedSender<Input>,
 ) {
     let (mut connection, mut batch, mut failing) = (None, Vec::new(), false);
+    // By chance apart: all senders lose the platform at one moment.
+    let mut pauses = Pauses::between(seed, PAUSE, MOST_PAUSE);
     while queue.recv_many(&mut batch, MOST_LINES).await > 0 {
         // One that changed while nothing was to be sent is not the kept connection's.
         if address.has_changed().unwrap_or(false) {
@@ -73,7 +79,10 @@
                 sent = timeout(PATIENCE, send(platform, body, &mut connection)) => sent,
             };
             match sent.unwrap_or(Err(NoticeError::Silent)) {
-                Ok(()) => failing = false,
+                Ok(()) => {
+                    failing = false;
+                    pauses.start_over();
+                }
                 // One that cannot be read must not hold up the others: each goes alone, and that one nowhere.
                 Err(NoticeError::Status(StatusCode::BAD_REQUEST)) if take > 1 => {
                     take = 1;
@@ -89,7 +98,7 @@
                     }
                     failing = true;
                     connection = None;
-                    sleep(PAUSE).await;
+                    sleep(pauses.next()).await;
                     continue;
                 }
             }
@@ -130,3 +139,42 @@
     *kept = read.is_ok().then_some(connection);
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::sync::mpsc::unbounded_channel;
+
+    /// Guards against a hundred senders that all try again every 50 ms: pauses grow while the platform refuses, and
+    /// the notice still gets through once it does not.
+    #[tokio::test]
+    async fn a_refusing_platform_is_tried_ever_more_rarely() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (_move, address) = watch::channel(listener.local_addr().unwrap());
+        let (to_run, queue) = unbounded_channel();
+        let (host, mut heard) = unbounded_channel();
+        let notice = Notice { number: 3, id: "m3".to_owned(), end: End::Failed };
+        assert!(to_run.send(notice).is_ok());
+        tokio::spawn(run(address, queue, 1, host));
+        let began = std::time::Instant::now();
+        let mut tries = 0;
+        while heard.is_empty() {
+            let (mut stream, _) = timeout(Duration::from_secs(20), listener.accept()).await.unwrap().unwrap();
+            let mut got = Vec::new();
+            while !got.ends_with(b"}\n") && stream.read_buf(&mut got).await.unwrap() > 0 {}
+            let refuses = began.elapsed() < Duration::from_secs(2);
+            let status = if refuses { "503 Busy" } else { "204 No Content" };
+            let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            tries += 1;
+            if !refuses {
+                break;
+            }
+        }
+        assert!((3..=15).contains(&tries), "{tries} tries in two seconds");
+        let told = timeout(Duration::from_secs(20), heard.recv()).await.unwrap();
+        assert!(matches!(told, Some(Input::Noticed(numbers)) if numbers == [3]));
+    }
+}
