--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -331,3 +331,18 @@
     let tried = calls.iter().filter(|(at, ..)| *at >= 4 * SECOND).count();
     assert!((200..=480).contains(&tried), "{tried} calls in eight seconds at 40 a second");
 }
+
+/// A list that names no rate, or one that cannot be, is paced by constants: messages go out, outages are tried again.
+#[test]
+fn odd_listed_rates_are_taken_for_none() {
+    for (senders, hint) in [(1, 0.0), (1, -40.0), (100, -40.0), (100, 0.0), (1, 40.0)] {
+        let settings = Settings { senders, hints: Hints::CallsPerSecond, ..settings() };
+        let mut host = Host::new(settings, vec![Entry { hint, ..entry(1, 0, 0, 0) }]);
+        assert!(sent(&host.message(1, SAFE, 1), 1).is_some(), "{senders} senders, {hint}");
+        host.now += 50_000;
+        host.ended(1, 0, Outcome::Full(None));
+        let run = host.run(15 * SECOND);
+        assert!(sent_at(&run, 1).is_some() || refused(&run, 1), "{senders} senders, {hint}: {run:?}");
+    }
+    assert!(Sender::new(Settings { senders: 0, ..settings() }, 1).is_err(), "refused at the start");
+}
