Tell staff what the sender does and costs: telemetry at the second address

Need: nothing in the sender told what a request costs in processor time, memory and descriptors, nor what became of messages; the second address had no figures.

The host counts in plain numbers and copies them, with its present state, when a scrape asks; /proc is read and text written on the second address's thread. The module has one query more, and is six lines shorter by a default for its calls. Without the second address nothing is asked and nothing runs.

Result: the sums are checked at every scrape of seven tests over delivery, refusal, failure, kill with an open notice and upgrade; seen to fail when an ended message counts as taken up, and when an end is counted or held twice.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -115,7 +115,7 @@
 }
 
 /// One call, carrying one message or a batch.
-#[derive(Serialize, Deserialize)]
+#[derive(Default, Serialize, Deserialize)]
 struct Call {
     sent: Time,
     left: usize,
@@ -476,6 +476,13 @@
         held < self.settings.most_held && time
     }
 
+    /// Endpoints on the list, and those of them that nothing goes to now: draining, excluded or in an outage.
+    pub fn members(&self) -> (usize, usize) {
+        let listed = || self.endpoints.values().filter(|at| at.listing != Listing::Removed);
+        let down = |at: &&Endpoint| matches!(self.lines[at.line].health, Health::Down(_));
+        (listed().count(), listed().filter(|at| !at.in_service() || down(at)).count())
+    }
+
     fn list(&mut self, entries: &[Entry]) {
         self.list_failures = 0;
         for entry in entries.iter().filter(|e| e.kind.0 < self.settings.kinds.len()) {
@@ -1241,19 +1248,7 @@
                 actions.push(Action::CloseIdle(endpoint));
             }
             let rank = line.out.len() + 1;
-            self.calls.insert(
-                call,
-                Call {
-                    sent: self.now,
-                    left: 0,
-                    idle,
-                    rank,
-                    lines,
-                    overtaken: 0,
-                    given_up: false,
-                    reported: false,
-                },
-            );
+            self.calls.insert(call, Call { sent: self.now, idle, rank, lines, ..Call::default() });
             for line in lines.into_iter().flatten() {
                 self.lines[line].out.push((call, self.now));
                 self.lines[line].tokens -= 1.0;
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 use net::notices;
 use net::server::{self, Doors};
 use net::store::Store;
+use net::telemetry::Shared;
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::net::SocketAddr;
@@ -149,6 +150,7 @@
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed))?;
     let (standing, stands) = watch::channel(Standing::Starting);
     let (to_host, mut orders) = mpsc::channel(mgmt::MOST_CALLERS);
+    let shared = Arc::new(Shared::default());
     if let Some(address) = config.mgmt {
         let error = |source| StartError::Listen { address, source };
         let listener = std::net::TcpListener::bind(address).map_err(error)?;
@@ -191,6 +193,7 @@
         standing,
         room: room.clone(),
         most_clients: descriptors.clients,
+        shared: shared.clone(),
     };
     let host = Host::new(tuning, seed, origin, estate, descriptors.endpoints, links)
         .map_err(StartError::Settings)?;
@@ -198,8 +201,14 @@
     listener.set_nonblocking(true).map_err(listening)?;
     let listener = TcpListener::from_std(listener).map_err(listening)?;
     eprintln!("listening on {}", listener.local_addr()?);
-    let watching = tokio::spawn(discovery::watch(at_discovery.clone(), revision, pauses, inputs.clone()));
-    tokio::spawn(notices::run(at_discovery, queue, !seed, inputs.clone()));
+    let watching = tokio::spawn(discovery::watch(
+        at_discovery.clone(),
+        revision,
+        pauses,
+        inputs.clone(),
+        shared.clone(),
+    ));
+    tokio::spawn(notices::run(at_discovery, queue, !seed, inputs.clone(), shared.clone()));
     let asked = inputs.clone();
     if let Err(e) = handover::listen(&folder, move |stream| asked.send(Input::TakeOver(stream)).is_ok()) {
         eprintln!("no upgrade can take over from this process: {e}");
@@ -214,8 +223,8 @@
         }
         let _ = on_signal.send(Input::WindDown);
     });
-    tokio::spawn(reload(hung_up, file, to_discovery, inputs.clone()));
-    let server = tokio::spawn(server::serve(listener, room, descriptors.clients, inputs, at_doors));
+    tokio::spawn(reload(hung_up, file, to_discovery, inputs.clone(), shared.clone()));
+    let server = tokio::spawn(server::serve(listener, room, descriptors.clients, inputs, at_doors, shared));
     match host.run(&mut from_all, &mut orders).await {
         Some(remains) => {
             watching.abort();
@@ -233,9 +242,12 @@
     mut running: Value,
     discovery: watch::Sender<SocketAddr>,
     host: UnboundedSender<Input>,
+    shared: Arc<Shared>,
 ) {
     while hung_up.recv().await.is_some() {
-        match reloaded(&running, &host).await {
+        let reloaded = reloaded(&running, &host).await;
+        shared.reloads.count(reloaded.is_ok());
+        match reloaded {
             Ok((file, address)) => {
                 eprintln!("reloaded: new settings hold, discovery is at {address}");
                 running = file;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of endpoints: an unbroken watch on the agent of this machine.
 use super::host::Input;
 use super::pool::{Connection, request};
+use super::telemetry::Shared;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Method;
@@ -8,6 +9,7 @@
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -122,6 +124,7 @@
     mut revision: u64,
     mut pauses: Pauses,
     host: UnboundedSender<Input>,
+    shared: Arc<Shared>,
 ) {
     let mut connection = None;
     let mut failing = false;
@@ -136,7 +139,9 @@
             }
             answer = timeout(HOLD + PATIENCE, next(agent, revision, &mut connection)) => answer,
         };
-        match answer.unwrap_or(Err(WatchError::Silent)) {
+        let answer = answer.unwrap_or(Err(WatchError::Silent));
+        shared.discovery_calls.count(answer.is_ok());
+        match answer {
             Ok(targets) => {
                 failing = false;
                 pauses.start_over();
@@ -200,7 +205,13 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let (_move, address) = watch::channel(listener.local_addr().unwrap());
             let (host, mut heard) = unbounded_channel();
-            let watching = tokio::spawn(watch(address, 7, Pauses::new(1, 1, Duration::from_secs(5)), host));
+            let watching = tokio::spawn(watch(
+                address,
+                7,
+                Pauses::new(1, 1, Duration::from_secs(5)),
+                host,
+                Arc::default(),
+            ));
             let mut calls = 0;
             let _ = timeout(Duration::from_secs(2), async {
                 loop {
@@ -253,7 +264,7 @@
         let began = std::time::Instant::now();
         for seed in 0..40 {
             let pauses = Pauses::new(seed, 40, Duration::from_secs(9));
-            tokio::spawn(watch(address.clone(), 7, pauses, host.clone()));
+            tokio::spawn(watch(address.clone(), 7, pauses, host.clone(), Arc::default()));
         }
         let mut calls = Vec::new();
         while calls.len() < 40 {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -370,10 +370,16 @@
                     shut = end;
                 }
                 () = sleep_until(end) => break,
-                Some(Asked { order, answer }) = orders.recv() => {
-                    ordered.insert(next, answer);
-                    let _ = to_new.send(ToNew::Order { id: next, order });
-                }
+                Some(asked) = orders.recv() => match asked {
+                    Asked::Order { order, answer } => {
+                        ordered.insert(next, answer);
+                        let _ = to_new.send(ToNew::Order { id: next, order });
+                    }
+                    // What was held is the new one's, and the sums would be wrong without it.
+                    Asked::Figures(answer) => {
+                        let _ = answer.send(Err("another process has taken over: ask that one".to_owned()));
+                    }
+                },
                 came = from_new.recv() => match came.flatten() {
                     Some(ToOld::Answer { id, answer }) => {
                         // A client that has gone comes again under a new id.
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -7,6 +7,7 @@
 use super::pool::{Call, Called, Connection, Parcel, Pool, ReportFields};
 use super::server::Doors;
 use super::store::{Attempt, End, Handed, Owed, Store, StoreError};
+use super::telemetry::{self, Figures, Present, Shared, Snapshot};
 use micadrum::profile::{Names, Profile, look};
 use micadrum::{
     Action, Class, DestinationId, EndpointId, Entry, Event, Listing, Message, MessageId, OrderKey, Outcome,
@@ -182,8 +183,10 @@
     clock: Clock,
     endpoints: Vec<Endpoint>,
     endpoint_ids: HashMap<String, EndpointId>,
-    /// The number of each message held, by its id.
-    numbers: HashMap<String, u32>,
+    /// When each message held was taken on, or taken up, by its id.
+    held: HashMap<String, Instant>,
+    figures: Figures,
+    shared: Arc<Shared>,
     /// Calls that are out.
     calls: HashMap<u64, Out>,
     next_call: u64,
@@ -220,6 +223,7 @@
     /// Room for connections from clients, and how much that is in all.
     pub room: Arc<Semaphore>,
     pub most_clients: usize,
+    pub shared: Arc<Shared>,
 }
 
 /// The folder that lasts, and the socket that clients come to: what one process at a time has.
@@ -264,7 +268,9 @@
             clock: Clock::new(),
             endpoints: Vec::new(),
             endpoint_ids: HashMap::new(),
-            numbers: HashMap::new(),
+            held: HashMap::new(),
+            figures: Figures::default(),
+            shared: links.shared,
             calls: HashMap::new(),
             next_call: 0,
             elsewhere: BTreeSet::new(),
@@ -285,6 +291,7 @@
             inputs: links.inputs,
             notices: links.notices,
         };
+        host.figures.name(host.tuning.profile.classes());
         if let Some(known) = known {
             host.targets(known);
             host.resume();
@@ -307,13 +314,14 @@
             let due = self.due();
             tokio::select! {
                 biased;
-                Some(asked) = orders.recv() => self.order(asked),
+                Some(asked) = orders.recv() => self.asked(asked),
                 input = inputs.recv() => match input {
                     Some(input) => self.take_in(input),
                     None => return None,
                 },
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
             }
+            self.figures.wakeups += 1;
             for _ in 0..MOST_INPUTS {
                 let Ok(input) = inputs.try_recv() else { break };
                 self.take_in(input);
@@ -367,6 +375,7 @@
             }
             Input::Called(called) => self.called(called),
             Input::Connected { endpoint, messages, may_begin } => {
+                self.figures.opened += 1;
                 let now = self.now();
                 let ok = messages.iter().all(|n| self.sender.may_begin(now, MessageId(*n), endpoint));
                 let _ = may_begin.send(ok);
@@ -400,18 +409,38 @@
         }
         let settings = tuning.settings(self.most_connections);
         self.pool.keep_for(tuning.idle());
+        self.figures.name(tuning.profile.classes());
         self.tuning = tuning;
         self.pending.push((self.now(), Event::Retuned(Box::new(settings))));
         Ok(())
     }
 
     /// Carries out what staff ask for. The answer goes out once it is in force, and journaled where it lasts.
-    fn order(&mut self, asked: Asked) {
-        // A caller that was told that nothing changed must be right.
-        if asked.answer.is_closed() {
-            return;
-        }
-        let _ = asked.answer.send(self.carry_out(&asked.order));
+    fn asked(&mut self, asked: Asked) {
+        match asked {
+            // A caller that was told that nothing changed must be right.
+            Asked::Order { answer, .. } if answer.is_closed() => {}
+            Asked::Order { order, answer } => drop(answer.send(self.carry_out(&order))),
+            Asked::Figures(answer) => drop(answer.send(Ok(Box::new(self.snapshot())))),
+        }
+    }
+
+    /// All figures, as they are now. What is held is counted, not reckoned from what came and went.
+    fn snapshot(&self) -> Snapshot {
+        let held = || self.store.owed().filter(|(_, owed)| owed.end.is_none());
+        let (members, unavailable) = self.sender.members();
+        let present = Present {
+            pending: held().count(),
+            pending_bytes: held().map(|(_, owed)| owed.message.body.len()).sum(),
+            notices: self.store.owed().filter(|(_, owed)| owed.end.is_some()).count(),
+            members,
+            unavailable,
+            remembered: self.endpoints.len(),
+            journal_bytes: self.store.length(),
+            endpoints_idle: self.pool.idle(),
+            endpoints_busy: self.calls.len(),
+        };
+        Snapshot { figures: self.figures.clone(), present, beside: self.shared.read() }
     }
 
     fn carry_out(&mut self, order: &Order) -> Result<(), String> {
@@ -464,37 +493,45 @@
     }
 
     fn hand_in(&mut self, message: Handed, deadline: Instant) -> Answer {
-        if self.numbers.contains_key(&message.id) {
+        if self.held.contains_key(&message.id) {
             return Answer::TakenOn;
         }
         let class = match self.class(&message.class) {
             Ok(class) => class,
-            Err(what) => return Answer::Malformed(what),
+            Err(what) => return self.malformed(what),
         };
         let owed = Owed::new(message, self.clock.at(deadline).0, class);
         let mut known = match self.message(0, &owed) {
             Ok(known) => known,
-            Err(what) => return Answer::Malformed(what),
+            Err(what) => return self.malformed(what),
         };
         let now = self.now();
-        if !self.sender.admits(now, self.numbers.len()) {
+        if !self.sender.admits(now, self.held.len()) {
+            self.figures.refused += 1;
             return Answer::Refused;
         }
         let id = owed.message.id.clone();
         match self.store.take_on(owed) {
             Ok(number) => {
                 known.id = MessageId(number);
-                self.numbers.insert(id, number);
+                self.held.insert(id, Instant::now());
+                self.figures.taken += 1;
                 self.pending.push((now, Event::Message(known)));
                 Answer::TakenOn
             }
             Err(e) => {
                 eprintln!("refused: {e}");
+                self.figures.refused += 1;
                 Answer::Refused
             }
         }
     }
 
+    fn malformed(&mut self, what: String) -> Answer {
+        self.figures.malformed += 1;
+        Answer::Malformed(what)
+    }
+
     fn class(&self, name: &str) -> Result<Class, String> {
         Ok(self.tuning.settings.classes[look(&self.tuning.names.classes, name, "class")?.0])
     }
@@ -530,7 +567,8 @@
     fn resume(&mut self) {
         let owed: Vec<(u32, Owed)> = self.store.owed().map(|(number, owed)| (number, owed.clone())).collect();
         for (number, owed) in owed {
-            self.numbers.insert(owed.message.id.clone(), number);
+            self.held.insert(owed.message.id.clone(), Instant::now());
+            self.figures.resumed += u64::from(owed.end.is_none());
             let message = match self.message(number, &owed) {
                 Ok(message) => message,
                 Err(what) => {
@@ -569,7 +607,8 @@
             self.endpoints.push(Endpoint { address, zone, batch });
         }
         for (number, owed) in self.store.owed() {
-            self.numbers.insert(owed.message.id.clone(), number);
+            self.held.insert(owed.message.id.clone(), Instant::now());
+            self.figures.resumed += u64::from(owed.end.is_none());
             if owed.out.is_some() {
                 self.elsewhere.insert(number);
             }
@@ -655,6 +694,7 @@
     fn called(&mut self, called: Called) {
         let at = self.clock.at(called.at);
         let sent = self.calls.remove(&called.number).map_or(at, |out| out.began);
+        self.figures.reused += u64::from(called.idle.is_some());
         match called.ends.first() {
             Some((_, Outcome::Reset, _)) => self.pool.learn(called.idle, true),
             Some((_, Outcome::TimedOut | Outcome::ConnectFailed | Outcome::NoRoom, _)) | None => {}
@@ -676,7 +716,13 @@
     fn ended(&mut self, sent: Time, at: Time, ends: Vec<(u32, Outcome, bool)>, report: Option<Report>) {
         for (number, outcome, last) in ends {
             let attempts = self.store.get(number).map_or(1, |owed| owed.attempts);
+            self.figures.attempt_ended(outcome);
             if last {
+                let delivered = outcome == Outcome::Success;
+                self.count_end(
+                    number,
+                    if delivered { telemetry::End::Completed } else { telemetry::End::Failed },
+                );
                 self.over(number);
             } else {
                 let may_have_run = matches!(
@@ -753,6 +799,7 @@
         let at = Instant::now();
         let now = self.clock.at(at);
         self.last_step = at;
+        self.figures.steps += 1;
         let mut events = Vec::with_capacity(self.pending.len() + 1);
         for (happened, mut event) in self.pending.drain(..) {
             // Times left run from when something happened, not from the step that takes it in.
@@ -812,6 +859,12 @@
         let mut parcels = Vec::with_capacity(messages.len());
         let mut unsent = Vec::new();
         for MessageId(number) in messages {
+            self.figures.attempts += 1;
+            if let Some(owed) = self.store.get(number).filter(|owed| owed.attempts == 0)
+                && let Some(taken) = self.held.get(&owed.message.id)
+            {
+                self.figures.queue.observe(taken.elapsed());
+            }
             let begun = self.store.begin(number, Attempt { at: now.0, zone: zone.clone() });
             let Some(owed) = self.store.get(number) else { continue };
             if let Err(e) = begun {
@@ -833,6 +886,7 @@
         }
         let number = self.next_call;
         self.next_call += 1;
+        self.figures.calls += 1;
         let (call_off, called_off) = oneshot::channel();
         let message = parcels.first().filter(|_| parcels.len() == 1).map(|parcel| parcel.number);
         self.calls.insert(number, Out { began: now, message, call_off });
@@ -869,7 +923,21 @@
         self.pool.trim(self.most_connections.saturating_sub(self.calls.len() + self.elsewhere.len()));
     }
 
+    /// Counts a final answer, unless that was given before.
+    fn count_end(&mut self, number: u32, end: telemetry::End) {
+        let Some(owed) = self.store.get(number).filter(|owed| owed.end.is_none()) else { return };
+        let after = self.held.get(&owed.message.id).map_or(Duration::ZERO, Instant::elapsed);
+        self.figures.ended(&owed.message.class, end, after);
+    }
+
     fn end(&mut self, number: u32, end: End) {
+        self.count_end(
+            number,
+            match end {
+                End::Failed => telemetry::End::Failed,
+                End::Returned(_) => telemetry::End::Rejected,
+            },
+        );
         let Some(owed) = self.store.get(number) else { return };
         let id = owed.message.id.clone();
         log_failure(self.store.end(number, end));
@@ -879,7 +947,7 @@
     /// Nothing more is owed.
     fn over(&mut self, number: u32) {
         let Some(owed) = self.store.get(number) else { return };
-        self.numbers.remove(&owed.message.id);
+        self.held.remove(&owed.message.id);
         log_failure(self.store.over(number));
     }
 }
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -1,5 +1,7 @@
-//! The second address, for staff: a line in, a line out. It runs on a thread of its own, so that neither a busy
-//! step nor the clients' traffic delays its accept loop; only calls that change something wait for the host.
+//! The second address, for staff: a line in, a line out, but for the figures. It runs on a thread of its own, so that neither a busy
+//! step nor the clients' traffic delays its accept loop; only calls that change something, or ask for figures, wait
+//! for the host.
+use super::telemetry::{self, Snapshot};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::future::pending;
@@ -36,10 +38,14 @@
     Activate,
 }
 
-/// An order on its way to the host, with the place for its answer: none is waited for once that is closed.
-pub struct Asked {
-    pub order: Order,
-    pub answer: oneshot::Sender<Result<(), String>>,
+/// What is asked of the host, with the place for its answer: none is waited for once that is closed.
+pub enum Asked {
+    Order {
+        order: Order,
+        answer: oneshot::Sender<Result<(), String>>,
+    },
+    /// Its figures, as they are between two turns.
+    Figures(oneshot::Sender<Result<Box<Snapshot>, String>>),
 }
 
 /// Whether this process can serve.
@@ -65,6 +71,7 @@
 #[derive(Debug, PartialEq, Eq)]
 enum Parsed {
     Ready,
+    Figures,
     Order(Order),
 }
 
@@ -74,6 +81,7 @@
     let mut id = |call| words.next().map(str::to_owned).ok_or(CallError::NoId(call));
     let parsed = match call {
         "readyz" => Parsed::Ready,
+        "telemetry" => Parsed::Figures,
         "exclude" => Parsed::Order(Order::Exclude(id("exclude")?)),
         "include" => Parsed::Order(Order::Include(id("include")?)),
         "evacuate" => Parsed::Order(Order::Evacuate),
@@ -159,17 +167,20 @@
             Err(_) => Err("the line is not text".to_owned()),
             Ok(Err(e)) => Err(e.to_string()),
             Ok(Ok(Parsed::Ready)) => match *standing.borrow() {
-                Standing::Serving => Ok(()),
+                Standing::Serving => Ok("done\n".to_owned()),
                 Standing::Starting => Err("starting".to_owned()),
                 Standing::Ending => Err("this process is ending".to_owned()),
             },
-            Ok(Ok(Parsed::Order(order))) => ask(order, orders).await,
+            Ok(Ok(Parsed::Order(order))) => {
+                let done = ask(orders, |answer| Asked::Order { order, answer }).await;
+                done.map(|()| "done\n".to_owned())
+            }
+            Ok(Ok(Parsed::Figures)) => {
+                ask(orders, Asked::Figures).await.map(|snapshot| telemetry::scrape(&snapshot))
+            }
         },
     };
-    let text = match answer {
-        Ok(()) => "done\n".to_owned(),
-        Err(why) => format!("error {why}\n"),
-    };
+    let text = answer.unwrap_or_else(|why| format!("error {why}\n"));
     let rest = async {
         stream.get_mut().write_all(text.as_bytes()).await?;
         stream.get_mut().shutdown().await?;
@@ -180,10 +191,13 @@
     Ok(())
 }
 
-async fn ask(order: Order, orders: &Sender<Asked>) -> Result<(), String> {
+async fn ask<T>(
+    orders: &Sender<Asked>,
+    asked: impl FnOnce(oneshot::Sender<Result<T, String>>) -> Asked,
+) -> Result<T, String> {
     let (answer, answered) = oneshot::channel();
     let asking = async {
-        if orders.send(Asked { order, answer }).await.is_err() {
+        if orders.send(asked(answer)).await.is_err() {
             return pending().await;
         }
         answered.await
@@ -203,6 +217,8 @@
     fn calls_are_read_word_by_word() {
         let exclude = |id: &str| Parsed::Order(Order::Exclude(id.to_owned()));
         assert_eq!(parse("readyz\r\n"), Ok(Parsed::Ready));
+        assert_eq!(parse("telemetry\n"), Ok(Parsed::Figures));
+        assert_eq!(parse("telemetry all\n"), Err(CallError::Extra("all".to_owned())));
         assert_eq!(parse("  exclude  s-1\n"), Ok(exclude("s-1")));
         assert_eq!(parse("include s-1"), Ok(Parsed::Order(Order::Include("s-1".to_owned()))));
         assert_eq!(parse("evacuate"), Ok(Parsed::Order(Order::Evacuate)));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod pool;
 pub mod server;
 pub mod store;
+pub mod telemetry;
 
 /// Descriptors besides those of clients and endpoints: standard streams, the loops' and the signals' own, the
 /// listeners, the journal's two files, discovery, notices, the configuration at a reload, staff's callers.
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -3,11 +3,13 @@
 use super::host::Input;
 use super::pool::{CallError, Connection, request};
 use super::store::End;
+use super::telemetry::Shared;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, StatusCode};
 use serde::Serialize;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
@@ -56,6 +58,7 @@
     mut queue: UnboundedReceiver<Notice>,
     seed: u64,
     host: UnboundedSender<Input>,
+    shared: Arc<Shared>,
 ) {
     let (mut connection, mut batch, mut failing) = (None, Vec::new(), false);
     // By chance apart: all senders lose the platform at one moment.
@@ -78,7 +81,9 @@
                 }
                 sent = timeout(PATIENCE, send(platform, body, &mut connection)) => sent,
             };
-            match sent.unwrap_or(Err(NoticeError::Silent)) {
+            let sent = sent.unwrap_or(Err(NoticeError::Silent));
+            shared.notice_calls.count(sent.is_ok());
+            match sent {
                 Ok(()) => {
                     failing = false;
                     pauses.start_over();
@@ -157,7 +162,7 @@
         let (host, mut heard) = unbounded_channel();
         let notice = Notice { number: 3, id: "m3".to_owned(), end: End::Failed };
         assert!(to_run.send(notice).is_ok());
-        tokio::spawn(run(address, queue, 1, host));
+        tokio::spawn(run(address, queue, 1, host, Arc::default()));
         let began = std::time::Instant::now();
         let mut tries = 0;
         while heard.is_empty() {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -300,7 +300,7 @@
 
     /// Closes the connections that have been idle for longest, all but `most`.
     pub fn trim(&mut self, most: usize) {
-        let over = self.idle.values().map(Vec::len).sum::<usize>().saturating_sub(most);
+        let over = self.idle().saturating_sub(most);
         for _ in 0..over {
             // Each address keeps its own in the order in which they fell idle.
             let oldest = self.idle.iter_mut().min_by_key(|(_, idle)| idle.first().map(|(_, since)| *since));
@@ -311,6 +311,11 @@
         }
     }
 
+    /// Connections that are idle.
+    pub fn idle(&self) -> usize {
+        self.idle.values().map(Vec::len).sum()
+    }
+
     /// Closes what is idle to an address.
     pub fn close(&mut self, address: SocketAddr) {
         self.idle.remove(&address);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,7 @@
 //! The side that clients see: messages are handed in, and answered once the journal holds them.
 use super::host::{Answer, Input};
 use super::store::Handed;
+use super::telemetry::Shared;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -68,6 +69,7 @@
     most: usize,
     host: UnboundedSender<Input>,
     mut doors: watch::Receiver<Doors>,
+    shared: Arc<Shared>,
 ) {
     let crowded = Arc::new(Notify::new());
     loop {
@@ -79,8 +81,11 @@
         match accepted {
             Ok((stream, permit)) => {
                 let connection = connection(stream, host.clone(), crowded.clone(), doors.clone());
+                let shared = shared.clone();
                 tokio::spawn(async move {
+                    shared.clients.fetch_add(1, Ordering::Relaxed);
                     connection.await;
+                    shared.clients.fetch_sub(1, Ordering::Relaxed);
                     drop(permit);
                 });
             }
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -228,6 +228,11 @@
         self.owed.iter().map(|(number, owed)| (*number, owed))
     }
 
+    /// Bytes in the journal.
+    pub fn length(&self) -> u64 {
+        self.length
+    }
+
     /// The message of that number.
     pub fn get(&self, number: u32) -> Option<&Owed> {
         self.owed.get(&number)
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -150,6 +150,11 @@
         }
     }
 
+    /// The names of the classes.
+    pub fn classes(&self) -> impl Iterator<Item = String> {
+        self.lanes.iter().map(|lane| lane.name.clone())
+    }
+
     /// The names that the module's numbers for zones, kinds and tenants stand for, and this sender's zone.
     pub fn numbering(&self) -> Vec<Vec<String>> {
         let tenants = self.tenants.iter().map(|t| t.name.clone()).collect();
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -1,5 +1,7 @@
 //! What surrounds a sender in these tests: each peer hands its requests to the test, which answers them.
+use prometheus_parse::Value as Sample;
 use serde_json::{Value, json};
+use std::collections::HashMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
@@ -345,6 +347,25 @@
         answer
     }
 
+    /// What `telemetry` tells, read by somebody else's parser and checked to add up.
+    pub async fn figures(&self) -> Figures {
+        let text = self.staff("telemetry").await;
+        Figures::read(&text)
+    }
+
+    /// The figures, once they are as wanted.
+    pub async fn figures_once(&self, wanted: impl Fn(&Figures) -> bool) -> Figures {
+        let patience = tokio::time::Instant::now() + PATIENCE;
+        loop {
+            let figures = self.figures().await;
+            if wanted(&figures) {
+                return figures;
+            }
+            assert!(tokio::time::Instant::now() < patience, "{figures:?}");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     /// Hands in a message for destination 7.
     pub async fn hand_in(&self, id: &str, class: &str, key: &str) -> Http {
         self.hand_in_for(id, class, key, "30.0").await
@@ -368,6 +389,62 @@
     }
 }
 
+/// The samples of a scrape, by name and labels as they stand in its text, without the prefix.
+#[derive(Debug)]
+pub struct Figures(HashMap<String, f64>);
+
+impl Figures {
+    pub fn read(text: &str) -> Self {
+        let text = text.strip_suffix("end\n").unwrap_or_else(|| panic!("no end: {text:?}"));
+        let scrape = prometheus_parse::Scrape::parse(text.lines().map(|line| Ok(line.to_owned()))).unwrap();
+        let mut all = HashMap::new();
+        for sample in scrape.samples {
+            let name = sample.metric.strip_prefix("sender_").expect("the prefix");
+            // The parser takes a histogram's sum and count for samples of their own.
+            let family = ["_sum", "_count"].iter().find_map(|end| sample.metric.strip_suffix(end));
+            let family = family.unwrap_or(&sample.metric);
+            assert!(scrape.docs.contains_key(family), "{name} lacks HELP");
+            let mut labels: Vec<String> = sample.labels.iter().map(|(l, v)| format!("{l}={v}")).collect();
+            labels.sort();
+            let labels = if labels.is_empty() { String::new() } else { format!("{{{}}}", labels.join(",")) };
+            let value = match sample.value {
+                Sample::Counter(value) => {
+                    assert!(name.ends_with("_total"), "{name}");
+                    value
+                }
+                Sample::Gauge(value) => value,
+                Sample::Histogram(buckets) => {
+                    assert!(buckets.is_sorted_by(|a, b| a.less_than < b.less_than && a.count <= b.count));
+                    buckets.last().expect("a bucket").count
+                }
+                Sample::Untyped(value) if family != sample.metric => value,
+                other => panic!("{name} lacks TYPE: {other:?}"),
+            };
+            assert!(all.insert(format!("{name}{labels}"), value).is_none(), "{name}{labels} comes twice");
+        }
+        let figures = Self(all);
+        let ended = figures.sum("downstream_requests_total");
+        assert_eq!(figures.sum("taken_on_total"), ended + figures.get("pending"), "{figures:?}");
+        assert_eq!(figures.get("answer_seconds"), ended, "{figures:?}");
+        figures
+    }
+
+    pub fn get(&self, name: &str) -> f64 {
+        *self.0.get(name).unwrap_or_else(|| panic!("{name} is missing: {self:?}"))
+    }
+
+    /// Over all labels.
+    pub fn sum(&self, name: &str) -> f64 {
+        let of = |key: &&String| key.strip_prefix(name).is_some_and(|rest| rest.starts_with('{'));
+        self.0.keys().filter(of).map(|key| self.0[key]).sum()
+    }
+
+    /// Messages of a class that ended so.
+    pub fn ended(&self, lane: &str, result: &str) -> f64 {
+        self.get(&format!("downstream_requests_total{{lane={lane},result={result}}}"))
+    }
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         if let Some(mut process) = self.process.take() {
