Let a caller of the second address send its line before it makes room for others

Ruled out: the scrape itself (readyz fares alike) and the last patience (resets came within a millisecond). At fault: serve in src/net/mgmt.rs, which cut off the oldest caller with no line read as soon as the seventeenth came, even one that had just connected.

Change: a caller makes room only once it was silent for 50 ms; whoever waits for room waits for the first of these.

--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -12,14 +12,17 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::Sender;
 use tokio::sync::{Semaphore, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-/// Connections at once. Past that the oldest caller that has not sent its line makes room.
+/// Connections at once. Past that the oldest caller that has not sent its line makes room, after its grace.
 pub const MOST_CALLERS: usize = 16;
 /// Longest line: a word and an id.
 const MOST_LINE: usize = 512;
 /// A caller that has not sent its line by then is told so and cut off.
 const LINE_PATIENCE: Duration = Duration::from_secs(2);
+/// Nobody makes room sooner: who has just connected is about to send its line. Short, as whoever waits for that room
+/// is owed an answer within a second.
+const GRACE: Duration = Duration::from_millis(50);
 /// Answers are due within a second: a host that takes longer is not waited for, and the call is void.
 const HOST_PATIENCE: Duration = Duration::from_millis(800);
 /// For a caller to take its answer, and to close after it.
@@ -115,7 +118,7 @@
 async fn serve(listener: TcpListener, orders: Sender<Asked>, standing: watch::Receiver<Standing>) {
     let room = Arc::new(Semaphore::new(MOST_CALLERS));
     // Those whose line has not come, the oldest first.
-    let mut silent: VecDeque<oneshot::Sender<()>> = VecDeque::new();
+    let mut silent: VecDeque<(Instant, oneshot::Sender<()>)> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -125,13 +128,23 @@
                 continue;
             }
         };
-        silent.retain(|caller| !caller.is_closed());
-        if room.available_permits() == 0 {
-            while silent.pop_front().is_some_and(|caller| caller.send(()).is_err()) {}
-        }
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        silent.retain(|(_, caller)| !caller.is_closed());
+        let permit = loop {
+            let patience = silent.front().map(|(since, _)| *since + GRACE);
+            tokio::select! {
+                biased;
+                permit = room.clone().acquire_owned() => match permit {
+                    Ok(permit) => break permit,
+                    Err(_) => return,
+                },
+                () = sleep_until(patience.unwrap_or_else(Instant::now)), if patience.is_some() => {
+                    // One that has sent its line meanwhile hears nothing of this.
+                    let _ = silent.pop_front().map(|(_, caller)| caller.send(()));
+                }
+            }
+        };
         let (make_room, asked_to_leave) = oneshot::channel();
-        silent.push_back(make_room);
+        silent.push_back((Instant::now(), make_room));
         let (orders, standing) = (orders.clone(), standing.clone());
         tokio::spawn(async move {
             // A caller that breaks off has nobody to be told of it.
--- a/tests/sockets/figures.rs
+++ b/tests/sockets/figures.rs
@@ -155,7 +155,8 @@
     node.figures_once(|f| f.get("config_reload_errors_total") == 1.0).await;
 }
 
-/// Guards against scrapes that are late, torn or out of step while the sender has all that it can do.
+/// Guards against scrapes that are late, torn or out of step while the sender has all that it can do, and against
+/// sixteen callers at once.
 #[tokio::test]
 async fn scrapes_under_load_are_whole_and_in_time() {
     let (mut endpoint, platform, member) = one_endpoint().await;
@@ -177,7 +178,7 @@
     });
     for _ in 0..5 {
         let mut scrapes = JoinSet::new();
-        for _ in 0..4 {
+        for _ in 0..16 {
             let node = node.clone();
             scrapes.spawn(async move {
                 let began = Instant::now();
--- a/tests/sockets/staff.rs
+++ b/tests/sockets/staff.rs
@@ -56,6 +56,34 @@
     }
 }
 
+/// Guards against cutting off callers whose line is on its way, for others that came after them.
+#[tokio::test]
+async fn many_callers_at_once_are_all_answered() {
+    let (endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+    let callers = loop {
+        let began = Instant::now();
+        let mut callers = Vec::new();
+        for _ in 0..40 {
+            callers.push(TcpStream::connect(node.mgmt).await.unwrap());
+        }
+        for (n, caller) in callers.iter_mut().enumerate() {
+            let line: &[u8] = if n < 16 { b"readyz\n" } else { b"telemetry\n" };
+            // One that was cut off shows below.
+            let _ = caller.write_all(line).await;
+        }
+        // Where this machine took so long, they may have been cut off for their silence.
+        if began.elapsed() < Duration::from_millis(30) {
+            break callers;
+        }
+    };
+    for mut caller in callers {
+        let mut answer = String::new();
+        timeout(PATIENCE, caller.read_to_string(&mut answer)).await.expect("an end").expect("an answer");
+        assert!(answer == "done\n" || answer.ends_with("\nend\n"), "{answer:?}");
+    }
+}
+
 /// Guards against a ban that ends by itself: neither discovery nor a restart puts the endpoint back, and one
 /// call does, however often it was excluded.
 #[tokio::test]
