--- a/src/main.rs
+++ b/src/main.rs
@@ -24,6 +24,10 @@
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 
+#[cfg(feature = "count-allocations")]
+#[global_allocator]
+static COUNTED: &stats_alloc::StatsAlloc<std::alloc::System> = &stats_alloc::INSTRUMENTED_SYSTEM;
+
 /// How long another process may keep the address: one that is told to end is killed within 4 s, and told after 6 s.
 const BIND_PATIENCE: Duration = Duration::from_secs(12);
 const BIND_PAUSE: Duration = Duration::from_millis(50);
--- a/src/net/telemetry.rs
+++ b/src/net/telemetry.rs
@@ -360,6 +360,14 @@
         if let Some(bytes) = process.peak {
             self.one("process_peak_memory_bytes", "gauge", "The most resident memory so far.", bytes);
         }
+        #[cfg(feature = "count-allocations")]
+        {
+            let counted = stats_alloc::INSTRUMENTED_SYSTEM.stats();
+            let blocks = counted.allocations + counted.reallocations;
+            self.one("allocations_total", "counter", "Blocks of memory taken or moved.", blocks);
+            let bytes = counted.bytes_allocated;
+            self.one("allocated_bytes_total", "counter", "Bytes of memory taken.", bytes);
+        }
         let endpoints = present.endpoints_idle + present.endpoints_busy;
         let known = beside.clients + endpoints + JOURNAL_FILES;
         let mut uses =
--- /dev/null
+++ b/tests/sockets/cost.rs
@@ -0,0 +1,114 @@
+//! What a request costs one sender, at rest and at start, by its own figures. The numbers of requests are fixed and
+//! small; `docs/cost.md` says how to have them printed.
+use super::world::*;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+const WARM_UP: usize = 50;
+const REQUESTS: usize = 200;
+const BODY: usize = 512;
+
+/// The budget of one request: a little over what was measured: 3.0, 2.0, 77.6 and 25,170.
+const MOST_WAKEUPS: f64 = 4.0;
+const MOST_STEPS: f64 = 2.5;
+const MOST_BLOCKS: f64 = 79.0;
+const MOST_BYTES: f64 = 25_500.0;
+
+/// The counters that tell a cost.
+const COUNTERS: [&str; 5] =
+    ["loop_wakeups_total", "steps_total", "allocations_total", "allocated_bytes_total", "cpu_micros"];
+
+/// A sender with an endpoint, and a client on a kept connection.
+struct Bench {
+    node: Node,
+    endpoint: Peer,
+    client: TcpStream,
+    sent: usize,
+    _platform: Platform,
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let (endpoint, platform) = (Peer::start().await, Platform::start().await);
+        let node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+        let client = TcpStream::connect(node.address).await.unwrap();
+        Self { node, endpoint, client, sent: 0, _platform: platform }
+    }
+
+    /// Delivers so many messages, one after the other.
+    async fn deliver(&mut self, count: usize) {
+        for _ in 0..count {
+            let id = format!("{:016}", self.sent);
+            self.sent += 1;
+            let request = format!(
+                "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: {id}\r\nX-Lane: keyed\r\nX-Remaining: 20.000\r\n\
+                 X-Envelope: dest=7\r\nIdempotency-Key: {id}{id}\r\nContent-Length: {BODY}\r\n\r\n{}",
+                "x".repeat(BODY)
+            );
+            self.client.write_all(request.as_bytes()).await.unwrap();
+            assert_eq!(Http::read(&mut self.client).await.unwrap().status(), 202);
+            self.endpoint.call().await.ok();
+            // Its end is known before the next one comes, as among hundreds of senders.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let all = self.sent as f64;
+        self.node.figures_once(|f| f.ended("keyed", "completed") == all).await;
+    }
+
+    /// What `work` adds to each counter, less what a scrape does.
+    async fn measure(&mut self, work: impl AsyncFnOnce(&mut Self)) -> [f64; COUNTERS.len()] {
+        let first = self.read().await;
+        let before = self.read().await;
+        work(self).await;
+        let after = self.read().await;
+        std::array::from_fn(|n| (after[n] - before[n]) - (before[n] - first[n]))
+    }
+
+    async fn read(&mut self) -> [f64; COUNTERS.len()] {
+        let figures = self.node.figures().await;
+        COUNTERS.map(|name| match name {
+            "cpu_micros" => figures.sum("process_cpu_seconds_total") * 1e6,
+            name => figures.find(name).unwrap_or(0.0),
+        })
+    }
+}
+
+fn print(what: &str, per: f64, counted: &[f64; COUNTERS.len()]) {
+    for (name, count) in COUNTERS.iter().zip(counted) {
+        println!("cost: {what} {name} {:.2}", count / per);
+    }
+}
+
+/// Guards against a request that comes to cost more without anybody's notice.
+#[tokio::test]
+async fn a_request_keeps_to_its_budget() {
+    let mut bench = Bench::start().await;
+    bench.deliver(WARM_UP).await;
+    let counted = bench.measure(async |bench| bench.deliver(REQUESTS).await).await;
+    print("request", REQUESTS as f64, &counted);
+    let [wakeups, steps, blocks, bytes, _] = counted.map(|count| count / REQUESTS as f64);
+    assert!(wakeups < MOST_WAKEUPS, "{wakeups} turns of the loop");
+    assert!(steps < MOST_STEPS, "{steps} steps");
+    if cfg!(feature = "count-allocations") {
+        assert!(blocks > 1.0 && blocks < MOST_BLOCKS, "{blocks} blocks of memory");
+        assert!(bytes > BODY as f64 && bytes < MOST_BYTES, "{bytes} bytes of memory");
+    }
+}
+
+/// Guards against a sender that spends time on nothing, or holds what it does not need.
+#[tokio::test]
+async fn a_sender_at_rest_does_next_to_nothing() {
+    let mut bench = Bench::start().await;
+    let start = bench.node.figures().await;
+    print("start", 1.0, &bench.read().await);
+    println!("cost: start peak_bytes {}", start.get("process_peak_memory_bytes"));
+    println!("cost: start descriptors {}", start.sum("descriptors"));
+    bench.deliver(WARM_UP).await;
+    let counted = bench.measure(async |_| tokio::time::sleep(Duration::from_secs(3)).await).await;
+    print("second at rest", 3.0, &counted);
+    let rest = bench.node.figures().await;
+    println!("cost: rest resident_bytes {}", rest.get("process_resident_memory_bytes"));
+    println!("cost: rest descriptors {}", rest.sum("descriptors"));
+    assert!(counted[0] / 3.0 < 3.0, "{} turns of the loop in three seconds", counted[0]);
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -430,7 +430,11 @@
     }
 
     pub fn get(&self, name: &str) -> f64 {
-        *self.0.get(name).unwrap_or_else(|| panic!("{name} is missing: {self:?}"))
+        self.find(name).unwrap_or_else(|| panic!("{name} is missing: {self:?}"))
+    }
+
+    pub fn find(&self, name: &str) -> Option<f64> {
+        self.0.get(name).copied()
     }
 
     /// Over all labels.
