Forget endpoints that are long gone from the list

Seen: README suspected that endpoints which discovery deleted are remembered for good. Shown by a probe, since removed, that replaces one endpoint with each of 3,000 lists and serializes the module: 1,256 bytes after 10, 8.8 KB after 100, 90.5 KB after 1,000, 272 KB after 2,999; the host kept as many names and addresses beside it. Each list walks all of them.

Change: at the end of a step the module forgets endpoints off the list with no call out, the first ones first, while more are remembered than twice what the list ever named at once; the host drops what it knows with them. An endpoint that comes back soon is still known. Numbers are not used again: a late call names its own. Lines lie in a slab. At the step's end, not with each list: one list of a step may drop what the next one names (a test). Handover version 3.

Tests of the module and of a real sender over 38 replaced endpoints, with a ban that outlasts them.

--- a/src/bin/micadrum-adapter/world.rs
+++ b/src/bin/micadrum-adapter/world.rs
@@ -140,9 +140,9 @@
         }))
     }
 
-    fn output(&self, action: Action) -> Output {
+    fn output(&self, action: Action) -> Option<Output> {
         let name = |endpoint: EndpointId| self.names[endpoint.0 as usize].clone();
-        match action {
+        Some(match action {
             Action::Send { message, endpoint, expires } => {
                 Output::Forward { job: message.0, endpoint: name(endpoint), expire_at: expires.0 }
             }
@@ -155,7 +155,9 @@
             Action::Probe(endpoint) => Output::SoundOut { endpoint: name(endpoint) },
             Action::CloseIdle(endpoint) => Output::CloseIdle { endpoint: name(endpoint) },
             Action::Log(words) => Output::WriteLog { words },
-        }
+            // Ids keep their numbers here: a day ends.
+            Action::Forget(_) => return None,
+        })
     }
 }
 
@@ -192,7 +194,7 @@
             };
             let mut actions = Vec::new();
             instance.sender.step(Time(batch.sim_time), &events, &mut actions);
-            let actions: Vec<Output> = actions.into_iter().map(|a| instance.output(a)).collect();
+            let actions: Vec<Output> = actions.into_iter().filter_map(|a| instance.output(a)).collect();
             if !actions.is_empty() {
                 senders.push(wire::Answer { sender: group.sender, actions });
             }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use serde::{Deserialize, Serialize};
+use slab::Slab;
 use std::collections::BTreeMap;
 
 // ---- constants ---------------------------------------------------------------------------------------
@@ -199,8 +200,7 @@
     rest_until: Time,
 }
 
-/// A sender's decisions: see the crate's page for an example. Its serialized form is all that it knows, for
-/// the process that takes over from this one; see [`Sender::taken_over`].
+/// A sender's decisions. Its serialized form is all that it knows, see [`Sender::taken_over`].
 #[derive(Serialize, Deserialize)]
 pub struct Sender {
     settings: Settings,
@@ -210,7 +210,9 @@
     held: BTreeMap<MessageId, Held>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     destinations: BTreeMap<DestinationId, Destination>,
-    lines: Vec<Line>,
+    lines: Slab<Line>,
+    /// Endpoints that the list has named at once, at the most.
+    most_listed: usize,
     calls: BTreeMap<u64, Call>,
     next_call: u64,
     keys: BTreeMap<OrderKey, Key>,
@@ -237,10 +239,6 @@
     ChaCha8Rng::seed_from_u64(0)
 }
 
-fn pool(share: &mut f64, seen: bool) {
-    *share += POOLED_LEARN * (f64::from(u8::from(seen)) - *share);
-}
-
 fn seconds(span: u64) -> f64 {
     span as f64 / 1e6
 }
@@ -340,21 +338,21 @@
     /// A sender with no messages and no list; an error names a setting that cannot be acted on.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
-        let asks = settings.discovery == Discovery::OnRequest;
         Ok(Sender {
             random: ChaCha8Rng::seed_from_u64(seed),
             now: Time(0),
             held: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             destinations: BTreeMap::new(),
-            lines: Vec::new(),
+            lines: Slab::new(),
+            most_listed: 0,
             calls: BTreeMap::new(),
             next_call: 0,
             keys: BTreeMap::new(),
             unnoticed: BTreeMap::new(),
             ends_at: None,
             woken_at: None,
-            ask_list_at: asks.then_some(Time(0)),
+            ask_list_at: (settings.discovery == Discovery::OnRequest).then_some(Time(0)),
             list_failures: 0,
             kept: vec![MOST_KEPT; settings.kinds.len()],
             lost: 0.0,
@@ -381,6 +379,7 @@
         for event in events {
             self.take_in(event, actions);
         }
+        self.forget_gone(actions);
         self.end_in_time(actions);
         self.shed(actions);
         self.give_turns(actions);
@@ -492,17 +491,18 @@
                 continue;
             }
             let hint = if self.settings.hints == Hints::None { 0.0 } else { entry.hint };
-            let destination = self.destinations.entry(entry.destination).or_default();
-            destination.endpoints.push(entry.endpoint);
-            if !apart && destination.shared.is_none() {
-                destination.shared = Some(self.lines.len());
-                self.lines.push(Line::new(entry.destination, None, hint));
+            let Entry { endpoint, destination, zone, kind, listing, .. } = *entry;
+            let d = self.destinations.entry(destination).or_default();
+            d.endpoints.push(endpoint);
+            if !apart && d.shared.is_none() {
+                d.shared = Some(self.lines.insert(Line::new(destination, None, hint)));
             }
-            let (line, Entry { destination, zone, kind, listing, .. }) = (self.lines.len(), *entry);
-            self.lines.push(Line::new(destination, Some(entry.endpoint), if apart { hint } else { 0.0 }));
-            self.endpoints
-                .insert(entry.endpoint, Endpoint { destination, zone, kind, listing, excluded: false, line });
+            let hint = if apart { hint } else { 0.0 };
+            let line = self.lines.insert(Line::new(destination, Some(endpoint), hint));
+            let new = Endpoint { destination, zone, kind, listing, excluded: false, line };
+            self.endpoints.insert(endpoint, new);
         }
+        self.most_listed = self.most_listed.max(self.members().0);
         for d in self.destinations.values() {
             let Some(shared) = d.shared else { continue };
             let sharing: Vec<&Endpoint> =
@@ -512,6 +512,25 @@
         }
     }
 
+    /// What the list drops may come back, with what is known of it; but no more is remembered than twice what it
+    /// ever named at once, or replaced endpoints would add up for good. Who came first is forgotten first.
+    fn forget_gone(&mut self, actions: &mut Vec<Action>) {
+        let over = self.endpoints.len().saturating_sub(2 * self.most_listed);
+        let idle = |at: &Endpoint| at.listing == Listing::Removed && self.lines[at.line].out.is_empty();
+        let gone = self.endpoints.iter().filter(|(_, at)| idle(at)).map(|(id, _)| *id);
+        for id in gone.take(over).collect::<Vec<_>>() {
+            let Some(at) = self.endpoints.remove(&id) else { continue };
+            self.lines.remove(at.line);
+            let destination = self.destinations.entry(at.destination).or_default();
+            destination.endpoints.retain(|other| *other != id);
+            if destination.endpoints.is_empty() {
+                destination.shared.map(|line| self.lines.remove(line));
+                self.destinations.remove(&at.destination);
+            }
+            actions.push(Action::Forget(id));
+        }
+    }
+
     /// Nothing more goes to the endpoint; what is out there comes to its end.
     fn exclude(&mut self, endpoint: EndpointId, actions: &mut Vec<Action>) {
         let Some(at) = self.endpoints.get_mut(&endpoint) else { return };
@@ -549,8 +568,7 @@
         }
         let over = last || matches!(held.stage, Stage::Over(_));
         held.stage = Stage::Waiting(self.now);
-        let may_run =
-            matches!(outcome, Outcome::Failure | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        let may_run = outcome.may_have_run();
         let zone = self.endpoints[&tried.endpoint].zone;
         if may_run && held.ran.is_none() {
             held.ran = Some(Ran { sent: self.calls.get(&tried.call).map_or(Time(0), |c| c.sent), zone });
@@ -588,9 +606,8 @@
 
     fn leave_key(&mut self, id: MessageId, key: OrderKey) {
         if let Some(key) = self.keys.get_mut(&key) {
-            let now = self.now;
             key.queue.retain(|other| *other != id);
-            self.keys.retain(|_, key| !key.queue.is_empty() || key.rest_until > now);
+            self.keys.retain(|_, key| !key.queue.is_empty() || key.rest_until > self.now);
         }
     }
 
@@ -687,8 +704,7 @@
     fn retry(&mut self, id: MessageId, outcome: Outcome, actions: &mut Vec<Action>) {
         let jitter = self.chance();
         let Some(held) = self.held.get_mut(&id) else { return };
-        let class = &held.message.class;
-        let base = class.aim.0 as f64 * BACKOFF_OF_AIM;
+        let base = held.message.class.aim.0 as f64 * BACKOFF_OF_AIM;
         let doubled = base * f64::from(1u32 << held.attempts.saturating_sub(1).min(8)).min(BACKOFF_CAP);
         let wait = match outcome {
             // All who were told to wait come back at its end: each by chance its backoff or the wait later.
@@ -697,13 +713,17 @@
         };
         let at = after(self.now, wait);
         held.stage = Stage::Waiting(at);
-        let held = &self.held[&id];
-        let none_left = held.attempts >= self.settings.max_attempts;
-        if none_left || at >= self.last_moment(held) || !self.repeatable(held, at) {
+        if self.hopeless(&self.held[&id], at) {
             self.end(id, actions);
         }
     }
 
+    /// Whether a message that waits until `at` can have no other try then.
+    fn hopeless(&self, held: &Held, at: Time) -> bool {
+        let none_left = held.attempts >= self.settings.max_attempts;
+        none_left || at >= self.last_moment(held) || !self.repeatable(held, at)
+    }
+
     /// Whether some endpoint could still be sent the message at `at` by the effect rule.
     fn repeatable(&self, held: &Held, at: Time) -> bool {
         let Some(ran) = held.ran else { return true };
@@ -737,8 +757,7 @@
             line.told_until.max(line.hold_until).max(health)
         };
         let destination = self.destinations.get(&held.message.destination)?;
-        let endpoints = destination.endpoints.iter().map(|e| &self.endpoints[e]);
-        let active = endpoints.filter(|at| at.in_service());
+        let active = destination.endpoints.iter().map(|e| &self.endpoints[e]).filter(|at| at.in_service());
         let own = active.map(|at| opens(&self.lines[at.line])).min()?;
         let at = destination.shared.map_or(own, |line| own.max(opens(&self.lines[line])));
         (self.now < at && at < held.deadline).then(|| Span(at.0 - self.now.0))
@@ -750,14 +769,8 @@
     }
 
     fn end_in_time(&mut self, actions: &mut Vec<Action>) {
-        let late: Vec<MessageId> = (self.held.iter())
-            .filter(|(_, h)| {
-                matches!(h.stage, Stage::Waiting(at)
-                if self.now >= self.last_moment(h) || !self.repeatable(h, self.now.max(at))
-                    || h.attempts >= self.settings.max_attempts)
-            })
-            .map(|(id, _)| *id)
-            .collect();
+        let late = |h: &Held| matches!(h.stage, Stage::Waiting(at) if self.hopeless(h, at.max(self.now)));
+        let late: Vec<_> = self.held.iter().filter(|(_, h)| late(h)).map(|(id, _)| *id).collect();
         for id in late {
             self.end(id, actions);
         }
@@ -868,10 +881,7 @@
             if done {
                 self.lines[line].out.retain(|(call, _)| *call != tried.call);
             }
-            if first {
-                if self.no_room(line, sent, rank, outcome) {
-                    continue;
-                }
+            if first && !self.no_room(line, sent, rank, outcome) {
                 self.learn(line, gate == Some(line), sent, outcome, report);
             }
             // Each message of a batch may be told its own wait: the longest holds.
@@ -969,7 +979,8 @@
         }
         let before = line.health;
         if line.endpoint.is_some() {
-            pool(&mut self.lost, matches!(outcome, Outcome::TimedOut | Outcome::Reset));
+            let seen = f64::from(u8::from(matches!(outcome, Outcome::TimedOut | Outcome::Reset)));
+            self.lost += POOLED_LEARN * (seen - self.lost);
         }
         match outcome {
             Outcome::Cancelled | Outcome::Void => return,
@@ -1172,15 +1183,13 @@
     /// A call has one end: it is given up when the last of its messages would be, but none is kept past its
     /// time.
     fn expire_together(&self, call: &mut [Action]) {
-        let sends = call.iter().filter_map(|action| match action {
-            Action::Send { message, expires, .. } => Some((*expires, self.held[message].deadline)),
-            _ => None,
-        });
-        let (longest, first_deadline) = sends
-            .fold((Time(0), Time(u64::MAX)), |(end, due), (expires, deadline)| {
-                (end.max(expires), due.min(deadline))
-            });
-        let end = longest.min(Time(first_deadline.0.saturating_sub(self.settings.period.0)));
+        let (mut longest, mut due) = (Time(0), Time(u64::MAX));
+        for action in &*call {
+            if let Action::Send { message, expires, .. } = action {
+                (longest, due) = (longest.max(*expires), due.min(self.held[message].deadline));
+            }
+        }
+        let end = longest.min(Time(due.0.saturating_sub(self.settings.period.0)));
         for action in call {
             if let Action::Send { expires, .. } = action {
                 *expires = end;
@@ -1199,7 +1208,6 @@
     fn choose(&self, id: MessageId) -> Option<EndpointId> {
         let held = self.held.get(&id)?;
         let destination = self.destinations.get(&held.message.destination)?;
-        let class = &held.message.class;
         // An endpoint not yet called counts as fast as the fastest known, faster where many calls follow.
         let lines = || destination.endpoints.iter().map(|e| &self.lines[self.endpoints[e].line]);
         let calls = lines().map(|l| l.rate).sum::<f64>() * seconds(self.settings.rules.fall.0);
@@ -1208,7 +1216,7 @@
         for endpoint in &destination.endpoints {
             let at = &self.endpoints[endpoint];
             let line = &self.lines[at.line];
-            let held_back = class.repeat == Repeat::Unsafe && self.better_held(held, line);
+            let held_back = held.message.class.repeat == Repeat::Unsafe && self.better_held(held, line);
             if held_back || !self.may_send(id, *endpoint, false) {
                 continue;
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -298,6 +298,13 @@
     NoRoom,
 }
 
+impl Outcome {
+    /// Whether the attempt may have taken effect, or may yet.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Outcome::Failure | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+    }
+}
+
 /// What an answer tells of a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -404,6 +411,8 @@
     Probe(EndpointId),
     /// Close this sender's idle connections to an endpoint.
     CloseIdle(EndpointId),
+    /// Nothing is remembered of this endpoint any more. Listed again it is a new one, of another number.
+    Forget(EndpointId),
     /// A line for people on call.
     Log(String),
 }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -37,7 +37,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Raised with every change of what is handed over: processes of different versions wait for each other's end.
-const VERSION: u32 = 2;
+const VERSION: u32 = 3;
 /// No frame is longer: a thousand messages under way take a fraction of a megabyte.
 const MOST_FRAME: usize = 16 << 20;
 /// Between two attempts to have the lock.
@@ -59,8 +59,10 @@
     pub sender: S,
     /// What has happened since the module's last step.
     pub pending: P,
-    /// By the module's numbers: id, address, zone, messages in a call.
-    pub endpoints: Vec<(String, SocketAddr, String, usize)>,
+    /// The module's number, id, address, zone, messages in a call.
+    pub endpoints: Vec<(EndpointId, String, SocketAddr, String, usize)>,
+    /// The next one's number.
+    pub next_endpoint: u32,
     /// The names that the module's other numbers stand for.
     pub numbering: Vec<Vec<String>>,
     /// Version of the list.
@@ -82,8 +84,11 @@
 impl Known {
     /// The module, and the rest.
     pub fn split(self) -> (Sender, Rest) {
-        let State { sender, pending, endpoints, numbering, revision, draining, clients } = self;
-        (sender, State { sender: (), pending, endpoints, numbering, revision, draining, clients })
+        let State { sender, pending, endpoints, next_endpoint, numbering, revision, draining, clients } =
+            self;
+        let rest =
+            State { sender: (), pending, endpoints, next_endpoint, numbering, revision, draining, clients };
+        (sender, rest)
     }
 }
 
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -14,7 +14,7 @@
     Repeat, Report, Resumed, Sender, Settings, Span, TenantId, Time, ZoneId,
 };
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -101,6 +101,7 @@
 }
 
 struct Endpoint {
+    id: String,
     address: SocketAddr,
     zone: String,
     batch: usize,
@@ -181,8 +182,10 @@
     /// Connections to endpoints that may be open at once.
     most_connections: usize,
     clock: Clock,
-    endpoints: Vec<Endpoint>,
+    /// Endpoints that the module remembers. Numbers are not used again: calls that end late name theirs.
+    endpoints: BTreeMap<EndpointId, Endpoint>,
     endpoint_ids: HashMap<String, EndpointId>,
+    next_endpoint: u32,
     /// When each message held was taken on, or taken up, by its id.
     held: HashMap<String, Instant>,
     figures: Figures,
@@ -266,8 +269,9 @@
             tuning,
             most_connections,
             clock: Clock::new(),
-            endpoints: Vec::new(),
+            endpoints: BTreeMap::new(),
             endpoint_ids: HashMap::new(),
+            next_endpoint: 0,
             held: HashMap::new(),
             figures: Figures::default(),
             shared: links.shared,
@@ -460,7 +464,7 @@
     fn ban(&mut self, id: &str, excluded: bool) -> Result<(), String> {
         let endpoint = self.endpoint_ids.get(id).copied();
         if endpoint.is_none() && !self.store.is_excluded(id) {
-            return Err(format!("no endpoint {id:?} was ever listed"));
+            return Err(format!("no endpoint {id:?} is known"));
         }
         let journaled = if excluded { self.store.exclude(id) } else { self.store.include(id) };
         journaled.map_err(|e| e.to_string())?;
@@ -602,9 +606,10 @@
         self.pending = state.pending;
         self.revision = state.revision;
         self.withheld = state.clients;
-        for (number, (id, address, zone, batch)) in state.endpoints.into_iter().enumerate() {
-            self.endpoint_ids.insert(id, EndpointId(number as u32));
-            self.endpoints.push(Endpoint { address, zone, batch });
+        self.next_endpoint = state.next_endpoint;
+        for (number, id, address, zone, batch) in state.endpoints {
+            self.endpoint_ids.insert(id.clone(), number);
+            self.endpoints.insert(number, Endpoint { id, address, zone, batch });
         }
         for (number, owed) in self.store.owed() {
             self.held.insert(owed.message.id.clone(), Instant::now());
@@ -656,15 +661,13 @@
 
     /// Gives all to a process that asks; on an error nothing was given.
     async fn hand_over(&mut self, mut stream: UnixStream) -> Result<UnixStream, handover::HandoverError> {
-        let endpoints = self.endpoints.iter().map(|e| (e.address, e.zone.clone(), e.batch));
-        let mut ids: Vec<(&String, &EndpointId)> = self.endpoint_ids.iter().collect();
-        ids.sort_by_key(|(_, number)| **number);
         let state = Given {
             sender: &self.sender,
             pending: &self.pending,
-            endpoints: (ids.into_iter().zip(endpoints))
-                .map(|((id, _), (address, zone, batch))| (id.clone(), address, zone, batch))
+            endpoints: (self.endpoints.iter())
+                .map(|(number, e)| (*number, e.id.clone(), e.address, e.zone.clone(), e.batch))
                 .collect(),
+            next_endpoint: self.next_endpoint,
             numbering: self.tuning.numbering(),
             revision: self.revision,
             draining: *self.doors.borrow() == Doors::Draining,
@@ -725,11 +728,7 @@
                 );
                 self.over(number);
             } else {
-                let may_have_run = matches!(
-                    outcome,
-                    Outcome::Failure | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled
-                );
-                log_failure(self.store.outcome(number, may_have_run));
+                log_failure(self.store.outcome(number, outcome.may_have_run()));
             }
             let event = Event::Ended {
                 message: MessageId(number),
@@ -755,22 +754,20 @@
                 continue;
             };
             let batch = self.tuning.settings.kinds[kind.0].batch.max(1);
-            let new = Endpoint { address: member.host_port, zone: member.locality, batch };
             let endpoint = match self.endpoint_ids.get(&member.id) {
-                Some(known) => {
-                    self.endpoints[known.0 as usize] = new;
-                    *known
-                }
+                Some(known) => *known,
                 None => {
-                    let id = EndpointId(self.endpoints.len() as u32);
-                    self.endpoints.push(new);
+                    let id = EndpointId(self.next_endpoint);
+                    self.next_endpoint += 1;
                     if self.store.is_excluded(&member.id) {
                         bans.push((self.now(), Event::Excluded(id)));
                     }
-                    self.endpoint_ids.insert(member.id, id);
+                    self.endpoint_ids.insert(member.id.clone(), id);
                     id
                 }
             };
+            let (id, address, zone_name) = (member.id, member.host_port, member.locality);
+            self.endpoints.insert(endpoint, Endpoint { id, address, zone: zone_name, batch });
             entries.push(Entry {
                 endpoint,
                 destination: DestinationId(member.cell),
@@ -823,7 +820,7 @@
         for action in actions {
             match action {
                 Action::Send { message, endpoint, expires } => {
-                    let room = self.endpoints[endpoint.0 as usize].batch;
+                    let room = self.endpoints.get(&endpoint).map_or(1, |at| at.batch);
                     let open = sends
                         .iter_mut()
                         .find(|(to, with, until)| *to == endpoint && *until == expires && with.len() < room);
@@ -840,7 +837,16 @@
                     let wake = at + Duration::from_micros(span.0);
                     self.wake_at = Some(self.wake_at.map_or(wake, |set| set.min(wake)));
                 }
-                Action::CloseIdle(endpoint) => self.pool.close(self.endpoints[endpoint.0 as usize].address),
+                Action::CloseIdle(endpoint) => {
+                    if let Some(at) = self.endpoints.get(&endpoint) {
+                        self.pool.close(at.address);
+                    }
+                }
+                Action::Forget(endpoint) => {
+                    if let Some(at) = self.endpoints.remove(&endpoint) {
+                        self.endpoint_ids.remove(&at.id);
+                    }
+                }
                 Action::Log(line) => eprintln!("{line}"),
                 Action::Cancel { message, .. } => self.call_off(message),
                 // The watch is always on; the module does not probe.
@@ -854,7 +860,12 @@
 
     fn call(&mut self, endpoint: EndpointId, messages: Vec<MessageId>, expires: Time) {
         let now = self.now();
-        let at = &self.endpoints[endpoint.0 as usize];
+        let Some(at) = self.endpoints.get(&endpoint) else {
+            // The module sends to what it remembers only; if not, its messages must not wait for ever.
+            eprintln!("not sent: endpoint #{} is not known", endpoint.0);
+            let unsent = messages.into_iter().map(|message| (message.0, Outcome::Void, false)).collect();
+            return self.ended(now, now, unsent, None);
+        };
         let (address, zone) = (at.address, at.zone.clone());
         let mut parcels = Vec::with_capacity(messages.len());
         let mut unsent = Vec::new();
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -346,3 +346,47 @@
     }
     assert!(Sender::new(Settings { senders: 0, ..settings() }, 1).is_err(), "refused at the start");
 }
+
+/// Endpoints that were replaced were remembered for good: thousands of them made each list dearer, and memory grew.
+/// Those that the list has dropped lately are still known when it names them again.
+#[test]
+fn replaced_endpoints_are_forgotten_and_those_with_calls_out_last() {
+    let mut host = Host::new(many_senders(), vec![entry(1, 0, 1, 0), entry(2, 1, 1, 0)]);
+    let mut forgotten = Vec::new();
+    // A call stays out at the first one through all of it.
+    assert!(sent(&host.message(1, SAFE, 1), 1).is_some());
+    for n in 2..3_000 {
+        let actions =
+            raw(&mut host, &[Event::FullList(vec![entry(1, n, 1, 0), entry(n.into(), n + 1, 1, 0)])]);
+        let gone = actions.iter().filter_map(|a| match a {
+            Action::Forget(endpoint) => Some(endpoint.0),
+            _ => None,
+        });
+        forgotten.extend(gone);
+        assert!(host.sender.members().0 == 2 && n as usize + 1 - forgotten.len() <= 5, "after {n}");
+    }
+    assert!(!forgotten.contains(&0), "its call is out");
+    assert!(forgotten.is_sorted_by(|a, b| a < b), "each once, the first ones first");
+    let size = postcard::to_allocvec(&host.sender).unwrap().len();
+    assert!(size < 4_000, "{size} bytes for four endpoints");
+    let next = Event::FullList(vec![entry(1, 5_000, 1, 0), entry(2, 5_001, 1, 0)]);
+    let done = raw(&mut host, &[ended(1, 0, Outcome::Success), next]);
+    assert!(done.contains(&Action::Forget(EndpointId(0))), "{done:?}");
+    // A list that names nothing for once forgets nothing.
+    let none = raw(&mut host, &[Event::FullList(vec![])]);
+    assert!(!none.iter().any(|a| matches!(a, Action::Forget(_))), "{none:?}");
+}
+
+/// An endpoint that one list of a round drops and the next one names is not forgotten in between: its messages
+/// would go nowhere.
+#[test]
+fn what_a_later_list_of_the_same_round_names_is_not_forgotten() {
+    let mut host = Host::new(many_senders(), vec![entry(1, 0, 1, 0)]);
+    for n in 1..9 {
+        raw(&mut host, &[Event::FullList(vec![entry(1, n, 1, 0)])]);
+    }
+    let lists = [Event::FullList(vec![entry(1, 20, 1, 0)]), Event::FullList(vec![entry(1, 8, 1, 0)])];
+    let actions = raw(&mut host, &lists);
+    assert!(!actions.contains(&Action::Forget(EndpointId(8))), "{actions:?}");
+    assert_eq!(sent(&host.message(1, SAFE, 1), 1), Some(8));
+}
--- a/tests/sockets/figures.rs
+++ b/tests/sockets/figures.rs
@@ -79,6 +79,36 @@
     node.figures_once(|f| by_use(f).0 == 0.0).await;
 }
 
+/// Guards against endpoints that add up as they are replaced, against a ban that goes with what is forgotten, and
+/// against an old number that names a new endpoint: calls still find theirs.
+#[tokio::test]
+async fn replaced_endpoints_are_forgotten_and_bans_are_not() {
+    let (mut endpoint, platform, first) = one_endpoint().await;
+    let node = Node::start(&platform, &[first]).await;
+    assert_eq!(node.staff("exclude s-1").await, "done\n");
+    let change = |id: String, phase: &str| member(&id, endpoint.address, "single", phase);
+    for n in 2..40 {
+        platform.tell(&[change(format!("s-{n}"), "SERVING"), change(format!("s-{}", n - 1), "DELETED")]);
+        let known = format!("include s-{n}");
+        while node.staff(&known).await != "done\n" {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+    let figures = node.figures().await;
+    assert_eq!(figures.get("members"), 1.0);
+    assert!(figures.get("endpoints_remembered") <= 4.0, "{figures:?}");
+    assert!(node.staff("exclude s-20").await.starts_with("error "));
+    platform.tell(&[change("s-1".to_owned(), "SERVING"), change("s-39".to_owned(), "DELETED")]);
+    node.figures_once(|f| f.get("members_unavailable") == 1.0).await;
+    assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    assert!(endpoint.quiet(Duration::from_millis(200)).await, "the ban was forgotten");
+    assert_eq!(node.staff("include s-1").await, "done\n");
+    let call = endpoint.call().await;
+    assert_eq!(call.id(), "m1");
+    call.ok();
+    node.figures_once(|f| f.ended("unsafe", "completed") == 1.0).await;
+}
+
 /// Guards against sums that do not hold in a process that goes on with what another one left.
 #[tokio::test]
 async fn what_an_earlier_process_left_counts_as_taken_up() {
