Bound the memory of message bodies by the memory that the configuration gives

Seen: nothing read limits.memory_mb. Half of 1,024 descriptors may be clients, each with a body of 64 KiB under way: 31 MB where a sender may have 32; and what is held, and read whole at a start, followed the disk alone.

Change: bodies that are being read share an eighth of the memory, by the length that each client told, before a byte is read; who finds no room is refused at once with 503.

Both tests fail without the change. A third shows that calls go on while clients hold all descriptors that are theirs; it fails when the share for clients is all of them. Not measured: how much the buffers of hundreds of connections take beside the bodies.

--- a/benches/parts.rs
+++ b/benches/parts.rs
@@ -256,7 +256,7 @@
     let (host, mut inputs) = mpsc::unbounded_channel();
     let (doors, at_doors) = watch::channel(Doors::Open);
     let room = Arc::new(Semaphore::new(8));
-    tokio::spawn(server::serve(listener, room, 8, host, at_doors, Arc::default()));
+    tokio::spawn(server::serve(listener, room, 8, host, at_doors, server::bodies(None), Arc::default()));
     tokio::spawn(async move {
         while let Some(input) = inputs.recv().await {
             if let Input::HandIn { answer, .. } = input {
--- a/src/main.rs
+++ b/src/main.rs
@@ -30,6 +30,9 @@
 /// How long another process may keep the address: one that is told to end is killed within 4 s, and told after 6 s.
 const BIND_PATIENCE: Duration = Duration::from_secs(12);
 const BIND_PAUSE: Duration = Duration::from_millis(50);
+/// Share of the memory that bodies may have while they are read: those that are held have a quarter, and connections'
+/// buffers most of the rest.
+const BODIES_OF_MEMORY: f64 = 0.125;
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// How long answers on their way out may take once the host has ended.
@@ -50,6 +53,8 @@
 #[derive(Deserialize)]
 struct Limits {
     disk_mb: f64,
+    /// Where it is not given, the disk and the descriptors alone bound what is held.
+    memory_mb: Option<f64>,
     sockets: usize,
 }
 
@@ -182,7 +187,10 @@
             (listener, Origin::Inherited(state, to_old), revision, clients)
         }
     };
-    let (store, damage) = Store::open(&folder, (config.limits.disk_mb * 1e6) as u64)?;
+    let memory = config.limits.memory_mb.map(|mb| mb * 1e6);
+    // What is owed is in memory too, and the journal is read whole at the next start.
+    let disk = (config.limits.disk_mb * 1e6).min(memory.unwrap_or(f64::INFINITY));
+    let (store, damage) = Store::open(&folder, disk as u64)?;
     if damage != net::store::Damage::default() {
         eprintln!("journal: {} bytes cut off at the end, {} passed over", damage.torn, damage.skipped);
     }
@@ -227,7 +235,9 @@
         let _ = on_signal.send(Input::WindDown);
     });
     tokio::spawn(reload(hung_up, file, to_discovery, inputs.clone(), shared.clone()));
-    let server = tokio::spawn(server::serve(listener, room, descriptors.clients, inputs, at_doors, shared));
+    let bodies = server::bodies(memory.map(|memory| (memory * BODIES_OF_MEMORY) as usize));
+    let server =
+        tokio::spawn(server::serve(listener, room, descriptors.clients, inputs, at_doors, bodies, shared));
     match host.run(&mut from_all, &mut orders).await {
         Some(remains) => {
             watching.abort();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -61,6 +61,20 @@
     }
 }
 
+/// Bytes of a body for one permit.
+const BODY_PERMIT: usize = 1024;
+
+/// Permits for the bodies that are being read, where they may have so many bytes together; none for any number.
+pub fn bodies(bytes: Option<usize>) -> Arc<Semaphore> {
+    // One body always has room, or nothing could ever be handed in.
+    let permits = bytes.map(|bytes| bytes.max(MOST_BODY) / BODY_PERMIT);
+    Arc::new(Semaphore::new(permits.unwrap_or(Semaphore::MAX_PERMITS).min(Semaphore::MAX_PERMITS)))
+}
+
+fn body_permits(length: usize) -> u32 {
+    u32::try_from(length.div_ceil(BODY_PERMIT)).unwrap_or(u32::MAX)
+}
+
 /// Serves clients, on `most` connections at once, until the doors are shut and every request that was read has
 /// its answer.
 pub async fn serve(
@@ -69,6 +83,7 @@
     most: usize,
     host: UnboundedSender<Input>,
     mut doors: watch::Receiver<Doors>,
+    bodies: Arc<Semaphore>,
     shared: Arc<Shared>,
 ) {
     let crowded = Arc::new(Notify::new());
@@ -80,7 +95,8 @@
         };
         match accepted {
             Ok((stream, permit)) => {
-                let connection = connection(stream, host.clone(), crowded.clone(), doors.clone());
+                let connection =
+                    connection(stream, host.clone(), crowded.clone(), doors.clone(), bodies.clone());
                 let shared = shared.clone();
                 tokio::spawn(async move {
                     shared.clients.fetch_add(1, Ordering::Relaxed);
@@ -121,14 +137,15 @@
     host: UnboundedSender<Input>,
     crowded: Arc<Notify>,
     mut doors: watch::Receiver<Doors>,
+    bodies: Arc<Semaphore>,
 ) {
     let _ = stream.set_nodelay(true);
     let at_door = doors.clone();
     let heard = Arc::new(AtomicBool::new(false));
     let asked = heard.clone();
     let service = service_fn(move |request| {
-        let (host, doors, asked) = (host.clone(), *at_door.borrow(), asked.clone());
-        async move { Ok::<_, Infallible>(respond(request, &host, doors, &asked).await) }
+        let (host, doors, asked, bodies) = (host.clone(), *at_door.borrow(), asked.clone(), bodies.clone());
+        async move { Ok::<_, Infallible>(respond(request, &host, doors, &asked, &bodies).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -178,6 +195,7 @@
     host: &UnboundedSender<Input>,
     doors: Doors,
     heard: &AtomicBool,
+    bodies: &Semaphore,
 ) -> Response<Full<Bytes>> {
     let mut response = match (request.method(), request.uri().path()) {
         _ if !request.headers().contains_key(HOST) => plain(StatusCode::BAD_REQUEST, "Host is missing\n"),
@@ -188,7 +206,7 @@
             plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
         }
         (&Method::GET, "/-/ready") => plain(StatusCode::SERVICE_UNAVAILABLE, "winding down\n"),
-        (&Method::POST, "/api") => hand_in(request, host, heard).await,
+        (&Method::POST, "/api") => hand_in(request, host, heard, bodies).await,
         (_, "/-/ready" | "/api") => plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n"),
         _ => plain(StatusCode::NOT_FOUND, "not found\n"),
     };
@@ -209,6 +227,7 @@
     request: Request<Incoming>,
     host: &UnboundedSender<Input>,
     heard: &AtomicBool,
+    bodies: &Semaphore,
 ) -> Response<Full<Bytes>> {
     let (head, body) = request.into_parts();
     // Clients tell the length of a message: without it, where one ends is a matter of opinion.
@@ -217,6 +236,10 @@
         Some(Ok(length)) if length <= MOST_BODY => length,
         Some(_) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"),
     };
+    // Hundreds of clients that each begin a long body at one moment must fit in memory.
+    let Ok(_room) = bodies.try_acquire_many(body_permits(length)) else {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "no room for the body now\n");
+    };
     let body = match timeout(READ_PATIENCE, whole(body, length)).await {
         Ok(Ok(body)) => body,
         Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body cannot be read\n"),
--- a/tests/sockets/clients.rs
+++ b/tests/sockets/clients.rs
@@ -1,8 +1,8 @@
 //! The side of the clients.
 use super::world::*;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::time::{Duration, Instant};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -111,7 +111,7 @@
 async fn a_full_disk_refuses() {
     let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
     let member = member("s-1", endpoint.address, "single", "SERVING");
-    let small = |config: &mut serde_json::Value| config["limits"]["disk_mb"] = json!(0.1);
+    let small = |config: &mut Value| config["limits"]["disk_mb"] = json!(0.1);
     let node = Node::start_with(&platform, &[member], small).await;
     let headers = "X-Txn: big\r\nX-Lane: unsafe\r\nX-Remaining: 30\r\nX-Envelope: dest=7\r\n";
     assert_eq!(node.request("POST /api", headers, &[b'x'; 40_000]).await.status(), 503);
@@ -127,7 +127,7 @@
 async fn connections_that_stand_open_leave_room_for_others() {
     let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
     let member = member("s-1", endpoint.address, "single", "SERVING");
-    let few = |config: &mut serde_json::Value| config["limits"]["sockets"] = json!(64);
+    let few = |config: &mut Value| config["limits"]["sockets"] = json!(64);
     let node = Node::start_with(&platform, &[member], few).await;
     let mut open = Vec::new();
     for n in 0..120 {
@@ -266,3 +266,90 @@
     assert!(node.descriptors() <= before + 2, "{} descriptors, {before} before", node.descriptors());
     assert!(endpoint.quiet(Duration::from_millis(100)).await, "half a message went out");
 }
+
+/// Guards against bodies that fill the memory while they are read: what has no room is refused at once, small messages
+/// still get in, and a client that stops in the middle gives its room back.
+#[tokio::test]
+async fn bodies_being_read_keep_within_their_part_of_the_memory() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let little = |config: &mut Value| config["limits"]["memory_mb"] = json!(1);
+    let member = member("s-1", endpoint.address, "single", "SERVING");
+    let node = Node::start_with(&platform, &[member], little).await;
+    let head = |id: &str, length: usize| {
+        format!(
+            "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: {id}\r\nX-Lane: unsafe\r\nX-Remaining: 20.0\r\n\
+             X-Envelope: dest=7\r\nContent-Length: {length}\r\n\r\n"
+        )
+    };
+    // 125 KB in all: room for two of these.
+    let mut halves = Vec::new();
+    for id in ["h1", "h2"] {
+        let mut half = TcpStream::connect(node.address).await.unwrap();
+        half.write_all(head(id, 60_000).as_bytes()).await.unwrap();
+        half.write_all(&[b'x'; 100]).await.unwrap();
+        halves.push(half);
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let mut third = TcpStream::connect(node.address).await.unwrap();
+    third.write_all(head("h3", 60_000).as_bytes()).await.unwrap();
+    let refused = timeout(PATIENCE, Http::read(&mut third)).await.expect("an answer").unwrap();
+    assert_eq!(refused.status(), 503);
+    assert_eq!(node.hand_in("small", "unsafe", "").await.status(), 202);
+    endpoint.call().await.ok();
+    for half in &mut halves {
+        timeout(PATIENCE, half.read_to_end(&mut Vec::new())).await.expect("an end").unwrap();
+    }
+    let mut again = TcpStream::connect(node.address).await.unwrap();
+    again.write_all(head("h4", 60_000).as_bytes()).await.unwrap();
+    again.write_all(&[b'x'; 60_000]).await.unwrap();
+    assert_eq!(timeout(PATIENCE, Http::read(&mut again)).await.expect("an answer").unwrap().status(), 202);
+    assert_eq!(endpoint.call().await.http.body.len(), 60_000);
+}
+
+/// Guards against a disk larger than the memory: what is held is in both, and the smaller one binds.
+#[tokio::test]
+async fn held_bodies_keep_within_their_part_of_the_memory() {
+    let (_endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let wide = |config: &mut Value| {
+        config["limits"]["memory_mb"] = json!(1);
+        config["limits"]["disk_mb"] = json!(1_000);
+    };
+    let node = Node::start_with(&platform, &[], wide).await;
+    let mut taken = 0;
+    loop {
+        let head =
+            format!("X-Txn: m{taken}\r\nX-Lane: unsafe\r\nX-Remaining: 25.0\r\nX-Envelope: dest=7\r\n");
+        match node.request("POST /api", &head, &[b'x'; 60_000]).await.status() {
+            202 => taken += 1,
+            status => break assert_eq!(status, 503),
+        }
+        assert!(taken < 10, "{taken} bodies of 60 KB held in 1 MB");
+    }
+    assert!(taken >= 2 && node.figures().await.get("pending_bytes") <= 250_000.0);
+}
+
+/// Guards against calls that find no descriptor because clients have them all.
+#[tokio::test]
+async fn calls_go_on_while_clients_take_all_descriptors_they_can() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let few = |config: &mut Value| config["limits"]["sockets"] = json!(80);
+    let member = member("s-1", endpoint.address, "single", "SERVING");
+    let node = Node::start_with(&platform, &[member], few).await;
+    let mut crowd = Vec::new();
+    for round in 0..2 {
+        for _ in 0..24 {
+            let mut stream = TcpStream::connect(node.address).await.unwrap();
+            let _ = stream.write_all(b"POST /api HTTP/1.1\r\nHost").await;
+            crowd.push(stream);
+        }
+        // Half of what the sender leaves over for itself.
+        let clients = node.figures().await.get("descriptors{use=clients}");
+        assert!(clients <= 16.0 && node.descriptors() <= 80, "{clients} clients");
+        let id = format!("m{round}");
+        let handed_in = async { while node.hand_in(&id, "unsafe", "").await.status() != 202 {} };
+        timeout(PATIENCE, handed_in).await.expect("a place");
+        let call = endpoint.call().await;
+        assert_eq!(call.id(), id);
+        call.ok();
+    }
+}
