Log what a process did and cost as it ends in order

Change: a process that has wound down logs one line 'in all:' with its messages, attempts, connections, calls to discovery, wake-ups, steps, processor time and peak memory. Nothing runs before that.

--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -345,6 +345,7 @@
             {
                 self.doors.send_replace(Doors::Shut);
                 if now >= wind_down.end || (self.calls.is_empty() && self.store.owed().next().is_none()) {
+                    eprintln!("{}", telemetry::summary(&self.snapshot()));
                     return None;
                 }
             }
--- a/src/net/telemetry.rs
+++ b/src/net/telemetry.rs
@@ -236,6 +236,33 @@
     text.0
 }
 
+/// What a process did and cost in all, in one line: for its log, as it ends in order.
+pub fn summary(Snapshot { figures, present, beside }: &Snapshot) -> String {
+    let process = Process::read();
+    let ends = figures.lanes.iter().map(|(_, ends)| ends).chain([&figures.other_lanes]);
+    let [completed, rejected, failed] =
+        ends.fold([0; ENDS.len()], |sums, ends| std::array::from_fn(|n| sums[n] + ends[n]));
+    let millis = |spent: Option<Duration>| spent.unwrap_or_default().as_millis();
+    let (asked, unanswered) = beside.discovery_calls;
+    format!(
+        "in all: taken_on={} resumed={} completed={completed} rejected={rejected} failed={failed} pending={} \
+         refused={} attempts={} opened={} reused={} discovery={asked} discovery_errors={unanswered} wakeups={} \
+         steps={} cpu_user_ms={} cpu_system_ms={} peak_bytes={}",
+        figures.taken,
+        figures.resumed,
+        present.pending,
+        figures.refused,
+        figures.attempts,
+        figures.opened,
+        figures.reused,
+        figures.wakeups,
+        figures.steps,
+        millis(process.user),
+        millis(process.system),
+        process.peak.unwrap_or_default(),
+    )
+}
+
 struct Text(String);
 
 impl Text {
