--- a/src/brain.rs
+++ b/src/brain.rs
@@ -512,8 +512,8 @@
         }
     }
 
-    /// What the list drops may come back, with what is known of it; but no more is remembered than twice what it
-    /// ever named at once, or replaced endpoints would add up for good. Who came first is forgotten first.
+    /// What the list drops may come back, and is remembered: but no more in all than twice what it ever named
+    /// at once, or replaced endpoints would add up for good. Who came first is forgotten first.
     fn forget_gone(&mut self, actions: &mut Vec<Action>) {
         let over = self.endpoints.len().saturating_sub(2 * self.most_listed);
         let idle = |at: &Endpoint| at.listing == Listing::Removed && self.lines[at.line].out.is_empty();
--- a/tests/sockets/cost.rs
+++ b/tests/sockets/cost.rs
@@ -10,6 +10,7 @@
 const REQUESTS: usize = 200;
 const BODY: usize = 512;
 const HELD: usize = 600;
+const CLIENTS: usize = 100;
 
 /// The budget of one request: a little over what was measured: 3.0, 2.0, 64.6 and 16,069.
 const MOST_WAKEUPS: f64 = 4.0;
@@ -18,6 +19,8 @@
 const MOST_BYTES: f64 = 16_300.0;
 /// Resident memory of one more message held, a few times its size: pages are coarse.
 const MOST_HELD_BYTES: f64 = 4_000.0;
+/// The same for a client's connection that is idle: its buffer of 8 KiB and the task round it.
+const MOST_CLIENT_BYTES: f64 = 24_000.0;
 
 /// The counters that tell a cost.
 const COUNTERS: [&str; 6] = [
@@ -132,6 +135,28 @@
     assert!(each < MOST_HELD_BYTES, "{each} bytes for each message of {BODY}");
 }
 
+/// Guards against idle clients that each hold far more than a request needs.
+#[tokio::test]
+async fn an_idle_client_takes_a_bounded_part_of_the_memory() {
+    let bench = Bench::start().await;
+    let mut clients = Vec::new();
+    let mut resident = Vec::new();
+    for _ in 0..2 {
+        for _ in 0..CLIENTS {
+            let mut client = TcpStream::connect(bench.node.address).await.unwrap();
+            client.write_all(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+            assert_eq!(Http::read(&mut client).await.unwrap().status(), 200);
+            clients.push(client);
+        }
+        let figures = bench.node.figures().await;
+        assert_eq!(figures.get("descriptors{use=clients}"), clients.len() as f64 + 1.0);
+        resident.push(figures.get("process_resident_memory_bytes"));
+    }
+    let each = (resident[1] - resident[0]) / CLIENTS as f64;
+    println!("cost: idle client resident_bytes {each}");
+    assert!(each < MOST_CLIENT_BYTES, "{each} bytes for each idle client");
+}
+
 /// Guards against a sender that spends time on nothing, or holds what it does not need.
 #[tokio::test]
 async fn a_sender_at_rest_does_next_to_nothing() {
