Tell refused clients when the partner opens, not when this sender's own pace has a token

Seen: calls::a_refusal_tells_when_to_come_again failed in a full run of the tests (after_ms 11405 for a told wait of 10 s). Changed: openings are asked for with what is meant, the line's next call or the end of its told wait, pause and outage; the alarm is as it was.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -280,16 +280,18 @@
         from.after((wait * 1e6).ceil())
     }
 
+    /// Until when nobody gets anything here, as far as is known.
+    fn shut_until(&self) -> Time {
+        let away = if let Health::Down(at) | Health::Returning(at) = self.health { at } else { Time(0) };
+        self.told_until.max(self.hold_until).max(away)
+    }
+
     /// The first moment at which the line may let a call through; none where an end has to come before.
     fn opens(&self, now: Time, s: &Settings) -> Option<Time> {
         let full = self.room > 0 && self.out.len() >= self.room;
-        let trial = match self.health {
-            Health::Down(_) if !self.out.is_empty() => return None,
-            Health::Down(next) => next,
-            _ => Time(0),
-        };
-        let paused = self.told_until.max(self.hold_until).max(trial).max(self.token_at(s));
-        (!full).then(|| self.stalled_until(now).map_or(paused, |at| at.max(paused)))
+        let tried = matches!(self.health, Health::Down(_)) && !self.out.is_empty();
+        let paused = self.shut_until().max(self.token_at(s));
+        (!full && !tried).then(|| self.stalled_until(now).map_or(paused, |at| at.max(paused)))
     }
 
     /// Brings the learned rate and the pace's tokens up to `now`: on use, as a list may be long.
@@ -753,7 +755,7 @@
             Repeat::Keyed { .. } | Repeat::Unsafe => held.ran.is_none(),
         };
         // It may come again once something of its destination may be called, in its time.
-        let opening = self.opening(held.message.destination);
+        let opening = self.opening(held.message.destination, |line| Some(line.shut_until()));
         let again = opening.filter(|at| self.now < *at && *at < held.deadline);
         let after = again.map(|at| Span(at.since(self.now)));
         actions.push(if harmless { Action::Refuse { message: id, after } } else { Action::Fail(id) });
@@ -902,10 +904,7 @@
         let mut active = d.endpoints.iter().filter(|e| self.endpoints[*e].in_service());
         // An excluded one comes back by staff's word alone.
         let counted = d.endpoints.iter().filter(|e| !self.endpoints[*e].excluded);
-        let next = counted.filter_map(|e| match health(e) {
-            Health::Down(next) => Some(next),
-            _ => None,
-        });
+        let next = counted.filter_map(|e| if let Health::Down(next) = health(e) { Some(next) } else { None });
         if let Some(next) = next.min()
             && active.all(|e| health(e) != Health::Up)
             && !matches!(self.lines[shared].health, Health::Down(_))
@@ -1055,13 +1054,18 @@
         line.opens(self.now, &self.settings).is_some_and(|at| at <= self.now)
     }
 
-    /// The first moment at which a new call may go to some endpoint of the destination, whatever the message.
-    fn opening(&self, destination: DestinationId) -> Option<Time> {
+    /// When some endpoint of the destination and the destination itself open, whatever the message.
+    fn opening(&self, destination: DestinationId, opens: impl Fn(&Line) -> Option<Time>) -> Option<Time> {
         let d = self.destinations.get(&destination)?;
-        let opens = |line: usize| self.lines[line].opens(self.now, &self.settings);
         let active = d.endpoints.iter().map(|e| &self.endpoints[e]).filter(|at| self.rule_drain(at));
-        let own = active.filter_map(|at| opens(at.line)).min()?;
-        Some(own.max(d.shared.map_or(Some(own), opens)?))
+        let own = active.filter_map(|at| opens(&self.lines[at.line])).min()?;
+        Some(own.max(d.shared.map_or(Some(own), |line| opens(&self.lines[line]))?))
+    }
+
+    /// When a new call may go to the destination.
+    fn next_call_to(&self, destination: DestinationId) -> Option<Time> {
+        let opening = self.opening(destination, |line| line.opens(self.now, &self.settings));
+        opening.filter(|_| self.slots_left(destination))
     }
 
     /// Share of the slots that one destination may fill, whatever its routes.
@@ -1168,7 +1172,7 @@
 
     /// Whether a new call may go to the destination now, whatever the message.
     fn open(&self, destination: DestinationId) -> bool {
-        self.slots_left(destination) && self.opening(destination).is_some_and(|at| at <= self.now)
+        self.next_call_to(destination).is_some_and(|at| at <= self.now)
     }
 
     /// A call has one end: it is given up when the last of its messages would be, but none is kept past its
@@ -1266,9 +1270,8 @@
     fn set_alarm(&mut self, actions: &mut Vec<Action>) {
         let mut openings = BTreeMap::new();
         let free = self.calls.len() < self.settings.slots;
-        let mut opens = |destination: DestinationId| {
-            let opening = || self.opening(destination).filter(|_| self.slots_left(destination));
-            let at = free.then(|| *openings.entry(destination).or_insert_with(opening));
+        let mut opens = |to: DestinationId| {
+            let at = free.then(|| *openings.entry(to).or_insert_with(|| self.next_call_to(to)));
             at.flatten().unwrap_or(Time(u64::MAX))
         };
         let due = |h: &Held| match h.stage {
@@ -1278,9 +1281,8 @@
         };
         let lost = self.calls.values().filter(|call| call.overtaken >= OVERTAKEN && !call.given_up);
         let late = lost.filter_map(|c| Some(c.sent.after(self.lines[c.lines[0]?].slowest(GIVE_UP_DEVS))));
-        let late = late.filter(|at| *at > self.now);
-        let next = self.held.values().filter_map(due).chain(self.ask_list_at).chain(late).min();
-        let Some(next) = next else { return };
+        let late = late.filter(|at| *at > self.now).chain(self.ask_list_at);
+        let Some(next) = self.held.values().filter_map(due).chain(late).min() else { return };
         let at = next.max(Time(self.now.0 + HEARTBEAT * self.settings.period.0));
         if self.woken_at.is_none_or(|set| set <= self.now || at < set) {
             self.woken_at = Some(at);
