--- /dev/null
+++ b/lab/src/clients.rs
@@ -0,0 +1,203 @@
+//! Stand-in clients behind a plain front: each hands its message in, and again after a refusal.
+use crate::plan::{Arrival, Micros, micros};
+use crate::scenario::Effect;
+use crate::stage::Stage;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HOST, RETRY_AFTER};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use micadrum::wire::{ENVELOPE, HAND_IN, IDEMPOTENCY_KEY, LANE, REMAINING, TXN};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+use tokio::time::{sleep_until, timeout};
+
+/// What the front knows of a sender.
+pub struct FrontEntry {
+    /// Where clients connect.
+    pub address: SocketAddr,
+    /// Until when the front takes it for dead, and from when on: microseconds of the play; equal for never.
+    pub dead: (AtomicU64, AtomicU64),
+}
+
+/// The front and the clients behind it.
+pub struct Clients {
+    stage: Arc<Stage>,
+    senders: Vec<FrontEntry>,
+    http: Client<HttpConnector, Full<Bytes>>,
+    next_id: AtomicU64,
+    seed: u64,
+    body: Bytes,
+}
+
+/// What a client heard.
+enum Heard {
+    TakenOn,
+    Refused(Option<Micros>),
+    Nothing,
+}
+
+impl Clients {
+    /// Clients that use the senders at these addresses.
+    pub fn new(stage: Arc<Stage>, senders: Vec<SocketAddr>, seed: u64) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let http = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_millis(1500))
+            .build(connector);
+        let entry = |address| FrontEntry { address, dead: (AtomicU64::new(0), AtomicU64::new(0)) };
+        let body = Bytes::from(vec![b'.'; stage.scenario.traffic.body]);
+        Self {
+            senders: senders.into_iter().map(entry).collect(),
+            http,
+            next_id: AtomicU64::new(1),
+            seed,
+            body,
+            stage,
+        }
+    }
+
+    /// A sender has died: the front notices later, by chance.
+    pub fn died(&self, sender: usize, chance: f64) {
+        let [least, most] = self.stage.scenario.clients.notice_s;
+        let noticed = self.stage.now() + micros(least + (most - least) * chance);
+        let (from, until) = &self.senders[sender].dead;
+        from.store(noticed, Ordering::Relaxed);
+        until.store(Micros::MAX, Ordering::Relaxed);
+    }
+
+    /// A sender is ready.
+    pub fn ready(&self, sender: usize) {
+        self.senders[sender].dead.1.store(self.stage.now(), Ordering::Relaxed);
+    }
+
+    /// Hands in all messages of the plan in their time, and waits until the last client has gone.
+    pub async fn run(self: Arc<Self>) {
+        let arrivals = self.stage.plan.arrivals.clone();
+        let mut over = self.stage.over.subscribe();
+        let mut clients = JoinSet::new();
+        for (number, arrival) in arrivals.into_iter().enumerate() {
+            tokio::select! {
+                () = sleep_until(self.stage.instant(arrival.at)) => {}
+                _ = over.wait_for(|over| *over) => return,
+            }
+            clients.spawn(self.clone().client(number, arrival));
+            while clients.try_join_next().is_some() {}
+        }
+        tokio::select! {
+            () = async { while clients.join_next().await.is_some() {} } => {}
+            _ = over.wait_for(|over| *over) => {}
+        }
+    }
+
+    async fn client(self: Arc<Self>, number: usize, arrival: Arrival) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ (number as u64).wrapping_mul(0x9E37_79B9));
+        let (scenario, stage) = (&self.stage.scenario, &self.stage);
+        let class = &scenario.classes[arrival.class];
+        let came = stage.now();
+        let due = came + micros(class.deadline_ms / 1000.0);
+        let first = {
+            let mut inner = stage.lock();
+            inner.works.push(arrival.work);
+            inner.judge.wants(came, arrival.class)
+        };
+        let honours = rng.random::<f64>() < scenario.clients.honour;
+        for try_number in 0..=scenario.clients.retries {
+            let now = stage.now();
+            if now >= due {
+                return;
+            }
+            let chance = if try_number == 0 { arrival.chance } else { rng.random() };
+            let Some(sender) = self.pick(now, chance) else { return };
+            let id = format!("{:016x}", self.next_id.fetch_add(1, Ordering::Relaxed));
+            let back = {
+                let mut inner = stage.lock();
+                inner.judge.handed_in(&id, first, sender, arrival.partner, due);
+                let (told, back) = oneshot::channel();
+                inner.returns.insert(first, told);
+                back
+            };
+            let told = match self.hand_in(&id, first, sender, &arrival, due).await {
+                Heard::TakenOn => {
+                    stage.lock().judge.answered(stage.now(), &id, true);
+                    tokio::select! {
+                        told = back => match told {
+                            Ok(after_ms) => after_ms.map(|ms| ms * 1000),
+                            Err(_) => return,
+                        },
+                        () = sleep_until(stage.instant(due)) => return,
+                    }
+                }
+                Heard::Refused(after) => {
+                    stage.lock().judge.answered(stage.now(), &id, false);
+                    after
+                }
+                Heard::Nothing => {
+                    stage.lock().judge.unanswered(&id);
+                    None
+                }
+            };
+            let [least, most] = scenario.clients.again_ms;
+            let own = (least + (most - least) * rng.random::<f64>()) * f64::from(1 << try_number.min(10));
+            let wait = told.filter(|_| honours).unwrap_or(micros(own / 1000.0));
+            sleep_until(stage.instant(stage.now() + wait)).await;
+            if !stage.lock().judge.may_come_again(stage.now(), first) {
+                return;
+            }
+        }
+    }
+
+    /// A sender by chance, of those that the front takes for alive.
+    fn pick(&self, now: Micros, chance: f64) -> Option<usize> {
+        let alive = |entry: &FrontEntry| {
+            let (from, until) = (entry.dead.0.load(Ordering::Relaxed), entry.dead.1.load(Ordering::Relaxed));
+            !(from..until).contains(&now)
+        };
+        let alive: Vec<usize> = (0..self.senders.len()).filter(|s| alive(&self.senders[*s])).collect();
+        let place = (chance * alive.len() as f64) as usize;
+        alive.get(place.min(alive.len().saturating_sub(1))).copied()
+    }
+
+    async fn hand_in(&self, id: &str, first: usize, sender: usize, arrival: &Arrival, due: Micros) -> Heard {
+        let class = &self.stage.scenario.classes[arrival.class];
+        let address = self.senders[sender].address;
+        let left = due.saturating_sub(self.stage.now()) as f64 / 1e6;
+        let mut request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{address}{HAND_IN}"))
+            .header(HOST, "service.internal")
+            .header(TXN, id)
+            .header(LANE, &class.name)
+            .header(REMAINING, format!("{left:.3}"))
+            .header(ENVELOPE, format!("dest={}", arrival.partner));
+        if class.effect == Effect::Keyed {
+            request = request.header(IDEMPOTENCY_KEY, format!("{first:032x}"));
+        }
+        let Ok(request) = request.body(Full::new(self.body.clone())) else { return Heard::Nothing };
+        let patience = Duration::from_micros(micros(self.stage.scenario.clients.patience_ms / 1000.0));
+        let Ok(Ok(answer)) = timeout(patience, self.http.request(request)).await else {
+            return Heard::Nothing;
+        };
+        match answer.status() {
+            StatusCode::OK | StatusCode::ACCEPTED => Heard::TakenOn,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                let after =
+                    answer.headers().get(RETRY_AFTER).and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
+                Heard::Refused(after.filter(|s| s.is_finite()).map(micros))
+            }
+            other => {
+                self.stage.fault(format!("a sender answered {other} to a proper request"));
+                Heard::Nothing
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/fleet.rs
@@ -0,0 +1,278 @@
+//! The senders of a play: real processes with a folder and a configuration each, ended with the play.
+use crate::directory::invariants;
+use crate::plan::Plan;
+use crate::scenario::{Baseline, Effect, Scenario, Variant};
+use micadrum::wire::READY;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, Command};
+use tokio::time::{Instant, sleep, timeout};
+
+/// A sender that is not ready by then does not start.
+const START_PATIENCE: Duration = Duration::from_secs(20);
+/// After SIGTERM a process has so long until SIGKILL.
+const TERM_PATIENCE: Duration = Duration::from_millis(3700);
+/// Pause between questions whether a sender is ready.
+const ASK_PAUSE: Duration = Duration::from_millis(10);
+
+/// Why a fleet cannot be had.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetError {
+    /// The sender's program could not be built.
+    #[error("building the sender: {0}")]
+    Build(String),
+    /// Something of the machine's.
+    #[error("{what}: {source}")]
+    Io {
+        /// What was tried.
+        what: &'static str,
+        /// Why it failed.
+        source: std::io::Error,
+    },
+    /// A sender did not get ready.
+    #[error("sender {sender} did not start; its log ends with:\n{log}")]
+    NotReady {
+        /// Which.
+        sender: usize,
+        /// The end of its log.
+        log: String,
+    },
+    /// A variant sets a key that is no place in a configuration.
+    #[error("variant {variant:?}: {key:?} is no key of a configuration")]
+    NoKey {
+        /// The variant.
+        variant: String,
+        /// The key.
+        key: String,
+    },
+}
+
+fn io(what: &'static str) -> impl FnOnce(std::io::Error) -> FleetError {
+    move |source| FleetError::Io { what, source }
+}
+
+/// What a variant runs.
+#[derive(Clone, Debug)]
+pub enum Program {
+    /// A sender.
+    Sender(PathBuf),
+    /// A plain sender of the lab.
+    Baseline(Baseline),
+}
+
+/// The sender of this project, built if it is not up to date, in the profile of the lab itself.
+pub fn built_sender() -> Result<PathBuf, FleetError> {
+    let lab = std::env::current_exe().map_err(io("finding this program"))?;
+    let folder = lab.parent().unwrap_or(Path::new("."));
+    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
+    let manifest = Path::new(env!("CARGO_MANIFEST_DIR")).join("../Cargo.toml");
+    if manifest.exists() {
+        let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+        let mut build = std::process::Command::new(cargo);
+        build.args(["build", "--quiet", "--locked", "--bin", "micadrum", "--manifest-path"]).arg(&manifest);
+        build.arg("--target-dir").arg(folder.parent().unwrap_or(folder));
+        if folder.ends_with("release") {
+            build.arg("--release");
+        }
+        let built = build.output().map_err(io("starting cargo"))?;
+        if !built.status.success() {
+            return Err(FleetError::Build(String::from_utf8_lossy(&built.stderr).into_owned()));
+        }
+    }
+    let sender = folder.join("micadrum");
+    if sender.exists() {
+        Ok(sender)
+    } else {
+        Err(FleetError::Build(format!("{} is missing", sender.display())))
+    }
+}
+
+/// One sender.
+pub struct Node {
+    /// Its number.
+    pub number: usize,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    folder: TempDir,
+    child: Option<Child>,
+    program: Program,
+}
+
+/// Addresses that were free a moment ago.
+pub async fn free_address() -> Result<SocketAddr, FleetError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.map_err(io("finding a port"))?;
+    listener.local_addr().map_err(io("finding a port"))
+}
+
+/// What a sender is told, as the deployment page has it.
+pub fn configuration(
+    scenario: &Scenario,
+    plan: &Plan,
+    number: usize,
+    addresses: (SocketAddr, SocketAddr),
+    known: &Value,
+    seed: u64,
+) -> Value {
+    let lane = |c: &crate::scenario::Class| {
+        let (repeat, group) = match c.effect {
+            Effect::Safe => ("retryable", None),
+            Effect::Keyed => ("dedup", Some("all")),
+            Effect::Unsafe => ("fragile", None),
+        };
+        let us = |ms: f64| (ms * 1000.0) as u64;
+        json!({"name": c.name, "aim": us(c.aim_ms), "hard_limit": us(c.deadline_ms), "worth": c.worth,
+            "late_value": c.late_worth, "repeat": repeat, "group": group,
+            "key_ttl": (c.effect == Effect::Keyed).then(|| us(c.window_ms)), "fifo_by_key": false})
+    };
+    let f = &scenario.fleet;
+    json!({
+        "name": format!("n{number}"), "listen": addresses.0.to_string(), "discovery": addresses.1.to_string(),
+        "seed": format!("{:016x}", seed.wrapping_mul(0x9E37_79B9_7F4A_7C15).wrapping_add(number as u64)),
+        "limits": {"cores": 1.0, "memory_mb": f.memory_mb, "sockets": f.sockets, "disk_mb": f.disk_mb},
+        "known": known,
+        "settings": {
+            "azs": ["a"], "zone": "a", "discovery": "on_request", "fleet_size": f.senders,
+            "kinds": scenario.partners.iter().map(|k| k.name.as_str()).collect::<Vec<_>>(),
+            "lanes": scenario.classes.iter().map(lane).collect::<Vec<_>>(),
+            "limits": {"cancel": true, "connect_timeout": 1_000_000, "conn_idle": 5_000_000,
+                "max_attempts": f.max_attempts, "most_held": plan.most_held, "probes": false},
+            "invariants": invariants(&scenario.rules),
+            "specifics": {"decay": "by_half", "max_calls": plan.slots},
+            "period": 5000, "report": {"how": "none", "names": []}, "weights": "nominal"
+        }
+    })
+}
+
+/// Sets a key of a configuration by its path. Objects on the way must be there.
+fn set_key(config: &mut Value, path: &str, value: &toml::Value) -> Option<()> {
+    let mut at = config;
+    let mut parts = path.split('.').peekable();
+    while let Some(part) = parts.next() {
+        let object = at.as_object_mut()?;
+        if parts.peek().is_none() {
+            object.insert(part.to_owned(), serde_json::to_value(value).ok()?);
+            return Some(());
+        }
+        at = object.get_mut(part)?;
+    }
+    None
+}
+
+impl Node {
+    /// A sender, not yet started.
+    pub fn new(
+        number: usize,
+        address: SocketAddr,
+        program: Program,
+        mut config: Value,
+        variant: &Variant,
+    ) -> Result<Self, FleetError> {
+        for (key, value) in &variant.set {
+            set_key(&mut config, key, value)
+                .ok_or_else(|| FleetError::NoKey { variant: variant.name.clone(), key: key.clone() })?;
+        }
+        let folder = tempfile::tempdir().map_err(io("making a folder"))?;
+        std::fs::create_dir(folder.path().join("state")).map_err(io("making a folder"))?;
+        std::fs::write(folder.path().join("config.json"), config.to_string())
+            .map_err(io("writing a file"))?;
+        Ok(Self { number, address, folder, child: None, program })
+    }
+
+    /// Starts the process on what its folder holds, and waits until it is ready.
+    pub async fn start(&mut self) -> Result<(), FleetError> {
+        let log = std::fs::File::options().create(true).append(true).open(self.log_path());
+        let mut command = match &self.program {
+            Program::Sender(path) => Command::new(path),
+            Program::Baseline(baseline) => {
+                let mut lab = Command::new(std::env::current_exe().map_err(io("finding this program"))?);
+                lab.arg("baseline-sender").arg(format!("{baseline:?}"));
+                lab
+            }
+        };
+        let child = command
+            .env("PROXY_CONFIG", self.folder.path().join("config.json"))
+            .env("PROXY_STATE", self.folder.path().join("state"))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log.map_err(io("making a log"))?)
+            // ctrl-C is for the lab, which then ends its senders.
+            .process_group(0)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(io("starting a sender"))?;
+        self.child = Some(child);
+        let patience = Instant::now() + START_PATIENCE;
+        while Instant::now() < patience && !self.ended() {
+            if ready(self.address).await {
+                return Ok(());
+            }
+            sleep(ASK_PAUSE).await;
+        }
+        Err(FleetError::NotReady { sender: self.number, log: self.last_lines(5) })
+    }
+
+    fn log_path(&self) -> PathBuf {
+        self.folder.path().join("log")
+    }
+
+    /// The end of its log.
+    pub fn last_lines(&self, count: usize) -> String {
+        let text = std::fs::read(self.log_path()).unwrap_or_default();
+        let text = String::from_utf8_lossy(&text);
+        let lines: Vec<_> = text.lines().collect();
+        lines[lines.len().saturating_sub(count)..].join("\n")
+    }
+
+    /// Whether its process has ended, by itself or not.
+    pub fn ended(&mut self) -> bool {
+        self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.child.as_ref().and_then(Child::id).and_then(|id| i32::try_from(id).ok());
+        if let Some(pid) = pid {
+            // One that has just ended hears nothing.
+            let _ = kill(Pid::from_raw(pid), signal);
+        }
+    }
+
+    /// SIGKILL, and waits for the end.
+    pub async fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill().await;
+        }
+    }
+
+    /// SIGTERM, waits for the end, and SIGKILL where it does not come.
+    pub async fn terminate(&mut self) {
+        self.signal(Signal::SIGTERM);
+        if let Some(child) = self.child.as_mut()
+            && timeout(TERM_PATIENCE, child.wait()).await.is_ok()
+        {
+            self.child = None;
+            return;
+        }
+        self.kill().await;
+    }
+}
+
+/// Whether a sender says that it is to be used.
+async fn ready(address: SocketAddr) -> bool {
+    let ask = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        let request = format!("GET {READY} HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.ok()?;
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).await.ok()?;
+        Some(answer.ends_with(b"200"))
+    };
+    timeout(Duration::from_millis(500), ask).await.ok().flatten().unwrap_or(false)
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,15 @@
+//! Stand-in partners, directory and clients for the sender, on loopback, and a judge apart from all of them. Times are
+//! microseconds from the start of a play; whatever chance decides comes from the play's seed.
+#![forbid(unsafe_code)]
+
+pub mod clients;
+pub mod directory;
+pub mod endpoints;
+pub mod fleet;
+pub mod judge;
+pub mod model;
+pub mod plan;
+pub mod play;
+pub mod scenario;
+pub mod stage;
+pub mod table;
--- /dev/null
+++ b/lab/src/plan.rs
@@ -0,0 +1,272 @@
+//! What is drawn before a play: partners with their limits, and every message with its time. The same scenario and
+//! seed give the same plan, on any machine.
+use crate::scenario::{Drawn, Scenario, Trouble};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp, LogNormal, weighted::WeightedIndex};
+
+/// Times in a play: microseconds from its start.
+pub type Micros = u64;
+
+/// So many seconds in microseconds.
+pub fn micros(seconds: f64) -> Micros {
+    (seconds * 1e6).round().max(0.0) as Micros
+}
+
+/// A message that a client will hand in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// When.
+    pub at: Micros,
+    /// Its class, by its place in the scenario.
+    pub class: usize,
+    /// Its partner.
+    pub partner: usize,
+    /// What it takes at a partner of usual pace.
+    pub work: Micros,
+    /// Chance for which sender gets it, and for the client's waits: from 0 to 1.
+    pub chance: f64,
+}
+
+/// A partner as it was drawn.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PartnerPlan {
+    /// Its kind, by its place in the scenario.
+    pub kind: usize,
+    /// Its part of the messages.
+    pub part: f64,
+    /// Calls a second that it takes from all senders together.
+    pub limit: f64,
+    /// Length of the span in which calls are counted; 0 for a plain rate.
+    pub window: Micros,
+    /// Endpoints.
+    pub endpoints: usize,
+    /// Calls that an endpoint serves at once.
+    pub at_once: usize,
+    /// Calls that wait at an endpoint, at the most.
+    pub queue: usize,
+    /// Connections that an endpoint takes; 0 for any number.
+    pub connections: usize,
+    /// Calls a second that it could serve.
+    pub capacity: f64,
+    /// Its pace: work takes its time divided by this.
+    pub speed: f64,
+    /// Share of its refusals that tell a wait.
+    pub tells_wait: f64,
+}
+
+/// All that is drawn before a play.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Partners, by number.
+    pub partners: Vec<PartnerPlan>,
+    /// Messages, by time.
+    pub arrivals: Vec<Arrival>,
+    /// Slots of each sender.
+    pub slots: usize,
+    /// Messages that each sender holds, at the most.
+    pub most_held: usize,
+    /// Troubles and whom each meets, by number.
+    pub troubles: Vec<(Trouble, Vec<usize>)>,
+}
+
+fn draw(rng: &mut ChaCha8Rng, range: Drawn) -> f64 {
+    range[0] + (range[1] - range[0]) * rng.random::<f64>()
+}
+
+/// Smallest room of a sender, whatever its part of the traffic: calls out, and messages held.
+const LEAST_SLOTS: usize = 3;
+const LEAST_HELD: usize = 8;
+/// In which a clump comes, as a share of the time in which its partner could take it.
+const CLUMP_SPREAD: f64 = 0.2;
+
+impl Plan {
+    /// Draws a plan.
+    pub fn draw(scenario: &Scenario, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let partners = draw_partners(scenario, &mut rng);
+        let arrivals = draw_arrivals(scenario, &partners, &mut rng);
+        let full = scenario.traffic.rate / scenario.traffic.load / scenario.fleet.senders as f64;
+        let busy = full * mean_work(scenario) / partners.iter().map(|p| p.part * p.speed).sum::<f64>();
+        let troubles = scenario.troubles.iter().map(|t| {
+            let of = if t.kind.meets_partners() { partners.len() } else { scenario.fleet.senders };
+            let met = ((of as f64 * t.part).round() as usize).clamp(1, of);
+            (t.clone(), (0..met).collect())
+        });
+        Plan {
+            slots: ((busy * scenario.fleet.slots_room).round() as usize).max(LEAST_SLOTS),
+            most_held: ((full * scenario.fleet.hold_s).round() as usize).max(LEAST_HELD),
+            troubles: troubles.collect(),
+            partners,
+            arrivals,
+        }
+    }
+
+    /// Endpoints of all partners: their partner and their number there.
+    pub fn endpoints(&self) -> impl Iterator<Item = (usize, usize)> {
+        let counts = self.partners.iter().enumerate();
+        counts.flat_map(|(partner, p)| (0..p.endpoints).map(move |endpoint| (partner, endpoint)))
+    }
+}
+
+/// Seconds that a message takes at a partner of usual pace, in the mean over the classes.
+fn mean_work(scenario: &Scenario) -> f64 {
+    let shares: f64 = scenario.classes.iter().map(|c| c.share).sum();
+    scenario.classes.iter().map(|c| c.share * c.work_ms / 1000.0).sum::<f64>() / shares
+}
+
+fn draw_partners(scenario: &Scenario, rng: &mut ChaCha8Rng) -> Vec<PartnerPlan> {
+    let kinds = scenario.partner_kinds();
+    let weight = |place: usize| (place as f64 + 1.0).powf(-scenario.traffic.zipf);
+    let all: f64 = (0..kinds.len()).map(weight).sum();
+    let full = scenario.traffic.rate / scenario.traffic.load;
+    let work = mean_work(scenario);
+    let partner = |(place, kind): (usize, usize)| {
+        let (k, part) = (&scenario.partners[kind], weight(place) / all);
+        let limit = (full * part * draw(rng, k.headroom)).max(draw(rng, k.least_rate));
+        let capacity = limit * draw(rng, k.spare);
+        let speed = draw(rng, k.speed);
+        let endpoints = (draw(rng, k.endpoints).round() as usize).max(1);
+        let each = capacity / endpoints as f64;
+        let at_once = ((each * work / speed).ceil() as usize).max(1);
+        let connections = (k.connections * at_once as f64).max(k.least_connections).round() as usize;
+        PartnerPlan {
+            kind,
+            part,
+            limit,
+            window: micros(draw(rng, k.window_ms) / 1000.0),
+            endpoints,
+            at_once,
+            queue: (each * draw(rng, k.depth_s)).round() as usize,
+            connections: if k.connections > 0.0 { connections } else { 0 },
+            capacity,
+            speed,
+            tells_wait: draw(rng, k.tells_wait),
+        }
+    };
+    kinds.into_iter().enumerate().map(partner).collect()
+}
+
+fn draw_arrivals(scenario: &Scenario, partners: &[PartnerPlan], rng: &mut ChaCha8Rng) -> Vec<Arrival> {
+    let t = &scenario.traffic;
+    let mut arrivals = Vec::new();
+    let (Ok(class), Ok(partner)) = (
+        WeightedIndex::new(scenario.classes.iter().map(|c| c.share)),
+        WeightedIndex::new(partners.iter().map(|p| p.part)),
+    ) else {
+        return arrivals;
+    };
+    let works: Vec<_> = scenario.classes.iter().map(|c| lognormal(c.work_ms / 1000.0, c.cv)).collect();
+    let mut add = |rng: &mut ChaCha8Rng, at: f64, partner: usize| {
+        let class = class.sample(rng);
+        let work = works[class].map_or(scenario.classes[class].work_ms / 1000.0, |w| w.sample(rng));
+        if at < scenario.seconds {
+            arrivals.push(Arrival {
+                at: micros(at),
+                class,
+                partner,
+                work: micros(work).max(1),
+                chance: rng.random(),
+            });
+        }
+    };
+    for at in poisson(rng, t.rate * (1.0 - t.clumps), scenario.seconds) {
+        let to = partner.sample(rng);
+        add(rng, at, to);
+    }
+    let size = |p: &PartnerPlan| (p.limit * t.clump_s).round().max(1.0);
+    let mean: f64 = partners.iter().map(|p| p.part * size(p)).sum();
+    for at in poisson(rng, t.rate * t.clumps / mean, scenario.seconds) {
+        let to = partner.sample(rng);
+        for _ in 0..size(&partners[to]) as usize {
+            let later = t.clump_s * CLUMP_SPREAD * rng.random::<f64>();
+            add(rng, at + later, to);
+        }
+    }
+    arrivals.sort_by_key(|a| a.at);
+    arrivals
+}
+
+/// Times of a Poisson process.
+fn poisson(rng: &mut ChaCha8Rng, rate: f64, seconds: f64) -> Vec<f64> {
+    let Ok(gap) = Exp::new(rate) else { return Vec::new() };
+    let mut times = Vec::new();
+    let mut at = gap.sample(rng);
+    while at < seconds {
+        times.push(at);
+        at += gap.sample(rng);
+    }
+    times
+}
+
+/// A lognormal distribution by its mean and coefficient of variation; none where nothing varies.
+pub fn lognormal(mean: f64, cv: f64) -> Option<LogNormal<f64>> {
+    LogNormal::from_mean_cv(mean, cv).ok().filter(|_| cv > 0.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn scenario(more: &str) -> Scenario {
+        Scenario::parse(&format!("name = \"t\"\nseconds = 400.0\n{more}")).unwrap()
+    }
+
+    /// Guards comparisons: variants of one seed must be handed the same messages.
+    #[test]
+    fn one_seed_gives_one_plan_and_another_seed_another() {
+        let s = scenario("[[trouble]]\nkind = \"down\"\nat_s = 1.0\nfor_s = 2.0\npart = 0.2");
+        assert_eq!(Plan::draw(&s, 7), Plan::draw(&s, 7));
+        assert_ne!(Plan::draw(&s, 7).arrivals, Plan::draw(&s, 8).arrivals);
+        assert_eq!(Plan::draw(&s, 7).troubles[0].1, [0, 1, 2], "a fifth of sixteen partners");
+    }
+
+    /// The operators' figures: 50 a second, 42, 35 and 23% of the classes, in the mean 180 to 320 and 110 to 190 ms.
+    #[test]
+    fn traffic_has_the_figures_of_the_scenario() {
+        let s = scenario("");
+        let plan = Plan::draw(&s, 3);
+        let all = plan.arrivals.len() as f64;
+        assert!((all / s.seconds - 50.0).abs() < 3.0, "{all} in {} s", s.seconds);
+        for (class, row) in s.classes.iter().enumerate() {
+            let own: Vec<_> = plan.arrivals.iter().filter(|a| a.class == class).collect();
+            let mean = own.iter().map(|a| a.work as f64 / 1000.0).sum::<f64>() / own.len() as f64;
+            assert!((own.len() as f64 / all - row.share).abs() < 0.02, "{} of {all}", own.len());
+            assert!((mean / row.work_ms - 1.0).abs() < 0.1, "{mean} ms");
+        }
+        assert!(plan.arrivals.is_sorted_by_key(|a| a.at));
+        let hub = plan.arrivals.iter().filter(|a| a.partner == 0).count() as f64;
+        assert!((hub / all / plan.partners[0].part - 1.0).abs() < 0.3, "{hub} of {all}");
+    }
+
+    #[test]
+    fn limits_lie_in_their_headroom_and_capacity_above_them() {
+        let s = scenario("");
+        let full = s.traffic.rate / s.traffic.load;
+        for p in &Plan::draw(&s, 5).partners {
+            let k = &s.partners[p.kind];
+            let (least, most) = (k.headroom[0] * full * p.part, k.headroom[1] * full * p.part);
+            assert!(p.limit >= least && p.limit <= most.max(k.least_rate[1]), "{p:?}");
+            assert!(p.capacity >= p.limit * k.spare[0] && p.at_once >= 1, "{p:?}");
+        }
+    }
+
+    #[test]
+    fn clumps_are_their_share_of_the_messages() {
+        let clumpy = scenario("[traffic]\nclumps = 1.0\nclump_s = 1.0");
+        let plan = Plan::draw(&clumpy, 2);
+        let rate = plan.arrivals.len() as f64 / clumpy.seconds;
+        assert!((rate / 50.0 - 1.0).abs() < 0.2, "{rate} a second");
+        let close = plan.arrivals.windows(2).filter(|w| w[0].partner == w[1].partner).count();
+        assert!(close * 3 > plan.arrivals.len(), "{close} neighbours of {}", plan.arrivals.len());
+    }
+
+    #[test]
+    fn an_impossible_figure_is_named_with_its_place() {
+        let wrong =
+            Scenario::parse("name = \"t\"\nseconds = -1.0\n[traffic]\nrate = 0.0").unwrap_err().to_string();
+        assert!(wrong.contains("seconds = -1") && wrong.contains("traffic.rate = 0"), "{wrong}");
+        let unknown = Scenario::parse("name = \"t\"\nseconds = 1.0\nsecond = 2").unwrap_err().to_string();
+        assert!(unknown.contains("second"), "{unknown}");
+    }
+}
--- /dev/null
+++ b/lab/src/play.rs
@@ -0,0 +1,335 @@
+//! One play: all parties on loopback, the troubles in their time, and the judge's verdict.
+use crate::clients::Clients;
+use crate::directory::{self, Directory};
+use crate::endpoints;
+use crate::fleet::{FleetError, Node, Program, configuration, free_address};
+use crate::judge::Verdict;
+use crate::model::Condition;
+use crate::plan::{Plan, micros};
+use crate::scenario::{Scenario, Trouble, TroubleKind, Variant};
+use crate::stage::Stage;
+use micadrum::wire::{Member, Phase};
+use serde::Serialize;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Mutex, watch};
+use tokio::task::JoinSet;
+use tokio::time::{interval, sleep, sleep_until};
+
+/// What came of a play.
+#[derive(Debug, Serialize)]
+pub struct Played {
+    /// The scenario's name.
+    pub scenario: String,
+    /// The variant's.
+    pub variant: String,
+    /// The seed.
+    pub seed: u64,
+    /// Messages in the plan.
+    pub planned: usize,
+    /// What the judge says.
+    pub verdict: Verdict,
+    /// Senders that ended by themselves.
+    pub crashes: Vec<String>,
+    /// Faults of the lab's own: then the play proves nothing.
+    pub faults: Vec<String>,
+    /// Stopped before its end: the figures are of a part only.
+    pub cut_short: bool,
+}
+
+impl Played {
+    /// Whether all rules were kept, by senders that lived, in a play without a fault.
+    pub fn clean(&self) -> bool {
+        self.verdict.breaches.is_empty() && self.crashes.is_empty() && self.faults.is_empty()
+    }
+}
+
+/// Pause between looks at the processes.
+const LOOK: Duration = Duration::from_millis(100);
+/// Pause between lines on how it goes.
+const TELL: Duration = Duration::from_secs(2);
+/// How long a play may go on after the last message's time.
+const MOST_AFTER: f64 = 5.0;
+
+type Nodes = Arc<Vec<Arc<Mutex<Node>>>>;
+
+/// Plays a scenario once; `stop`, once over 0, ends it early, `tell` has lines on how it goes printed.
+pub async fn play(
+    scenario: &Scenario,
+    variant: &Variant,
+    seed: u64,
+    program: &Program,
+    mut stop: watch::Receiver<u32>,
+    tell: bool,
+) -> Result<Played, FleetError> {
+    let plan = Plan::draw(scenario, seed);
+    let planned = plan.arrivals.len();
+    let stage = Arc::new(Stage::new(scenario.clone(), plan, seed));
+    let mut parties = JoinSet::new();
+    let directory = raise(&stage, &mut parties).await?;
+    let nodes = start(&stage, &directory, variant, seed, program, &mut parties).await?;
+    let addresses = addresses_of(&nodes).await;
+    stage.begin();
+    let clients = Arc::new(Clients::new(stage.clone(), addresses, seed));
+    for (trouble, met) in stage.plan.troubles.clone() {
+        let run =
+            make_trouble(stage.clone(), directory.clone(), nodes.clone(), clients.clone(), trouble, met);
+        parties.spawn(run);
+    }
+    let crashes = Arc::new(Mutex::new(Vec::new()));
+    parties.spawn(watch_nodes(stage.clone(), nodes.clone(), clients.clone(), crashes.clone()));
+    if tell {
+        parties.spawn(tell_progress(stage.clone()));
+    }
+    let longest = scenario.classes.iter().map(|c| c.deadline_ms / 1000.0).fold(0.0, f64::max);
+    let last = stage.instant(micros(scenario.seconds + longest + MOST_AFTER));
+    let cut_short = tokio::select! {
+        () = async { clients.run().await; settle(&stage).await } => false,
+        _ = stop.wait_for(|count| *count > 0) => true,
+        () = sleep_until(last) => false,
+    };
+    let ended = stage.now();
+    stage.over.send_replace(true);
+    parties.shutdown().await;
+    for node in nodes.iter() {
+        node.lock().await.kill().await;
+    }
+    let (judge, faults) = stage.finish();
+    let crashes = std::mem::take(&mut *crashes.lock().await);
+    Ok(Played {
+        scenario: scenario.name.clone(),
+        variant: variant.name.clone(),
+        seed,
+        planned,
+        verdict: judge.verdict(ended),
+        crashes,
+        faults,
+        cut_short,
+    })
+}
+
+async fn addresses_of(nodes: &Nodes) -> Vec<std::net::SocketAddr> {
+    let mut addresses = Vec::with_capacity(nodes.len());
+    for node in nodes.iter() {
+        addresses.push(node.lock().await.address);
+    }
+    addresses
+}
+
+/// Waits until each message taken on has its end, or its time is past.
+async fn settle(stage: &Stage) {
+    loop {
+        {
+            let inner = stage.lock();
+            if inner.judge.open() == 0 || inner.judge.settled(stage.now()) {
+                return;
+            }
+        }
+        sleep(LOOK).await;
+    }
+}
+
+async fn listen() -> Result<TcpListener, FleetError> {
+    let source = |source| FleetError::Io { what: "listening", source };
+    TcpListener::bind("127.0.0.1:0").await.map_err(source)
+}
+
+/// Raises all endpoints, and the directory that lists them.
+async fn raise(stage: &Arc<Stage>, parties: &mut JoinSet<()>) -> Result<Arc<Directory>, FleetError> {
+    let mut members = Vec::new();
+    for (partner, endpoint) in stage.plan.endpoints() {
+        let listener = listen().await?;
+        let host_port =
+            listener.local_addr().map_err(|source| FleetError::Io { what: "listening", source })?;
+        let p = &stage.plan.partners[partner];
+        let member = Member {
+            id: format!("e-{partner}-{endpoint}"),
+            host_port,
+            locality: "a".to_owned(),
+            flavor: stage.scenario.partners[p.kind].name.clone(),
+            cell: partner as u64,
+            phase: Phase::Serving,
+            size: p.limit,
+            up_since_ms: 0,
+        };
+        members.push((partner, endpoint, member));
+        parties.spawn(endpoints::serve(stage.clone(), partner, endpoint, listener));
+    }
+    Ok(Arc::new(Directory::new(members)))
+}
+
+/// Starts all senders at once.
+async fn start(
+    stage: &Arc<Stage>,
+    directory: &Arc<Directory>,
+    variant: &Variant,
+    seed: u64,
+    program: &Program,
+    parties: &mut JoinSet<()>,
+) -> Result<Nodes, FleetError> {
+    let known = serde_json::to_value(directory.list(None)).unwrap_or_default();
+    let mut starting = JoinSet::new();
+    for number in 0..stage.scenario.fleet.senders {
+        let listener = listen().await?;
+        let told = listener.local_addr().map_err(|source| FleetError::Io { what: "listening", source })?;
+        parties.spawn(directory::serve(stage.clone(), directory.clone(), number, listener));
+        let address = free_address().await?;
+        let config = configuration(&stage.scenario, &stage.plan, number, (address, told), &known, seed);
+        let mut node = Node::new(number, address, program.clone(), config, variant)?;
+        starting.spawn(async move { node.start().await.map(|()| node) });
+    }
+    let mut nodes = HashMap::new();
+    while let Some(started) = starting.join_next().await {
+        let node = started.map_err(|e| FleetError::Io { what: "starting", source: e.into() })??;
+        nodes.insert(node.number, Arc::new(Mutex::new(node)));
+    }
+    Ok(Arc::new((0..nodes.len()).filter_map(|number| nodes.remove(&number)).collect()))
+}
+
+async fn make_trouble(
+    stage: Arc<Stage>,
+    directory: Arc<Directory>,
+    nodes: Nodes,
+    clients: Arc<Clients>,
+    trouble: Trouble,
+    met: Vec<usize>,
+) {
+    sleep_until(stage.instant(micros(trouble.at_s))).await;
+    let ends = micros(trouble.at_s + trouble.for_s);
+    let until = stage.instant(ends);
+    stage.lock().judge.event(stage.now(), format!("{:?} begins: {} met", trouble.kind, met.len()));
+    match trouble.kind {
+        TroubleKind::Kill => {
+            let mut down = JoinSet::new();
+            for number in met {
+                let (stage, nodes, clients) = (stage.clone(), nodes.clone(), clients.clone());
+                down.spawn(async move {
+                    let mut node = nodes[number].lock().await;
+                    stage.lock().judge.sender_down(stage.now(), number);
+                    node.kill().await;
+                    clients.died(number, 0.5);
+                    sleep_until(until).await;
+                    begin_again(&stage, &clients, &mut node).await;
+                });
+            }
+            while down.join_next().await.is_some() {}
+        }
+        TroubleKind::Restart => {
+            let gap = Duration::from_secs_f64(trouble.for_s / met.len() as f64);
+            let mut next = stage.instant(micros(trouble.at_s));
+            for number in met {
+                let mut node = nodes[number].lock().await;
+                stage.lock().judge.sender_down(stage.now(), number);
+                clients.died(number, 0.0);
+                node.terminate().await;
+                begin_again(&stage, &clients, &mut node).await;
+                next += gap;
+                sleep_until(next).await;
+            }
+        }
+        TroubleKind::Directory => {
+            directory.set_down(true);
+            sleep_until(until).await;
+            directory.set_down(false);
+        }
+        TroubleKind::Drain => {
+            let last: Vec<_> = met.iter().map(|p| (*p, stage.plan.partners[*p].endpoints - 1)).collect();
+            last.iter().for_each(|(p, e)| directory.set(*p, *e, Phase::Draining));
+            sleep_until(until).await;
+            last.iter().for_each(|(p, e)| directory.set(*p, *e, Phase::Serving));
+        }
+        kind => {
+            met.iter().for_each(|partner| afflict(&stage, *partner, kind, trouble.size, ends));
+            sleep_until(until).await;
+            met.iter().for_each(|partner| relieve(&stage, *partner, kind));
+        }
+    }
+    stage.lock().judge.event(stage.now(), format!("{:?} ends", trouble.kind));
+}
+
+async fn begin_again(stage: &Stage, clients: &Clients, node: &mut Node) {
+    match node.start().await {
+        Ok(()) => {
+            stage.lock().judge.sender_ready(stage.now(), node.number);
+            clients.ready(node.number);
+        }
+        Err(e) => stage.fault(e.to_string()),
+    }
+}
+
+fn afflict(stage: &Stage, partner: usize, kind: TroubleKind, size: f64, ends: u64) {
+    match kind {
+        TroubleKind::Down => stage.set(partner, Condition::Down),
+        TroubleKind::Hung => stage.set(partner, Condition::Hung),
+        TroubleKind::Shut => stage.set(partner, Condition::Shut(ends)),
+        TroubleKind::Errors => stage.set(partner, Condition::Errors),
+        TroubleKind::Slow => stage.lock().partners[partner].slow = size,
+        TroubleKind::Lost => stage.lock().partners[partner].lost = size,
+        TroubleKind::Resets => stage.lock().partners[partner].resets = size,
+        TroubleKind::Limit => stage.lock().partners[partner].limit_by(size),
+        _ => {}
+    }
+}
+
+fn relieve(stage: &Stage, partner: usize, kind: TroubleKind) {
+    match kind {
+        TroubleKind::Down | TroubleKind::Hung | TroubleKind::Shut | TroubleKind::Errors => {
+            stage.set(partner, Condition::Up);
+        }
+        TroubleKind::Slow => stage.lock().partners[partner].slow = 1.0,
+        TroubleKind::Lost => stage.lock().partners[partner].lost = 0.0,
+        TroubleKind::Resets => stage.lock().partners[partner].resets = 0.0,
+        TroubleKind::Limit => stage.lock().partners[partner].limit_by(1.0),
+        _ => {}
+    }
+}
+
+/// A sender that ends by itself is recorded, and started again on what it left.
+async fn watch_nodes(
+    stage: Arc<Stage>,
+    nodes: Nodes,
+    clients: Arc<Clients>,
+    crashes: Arc<Mutex<Vec<String>>>,
+) {
+    let mut looks = interval(LOOK);
+    loop {
+        looks.tick().await;
+        for (number, node) in nodes.iter().enumerate() {
+            // One that a trouble has in hand is down on purpose.
+            let Ok(mut node) = node.try_lock() else { continue };
+            if node.ended() {
+                let now = stage.now();
+                let at = now as f64 / 1e6;
+                let what = format!("sender {number} at {at:.1} s: {}", node.last_lines(3));
+                crashes.lock().await.push(what);
+                stage.lock().judge.sender_down(now, number);
+                clients.died(number, 0.5);
+                begin_again(&stage, &clients, &mut node).await;
+            }
+        }
+    }
+}
+
+async fn tell_progress(stage: Arc<Stage>) {
+    let mut ticks = interval(TELL);
+    ticks.tick().await;
+    let mut told = 0;
+    loop {
+        ticks.tick().await;
+        let now = stage.now() as f64 / 1e6;
+        let (so_far, open, events) = {
+            let inner = stage.lock();
+            (inner.judge.so_far(), inner.judge.open(), inner.judge.events()[told..].to_vec())
+        };
+        told += events.len();
+        for (at, what) in events {
+            println!("  {at:5.1} s  {what}");
+        }
+        let [wanted, delivered, ended] = so_far;
+        println!(
+            "  {now:5.1} s  wanted {wanted}, delivered {delivered}, refused or failed {ended}, under way {open}"
+        );
+    }
+}
--- /dev/null
+++ b/lab/src/stage.rs
@@ -0,0 +1,109 @@
+//! What all parties of a play share: the clock, the partners' models and the judge.
+use crate::judge::Judge;
+use crate::model::{Condition, Partner};
+use crate::plan::{Micros, Plan};
+use crate::scenario::Scenario;
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError, RwLock};
+use tokio::sync::{oneshot, watch};
+use tokio::time::{Duration, Instant};
+
+/// A play's shared state.
+pub struct Stage {
+    /// What is played.
+    pub scenario: Scenario,
+    /// What was drawn.
+    pub plan: Plan,
+    start: RwLock<Instant>,
+    inner: Mutex<Inner>,
+    /// By partner: whether its endpoints can be connected to.
+    pub open: Vec<watch::Sender<bool>>,
+    /// Whether the play is over for all.
+    pub over: watch::Sender<bool>,
+}
+
+/// What is changed under the lock.
+pub struct Inner {
+    /// The judge.
+    pub judge: Judge,
+    /// The partners.
+    pub partners: Vec<Partner>,
+    /// Work of each message, by the judge's number.
+    pub works: Vec<Micros>,
+    /// Clients that wait to hear that their message came back, and when they may come again.
+    pub returns: HashMap<usize, oneshot::Sender<Option<u64>>>,
+    /// Faults of the lab's own.
+    pub faults: Vec<String>,
+}
+
+impl Stage {
+    /// A stage for one play.
+    pub fn new(scenario: Scenario, plan: Plan, seed: u64) -> Self {
+        let partner = |(number, p): (usize, &crate::plan::PartnerPlan)| {
+            // Each its own chance, so that one partner's calls do not move another's draws.
+            let own = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15).wrapping_add(number as u64);
+            Partner::new(p, &scenario.partners[p.kind], &scenario.rules, own)
+        };
+        let partners: Vec<_> = plan.partners.iter().enumerate().map(partner).collect();
+        Self {
+            open: partners.iter().map(|_| watch::Sender::new(true)).collect(),
+            inner: Mutex::new(Inner {
+                judge: Judge::new(&scenario, &plan),
+                partners,
+                works: Vec::new(),
+                returns: HashMap::new(),
+                faults: Vec::new(),
+            }),
+            over: watch::Sender::new(false),
+            start: RwLock::new(Instant::now()),
+            scenario,
+            plan,
+        }
+    }
+
+    /// Has the clock start now: once all senders are ready.
+    pub fn begin(&self) {
+        *self.start.write().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
+    fn start(&self) -> Instant {
+        *self.start.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Time since the start of the play.
+    pub fn now(&self) -> Micros {
+        Instant::now().saturating_duration_since(self.start()).as_micros() as Micros
+    }
+
+    /// The instant of a time of the play.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.start() + Duration::from_micros(at)
+    }
+
+    /// The shared state. A party that panicked while it held the lock has changed at most one entry.
+    pub fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets what all endpoints of a partner do.
+    pub fn set(&self, partner: usize, condition: Condition) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.partners[partner].set(now, condition);
+        let open = inner.partners[partner].condition(0) != Condition::Down;
+        drop(inner);
+        self.open[partner].send_replace(open);
+    }
+
+    /// Notes a fault of the lab's own: its play proves nothing.
+    pub fn fault(&self, what: String) {
+        self.lock().faults.push(what);
+    }
+
+    /// Takes out what is left once all parties are done.
+    pub fn finish(&self) -> (Judge, Vec<String>) {
+        let mut inner = self.lock();
+        let fresh = Judge::new(&self.scenario, &self.plan);
+        (std::mem::replace(&mut inner.judge, fresh), std::mem::take(&mut inner.faults))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 #[doc(hidden)]
 pub mod net;
 pub mod profile;
+pub mod wire;
 
 pub use brain::Sender;
 pub use interface::*;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,9 @@
 //! One real sender: takes messages on from clients and delivers them to endpoints, over sockets.
 use micadrum::net;
 use micadrum::profile::Profile;
+use micadrum::wire::Targets;
 use net::Descriptors;
-use net::discovery::{self, Targets};
+use net::discovery;
 use net::handover::{self, Inherited};
 use net::host::{Estate, Host, Input, Links, Origin, Tuning};
 use net::mgmt::{self, Standing};
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Method;
+use micadrum::wire::{TARGETS, Targets};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
-use serde::Deserialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,35 +28,6 @@
 /// No list is longer.
 const MOST_BYTES: usize = 8 << 20;
 
-/// A version of the list, or the changes that led to it.
-#[derive(Debug, Deserialize)]
-pub struct Targets {
-    pub revision: u64,
-    pub complete: bool,
-    pub members: Vec<Member>,
-}
-
-/// One endpoint of the list.
-#[derive(Debug, Deserialize)]
-pub struct Member {
-    pub id: String,
-    pub host_port: SocketAddr,
-    pub locality: String,
-    pub flavor: String,
-    pub cell: u64,
-    pub phase: Phase,
-    #[serde(default)]
-    pub size: f64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-pub enum Phase {
-    Serving,
-    Draining,
-    Deleted,
-}
-
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
     #[error("no answer")]
@@ -176,7 +147,7 @@
         Some(connection) => connection,
         None => Connection::open(agent, HOLD).await?,
     };
-    let path = format!("/api/targets?from={revision}&hold_ms={}", HOLD.as_millis());
+    let path = format!("{TARGETS}?from={revision}&hold_ms={}", HOLD.as_millis());
     let answer = connection.send(request(Method::GET, &path, agent), Bytes::new()).await?;
     if !answer.status().is_success() {
         return Err(WatchError::Status(answer.status()));
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -1,6 +1,5 @@
 //! The loop round the decision module: feeds it events, carries out its actions, and keeps the journal ahead
 //! of both. It maps the wire's names to the module's numbers.
-use super::discovery::{Phase, Targets};
 use super::handover::{self, Given, Known, Lock, Remains, ToNew, ToOld};
 use super::mgmt::{Asked, Order, Standing};
 use super::notices::Notice;
@@ -9,6 +8,7 @@
 use super::store::{Attempt, End, Handed, Owed, Store, StoreError};
 use super::telemetry::{self, Figures, Present, Shared, Snapshot};
 use micadrum::profile::{Names, Profile, look};
+use micadrum::wire::{Phase, Targets};
 use micadrum::{
     Action, Class, DestinationId, EndpointId, Entry, Event, Listing, Message, MessageId, OrderKey, Outcome,
     Repeat, Report, Resumed, Sender, Settings, Span, TenantId, Time, ZoneId,
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, StatusCode};
-use serde::Serialize;
+use micadrum::wire::{NOTICES, NoticeLine, NoticeState};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,14 +33,6 @@
     pub end: End,
 }
 
-#[derive(Serialize)]
-struct Line<'a> {
-    id: &'a str,
-    state: &'static str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    after_ms: Option<u64>,
-}
-
 #[derive(Debug, thiserror::Error)]
 enum NoticeError {
     #[error("no answer")]
@@ -120,11 +112,11 @@
     let mut body = Vec::new();
     for notice in batch {
         let (state, after_ms) = match notice.end {
-            End::Failed => ("failed", None),
-            End::Returned(after) => ("returned", after),
+            End::Failed => (NoticeState::Failed, None),
+            End::Returned(after) => (NoticeState::Returned, after),
         };
         // Strings and numbers always have a JSON form.
-        body.extend(serde_json::to_vec(&Line { id: &notice.id, state, after_ms }).unwrap_or_default());
+        body.extend(serde_json::to_vec(&NoticeLine { id: &notice.id, state, after_ms }).unwrap_or_default());
         body.push(b'\n');
     }
     body.into()
@@ -135,7 +127,7 @@
         Some(connection) => connection,
         None => Connection::open(platform, PATIENCE).await?,
     };
-    let answer = connection.send(request(Method::POST, "/v1/notices", platform), body).await?;
+    let answer = connection.send(request(Method::POST, NOTICES, platform), body).await?;
     let status = answer.status();
     let read = Limited::new(answer.into_body(), MOST_ANSWER).collect().await;
     if !status.is_success() {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -10,6 +10,7 @@
 use hyper::http::request::Builder;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use micadrum::wire::{HOOK, IDEMPOTENCY_KEY, NO_SLOT, REMAINING, TXN};
 use micadrum::{EndpointId, Outcome, Report, Span};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -449,12 +450,12 @@
 
     fn request(&self) -> (Builder, Bytes) {
         let left = self.expires.saturating_duration_since(Instant::now()).as_secs_f64();
-        let path = if self.parcels.len() > 1 { "/hook/batch" } else { "/hook" };
-        let head = request(Method::POST, path, self.address).header("X-Remaining", format!("{left:.3}"));
+        let path = if self.parcels.len() > 1 { "/hook/batch" } else { HOOK };
+        let head = request(Method::POST, path, self.address).header(REMAINING, format!("{left:.3}"));
         if let [parcel] = &self.parcels[..] {
-            let mut head = head.header("X-Txn", &parcel.id);
+            let mut head = head.header(TXN, &parcel.id);
             if let Some(key) = &parcel.idempotency_key {
-                head = head.header("Idempotency-Key", key);
+                head = head.header(IDEMPOTENCY_KEY, key);
             }
             return (head, parcel.body.clone());
         }
@@ -508,7 +509,7 @@
     match status {
         StatusCode::OK => (Outcome::Success, true),
         StatusCode::TOO_MANY_REQUESTS => (Outcome::Full(told), false),
-        StatusCode::SERVICE_UNAVAILABLE if headers.contains_key("X-No-Slot") => (Outcome::Void, false),
+        StatusCode::SERVICE_UNAVAILABLE if headers.contains_key(NO_SLOT) => (Outcome::Void, false),
         StatusCode::SERVICE_UNAVAILABLE => (Outcome::Full(told), false),
         StatusCode::GATEWAY_TIMEOUT => (Outcome::Void, false),
         StatusCode::GONE => (Outcome::Void, true),
@@ -522,7 +523,7 @@
 fn no_room(status: StatusCode, headers: &HeaderMap) -> bool {
     let closes = headers.get(CONNECTION).and_then(|value| value.to_str().ok());
     status == StatusCode::SERVICE_UNAVAILABLE
-        && !headers.contains_key("X-No-Slot")
+        && !headers.contains_key(NO_SLOT)
         && closes.is_some_and(|value| value.split(',').any(|word| word.trim().eq_ignore_ascii_case("close")))
 }
 
@@ -555,7 +556,7 @@
     use tokio::net::{TcpListener, TcpSocket};
 
     fn post(to: SocketAddr) -> Builder {
-        request(Method::POST, "/hook", to)
+        request(Method::POST, HOOK, to)
     }
 
     /// Guards against taking a call for one that may have run though its last byte was never written: the
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -9,6 +9,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use micadrum::wire::{ENVELOPE, HAND_IN, IDEMPOTENCY_KEY, LANE, READY, REMAINING, TXN};
 use std::convert::Infallible;
 use std::future::pending;
 use std::sync::Arc;
@@ -199,15 +200,15 @@
 ) -> Response<Full<Bytes>> {
     let mut response = match (request.method(), request.uri().path()) {
         _ if !request.headers().contains_key(HOST) => plain(StatusCode::BAD_REQUEST, "Host is missing\n"),
-        (&Method::GET, "/-/ready") if matches!(doors, Doors::Open | Doors::Leaving { ready: true }) => {
+        (&Method::GET, READY) if matches!(doors, Doors::Open | Doors::Leaving { ready: true }) => {
             plain(StatusCode::OK, "ready\n")
         }
-        (&Method::GET, "/-/ready") if doors == Doors::Draining => {
+        (&Method::GET, READY) if doors == Doors::Draining => {
             plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
         }
-        (&Method::GET, "/-/ready") => plain(StatusCode::SERVICE_UNAVAILABLE, "winding down\n"),
-        (&Method::POST, "/api") => hand_in(request, host, heard, bodies).await,
-        (_, "/-/ready" | "/api") => plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n"),
+        (&Method::GET, READY) => plain(StatusCode::SERVICE_UNAVAILABLE, "winding down\n"),
+        (&Method::POST, HAND_IN) => hand_in(request, host, heard, bodies).await,
+        (_, READY | HAND_IN) => plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n"),
         _ => plain(StatusCode::NOT_FOUND, "not found\n"),
     };
     heard.store(true, Ordering::Relaxed);
@@ -288,19 +289,19 @@
         }
     };
     let needed = |name: &str| optional(name)?.filter(|t| !t.is_empty()).ok_or(format!("{name} is missing"));
-    let remaining: f64 = needed("X-Remaining")?.parse().map_err(|_| "X-Remaining is not a number")?;
+    let remaining: f64 = needed(REMAINING)?.parse().map_err(|_| "X-Remaining is not a number")?;
     if !(remaining > 0.0 && remaining.is_finite()) {
         return Err("X-Remaining is not a time left".to_owned());
     }
-    let envelope = needed("X-Envelope")?;
+    let envelope = needed(ENVELOPE)?;
     let destination = envelope.split([',', ';', ' ']).find_map(|field| field.trim().strip_prefix("dest="));
     let destination = destination.and_then(|number| number.parse().ok());
     let message = Handed {
-        id: needed("X-Txn")?,
-        class: needed("X-Lane")?,
+        id: needed(TXN)?,
+        class: needed(LANE)?,
         tenant: optional("X-Org")?,
         key: optional("X-Entity")?,
-        idempotency_key: optional("Idempotency-Key")?,
+        idempotency_key: optional(IDEMPOTENCY_KEY)?,
         destination: destination.ok_or("X-Envelope holds no dest")?,
         body,
     };
