Compare senders in the lab: plain baselines, alternating plays, reports, simulated time

Added: 'compare' plays all variants of a scenario in turn, every second time in the other order, and tells medians, ranges and the 95% interval of the paired differences (bootstrap; under three pairs it says that it cannot tell). Variants are another binary, keys of the configuration, or a plain sender of the lab: one try, fixed pauses, doubling without told waits. 'sim' runs the decision module alone in simulated time against the same partners, clients and judge. '--out' keeps each play as it ends and one HTML page with plots; 'report' writes it anew, and a play cut short is marked.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -166,6 +166,15 @@
     None
 }
 
+/// Sets the keys of a variant.
+pub fn apply(variant: &Variant, config: &mut Value) -> Result<(), FleetError> {
+    for (key, value) in &variant.set {
+        set_key(config, key, value)
+            .ok_or_else(|| FleetError::NoKey { variant: variant.name.clone(), key: key.clone() })?;
+    }
+    Ok(())
+}
+
 impl Node {
     /// A sender, not yet started.
     pub fn new(
@@ -175,10 +184,7 @@
         mut config: Value,
         variant: &Variant,
     ) -> Result<Self, FleetError> {
-        for (key, value) in &variant.set {
-            set_key(&mut config, key, value)
-                .ok_or_else(|| FleetError::NoKey { variant: variant.name.clone(), key: key.clone() })?;
-        }
+        apply(variant, &mut config)?;
         let folder = tempfile::tempdir().map_err(io("making a folder"))?;
         std::fs::create_dir(folder.path().join("state")).map_err(io("making a folder"))?;
         std::fs::write(folder.path().join("config.json"), config.to_string())
@@ -193,7 +199,7 @@
             Program::Sender(path) => Command::new(path),
             Program::Baseline(baseline) => {
                 let mut lab = Command::new(std::env::current_exe().map_err(io("finding this program"))?);
-                lab.arg("baseline-sender").arg(format!("{baseline:?}"));
+                lab.arg("baseline-sender").arg(baseline.word());
                 lab
             }
         };
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -3,11 +3,11 @@
 use crate::plan::{Micros, Plan, micros};
 use crate::scenario::{Effect, Scenario};
 use hdrhistogram::Histogram;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 
 /// A rule of the operators.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Rule {
     /// A message taken on has one end, in its time.
@@ -29,7 +29,7 @@
 }
 
 /// A rule that was broken.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Breach {
     /// Which.
     pub rule: Rule,
@@ -111,7 +111,7 @@
 const LONGEST: u64 = 120_000_000;
 
 /// What happened in one span, over the whole fleet.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Span {
     /// Messages that clients wanted sent for the first time.
     pub wanted: u32,
@@ -150,7 +150,7 @@
 }
 
 /// Plain counts of a play.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Counts {
     /// Messages that clients wanted sent.
     pub wanted: u64,
@@ -645,7 +645,7 @@
 pub const PERCENTILES: [f64; 4] = [50.0, 90.0, 99.0, 99.9];
 
 /// Service, as the operators count it, from 0 to 1.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Worth {
     /// Worth served over worth asked for, over the whole play.
     pub whole: f64,
@@ -660,7 +660,7 @@
 }
 
 /// Times to delivery of one class, in seconds.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Latency {
     /// The class.
     pub class: String,
@@ -673,7 +673,7 @@
 }
 
 /// The result of a play.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Verdict {
     /// Service.
     pub worth: Worth,
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,14 +2,18 @@
 //! microseconds from the start of a play; whatever chance decides comes from the play's seed.
 #![forbid(unsafe_code)]
 
+pub mod baseline;
 pub mod clients;
 pub mod directory;
 pub mod endpoints;
+pub mod experiment;
 pub mod fleet;
 pub mod judge;
 pub mod model;
 pub mod plan;
 pub mod play;
+pub mod report;
 pub mod scenario;
+pub mod sim;
 pub mod stage;
 pub mod table;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,10 +1,14 @@
 //! The lab's commands.
 use clap::{Parser, Subcommand};
+use micadrum_lab::baseline::{self, BaselineError};
+use micadrum_lab::experiment::{comparison, order};
 use micadrum_lab::fleet::{FleetError, Program, built_sender};
 use micadrum_lab::play::{Played, play};
-use micadrum_lab::scenario::{ParseError, Scenario, ScenarioError, Variant};
+use micadrum_lab::report::{ReportError, html};
+use micadrum_lab::scenario::{Baseline, MOST_PROCESSES, ParseError, Scenario, ScenarioError, Variant};
+use micadrum_lab::sim::{SimError, simulate};
 use micadrum_lab::table::table;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
 use tokio::signal::unix::{SignalKind, signal};
@@ -29,19 +33,52 @@
         #[arg(long)]
         seed: Option<u64>,
     },
-    /// Plays a scenario, each seed with each variant.
-    Run {
+    /// Plays a scenario, each seed once with each variant.
+    Run(Plays),
+    /// Plays a scenario's variants in turn, as often as it says, and compares them.
+    Compare(Plays),
+    /// Plays the decision module alone, in simulated time.
+    Sim {
         /// The scenario, in TOML.
         file: PathBuf,
-        /// The sender's program, for variants that name none.
+        /// So many senders for those of the file.
         #[arg(long)]
-        sender: Option<PathBuf>,
+        senders: Option<usize>,
         /// Plays this seed only.
         #[arg(long)]
         seed: Option<u64>,
+        /// A folder for the plays' figures and the report.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// Writes the report of a folder's plays anew.
+    Report {
+        /// What --out named.
+        folder: PathBuf,
+    },
+    /// A plain sender to compare with; plays start it themselves.
+    #[command(hide = true)]
+    BaselineSender {
+        /// How it repeats.
+        how: Baseline,
     },
 }
 
+#[derive(clap::Args)]
+struct Plays {
+    /// The scenario, in TOML.
+    file: PathBuf,
+    /// The sender's program, for variants that name none.
+    #[arg(long)]
+    sender: Option<PathBuf>,
+    /// Plays this seed only.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// A folder for the plays' figures and the report.
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
 #[derive(Debug, thiserror::Error)]
 enum LabError {
     #[error(transparent)]
@@ -50,6 +87,18 @@
     Own(#[from] ParseError),
     #[error(transparent)]
     Fleet(#[from] FleetError),
+    #[error(transparent)]
+    Sim(#[from] SimError),
+    #[error(transparent)]
+    Baseline(#[from] BaselineError),
+    #[error(transparent)]
+    Report(#[from] ReportError),
+    #[error("{path}: {source}")]
+    Out { path: PathBuf, source: std::io::Error },
+    #[error("{path} holds no play: {source}")]
+    NoPlay { path: PathBuf, source: serde_json::Error },
+    #[error("{0} senders are more processes than are started here; `sim` takes them")]
+    TooMany(usize),
     #[error("starting: {0}")]
     Start(#[from] std::io::Error),
 }
@@ -75,17 +124,39 @@
 async fn command(command: Command) -> Result<bool, LabError> {
     let stop = interrupts();
     let mut twice = stop.clone();
-    let (mut scenario, sender, seed) = match command {
-        Command::Demo { sender, seed } => {
-            (Scenario::parse(include_str!("../scenarios/demo.toml"))?, sender, seed)
+    let work = async {
+        match command {
+            Command::Demo { sender, seed } => {
+                let scenario = Scenario::parse(include_str!("../scenarios/demo.toml"))?;
+                play_all(scenario, sender, seed, None, false, stop).await
+            }
+            Command::Run(plays) => {
+                let scenario = Scenario { repeats: 1, ..Scenario::read(&plays.file)? };
+                play_all(scenario, plays.sender, plays.seed, plays.out, false, stop).await
+            }
+            Command::Compare(plays) => {
+                let scenario = Scenario::read(&plays.file)?;
+                play_all(scenario, plays.sender, plays.seed, plays.out, true, stop).await
+            }
+            Command::Sim { file, senders, seed, out } => {
+                let mut scenario = Scenario::read(&file)?;
+                scenario.fleet.senders = senders.unwrap_or(scenario.fleet.senders);
+                simulate_all(scenario, seed, out, stop)
+            }
+            Command::Report { folder } => {
+                let plays = saved(&folder)?;
+                let (title, variants) =
+                    (plays.first().map_or("", |p| &p.scenario).to_owned(), variants_of(&plays));
+                write_report(&folder, &title, &plays, &variants)?;
+                Ok(true)
+            }
+            Command::BaselineSender { how } => {
+                baseline::run(how).await.map(|()| true).map_err(LabError::from)
+            }
         }
-        Command::Run { file, sender, seed } => (Scenario::read(&file)?, sender, seed),
     };
-    if let Some(seed) = seed {
-        scenario.seeds = vec![seed];
-    }
     tokio::select! {
-        done = run(&scenario, sender, stop) => done,
+        done = work => done,
         // The runtime is dropped then, and with it each sender's process is killed.
         _ = twice.wait_for(|count| *count > 1) => Ok(false),
     }
@@ -114,41 +185,150 @@
     counted
 }
 
-async fn run(
-    scenario: &Scenario,
+fn variants(scenario: &Scenario) -> Vec<Variant> {
+    if scenario.variants.is_empty() {
+        return vec![Variant { name: "sender".to_owned(), ..Variant::default() }];
+    }
+    scenario.variants.clone()
+}
+
+fn variants_of(plays: &[Played]) -> Vec<Variant> {
+    let mut variants: Vec<Variant> = Vec::new();
+    for played in plays {
+        if !variants.iter().any(|v| v.name == played.variant) {
+            variants.push(Variant { name: played.variant.clone(), ..Variant::default() });
+        }
+    }
+    variants
+}
+
+async fn play_all(
+    mut scenario: Scenario,
     sender: Option<PathBuf>,
+    seed: Option<u64>,
+    out: Option<PathBuf>,
+    brief: bool,
     stop: watch::Receiver<u32>,
 ) -> Result<bool, LabError> {
-    let mut variants = scenario.variants.clone();
-    if variants.is_empty() {
-        variants.push(Variant { name: "sender".to_owned(), ..Variant::default() });
+    if scenario.fleet.senders > MOST_PROCESSES {
+        return Err(LabError::TooMany(scenario.fleet.senders));
     }
+    scenario.seeds = seed.map_or(scenario.seeds, |seed| vec![seed]);
+    let variants = variants(&scenario);
     let own = match sender {
         Some(path) => path,
         None => built_sender()?,
     };
-    let mut clean = true;
-    for seed in &scenario.seeds {
-        for variant in &variants {
-            let program = match (&variant.baseline, &variant.binary) {
-                (Some(baseline), _) => Program::Baseline(*baseline),
-                (None, binary) => Program::Sender(binary.clone().unwrap_or_else(|| own.clone())),
-            };
-            println!("{}, {}, seed {seed}:", scenario.name, variant.name);
-            let began = Instant::now();
-            let played = play(scenario, variant, *seed, &program, stop.clone(), true).await?;
-            tell(&played, began.elapsed().as_secs_f64());
-            clean &= played.clean() && !played.cut_short;
-            if played.cut_short {
-                return Ok(false);
-            }
+    let mut plays = Vec::new();
+    for (seed, variant) in order(&scenario.seeds, scenario.repeats, &variants) {
+        let variant = &variants[variant];
+        let program = match (&variant.baseline, &variant.binary) {
+            (Some(baseline), _) => Program::Baseline(*baseline),
+            (None, binary) => Program::Sender(binary.clone().unwrap_or_else(|| own.clone())),
+        };
+        println!("{}, {}, seed {seed}:", scenario.name, variant.name);
+        let began = Instant::now();
+        let played = play(&scenario, variant, seed, &program, stop.clone(), !brief).await?;
+        tell(&played, began.elapsed().as_secs_f64(), brief);
+        save(out.as_deref(), plays.len(), &played)?;
+        plays.push(played);
+        if *stop.borrow() > 0 {
+            break;
+        }
+    }
+    finish(&scenario, out.as_deref(), plays, &variants)
+}
+
+fn simulate_all(
+    mut scenario: Scenario,
+    seed: Option<u64>,
+    out: Option<PathBuf>,
+    stop: watch::Receiver<u32>,
+) -> Result<bool, LabError> {
+    scenario.seeds = seed.map_or(scenario.seeds, |seed| vec![seed]);
+    let mut variants = variants(&scenario);
+    variants.retain(|v| v.baseline.is_none() && v.binary.is_none());
+    let mut plays = Vec::new();
+    // The same seed gives the same play here: once is enough.
+    for (seed, variant) in order(&scenario.seeds, 1, &variants) {
+        let variant = &variants[variant];
+        println!(
+            "{}, {}, seed {seed}, {} senders simulated:",
+            scenario.name, variant.name, scenario.fleet.senders
+        );
+        let began = Instant::now();
+        let (played, cost) = simulate(&scenario, variant, seed)?;
+        let seconds = began.elapsed().as_secs_f64();
+        tell(&played, seconds, false);
+        println!("{:.0} simulated seconds, {} steps of the module\n", cost.simulated_s, cost.steps);
+        save(out.as_deref(), plays.len(), &played)?;
+        plays.push(played);
+        if *stop.borrow() > 0 {
+            break;
         }
     }
-    Ok(clean)
+    finish(&scenario, out.as_deref(), plays, &variants)
+}
+
+/// The comparison and the report of all plays; whether all were clean.
+fn finish(
+    scenario: &Scenario,
+    out: Option<&Path>,
+    plays: Vec<Played>,
+    variants: &[Variant],
+) -> Result<bool, LabError> {
+    if variants.len() > 1 {
+        println!("{}", comparison(&plays, variants));
+    }
+    if let Some(folder) = out {
+        write_report(folder, &scenario.name, &plays, variants)?;
+    }
+    Ok(plays.iter().all(|p| p.clean() && !p.cut_short))
 }
 
-fn tell(played: &Played, seconds: f64) {
-    println!("\n{}", table(played));
+fn tell(played: &Played, seconds: f64, brief: bool) {
+    if !brief {
+        println!("\n{}", table(played));
+    }
     let word = if played.clean() { "all rules kept" } else { "NOT clean" };
-    println!("{word}; {seconds:.0} s in all");
+    println!("{word}, service {:.3}; {seconds:.0} s in all", played.verdict.worth.result);
+}
+
+/// Keeps a play's figures as soon as it has ended: what follows may be cut short.
+fn save(out: Option<&Path>, number: usize, played: &Played) -> Result<(), LabError> {
+    let Some(folder) = out else { return Ok(()) };
+    let path = folder.join(format!("play-{number:03}.json"));
+    let error = |source| LabError::Out { path: path.clone(), source };
+    std::fs::create_dir_all(folder).map_err(error)?;
+    let text = serde_json::to_vec(played).map_err(|e| error(e.into()))?;
+    std::fs::write(&path, text).map_err(error)
+}
+
+/// The plays that a folder holds, in their order.
+fn saved(folder: &Path) -> Result<Vec<Played>, LabError> {
+    let error = |source| LabError::Out { path: folder.to_owned(), source };
+    let mut paths = Vec::new();
+    for entry in std::fs::read_dir(folder).map_err(error)? {
+        let path = entry.map_err(error)?.path();
+        let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
+        if name.starts_with("play-") && name.ends_with(".json") {
+            paths.push(path);
+        }
+    }
+    paths.sort();
+    let read = |path: PathBuf| {
+        let text = std::fs::read(&path).map_err(|source| LabError::Out { path: path.clone(), source })?;
+        serde_json::from_slice(&text).map_err(|source| LabError::NoPlay { path, source })
+    };
+    paths.into_iter().map(read).collect()
+}
+
+fn write_report(folder: &Path, title: &str, plays: &[Played], variants: &[Variant]) -> Result<(), LabError> {
+    let page = html(title, plays, variants)?;
+    let path = folder.join("report.html");
+    std::fs::create_dir_all(folder)
+        .and_then(|()| std::fs::write(&path, page))
+        .map_err(|source| LabError::Out { path: path.clone(), source })?;
+    println!("report: {}", path.display());
+    Ok(())
 }
--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -1,7 +1,7 @@
 //! Partners as the operators describe theirs: limits, waits, queues, few connections, outages and cold returns. Pure:
 //! all time comes from outside, so that plays on sockets and in simulated time meet the same partners.
-use crate::plan::{Micros, PartnerPlan, micros};
-use crate::scenario::{Kind, Rules};
+use crate::plan::{Micros, PartnerPlan, Plan, micros};
+use crate::scenario::{Kind, Rules, Scenario, Trouble, TroubleKind};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeSet, VecDeque};
@@ -183,9 +183,33 @@
         }
     }
 
-    /// Multiplies the limit.
-    pub fn limit_by(&mut self, factor: f64) {
-        self.limit.factor = factor;
+    /// All partners of a plan, each with its own chance, so that one partner's calls do not move another's draws.
+    pub fn all(plan: &Plan, scenario: &Scenario, seed: u64) -> Vec<Self> {
+        let own = |number: usize| seed.wrapping_mul(0x9E37_79B9_7F4A_7C15).wrapping_add(number as u64);
+        let partner = |(number, p): (usize, &PartnerPlan)| {
+            Partner::new(p, &scenario.partners[p.kind], &scenario.rules, own(number))
+        };
+        plan.partners.iter().enumerate().map(partner).collect()
+    }
+
+    /// A trouble of the partners' begins or ends here.
+    pub fn afflict(&mut self, now: Micros, trouble: &Trouble, begins: bool) {
+        let factor = if begins { trouble.size } else { 1.0 };
+        let share = if begins { trouble.size } else { 0.0 };
+        let until = micros(trouble.at_s + trouble.for_s);
+        let condition = match trouble.kind {
+            TroubleKind::Slow => return self.slow = factor,
+            TroubleKind::Limit => return self.limit.factor = factor,
+            TroubleKind::Lost => return self.lost = share,
+            TroubleKind::Resets => return self.resets = share,
+            TroubleKind::Down => Condition::Down,
+            TroubleKind::Hung => Condition::Hung,
+            TroubleKind::Shut => Condition::Shut(until),
+            TroubleKind::Errors => Condition::Errors,
+            // Not the partners'.
+            TroubleKind::Drain | TroubleKind::Kill | TroubleKind::Restart | TroubleKind::Directory => return,
+        };
+        self.set(now, if begins { condition } else { Condition::Up });
     }
 
     /// Whether it fell over, and stays down.
@@ -379,9 +403,9 @@
     #[test]
     fn a_lowered_limit_holds_while_it_lasts() {
         let mut p = partner(|_, _| {});
-        p.limit_by(0.5);
+        p.limit.factor = 0.5;
         assert_eq!(calls(&mut p, 0, 20, 2).0, 10);
-        p.limit_by(1.0);
+        p.limit.factor = 1.0;
         assert_eq!(calls(&mut p, 2 * SECOND, 20, 2).0, 20);
     }
 
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -4,12 +4,11 @@
 use crate::endpoints;
 use crate::fleet::{FleetError, Node, Program, configuration, free_address};
 use crate::judge::Verdict;
-use crate::model::Condition;
 use crate::plan::{Plan, micros};
 use crate::scenario::{Scenario, Trouble, TroubleKind, Variant};
 use crate::stage::Stage;
 use micadrum::wire::{Member, Phase};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,7 +18,7 @@
 use tokio::time::{interval, sleep, sleep_until};
 
 /// What came of a play.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Played {
     /// The scenario's name.
     pub scenario: String,
@@ -197,8 +196,7 @@
     met: Vec<usize>,
 ) {
     sleep_until(stage.instant(micros(trouble.at_s))).await;
-    let ends = micros(trouble.at_s + trouble.for_s);
-    let until = stage.instant(ends);
+    let until = stage.instant(micros(trouble.at_s + trouble.for_s));
     stage.lock().judge.event(stage.now(), format!("{:?} begins: {} met", trouble.kind, met.len()));
     match trouble.kind {
         TroubleKind::Kill => {
@@ -240,10 +238,10 @@
             sleep_until(until).await;
             last.iter().for_each(|(p, e)| directory.set(*p, *e, Phase::Serving));
         }
-        kind => {
-            met.iter().for_each(|partner| afflict(&stage, *partner, kind, trouble.size, ends));
+        _ => {
+            met.iter().for_each(|partner| stage.afflict(*partner, &trouble, true));
             sleep_until(until).await;
-            met.iter().for_each(|partner| relieve(&stage, *partner, kind));
+            met.iter().for_each(|partner| stage.afflict(*partner, &trouble, false));
         }
     }
     stage.lock().judge.event(stage.now(), format!("{:?} ends", trouble.kind));
@@ -259,33 +257,6 @@
     }
 }
 
-fn afflict(stage: &Stage, partner: usize, kind: TroubleKind, size: f64, ends: u64) {
-    match kind {
-        TroubleKind::Down => stage.set(partner, Condition::Down),
-        TroubleKind::Hung => stage.set(partner, Condition::Hung),
-        TroubleKind::Shut => stage.set(partner, Condition::Shut(ends)),
-        TroubleKind::Errors => stage.set(partner, Condition::Errors),
-        TroubleKind::Slow => stage.lock().partners[partner].slow = size,
-        TroubleKind::Lost => stage.lock().partners[partner].lost = size,
-        TroubleKind::Resets => stage.lock().partners[partner].resets = size,
-        TroubleKind::Limit => stage.lock().partners[partner].limit_by(size),
-        _ => {}
-    }
-}
-
-fn relieve(stage: &Stage, partner: usize, kind: TroubleKind) {
-    match kind {
-        TroubleKind::Down | TroubleKind::Hung | TroubleKind::Shut | TroubleKind::Errors => {
-            stage.set(partner, Condition::Up);
-        }
-        TroubleKind::Slow => stage.lock().partners[partner].slow = 1.0,
-        TroubleKind::Lost => stage.lock().partners[partner].lost = 0.0,
-        TroubleKind::Resets => stage.lock().partners[partner].resets = 0.0,
-        TroubleKind::Limit => stage.lock().partners[partner].limit_by(1.0),
-        _ => {}
-    }
-}
-
 /// A sender that ends by itself is recorded, and started again on what it left.
 async fn watch_nodes(
     stage: Arc<Stage>,
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -323,7 +323,7 @@
 }
 
 /// Plain senders to compare with.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize, clap::ValueEnum)]
 #[serde(rename_all = "snake_case")]
 pub enum Baseline {
     /// One try for each message.
@@ -334,6 +334,17 @@
     Doubling,
 }
 
+impl Baseline {
+    /// Its name on the command line.
+    pub fn word(self) -> &'static str {
+        match self {
+            Baseline::OneTry => "one-try",
+            Baseline::FixedPause => "fixed-pause",
+            Baseline::Doubling => "doubling",
+        }
+    }
+}
+
 fn one_seed() -> Vec<u64> {
     vec![1]
 }
@@ -468,8 +479,10 @@
 const MOST_MESSAGES: f64 = 200_000.0;
 /// The longest play, in seconds.
 const MOST_SECONDS: f64 = 3600.0;
-/// More senders than these are not started.
-const MOST_SENDERS: usize = 200;
+/// More senders than these are not simulated ...
+const MOST_SENDERS: usize = 20_000;
+/// ... and more than these not started as processes.
+pub const MOST_PROCESSES: usize = 200;
 
 impl Scenario {
     /// Reads a file, and checks it whole.
--- a/lab/src/stage.rs
+++ b/lab/src/stage.rs
@@ -2,7 +2,7 @@
 use crate::judge::Judge;
 use crate::model::{Condition, Partner};
 use crate::plan::{Micros, Plan};
-use crate::scenario::Scenario;
+use crate::scenario::{Scenario, Trouble};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError, RwLock};
 use tokio::sync::{oneshot, watch};
@@ -39,12 +39,7 @@
 impl Stage {
     /// A stage for one play.
     pub fn new(scenario: Scenario, plan: Plan, seed: u64) -> Self {
-        let partner = |(number, p): (usize, &crate::plan::PartnerPlan)| {
-            // Each its own chance, so that one partner's calls do not move another's draws.
-            let own = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15).wrapping_add(number as u64);
-            Partner::new(p, &scenario.partners[p.kind], &scenario.rules, own)
-        };
-        let partners: Vec<_> = plan.partners.iter().enumerate().map(partner).collect();
+        let partners = Partner::all(&plan, &scenario, seed);
         Self {
             open: partners.iter().map(|_| watch::Sender::new(true)).collect(),
             inner: Mutex::new(Inner {
@@ -85,11 +80,11 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sets what all endpoints of a partner do.
-    pub fn set(&self, partner: usize, condition: Condition) {
+    /// A trouble begins or ends at a partner.
+    pub fn afflict(&self, partner: usize, trouble: &Trouble, begins: bool) {
         let now = self.now();
         let mut inner = self.lock();
-        inner.partners[partner].set(now, condition);
+        inner.partners[partner].afflict(now, trouble, begins);
         let open = inner.partners[partner].condition(0) != Condition::Down;
         drop(inner);
         self.open[partner].send_replace(open);
