Add the command line: check, config show, schema and example, run by TOML

Added: 'micadrum run|check|config show|schema|example' by clap; one schema (schemars) for JSON and TOML; check tells every fault with its place and what is wanted (jsonschema), exit code 2; unknown keys warn in JSON and fail in TOML; MICADRUM_ variables above a TOML file (figment), each value with its origin, the seed hidden; SIGHUP reads TOML again. The commands are in micadrum-shell beside the sender, which becomes it where it is given a word and is otherwise started as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 extern crate self as micadrum;
 
 mod brain;
+pub mod config;
 mod interface;
 #[doc(hidden)]
 pub mod net;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,6 @@
 //! One real sender: takes messages on from clients and delivers them to endpoints, over sockets.
+use micadrum::config::{self, ConfigError};
 use micadrum::net;
-use micadrum::profile::Profile;
-use micadrum::wire::Targets;
 use net::Descriptors;
 use net::discovery;
 use net::handover::{self, Inherited};
@@ -11,11 +10,11 @@
 use net::server::{self, Doors};
 use net::store::Store;
 use net::telemetry::Shared;
-use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::ExitCode;
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitCode};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
@@ -39,38 +38,14 @@
 /// How long answers on their way out may take once the host has ended.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
-#[derive(Deserialize)]
-struct Config {
-    listen: SocketAddr,
-    /// The second address, where staff's calls come.
-    mgmt: Option<SocketAddr>,
-    discovery: SocketAddr,
-    seed: String,
-    limits: Limits,
-    known: Targets,
-    settings: Profile,
-}
-
-#[derive(Deserialize)]
-struct Limits {
-    disk_mb: f64,
-    /// Where it is not given, the disk and the descriptors alone bound what is held.
-    memory_mb: Option<f64>,
-    sockets: usize,
-}
-
 #[derive(Debug, thiserror::Error)]
 enum StartError {
     #[error("${0} is not set")]
     Unset(&'static str),
-    #[error("configuration {path}: {source}")]
-    Unreadable { path: PathBuf, source: std::io::Error },
-    #[error("configuration {path}: {source}")]
-    NotConfig { path: PathBuf, source: serde_json::Error },
+    #[error(transparent)]
+    Config(#[from] ConfigError),
     #[error("configuration: seed {0:?} is not hexadecimal")]
     Seed(String),
-    #[error("$PROXY_MGMT: {0:?} is no address")]
-    Mgmt(std::ffi::OsString),
     #[error(transparent)]
     Handover(#[from] handover::HandoverError),
     #[error(transparent)]
@@ -89,28 +64,6 @@
     std::env::var_os(name).map(PathBuf::from).ok_or(StartError::Unset(name))
 }
 
-/// The configuration, as it stands in the file and in its parts.
-fn config() -> Result<(Value, Config), StartError> {
-    let path = variable("PROXY_CONFIG")?;
-    let text = match std::fs::read(&path) {
-        Ok(text) => text,
-        Err(source) => return Err(StartError::Unreadable { path, source }),
-    };
-    let parsed =
-        serde_json::from_slice::<Value>(&text).and_then(|value| Ok((Config::deserialize(&value)?, value)));
-    let (mut config, value) = match parsed {
-        Ok(parsed) => parsed,
-        Err(source) => return Err(StartError::NotConfig { path, source }),
-    };
-    if config.mgmt.is_none()
-        && let Some(address) = std::env::var_os("PROXY_MGMT").filter(|address| !address.is_empty())
-    {
-        let parsed = address.to_str().and_then(|address| address.parse().ok());
-        config.mgmt = Some(parsed.ok_or(StartError::Mgmt(address))?);
-    }
-    Ok((value, config))
-}
-
 /// A key that `old` has and `new` lacks, in the objects that both hold. Of the objects of a list, such as the
 /// classes, each needs the keys that all had.
 fn missing_key(old: &Value, new: &Value) -> Option<String> {
@@ -155,7 +108,8 @@
 async fn run() -> Result<(), StartError> {
     // Before all else: a signal that comes early must not end the process.
     let hung_up = signal(SignalKind::hangup())?;
-    let (file, config) = config()?;
+    let path = variable("PROXY_CONFIG")?;
+    let (file, config) = config::read(&path)?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed))?;
     let (standing, stands) = watch::channel(Standing::Starting);
     let (to_host, mut orders) = mpsc::channel(mgmt::MOST_CALLERS);
@@ -235,7 +189,7 @@
         }
         let _ = on_signal.send(Input::WindDown);
     });
-    tokio::spawn(reload(hung_up, file, to_discovery, inputs.clone(), shared.clone()));
+    tokio::spawn(reload(hung_up, path, file, to_discovery, inputs.clone(), shared.clone()));
     let bodies = server::bodies(memory.map(|memory| (memory * BODIES_OF_MEMORY) as usize));
     let server =
         tokio::spawn(server::serve(listener, room, descriptors.clients, inputs, at_doors, bodies, shared));
@@ -253,13 +207,14 @@
 /// that cannot be used changes nothing. Addresses to listen at and limits hold from the next start.
 async fn reload(
     mut hung_up: Signal,
+    path: PathBuf,
     mut running: Value,
     discovery: watch::Sender<SocketAddr>,
     host: UnboundedSender<Input>,
     shared: Arc<Shared>,
 ) {
     while hung_up.recv().await.is_some() {
-        let reloaded = reloaded(&running, &host).await;
+        let reloaded = reloaded(&path, &running, &host).await;
         shared.reloads.count(reloaded.is_ok());
         match reloaded {
             Ok((file, address)) => {
@@ -272,8 +227,12 @@
     }
 }
 
-async fn reloaded(running: &Value, host: &UnboundedSender<Input>) -> Result<(Value, SocketAddr), StartError> {
-    let (file, new) = config()?;
+async fn reloaded(
+    path: &Path,
+    running: &Value,
+    host: &UnboundedSender<Input>,
+) -> Result<(Value, SocketAddr), StartError> {
+    let (file, new) = config::read(path)?;
     if let Some(key) = missing_key(&running["settings"], &file["settings"]) {
         return Err(StartError::Short(key));
     }
@@ -285,7 +244,7 @@
     Ok((file, new.discovery))
 }
 
-fn main() -> ExitCode {
+fn serve() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     match runtime.map_err(StartError::from).and_then(|runtime| runtime.block_on(run())) {
         Ok(()) => ExitCode::SUCCESS,
@@ -295,3 +254,19 @@
         }
     }
 }
+
+fn main() -> ExitCode {
+    // As the platform starts it: no word of the command line is read, and nothing of that is paid for.
+    if std::env::args_os().len() <= 1 {
+        return serve();
+    }
+    // All else is the shell's, a program of its own beside this one: what it links would cost each sender 1.3 MB.
+    let error = match std::env::current_exe() {
+        Ok(own) => {
+            Command::new(own.with_file_name("micadrum-shell")).args(std::env::args_os().skip(1)).exec()
+        }
+        Err(e) => e,
+    };
+    eprintln!("micadrum: starting micadrum-shell, which is to lie beside this program: {error}");
+    ExitCode::FAILURE
+}
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -1,93 +1,150 @@
 //! The settings' JSON, as the simulator's first message and a sender's configuration hold it.
 use crate::interface::*;
+use schemars::JsonSchema;
 use serde::Deserialize;
 use std::collections::HashMap;
 
-/// What a sender is told at its start. Keys that nothing here needs are passed over.
-#[derive(Deserialize)]
+/// What a sender is told at its start. Keys that nothing here needs are passed over. Times are in microseconds.
+#[derive(Deserialize, JsonSchema)]
 pub struct Profile {
+    /// All zones.
     azs: Vec<String>,
+    /// Zone of this sender: one of `azs`.
     zone: String,
+    /// Whether the list comes by itself or is asked for.
     discovery: Mode,
+    /// Senders that share the traffic, this one counted.
+    #[schemars(range(min = 1))]
     fleet_size: usize,
+    /// Kinds of destination; the list's `flavor` names one.
     kinds: Vec<String>,
+    /// Classes of message.
+    #[schemars(length(min = 1))]
     lanes: Vec<Lane>,
+    /// Limits of the sender's own.
     limits: Limits,
+    /// Figures of the rules.
     invariants: Invariants,
+    /// What is particular to this kind of system.
     specifics: Specifics,
+    /// Tenants, where the deployment has any.
     #[serde(default)]
     tenants: Vec<TenantRow>,
+    /// Worth of a message above its tenant's share, from 0 to 1.
     over_share_worth: Option<f64>,
+    /// Shortest time between two steps of the decision module.
+    #[schemars(range(min = 1))]
     period: u64,
+    /// Which load reports answers hold.
     report: ReportRow,
+    /// What a list entry's `size` says: `none`, or the calls a second that its destination takes.
     weights: String,
 }
 
-#[derive(Deserialize, Clone, Copy)]
+#[derive(Deserialize, Clone, Copy, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 enum Mode {
+    /// It comes by itself.
     Pushed,
+    /// It is asked for.
     OnRequest,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, JsonSchema)]
 struct Lane {
+    /// Name, as clients give it in `X-Lane`.
     name: String,
+    /// Delivered within this, a message earns its full worth.
+    #[schemars(range(min = 1))]
     aim: u64,
+    /// Given up after this.
+    #[schemars(range(min = 1))]
     hard_limit: u64,
+    /// Worth of one message.
     worth: f64,
+    /// Share of the worth that is left at the end, from 0 to 1.
     late_value: f64,
+    /// What a repeat does: nothing, dropped under its key, or a second effect.
     repeat: RepeatWord,
+    /// Where a repeat is dropped, for `dedup`: `all`, `zone` or `cell`.
     group: Option<String>,
+    /// For how long it is dropped, for `dedup`.
     key_ttl: Option<u64>,
+    /// Messages of one subject go one at a time, in the order taken.
     fifo_by_key: Option<bool>,
 }
 
-#[derive(Deserialize, Clone, Copy)]
+#[derive(Deserialize, Clone, Copy, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 enum RepeatWord {
+    /// Repeated freely.
     Retryable,
+    /// Repeated under its key.
     Dedup,
+    /// Never repeated once it may have run.
     Fragile,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, JsonSchema)]
 struct Limits {
+    /// Whether an attempt may be called off.
     cancel: bool,
+    /// A connection that is not made within this is unreachable.
     connect_timeout: u64,
+    /// For how long an endpoint keeps an idle connection.
     conn_idle: Option<u64>,
+    /// Attempts for one message at most.
+    #[schemars(range(min = 1))]
     max_attempts: u32,
+    /// Messages held at most.
+    #[schemars(range(min = 1))]
     most_held: usize,
+    /// Whether endpoints may be probed; this sender never does.
     probes: bool,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, JsonSchema)]
 struct Invariants {
+    /// New calls to an endpoint that drains end within this.
     drain_grace: u64,
+    /// Share of its capacity with which a destination returns, from 0 to 1.
     cold_share: f64,
+    /// Until when it has all of it.
     ramp_time: u64,
+    /// Sent more than this multiple of its present capacity ...
     overload_factor: f64,
+    /// ... for this long, a cold destination falls over.
     fall: u64,
+    /// How long a subject rests after an attempt that may still run.
     order_settle: Option<u64>,
+    /// A sender that asks for no list for so long counts as told.
     must_ask_in: Option<u64>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, JsonSchema)]
 struct Specifics {
+    /// Messages that one call carries, by kind.
     bundle_max: Option<Vec<usize>>,
+    /// Whether a destination's endpoints have limits of their own, by kind.
     kind_apart: Option<Vec<bool>>,
+    /// How worth falls after the aim: `by_half`, or `even`.
     decay: Option<String>,
+    /// Calls out at once at most.
+    #[schemars(range(min = 1))]
     max_calls: usize,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, JsonSchema)]
 struct TenantRow {
+    /// Name, as clients give it in `X-Org`.
     name: String,
+    /// Messages a second that count as within its share.
     allowance_per_s: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, JsonSchema)]
 struct ReportRow {
+    /// The fields' names in their order.
     #[serde(default)]
     names: Vec<String>,
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,5 +1,6 @@
 //! What goes over the wire between clients, senders, endpoints, discovery and the platform, as the protocol page has
 //! it: one place for those who write it and those who read it.
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -27,7 +28,7 @@
 pub const NOTICES: &str = "/v1/notices";
 
 /// A version of the list of endpoints, or the changes that led to it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 pub struct Targets {
     /// Its number: it only grows.
     pub revision: u64,
@@ -38,11 +39,12 @@
 }
 
 /// One endpoint of the list.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 pub struct Member {
     /// The same at every sender.
     pub id: String,
     /// Where calls go.
+    #[schemars(with = "String")]
     pub host_port: SocketAddr,
     /// Its zone.
     pub locality: String,
@@ -61,7 +63,7 @@
 }
 
 /// Whether an endpoint is in service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum Phase {
     /// It is.
