Split the loop by what it owns, and put what reaches it under all who send it

Changed, with no behaviour: input.rs holds what reaches the loop, connection.rs one connection, relay.rs what two processes tell each other, tuning.rs the settings' forms, clock.rs the clock.

--- a/benches/parts.rs
+++ b/benches/parts.rs
@@ -1,7 +1,8 @@
 //! Parts of the sender, each with the time and the blocks of memory that it takes: `cargo bench`. Times are noisy on
 //! shared machines; blocks and bytes are not. What the figures mean stands in `docs/cost.md`.
 use divan::{AllocProfiler, Bencher};
-use micadrum::net::host::{Answer, Input};
+use micadrum::net::input::Input;
+use micadrum::net::relay::Answer;
 use micadrum::net::server::{self, Doors};
 use micadrum::net::store::{Attempt, Handed, Owed, Store};
 use micadrum::wire::Targets;
--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -12,14 +12,48 @@
 use micadrum::wire::{ENVELOPE, HAND_IN, IDEMPOTENCY_KEY, LANE, REMAINING, TXN};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 use tokio::time::{sleep_until, timeout};
 
+/// Clients that give up wait this share of the others' patience, at the most.
+const EARLY: f64 = 0.02;
+/// A stranger is owed an error or a close within this.
+const STRANGER_PATIENCE: Duration = Duration::from_secs(3);
+/// What strangers send: nothing, no HTTP, half a head, half a body, and a message without what it needs.
+const STRANGERS: [&str; 5] = [
+    "",
+    "EHLO senders\r\n\r\n",
+    "POST /api HTTP/1.1\r\nHost: a\r\n",
+    "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: stranger\r\nContent-Length: 400\r\n\r\nhalf",
+    "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: stranger\r\nContent-Length: 4\r\n\r\nbody",
+];
+
+/// One stranger's visit.
+async fn stranger(stage: Arc<Stage>, to: SocketAddr, sends: &str) {
+    let visit = async {
+        let Ok(mut stream) = TcpStream::connect(to).await else { return true };
+        if stream.write_all(sends.as_bytes()).await.is_err() {
+            return true;
+        }
+        let mut answer = [0; 16];
+        match stream.read(&mut answer).await {
+            Ok(read) if read >= 12 => matches!(answer[9], b'4' | b'5'),
+            // Closed, or broken off.
+            _ => true,
+        }
+    };
+    let served = timeout(STRANGER_PATIENCE, visit).await.unwrap_or(false);
+    stage.lock().judge.stranger(served);
+}
+
 /// What the front knows of a sender.
 pub struct FrontEntry {
     /// Where clients connect.
@@ -111,6 +145,10 @@
             inner.judge.wants(came, arrival.class)
         };
         let honours = rng.random::<f64>() < scenario.clients.honour;
+        let gives_up = rng.random::<f64>() < scenario.clients.give_up;
+        let whole = micros(scenario.clients.patience_ms / 1000.0) as f64;
+        let patience =
+            Duration::from_micros((whole * if gives_up { EARLY * rng.random::<f64>() } else { 1.0 }) as u64);
         for try_number in 0..=scenario.clients.retries {
             let now = stage.now();
             if now >= due {
@@ -126,7 +164,7 @@
                 inner.returns.insert(first, told);
                 back
             };
-            let told = match self.hand_in(&id, first, sender, &arrival, due).await {
+            let told = match self.hand_in(&id, first, sender, &arrival, (due, patience)).await {
                 Heard::TakenOn => {
                     stage.lock().judge.answered(stage.now(), &id, true);
                     tokio::select! {
@@ -143,6 +181,9 @@
                 }
                 Heard::Nothing => {
                     stage.lock().judge.unanswered(&id);
+                    if gives_up {
+                        return;
+                    }
                     None
                 }
             };
@@ -156,6 +197,24 @@
         }
     }
 
+    /// Sends strangers to the senders until the play is over.
+    pub async fn strangers(self: Arc<Self>) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ 0x57A6);
+        let Ok(gap) = Exp::new(self.stage.scenario.clients.strangers) else { return };
+        let mut visits = JoinSet::new();
+        let mut at = gap.sample(&mut rng);
+        while at < self.stage.scenario.seconds {
+            sleep_until(self.stage.instant(micros(at))).await;
+            let (chance, kind) = (rng.random(), rng.random_range(0..STRANGERS.len()));
+            if let Some(sender) = self.pick(self.stage.now(), chance) {
+                visits.spawn(stranger(self.stage.clone(), self.senders[sender].address, STRANGERS[kind]));
+            }
+            while visits.try_join_next().is_some() {}
+            at += gap.sample(&mut rng);
+        }
+        while visits.join_next().await.is_some() {}
+    }
+
     /// A sender by chance, of those that the front takes for alive.
     fn pick(&self, now: Micros, chance: f64) -> Option<usize> {
         let alive = |entry: &FrontEntry| {
@@ -167,7 +226,14 @@
         alive.get(place.min(alive.len().saturating_sub(1))).copied()
     }
 
-    async fn hand_in(&self, id: &str, first: usize, sender: usize, arrival: &Arrival, due: Micros) -> Heard {
+    async fn hand_in(
+        &self,
+        id: &str,
+        first: usize,
+        sender: usize,
+        arrival: &Arrival,
+        (due, patience): (Micros, Duration),
+    ) -> Heard {
         let class = &self.stage.scenario.classes[arrival.class];
         let address = self.senders[sender].address;
         let left = due.saturating_sub(self.stage.now()) as f64 / 1e6;
@@ -183,7 +249,6 @@
             request = request.header(IDEMPOTENCY_KEY, format!("{first:032x}"));
         }
         let Ok(request) = request.body(Full::new(self.body.clone())) else { return Heard::Nothing };
-        let patience = Duration::from_micros(micros(self.stage.scenario.clients.patience_ms / 1000.0));
         let Ok(Ok(answer)) = timeout(patience, self.http.request(request)).await else {
             return Heard::Nothing;
         };
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -188,6 +188,10 @@
     pub connections: u64,
     /// Partners that fell over.
     pub falls: u64,
+    /// Strangers that came.
+    pub strangers: u64,
+    /// Of those, left with neither an error nor a close in time.
+    pub strangers_left: u64,
 }
 
 /// What an endpoint does with a call.
@@ -539,6 +543,12 @@
         self.span(now).connections += 1;
     }
 
+    /// A stranger has gone; whether it had an error or a close in time.
+    pub fn stranger(&mut self, served: bool) {
+        self.counts.strangers += 1;
+        self.counts.strangers_left += u64::from(!served);
+    }
+
     /// A partner fell over.
     pub fn fell(&mut self, now: Micros, partner: usize, by_witnesses: f64) {
         self.counts.falls += 1;
@@ -613,7 +623,8 @@
         let asked = self.counts.wanted.max(1) as f64;
         worth.price = 0.06 * (self.counts.connections as f64 / asked).min(1.0)
             + 0.05 * (self.counts.wasted as f64 / asked).min(1.0)
-            + 0.03 * (self.counts.calls_refused as f64 / asked).min(1.0);
+            + 0.03 * (self.counts.calls_refused as f64 / asked).min(1.0)
+            + 0.3 * self.counts.strangers_left as f64 / self.counts.strangers.max(1) as f64;
         worth.result = 0.5 * worth.whole + 0.3 * worth.worst_stretch + 0.2 * worst_class - worth.price;
         let classes = self.scenario.classes.iter().zip(&self.latencies).map(|(class, latencies)| Latency {
             class: class.name.clone(),
@@ -653,7 +664,7 @@
     pub worst_stretch: f64,
     /// The same by class.
     pub by_class: Vec<f64>,
-    /// For connections, wasted work and calls refused.
+    /// For connections, wasted work, calls refused and strangers left unanswered.
     pub price: f64,
     /// Half the whole, three tenths the worst stretch, a fifth the worst class, less the price.
     pub result: f64,
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -79,6 +79,7 @@
     }
     let crashes = Arc::new(Mutex::new(Vec::new()));
     parties.spawn(watch_nodes(stage.clone(), nodes.clone(), clients.clone(), crashes.clone()));
+    parties.spawn(clients.clone().strangers());
     if tell {
         parties.spawn(tell_progress(stage.clone()));
     }
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -119,6 +119,10 @@
     pub patience_ms: f64,
     /// How long clients go on using a sender that has died, in seconds.
     pub notice_s: Drawn,
+    /// Share of the clients that go before the answer can come, and do not come again.
+    pub give_up: f64,
+    /// Strangers a second: connections that send no proper request, or nothing.
+    pub strangers: f64,
 }
 
 impl Default for Clients {
@@ -129,6 +133,8 @@
             honour: 0.66,
             patience_ms: 400.0,
             notice_s: [0.84, 2.7],
+            give_up: 0.0,
+            strangers: 0.0,
         }
     }
 }
@@ -477,6 +483,8 @@
 
 /// More messages than these are no play on one machine.
 const MOST_MESSAGES: f64 = 200_000.0;
+/// More strangers a second are no play on one machine.
+const MOST_STRANGERS: f64 = 1000.0;
 /// The longest play, in seconds.
 const MOST_SECONDS: f64 = 3600.0;
 /// More senders than these are not simulated ...
@@ -534,6 +542,9 @@
         check(drawn(self.clients.again_ms) && drawn(self.clients.notice_s), "clients: a range".to_owned());
         check(share(self.clients.honour), format!("clients.honour = {}", self.clients.honour));
         check(positive(self.clients.patience_ms), "clients.patience_ms".to_owned());
+        check(share(self.clients.give_up), format!("clients.give_up = {}", self.clients.give_up));
+        let strangers = self.clients.strangers;
+        check((0.0..=MOST_STRANGERS).contains(&strangers), format!("clients.strangers = {strangers}"));
         let r = &self.rules;
         let spans = [r.drain_ms, r.warm_s, r.fall_multiple, r.fall_s, r.late_end_ms];
         check(
--- a/lab/src/table.rs
+++ b/lab/src/table.rs
@@ -23,6 +23,9 @@
     row("attempts a message taken on", format!("{:.2}", c.calls as f64 / c.taken_on.max(1) as f64));
     row("calls refused by partners", c.calls_refused.to_string());
     row("connections made", c.connections.to_string());
+    if c.strangers > 0 {
+        row("strangers left unanswered", format!("{} of {}", c.strangers_left, c.strangers));
+    }
     row("service, less prices", format!("{:.3}", v.worth.result));
     let _ = writeln!(
         text,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,6 +1,6 @@
 //! The list of endpoints: an unbroken watch on the agent of this machine.
-use super::host::Input;
-use super::pool::{Connection, request};
+use super::connection::{Connection, request};
+use super::input::Input;
 use super::telemetry::Shared;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -33,7 +33,7 @@
     #[error("no answer")]
     Silent,
     #[error(transparent)]
-    Call(#[from] super::pool::CallError),
+    Call(#[from] super::connection::CallError),
     #[error("status {0}")]
     Status(hyper::StatusCode),
     #[error("reading the answer: {0}")]
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -10,18 +10,14 @@
 //!
 //! Before 4 the old one goes on as if nothing had been asked where anything fails; the new one asks again until it
 //! has the lock. After 4 the old one finishes its calls and passes on what still reaches it.
-use super::host::{Answer, Input, Out};
-use super::mgmt::{Asked, Order};
-use super::server::Doors;
-use super::store::Handed;
-use micadrum::{EndpointId, Event, Outcome, Report, Sender, Span, Time};
+use super::relay::{ToNew, ToOld};
+use micadrum::{EndpointId, Event, Sender, Time};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
 use std::fs::{File, TryLockError};
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
@@ -31,10 +27,9 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{sleep, timeout};
 
 /// Raised with every change of what is handed over: processes of different versions wait for each other's end.
 const VERSION: u32 = 3;
@@ -44,12 +39,6 @@
 const PAUSE: Duration = Duration::from_millis(20);
 /// The same, where both processes answer and do not fit.
 const LONG_PAUSE: Duration = Duration::from_secs(2);
-/// From the handover on, clients' connections end with their next answer, and idle ones soon; after this all do.
-const LEAVING: Duration = Duration::from_millis(1200);
-/// No call takes longer, and no client is waited for after that.
-const MOST_LEFT: Duration = Duration::from_secs(20);
-/// The same from SIGTERM on: the platform kills no sooner than 3.7 s after it.
-const LAST_WORDS: Duration = Duration::from_millis(3300);
 /// A process that asks says so at once.
 const HELLO_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -92,41 +81,6 @@
     }
 }
 
-/// From the process that hands over.
-#[derive(Serialize, Deserialize)]
-pub enum ToNew {
-    Yours,
-    /// A call that was out has ended.
-    Called {
-        sent: Time,
-        at: Time,
-        endpoint: EndpointId,
-        ends: Vec<(u32, Outcome, bool)>,
-        wait: Option<Span>,
-        report: Option<Report>,
-    },
-    /// A message that came on an old connection; its deadline is the module's time.
-    HandIn {
-        id: u64,
-        message: Handed,
-        deadline: Time,
-    },
-    /// A call by staff at the old second address.
-    Order {
-        id: u64,
-        order: Order,
-    },
-}
-
-/// From the process that takes over.
-#[derive(Serialize, Deserialize)]
-pub enum ToOld {
-    Hello(u32),
-    Taken,
-    Answer { id: u64, answer: Answer },
-    Ordered { id: u64, done: Result<(), String> },
-}
-
 #[derive(Debug, thiserror::Error)]
 pub enum HandoverError {
     #[error("{doing} {path}: {source}")]
@@ -343,86 +297,3 @@
     });
     (send, writer)
 }
-
-/// What is left of a process that has handed over.
-pub struct Remains {
-    pub stream: UnixStream,
-    pub calls: HashMap<u64, Out>,
-    pub time_of: Box<dyn Fn(Instant) -> Time + Send>,
-    pub doors: watch::Sender<Doors>,
-}
-
-impl Remains {
-    /// Passes on what still reaches the old process, until its calls have ended and its clients have gone.
-    pub async fn pass_on(
-        mut self,
-        mut inputs: UnboundedReceiver<Input>,
-        mut orders: Receiver<Asked>,
-        mut server: JoinHandle<()>,
-    ) {
-        let (to_queue, mut from_new) = unbounded_channel();
-        let (to_new, writer) = link(self.stream, move |came: Option<ToOld>| to_queue.send(came).is_ok());
-        let (mut shut, mut end) = (Instant::now() + LEAVING, Instant::now() + MOST_LEFT);
-        let (mut served, mut next) = (false, 0);
-        let mut handed_in: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
-        let mut ordered: HashMap<u64, oneshot::Sender<Result<(), String>>> = HashMap::new();
-        while !(served && self.calls.is_empty()) {
-            next += 1;
-            tokio::select! {
-                _ = &mut server, if !served => served = true,
-                () = sleep_until(shut) => {
-                    self.doors.send_replace(Doors::Shut);
-                    shut = end;
-                }
-                () = sleep_until(end) => break,
-                Some(asked) = orders.recv() => match asked {
-                    Asked::Order { order, answer } => {
-                        ordered.insert(next, answer);
-                        let _ = to_new.send(ToNew::Order { id: next, order });
-                    }
-                    // What was held is the new one's, and the sums would be wrong without it.
-                    Asked::Figures(answer) => {
-                        let _ = answer.send(Err("another process has taken over: ask that one".to_owned()));
-                    }
-                },
-                came = from_new.recv() => match came.flatten() {
-                    Some(ToOld::Answer { id, answer }) => {
-                        // A client that has gone comes again under a new id.
-                        let _ = handed_in.remove(&id).map(|to| to.send(answer));
-                    }
-                    Some(ToOld::Ordered { id, done }) => {
-                        let _ = ordered.remove(&id).map(|to| to.send(done));
-                    }
-                    Some(ToOld::Hello(_) | ToOld::Taken) => {}
-                    // Nobody is left to pass anything on to.
-                    None => {
-                        eprintln!("handover: the new process has ended");
-                        break;
-                    }
-                },
-                Some(input) = inputs.recv() => match input {
-                    Input::Called(called) => {
-                        let at = (self.time_of)(called.at);
-                        let sent = self.calls.remove(&called.number).map_or(at, |out| out.began);
-                        let (endpoint, ends, wait, report) =
-                            (called.endpoint, called.ends, called.wait, called.report);
-                        let _ = to_new.send(ToNew::Called { sent, at, endpoint, ends, wait, report });
-                    }
-                    // The new process decides now, and does not know of it as begun.
-                    Input::Connected { may_begin, .. } => drop(may_begin.send(false)),
-                    Input::HandIn { message, deadline, answer } => {
-                        handed_in.insert(next, answer);
-                        let deadline = (self.time_of)(deadline);
-                        let _ = to_new.send(ToNew::HandIn { id: next, message, deadline });
-                    }
-                    Input::WindDown => end = end.min(Instant::now() + LAST_WORDS),
-                    Input::Retune(_, done) => drop(done.send(Err("another process has taken over".to_owned()))),
-                    // The new process has a watch, notices and connections of its own.
-                    _ => {}
-                },
-            }
-        }
-        drop(to_new);
-        let _ = timeout(HELLO_PATIENCE, writer).await;
-    }
-}
--- /dev/null
+++ b/src/net/host/intake.rs
@@ -0,0 +1,112 @@
+//! Messages: taken on from clients, and brought to their final answer.
+use super::{Host, log_failure};
+use crate::net::notices::Notice;
+use crate::net::relay::Answer;
+use crate::net::store::{End, Handed, Owed};
+use crate::net::telemetry;
+use micadrum::profile::look;
+use micadrum::{Class, DestinationId, Event, Message, MessageId, OrderKey, Repeat, Span, TenantId};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+use tokio::time::Instant;
+
+impl Host {
+    pub(super) fn hand_in(&mut self, message: Handed, deadline: Instant) -> Answer {
+        if self.held.contains_key(&message.id) {
+            return Answer::TakenOn;
+        }
+        let class = match self.class(&message.class) {
+            Ok(class) => class,
+            Err(what) => return self.malformed(what),
+        };
+        let owed = Owed::new(message, self.clock.at(deadline).0, class);
+        let mut known = match self.message(0, &owed) {
+            Ok(known) => known,
+            Err(what) => return self.malformed(what),
+        };
+        let now = self.now();
+        if !self.sender.admits(now, self.held.len()) {
+            self.figures.refused += 1;
+            return Answer::Refused;
+        }
+        let id = owed.message.id.clone();
+        match self.store.take_on(owed) {
+            Ok(number) => {
+                known.id = MessageId(number);
+                self.held.insert(id, Instant::now());
+                self.figures.taken += 1;
+                self.pending.push((now, Event::Message(known)));
+                Answer::TakenOn
+            }
+            Err(e) => {
+                eprintln!("refused: {e}");
+                self.figures.refused += 1;
+                Answer::Refused
+            }
+        }
+    }
+
+    pub(super) fn malformed(&mut self, what: String) -> Answer {
+        self.figures.malformed += 1;
+        Answer::Malformed(what)
+    }
+
+    pub(super) fn class(&self, name: &str) -> Result<Class, String> {
+        Ok(self.tuning.settings.classes[look(&self.tuning.names.classes, name, "class")?.0])
+    }
+
+    /// A message in the module's terms; the error says what cannot be understood.
+    pub(super) fn message(&self, number: u32, owed: &Owed) -> Result<Message, String> {
+        let class = match owed.class {
+            Some(class) => class,
+            // Taken on before journals held the class: as the settings have it now.
+            None => self.class(&owed.message.class)?,
+        };
+        if matches!(class.repeat, Repeat::Keyed { .. }) && owed.message.idempotency_key.is_none() {
+            return Err(format!("class {:?} needs an idempotency key", owed.message.class));
+        }
+        let tenant: Option<TenantId> = match &owed.message.tenant {
+            Some(name) if !self.tuning.names.tenants.is_empty() => {
+                Some(look(&self.tuning.names.tenants, name, "tenant")?)
+            }
+            _ => None,
+        };
+        // Two keys of one hash would wait for each other: harmless.
+        let key = owed.message.key.as_ref().filter(|_| class.ordered).map(|key| {
+            let mut hasher = DefaultHasher::new();
+            key.hash(&mut hasher);
+            OrderKey(hasher.finish())
+        });
+        let budget = Span(owed.deadline.saturating_sub(self.now().0));
+        let destination = DestinationId(owed.message.destination);
+        Ok(Message { id: MessageId(number), class, tenant, key, destination, budget })
+    }
+
+    /// Counts a final answer, unless that was given before.
+    pub(super) fn count_end(&mut self, number: u32, end: telemetry::End) {
+        let Some(owed) = self.store.get(number).filter(|owed| owed.end.is_none()) else { return };
+        let after = self.held.get(&owed.message.id).map_or(Duration::ZERO, Instant::elapsed);
+        self.figures.ended(&owed.message.class, end, after);
+    }
+
+    pub(super) fn end(&mut self, number: u32, end: End) {
+        self.count_end(
+            number,
+            match end {
+                End::Failed => telemetry::End::Failed,
+                End::Returned(_) => telemetry::End::Rejected,
+            },
+        );
+        let Some(owed) = self.store.get(number) else { return };
+        let id = owed.message.id.clone();
+        log_failure(self.store.end(number, end));
+        let _ = self.notices.send(Notice { number, id, end });
+    }
+
+    /// Nothing more is owed.
+    pub(super) fn over(&mut self, number: u32) {
+        let Some(owed) = self.store.get(number) else { return };
+        self.held.remove(&owed.message.id);
+        log_failure(self.store.over(number));
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,13 +1,18 @@
 //! The sender on real sockets: everything round the decision module that does I/O or reads a clock.
+pub mod clock;
+pub mod connection;
 pub mod discovery;
 pub mod handover;
 pub mod host;
+pub mod input;
 pub mod mgmt;
 pub mod notices;
 pub mod pool;
+pub mod relay;
 pub mod server;
 pub mod store;
 pub mod telemetry;
+pub mod tuning;
 
 /// Descriptors besides those of clients and endpoints: standard streams, the loops' and the signals' own, the
 /// listeners, the journal's two files, discovery, notices, the configuration at a reload, staff's callers.
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -1,7 +1,7 @@
 //! Final answers to the platform: each is sent again until it is acknowledged, in the order in which they came.
+use super::connection::{CallError, Connection, request};
 use super::discovery::Pauses;
-use super::host::Input;
-use super::pool::{CallError, Connection, request};
+use super::input::Input;
 use super::store::End;
 use super::telemetry::Shared;
 use bytes::Bytes;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -1,30 +1,22 @@
 //! Connections and calls: one call at a time on a connection, and what came back as an [`Outcome`].
-use super::host::Input;
+use super::connection::{CallError, Connection, request};
+use super::input::{Called, Input};
+use super::tuning::ReportFields;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http_body_util::{BodyExt, Limited};
+use hyper::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::http::request::Builder;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper::{HeaderMap, Method, StatusCode};
 use micadrum::wire::{HOOK, IDEMPOTENCY_KEY, NO_SLOT, REMAINING, TXN};
 use micadrum::{EndpointId, Outcome, Report, Span};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
-use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// Idle times, in milliseconds, between which connections are told apart when some break.
@@ -37,147 +29,9 @@
 const TRUST_FADES: Duration = Duration::from_secs(10);
 /// Bodies of answers are read up to this, which no peer goes beyond; longer ones cost their connection.
 const MOST_ANSWER: usize = 64 * 1024;
-/// What one connection may have buffered beside that: an answer's head that never ends must not fill the memory.
-const MOST_BUFFER: usize = 32 * 1024;
 /// How long the body of an answer may take once its status is known.
 const BODY_PATIENCE: Duration = Duration::from_secs(1);
 
-/// Why a call got no answer.
-#[derive(Debug, thiserror::Error)]
-pub enum CallError {
-    #[error("no connection: {0}")]
-    Connect(#[source] io::Error),
-    /// It broke before the request's last byte was written.
-    #[error("broken before the request was written: {0}")]
-    Unsent(#[source] hyper::Error),
-    #[error("broken after the request was written: {0}")]
-    Reset(#[source] hyper::Error),
-}
-
-/// How much of the request on a connection has been written, counted on the way to the socket: the one way
-/// to know whether a call that broke may have run.
-#[derive(Default)]
-struct Written {
-    /// Bytes matched of the blank line that ends the head.
-    matched: u8,
-    body_left: usize,
-}
-
-impl Written {
-    fn count(&mut self, mut bytes: &[u8]) {
-        while self.matched < 4
-            && let Some((first, rest)) = bytes.split_first()
-        {
-            self.matched = match (self.matched, first) {
-                (0 | 2, b'\r') | (1 | 3, b'\n') => self.matched + 1,
-                (_, b'\r') => 1,
-                _ => 0,
-            };
-            bytes = rest;
-        }
-        self.body_left = self.body_left.saturating_sub(bytes.len());
-    }
-
-    fn whole(&self) -> bool {
-        self.matched == 4 && self.body_left == 0
-    }
-}
-
-/// A stream that counts what is written to it. It takes no vectored writes, which keeps the count simple.
-struct Counted {
-    stream: TcpStream,
-    written: Arc<Mutex<Written>>,
-}
-
-impl AsyncRead for Counted {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for Counted {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let count = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
-        self.written.lock().unwrap_or_else(PoisonError::into_inner).count(&buf[..count]);
-        Poll::Ready(Ok(count))
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
-/// A connection of our own. Dropping it closes it, which also gives up the call on it.
-pub struct Connection {
-    requests: http1::SendRequest<Full<Bytes>>,
-    written: Arc<Mutex<Written>>,
-    driver: AbortHandle,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
-impl Connection {
-    /// Connects within `patience`.
-    pub async fn open(address: SocketAddr, patience: Duration) -> Result<Self, CallError> {
-        let stream = match timeout(patience, TcpStream::connect(address)).await {
-            Ok(stream) => stream.map_err(CallError::Connect)?,
-            Err(_) => return Err(CallError::Connect(io::ErrorKind::TimedOut.into())),
-        };
-        stream.set_nodelay(true).map_err(CallError::Connect)?;
-        let written = Arc::new(Mutex::new(Written::default()));
-        let io = TokioIo::new(Counted { stream, written: written.clone() });
-        let (requests, connection) =
-            http1::Builder::new().max_buf_size(MOST_BUFFER).handshake(io).await.map_err(CallError::Unsent)?;
-        // How it ends shows in the call on it, or in `is_alive`.
-        let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Self { requests, written, driver })
-    }
-
-    /// Whether it can take a call: asked before a byte of one is written.
-    async fn is_alive(&mut self) -> bool {
-        self.requests.ready().await.is_ok()
-    }
-
-    /// Sends one request; the answer is there with its head.
-    pub async fn send(&mut self, request: Builder, body: Bytes) -> Result<Response<Incoming>, CallError> {
-        *self.written() = Written { matched: 0, body_left: body.len() };
-        let request = request.body(Full::new(body)).unwrap_or_else(|e| {
-            // All parts were valid header values when they came in.
-            eprintln!("pool: {e}");
-            Request::default()
-        });
-        self.requests.send_request(request).await.map_err(|e| match self.request_written() {
-            true => CallError::Reset(e),
-            false => CallError::Unsent(e),
-        })
-    }
-
-    fn written(&self) -> std::sync::MutexGuard<'_, Written> {
-        self.written.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn request_written(&self) -> bool {
-        self.written().whole()
-    }
-}
-
-/// A request's head.
-pub fn request(method: Method, path: &str, host: SocketAddr) -> Builder {
-    Request::builder().method(method).uri(path).header(HOST, host.to_string())
-}
-
 /// One message of a call.
 #[derive(Clone)]
 pub struct Parcel {
@@ -198,29 +52,6 @@
     pub connect_timeout: Duration,
 }
 
-/// How a call ended.
-#[derive(Debug)]
-pub struct Called {
-    pub number: u64,
-    pub endpoint: EndpointId,
-    /// When the end of the call was seen: waits run from here.
-    pub at: Instant,
-    /// What became of each message, in the call's order.
-    pub ends: Vec<(u32, Outcome, bool)>,
-    /// A wait that the answer told.
-    pub wait: Option<Span>,
-    pub report: Option<Report>,
-    /// How long its connection had been idle before, unless that was new.
-    pub idle: Option<Duration>,
-}
-
-/// Where the fields of a load report stand.
-#[derive(Clone, Copy)]
-pub struct ReportFields {
-    pub left: bool,
-    pub limit: bool,
-}
-
 /// What is learned of how long an idle connection can still be used. Something on the way may drop those idle
 /// for far less than the settings' time; a call on such a one ends as a reset, and may cost a message its try.
 struct Trust {
@@ -327,7 +158,7 @@
         self.trust.forget();
         let keep = self.trust.limit().map_or(self.keep, |limit| limit.min(self.keep));
         self.idle.retain(|_, idle| {
-            idle.retain(|(connection, since)| since.elapsed() < keep && !connection.requests.is_closed());
+            idle.retain(|(connection, since)| since.elapsed() < keep && !connection.is_closed());
             !idle.is_empty()
         });
     }
@@ -533,22 +364,6 @@
     (seconds > 0.0 && seconds.is_finite()).then(|| Span((seconds * 1e6).ceil() as u64))
 }
 
-impl ReportFields {
-    fn read(self, headers: &HeaderMap) -> Option<Report> {
-        let text = headers.get("X-Pressure")?.to_str().ok()?;
-        let field = |name: &str| -> Option<f64> {
-            let mut fields = text.split(',').filter_map(|pair| pair.trim().split_once('='));
-            fields.find(|(n, _)| *n == name)?.1.trim().parse().ok().filter(|v: &f64| v.is_finite())
-        };
-        let left = field("x0").filter(|_| self.left);
-        let limit = field("x1").filter(|_| self.limit);
-        if left.is_none() && limit.is_none() {
-            return None;
-        }
-        Some(Report { left: left.unwrap_or(1.0), limit: limit.unwrap_or(0.0) })
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,5 +1,6 @@
 //! The side that clients see: messages are handed in, and answered once the journal holds them.
-use super::host::{Answer, Input};
+use super::input::Input;
+use super::relay::Answer;
 use super::store::Handed;
 use super::telemetry::Shared;
 use bytes::Bytes;
