Have the lab's stand-ins share one empty answer, and the judge one slack for ends

Found on reading the whole change again: the same function stood in endpoints, directory and baseline, and the time in which an end still counts was worked out in three places of the judge. No behaviour changes; the lab's tests pass as they are.

--- a/lab/src/baseline.rs
+++ b/lab/src/baseline.rs
@@ -1,5 +1,6 @@
 //! Plain senders to compare with: each holds messages in memory, picks endpoints in turn, and repeats by one simple rule.
 //! They keep what a message's class permits and the list's drains, and nothing else: no paces, no told waits, no journal.
+use crate::endpoints::plain;
 use crate::scenario::Baseline;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -164,12 +165,6 @@
     }
 }
 
-fn plain(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
-
 impl Plain {
     async fn ask_list(self: Arc<Self>) {
         loop {
--- a/lab/src/directory.rs
+++ b/lab/src/directory.rs
@@ -1,6 +1,6 @@
 //! The stand-in directory: the list, watches on it, and the notices that end messages. Each sender has an address of
 //! its own, so that it is known what it was told.
-use crate::endpoints::Cut;
+use crate::endpoints::{Cut, plain};
 use crate::scenario::Rules;
 use crate::stage::Stage;
 use bytes::Bytes;
@@ -117,12 +117,6 @@
     }
 }
 
-fn plain(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
-
 async fn answer(
     stage: &Stage,
     directory: &Directory,
--- a/lab/src/endpoints.rs
+++ b/lab/src/endpoints.rs
@@ -145,7 +145,8 @@
     }
 }
 
-fn status(status: StatusCode) -> Response<Full<Bytes>> {
+/// An answer without a body.
+pub fn plain(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
     response
@@ -160,16 +161,16 @@
 ) -> Result<Response<Full<Bytes>>, Cut> {
     let (head, body) = request.into_parts();
     if head.method != Method::POST || head.uri.path() != HOOK {
-        return Ok(status(StatusCode::NOT_FOUND));
+        return Ok(plain(StatusCode::NOT_FOUND));
     }
     if Limited::new(body, MOST_BODY).collect().await.is_err() {
-        return Ok(status(StatusCode::BAD_REQUEST));
+        return Ok(plain(StatusCode::BAD_REQUEST));
     }
     let Some(id) = head.headers.get(TXN).and_then(|id| id.to_str().ok()).map(str::to_owned) else {
-        return Ok(status(StatusCode::BAD_REQUEST));
+        return Ok(plain(StatusCode::BAD_REQUEST));
     };
     if !room {
-        let mut full = status(StatusCode::SERVICE_UNAVAILABLE);
+        let mut full = plain(StatusCode::SERVICE_UNAVAILABLE);
         full.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         return Ok(full);
     }
@@ -179,11 +180,11 @@
         let inner = &mut *guard;
         let (sender, first) = match inner.judge.begins(began, &id, partner, endpoint) {
             Admission::Through { sender, first } => (sender, first),
-            Admission::Unknown => return Ok(status(StatusCode::BAD_REQUEST)),
-            Admission::Over => return Ok(status(StatusCode::GONE)),
-            Admission::Spent => return Ok(status(StatusCode::GATEWAY_TIMEOUT)),
+            Admission::Unknown => return Ok(plain(StatusCode::BAD_REQUEST)),
+            Admission::Over => return Ok(plain(StatusCode::GONE)),
+            Admission::Spent => return Ok(plain(StatusCode::GATEWAY_TIMEOUT)),
             Admission::NoSlot => {
-                let mut none = status(StatusCode::SERVICE_UNAVAILABLE);
+                let mut none = plain(StatusCode::SERVICE_UNAVAILABLE);
                 none.headers_mut().insert(NO_SLOT, HeaderValue::from_static("1"));
                 return Ok(none);
             }
@@ -205,19 +206,19 @@
     match fate {
         Fate::Refused(Some(wait)) => {
             out.end(Ended::Refused(Some(stage.now() + wait)));
-            let mut refused = status(StatusCode::TOO_MANY_REQUESTS);
+            let mut refused = plain(StatusCode::TOO_MANY_REQUESTS);
             let seconds = HeaderValue::from_str(&format!("{:.3}", wait as f64 / 1e6)).map_err(|_| Cut)?;
             refused.headers_mut().insert(RETRY_AFTER, seconds);
             Ok(refused)
         }
         Fate::Refused(None) => {
             out.end(Ended::Refused(None));
-            Ok(status(StatusCode::SERVICE_UNAVAILABLE))
+            Ok(plain(StatusCode::SERVICE_UNAVAILABLE))
         }
         Fate::Answered { at, ok } => {
             sleep_until(stage.instant(at)).await;
             out.end(if ok { Ended::Delivered } else { Ended::Error });
-            Ok(status(if ok { StatusCode::OK } else { StatusCode::INTERNAL_SERVER_ERROR }))
+            Ok(plain(if ok { StatusCode::OK } else { StatusCode::INTERNAL_SERVER_ERROR }))
         }
         Fate::Silent { .. } => pending().await,
         Fate::Broken { at } => {
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -486,7 +486,7 @@
         if returned && unsure {
             self.breach(Rule::Resent, now, format!("{id} was returned though it may have run"));
         }
-        let late = now > due + micros(self.scenario.rules.late_end_ms / 1000.0) + SOCKET_SLACK;
+        let late = now > due + self.end_slack();
         if late && !self.excused(sender, due, now) {
             self.lost(now, id.to_owned(), "its end came late");
         }
@@ -508,6 +508,11 @@
         })
     }
 
+    /// How long after its time a message's end still counts.
+    fn end_slack(&self) -> Micros {
+        micros(self.scenario.rules.late_end_ms / 1000.0) + SOCKET_SLACK
+    }
+
     fn lost(&mut self, now: Micros, id: String, how: &str) {
         self.counts.lost += 1;
         self.breach(Rule::Lost, now, format!("{id}: {how}"));
@@ -572,14 +577,14 @@
 
     /// Whether nothing can come any more: each message taken on has its end, or should have had it.
     pub fn settled(&self, now: Micros) -> bool {
-        let slack = micros(self.scenario.rules.late_end_ms / 1000.0) + SOCKET_SLACK;
+        let slack = self.end_slack();
         !self.handings.values().any(|h| h.taken_on && h.end.is_none() && now <= h.due + slack)
     }
 
     /// The result, once nothing more happens.
     pub fn verdict(mut self, now: Micros) -> Verdict {
         let open = self.handings.iter().filter(|(_, h)| h.taken_on && h.end.is_none());
-        let slack = micros(self.scenario.rules.late_end_ms / 1000.0) + SOCKET_SLACK;
+        let slack = self.end_slack();
         let lost: Vec<_> = open
             .filter(|(_, h)| now > h.due + slack && !self.excused(h.sender, h.due, now))
             .map(|(id, _)| id.clone())
