--- /dev/null
+++ b/fleet/src/node.rs
@@ -0,0 +1,1220 @@
+//! One sender's part in its fleet: the roster, who answers, and its work as a keeper, behind one state machine.
+use crate::Millis;
+use crate::disk::{Record, State};
+use crate::keeper::Keeper;
+use crate::roster::{Change, Farewell, Info, Roster};
+use crate::settings::Settings;
+use crate::view::{Health, Heard, Row, Standing, View, Watch};
+use crate::wire::{Identity, MOST_DATAGRAM, Packet, WireError, decode, encode};
+use omnipaxos::messages::Message;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+/// A keeper's clock ticks this often.
+const KEEPER_TICK: Millis = 200;
+/// One member is told this often how far the roster here is.
+const DIGEST: Millis = 1_000;
+/// What is asked of the keepers is asked again after this, until it is agreed or given up.
+const PROPOSE: Millis = 700;
+/// A blank sender asks the seeds this often, and later this often.
+const HELLO: Millis = 500;
+const HELLO_LATER: Millis = 2_000;
+const HELLO_SOON: u32 = 20;
+/// Members that are not heard are greeted this often, one at a time.
+const GREET: Millis = 2_000;
+/// The leader of the keepers looks at their group this often, and changes it no sooner than this after the last change.
+const HOUSEKEEPING: Millis = 1_000;
+const SETTLED: Millis = 4_000;
+/// One peer is asked for the roster no more often than this.
+const PULL: Millis = 250;
+/// A keeper that hears of steps its group has agreed on without it asks its leader after this.
+const LAGGING: Millis = 1_500;
+/// A disk that took no record is tried again after this.
+const RELOAD: Millis = 3_000;
+/// The so many-th time it tries to lead, as asking has not helped.
+const LAGS: u32 = 3;
+/// Staff have an answer by then.
+const ORDER_PATIENCE: Millis = 8_000;
+/// Members that are told at once of a new step, so that it spreads as a rumour does.
+const FANOUT: usize = 3;
+/// Steps that are kept for those that are a little behind; others get the whole.
+const RECENT: usize = 256;
+/// A group of keepers that has agreed on so many steps begins anew, with an empty log.
+const MOST_LOG: usize = 256;
+/// Steps that may wait for a majority.
+const MOST_WAITING: usize = 64;
+/// Former members in a view.
+const GONE_SHOWN: usize = 16;
+/// How long the start of SWIM may take until one that was never heard counts as lost, besides the time to object.
+const LISTEN: Millis = 3_000;
+
+/// What is to be done, in the order given: a record is on disk before what stands after it is carried out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Write to disk.
+    Persist(Record),
+    /// Send, as a datagram or, if it has to come whole and in order, on a connection.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// What.
+        bytes: Vec<u8>,
+        /// Whether it needs a connection.
+        connection: bool,
+    },
+    /// A line for the log.
+    Note(Note),
+    /// The disk took no record, and may again: try it, and tell what it holds by [`Node::reloaded`].
+    Reload,
+    /// This sender takes no part any more.
+    Halt(Halt),
+    /// The answer to an order.
+    Answer(u64, Result<(), OrderError>),
+}
+
+/// What staff can ask for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// This sender leaves in order.
+    Leave,
+    /// The member of that name does not belong any more.
+    Remove(String),
+    /// A majority of the keepers is lost for good: go on from the roster that this sender has. To be asked of one sender only.
+    Refound,
+}
+
+/// Why an order is not carried out.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum OrderError {
+    /// This sender belongs to no fleet.
+    #[error("this sender belongs to no fleet: {0}")]
+    NoFleet(String),
+    /// The roster has no such member.
+    #[error("no member is called {0:?}; `fleet roster` names them all")]
+    Unknown(String),
+    /// The keepers did not agree in time.
+    #[error(
+        "not agreed on within {0} s: no majority of the keepers answers; ask again, it does no harm twice"
+    )]
+    NoMajority(u64),
+    /// A majority is there.
+    #[error("{0} of {1} keepers answer: they can agree, and nothing is to be founded anew")]
+    Majority(usize, usize),
+    /// Nobody to found it with.
+    #[error("no other member answers: start one more of them first")]
+    Alone,
+}
+
+/// Why a sender takes no part any more.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Halt {
+    /// Another process runs on a copy of this folder, or ran and was known first.
+    #[error(
+        "another process has this folder's identity (incarnation {theirs}, and this is {own}): two run on copies of one folder"
+    )]
+    Copied {
+        /// The incarnation that is agreed on.
+        theirs: u32,
+        /// This one's.
+        own: u32,
+    },
+    /// It does not belong any more.
+    #[error("this sender does not belong to the fleet any more: {0}")]
+    Gone(&'static str),
+}
+
+/// A line for the log: what changed, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// A member's health changed.
+    Health {
+        /// Its name.
+        name: String,
+        /// What is believed now.
+        now: Health,
+        /// Its incarnation.
+        incarnation: u32,
+    },
+    /// The roster has a new number.
+    Roster {
+        /// The number before.
+        before: u64,
+        /// The number now.
+        now: u64,
+        /// What the step says; none where the whole record was taken over.
+        change: Option<Change>,
+    },
+    /// This sender was held lost by others, and is back.
+    Returned(u32),
+    /// Founding waits.
+    Waiting(String),
+    /// A fleet of the same name, but another one, was heard.
+    OtherFleet(SocketAddr),
+    /// The keepers' group that this one works in.
+    Keeper(Option<u32>),
+}
+
+/// What came and went.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Datagrams sent.
+    pub datagrams: u64,
+    /// Frames sent.
+    pub frames: u64,
+    /// Bytes sent in both.
+    pub bytes: u64,
+    /// Packets taken in.
+    pub taken: u64,
+    /// Dropped: of another fleet, of another version, damaged or unreadable.
+    pub foreign: u64,
+    /// Dropped, being of another version.
+    pub versions: u64,
+    /// Dropped, being damaged or unreadable.
+    pub damaged: u64,
+}
+
+struct Waiting {
+    id: u64,
+    change: Change,
+    until: Millis,
+}
+
+/// One sender's part in its fleet.
+pub struct Node {
+    settings: Settings,
+    hash: u64,
+    folder: u64,
+    incarnation: u32,
+    boot: u64,
+    rng: ChaCha8Rng,
+    began: Millis,
+    promise: Option<u64>,
+    promises: BTreeMap<SocketAddr, (u64, u32, u64, Info)>,
+    roster: Option<Roster>,
+    recent: VecDeque<Change>,
+    watch: Watch,
+    watching: Option<Millis>,
+    keeper: Option<Keeper>,
+    keeper_disk: Option<crate::disk::KeeperState>,
+    disk_broken: bool,
+    hellos: u32,
+    next_hello: Millis,
+    next_digest: Millis,
+    next_propose: Millis,
+    next_keeper: Millis,
+    next_housekeeping: Millis,
+    next_greet: Millis,
+    next_reload: Millis,
+    settled_at: Millis,
+    pulled: Millis,
+    lagging: Option<Millis>,
+    lags: u32,
+    /// Peers whose connection broke and that were not heard since.
+    broken: BTreeSet<u64>,
+    heard: Option<Millis>,
+    other_fleet: Option<SocketAddr>,
+    orders: Vec<Waiting>,
+    halted: Option<Halt>,
+    effects: Vec<Effect>,
+    counts: Counts,
+}
+
+impl Node {
+    /// A sender that starts on what its folder holds. `seed` is for chance alone, and new with each start.
+    pub fn new(settings: Settings, mut state: State, seed: u64, now: Millis) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut effects = Vec::new();
+        if state.folder == 0 {
+            state.folder = rng.random_range(1..u64::MAX);
+            effects.push(Effect::Persist(Record::Folder(state.folder)));
+        }
+        let incarnation = state.incarnation.saturating_add(1);
+        effects.push(Effect::Persist(Record::Incarnation(incarnation)));
+        let own = Identity { folder: state.folder, incarnation, returns: 0, address: settings.info.address };
+        let watch = Watch::new(own, &settings, ChaCha8Rng::from_rng(&mut rng));
+        let spread = rng.random_range(0..HELLO);
+        let mut node = Self {
+            hash: settings.fleet_hash(),
+            folder: state.folder,
+            incarnation,
+            boot: rng.random(),
+            rng,
+            began: now,
+            promise: state.promise,
+            promises: BTreeMap::new(),
+            roster: state.roster,
+            recent: VecDeque::new(),
+            watch,
+            watching: None,
+            keeper: None,
+            keeper_disk: state.keeper,
+            disk_broken: false,
+            hellos: 0,
+            next_hello: now,
+            next_digest: now + spread,
+            next_propose: now,
+            next_keeper: now,
+            next_housekeeping: now + HOUSEKEEPING,
+            next_greet: now,
+            next_reload: now,
+            settled_at: now,
+            pulled: 0,
+            lagging: None,
+            lags: 0,
+            broken: BTreeSet::new(),
+            heard: None,
+            other_fleet: None,
+            orders: Vec::new(),
+            halted: None,
+            effects,
+            counts: Counts::default(),
+            settings,
+        };
+        node.roster_changed(now, None);
+        node
+    }
+
+    /// The folder's own number, the start on it, and what was drawn at this start.
+    pub fn identity(&self) -> (u64, u32, u64) {
+        (self.folder, self.incarnation, self.boot)
+    }
+
+    /// The latest record of who belongs.
+    pub fn roster(&self) -> Option<&Roster> {
+        self.roster.as_ref()
+    }
+
+    /// What came and went.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Why it takes no part, if it does not.
+    pub fn halted(&self) -> Option<&Halt> {
+        self.halted.as_ref()
+    }
+
+    /// The name of the keeper that leads the others, as far as this one, a keeper, knows.
+    pub fn leader(&self) -> Option<&str> {
+        let folder = self.keeper.as_ref()?.leader()?;
+        Some(&self.roster.as_ref()?.members.get(&folder)?.info.name)
+    }
+
+    /// Whether it works as a keeper.
+    pub fn keeps(&self) -> bool {
+        self.keeper.is_some()
+    }
+
+    /// What is to be done.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When [`Node::tick`] is to be called at the latest; none when it takes no part any more.
+    pub fn next(&self) -> Option<Millis> {
+        if self.halted.is_some() {
+            return None;
+        }
+        let mut next = self.next_digest;
+        if self.roster.is_none() {
+            next = next.min(self.next_hello);
+        }
+        if self.watching.is_some() {
+            next = next.min(self.next_greet);
+        }
+        if !self.confirmed() || !self.orders.is_empty() {
+            next = next.min(self.next_propose);
+        }
+        if self.keeper.is_some() {
+            next = next.min(self.next_keeper).min(self.next_housekeeping);
+        }
+        if self.disk_broken {
+            next = next.min(self.next_reload);
+        }
+        Some(self.watch.next().map_or(next, |due| next.min(due)))
+    }
+
+    /// What is due by now. Whatever has come is to be handed in before.
+    pub fn tick(&mut self, now: Millis) {
+        if self.halted.is_some() {
+            return;
+        }
+        if self.roster.is_none() && self.next_hello <= now {
+            self.hello(now);
+        }
+        self.watch.tick(now);
+        self.after_watch(now);
+        if self.next_digest <= now {
+            self.next_digest = now + DIGEST;
+            if let Some(address) = self.some_member() {
+                self.tell_digest(address);
+            }
+        }
+        if self.next_greet <= now && self.watching.is_some() {
+            self.next_greet = now + GREET;
+            self.greet(now);
+        }
+        if self.next_propose <= now && (!self.confirmed() || !self.orders.is_empty()) {
+            self.next_propose = now + PROPOSE + self.rng.random_range(0..PROPOSE / 2);
+            self.propose_own();
+            self.give_up_orders(now);
+        }
+        if self.keeper.is_some() && self.next_keeper <= now {
+            self.next_keeper = now + KEEPER_TICK;
+            if let Some(keeper) = &mut self.keeper {
+                keeper.tick();
+            }
+        }
+        if self.keeper.is_some() && self.next_housekeeping <= now {
+            self.next_housekeeping = now + HOUSEKEEPING;
+            self.housekeeping(now);
+        }
+        if self.disk_broken && self.next_reload <= now {
+            self.next_reload = now + RELOAD;
+            self.effects.push(Effect::Reload);
+        }
+        self.after_keeper(now);
+    }
+
+    /// Takes in a datagram or a frame.
+    pub fn hear(&mut self, now: Millis, bytes: &[u8]) -> Result<(), WireError> {
+        if self.halted.is_some() {
+            return Ok(());
+        }
+        let (from, packet) = decode(self.hash, bytes).inspect_err(|e| match e {
+            WireError::Fleet => self.counts.foreign += 1,
+            WireError::Version(_) => self.counts.versions += 1,
+            WireError::Damaged | WireError::Unreadable => self.counts.damaged += 1,
+        })?;
+        self.counts.taken += 1;
+        self.taken_in(now, from, packet);
+        self.after_watch(now);
+        self.after_keeper(now);
+        Ok(())
+    }
+
+    /// A connection to the peer at that address broke, and frames may be lost with it.
+    pub fn broke(&mut self, address: SocketAddr) {
+        let folder = self.roster.as_ref().and_then(|roster| {
+            roster.members.iter().find(|(_, m)| m.info.address == address).map(|(folder, _)| *folder)
+        });
+        // Nothing is told to it until it is heard again: it may be gone.
+        self.broken.extend(folder.filter(|_| self.keeper.is_some()));
+    }
+
+    fn taken_in(&mut self, now: Millis, from: Identity, packet: Packet) {
+        match packet {
+            Packet::Hello if self.roster.is_some() => self.tell_digest(from.address),
+            Packet::Hello => self.promise_to(from),
+            Packet::Promise { founder, incarnation, boot, info } => {
+                let seeds = &self.settings.seeds;
+                if self.roster.is_none() && founder == self.folder && seeds.contains(&info.address) {
+                    self.promises.insert(info.address, (from.folder, incarnation, boot, info));
+                    self.found(now);
+                }
+            }
+            Packet::Digest { fleet, epoch, number } => self.digest(now, from, fleet, (epoch, number)),
+            Packet::Pull { epoch, number } => self.pulled_by(from.address, epoch, number),
+            Packet::Steps { fleet, epoch, after, changes } => {
+                let Some(roster) = &self.roster else { return };
+                if roster.fleet != fleet || roster.epoch != epoch || after > roster.number {
+                    return;
+                }
+                let known = usize::try_from(roster.number - after).unwrap_or(usize::MAX);
+                self.heard = Some(now);
+                for change in changes.into_iter().skip(known) {
+                    self.step(now, change);
+                }
+            }
+            Packet::Whole(roster) => self.whole(now, *roster),
+            Packet::Propose(change) => {
+                if let Change::Start { folder, boot, info, .. } = &change
+                    && let Some(incarnation) = self.copied(*folder, info)
+                {
+                    let boot = *boot;
+                    return self.send(from.address, Packet::Refused { boot, incarnation });
+                }
+                self.put_to_keepers(&change);
+            }
+            Packet::Refused { boot, incarnation } => {
+                if boot == self.boot && !self.confirmed() {
+                    self.halt(now, Halt::Copied { theirs: incarnation, own: self.incarnation });
+                }
+            }
+            Packet::Keeper { fleet, epoch, group, message } => {
+                let ours = self.roster.as_ref().is_some_and(|r| r.fleet == fleet && r.epoch == epoch);
+                if !ours {
+                    return;
+                }
+                self.heard = Some(now);
+                match &mut self.keeper {
+                    Some(keeper) if keeper.group == group => {
+                        let again = self.broken.remove(&from.folder);
+                        if again {
+                            keeper.reconnected(from.folder);
+                        }
+                        keeper.hear(from.folder, *message);
+                        if again {
+                            self.send(from.address, Packet::Again { group });
+                        }
+                    }
+                    // One of the two has an old roster.
+                    _ => self.tell_digest(from.address),
+                }
+            }
+            Packet::Again { group } => {
+                if let Some(keeper) = self.keeper.as_mut().filter(|keeper| keeper.group == group) {
+                    keeper.reconnected(from.folder);
+                }
+            }
+            Packet::Swim { fleet, data } => {
+                let Some(roster) = &self.roster else { return };
+                // Only members are listened to: so nobody else can have this sender hold anything.
+                let member = roster.members.contains_key(&from.folder);
+                if roster.fleet == fleet && self.watching.is_some() {
+                    if member {
+                        self.heard = Some(now);
+                        self.watch.hear(now, &data);
+                    } else {
+                        // Either it is gone and has to learn so, or it is new and this roster is old.
+                        self.tell_digest(from.address);
+                    }
+                }
+            }
+        }
+    }
+
+    // ----- founding, and finding a fleet
+
+    fn hello(&mut self, now: Millis) {
+        self.hellos += 1;
+        let pause = if self.hellos > HELLO_SOON { HELLO_LATER } else { HELLO };
+        self.next_hello = now + pause + self.rng.random_range(0..pause / 4);
+        let own = self.settings.info.address;
+        for seed in self.settings.seeds.clone() {
+            if seed != own {
+                self.send(seed, Packet::Hello);
+            }
+        }
+        if self.hellos.is_multiple_of(HELLO_SOON) {
+            let missing: Vec<String> = self
+                .settings
+                .seeds
+                .iter()
+                .filter(|seed| **seed != own && !self.promises.contains_key(seed))
+                .map(SocketAddr::to_string)
+                .collect();
+            let what = if self.settings.seeds.first() == Some(&own) {
+                format!("the fleet is not founded yet; these seeds have not answered: {}", missing.join(", "))
+            } else {
+                "no member of a fleet has answered at any seed".to_owned()
+            };
+            self.effects.push(Effect::Note(Note::Waiting(what)));
+        }
+    }
+
+    /// A blank seed follows the first one that asks and stands first on the list: only that one founds, and only with the
+    /// promises of all. A promise outlasts a restart, so that no seed is counted for two fleets.
+    fn promise_to(&mut self, from: Identity) {
+        let seeds = &self.settings.seeds;
+        let own = self.settings.info.address;
+        if seeds.first() != Some(&from.address) || from.address == own || !seeds.contains(&own) {
+            return;
+        }
+        if self.promise.is_none() {
+            self.promise = Some(from.folder);
+            self.effects.push(Effect::Persist(Record::Promise(from.folder)));
+        }
+        if self.promise == Some(from.folder) {
+            let packet = Packet::Promise {
+                founder: from.folder,
+                incarnation: self.incarnation,
+                boot: self.boot,
+                info: self.settings.info.clone(),
+            };
+            self.send(from.address, packet);
+        } else {
+            let what = format!(
+                "the first seed, {}, was promised to as folder {:016x} and is {:016x} now: empty the folders of all seeds",
+                from.address,
+                self.promise.unwrap_or_default(),
+                from.folder
+            );
+            self.effects.push(Effect::Note(Note::Waiting(what)));
+        }
+    }
+
+    fn found(&mut self, now: Millis) {
+        let own = self.settings.info.address;
+        let others = self.settings.seeds.iter().filter(|seed| **seed != own);
+        let promised: Option<Vec<_>> = others.map(|seed| self.promises.get(seed).cloned()).collect();
+        if self.settings.seeds.first() != Some(&own) {
+            return;
+        }
+        let Some(promised) = promised else { return };
+        let mut founders = vec![(self.folder, self.incarnation, self.boot, self.settings.info.clone())];
+        founders.extend(promised);
+        let fleet = self.rng.random();
+        let roster = Roster::found(fleet, self.folder, founders);
+        self.effects.push(Effect::Persist(Record::Roster(Box::new(roster.clone()))));
+        self.roster = Some(roster);
+        self.effects.push(Effect::Note(Note::Roster { before: 0, now: 1, change: None }));
+        self.roster_changed(now, None);
+    }
+
+    // ----- the roster, from peer to peer
+
+    fn tell_digest(&mut self, to: SocketAddr) {
+        if let Some(roster) = &self.roster
+            && to != self.settings.info.address
+        {
+            let (epoch, number) = roster.age();
+            let fleet = roster.fleet;
+            self.send(to, Packet::Digest { fleet, epoch, number });
+        }
+    }
+
+    fn digest(&mut self, now: Millis, from: Identity, fleet: u64, theirs: (u32, u64)) {
+        let own = self.roster.as_ref().map(|roster| (roster.fleet, roster.age()));
+        if let Some((own, _)) = own
+            && own != fleet
+        {
+            if self.other_fleet != Some(from.address) {
+                self.other_fleet = Some(from.address);
+                self.effects.push(Effect::Note(Note::OtherFleet(from.address)));
+            }
+            return;
+        }
+        self.heard = Some(now);
+        let own = own.map_or((0, 0), |(_, age)| age);
+        if theirs > own {
+            if now >= self.pulled + PULL || self.pulled == 0 {
+                self.pulled = now.max(1);
+                let (epoch, number) = own;
+                self.send(from.address, Packet::Pull { epoch, number });
+            }
+            self.lag(now);
+        } else if theirs < own {
+            self.tell_digest(from.address);
+        } else {
+            self.lagging = None;
+            self.lags = 0;
+        }
+    }
+
+    /// A keeper that others are ahead of has missed something of its leader's, which does not tell it twice.
+    fn lag(&mut self, now: Millis) {
+        let since = *self.lagging.get_or_insert(now);
+        if now >= since + LAGGING
+            && let Some(keeper) = &mut self.keeper
+        {
+            self.lagging = Some(now);
+            self.lags += 1;
+            if self.lags.is_multiple_of(LAGS) {
+                keeper.lead();
+            } else if let Some(leader) = keeper.leader().filter(|leader| *leader != self.folder) {
+                keeper.reconnected(leader);
+            }
+        }
+    }
+
+    fn pulled_by(&mut self, to: SocketAddr, epoch: u32, number: u64) {
+        let Some(roster) = &self.roster else { return };
+        if (epoch, number) >= roster.age() {
+            return;
+        }
+        let behind = usize::try_from(roster.number.saturating_sub(number)).unwrap_or(usize::MAX);
+        let packet = if epoch == roster.epoch && behind <= self.recent.len() {
+            let changes = self.recent.iter().skip(self.recent.len() - behind).cloned().collect();
+            Packet::Steps { fleet: roster.fleet, epoch, after: number, changes }
+        } else {
+            Packet::Whole(Box::new(roster.clone()))
+        };
+        self.send(to, packet);
+    }
+
+    fn whole(&mut self, now: Millis, roster: Roster) {
+        match &self.roster {
+            Some(own) if own.fleet != roster.fleet || own.age() >= roster.age() => return,
+            // One that promised to follow another founder, and is named as if it had followed this one, is not to be
+            // counted twice.
+            None if self.promise.is_some_and(|founder| founder != roster.founder)
+                && roster.members.contains_key(&self.folder) =>
+            {
+                return;
+            }
+            _ => {}
+        }
+        self.heard = Some(now);
+        let before = self.roster.as_ref().map_or(0, |own| own.number);
+        self.effects.push(Effect::Note(Note::Roster { before, now: roster.number, change: None }));
+        self.effects.push(Effect::Persist(Record::Roster(Box::new(roster.clone()))));
+        self.roster = Some(roster);
+        self.recent.clear();
+        self.roster_changed(now, None);
+    }
+
+    fn step(&mut self, now: Millis, change: Change) {
+        let Some(roster) = &mut self.roster else { return };
+        let before = roster.number;
+        let keepers = std::mem::take(&mut roster.keepers);
+        roster.keepers.clone_from(&keepers);
+        roster.apply(change.clone());
+        self.effects.push(Effect::Persist(Record::Step(before + 1, change.clone())));
+        self.recent.push_back(change.clone());
+        if self.recent.len() > RECENT {
+            self.recent.pop_front();
+        }
+        self.effects.push(Effect::Note(Note::Roster { before, now: before + 1, change: Some(change) }));
+        self.roster_changed(now, Some(keepers));
+    }
+
+    /// Whatever follows from a new roster. `former` are the keepers before, where they may have changed.
+    fn roster_changed(&mut self, now: Millis, former: Option<Vec<u64>>) {
+        let Some(roster) = &self.roster else { return };
+        if let Some(gone) = roster.farewell_of(self.folder) {
+            let why = match gone.why {
+                Farewell::Left => "it left",
+                Farewell::Removed => "staff removed it; empty its folder to have it join as a new one",
+                Farewell::Replaced => "another one has its name",
+            };
+            return self.halt(now, Halt::Gone(why));
+        }
+        let mut here = false;
+        if let Some(member) = roster.members.get(&self.folder) {
+            let theirs = (member.incarnation, member.boot);
+            let copied =
+                theirs.0 > self.incarnation || (theirs.0 == self.incarnation && theirs.1 != self.boot);
+            if copied {
+                return self.halt(now, Halt::Copied { theirs: theirs.0, own: self.incarnation });
+            }
+            // At another address than the one that is agreed on it may be a copy: it is silent until that is agreed on.
+            here = member.info.address == self.settings.info.address;
+            if here && self.watching.is_none() {
+                self.watching = Some(now);
+                self.next_greet = now;
+            }
+        }
+        let (group, keepers) = (roster.group, roster.keepers.clone());
+        let members = roster.members.clone();
+        if self.keeper.as_ref().is_none_or(|keeper| keeper.group != group) {
+            let before = self.keeper.take().map(|keeper| keeper.group);
+            if !self.disk_broken && here {
+                self.keeper = Keeper::new(group, &keepers, self.folder, self.keeper_disk.as_ref());
+            }
+            self.keeper_disk = None;
+            self.broken.clear();
+            let now_in = self.keeper.as_ref().map(|keeper| keeper.group);
+            if before != now_in {
+                self.effects.push(Effect::Note(Note::Keeper(now_in)));
+            }
+            self.next_keeper = now;
+            self.settled_at = now;
+        }
+        // The news spreads: to a few members, and to those who agree on the next step.
+        let mut to: Vec<SocketAddr> = Vec::new();
+        let answering: Vec<SocketAddr> = self.watch.answering().map(|id| id.address).collect();
+        for _ in 0..FANOUT.min(answering.len()) {
+            to.push(answering[self.rng.random_range(0..answering.len())]);
+        }
+        if former.as_ref().is_none_or(|former| *former != keepers) {
+            let folders = keepers.iter().chain(former.iter().flatten());
+            to.extend(folders.filter_map(|folder| members.get(folder)).map(|m| m.info.address));
+        }
+        to.sort();
+        to.dedup();
+        to.into_iter().for_each(|address| self.tell_digest(address));
+        self.settle_orders();
+    }
+
+    fn halt(&mut self, now: Millis, halt: Halt) {
+        if self.halted.is_none() {
+            if matches!(halt, Halt::Gone(_)) && self.watching.is_some() {
+                self.watch.leave(now);
+                self.after_watch(now);
+            }
+            self.keeper = None;
+            self.settle_orders();
+            self.effects.push(Effect::Halt(halt.clone()));
+            self.halted = Some(halt);
+        }
+    }
+
+    /// Some member besides this one, by chance; a seed while none is known.
+    fn some_member(&mut self) -> Option<SocketAddr> {
+        let roster = self.roster.as_ref()?;
+        let others: Vec<SocketAddr> = roster
+            .members
+            .iter()
+            .filter(|(folder, _)| **folder != self.folder)
+            .map(|(_, member)| member.info.address)
+            .collect();
+        (!others.is_empty()).then(|| others[self.rng.random_range(0..others.len())])
+    }
+
+    // ----- who answers
+
+    fn greet(&mut self, now: Millis) {
+        let Some(roster) = &self.roster else { return };
+        let health = self.watch.health();
+        let unheard = |folder: &u64, incarnation: u32| {
+            *folder != self.folder
+                && health
+                    .get(folder)
+                    .is_none_or(|(known, health)| *health == Health::Lost || *known < incarnation)
+        };
+        let lost: Vec<Identity> = roster
+            .members
+            .iter()
+            .filter(|(folder, member)| unheard(folder, member.incarnation))
+            .map(|(folder, member)| Identity {
+                folder: *folder,
+                incarnation: member.incarnation,
+                returns: 0,
+                address: member.info.address,
+            })
+            .collect();
+        if !lost.is_empty() {
+            let chosen = lost[self.rng.random_range(0..lost.len())];
+            self.watch.greet(now, chosen);
+            self.after_watch(now);
+        }
+    }
+
+    /// Sends what the watch wants sent, and tells what changed.
+    fn after_watch(&mut self, _now: Millis) {
+        let Some(fleet) = self.roster.as_ref().map(|roster| roster.fleet) else { return };
+        for (to, data) in std::mem::take(&mut self.watch.sends) {
+            self.send(to.address, Packet::Swim { fleet, data });
+        }
+        for change in std::mem::take(&mut self.watch.changes) {
+            let name = |id: &Identity| {
+                let member = self.roster.as_ref().and_then(|roster| roster.members.get(&id.folder));
+                member.map_or_else(|| format!("folder {:016x}", id.folder), |m| m.info.name.clone())
+            };
+            let note = match change {
+                Heard::Up(id) => {
+                    Note::Health { name: name(&id), now: Health::Answers, incarnation: id.incarnation }
+                }
+                Heard::Down(id) => {
+                    Note::Health { name: name(&id), now: Health::Lost, incarnation: id.incarnation }
+                }
+                Heard::Returned(id) => Note::Returned(id.returns),
+            };
+            self.effects.push(Effect::Note(note));
+        }
+    }
+
+    // ----- what is asked of the keepers
+
+    /// Whether this sender's start is agreed on.
+    pub fn confirmed(&self) -> bool {
+        let member = self.roster.as_ref().and_then(|roster| roster.members.get(&self.folder));
+        member.is_some_and(|member| {
+            member.incarnation == self.incarnation
+                && member.boot == self.boot
+                && member.info == self.settings.info
+        })
+    }
+
+    fn propose_own(&mut self) {
+        let mut changes: Vec<Change> = self.orders.iter().map(|order| order.change.clone()).collect();
+        if !self.confirmed() && self.roster.is_some() {
+            changes.push(Change::Start {
+                folder: self.folder,
+                incarnation: self.incarnation,
+                boot: self.boot,
+                info: self.settings.info.clone(),
+            });
+        }
+        for change in changes {
+            // A keeper that is cut off from its group may still reach one that is not.
+            if self.keeper.is_some() && self.rng.random_range(0..2) == 0 {
+                self.put_to_keepers(&change);
+            } else if let Some(address) = self.some_keeper() {
+                self.send(address, Packet::Propose(change));
+            }
+        }
+    }
+
+    /// A keeper that answers, or else any.
+    fn some_keeper(&mut self) -> Option<SocketAddr> {
+        let roster = self.roster.as_ref()?;
+        let health = self.watch.health();
+        let keepers: Vec<(u64, SocketAddr)> = roster
+            .keepers
+            .iter()
+            .filter(|folder| **folder != self.folder)
+            .filter_map(|folder| Some((*folder, roster.members.get(folder)?.info.address)))
+            .collect();
+        let answers = |folder: &u64| health.get(folder).is_some_and(|(_, h)| *h == Health::Answers);
+        let answering: Vec<_> = keepers.iter().filter(|(folder, _)| answers(folder)).collect();
+        if !answering.is_empty() && self.rng.random_range(0..4) > 0 {
+            return Some(answering[self.rng.random_range(0..answering.len())].1);
+        }
+        (!keepers.is_empty()).then(|| keepers[self.rng.random_range(0..keepers.len())].1)
+    }
+
+    /// The incarnation of a member with that folder that answers from another address than the one told.
+    fn copied(&self, folder: u64, info: &Info) -> Option<u32> {
+        let member = self.roster.as_ref()?.members.get(&folder)?;
+        let answers = folder == self.folder
+            || matches!(self.watch.health().get(&folder), Some((_, Health::Answers | Health::Suspected)));
+        (answers && member.info.address != info.address).then_some(member.incarnation)
+    }
+
+    /// Has the group agree on a step, unless it changes nothing or must not be.
+    fn put_to_keepers(&mut self, change: &Change) {
+        let Some(roster) = &self.roster else { return };
+        let wanted = match change {
+            Change::Start { folder, incarnation, info, .. } => {
+                let known = roster.members.get(folder).is_some_and(|m| m.incarnation >= *incarnation);
+                // Another one has the name: while that one answers, from another address, it keeps it.
+                let holder = roster.folder_of(&info.name).filter(|holder| holder != folder);
+                let taken = holder.is_some_and(|holder| {
+                    let elsewhere =
+                        roster.members.get(&holder).is_some_and(|m| m.info.address != info.address);
+                    let health = self.watch.health();
+                    let lost = health.get(&holder).is_some_and(|(_, health)| *health == Health::Lost);
+                    elsewhere && (holder == self.folder || !lost)
+                });
+                !known && !taken && roster.farewell_of(*folder).is_none()
+            }
+            Change::Leaving { folder } => roster.members.get(folder).is_some_and(|m| !m.leaving),
+            Change::Farewell { folder, .. } => roster.members.contains_key(folder),
+            // That is the keepers' own.
+            Change::Keepers { .. } => false,
+        };
+        let in_group = roster.in_group();
+        if let Some(keeper) = &mut self.keeper
+            && wanted
+            && keeper.waiting(in_group) < MOST_WAITING
+        {
+            keeper.propose(change.clone());
+        }
+    }
+
+    /// Carries out, or begins to carry out, what staff ask; the answer comes as an effect with that id.
+    pub fn order(&mut self, now: Millis, id: u64, order: &Order) {
+        let done = self.ordered(now, id, order);
+        if let Err(e) = done {
+            self.effects.push(Effect::Answer(id, Err(e)));
+        }
+        self.after_keeper(now);
+    }
+
+    fn ordered(&mut self, now: Millis, id: u64, order: &Order) -> Result<(), OrderError> {
+        if let Some(halt) = &self.halted {
+            return Err(OrderError::NoFleet(halt.to_string()));
+        }
+        let Some(roster) = &self.roster else {
+            return Err(OrderError::NoFleet("none has been found or founded yet".to_owned()));
+        };
+        let (folder, why) = match order {
+            Order::Leave => (self.folder, Farewell::Left),
+            Order::Remove(name) => {
+                let folder = roster.folder_of(name).ok_or_else(|| OrderError::Unknown(name.clone()))?;
+                (folder, Farewell::Removed)
+            }
+            Order::Refound => return self.refound(now, id),
+        };
+        let change = Change::Farewell { folder, why };
+        self.orders.push(Waiting { id, change, until: now + ORDER_PATIENCE });
+        self.next_propose = now;
+        Ok(())
+    }
+
+    fn refound(&mut self, now: Millis, id: u64) -> Result<(), OrderError> {
+        let Some(roster) = &self.roster else { return Ok(()) };
+        let (answering, all) = self.keepers_answering();
+        if answering * 2 > all {
+            return Err(OrderError::Majority(answering, all));
+        }
+        let mut candidates = self.candidates(&[self.folder]);
+        candidates.insert(0, self.folder);
+        candidates.truncate(self.settings.keepers);
+        if candidates.len() < 2 {
+            return Err(OrderError::Alone);
+        }
+        if candidates.len().is_multiple_of(2) && candidates.len() > 2 {
+            candidates.pop();
+        }
+        let roster = roster.refounded(candidates);
+        self.effects.push(Effect::Persist(Record::Roster(Box::new(roster.clone()))));
+        self.recent.clear();
+        self.roster = Some(roster);
+        self.roster_changed(now, None);
+        self.effects.push(Effect::Answer(id, Ok(())));
+        Ok(())
+    }
+
+    fn settle_orders(&mut self) {
+        let Some(roster) = &self.roster else { return };
+        let done = |change: &Change| match change {
+            Change::Farewell { folder, .. } => !roster.members.contains_key(folder),
+            _ => true,
+        };
+        let (over, open) =
+            std::mem::take(&mut self.orders).into_iter().partition(|order| done(&order.change));
+        self.orders = open;
+        self.effects.extend(Vec::into_iter(over).map(|order: Waiting| Effect::Answer(order.id, Ok(()))));
+    }
+
+    fn give_up_orders(&mut self, now: Millis) {
+        let (over, open): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.orders).into_iter().partition(|order| order.until <= now);
+        self.orders = open;
+        let error = || OrderError::NoMajority(ORDER_PATIENCE / 1_000);
+        self.effects.extend(over.into_iter().map(|order| Effect::Answer(order.id, Err(error()))));
+    }
+
+    // ----- the keeper's work
+
+    /// The disk took no record: what this keeper has said since is not to be relied on, so it says no more until the disk
+    /// takes records again.
+    pub fn disk_failed(&mut self) {
+        self.disk_broken = true;
+        self.keeper_disk = None;
+        if self.keeper.take().is_some() {
+            self.effects.push(Effect::Note(Note::Keeper(None)));
+        }
+    }
+
+    /// The disk takes records again, and holds this of a keeper's log.
+    pub fn reloaded(&mut self, now: Millis, keeper: Option<crate::disk::KeeperState>) {
+        if std::mem::take(&mut self.disk_broken) {
+            self.keeper_disk = keeper;
+            // What was not written meanwhile stands in it.
+            let whole = self.roster.clone().map(|roster| Effect::Persist(Record::Roster(Box::new(roster))));
+            self.effects.extend(whole);
+            self.roster_changed(now, None);
+            self.after_keeper(now);
+        }
+    }
+
+    /// Writes, steps agreed on, and messages of the keeper, in this order.
+    fn after_keeper(&mut self, now: Millis) {
+        loop {
+            let Some(keeper) = &mut self.keeper else { return };
+            let group = keeper.group;
+            let persist: Vec<Effect> =
+                keeper.writes().into_iter().map(|write| Effect::Persist(Record::Keeper(write))).collect();
+            let messages = keeper.messages();
+            let Some(roster) = &self.roster else { return };
+            let agreed = if roster.group == group { keeper.agreed(roster.in_group()) } else { Vec::new() };
+            let late = self.settings.broken.tells_before_disk;
+            if !late {
+                self.effects.extend(persist.iter().cloned());
+            }
+            self.tell_keepers(group, messages);
+            if late {
+                self.effects.extend(persist);
+            }
+            if agreed.is_empty() {
+                return;
+            }
+            for change in agreed {
+                self.step(now, change);
+            }
+        }
+    }
+
+    fn tell_keepers(&mut self, group: u32, messages: Vec<(u64, Message<Change>)>) {
+        let Some(roster) = &self.roster else { return };
+        let (fleet, epoch) = (roster.fleet, roster.epoch);
+        let addressed: Vec<_> = messages
+            .into_iter()
+            .filter_map(|(folder, message)| Some((roster.members.get(&folder)?.info.address, message)))
+            .collect();
+        for (to, message) in addressed {
+            self.send(to, Packet::Keeper { fleet, epoch, group, message: Box::new(message) });
+        }
+    }
+
+    fn keepers_answering(&self) -> (usize, usize) {
+        let Some(roster) = &self.roster else { return (0, 0) };
+        let health = self.watch.health();
+        let answers = |folder: &&u64| {
+            **folder == self.folder
+                || health
+                    .get(*folder)
+                    .is_some_and(|(_, health)| matches!(health, Health::Answers | Health::Suspected))
+        };
+        (roster.keepers.iter().filter(answers).count(), roster.keepers.len())
+    }
+
+    /// Members that answer and could be keepers beside those, the best first: of zones and machines that have none.
+    fn candidates(&self, beside: &[u64]) -> Vec<u64> {
+        let Some(roster) = &self.roster else { return Vec::new() };
+        let health = self.watch.health();
+        let answers = |folder: &u64| {
+            *folder == self.folder || health.get(folder).is_some_and(|(_, h)| *h == Health::Answers)
+        };
+        let mut chosen: Vec<u64> = beside.to_vec();
+        let mut left: Vec<u64> = roster
+            .members
+            .iter()
+            .filter(|(folder, member)| answers(folder) && !member.leaving && !beside.contains(folder))
+            .map(|(folder, _)| *folder)
+            .collect();
+        let mut order = Vec::new();
+        while !left.is_empty() && order.len() < self.settings.keepers {
+            let alike = |folder: &u64, part: fn(&Info) -> &String| {
+                let of = |folder: &u64| roster.members.get(folder).map(|m| part(&m.info));
+                chosen.iter().filter(|other| of(other) == of(folder)).count()
+            };
+            let rank = |folder: &u64| {
+                let number = roster.members.get(folder).map_or(u32::MAX, |member| member.number);
+                (alike(folder, |info| &info.machine), alike(folder, |info| &info.zone), number)
+            };
+            let Some(at) = (0..left.len()).min_by_key(|at| rank(&left[*at])) else { break };
+            let best = left.swap_remove(at);
+            chosen.push(best);
+            order.push(best);
+        }
+        order
+    }
+
+    /// The group that the leader wants: without those that are gone, leaving or lost for long, up to the wanted number, of
+    /// as many zones as there are.
+    fn wanted_group(&self, now: Millis) -> Option<Vec<u64>> {
+        let roster = self.roster.as_ref()?;
+        let lost = |folder: &u64| {
+            *folder != self.folder
+                && self.watch.lost_since(*folder).is_some_and(|at| now >= at + self.settings.replace_keeper)
+        };
+        let belongs = |folder: &u64| roster.members.get(folder).is_some_and(|member| !member.leaving);
+        let size = self.settings.keepers.min(roster.members.len());
+        let size = if size > 2 && size.is_multiple_of(2) { size - 1 } else { size };
+        let mut group: Vec<u64> = roster.keepers.iter().filter(|folder| belongs(folder)).copied().collect();
+        let candidates = self.candidates(&group);
+        let mut spare = candidates.into_iter();
+        // One that is lost goes only for one that answers: a smaller group is no safer.
+        for place in &mut group {
+            if lost(place)
+                && let Some(next) = spare.next()
+            {
+                *place = next;
+            }
+        }
+        while group.len() < size
+            && let Some(next) = spare.next()
+        {
+            group.push(next);
+        }
+        while group.len() > size.max(2) {
+            let worst = group.iter().position(lost).unwrap_or(group.len() - 1);
+            group.remove(worst);
+        }
+        self.spread(&mut group);
+        Some(group)
+    }
+
+    /// Gives the place of one keeper, in a zone that has several, to one of a zone that has none.
+    fn spread(&self, group: &mut [u64]) {
+        let Some(roster) = &self.roster else { return };
+        let zone = |folder: &u64| roster.members.get(folder).map(|member| member.info.zone.as_str());
+        let next = self.candidates(group).into_iter().find(|c| !group.iter().any(|k| zone(k) == zone(c)));
+        let crowded = group
+            .iter()
+            .rposition(|k| *k != self.folder && group.iter().filter(|o| zone(o) == zone(k)).count() > 1);
+        if let (Some(next), Some(at)) = (next, crowded) {
+            group[at] = next;
+        }
+    }
+
+    fn housekeeping(&mut self, now: Millis) {
+        if now < self.settled_at + SETTLED || !self.keeper.as_ref().is_some_and(Keeper::leads) {
+            return;
+        }
+        if self.settings.broken.removes_the_silent {
+            let Some(roster) = &self.roster else { return };
+            let silent = roster.members.keys().find(|folder| self.watch.lost_since(**folder).is_some());
+            if let (Some(folder), Some(keeper)) = (silent.copied(), &mut self.keeper) {
+                keeper.propose(Change::Farewell { folder, why: Farewell::Removed });
+            }
+        }
+        let Some(wanted) = self.wanted_group(now) else { return };
+        let Some(roster) = &self.roster else { return };
+        let differs = wanted.iter().any(|folder| !roster.keepers.contains(folder))
+            || wanted.len() != roster.keepers.len();
+        let long = roster.in_group() >= MOST_LOG;
+        if wanted.len() >= 2
+            && (differs || long)
+            && let Some(keeper) = &mut self.keeper
+            && keeper.hand_on(&wanted)
+        {
+            self.settled_at = now;
+        }
+    }
+
+    // ----- what is told
+
+    fn send(&mut self, to: SocketAddr, packet: Packet) {
+        // What has to come in order goes on a connection; a heartbeat does not.
+        let ordered = match &packet {
+            Packet::Keeper { message, .. } => !matches!(**message, Message::BLE(_)),
+            Packet::Steps { .. } | Packet::Whole(_) | Packet::Again { .. } => true,
+            _ => false,
+        };
+        let Some(bytes) = encode(self.hash, self.watch.own(), packet) else { return };
+        let connection = ordered || bytes.len() > MOST_DATAGRAM;
+        *(if connection { &mut self.counts.frames } else { &mut self.counts.datagrams }) += 1;
+        self.counts.bytes += bytes.len() as u64;
+        self.effects.push(Effect::Send { to, bytes, connection });
+    }
+
+    /// What this sender knows of its fleet.
+    pub fn view(&self, now: Millis) -> View {
+        let health = self.watch.health();
+        let listening = self.watching.unwrap_or(self.began) + LISTEN + self.settings.suspect;
+        let mut members = Vec::new();
+        for (folder, member) in self.roster.iter().flat_map(|roster| &roster.members) {
+            let own = *folder == self.folder;
+            // Of an earlier process of the member, nothing is believed any more.
+            let heard = health.get(folder).filter(|(incarnation, _)| *incarnation >= member.incarnation);
+            members.push(Row {
+                name: member.info.name.clone(),
+                number: member.number,
+                incarnation: member.incarnation,
+                standing: match (own && !self.confirmed(), member.leaving) {
+                    (true, _) => Standing::Joining,
+                    (false, true) => Standing::Leaving,
+                    (false, false) => Standing::In,
+                },
+                health: match heard {
+                    _ if own && self.halted.is_none() => Health::Answers,
+                    Some((_, health)) => *health,
+                    None if now < listening => Health::Unknown,
+                    None => Health::Lost,
+                },
+                keeper: self.roster.as_ref().is_some_and(|roster| roster.keepers.contains(folder)),
+                zone: member.info.zone.clone(),
+                machine: member.info.machine.clone(),
+                version: member.info.version.clone(),
+                address: member.info.address,
+            });
+        }
+        members.sort_by_key(|row| row.number);
+        let (keepers_answering, keepers) = self.keepers_answering();
+        let roster = self.roster.as_ref();
+        View {
+            fleet: roster.map(|roster| roster.fleet),
+            epoch: roster.map_or(0, |roster| roster.epoch),
+            number: roster.map_or(0, |roster| roster.number),
+            age_ms: self.heard.map(|heard| now.saturating_sub(heard)),
+            keepers_answering,
+            keepers,
+            confirmed: self.confirmed(),
+            halted: self.halted.as_ref().map(Halt::to_string),
+            members,
+        }
+    }
+
+    /// The last of those that do not belong any more, the latest first.
+    pub fn gone(&self) -> impl Iterator<Item = &crate::roster::Gone> {
+        self.roster.iter().flat_map(|roster| roster.gone.iter().rev()).take(GONE_SHOWN)
+    }
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod judge;
 pub mod model;
+pub mod peers;
 pub mod plan;
 pub mod play;
 pub mod report;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,6 +3,10 @@
 use micadrum_lab::baseline::{self, BaselineError};
 use micadrum_lab::experiment::{comparison, order};
 use micadrum_lab::fleet::{FleetError, Program, built_sender};
+use micadrum_lab::peers::campaign::{self, Break};
+use micadrum_lab::peers::check::check;
+use micadrum_lab::peers::history::{self, HistoryError};
+use micadrum_lab::peers::sim::Cost;
 use micadrum_lab::play::{Played, play};
 use micadrum_lab::report::{ReportError, html};
 use micadrum_lab::scenario::{Baseline, MOST_PROCESSES, ParseError, Scenario, ScenarioError, Variant};
@@ -10,6 +14,7 @@
 use micadrum_lab::table::table;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -51,6 +56,28 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Plays what goes wrong among the senders of a fleet, in simulated time and over their machines alone.
+    SimFleet {
+        /// The scenario, in TOML, with a part `[peers]`.
+        file: PathBuf,
+        /// Seeds, from the first up to the last and without it, as `0..1000`.
+        #[arg(long, default_value = "0..100", value_parser = seeds)]
+        seeds: std::ops::Range<u64>,
+        /// So many senders for those of the file.
+        #[arg(long)]
+        senders: Option<usize>,
+        /// A way to break the senders on purpose.
+        #[arg(long, value_enum)]
+        r#break: Option<Break>,
+        /// A file for the history of the first seed, or of the first that breaks a promise.
+        #[arg(long)]
+        history: Option<PathBuf>,
+    },
+    /// Checks the promises of a fleet's view on a history.
+    Check {
+        /// The history, in JSON lines.
+        history: PathBuf,
+    },
     /// Writes the report of a folder's plays anew.
     Report {
         /// What --out named.
@@ -64,6 +91,12 @@
     },
 }
 
+/// A range of seeds.
+fn seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
+    let parsed = text.split_once("..").and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
+    parsed.filter(|range| !range.is_empty()).ok_or_else(|| format!("{text:?} is no range as 0..1000"))
+}
+
 #[derive(clap::Args)]
 struct Plays {
     /// The scenario, in TOML.
@@ -99,6 +132,10 @@
     NoPlay { path: PathBuf, source: serde_json::Error },
     #[error("{0} senders are more processes than are started here; `sim` takes them")]
     TooMany(usize),
+    #[error("{0} has no part [peers]: its senders do not know one another")]
+    NoPeers(PathBuf),
+    #[error(transparent)]
+    History(#[from] HistoryError),
     #[error("starting: {0}")]
     Start(#[from] std::io::Error),
 }
@@ -143,6 +180,25 @@
                 scenario.fleet.senders = senders.unwrap_or(scenario.fleet.senders);
                 simulate_all(scenario, seed, out, stop)
             }
+            Command::SimFleet { file, seeds, senders, r#break, history } => {
+                let mut scenario = Scenario::read(&file)?;
+                scenario.fleet.senders = senders.unwrap_or(scenario.fleet.senders);
+                if scenario.peers.is_none() {
+                    return Err(LabError::NoPeers(file));
+                }
+                simulate_fleet(&scenario, seeds, r#break, history, stop)
+            }
+            Command::Check { history } => {
+                let verdict = check(&history::read(&history)?);
+                verdict.broken.iter().for_each(|broken| println!("{broken}"));
+                let settled = verdict.settled_ms.map_or("never".to_owned(), |ms| format!("after {ms} ms"));
+                println!(
+                    "{} events, settled {settled}, {} promises broken",
+                    verdict.events,
+                    verdict.broken.len()
+                );
+                Ok(verdict.broken.is_empty())
+            }
             Command::Report { folder } => {
                 let plays = saved(&folder)?;
                 let (title, variants) =
@@ -270,6 +326,66 @@
     finish(&scenario, out.as_deref(), plays, &variants)
 }
 
+/// The given quantile of sorted figures.
+fn quantile(sorted: &[u64], share: f64) -> u64 {
+    let at = ((sorted.len() as f64 - 1.0) * share).round() as usize;
+    sorted.get(at).copied().unwrap_or_default()
+}
+
+fn simulate_fleet(
+    scenario: &Scenario,
+    seeds: std::ops::Range<u64>,
+    how: Option<Break>,
+    history: Option<PathBuf>,
+    stop: watch::Receiver<u32>,
+) -> Result<bool, LabError> {
+    let began = Instant::now();
+    let count = AtomicU64::new(0);
+    let played = campaign::many(scenario, seeds, how, &stop, |seed| {
+        for broken in &seed.verdict.broken {
+            println!("seed {}: {broken}", seed.seed);
+        }
+        let count = count.fetch_add(1, Ordering::Relaxed) + 1;
+        if count.is_multiple_of(2_000) {
+            println!("{count} seeds after {:.0} s", began.elapsed().as_secs_f64());
+        }
+    });
+    let seconds = began.elapsed().as_secs_f64();
+    let failed: Vec<u64> =
+        played.iter().filter(|seed| !seed.verdict.broken.is_empty()).map(|seed| seed.seed).collect();
+    let mut settled: Vec<u64> = played.iter().filter_map(|seed| seed.verdict.settled_ms).collect();
+    settled.sort_unstable();
+    let sum = |of: fn(&Cost) -> u64| played.iter().map(|seed| of(&seed.cost)).sum::<u64>();
+    let sender_s = (sum(|c| c.simulated_ms) as f64 / 1e3 * scenario.fleet.senders as f64).max(1.0);
+    println!(
+        "{}: {} seeds of {} senders in {seconds:.1} s; {} broke a promise",
+        scenario.name,
+        played.len(),
+        scenario.fleet.senders,
+        failed.len()
+    );
+    println!(
+        "settled after the last fault, ms: median {}, 99th percentile {}, worst {}",
+        quantile(&settled, 0.5),
+        quantile(&settled, 0.99),
+        quantile(&settled, 1.0)
+    );
+    println!(
+        "each sender, a second: {:.1} datagrams, {:.2} frames, {:.0} bytes",
+        sum(|c| c.datagrams) as f64 / sender_s,
+        sum(|c| c.frames) as f64 / sender_s,
+        sum(|c| c.bytes) as f64 / sender_s
+    );
+    if let Some(path) = history
+        && let Some(seed) = failed.first().copied().or_else(|| played.first().map(|seed| seed.seed))
+        && let Some((events, _)) = campaign::one(scenario, seed, how)
+    {
+        history::write(&path, &events)?;
+        println!("history of seed {seed}: {}", path.display());
+    }
+    Ok(failed.is_empty() && !played.is_empty())
+}
+
 /// The comparison and the report of all plays; whether all were clean.
 fn finish(
     scenario: &Scenario,
--- /dev/null
+++ b/lab/src/peers/check.rs
@@ -0,0 +1,369 @@
+//! The promises of the view, V1 to V6 of `docs/fleet.md`, checked on a history alone.
+use super::history::{At, Event, SeenHealth, SeenMember, SeenStanding, What};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Broken {
+    /// Its number.
+    pub promise: String,
+    /// When that was seen.
+    pub at: At,
+    /// Whom it concerns.
+    pub senders: Vec<usize>,
+    /// What was seen.
+    pub what: String,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let at = self.at as f64 / 1e3;
+        write!(f, "{} broken at {at:.2} s, senders {:?}: {}", self.promise, self.senders, self.what)
+    }
+}
+
+/// What a history shows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// Broken promises, the first of each kind and pair.
+    pub broken: Vec<Broken>,
+    /// Milliseconds from the end of the last fault until all had the same, right view; none if that never came.
+    pub settled_ms: Option<u64>,
+    /// Events read.
+    pub events: usize,
+}
+
+/// One is not to be held lost, so long after whatever excused that was over.
+const GRACE: At = 12_000;
+
+#[derive(Clone, Default)]
+struct Sender {
+    up: bool,
+    copy_of: Option<usize>,
+    paused: bool,
+    halted: bool,
+    /// The last moment at which others could rightly hold it lost, or it others.
+    excused: At,
+    view: Option<View>,
+    /// Names that it has seen as members.
+    names: BTreeSet<String>,
+}
+
+#[derive(Clone, PartialEq)]
+struct View {
+    number: u64,
+    confirmed: bool,
+    members: Vec<SeenMember>,
+}
+
+struct Checker {
+    names: Vec<String>,
+    settle: At,
+    senders: Vec<Sender>,
+    cuts: BTreeMap<usize, (Vec<usize>, Vec<usize>)>,
+    /// Faults of links and disks that are on.
+    faults: BTreeSet<usize>,
+    /// Whether any fault is on, and since when none is.
+    calm: At,
+    settled: Option<At>,
+    digests: BTreeMap<(u64, u32, u64), (u32, usize)>,
+    /// Names whose going is no surprise.
+    asked: BTreeSet<String>,
+    told: BTreeSet<(String, Vec<usize>)>,
+    started: BTreeSet<usize>,
+    /// Starts of senders whose folder's copy was started as well.
+    copied: BTreeSet<usize>,
+    verdict: Verdict,
+}
+
+/// Checks a history.
+pub fn check(events: &[Event]) -> Verdict {
+    let mut checker = Checker {
+        names: Vec::new(),
+        settle: 0,
+        senders: Vec::new(),
+        cuts: BTreeMap::new(),
+        faults: BTreeSet::new(),
+        calm: 0,
+        settled: None,
+        digests: BTreeMap::new(),
+        asked: BTreeSet::new(),
+        told: BTreeSet::new(),
+        started: BTreeSet::new(),
+        copied: BTreeSet::new(),
+        verdict: Verdict::default(),
+    };
+    let mut last = 0;
+    let mut ended = false;
+    for event in events {
+        // Two events of one instant count in the order in which they stand.
+        last = last.max(event.at);
+        ended |= event.what == What::End;
+        checker.event(last, &event.what);
+    }
+    if !ended {
+        checker.broken(
+            "history",
+            last,
+            vec![],
+            "it has no end: it was cut short, and proves nothing".to_owned(),
+        );
+    }
+    checker.verdict.events = events.len();
+    checker.verdict
+}
+
+impl Checker {
+    fn broken(&mut self, promise: &str, at: At, senders: Vec<usize>, what: String) {
+        if self.told.insert((promise.to_owned(), senders.clone())) {
+            self.verdict.broken.push(Broken { promise: promise.to_owned(), at, senders, what });
+        }
+    }
+
+    fn event(&mut self, at: At, what: &What) {
+        match what {
+            What::Play { senders, settle_ms, .. } => {
+                self.names = senders.clone();
+                self.settle = *settle_ms;
+                self.senders = vec![Sender::default(); senders.len()];
+                return;
+            }
+            What::Up { sender, blank, copy_of } => {
+                let name = self.names.get(*sender).cloned().unwrap_or_default();
+                // One that was there before comes back as another.
+                if *blank && self.started.contains(sender) {
+                    self.asked.insert(name);
+                }
+                self.started.insert(*sender);
+                if let Some(original) = copy_of {
+                    self.copied.extend([*original, *sender]);
+                }
+                let (blank, copy_of) = (*blank, *copy_of);
+                self.with(*sender, |s| {
+                    // An empty folder remembers no member either.
+                    let names = if blank { BTreeSet::new() } else { std::mem::take(&mut s.names) };
+                    *s = Sender { up: true, copy_of, excused: at, names, ..Sender::default() };
+                });
+                self.disturbed(at);
+            }
+            What::Down { sender } => {
+                self.with(*sender, |s| s.up = false);
+                self.disturbed(at);
+            }
+            What::Paused { sender } => self.with(*sender, |s| s.paused = true),
+            What::Resumed { sender } => {
+                self.with(*sender, |s| {
+                    s.paused = false;
+                    s.excused = at;
+                });
+                self.disturbed(at);
+            }
+            What::Fault { number, begins, .. } => {
+                if *begins {
+                    self.faults.insert(*number);
+                } else {
+                    self.faults.remove(number);
+                }
+                self.disturbed(at);
+            }
+            What::Cut { number, from, to } => {
+                self.cuts.insert(*number, (from.clone(), to.clone()));
+                self.disturbed(at);
+            }
+            What::Healed { number } => {
+                self.excuse_cut_off(at);
+                self.cuts.remove(number);
+                self.disturbed(at);
+            }
+            What::Asked { name } => {
+                self.asked.insert(name.clone());
+            }
+            What::Roster { sender, fleet, epoch, number, digest } => {
+                let known = *self.digests.entry((*fleet, *epoch, *number)).or_insert((*digest, *sender));
+                if known.0 != *digest {
+                    let what = format!("two rosters of epoch {epoch} have the number {number}");
+                    self.broken("V3", at, vec![known.1, *sender], what);
+                }
+            }
+            What::Seen { sender, number, confirmed, members } => {
+                self.seen(
+                    at,
+                    *sender,
+                    View { number: *number, confirmed: *confirmed, members: members.clone() },
+                );
+            }
+            What::Halted { sender, why, copied } => {
+                if *copied && !self.copied.contains(sender) {
+                    let what = format!("no copy of its folder runs, and it stopped: {why}");
+                    self.broken("V4", at, vec![*sender], what);
+                }
+                let name = self.names.get(*sender).cloned().unwrap_or_default();
+                if !*copied && !self.asked.contains(&name) {
+                    self.broken("V3", at, vec![*sender], format!("nobody asked for its going: {why}"));
+                }
+                self.with(*sender, |s| s.halted = true);
+                self.disturbed(at);
+            }
+            What::End => self.end(at),
+        }
+        self.look(at);
+    }
+
+    fn with(&mut self, sender: usize, change: impl FnOnce(&mut Sender)) {
+        if let Some(sender) = self.senders.get_mut(sender) {
+            change(sender);
+        }
+    }
+
+    fn disturbed(&mut self, at: At) {
+        self.calm = at;
+        self.settled = None;
+    }
+
+    fn running(&self) -> impl Iterator<Item = usize> {
+        (0..self.senders.len()).filter(|n| {
+            let sender = &self.senders[*n];
+            sender.up && !sender.halted
+        })
+    }
+
+    /// Whether two can talk, both ways.
+    fn linked(&self, a: usize, b: usize) -> bool {
+        let cut = |from: usize, to: usize| {
+            self.cuts.values().any(|(froms, tos)| froms.contains(&from) && tos.contains(&to))
+        };
+        !cut(a, b) && !cut(b, a)
+    }
+
+    /// Whether a sender is cut off from so many that others may rightly hold it lost.
+    fn cut_off(&self, sender: usize) -> bool {
+        let others: Vec<usize> = self.running().filter(|n| *n != sender).collect();
+        let reached = others.iter().filter(|n| self.linked(sender, **n)).count();
+        reached * 2 <= others.len()
+    }
+
+    fn excuse_cut_off(&mut self, at: At) {
+        for sender in 0..self.senders.len() {
+            if self.cut_off(sender) {
+                self.with(sender, |s| s.excused = at);
+            }
+        }
+    }
+
+    fn excused(&self, at: At, sender: usize) -> bool {
+        let s = &self.senders[sender];
+        !s.up || s.halted || s.paused || at < s.excused + GRACE || self.cut_off(sender)
+    }
+
+    fn seen(&mut self, at: At, sender: usize, view: View) {
+        if sender >= self.senders.len() {
+            return;
+        }
+        // V2: who lives and can be reached is not held lost by one that lives and can reach.
+        let lost: Vec<usize> = view
+            .members
+            .iter()
+            .filter(|m| m.health == SeenHealth::Lost)
+            .filter_map(|m| self.names.iter().position(|name| *name == m.name))
+            .collect();
+        if !self.cuts.is_empty() {
+            self.excuse_cut_off(at);
+        }
+        if !self.excused(at, sender) {
+            for other in lost {
+                if !self.excused(at, other) {
+                    let what = format!("{} is held lost, and lives within reach", self.names[other]);
+                    self.broken("V2", at, vec![sender, other], what);
+                }
+            }
+        }
+        // V3: nobody goes from the roster who was not asked to, or came back as another.
+        let present: BTreeSet<String> = view.members.iter().map(|m| m.name.clone()).collect();
+        let gone: Vec<String> = self.senders[sender].names.difference(&present).cloned().collect();
+        for name in gone {
+            if !self.asked.contains(&name) {
+                let what = format!("{name} does not belong any more, and nobody asked for that");
+                self.broken("V3", at, vec![sender], what);
+            }
+        }
+        self.with(sender, |s| {
+            s.names = present;
+            s.view = Some(view);
+        });
+    }
+
+    /// Whether a view is what is: each running sender in it, confirmed, and answering; all others lost.
+    fn right(&self, view: &View) -> bool {
+        let running: BTreeSet<&str> = self
+            .running()
+            .filter(|n| self.senders[*n].copy_of.is_none())
+            .map(|n| self.names[n].as_str())
+            .collect();
+        let belongs = |m: &SeenMember| m.standing == SeenStanding::In;
+        view.confirmed
+            && running.iter().all(|name| view.members.iter().any(|m| m.name == *name && belongs(m)))
+            && view.members.iter().all(|m| {
+                (m.health == SeenHealth::Answers) == running.contains(m.name.as_str())
+                    && (running.contains(m.name.as_str()) || m.health == SeenHealth::Lost)
+            })
+    }
+
+    /// V1: whether all have the same, right view by now.
+    fn look(&mut self, at: At) {
+        if self.settled.is_some() || self.senders.iter().any(|s| s.paused && s.up) || !self.faults.is_empty()
+        {
+            return;
+        }
+        let running: Vec<usize> = self.running().collect();
+        let first = running.first().and_then(|n| self.senders[*n].view.clone());
+        let same = running.iter().all(|n| self.senders[*n].view == first);
+        if same && first.is_some_and(|view| self.right(&view)) {
+            self.settled = Some(at);
+            self.verdict.settled_ms = Some(at - self.calm);
+        }
+    }
+
+    fn end(&mut self, at: At) {
+        self.look(at);
+        let late = self.settled.is_none_or(|settled| settled > self.calm + self.settle);
+        if late && at >= self.calm + self.settle {
+            self.verdict.settled_ms = self.settled.map(|settled| settled - self.calm);
+            let views: Vec<String> = self.running().map(|n| self.described(n)).collect();
+            let what = format!(
+                "{} ms after the last fault ({:.2} s) they do not agree, or on what is not so: {}",
+                at - self.calm,
+                self.calm as f64 / 1e3,
+                views.join("; ")
+            );
+            let senders = self.running().collect();
+            self.broken("V1", at, senders, what);
+        } else if late {
+            let what = "the play ended too soon after the last fault to tell".to_owned();
+            self.broken("history", at, vec![], what);
+        }
+        // V4: of two processes on copies of one folder, one stops.
+        for copy in 0..self.senders.len() {
+            let Some(original) = self.senders[copy].copy_of else { continue };
+            let alive = |n: usize| self.senders[n].up && !self.senders[n].halted;
+            if alive(copy) && alive(original) {
+                let what = "both go on, on copies of one folder".to_owned();
+                self.broken("V4", at, vec![original, copy], what);
+            }
+        }
+    }
+
+    fn described(&self, sender: usize) -> String {
+        let name = &self.names[sender];
+        let Some(view) = &self.senders[sender].view else { return format!("{name} has none") };
+        let odd: Vec<String> = view
+            .members
+            .iter()
+            .filter(|m| m.health != SeenHealth::Answers || m.standing != SeenStanding::In)
+            .map(|m| format!("{} {:?} {:?}", m.name, m.standing, m.health))
+            .collect();
+        let sure = if view.confirmed { "" } else { ", not confirmed" };
+        format!("{name} number {}, {} members{sure} [{}]", view.number, view.members.len(), odd.join(", "))
+    }
+}
--- /dev/null
+++ b/lab/src/peers/sim.rs
@@ -0,0 +1,645 @@
+//! A fleet in simulated time: the machines of `micadrum-fleet` alone, one thread, everything that chance decides drawn from the
+//! seed, so that two plays of a seed have the same history to the byte.
+use super::history::{Event, SeenMember, What};
+use super::schedule::{Kind, Met, Peers};
+use micadrum_fleet::{Broken, Effect, Halt, Info, Node, Note, Record, Settings, State};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// Views are looked at this often, in ms.
+const LOOK: u64 = 250;
+/// A datagram's way, in ms.
+const WAY: u64 = 1;
+/// How late the last fault's end may leave a view besides the bound, until the play ends.
+const AFTER: u64 = 1_000;
+
+/// What is simulated.
+pub struct Play<'a> {
+    /// The scenario's name.
+    pub name: &'a str,
+    /// The fleet.
+    pub peers: &'a Peers,
+    /// How many senders.
+    pub senders: usize,
+    /// When the last fault is over, in seconds.
+    pub seconds: f64,
+    /// The seed.
+    pub seed: u64,
+    /// A way to break the senders on purpose.
+    pub broken: Broken,
+    /// Whether suspicion is left out.
+    pub no_suspicion: bool,
+}
+
+/// What a play cost.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// Simulated milliseconds.
+    pub simulated_ms: u64,
+    /// Calls of the machines.
+    pub steps: u64,
+    /// Datagrams, frames, and their bytes, of all senders.
+    pub datagrams: u64,
+    /// Frames on connections.
+    pub frames: u64,
+    /// Bytes of both.
+    pub bytes: u64,
+}
+
+enum Ev {
+    Wake(usize, u32),
+    Deliver { to: usize, bytes: Vec<u8>, from: usize, connection: bool },
+    Broke { at: usize, peer: usize },
+    Start(usize),
+    Begin(usize),
+    End(usize),
+    Look,
+}
+
+struct Queued {
+    at: u64,
+    order: u64,
+    ev: Ev,
+}
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Queued {}
+
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Queued {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+struct Process {
+    node: Option<Node>,
+    disk: State,
+    /// The start: what was meant for an earlier one comes to nothing.
+    start: u32,
+    paused: bool,
+    /// Each thing is done up to so many ms late.
+    starved: Option<u64>,
+    free_at: u64,
+    full: bool,
+    /// Effects until the process dies in the middle of its work.
+    dies_in: Option<usize>,
+    inbox: VecDeque<(usize, Vec<u8>)>,
+    woken_at: Option<u64>,
+    looked: Option<What>,
+    number: Option<(u32, u64)>,
+    copy_of: Option<usize>,
+}
+
+struct World<'a> {
+    play: &'a Play<'a>,
+    now: u64,
+    order: u64,
+    queue: BinaryHeap<Reverse<Queued>>,
+    processes: Vec<Process>,
+    by_address: HashMap<SocketAddr, usize>,
+    schedule: Vec<Met>,
+    /// Faults of links that are on.
+    links: Vec<usize>,
+    /// When the last frame from one to another comes: frames keep their order.
+    fifo: HashMap<(usize, usize), u64>,
+    torn: HashMap<(usize, usize), bool>,
+    rng: ChaCha8Rng,
+    history: Vec<Event>,
+    cost: Cost,
+}
+
+fn address(sender: usize) -> SocketAddr {
+    let [high, low] = u16::try_from(sender % 60_000).unwrap_or(0).to_be_bytes();
+    SocketAddr::from(([127, 9, high, low], 7_000))
+}
+
+/// Plays a seed; the history, and what it cost.
+pub fn play(play: &Play<'_>) -> (Vec<Event>, Cost) {
+    let schedule = play.peers.schedule(play.senders, play.seconds, play.seed);
+    let copies = schedule.iter().filter(|met| met.fault.kind == Kind::Copy).count();
+    let all = play.senders + copies;
+    let process = |copy_of| Process {
+        node: None,
+        disk: State::default(),
+        start: 0,
+        paused: false,
+        starved: None,
+        free_at: 0,
+        full: false,
+        dies_in: None,
+        inbox: VecDeque::new(),
+        woken_at: None,
+        looked: None,
+        number: None,
+        copy_of,
+    };
+    let mut copied = schedule.iter().filter(|met| met.fault.kind == Kind::Copy).map(|met| met.senders[0]);
+    let mut world = World {
+        play,
+        now: 0,
+        order: 0,
+        queue: BinaryHeap::new(),
+        processes: (0..all).map(|n| process((n >= play.senders).then(|| copied.next()).flatten())).collect(),
+        by_address: (0..all).map(|n| (address(n), n)).collect(),
+        links: Vec::new(),
+        fifo: HashMap::new(),
+        torn: HashMap::new(),
+        rng: ChaCha8Rng::seed_from_u64(play.seed),
+        history: Vec::new(),
+        cost: Cost::default(),
+        schedule,
+    };
+    world.run(all);
+    (world.history, world.cost)
+}
+
+impl World<'_> {
+    fn run(&mut self, all: usize) {
+        let settle_ms = (self.play.peers.settle_s * 1e3) as u64;
+        let names = (0..all).map(|n| self.info(n).name).collect();
+        let scenario = self.play.name.to_owned();
+        self.tell(What::Play { scenario, seed: self.play.seed, senders: names, settle_ms });
+        let mut end = (self.play.seconds * 1e3) as u64;
+        let late: Vec<usize> = self
+            .schedule
+            .iter()
+            .filter(|met| met.fault.kind == Kind::Join)
+            .flat_map(|met| met.senders.clone())
+            .collect();
+        for number in 0..self.schedule.len() {
+            let fault = &self.schedule[number].fault;
+            let (begin, over) = ((fault.at_s * 1e3) as u64, ((fault.at_s + fault.for_s) * 1e3) as u64);
+            end = end.max(over);
+            self.at(begin, Ev::Begin(number));
+            self.at(over, Ev::End(number));
+        }
+        end += settle_ms + AFTER;
+        for sender in (0..self.play.senders).filter(|n| !late.contains(n)) {
+            self.start(sender);
+        }
+        self.at(LOOK, Ev::Look);
+        while let Some(Reverse(next)) = self.queue.pop() {
+            if next.at > end {
+                break;
+            }
+            self.now = next.at;
+            self.happen(next.ev);
+        }
+        self.now = end;
+        self.look();
+        self.tell(What::End);
+        self.cost.simulated_ms = end;
+        for node in self.processes.iter().filter_map(|p| p.node.as_ref()) {
+            let counts = node.counts();
+            self.cost.datagrams += counts.datagrams;
+            self.cost.frames += counts.frames;
+            self.cost.bytes += counts.bytes;
+        }
+    }
+
+    fn at(&mut self, at: u64, ev: Ev) {
+        self.order += 1;
+        self.queue.push(Reverse(Queued { at, order: self.order, ev }));
+    }
+
+    fn tell(&mut self, what: What) {
+        self.history.push(Event { at: self.now, what });
+    }
+
+    fn info(&self, sender: usize) -> Info {
+        let like = self.processes[sender].copy_of.unwrap_or(sender);
+        let peers = self.play.peers;
+        Info {
+            name: format!("n{like}"),
+            zone: peers.zone(like).to_owned(),
+            machine: peers.machine(like),
+            version: "sim".to_owned(),
+            address: address(sender),
+        }
+    }
+
+    fn start(&mut self, sender: usize) {
+        if self.processes[sender].full {
+            // A start that cannot be written down is none: it is tried again.
+            let at = self.now + LOOK;
+            return self.at(at, Ev::Start(sender));
+        }
+        let peers = self.play.peers;
+        let seeds = (0..peers.seeds).map(address).collect();
+        let mut settings = Settings::new("lab", self.info(sender), seeds);
+        settings.keepers = peers.keepers;
+        settings.suspect = if self.play.no_suspicion { 1 } else { peers.suspect_ms };
+        if self.play.no_suspicion {
+            settings.confirm = 0;
+        }
+        settings.broken = self.play.broken;
+        let seed = self.rng.random();
+        let now = self.now;
+        let process = &mut self.processes[sender];
+        if settings.broken.forgets_incarnation {
+            process.disk.incarnation = 0;
+        }
+        process.start += 1;
+        process.paused = false;
+        process.free_at = 0;
+        process.dies_in = None;
+        process.inbox.clear();
+        process.looked = None;
+        process.number = None;
+        process.woken_at = None;
+        let blank = process.disk.folder == 0;
+        let copy_of = process.copy_of;
+        process.node = Some(Node::new(settings, process.disk.clone(), seed, now));
+        self.tell(What::Up { sender, blank, copy_of });
+        self.carry_out(sender);
+    }
+
+    fn stop(&mut self, sender: usize) {
+        let process = &mut self.processes[sender];
+        if process.node.take().is_some() {
+            process.inbox.clear();
+            self.tell(What::Down { sender });
+            // Its peers' connections are reset.
+            for peer in 0..self.processes.len() {
+                if self.fifo.remove(&(peer, sender)).is_some() {
+                    let at = self.now + WAY;
+                    self.at(at, Ev::Broke { at: peer, peer: sender });
+                }
+                self.fifo.remove(&(sender, peer));
+            }
+        }
+    }
+
+    fn happen(&mut self, ev: Ev) {
+        match ev {
+            Ev::Wake(sender, start) => {
+                if self.processes[sender].start == start && !self.defer(sender, None) {
+                    self.processes[sender].woken_at = None;
+                    self.work(sender);
+                }
+            }
+            Ev::Deliver { to, bytes, from, connection } => {
+                if self.processes[to].node.is_none() {
+                    if connection {
+                        let at = self.now + WAY;
+                        self.at(at, Ev::Broke { at: from, peer: to });
+                    }
+                } else if !self.defer(to, Some((from, &bytes))) {
+                    self.hear(to, &bytes);
+                    self.carry_out(to);
+                }
+            }
+            Ev::Broke { at, peer } => {
+                if let Some(node) = &mut self.processes[at].node {
+                    node.broke(address(peer));
+                    self.carry_out(at);
+                }
+            }
+            Ev::Start(sender) if self.processes[sender].node.is_none() => self.start(sender),
+            Ev::Start(_) => {}
+            Ev::Begin(number) => self.begin(number),
+            Ev::End(number) => self.end(number),
+            Ev::Look => {
+                self.look();
+                let at = self.now + LOOK;
+                self.at(at, Ev::Look);
+            }
+        }
+    }
+
+    /// Whether a process has no time now; what came is kept for it.
+    fn defer(&mut self, sender: usize, came: Option<(usize, &[u8])>) -> bool {
+        let process = &mut self.processes[sender];
+        let waits = process.paused || self.now < process.free_at;
+        if waits {
+            if let Some((from, bytes)) = came
+                && process.inbox.len() < 4_096
+            {
+                process.inbox.push_back((from, bytes.to_vec()));
+            }
+            if !process.paused {
+                let (at, start) = (process.free_at, process.start);
+                self.at(at, Ev::Wake(sender, start));
+            }
+        } else if let Some(late) = process.starved {
+            process.free_at = self.now + self.rng.random_range(0..=late);
+        }
+        waits
+    }
+
+    /// All that has come, then all that is due.
+    fn work(&mut self, sender: usize) {
+        while let Some((_, bytes)) = self.processes[sender].inbox.pop_front() {
+            self.hear(sender, &bytes);
+        }
+        let now = self.now;
+        if let Some(node) = &mut self.processes[sender].node {
+            self.cost.steps += 1;
+            node.tick(now);
+        }
+        self.carry_out(sender);
+    }
+
+    fn hear(&mut self, sender: usize, bytes: &[u8]) {
+        let now = self.now;
+        if let Some(node) = &mut self.processes[sender].node {
+            self.cost.steps += 1;
+            // What cannot be read is counted by the node.
+            let _ = node.hear(now, bytes);
+        }
+    }
+
+    fn carry_out(&mut self, sender: usize) {
+        loop {
+            let Some(node) = &mut self.processes[sender].node else { return };
+            let effects = node.effects();
+            if effects.is_empty() {
+                break;
+            }
+            for effect in effects {
+                if let Some(left) = &mut self.processes[sender].dies_in {
+                    if *left == 0 {
+                        return self.stop(sender);
+                    }
+                    *left -= 1;
+                }
+                if !self.effect(sender, effect) {
+                    break;
+                }
+            }
+        }
+        let process = &mut self.processes[sender];
+        let Some(next) = process.node.as_ref().and_then(Node::next) else { return };
+        let next = next.max(self.now);
+        if process.woken_at.is_none_or(|at| next < at) {
+            process.woken_at = Some(next);
+            let start = process.start;
+            self.at(next, Ev::Wake(sender, start));
+        }
+        self.note_number(sender);
+    }
+
+    /// False if what follows it must not be carried out.
+    fn effect(&mut self, sender: usize, effect: Effect) -> bool {
+        let now = self.now;
+        match effect {
+            Effect::Persist(record) => {
+                let process = &mut self.processes[sender];
+                if process.full {
+                    if let Some(node) = &mut process.node {
+                        node.disk_failed();
+                    }
+                    return !matches!(record, Record::Promise(_) | Record::Keeper(_));
+                }
+                process.disk.apply(record);
+            }
+            Effect::Send { to, bytes, connection } => self.send(sender, to, bytes, connection),
+            Effect::Reload => {
+                let process = &mut self.processes[sender];
+                if !process.full
+                    && let Some(node) = &mut process.node
+                {
+                    node.reloaded(now, process.disk.keeper.clone());
+                }
+            }
+            Effect::Halt(halt) => {
+                let copied = matches!(halt, Halt::Copied { .. });
+                self.tell(What::Halted { sender, why: halt.to_string(), copied });
+            }
+            Effect::Note(Note::Roster { .. }) => self.note_number(sender),
+            Effect::Note(_) | Effect::Answer(..) => {}
+        }
+        true
+    }
+
+    fn note_number(&mut self, sender: usize) {
+        let process = &mut self.processes[sender];
+        let Some(roster) = process.node.as_ref().and_then(Node::roster) else { return };
+        if process.number != Some(roster.age()) {
+            process.number = Some(roster.age());
+            let (fleet, (epoch, number), digest) = (roster.fleet, roster.age(), roster.digest());
+            self.tell(What::Roster { sender, fleet, epoch, number, digest });
+        }
+    }
+
+    /// One member of the pair is of the fault's senders, the other of its other side.
+    fn meets(&self, fault: usize, from: usize, to: usize) -> bool {
+        let met = &self.schedule[fault];
+        match met.fault.kind {
+            Kind::Cut => met.senders.contains(&from) && met.to.contains(&to),
+            Kind::Part => {
+                (met.senders.contains(&from) && met.to.contains(&to))
+                    || (met.senders.contains(&to) && met.to.contains(&from))
+            }
+            _ => met.senders.contains(&from) || met.senders.contains(&to),
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, mut bytes: Vec<u8>, connection: bool) {
+        let Some(to) = self.by_address.get(&to).copied() else { return };
+        let mut after = WAY + self.rng.random_range(0..3);
+        let mut twice = false;
+        for at in 0..self.links.len() {
+            let fault = self.links[at];
+            if !self.meets(fault, from, to) {
+                continue;
+            }
+            let (kind, size) = (self.schedule[fault].fault.kind, self.schedule[fault].fault.size);
+            match kind {
+                Kind::Cut | Kind::Part => {
+                    if connection {
+                        // The connection stalls, and breaks when it is used again after the cut.
+                        self.torn.insert((from, to), true);
+                    }
+                    return;
+                }
+                Kind::Lossy if !connection && self.rng.random_bool(size.min(1.0)) => return,
+                Kind::Delay => after += self.rng.random_range(0..=size as u64),
+                Kind::Twice => twice |= !connection && self.rng.random_bool(size.min(1.0)),
+                Kind::Flip if !connection && self.rng.random_bool(size.min(1.0)) => {
+                    let at = self.rng.random_range(0..bytes.len());
+                    bytes[at] ^= 1 << self.rng.random_range(0..8);
+                }
+                Kind::Reset if connection && self.rng.random_bool(size.min(1.0)) => {
+                    let at = self.now + WAY;
+                    return self.at(at, Ev::Broke { at: from, peer: to });
+                }
+                _ => {}
+            }
+        }
+        let mut at = self.now + after;
+        if connection {
+            if self.torn.remove(&(from, to)).is_some() {
+                let now = self.now;
+                self.at(now, Ev::Broke { at: from, peer: to });
+            }
+            let last = self.fifo.entry((from, to)).or_insert(0);
+            at = at.max(*last);
+            *last = at;
+        }
+        if twice {
+            let late = at + self.rng.random_range(0..50);
+            self.at(late, Ev::Deliver { to, bytes: bytes.clone(), from, connection });
+        }
+        self.at(at, Ev::Deliver { to, bytes, from, connection });
+    }
+
+    fn begin(&mut self, number: usize) {
+        let met = self.schedule[number].clone();
+        let text = met.fault.to_string();
+        self.tell(What::Fault { number, text, begins: true });
+        match met.fault.kind {
+            Kind::Kill | Kind::Empty | Kind::Lose | Kind::Remove => {
+                for sender in met.senders {
+                    // Half of them die in the middle of their work.
+                    if self.rng.random_bool(0.5) && self.processes[sender].node.is_some() {
+                        let left = self.rng.random_range(0..6);
+                        self.processes[sender].dies_in = Some(left);
+                    } else {
+                        self.stop(sender);
+                    }
+                }
+            }
+            Kind::Pause => {
+                for sender in met.senders {
+                    if self.processes[sender].node.is_some() {
+                        self.processes[sender].paused = true;
+                        self.tell(What::Paused { sender });
+                    }
+                }
+            }
+            Kind::Starve => {
+                met.senders.iter().for_each(|n| self.processes[*n].starved = Some(met.fault.size as u64))
+            }
+            Kind::Full => met.senders.iter().for_each(|n| self.processes[*n].full = true),
+            Kind::Join => {
+                for sender in met.senders {
+                    if self.processes[sender].node.is_none() {
+                        self.start(sender);
+                    }
+                }
+            }
+            Kind::Copy => {
+                let original = met.senders[0];
+                let earlier = self.schedule[..number].iter().filter(|m| m.fault.kind == Kind::Copy).count();
+                let copy = self.play.senders + earlier;
+                self.processes[copy].disk = self.processes[original].disk.clone();
+                self.start(copy);
+            }
+            Kind::Cut | Kind::Part => {
+                self.links.push(number);
+                self.tell(What::Cut { number, from: met.senders, to: met.to });
+            }
+            Kind::Lossy | Kind::Delay | Kind::Twice | Kind::Flip | Kind::Reset => self.links.push(number),
+        }
+    }
+
+    fn end(&mut self, number: usize) {
+        let met = self.schedule[number].clone();
+        match met.fault.kind {
+            Kind::Kill | Kind::Empty | Kind::Lose | Kind::Remove => {
+                for sender in met.senders.iter().copied() {
+                    self.stop(sender);
+                    // Whoever else has it in hand starts it at its own end.
+                    let held = self.schedule.iter().enumerate().any(|(other, m)| {
+                        other != number
+                            && matches!(m.fault.kind, Kind::Kill | Kind::Empty | Kind::Lose | Kind::Remove)
+                            && m.senders.contains(&sender)
+                            && (m.fault.at_s * 1e3) as u64 <= self.now
+                            && (m.fault.at_s + m.fault.for_s) * 1e3 > self.now as f64
+                    });
+                    let gone = matches!(met.fault.kind, Kind::Lose | Kind::Remove);
+                    if gone || met.fault.kind == Kind::Empty {
+                        self.processes[sender].disk = State::default();
+                    }
+                    if !held && !gone {
+                        self.start(sender);
+                    }
+                }
+                if met.fault.kind == Kind::Remove {
+                    self.remove(&met.senders);
+                }
+            }
+            Kind::Pause => {
+                for sender in met.senders {
+                    if std::mem::take(&mut self.processes[sender].paused) {
+                        self.processes[sender].woken_at = None;
+                        self.tell(What::Resumed { sender });
+                        self.work(sender);
+                    }
+                }
+            }
+            Kind::Starve => met.senders.iter().for_each(|n| self.processes[*n].starved = None),
+            Kind::Full => met.senders.iter().for_each(|n| self.processes[*n].full = false),
+            Kind::Join | Kind::Copy => {}
+            Kind::Cut | Kind::Part => {
+                self.links.retain(|n| *n != number);
+                self.tell(What::Healed { number });
+            }
+            Kind::Lossy | Kind::Delay | Kind::Twice | Kind::Flip | Kind::Reset => {
+                self.links.retain(|n| *n != number);
+            }
+        }
+        self.tell(What::Fault { number, text: String::new(), begins: false });
+    }
+
+    /// Staff have some removed, by asking one that runs.
+    fn remove(&mut self, senders: &[usize]) {
+        let Some(asked) = (0..self.play.senders).find(|n| self.processes[*n].node.is_some()) else { return };
+        for sender in senders {
+            let name = self.info(*sender).name;
+            self.tell(What::Asked { name: name.clone() });
+            let now = self.now;
+            if let Some(node) = &mut self.processes[asked].node {
+                node.order(now, 0, &micadrum_fleet::Order::Remove(name));
+            }
+            self.carry_out(asked);
+        }
+    }
+
+    /// Takes down what each says of its fleet, where that changed.
+    fn look(&mut self) {
+        for sender in 0..self.processes.len() {
+            let process = &mut self.processes[sender];
+            let Some(node) = process.node.as_ref().filter(|_| !process.paused) else { continue };
+            if node.halted().is_some() {
+                continue;
+            }
+            let view = node.view(self.now);
+            let seen = What::Seen {
+                sender,
+                number: view.number,
+                confirmed: view.confirmed,
+                members: view
+                    .members
+                    .into_iter()
+                    .map(|row| SeenMember {
+                        name: row.name,
+                        number: row.number,
+                        incarnation: row.incarnation,
+                        standing: row.standing.into(),
+                        health: row.health.into(),
+                    })
+                    .collect(),
+            };
+            if process.looked.as_ref() != Some(&seen) {
+                process.looked = Some(seen.clone());
+                self.tell(seen);
+            }
+        }
+    }
+}
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -1,5 +1,6 @@
 //! What a play consists of, as a TOML file says it. What the file leaves out has the figures of today's service:
 //! partners, classes and clients as the operators describe theirs.
+use crate::peers::schedule::Peers;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -42,6 +43,9 @@
     /// What goes wrong, and when.
     #[serde(default, rename = "trouble")]
     pub troubles: Vec<Trouble>,
+    /// The senders know one another, and what goes wrong among them; without it they share nothing.
+    #[serde(default)]
+    pub peers: Option<Peers>,
     /// What is compared; with none, the project's own sender is played.
     #[serde(default, rename = "variant")]
     pub variants: Vec<Variant>,
@@ -595,6 +599,9 @@
                 format!("trouble[{i}].size = {}", t.size),
             );
         }
+        if let Some(peers) = &self.peers {
+            peers.impossible(senders).into_iter().for_each(|what| check(false, what));
+        }
         for (i, v) in self.variants.iter().enumerate() {
             let both = v.baseline.is_some() && (v.binary.is_some() || !v.set.is_empty());
             check(!both, format!("variant[{i}]: a baseline has neither binary nor set"));
