--- a/fleet/src/wire.rs
+++ b/fleet/src/wire.rs
@@ -9,7 +9,7 @@
 /// The longest datagram, in bytes: it fits one Ethernet frame.
 pub const MOST_DATAGRAM: usize = 1_400;
 /// The longest frame of a connection, in bytes: the record of the largest fleet.
-pub const MOST_FRAME: usize = 4 * 1024 * 1024;
+pub const MOST_FRAME: usize = 2 * 1024 * 1024;
 /// Version, fleet's name, checksum.
 const HEAD: usize = 1 + 8 + 4;
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -40,6 +40,55 @@
     pub known: Targets,
     /// How to treat messages, destinations and the rules.
     pub settings: Profile,
+    /// The senders that this one knows; without it, it knows none.
+    pub fleet: Option<Fleet>,
+}
+
+/// A fleet of senders that know one another. `docs/fleet.md` has what each promises.
+#[derive(Clone, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// The fleet's name, the same at all; nothing of any other fleet is listened to.
+    pub name: String,
+    /// This sender's own name, which no other has, and which stays the same after a restart.
+    pub member: String,
+    /// Where peers connect and send datagrams, as `ADDRESS:PORT`.
+    #[schemars(with = "String")]
+    pub listen: SocketAddr,
+    /// Where peers are told that it is; `listen` where it is not given.
+    #[schemars(with = "Option<String>")]
+    pub advertise: Option<SocketAddr>,
+    /// 2 to 9 of the fleet's addresses, the same ones in the same order at all. Its first start needs all of these senders.
+    #[schemars(with = "Vec<String>")]
+    pub seeds: Vec<SocketAddr>,
+    /// The zone that it stands in; that of the settings where it is not given.
+    pub zone: Option<String>,
+    /// The machine that it stands on: what is lost together has the same label.
+    pub machine: String,
+    /// How many senders agree on who belongs, once there are so many; an odd number from 3 to 9, 5 where it is not given.
+    pub keepers: Option<usize>,
+    /// One that is suspected has so many milliseconds to object; 4,000 where it is not given.
+    pub suspect_ms: Option<u64>,
+    /// Whether it leaves the fleet for good at SIGTERM.
+    #[serde(default)]
+    pub leave: bool,
+}
+
+impl Fleet {
+    /// What it says, as the machines take it; `zone` is that of the settings.
+    pub fn settings(&self, zone: &str) -> micadrum_fleet::Settings {
+        let info = micadrum_fleet::Info {
+            name: self.member.clone(),
+            zone: self.zone.clone().unwrap_or_else(|| zone.to_owned()),
+            machine: self.machine.clone(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            address: self.advertise.unwrap_or(self.listen),
+        };
+        let mut settings = micadrum_fleet::Settings::new(&self.name, info, self.seeds.clone());
+        settings.keepers = self.keepers.unwrap_or(settings.keepers);
+        settings.suspect = self.suspect_ms.unwrap_or(settings.suspect);
+        settings
+    }
 }
 
 /// What the process may use.
@@ -91,6 +140,14 @@
         /// The keys.
         keys: Vec<String>,
     },
+    /// The part on the fleet has figures that no fleet can have.
+    #[error("configuration {path}: fleet: {}", faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))]
+    Fleet {
+        /// The file.
+        path: PathBuf,
+        /// All that is wrong.
+        faults: Vec<micadrum_fleet::SettingsError>,
+    },
     /// `$PROXY_MGMT` holds no address.
     #[error("$PROXY_MGMT: {0:?} is no address")]
     Mgmt(OsString),
@@ -155,6 +212,12 @@
     } else {
         Config::deserialize(&value).map_err(error)?
     };
+    if let Some(fleet) = &config.fleet {
+        let faults = fleet.settings(config.settings.zone()).faults();
+        if !faults.is_empty() {
+            return Err(ConfigError::Fleet { path: path.to_owned(), faults });
+        }
+    }
     if config.mgmt.is_none()
         && let Some(address) = std::env::var_os("PROXY_MGMT").filter(|address| !address.is_empty())
     {
@@ -281,6 +344,15 @@
     {
         add("mgmt", format!("{address} is where clients connect: the second address is another"));
     }
+    if let Some(fleet) = value.get("fleet").filter(|fleet| !fleet.is_null()) {
+        let zone = value.pointer("/settings/zone").and_then(Value::as_str).unwrap_or_default();
+        match Fleet::deserialize(fleet) {
+            Ok(fleet) => {
+                fleet.settings(zone).faults().iter().for_each(|fault| add("fleet", fault.to_string()))
+            }
+            Err(e) => add("fleet", e.to_string()),
+        }
+    }
     match Profile::deserialize(value.get("settings").unwrap_or(&Value::Null)) {
         Ok(profile) => {
             if let Err(e) = profile.settings(&profile.names()) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 use micadrum::net;
 use net::Descriptors;
 use net::discovery;
+use net::fleet;
 use net::handover::{self, Inherited};
 use net::host::{Estate, Host, Links, Origin};
 use net::input::Input;
@@ -39,6 +40,8 @@
 const BACKLOG: u32 = 1024;
 /// How long answers on their way out may take once the host has ended.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
+/// How long the fleet's keepers may take to agree that this sender leaves; SIGKILL comes 3.7 s after SIGTERM.
+const LAST_LEAVE: Duration = Duration::from_millis(1500);
 
 #[derive(Debug, thiserror::Error)]
 enum StartError {
@@ -52,6 +55,8 @@
     Handover(#[from] handover::HandoverError),
     #[error(transparent)]
     Store(#[from] net::store::StoreError),
+    #[error(transparent)]
+    Fleet(#[from] fleet::FleetError),
     #[error("settings: {0}")]
     Settings(String),
     #[error("settings: {0:?} is missing, which the running ones have")]
@@ -116,12 +121,18 @@
     let (standing, stands) = watch::channel(Standing::Starting);
     let (to_host, mut orders) = mpsc::channel(mgmt::MOST_CALLERS);
     let shared = Arc::new(Shared::default());
+    // Without a part `fleet` nothing of it is begun.
+    let (to_fleet, at_fleet) = match &config.fleet {
+        Some(_) => Some(mpsc::channel(mgmt::MOST_CALLERS)).unzip(),
+        None => (None, None),
+    };
     if let Some(address) = config.mgmt {
         let error = |source| StartError::Listen { address, source };
         let listener = std::net::TcpListener::bind(address).map_err(error)?;
         eprintln!("second address: {}", listener.local_addr().map_err(error)?);
-        mgmt::spawn(listener, to_host, stands).map_err(error)?;
+        mgmt::spawn(listener, to_host, stands, to_fleet.clone()).map_err(error)?;
     }
+    let zone = config.settings.zone().to_owned();
     let tuning = Tuning::new(config.settings).map_err(StartError::Settings)?;
     let pauses = discovery::Pauses::new(seed, tuning.senders(), tuning.must_ask_in());
     let folder = variable("PROXY_STATE")?;
@@ -146,11 +157,16 @@
     };
     let memory = config.limits.memory_mb.map(|mb| mb * 1e6);
     // What is owed is in memory too, and the journal is read whole at the next start.
-    let disk = (config.limits.disk_mb * 1e6).min(memory.unwrap_or(f64::INFINITY));
+    let of_fleet = if config.fleet.is_some() { fleet::DISK as f64 } else { 0.0 };
+    let disk = (config.limits.disk_mb * 1e6 - of_fleet).min(memory.unwrap_or(f64::INFINITY)).max(0.0);
     let (store, damage) = Store::open(&folder, disk as u64)?;
     if damage != net::store::Damage::default() {
         eprintln!("journal: {} bytes cut off at the end, {} passed over", damage.torn, damage.skipped);
     }
+    let (stop_fleet, fleet_stops) = watch::channel(false);
+    if let (Some(fleet), Some(at_fleet)) = (&config.fleet, at_fleet) {
+        fleet::spawn(fleet, &zone, seed, &folder, at_fleet, fleet_stops)?;
+    }
     let room = Arc::new(Semaphore::new(descriptors.clients.saturating_sub(taken)));
     let listening = |source| StartError::Listen { address: config.listen, source };
     let estate = Estate { lock, store, listener: listener.try_clone().map_err(listening)? };
@@ -197,14 +213,34 @@
         tokio::spawn(server::serve(listener, room, descriptors.clients, inputs, at_doors, bodies, shared));
     match host.run(&mut from_all, &mut orders).await {
         Some(remains) => {
+            // The new process takes the fleet's part on, and its address.
+            stop_fleet.send_replace(true);
             watching.abort();
             remains.pass_on(from_all, orders, server).await;
         }
-        None => drop(timeout(LAST_ANSWERS, server).await),
+        None => {
+            if let Some(to_fleet) = to_fleet.filter(|_| config.fleet.is_some_and(|fleet| fleet.leave)) {
+                leave(&to_fleet).await;
+            }
+            drop(timeout(LAST_ANSWERS, server).await);
+        }
     }
     Ok(())
 }
 
+/// Leaves the fleet in order. Whoever cannot be told in time goes all the same, and is held lost.
+async fn leave(to_fleet: &mpsc::Sender<fleet::Asked>) {
+    let (answer, answered) = oneshot::channel();
+    let asked = fleet::Asked::Order(micadrum_fleet::Order::Leave, answer);
+    if to_fleet.send(asked).await.is_ok() {
+        match timeout(LAST_LEAVE, answered).await {
+            Ok(Ok(Ok(_))) => eprintln!("fleet: left"),
+            Ok(Ok(Err(e))) => eprintln!("fleet: not left: {e}"),
+            _ => eprintln!("fleet: not left: the keepers did not agree in time"),
+        }
+    }
+}
+
 /// Takes up the settings and where discovery is from the configuration file at each SIGHUP, as a whole: a file
 /// that cannot be used changes nothing. Addresses to listen at and limits hold from the next start.
 async fn reload(
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -1,6 +1,7 @@
 //! The second address, for staff: a line in, a line out, but for the figures. It runs on a thread of its own, so that neither a busy
 //! step nor the clients' traffic delays its accept loop; only calls that change something, or ask for figures, wait
 //! for the host.
+use super::fleet::{self, Look};
 use super::telemetry::{self, Snapshot};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -25,6 +26,8 @@
 const GRACE: Duration = Duration::from_millis(50);
 /// Answers are due within a second: a host that takes longer is not waited for, and the call is void.
 const HOST_PATIENCE: Duration = Duration::from_millis(800);
+/// What keepers have to agree on takes longer, and is told of as not agreed after 8 s.
+const FLEET_PATIENCE: Duration = Duration::from_secs(10);
 /// For a caller to take its answer, and to close after it.
 const LAST_PATIENCE: Duration = Duration::from_millis(500);
 
@@ -67,6 +70,10 @@
     Unknown(String),
     #[error("{0} needs the id of an endpoint")]
     NoId(&'static str),
+    #[error("fleet needs one of view, roster, keepers, remove NAME, leave, refound")]
+    Fleet,
+    #[error("this sender knows no fleet: its configuration has no part `fleet`")]
+    NoFleet,
     #[error("{0:?} is a word too many")]
     Extra(String),
 }
@@ -76,6 +83,22 @@
     Ready,
     Figures,
     Order(Order),
+    Look(Look),
+    Fleet(micadrum_fleet::Order),
+}
+
+/// What is asked of the fleet's part.
+fn parse_fleet<'a>(mut words: impl Iterator<Item = &'a str>) -> Result<Parsed, CallError> {
+    use micadrum_fleet::Order;
+    Ok(match words.next().ok_or(CallError::Fleet)? {
+        "view" => Parsed::Look(Look::View),
+        "roster" => Parsed::Look(Look::Roster),
+        "keepers" => Parsed::Look(Look::Keepers),
+        "remove" => Parsed::Fleet(Order::Remove(words.next().ok_or(CallError::Fleet)?.to_owned())),
+        "leave" => Parsed::Fleet(Order::Leave),
+        "refound" => Parsed::Fleet(Order::Refound),
+        _ => return Err(CallError::Fleet),
+    })
 }
 
 fn parse(line: &str) -> Result<Parsed, CallError> {
@@ -89,6 +112,7 @@
         "include" => Parsed::Order(Order::Include(id("include")?)),
         "evacuate" => Parsed::Order(Order::Evacuate),
         "activate" => Parsed::Order(Order::Activate),
+        "fleet" => parse_fleet(&mut words)?,
         other => return Err(CallError::Unknown(other.to_owned())),
     };
     match words.next() {
@@ -102,12 +126,13 @@
     listener: std::net::TcpListener,
     orders: Sender<Asked>,
     standing: watch::Receiver<Standing>,
+    fleet: Option<Sender<fleet::Asked>>,
 ) -> io::Result<()> {
     listener.set_nonblocking(true)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let serving = async move {
         match TcpListener::from_std(listener) {
-            Ok(listener) => serve(listener, orders, standing).await,
+            Ok(listener) => serve(listener, orders, standing, fleet).await,
             Err(e) => eprintln!("second address: {e}"),
         }
     };
@@ -115,7 +140,12 @@
     Ok(())
 }
 
-async fn serve(listener: TcpListener, orders: Sender<Asked>, standing: watch::Receiver<Standing>) {
+async fn serve(
+    listener: TcpListener,
+    orders: Sender<Asked>,
+    standing: watch::Receiver<Standing>,
+    fleet: Option<Sender<fleet::Asked>>,
+) {
     let room = Arc::new(Semaphore::new(MOST_CALLERS));
     // Those whose line has not come, the oldest first.
     let mut silent: VecDeque<(Instant, oneshot::Sender<()>)> = VecDeque::new();
@@ -145,10 +175,10 @@
         };
         let (make_room, asked_to_leave) = oneshot::channel();
         silent.push_back((Instant::now(), make_room));
-        let (orders, standing) = (orders.clone(), standing.clone());
+        let (orders, standing, fleet) = (orders.clone(), standing.clone(), fleet.clone());
         tokio::spawn(async move {
             // A caller that breaks off has nobody to be told of it.
-            let _ = caller(stream, asked_to_leave, &orders, &standing).await;
+            let _ = caller(stream, asked_to_leave, &orders, &standing, fleet.as_ref()).await;
             drop(permit);
         });
     }
@@ -159,6 +189,7 @@
     asked_to_leave: oneshot::Receiver<()>,
     orders: &Sender<Asked>,
     standing: &watch::Receiver<Standing>,
+    fleet: Option<&Sender<fleet::Asked>>,
 ) -> io::Result<()> {
     let mut stream = BufReader::new(stream);
     let mut line = Vec::new();
@@ -188,6 +219,12 @@
                 let done = ask(orders, |answer| Asked::Order { order, answer }).await;
                 done.map(|()| "done\n".to_owned())
             }
+            Ok(Ok(Parsed::Look(look))) => {
+                ask_fleet(fleet, HOST_PATIENCE, |answer| fleet::Asked::Look(look, answer)).await
+            }
+            Ok(Ok(Parsed::Fleet(order))) => {
+                ask_fleet(fleet, FLEET_PATIENCE, |answer| fleet::Asked::Order(order, answer)).await
+            }
             Ok(Ok(Parsed::Figures)) => {
                 ask(orders, Asked::Figures).await.map(|snapshot| telemetry::scrape(&snapshot))
             }
@@ -204,9 +241,27 @@
     Ok(())
 }
 
+async fn ask_fleet(
+    fleet: Option<&Sender<fleet::Asked>>,
+    patience: Duration,
+    asked: impl FnOnce(oneshot::Sender<Result<String, String>>) -> fleet::Asked,
+) -> Result<String, String> {
+    let fleet = fleet.ok_or_else(|| CallError::NoFleet.to_string())?;
+    let text = ask_in(fleet, patience, asked).await?;
+    Ok(if text.is_empty() { "done\n".to_owned() } else { format!("done {text}\n") })
+}
+
 async fn ask<T>(
     orders: &Sender<Asked>,
     asked: impl FnOnce(oneshot::Sender<Result<T, String>>) -> Asked,
+) -> Result<T, String> {
+    ask_in(orders, HOST_PATIENCE, asked).await
+}
+
+async fn ask_in<A, T>(
+    orders: &Sender<A>,
+    patience: Duration,
+    asked: impl FnOnce(oneshot::Sender<Result<T, String>>) -> A,
 ) -> Result<T, String> {
     let (answer, answered) = oneshot::channel();
     let asking = async {
@@ -215,7 +270,7 @@
         }
         answered.await
     };
-    match timeout(HOST_PATIENCE, asking).await {
+    match timeout(patience, asking).await {
         Ok(Ok(answer)) => answer,
         _ => Err("the sender is busy, starting or ending: not done in time".to_owned()),
     }
@@ -236,6 +291,11 @@
         assert_eq!(parse("include s-1"), Ok(Parsed::Order(Order::Include("s-1".to_owned()))));
         assert_eq!(parse("evacuate"), Ok(Parsed::Order(Order::Evacuate)));
         assert_eq!(parse("activate"), Ok(Parsed::Order(Order::Activate)));
+        assert_eq!(parse("fleet view"), Ok(Parsed::Look(Look::View)));
+        let remove = micadrum_fleet::Order::Remove("n1".to_owned());
+        assert_eq!(parse("fleet remove n1"), Ok(Parsed::Fleet(remove)));
+        assert_eq!(parse("fleet remove"), Err(CallError::Fleet));
+        assert_eq!(parse("fleet leave now"), Err(CallError::Extra("now".to_owned())));
         assert_eq!(parse(" \n"), Err(CallError::Empty));
         assert_eq!(parse("READYZ"), Err(CallError::Unknown("READYZ".to_owned())));
         assert_eq!(parse("exclude\n"), Err(CallError::NoId("exclude")));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 pub mod clock;
 pub mod connection;
 pub mod discovery;
+pub mod fleet;
 pub mod handover;
 pub mod host;
 pub mod input;
@@ -13,6 +14,7 @@
 pub mod store;
 pub mod telemetry;
 pub mod tuning;
+pub mod wal;
 
 /// Descriptors besides those of clients and endpoints: standard streams, the loops' and the signals' own, the
 /// listeners, the journal's two files, discovery, notices, the configuration at a reload, staff's callers.
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -1,7 +1,9 @@
 //! The write-ahead journal in the folder that outlasts the process: what was taken on, and how far it got.
 //!
-//! Each record is framed by its length and a checksum over both. `write` is enough, without a sync: the
+//! Its records are framed and checked by [`super::wal`]. `write` is enough, without a sync: the
 //! folder is lost only with the machine, and then its messages are handed to others.
+pub use super::wal::Damage;
+use super::wal::{self, HEADER, frame};
 use bytes::Bytes;
 use micadrum::Class;
 use serde::{Deserialize, Serialize};
@@ -10,7 +12,6 @@
 use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
-const HEADER: usize = 8;
 /// No record is longer: a message's body is 64 KiB at most, its headers are bounded by the server.
 const MOST_RECORD: usize = 256 * 1024;
 /// Room that a message takes besides its body and names: numbers, framing, the attempts that may be on record, its class.
@@ -104,15 +105,6 @@
     TakenAs(u32, Class, Box<Owed>),
 }
 
-/// What the journal held when it was opened, besides the messages.
-#[derive(Debug, Default, PartialEq, Eq)]
-pub struct Damage {
-    /// Bytes cut off at the end: a record whose writing the process's end broke off.
-    pub torn: usize,
-    /// Bytes passed over before a record that could be read.
-    pub skipped: usize,
-}
-
 #[derive(Debug, thiserror::Error)]
 #[error("journal {path}: {doing}: {source}")]
 pub struct StoreError {
@@ -142,18 +134,6 @@
     (id.len() + 2 * HEADER) as u64
 }
 
-/// The framed record, in the memory of `spare`.
-fn frame(record: &Record, mut spare: Vec<u8>) -> io::Result<Vec<u8>> {
-    spare.clear();
-    spare.resize(HEADER, 0);
-    let mut frame = postcard::to_extend(record, spare).map_err(io::Error::other)?;
-    let length = u32::try_from(frame.len() - HEADER).map_err(io::Error::other)?;
-    frame[..4].copy_from_slice(&length.to_le_bytes());
-    let sum = checksum(&frame[..4], &frame[HEADER..]);
-    frame[4..HEADER].copy_from_slice(&sum.to_le_bytes());
-    Ok(frame)
-}
-
 fn taking(number: u32, owed: Owed) -> Record {
     match owed.class {
         Some(class) => Record::TakenAs(number, class, Box::new(owed)),
@@ -166,25 +146,6 @@
     frame(&taking(number, owed.clone()), spare)
 }
 
-fn checksum(length: &[u8], payload: &[u8]) -> u32 {
-    let mut sum = crc32fast::Hasher::new();
-    sum.update(length);
-    sum.update(payload);
-    sum.finalize()
-}
-
-/// The record at the start of `bytes` and its framed length, if a whole and sound one stands there.
-fn unframe(bytes: &[u8]) -> Option<(Record, usize)> {
-    let (length, rest) = bytes.split_first_chunk::<4>()?;
-    let (sum, rest) = rest.split_first_chunk::<4>()?;
-    let size = u32::from_le_bytes(*length) as usize;
-    let payload = rest.get(..size).filter(|_| size <= MOST_RECORD)?;
-    if checksum(length, payload) != u32::from_le_bytes(*sum) {
-        return None;
-    }
-    Some((postcard::from_bytes(payload).ok()?, HEADER + size))
-}
-
 impl Store {
     /// Opens the journal in `folder`, or begins one, and brings back what it holds. Damage is reported, and
     /// never keeps a sender from starting: what can still be read is still owed.
@@ -210,19 +171,7 @@
             next: 0,
             spare: Vec::new(),
         };
-        let (mut at, mut sound, mut damage) = (0, 0, Damage::default());
-        while at < bytes.len() {
-            match unframe(&bytes[at..]) {
-                Some((record, size)) => {
-                    damage.skipped += at - sound;
-                    at += size;
-                    sound = at;
-                    store.apply(record);
-                }
-                None => at += 1,
-            }
-        }
-        damage.torn = bytes.len() - sound;
+        let (sound, damage) = wal::read(&bytes, MOST_RECORD, |record| store.apply(record));
         store.length = sound as u64;
         store.file.set_len(store.length).map_err(error("cutting off a torn tail"))?;
         store.file.seek(SeekFrom::End(0)).map_err(error("seeking"))?;
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -197,6 +197,11 @@
 }
 
 impl Profile {
+    /// The zone that the sender stands in.
+    pub fn zone(&self) -> &str {
+        &self.zone
+    }
+
     /// The numbers of all names.
     pub fn names(&self) -> Names {
         Names {
