Give each new member its time to be heard before it shows as lost

At fault: the view took one that was never heard for lost unless the viewer itself was new (Node::view).

Change: the time runs from when the member's incarnation became known to the viewer.

--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -211,6 +211,8 @@
     pulled: Millis,
     lagging: Option<Millis>,
     lags: u32,
+    /// The incarnation of each member that the roster has, and since when it is known here.
+    learned: BTreeMap<u64, (u32, Millis)>,
     /// Peers whose connection broke and that were not heard since.
     broken: BTreeSet<u64>,
     heard: Option<Millis>,
@@ -263,6 +265,7 @@
             pulled: 0,
             lagging: None,
             lags: 0,
+            learned: BTreeMap::new(),
             broken: BTreeSet::new(),
             heard: None,
             other_fleet: None,
@@ -682,6 +685,13 @@
             };
             return self.halt(now, Halt::Gone(why));
         }
+        self.learned.retain(|folder, _| roster.members.contains_key(folder));
+        for (folder, member) in &roster.members {
+            let known = self.learned.entry(*folder).or_insert((member.incarnation, now));
+            if known.0 != member.incarnation {
+                *known = (member.incarnation, now);
+            }
+        }
         let mut here = false;
         if let Some(member) = roster.members.get(&self.folder) {
             let theirs = (member.incarnation, member.boot);
@@ -1169,7 +1179,8 @@
     /// What this sender knows of its fleet.
     pub fn view(&self, now: Millis) -> View {
         let health = self.watch.health();
-        let listening = self.watching.unwrap_or(self.began) + LISTEN + self.settings.suspect;
+        let listening = self.watching.unwrap_or(self.began);
+        let since = |folder| self.learned.get(folder).map_or(listening, |(_, at)| listening.max(*at));
         let mut members = Vec::new();
         for (folder, member) in self.roster.iter().flat_map(|roster| &roster.members) {
             let own = *folder == self.folder;
@@ -1187,7 +1198,8 @@
                 health: match heard {
                     _ if own && self.halted.is_none() => Health::Answers,
                     Some((_, health)) => *health,
-                    None if now < listening => Health::Unknown,
+                    // Neither one that has only just been agreed on: nobody can have heard it yet.
+                    None if now < since(folder) + LISTEN + self.settings.suspect => Health::Unknown,
                     None => Health::Lost,
                 },
                 keeper: self.roster.as_ref().is_some_and(|roster| roster.keepers.contains(folder)),
