Count a group's end once where a keeper is told its log anew

Ruled out, message by message: duplicated steps, overtaken frames, two leaders. At fault is the consensus library: create_log_sync begins the telling at the follower's accepted index, in which the stop sign counts as one, and sync_log adds one more for the sign that comes with it.

The message is corrected before it is handed in: a telling with a stop sign begins where this keeper's steps end.

The test fails without the change (3 for 2).

--- a/fleet/src/keeper.rs
+++ b/fleet/src/keeper.rs
@@ -6,10 +6,11 @@
 use crate::roster::Change;
 use omnipaxos::ballot_leader_election::Ballot;
 use omnipaxos::messages::Message;
+use omnipaxos::messages::sequence_paxos::PaxosMsg;
 use omnipaxos::storage::{Entry, NoSnapshot, StopSign, Storage, StorageOp, StorageResult};
-use omnipaxos::util::{LogEntry, NodeId};
+use omnipaxos::util::{LogEntry, LogSync, NodeId};
 use omnipaxos::{ClusterConfig, OmniPaxos, ServerConfig};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 impl Entry for Change {
@@ -22,12 +23,15 @@
 struct Log {
     state: KeeperState,
     writes: Writes,
+    /// How many steps it has; a stop sign is none.
+    steps: Rc<Cell<usize>>,
 }
 
 impl Log {
     fn write(&mut self, record: KeeperRecord) {
         self.writes.borrow_mut().push(record.clone());
         self.state.apply(record);
+        self.steps.set(self.state.log.len());
     }
 }
 
@@ -151,6 +155,7 @@
     pub(crate) folders: Vec<u64>,
     own: NodeId,
     writes: Writes,
+    steps: Rc<Cell<usize>>,
 }
 
 impl Keeper {
@@ -174,7 +179,8 @@
             resend_message_tick_timeout: RESEND_TICKS,
             ..ServerConfig::default()
         };
-        let log = Log { state, writes: writes.clone() };
+        let steps = Rc::new(Cell::new(state.log.len()));
+        let log = Log { state, writes: writes.clone(), steps: steps.clone() };
         let mut paxos = cluster.build_for_server(server, log).ok()?;
         if disk.is_some_and(|state| state.group == group) {
             // Whatever came while it was away has to be told anew.
@@ -182,7 +188,7 @@
                 paxos.reconnected(peer);
             }
         }
-        Some(Self { paxos, group, folders: folders.to_vec(), own, writes })
+        Some(Self { paxos, group, folders: folders.to_vec(), own, writes, steps })
     }
 
     /// The folder of the keeper that leads, as far as this one knows.
@@ -208,12 +214,34 @@
         let sound = from.is_some_and(|at| at as NodeId + 1 == message.get_sender())
             && message.get_receiver() == self.own
             && message.get_sender() != self.own;
-        if sound {
+        if sound && let Some(message) = self.counted_once(message) {
             self.paxos.handle_incoming(message);
         }
         sound
     }
 
+    /// Where a log is told anew to one that has its stop sign already, the library counts that sign among the steps that
+    /// are there, and then once more: with each telling this keeper would say that it has one step more, until the leader
+    /// takes steps for agreed that nobody has. So the telling is made to begin where the steps end. None where this keeper
+    /// knows that the group has ended: it needs no telling.
+    fn counted_once(&self, mut message: Message<Change>) -> Option<Message<Change>> {
+        let sync: Option<&mut LogSync<Change>> = match &mut message {
+            Message::SequencePaxos(paxos) => match &mut paxos.msg {
+                PaxosMsg::AcceptSync(told) => Some(&mut told.log_sync),
+                PaxosMsg::Promise(told) => told.log_sync.as_mut(),
+                _ => None,
+            },
+            Message::BLE(_) => None,
+        };
+        if let Some(sync) = sync.filter(|sync| sync.stopsign.is_some() && sync.sync_idx > self.steps.get()) {
+            sync.sync_idx = self.steps.get();
+            if self.paxos.get_decided_idx() > self.steps.get() {
+                return None;
+            }
+        }
+        Some(message)
+    }
+
     /// Tries to lead. One that came back with a promise to a ballot that lost since can follow nobody: the others are content
     /// with their leader, whose ballot is lower (seed 994 of `fleet-chaos`). A higher ballot of its own ends that.
     pub(crate) fn lead(&mut self) {
@@ -344,6 +372,38 @@
         }
     }
 
+    /// Seed 10221 of `fleet-chaos`: followers that accept a group's end, whose answers are lost, and that ask for it anew, count
+    /// it once, and the group ends.
+    #[test]
+    fn an_end_told_twice_counts_once() {
+        let group = [1, 2, 3];
+        let mut disks = vec![KeeperState::default(); 3];
+        let mut keepers: Vec<_> = group.iter().map(|own| Keeper::new(1, &group, *own, None)).collect();
+        let leading = leader(&mut keepers, &mut disks);
+        assert!(keepers[leading].as_mut().unwrap().propose(farewell(9)));
+        talk(&mut keepers, &mut disks, 10);
+        assert!(keepers[leading].as_mut().unwrap().hand_on(&[1, 2, 9]));
+        let told = keepers[leading].as_mut().unwrap().messages();
+        for (to, message) in told {
+            let follower = keepers[to as usize - 1].as_mut().unwrap();
+            assert!(follower.hear(leading as u64 + 1, message));
+            // Its answer is lost.
+            follower.messages();
+        }
+        for follower in (0..3).filter(|at| *at != leading) {
+            for _ in 0..3 {
+                keepers[follower].as_mut().unwrap().reconnected(leading as u64 + 1);
+                talk(&mut keepers, &mut disks, 2);
+            }
+        }
+        talk(&mut keepers, &mut disks, 10);
+        for keeper in keepers.iter().flatten() {
+            assert_eq!(keeper.paxos.get_accepted_idx(), 2, "one step and the end");
+            let end = Change::Keepers { group: 2, folders: vec![1, 2, 9] };
+            assert_eq!(keeper.agreed(0), [farewell(9), end]);
+        }
+    }
+
     /// A group's end is agreed as any step, and names the next group.
     #[test]
     fn a_group_ends_once() {
