Give a view a short mark, and tell those that are agreed on and do not know it

- fleet mark: epoch, number, digest, and a checksum of members and their states.
- Whoever proposes what is agreed already, or is probed and does not take part yet, is told how far the roster is.
- One that does not listen yet knows nothing of who answers, and says so.
- Leave is agreed on in two steps, leaving and gone; before, nobody ever saw the first.
- A step of the roster no longer copies all members; who answers is looked up, not tabled, where one is asked for.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -16,7 +16,7 @@
 pub use node::{Counts, Effect, Halt, Node, Note, Order, OrderError};
 pub use roster::{Change, Farewell, Gone, Info, Member, Roster};
 pub use settings::{Broken, Settings, SettingsError};
-pub use view::{Health, Row, Standing, View};
+pub use view::{Health, Mark, Row, Standing, View};
 pub use wire::{Identity, MOST_DATAGRAM, MOST_FRAME, WireError};
 
 /// Milliseconds of a clock that never steps, from any beginning.
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -2,9 +2,9 @@
 use crate::Millis;
 use crate::disk::{Record, State};
 use crate::keeper::Keeper;
-use crate::roster::{Change, Farewell, Info, Roster};
+use crate::roster::{Change, Farewell, Info, Member, Roster};
 use crate::settings::Settings;
-use crate::view::{Health, Heard, Row, Standing, View, Watch};
+use crate::view::{Health, Heard, Mark, Row, Standing, View, Watch};
 use crate::wire::{Identity, MOST_DATAGRAM, Packet, WireError, decode, encode};
 use omnipaxos::messages::Message;
 use rand::{RngExt, SeedableRng};
@@ -439,6 +439,10 @@
                     let boot = *boot;
                     return self.send(from.address, Packet::Refused { boot, incarnation });
                 }
+                if self.agreed_already(&change) {
+                    // Whoever asks has not heard of it: the frame that told it may have been lost with its connection.
+                    return self.tell_digest(from.address);
+                }
                 self.put_to_keepers(&change);
             }
             Packet::Refused { boot, incarnation } => {
@@ -476,7 +480,10 @@
                 let Some(roster) = &self.roster else { return };
                 // Only members are listened to: so nobody else can have this sender hold anything.
                 let member = roster.members.contains_key(&from.folder);
-                if roster.fleet == fleet && self.watching.is_some() {
+                if roster.fleet == fleet && self.watching.is_none() {
+                    // It counts as a member there, and does not know so.
+                    self.tell_digest(from.address);
+                } else if roster.fleet == fleet {
                     if member {
                         self.heard = Some(now);
                         self.watch.hear(now, &data);
@@ -662,8 +669,7 @@
     fn step(&mut self, now: Millis, change: Change) {
         let Some(roster) = &mut self.roster else { return };
         let before = roster.number;
-        let keepers = std::mem::take(&mut roster.keepers);
-        roster.keepers.clone_from(&keepers);
+        let keepers = roster.keepers.clone();
         roster.apply(change.clone());
         self.effects.push(Effect::Persist(Record::Step(before + 1, change.clone())));
         self.recent.push_back(change.clone());
@@ -708,7 +714,11 @@
             }
         }
         let (group, keepers) = (roster.group, roster.keepers.clone());
-        let members = roster.members.clone();
+        let mut to: Vec<SocketAddr> = Vec::new();
+        if former.as_ref().is_none_or(|former| *former != keepers) {
+            let folders = keepers.iter().chain(former.iter().flatten());
+            to.extend(folders.filter_map(|folder| roster.members.get(folder)).map(|m| m.info.address));
+        }
         if self.keeper.as_ref().is_none_or(|keeper| keeper.group != group) {
             let before = self.keeper.take().map(|keeper| keeper.group);
             if !self.disk_broken && here {
@@ -724,15 +734,10 @@
             self.settled_at = now;
         }
         // The news spreads: to a few members, and to those who agree on the next step.
-        let mut to: Vec<SocketAddr> = Vec::new();
         let answering: Vec<SocketAddr> = self.watch.answering().map(|id| id.address).collect();
         for _ in 0..FANOUT.min(answering.len()) {
             to.push(answering[self.rng.random_range(0..answering.len())]);
         }
-        if former.as_ref().is_none_or(|former| *former != keepers) {
-            let folders = keepers.iter().chain(former.iter().flatten());
-            to.extend(folders.filter_map(|folder| members.get(folder)).map(|m| m.info.address));
-        }
         to.sort();
         to.dedup();
         to.into_iter().for_each(|address| self.tell_digest(address));
@@ -852,15 +857,14 @@
     /// A keeper that answers, or else any.
     fn some_keeper(&mut self) -> Option<SocketAddr> {
         let roster = self.roster.as_ref()?;
-        let health = self.watch.health();
         let keepers: Vec<(u64, SocketAddr)> = roster
             .keepers
             .iter()
             .filter(|folder| **folder != self.folder)
             .filter_map(|folder| Some((*folder, roster.members.get(folder)?.info.address)))
             .collect();
-        let answers = |folder: &u64| health.get(folder).is_some_and(|(_, h)| *h == Health::Answers);
-        let answering: Vec<_> = keepers.iter().filter(|(folder, _)| answers(folder)).collect();
+        let answers = |folder: u64| self.watch.health_of(folder) == Some(Health::Answers);
+        let answering: Vec<_> = keepers.iter().filter(|(folder, _)| answers(*folder)).collect();
         if !answering.is_empty() && self.rng.random_range(0..4) > 0 {
             return Some(answering[self.rng.random_range(0..answering.len())].1);
         }
@@ -871,10 +875,23 @@
     fn copied(&self, folder: u64, info: &Info) -> Option<u32> {
         let member = self.roster.as_ref()?.members.get(&folder)?;
         let answers = folder == self.folder
-            || matches!(self.watch.health().get(&folder), Some((_, Health::Answers | Health::Suspected)));
+            || matches!(self.watch.health_of(folder), Some(Health::Answers | Health::Suspected));
         (answers && member.info.address != info.address).then_some(member.incarnation)
     }
 
+    /// Whether the roster here has what a step asks for.
+    fn agreed_already(&self, change: &Change) -> bool {
+        let Some(roster) = &self.roster else { return false };
+        match change {
+            Change::Start { folder, incarnation, boot, .. } => {
+                roster.members.get(folder).is_some_and(|m| m.incarnation == *incarnation && m.boot == *boot)
+            }
+            Change::Leaving { folder } => roster.members.get(folder).is_none_or(|member| member.leaving),
+            Change::Farewell { folder, .. } => !roster.members.contains_key(folder),
+            Change::Keepers { .. } => false,
+        }
+    }
+
     /// Has the group agree on a step, unless it changes nothing or must not be.
     fn put_to_keepers(&mut self, change: &Change) {
         let Some(roster) = &self.roster else { return };
@@ -886,8 +903,7 @@
                 let taken = holder.is_some_and(|holder| {
                     let elsewhere =
                         roster.members.get(&holder).is_some_and(|m| m.info.address != info.address);
-                    let health = self.watch.health();
-                    let lost = health.get(&holder).is_some_and(|(_, health)| *health == Health::Lost);
+                    let lost = self.watch.health_of(holder) == Some(Health::Lost);
                     elsewhere && (holder == self.folder || !lost)
                 });
                 !known && !taken && roster.farewell_of(*folder).is_none()
@@ -922,15 +938,15 @@
         let Some(roster) = &self.roster else {
             return Err(OrderError::NoFleet("none has been found or founded yet".to_owned()));
         };
-        let (folder, why) = match order {
-            Order::Leave => (self.folder, Farewell::Left),
+        let change = match order {
+            // First that it leaves, so that others see it going and the keepers give its seat away; then that it is gone.
+            Order::Leave => Change::Leaving { folder: self.folder },
             Order::Remove(name) => {
                 let folder = roster.folder_of(name).ok_or_else(|| OrderError::Unknown(name.clone()))?;
-                (folder, Farewell::Removed)
+                Change::Farewell { folder, why: Farewell::Removed }
             }
             Order::Refound => return self.refound(now, id),
         };
-        let change = Change::Farewell { folder, why };
         self.orders.push(Waiting { id, change, until: now + ORDER_PATIENCE });
         self.next_propose = now;
         Ok(())
@@ -962,8 +978,18 @@
 
     fn settle_orders(&mut self) {
         let Some(roster) = &self.roster else { return };
+        for order in &mut self.orders {
+            if let Change::Leaving { folder } = order.change
+                && roster.members.get(&folder).is_none_or(|member| member.leaving)
+            {
+                order.change = Change::Farewell { folder, why: Farewell::Left };
+                // It is due at once.
+                self.next_propose = 0;
+            }
+        }
         let done = |change: &Change| match change {
             Change::Farewell { folder, .. } => !roster.members.contains_key(folder),
+            Change::Leaving { .. } => false,
             _ => true,
         };
         let (over, open) =
@@ -1045,12 +1071,9 @@
 
     fn keepers_answering(&self) -> (usize, usize) {
         let Some(roster) = &self.roster else { return (0, 0) };
-        let health = self.watch.health();
         let answers = |folder: &&u64| {
             **folder == self.folder
-                || health
-                    .get(*folder)
-                    .is_some_and(|(_, health)| matches!(health, Health::Answers | Health::Suspected))
+                || matches!(self.watch.health_of(**folder), Some(Health::Answers | Health::Suspected))
         };
         (roster.keepers.iter().filter(answers).count(), roster.keepers.len())
     }
@@ -1176,39 +1199,71 @@
         self.effects.push(Effect::Send { to, bytes, connection });
     }
 
-    /// What this sender knows of its fleet.
-    pub fn view(&self, now: Millis) -> View {
+    /// Members in the order of their folders, how each belongs, and whether it answers.
+    fn rows(&self, now: Millis) -> impl Iterator<Item = (u64, &Member, Standing, Health)> {
         let health = self.watch.health();
         let listening = self.watching.unwrap_or(self.began);
-        let since = |folder| self.learned.get(folder).map_or(listening, |(_, at)| listening.max(*at));
-        let mut members = Vec::new();
-        for (folder, member) in self.roster.iter().flat_map(|roster| &roster.members) {
+        let patience = LISTEN + self.settings.suspect;
+        self.roster.iter().flat_map(|roster| &roster.members).map(move |(folder, member)| {
             let own = *folder == self.folder;
             // Of an earlier process of the member, nothing is believed any more.
             let heard = health.get(folder).filter(|(incarnation, _)| *incarnation >= member.incarnation);
-            members.push(Row {
+            let standing = match (own && !self.confirmed(), member.leaving) {
+                (true, _) => Standing::Joining,
+                (false, true) => Standing::Leaving,
+                (false, false) => Standing::In,
+            };
+            let since = || self.learned.get(folder).map_or(listening, |(_, at)| listening.max(*at));
+            let health = match heard {
+                _ if own && self.halted.is_none() => Health::Answers,
+                Some((_, health)) => *health,
+                // One that is not agreed on yet listens to nobody.
+                None if self.watching.is_none() => Health::Unknown,
+                // Neither one that has only just been agreed on: nobody can have heard it yet.
+                None if now < since() + patience => Health::Unknown,
+                None => Health::Lost,
+            };
+            (*folder, member, standing, health)
+        })
+    }
+
+    /// A short sign of what this sender knows: two that have the same one see the same members, in the same states.
+    pub fn mark(&self, now: Millis) -> Mark {
+        let mut sum = crc32fast::Hasher::new();
+        for (folder, member, standing, health) in self.rows(now) {
+            sum.update(&folder.to_le_bytes());
+            sum.update(&member.incarnation.to_le_bytes());
+            sum.update(&[standing as u8, health as u8]);
+        }
+        let roster = self.roster.as_ref();
+        Mark {
+            fleet: roster.map(|roster| roster.fleet),
+            epoch: roster.map_or(0, |roster| roster.epoch),
+            number: roster.map_or(0, |roster| roster.number),
+            confirmed: self.confirmed(),
+            halted: self.halted.is_some(),
+            view: sum.finalize(),
+        }
+    }
+
+    /// What this sender knows of its fleet.
+    pub fn view(&self, now: Millis) -> View {
+        let keepers = self.roster.as_ref().map_or(&[][..], |roster| &roster.keepers);
+        let mut members: Vec<Row> = self
+            .rows(now)
+            .map(|(folder, member, standing, health)| Row {
                 name: member.info.name.clone(),
                 number: member.number,
                 incarnation: member.incarnation,
-                standing: match (own && !self.confirmed(), member.leaving) {
-                    (true, _) => Standing::Joining,
-                    (false, true) => Standing::Leaving,
-                    (false, false) => Standing::In,
-                },
-                health: match heard {
-                    _ if own && self.halted.is_none() => Health::Answers,
-                    Some((_, health)) => *health,
-                    // Neither one that has only just been agreed on: nobody can have heard it yet.
-                    None if now < since(folder) + LISTEN + self.settings.suspect => Health::Unknown,
-                    None => Health::Lost,
-                },
-                keeper: self.roster.as_ref().is_some_and(|roster| roster.keepers.contains(folder)),
+                standing,
+                health,
+                keeper: keepers.contains(&folder),
                 zone: member.info.zone.clone(),
                 machine: member.info.machine.clone(),
                 version: member.info.version.clone(),
                 address: member.info.address,
-            });
-        }
+            })
+            .collect();
         members.sort_by_key(|row| row.number);
         let (keepers_answering, keepers) = self.keepers_answering();
         let roster = self.roster.as_ref();
--- a/fleet/src/view.rs
+++ b/fleet/src/view.rs
@@ -105,6 +105,23 @@
     pub members: Vec<Row>,
 }
 
+/// A short sign of a view, to compare those of many senders by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+pub struct Mark {
+    /// The fleet's own number; none while there is no fleet.
+    pub fleet: Option<u64>,
+    /// The epoch of the roster.
+    pub epoch: u32,
+    /// Its number.
+    pub number: u64,
+    /// Whether this sender's own start is agreed on.
+    pub confirmed: bool,
+    /// Whether it takes no part any more.
+    pub halted: bool,
+    /// A checksum of all members, how they belong and whether they answer.
+    pub view: u32,
+}
+
 /// What foca wants done.
 #[derive(Default)]
 struct Wanted {
@@ -328,15 +345,25 @@
         self.foca.iter_members().map(|member| member.id())
     }
 
-    /// What is known of those that are, or were, heard.
-    pub(crate) fn health(&self) -> BTreeMap<u64, (u32, Health)> {
-        let state = |folder: u64, state| match state {
+    fn state(&self, member: &foca::Member<Identity>) -> Health {
+        let told = || self.lost.get(&member.id().folder).is_none_or(|(_, _, told)| *told);
+        match member.state() {
             foca::State::Alive => Health::Answers,
-            foca::State::Down if self.lost.get(&folder).is_none_or(|(_, _, told)| *told) => Health::Lost,
+            foca::State::Down if told() => Health::Lost,
             foca::State::Suspect | foca::State::Down => Health::Suspected,
-        };
+        }
+    }
+
+    /// What is known of those that are, or were, heard.
+    pub(crate) fn health(&self) -> BTreeMap<u64, (u32, Health)> {
         let members = self.foca.iter_membership_state();
-        members.map(|m| (m.id().folder, (m.id().incarnation, state(m.id().folder, m.state())))).collect()
+        members.map(|m| (m.id().folder, (m.id().incarnation, self.state(m)))).collect()
+    }
+
+    /// What is known of the one with that folder.
+    pub(crate) fn health_of(&self, folder: u64) -> Option<Health> {
+        let member = self.foca.iter_membership_state().find(|member| member.id().folder == folder)?;
+        Some(self.state(member))
     }
 
     /// Since when the one with that folder is held lost.
--- a/src/bin/micadrum-shell.rs
+++ b/src/bin/micadrum-shell.rs
@@ -75,6 +75,8 @@
     Roster,
     /// Who agrees on that.
     Keepers,
+    /// A short sign of view and roster: senders that print the same one see the same fleet.
+    Mark,
     /// A member does not belong any more.
     Remove {
         /// Its name.
@@ -176,6 +178,7 @@
         FleetCall::View => "view".to_owned(),
         FleetCall::Roster => "roster".to_owned(),
         FleetCall::Keepers => "keepers".to_owned(),
+        FleetCall::Mark => "mark".to_owned(),
         FleetCall::Remove { name } => format!("remove {name}"),
         FleetCall::Leave => "leave".to_owned(),
         FleetCall::Refound => "refound".to_owned(),
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -58,6 +58,8 @@
     Roster,
     /// Who agrees on that.
     Keepers,
+    /// A short sign of both, to compare senders by.
+    Mark,
 }
 
 /// Why the part cannot begin.
@@ -312,6 +314,7 @@
                     Look::View => serde_json::to_string(&self.node.view(self.now())),
                     Look::Roster => serde_json::to_string(&self.roster()),
                     Look::Keepers => serde_json::to_string(&self.keepers()),
+                    Look::Mark => serde_json::to_string(&self.mark()),
                 };
                 drop(answer.send(text.map_err(|e| e.to_string())));
             }
@@ -342,6 +345,14 @@
             "members": members.collect::<Vec<_>>(), "gone": gone.collect::<Vec<_>>()})
     }
 
+    fn mark(&self) -> serde_json::Value {
+        let mark = self.node.mark(self.now());
+        let digest = self.node.roster().map(|roster| format!("{:08x}", roster.digest()));
+        serde_json::json!({"fleet": mark.fleet.map(|fleet| format!("{fleet:016x}")), "epoch": mark.epoch,
+            "number": mark.number, "digest": digest, "view": format!("{:08x}", mark.view),
+            "confirmed": mark.confirmed, "halted": mark.halted})
+    }
+
     fn keepers(&self) -> serde_json::Value {
         let Some(roster) = self.node.roster() else { return serde_json::Value::Null };
         let view = self.node.view(self.now());
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -70,7 +70,7 @@
     Unknown(String),
     #[error("{0} needs the id of an endpoint")]
     NoId(&'static str),
-    #[error("fleet needs one of view, roster, keepers, remove NAME, leave, refound")]
+    #[error("fleet needs one of view, roster, keepers, mark, remove NAME, leave, refound")]
     Fleet,
     #[error("this sender knows no fleet: its configuration has no part `fleet`")]
     NoFleet,
@@ -94,6 +94,7 @@
         "view" => Parsed::Look(Look::View),
         "roster" => Parsed::Look(Look::Roster),
         "keepers" => Parsed::Look(Look::Keepers),
+        "mark" => Parsed::Look(Look::Mark),
         "remove" => Parsed::Fleet(Order::Remove(words.next().ok_or(CallError::Fleet)?.to_owned())),
         "leave" => Parsed::Fleet(Order::Leave),
         "refound" => Parsed::Fleet(Order::Refound),
@@ -292,6 +293,7 @@
         assert_eq!(parse("evacuate"), Ok(Parsed::Order(Order::Evacuate)));
         assert_eq!(parse("activate"), Ok(Parsed::Order(Order::Activate)));
         assert_eq!(parse("fleet view"), Ok(Parsed::Look(Look::View)));
+        assert_eq!(parse("fleet mark"), Ok(Parsed::Look(Look::Mark)));
         let remove = micadrum_fleet::Order::Remove("n1".to_owned());
         assert_eq!(parse("fleet remove n1"), Ok(Parsed::Fleet(remove)));
         assert_eq!(parse("fleet remove"), Err(CallError::Fleet));
