--- a/lab/src/peers/history.rs
+++ b/lab/src/peers/history.rs
@@ -1,4 +1,6 @@
 //! What was done and what was seen in a play of a fleet, event by event, as JSON lines.
+use super::campaign::Break;
+use super::schedule::Fault;
 use micadrum_fleet::{Health, Standing};
 use serde::{Deserialize, Serialize};
 use std::io::{BufRead, Write};
@@ -86,6 +88,12 @@
         senders: Vec<String>,
         /// Within how many milliseconds after the last fault all have to agree.
         settle_ms: u64,
+        /// What goes wrong, by number, with the senders that each meets drawn.
+        faults: Vec<Fault>,
+        /// How the senders are broken on purpose, if they are.
+        broken: Option<Break>,
+        /// The whole scenario, to play it again by.
+        played: serde_json::Value,
     },
     /// A process started.
     Up {
