Draw a folder's own number from the system, not from the configuration's seed

Each log says that it is founded, and each roster has the one folder number. Looked at: the three founders' numbers, all the same; their seeds differ, their process ids too.

At fault: src/net/fleet.rs seeded a start by the configuration's seed and the process id, by exclusive or. Seeds in a row and processes started in a row cancel out. tests/fleet.rs did not see it, as its senders all have one seed.

Folder numbers decide who is who, so they now come from the system's own source (getrandom).

--- a/src/main.rs
+++ b/src/main.rs
@@ -165,7 +165,7 @@
     }
     let (stop_fleet, fleet_stops) = watch::channel(false);
     if let (Some(fleet), Some(at_fleet)) = (&config.fleet, at_fleet) {
-        fleet::spawn(fleet, &zone, seed, &folder, at_fleet, fleet_stops)?;
+        fleet::spawn(fleet, &zone, &folder, at_fleet, fleet_stops)?;
     }
     let room = Arc::new(Semaphore::new(descriptors.clients.saturating_sub(taken)));
     let listening = |source| StartError::Listen { address: config.listen, source };
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -163,7 +163,6 @@
 pub fn spawn(
     config: &config::Fleet,
     zone: &str,
-    seed: u64,
     folder: &Path,
     asked: mpsc::Receiver<Asked>,
     stop: watch::Receiver<bool>,
@@ -172,7 +171,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(FleetError::Start)?;
     let work = move || {
-        if let Err(e) = runtime.block_on(work(settings, seed, &folder, listen, asked, stop)) {
+        if let Err(e) = runtime.block_on(work(settings, &folder, listen, asked, stop)) {
             eprintln!("{e}: this sender takes no part in its fleet");
         }
     };
@@ -198,6 +197,12 @@
     }
 }
 
+/// What a folder's own number and all other chance of a start is drawn from. From the system alone: two senders that drew
+/// the same number would be one member, whatever their configurations' seeds are.
+fn chance() -> Result<u64, FleetError> {
+    getrandom::u64().map_err(|e| FleetError::Start(e.into()))
+}
+
 /// Writes down that a node begins.
 fn begin(node: &mut Node, disk: &mut Disk) -> io::Result<()> {
     for effect in node.effects() {
@@ -222,7 +227,6 @@
 
 async fn work(
     settings: Settings,
-    seed: u64,
     folder: &Path,
     listen: SocketAddr,
     mut asked: mpsc::Receiver<Asked>,
@@ -234,7 +238,7 @@
     };
     // Only now: an earlier process that had the address writes no more.
     let disk = Disk::open(folder)?;
-    let mut node = Node::new(settings.clone(), disk.state.clone(), seed ^ u64::from(process::id()), 0);
+    let mut node = Node::new(settings.clone(), disk.state.clone(), chance()?, 0);
     // A start that is not written down is none: it could be counted twice.
     let mut disk = disk;
     while let Err(e) = begin(&mut node, &mut disk) {
@@ -243,7 +247,7 @@
             () = sleep(AGAIN) => {}
             _ = stop.wait_for(|stop| *stop) => return Ok(()),
         }
-        node = Node::new(settings.clone(), disk.state.clone(), seed ^ u64::from(process::id()), 0);
+        node = Node::new(settings.clone(), disk.state.clone(), chance()?, 0);
     }
     let began = Instant::now();
     let (came, mut coming) = mpsc::channel(MOST_WAITING);
