Ask those that answer for members that cannot be reached

Node::greet now asks one that answers, half of the time, for as long as there is somebody it has not heard.

--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -791,11 +791,16 @@
                 address: member.info.address,
             })
             .collect();
-        if !lost.is_empty() {
-            let chosen = lost[self.rng.random_range(0..lost.len())];
-            self.watch.greet(now, chosen);
-            self.after_watch(now);
+        if lost.is_empty() {
+            return;
         }
+        // Those that cannot be reached from here may be known to others, who answer a greeting with whom they hear.
+        let answering: Vec<Identity> = self.watch.answering().copied().collect();
+        let ask = !answering.is_empty() && self.rng.random_range(0..2) == 0;
+        let among = if ask { &answering } else { &lost };
+        let chosen = among[self.rng.random_range(0..among.len())];
+        self.watch.greet(now, chosen);
+        self.after_watch(now);
     }
 
     /// Sends what the watch wants sent, and tells what changed.
