Play a fleet's faults on real processes, through links of the lab, and shrink what fails

Needed: the promises on the fleet were shown in simulated time and by four tests only.

- peers/links: each sender is told to its peers under the address of a link, which tells by the source address who sends, so that each direction of each pair meets faults of its own (cut, loss, delay, duplicates, flips, resets, throttle).

--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -109,6 +109,13 @@
         until.store(Micros::MAX, Ordering::Relaxed);
     }
 
+    /// A sender is not there yet: the front knows of none.
+    pub fn absent(&self, sender: usize) {
+        let (from, until) = &self.senders[sender].dead;
+        from.store(0, Ordering::Relaxed);
+        until.store(Micros::MAX, Ordering::Relaxed);
+    }
+
     /// A sender is ready.
     pub fn ready(&self, sender: usize) {
         self.senders[sender].dead.1.store(self.stage.now(), Ordering::Relaxed);
--- a/lab/src/peers/history.rs
+++ b/lab/src/peers/history.rs
@@ -90,6 +90,8 @@
         settle_ms: u64,
         /// What goes wrong, by number, with the senders that each meets drawn.
         faults: Vec<Fault>,
+        /// Whether time and senders were simulated.
+        simulated: bool,
         /// How the senders are broken on purpose, if they are.
         broken: Option<Break>,
         /// The whole scenario, to play it again by.
--- /dev/null
+++ b/lab/src/peers/links.rs
@@ -0,0 +1,352 @@
+//! What stands between the senders of a play on processes: each is told to its peers under the address of a link, which
+//! takes every datagram and connection for it, tells by the source address who sent it, and passes it on as the faults
+//! that are on just then have it. Each direction of each pair meets faults of its own.
+use super::schedule::{Kind, Met};
+use super::sim::garbage;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::{Instant, sleep, timeout};
+
+/// The longest datagram there is.
+const LONGEST: usize = 65_536;
+/// A connection that cannot come up is given up by whoever makes it before this.
+const NO_ANSWER: Duration = Duration::from_millis(1_500);
+/// A connection that is cut for longer than this does not come back.
+const STALLED: Duration = Duration::from_secs(3);
+/// Pause between looks at a cut connection.
+const LOOK: Duration = Duration::from_millis(25);
+/// Bytes that are passed on at a time.
+const CHUNK: usize = 16 * 1024;
+
+/// What meets something on its way.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    /// It does not arrive, nor anything behind it.
+    pub cut: bool,
+    /// Chance that a datagram is lost.
+    pub lost: f64,
+    /// Chance that one comes twice.
+    pub twice: f64,
+    /// Chance that one has a bit flipped.
+    pub flipped: f64,
+    /// Chance that a connection breaks under what is sent.
+    pub reset: f64,
+    /// Up to so many ms later.
+    pub delay: f64,
+    /// KB a second of a connection; 0 for no bound.
+    pub throttle: f64,
+}
+
+/// What went over the links.
+#[derive(Debug, Default)]
+pub struct Carried {
+    /// Datagrams passed on.
+    pub datagrams: AtomicU64,
+    /// Bytes of them.
+    pub datagram_bytes: AtomicU64,
+    /// Bytes passed on over connections.
+    pub stream_bytes: AtomicU64,
+    /// Connections made.
+    pub connections: AtomicU64,
+    /// Datagrams that did not arrive.
+    pub dropped: AtomicU64,
+}
+
+/// All links of a play.
+pub struct Links {
+    /// Where each sender listens in truth.
+    own: Vec<SocketAddr>,
+    /// Where its peers are told that it does.
+    pub told: Vec<SocketAddr>,
+    by_ip: HashMap<IpAddr, usize>,
+    faults: Mutex<BTreeMap<usize, Met>>,
+    rng: Mutex<ChaCha8Rng>,
+    /// What went over them.
+    pub carried: Carried,
+}
+
+/// The sockets of a link.
+pub struct Ends {
+    to: usize,
+    datagrams: Arc<UdpSocket>,
+    listener: TcpListener,
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// An address of this play alone: by the process, so that plays beside each other do not meet.
+fn ip(sender: usize, own: bool) -> [u8; 4] {
+    let [_, _, low, lowest] = std::process::id().to_be_bytes();
+    let second = 64 + (lowest ^ low) % 128;
+    let block = u8::try_from(sender / 250).unwrap_or(u8::MAX / 2) * 2 + u8::from(own);
+    [127, second, block, u8::try_from(sender % 250).unwrap_or(0) + 1]
+}
+
+/// One address, free for datagrams and connections.
+async fn both(ip: [u8; 4]) -> io::Result<(UdpSocket, TcpListener)> {
+    loop {
+        let datagrams = UdpSocket::bind(SocketAddr::from((ip, 0))).await?;
+        match TcpListener::bind(datagrams.local_addr()?).await {
+            Ok(listener) => return Ok((datagrams, listener)),
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+impl Links {
+    /// Links for so many senders, and their sockets, which [`Links::carry`] has to be run for.
+    pub async fn new(senders: usize, seed: u64) -> io::Result<(Arc<Self>, Vec<Ends>)> {
+        let (mut own, mut told, mut ends, mut by_ip) = (Vec::new(), Vec::new(), Vec::new(), HashMap::new());
+        for to in 0..senders {
+            let (datagrams, listener) = both(ip(to, false)).await?;
+            told.push(datagrams.local_addr()?);
+            ends.push(Ends { to, datagrams: Arc::new(datagrams), listener });
+            // Free a moment ago, at an address that nothing else has.
+            let (theirs, _) = both(ip(to, true)).await?;
+            own.push(theirs.local_addr()?);
+            by_ip.insert(theirs.local_addr()?.ip(), to);
+        }
+        let (faults, rng) = (Mutex::default(), Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ 0x11_2c)));
+        Ok((Arc::new(Self { own, told, by_ip, faults, rng, carried: Carried::default() }), ends))
+    }
+
+    /// Where a sender listens.
+    pub fn own(&self, sender: usize) -> SocketAddr {
+        self.own[sender]
+    }
+
+    /// A fault is on from now on.
+    pub fn begin(&self, number: usize, met: Met) {
+        locked(&self.faults).insert(number, met);
+    }
+
+    /// It is over.
+    pub fn end(&self, number: usize) {
+        locked(&self.faults).remove(&number);
+    }
+
+    /// What meets something sent from one to the other now.
+    pub fn way(&self, from: usize, to: usize) -> Way {
+        let mut way = Way::default();
+        let both = |a: f64, b: f64| 1.0 - (1.0 - a) * (1.0 - b);
+        for met in locked(&self.faults).values().filter(|met| met.meets(from, to)) {
+            let size = met.fault.size;
+            match met.fault.kind {
+                Kind::Cut | Kind::Part => way.cut = true,
+                Kind::Lossy => way.lost = both(way.lost, size),
+                Kind::Twice => way.twice = both(way.twice, size),
+                Kind::Flip => way.flipped = both(way.flipped, size),
+                Kind::Reset => way.reset = both(way.reset, size),
+                Kind::Delay => way.delay += size,
+                Kind::Throttle if way.throttle > 0.0 => way.throttle = way.throttle.min(size),
+                Kind::Throttle => way.throttle = size,
+                _ => {}
+            }
+        }
+        way
+    }
+
+    fn chance(&self, share: f64) -> bool {
+        share > 0.0 && locked(&self.rng).random_bool(share.min(1.0))
+    }
+
+    fn some(&self, most: f64) -> Duration {
+        Duration::from_secs_f64(locked(&self.rng).random_range(0.0..=most.max(0.0)) / 1e3)
+    }
+
+    /// Carries all that comes for one sender, for as long as it is polled.
+    pub async fn carry(self: Arc<Self>, ends: Ends) {
+        let Ends { to, datagrams, listener } = ends;
+        tokio::join!(self.clone().carry_datagrams(to, datagrams), self.carry_connections(to, listener));
+    }
+
+    async fn carry_datagrams(self: Arc<Self>, to: usize, socket: Arc<UdpSocket>) {
+        let mut buffer = vec![0; LONGEST];
+        loop {
+            // An error is that of an earlier datagram, to one that is gone.
+            let Ok((length, source)) = socket.recv_from(&mut buffer).await else { continue };
+            let Some(from) = self.by_ip.get(&source.ip()).copied() else { continue };
+            let way = self.way(from, to);
+            if way.cut || self.chance(way.lost) {
+                self.carried.dropped.fetch_add(1, Ordering::Relaxed);
+                continue;
+            }
+            let mut bytes = buffer[..length].to_vec();
+            if self.chance(way.flipped) && length > 0 {
+                let mut rng = locked(&self.rng);
+                let at = rng.random_range(0..length);
+                bytes[at] ^= 1 << rng.random_range(0..8);
+            }
+            for _ in 0..1 + usize::from(self.chance(way.twice)) {
+                self.carried.datagrams.fetch_add(1, Ordering::Relaxed);
+                self.carried.datagram_bytes.fetch_add(length as u64, Ordering::Relaxed);
+                if way.delay > 0.0 {
+                    let (socket, own, bytes) = (socket.clone(), self.own[to], bytes.clone());
+                    let later = self.some(way.delay);
+                    tokio::spawn(async move {
+                        sleep(later).await;
+                        let _ = socket.send_to(&bytes, own).await;
+                    });
+                } else {
+                    let _ = socket.send_to(&bytes, self.own[to]).await;
+                }
+            }
+        }
+    }
+
+    async fn carry_connections(self: Arc<Self>, to: usize, listener: TcpListener) {
+        loop {
+            let Ok((stream, source)) = listener.accept().await else {
+                sleep(LOOK).await;
+                continue;
+            };
+            let Some(from) = self.by_ip.get(&source.ip()).copied() else { continue };
+            self.carried.connections.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(self.clone().carry_connection(from, to, stream));
+        }
+    }
+
+    /// One connection. Frames go one way only; the other way there is its end alone.
+    async fn carry_connection(self: Arc<Self>, from: usize, to: usize, mut stream: TcpStream) {
+        let cut = || self.way(from, to).cut || self.way(to, from).cut;
+        if cut() {
+            sleep(NO_ANSWER).await;
+            let _ = stream.set_zero_linger();
+            return;
+        }
+        let Ok(mut onward) = TcpStream::connect(self.own[to]).await else {
+            let _ = stream.set_zero_linger();
+            return;
+        };
+        let _ = onward.set_nodelay(true);
+        // Whoever closes in order is closed in order; all else breaks on both sides.
+        let broken = |stream: &TcpStream, onward: &TcpStream| {
+            let _ = stream.set_zero_linger();
+            let _ = onward.set_zero_linger();
+        };
+        let mut chunk = vec![0; CHUNK];
+        let mut back = [0; 16];
+        loop {
+            let length = tokio::select! {
+                read = stream.read(&mut chunk) => match read {
+                    Ok(0) | Err(_) => return,
+                    Ok(length) => length,
+                },
+                read = onward.read(&mut back) => match read {
+                    Ok(0) | Err(_) => return broken(&stream, &onward),
+                    Ok(_) => continue,
+                },
+            };
+            let stalled = Instant::now();
+            while cut() {
+                if stalled.elapsed() > STALLED {
+                    return broken(&stream, &onward);
+                }
+                sleep(LOOK).await;
+            }
+            let way = self.way(from, to);
+            if self.chance(way.reset) {
+                return broken(&stream, &onward);
+            }
+            if way.delay > 0.0 {
+                sleep(self.some(way.delay)).await;
+            }
+            if way.throttle > 0.0 {
+                sleep(Duration::from_secs_f64(length as f64 / 1e3 / way.throttle)).await;
+            }
+            // One that takes nothing, being paused, holds its peer up, as in service.
+            if onward.write_all(&chunk[..length]).await.is_err() {
+                return broken(&stream, &onward);
+            }
+            self.carried.stream_bytes.fetch_add(length as u64, Ordering::Relaxed);
+        }
+    }
+
+    /// Strangers at a sender's own address until `until`: chance bytes, and connections that say nothing or nonsense.
+    pub async fn strangers(self: Arc<Self>, to: usize, a_second: f64, until: Instant) {
+        let Ok(socket) = UdpSocket::bind("127.0.0.1:0").await else { return };
+        let pause = Duration::from_secs_f64(1.0 / a_second.max(1.0));
+        let mut silent = Vec::new();
+        while Instant::now() < until {
+            let bytes = garbage(&mut locked(&self.rng));
+            let _ = socket.send_to(&bytes, self.own[to]).await;
+            if self.chance(0.1)
+                && let Ok(Ok(mut stream)) = timeout(LOOK, TcpStream::connect(self.own[to])).await
+            {
+                if !bytes.is_empty() {
+                    let _ = timeout(LOOK, stream.write_all(&bytes)).await;
+                }
+                silent.push(stream);
+            }
+            sleep(pause).await;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::peers::schedule::Fault;
+
+    fn met(kind: Kind, senders: &[usize], to: &[usize], size: f64) -> Met {
+        let fault = Fault { kind, at_s: 0.0, for_s: 1.0, senders: String::new(), to: None, size };
+        Met { fault, senders: senders.to_vec(), to: to.to_vec() }
+    }
+
+    /// Each direction of each pair meets its own faults, several add up, and none is left when they are over.
+    #[tokio::test]
+    async fn a_way_meets_the_faults_of_its_direction() {
+        let (links, _ends) = Links::new(3, 1).await.unwrap();
+        links.begin(0, met(Kind::Cut, &[0], &[1], 0.0));
+        links.begin(1, met(Kind::Lossy, &[2], &[], 0.5));
+        links.begin(2, met(Kind::Lossy, &[2], &[], 0.5));
+        assert!(links.way(0, 1).cut && !links.way(1, 0).cut);
+        assert_eq!((links.way(0, 2).lost, links.way(2, 1).lost, links.way(0, 1).lost), (0.75, 0.75, 0.0));
+        (0..3).for_each(|number| links.end(number));
+        assert_eq!(links.way(0, 1), Way::default());
+    }
+
+    /// A datagram and a frame pass, told by their source; what is cut does not pass, and a connection breaks.
+    #[tokio::test]
+    async fn what_is_cut_does_not_pass() {
+        let (links, ends) = Links::new(2, 1).await.unwrap();
+        for ends in ends {
+            tokio::spawn(links.clone().carry(ends));
+        }
+        let theirs = UdpSocket::bind(links.own(1)).await.unwrap();
+        let listener = TcpListener::bind(links.own(1)).await.unwrap();
+        let ours = UdpSocket::bind(links.own(0)).await.unwrap();
+        ours.send_to(b"one", links.told[1]).await.unwrap();
+        let mut buffer = [0; 16];
+        assert_eq!(theirs.recv(&mut buffer).await.unwrap(), 3);
+        links.begin(0, met(Kind::Cut, &[0], &[1], 0.0));
+        ours.send_to(b"lost", links.told[1]).await.unwrap();
+        while links.carried.dropped.load(Ordering::Relaxed) == 0 {
+            sleep(LOOK).await;
+        }
+        links.end(0);
+        ours.send_to(b"again", links.told[1]).await.unwrap();
+        assert_eq!(theirs.recv(&mut buffer).await.unwrap(), 5, "the cut one never comes");
+
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind(SocketAddr::new(links.own(0).ip(), 0)).unwrap();
+        let mut stream = socket.connect(links.told[1]).await.unwrap();
+        stream.write_all(b"frame").await.unwrap();
+        let (mut taken, _) = listener.accept().await.unwrap();
+        taken.read_exact(&mut buffer[..5]).await.unwrap();
+        links.begin(1, met(Kind::Reset, &[0], &[], 1.0));
+        stream.write_all(b"frame").await.unwrap();
+        assert!(stream.read(&mut buffer).await.is_err(), "the connection breaks under it");
+    }
+}
--- a/lab/src/peers/mod.rs
+++ b/lab/src/peers/mod.rs
@@ -3,5 +3,8 @@
 pub mod campaign;
 pub mod check;
 pub mod history;
+pub mod links;
+pub mod real;
 pub mod schedule;
+pub mod shrink;
 pub mod sim;
