Give each sender of the rig addresses that nobody else takes

Looked at its log's last line, which was empty, as it was read before it came; and then at the address: 127.x.1.27, which no other sender has.

At fault: an address was found free and given away before anything listened there, so the next look could find it free as well; and clients' addresses were on 127.0.0.1, where every call of every process takes a port.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -22,6 +22,8 @@
 const START_PATIENCE: Duration = Duration::from_secs(20);
 /// After SIGTERM a process has so long until SIGKILL.
 const TERM_PATIENCE: Duration = Duration::from_millis(3700);
+/// Time for the last lines of a sender that has ended to come.
+const LAST_LINES: Duration = Duration::from_millis(200);
 /// Pause between questions whether a sender is ready.
 const ASK_PAUSE: Duration = Duration::from_millis(10);
 
@@ -242,6 +244,8 @@
             }
             sleep(ASK_PAUSE).await;
         }
+        // Its last lines may be on their way.
+        sleep(LAST_LINES).await;
         Err(FleetError::NotReady { sender: self.number, log: self.last_lines(5) })
     }
 
--- a/lab/src/peers/links.rs
+++ b/lab/src/peers/links.rs
@@ -5,7 +5,7 @@
 use super::sim::garbage;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -69,6 +69,7 @@
     by_ip: HashMap<IpAddr, usize>,
     faults: Mutex<BTreeMap<usize, Met>>,
     rng: Mutex<ChaCha8Rng>,
+    given: Mutex<HashSet<SocketAddr>>,
     /// What went over them.
     pub carried: Carried,
 }
@@ -118,7 +119,19 @@
             by_ip.insert(theirs.local_addr()?.ip(), to);
         }
         let (faults, rng) = (Mutex::default(), Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ 0x11_2c)));
-        Ok((Arc::new(Self { own, told, by_ip, faults, rng, carried: Carried::default() }), ends))
+        let (given, carried) = (Mutex::new(own.iter().copied().collect()), Carried::default());
+        Ok((Arc::new(Self { own, told, by_ip, faults, rng, given, carried }), ends))
+    }
+
+    /// An address for something else of a sender's, where no other process of the play or beside it listens or calls from.
+    pub async fn free(&self, sender: usize) -> io::Result<SocketAddr> {
+        loop {
+            let free = both(ip(sender, true)).await?.0.local_addr()?;
+            // One that was given away and is not listened at yet looks free.
+            if locked(&self.given).insert(free) {
+                return Ok(free);
+            }
+        }
     }
 
     /// Where a sender listens.
--- a/lab/src/peers/real.rs
+++ b/lab/src/peers/real.rs
@@ -137,6 +137,12 @@
         joins.flat_map(|met| met.senders.iter().copied()).collect()
     }
 
+    /// An address for a sender, which nobody else takes while it is down.
+    pub async fn free(&self, sender: usize) -> Result<SocketAddr, FleetError> {
+        let source = |source| FleetError::Io { what: "finding a port", source };
+        self.links.free(sender).await.map_err(source)
+    }
+
     /// Adds its part to the configuration of the sender with that number, which is `like` by name.
     pub fn configure(&self, number: usize, like: usize, mgmt: SocketAddr, config: &mut Value) {
         config["mgmt"] = json!(mgmt);
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -222,11 +222,14 @@
         let listener = listen().await?;
         let told = listener.local_addr().map_err(|source| FleetError::Io { what: "listening", source })?;
         parties.spawn(directory::serve(stage.clone(), directory.clone(), like, listener));
-        let address = free_address().await?;
+        let address = match senders.rig {
+            Some(rig) => rig.free(number).await?,
+            None => free_address().await?,
+        };
         let seed = senders.seed;
         let mut config = configuration(&stage.scenario, &stage.plan, like, (address, told), &known, seed);
         if let Some(rig) = senders.rig {
-            rig.configure(number, like, free_address().await?, &mut config);
+            rig.configure(number, like, rig.free(number).await?, &mut config);
         }
         let mut node = Node::new(number, address, senders.program.clone(), config, senders.variant)?;
         if let Some(rig) = senders.rig.cloned() {
