Write the log by tracing: levels, four forms, a bounded rate, and no wait for who reads it

Needed: bare lines by eprintln do not do for the logs of many senders; and they hold the loop where nobody takes from standard error, and end the process where it cannot be written to.

- A part log in the configuration: level (taken up at SIGHUP), form (plain, text, logfmt, json), lines a second for each place in the code.
Without it: the bare lines as before, but for the two faults above.
- A pipe, socket or terminal is asked first whether it takes a line; one that does not costs the line, which is counted and told with the next one that is taken.
- The fleet's lines say who, in which incarnation and term, what was believed before, what is now, and why.
- telemetry has the fleet's figures.

--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -132,6 +132,8 @@
     Health {
         /// Its name.
         name: String,
+        /// What was believed before.
+        before: Health,
         /// What is believed now.
         now: Health,
         /// Its incarnation.
@@ -213,6 +215,8 @@
     lags: u32,
     /// The incarnation of each member that the roster has, and since when it is known here.
     learned: BTreeMap<u64, (u32, Millis)>,
+    /// What the log was told last of who answers.
+    told: BTreeMap<u64, Health>,
     /// Peers whose connection broke and that were not heard since.
     broken: BTreeSet<u64>,
     heard: Option<Millis>,
@@ -266,6 +270,7 @@
             lagging: None,
             lags: 0,
             learned: BTreeMap::new(),
+            told: BTreeMap::new(),
             broken: BTreeSet::new(),
             heard: None,
             other_fleet: None,
@@ -692,6 +697,7 @@
             return self.halt(now, Halt::Gone(why));
         }
         self.learned.retain(|folder, _| roster.members.contains_key(folder));
+        self.told.retain(|folder, _| roster.members.contains_key(folder));
         for (folder, member) in &roster.members {
             let known = self.learned.entry(*folder).or_insert((member.incarnation, now));
             if known.0 != member.incarnation {
@@ -814,15 +820,16 @@
                 let member = self.roster.as_ref().and_then(|roster| roster.members.get(&id.folder));
                 member.map_or_else(|| format!("folder {:016x}", id.folder), |m| m.info.name.clone())
             };
-            let note = match change {
-                Heard::Up(id) => {
-                    Note::Health { name: name(&id), now: Health::Answers, incarnation: id.incarnation }
+            let (id, now) = match change {
+                Heard::Up(id) => (id, Health::Answers),
+                Heard::Down(id) => (id, Health::Lost),
+                Heard::Returned(id) => {
+                    self.effects.push(Effect::Note(Note::Returned(id.returns)));
+                    continue;
                 }
-                Heard::Down(id) => {
-                    Note::Health { name: name(&id), now: Health::Lost, incarnation: id.incarnation }
-                }
-                Heard::Returned(id) => Note::Returned(id.returns),
             };
+            let before = self.told.insert(id.folder, now).unwrap_or(Health::Unknown);
+            let note = Note::Health { name: name(&id), before, now, incarnation: id.incarnation };
             self.effects.push(Effect::Note(note));
         }
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -42,6 +42,61 @@
     pub settings: Profile,
     /// The senders that this one knows; without it, it knows none.
     pub fleet: Option<Fleet>,
+    /// The log on standard error; without it, the bare lines from `info` up.
+    pub log: Option<Log>,
+}
+
+/// The log on standard error.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Lines of this level and above are told: `error`, `warn`, `info` or `debug`. Taken up at SIGHUP.
+    pub level: Level,
+    /// `plain` (the bare lines), `text` (with time and level), `logfmt` or `json`.
+    pub form: Form,
+    /// Lines a second that one place in the code may write, by and large; 0 for no bound.
+    pub a_second: u32,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self { level: Level::Info, form: Form::Text, a_second: 10 }
+    }
+}
+
+impl Log {
+    /// The log of a configuration that says nothing of it.
+    pub fn bare() -> Self {
+        Self { form: Form::Plain, a_second: 0, ..Self::default() }
+    }
+}
+
+/// How much a line of the log matters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// Something does not work, and staff have to act.
+    Error,
+    /// Something went wrong, and the sender deals with it.
+    Warn,
+    /// What changed.
+    Info,
+    /// What one looks for when looking for a cause.
+    Debug,
+}
+
+/// The form of the log's lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Form {
+    /// The message and its fields, nothing else.
+    Plain,
+    /// Time, level, message, fields.
+    Text,
+    /// `key=value`, all of it.
+    Logfmt,
+    /// One JSON object a line.
+    Json,
 }
 
 /// A fleet of senders that know one another. `docs/fleet.md` has what each promises.
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,6 +7,7 @@
 use net::handover::{self, Inherited};
 use net::host::{Estate, Host, Links, Origin};
 use net::input::Input;
+use net::log;
 use net::mgmt::{self, Standing};
 use net::notices;
 use net::server::{self, Doors};
@@ -56,6 +57,8 @@
     #[error(transparent)]
     Store(#[from] net::store::StoreError),
     #[error(transparent)]
+    Log(#[from] log::LogError),
+    #[error(transparent)]
     Fleet(#[from] fleet::FleetError),
     #[error("settings: {0}")]
     Settings(String),
@@ -71,6 +74,13 @@
     std::env::var_os(name).map(PathBuf::from).ok_or(StartError::Unset(name))
 }
 
+/// What the log calls this sender.
+fn name_of(config: &config::Config) -> String {
+    let told = std::env::var("PROXY_NAME").ok().filter(|name| !name.is_empty());
+    let member = config.fleet.as_ref().map(|fleet| fleet.member.clone());
+    member.or(told).unwrap_or_else(|| config.listen.to_string())
+}
+
 /// A key that `old` has and `new` lacks, in the objects that both hold. Of the objects of a list, such as the
 /// classes, each needs the keys that all had.
 fn missing_key(old: &Value, new: &Value) -> Option<String> {
@@ -117,6 +127,7 @@
     let hung_up = signal(SignalKind::hangup())?;
     let path = variable("PROXY_CONFIG")?;
     let (file, config) = config::read(&path)?;
+    let log = log::begin(&config.log.clone().unwrap_or_else(config::Log::bare), &name_of(&config))?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed))?;
     let (standing, stands) = watch::channel(Standing::Starting);
     let (to_host, mut orders) = mpsc::channel(mgmt::MOST_CALLERS);
@@ -129,7 +140,7 @@
     if let Some(address) = config.mgmt {
         let error = |source| StartError::Listen { address, source };
         let listener = std::net::TcpListener::bind(address).map_err(error)?;
-        eprintln!("second address: {}", listener.local_addr().map_err(error)?);
+        tracing::info!("second address: {}", listener.local_addr().map_err(error)?);
         mgmt::spawn(listener, to_host, stands, to_fleet.clone()).map_err(error)?;
     }
     let zone = config.settings.zone().to_owned();
@@ -161,7 +172,7 @@
     let disk = (config.limits.disk_mb * 1e6 - of_fleet).min(memory.unwrap_or(f64::INFINITY)).max(0.0);
     let (store, damage) = Store::open(&folder, disk as u64)?;
     if damage != net::store::Damage::default() {
-        eprintln!("journal: {} bytes cut off at the end, {} passed over", damage.torn, damage.skipped);
+        tracing::warn!("journal: {} bytes cut off at the end, {} passed over", damage.torn, damage.skipped);
     }
     let (stop_fleet, fleet_stops) = watch::channel(false);
     if let (Some(fleet), Some(at_fleet)) = (&config.fleet, at_fleet) {
@@ -184,7 +195,7 @@
     // Only now: a sender that can be reached has taken up what it owes.
     listener.set_nonblocking(true).map_err(listening)?;
     let listener = TcpListener::from_std(listener).map_err(listening)?;
-    eprintln!("listening on {}", listener.local_addr()?);
+    tracing::info!("listening on {}", listener.local_addr()?);
     let watching = tokio::spawn(discovery::watch(
         at_discovery.clone(),
         revision,
@@ -195,7 +206,7 @@
     tokio::spawn(notices::run(at_discovery, queue, !seed, inputs.clone(), shared.clone()));
     let asked = inputs.clone();
     if let Err(e) = handover::listen(&folder, move |stream| asked.send(Input::TakeOver(stream)).is_ok()) {
-        eprintln!("no upgrade can take over from this process: {e}");
+        tracing::warn!("no upgrade can take over from this process: {e}");
     }
     let (mut terminated, mut interrupted) =
         (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
@@ -207,7 +218,7 @@
         }
         let _ = on_signal.send(Input::WindDown);
     });
-    tokio::spawn(reload(hung_up, path, file, to_discovery, inputs.clone(), shared.clone()));
+    tokio::spawn(reload(hung_up, path, file, to_discovery, inputs.clone(), shared.clone(), log));
     let bodies = server::bodies(memory.map(|memory| (memory * BODIES_OF_MEMORY) as usize));
     let server =
         tokio::spawn(server::serve(listener, room, descriptors.clients, inputs, at_doors, bodies, shared));
@@ -234,9 +245,9 @@
     let asked = fleet::Asked::Order(micadrum_fleet::Order::Leave, answer);
     if to_fleet.send(asked).await.is_ok() {
         match timeout(LAST_LEAVE, answered).await {
-            Ok(Ok(Ok(_))) => eprintln!("fleet: left"),
-            Ok(Ok(Err(e))) => eprintln!("fleet: not left: {e}"),
-            _ => eprintln!("fleet: not left: the keepers did not agree in time"),
+            Ok(Ok(Ok(_))) => tracing::info!("fleet: left"),
+            Ok(Ok(Err(e))) => tracing::warn!("fleet: not left: {e}"),
+            _ => tracing::warn!("fleet: not left: the keepers did not agree in time"),
         }
     }
 }
@@ -250,17 +261,19 @@
     discovery: watch::Sender<SocketAddr>,
     host: UnboundedSender<Input>,
     shared: Arc<Shared>,
+    log: log::Handle,
 ) {
     while hung_up.recv().await.is_some() {
         let reloaded = reloaded(&path, &running, &host).await;
         shared.reloads.count(reloaded.is_ok());
         match reloaded {
-            Ok((file, address)) => {
-                eprintln!("reloaded: new settings hold, discovery is at {address}");
+            Ok((file, address, level)) => {
+                log.set(level);
+                tracing::info!("reloaded: new settings hold, discovery is at {address}");
                 running = file;
                 discovery.send_replace(address);
             }
-            Err(e) => eprintln!("not reloaded, the running configuration stays: {e}"),
+            Err(e) => tracing::warn!("not reloaded, the running configuration stays: {e}"),
         }
     }
 }
@@ -269,7 +282,7 @@
     path: &Path,
     running: &Value,
     host: &UnboundedSender<Input>,
-) -> Result<(Value, SocketAddr), StartError> {
+) -> Result<(Value, SocketAddr, config::Level), StartError> {
     let (file, new) = config::read(path)?;
     if let Some(key) = missing_key(&running["settings"], &file["settings"]) {
         return Err(StartError::Short(key));
@@ -279,7 +292,7 @@
     let _ = host.send(Input::Retune(Box::new(tuning), done));
     // A host that has ended answers nothing, and nothing is to be done.
     swapped.await.unwrap_or(Ok(())).map_err(StartError::Settings)?;
-    Ok((file, new.discovery))
+    Ok((file, new.discovery, new.log.unwrap_or_else(config::Log::bare).level))
 }
 
 fn serve() -> ExitCode {
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -139,7 +139,7 @@
         *self.written() = Written { matched: 0, body_left: body.len() };
         let request = request.body(Full::new(body)).unwrap_or_else(|e| {
             // All parts were valid header values when they came in.
-            eprintln!("pool: {e}");
+            tracing::warn!("pool: {e}");
             Request::default()
         });
         self.requests.send_request(request).await.map_err(|e| match self.request_written() {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -124,7 +124,7 @@
             Err(e) => {
                 // One line an outage, not one a call.
                 if !failing {
-                    eprintln!("discovery: {e}");
+                    tracing::warn!("discovery: {e}");
                 }
                 failing = true;
                 connection = None;
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -1,10 +1,12 @@
 //! The sender's part in its fleet, on sockets: drives the machines of `micadrum-fleet`, on a thread of its own, so that a busy
 //! loop is not taken for a lost sender. Without `[fleet]` none of this is begun.
-use super::wal;
+use super::{telemetry, wal};
 use crate::config;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use micadrum_fleet::{Effect, Halt, MOST_DATAGRAM, MOST_FRAME, Node, Order, Record, Settings, State};
+use micadrum_fleet::{
+    Change, Effect, Halt, Health, MOST_DATAGRAM, MOST_FRAME, Node, Note, Order, Record, Settings, State,
+};
 use std::collections::HashMap;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
@@ -45,6 +47,8 @@
 pub enum Asked {
     /// What it knows of the fleet, as JSON.
     Look(Look, oneshot::Sender<Result<String, String>>),
+    /// What it knows, in figures.
+    Figures(oneshot::Sender<Result<telemetry::Fleet, String>>),
     /// Something to be done.
     Order(Order, oneshot::Sender<Result<String, String>>),
 }
@@ -106,9 +110,10 @@
         let mut state = State::default();
         let (sound, damage) = wal::read(&bytes, MOST_FRAME, |record: Record| state.apply(record));
         if damage != wal::Damage::default() {
-            eprintln!(
+            tracing::error!(
                 "fleet's record: {} bytes cut off at the end, {} passed over",
-                damage.torn, damage.skipped
+                damage.torn,
+                damage.skipped
             );
         }
         file.set_len(sound as u64).map_err(error)?;
@@ -172,7 +177,7 @@
     let runtime = runtime.map_err(FleetError::Start)?;
     let work = move || {
         if let Err(e) = runtime.block_on(work(settings, &folder, listen, asked, stop)) {
-            eprintln!("{e}: this sender takes no part in its fleet");
+            tracing::error!("{e}: this sender takes no part in its fleet");
         }
     };
     std::thread::Builder::new().name("fleet".to_owned()).spawn(work).map_err(FleetError::Start)?;
@@ -242,7 +247,11 @@
     // A start that is not written down is none: it could be counted twice.
     let mut disk = disk;
     while let Err(e) = begin(&mut node, &mut disk) {
-        eprintln!("fleet's record {}: {e}; tried again each {} s", disk.path.display(), AGAIN.as_secs());
+        tracing::error!(
+            "fleet's record {}: {e}; tried again each {} s",
+            disk.path.display(),
+            AGAIN.as_secs()
+        );
         tokio::select! {
             () = sleep(AGAIN) => {}
             _ = stop.wait_for(|stop| *stop) => return Ok(()),
@@ -322,12 +331,13 @@
                 };
                 drop(answer.send(text.map_err(|e| e.to_string())));
             }
+            Asked::Figures(answer) => drop(answer.send(Ok(self.figures()))),
             Asked::Order(order, answer) => {
                 self.next_answer += 1;
                 self.answers.retain(|_, waiting| !waiting.is_closed());
                 self.answers.insert(self.next_answer, answer);
                 let now = self.now();
-                eprintln!("staff: fleet: {order:?}");
+                tracing::info!("staff: fleet: {order:?}");
                 self.node.order(now, self.next_answer, &order);
             }
         }
@@ -349,6 +359,27 @@
             "members": members.collect::<Vec<_>>(), "gone": gone.collect::<Vec<_>>()})
     }
 
+    fn figures(&self) -> telemetry::Fleet {
+        let view = self.node.view(self.now());
+        let counts = self.node.counts();
+        let health = [
+            ("answers", Health::Answers),
+            ("suspected", Health::Suspected),
+            ("lost", Health::Lost),
+            ("unknown", Health::Unknown),
+        ];
+        let count = |health: Health| view.members.iter().filter(|row| row.health == health).count();
+        telemetry::Fleet {
+            members: health.into_iter().map(|(word, health)| (word, count(health))).collect(),
+            keepers: [view.keepers_answering, view.keepers],
+            roster: [u64::from(view.epoch), view.number],
+            heard: view.age_ms.map(Duration::from_millis),
+            confirmed: view.confirmed,
+            packets: [counts.datagrams, counts.frames, counts.bytes, counts.taken],
+            dropped: [counts.foreign, counts.versions, counts.damaged],
+        }
+    }
+
     fn mark(&self) -> serde_json::Value {
         let mark = self.node.mark(self.now());
         let digest = self.node.roster().map(|roster| format!("{:08x}", roster.digest()));
@@ -389,7 +420,7 @@
         match effect {
             Effect::Persist(record) => {
                 if let Err(e) = self.disk.write(record) {
-                    eprintln!("fleet's record {}: {e}", self.disk.path.display());
+                    tracing::error!("fleet's record {}: {e}", self.disk.path.display());
                     self.node.disk_failed();
                     return false;
                 }
@@ -399,7 +430,7 @@
                 let _ = self.datagrams.try_send_to(&bytes, to);
             }
             Effect::Send { to, bytes, connection: true } => self.send(to, bytes.into()),
-            Effect::Note(note) => eprintln!("fleet: {note:?}"),
+            Effect::Note(note) => self.tell(&note),
             Effect::Reload => {
                 let state = self.disk.state.clone();
                 if self.disk.write(Record::Incarnation(state.incarnation)).is_ok() {
@@ -408,7 +439,7 @@
                 }
             }
             Effect::Halt(halt) => {
-                eprintln!("fleet: {halt}");
+                tracing::error!("fleet: {halt}");
                 if matches!(halt, Halt::Copied { .. }) {
                     // What the journal holds is the other's as well: to go on would deliver it twice.
                     process::exit(COPIED);
@@ -424,6 +455,63 @@
         true
     }
 
+    /// A line in the log for what changed: what was believed before, what is now, and why.
+    fn tell(&self, note: &Note) {
+        let (_, own, _) = self.node.identity();
+        match note {
+            Note::Health { name, before, now: now @ Health::Lost, incarnation } => tracing::warn!(
+                peer = %name, incarnation, ?before, ?now, own,
+                reason = "it did not answer, nor object within its time to being held lost",
+                "fleet: {name} is lost"
+            ),
+            Note::Health { name, before, now, incarnation } => tracing::info!(
+                peer = %name, incarnation, ?before, ?now, own, reason = "it was heard, by this sender or another",
+                "fleet: {name} answers"
+            ),
+            Note::Roster { before, now, change } => {
+                let text = change.as_ref().map_or_else(
+                    || "taken over whole from a peer".to_owned(),
+                    |change| match change {
+                        Change::Start { info, incarnation, .. } => {
+                            format!("start {incarnation} of {}, at {}", info.name, info.address)
+                        }
+                        Change::Leaving { folder } => format!("{} is leaving", self.name(*folder)),
+                        Change::Farewell { folder, why } => {
+                            format!("{} is gone: {why:?}", self.name(*folder))
+                        }
+                        Change::Keepers { group, folders } => {
+                            let names: Vec<String> =
+                                folders.iter().map(|folder| self.name(*folder)).collect();
+                            format!("keepers of group {group} are {}", names.join(", "))
+                        }
+                    },
+                );
+                tracing::info!(before, number = now, own, reason = %text, "fleet: roster {now}: {text}");
+            }
+            Note::Returned(times) => tracing::warn!(
+                own,
+                times,
+                "fleet: others held this sender lost; it has objected, and is back"
+            ),
+            Note::Waiting(what) => tracing::warn!(own, "fleet: waiting: {what}"),
+            Note::OtherFleet(peer) => {
+                tracing::warn!(%peer, own, "fleet: another fleet of the same name is at {peer}, and is not listened to");
+            }
+            Note::Keeper(Some(group)) => {
+                tracing::info!(own, term = group, "fleet: a keeper, of group {group}")
+            }
+            Note::Keeper(None) => tracing::info!(own, "fleet: no keeper any more"),
+        }
+    }
+
+    /// The name that goes with a folder, as far as the roster has it or had it.
+    fn name(&self, folder: u64) -> String {
+        let roster = self.node.roster();
+        let member = roster.and_then(|r| r.members.get(&folder)).map(|member| member.info.name.clone());
+        let gone = || roster.and_then(|r| r.farewell_of(folder)).map(|gone| gone.name.clone());
+        member.or_else(gone).unwrap_or_else(|| format!("folder {folder:016x}"))
+    }
+
     /// Sends a frame on the connection to a peer, which is made where there is none.
     fn send(&mut self, to: SocketAddr, bytes: Bytes) {
         self.peers.retain(|_, peer| !peer.is_closed());
@@ -477,7 +565,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                eprintln!("fleet: accepting: {e}");
+                tracing::warn!("fleet: accepting: {e}");
                 sleep(Duration::from_millis(20)).await;
                 continue;
             }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -141,7 +141,7 @@
                 // Once a reason, not once an attempt.
                 let text = e.to_string();
                 if said != text {
-                    eprintln!("another process has the journal, and has not handed over: {text}");
+                    tracing::warn!("another process has the journal, and has not handed over: {text}");
                     said = text;
                 }
                 // Each attempt that goes so far stops the other process for a moment.
@@ -198,7 +198,7 @@
             match hello {
                 Ok(Ok(ToOld::Hello(VERSION))) if found(stream) => {}
                 Ok(Ok(ToOld::Hello(VERSION))) => return,
-                _ => eprintln!("handover: asked for by something that does not speak version {VERSION}"),
+                _ => tracing::warn!("handover: asked for by something that does not speak version {VERSION}"),
             }
         }
     });
--- a/src/net/host/calls.rs
+++ b/src/net/host/calls.rs
@@ -141,7 +141,7 @@
         let now = self.now();
         let Some(at) = self.list.get(endpoint) else {
             // The module sends to what it remembers only; if not, its messages must not wait for ever.
-            eprintln!("not sent: endpoint #{} is not known", endpoint.0);
+            tracing::warn!("not sent: endpoint #{} is not known", endpoint.0);
             let unsent = messages.into_iter().map(|message| (message.0, Outcome::Void, false)).collect();
             return self.ended(now, now, unsent, None);
         };
@@ -159,7 +159,7 @@
             let Some(owed) = self.store.get(number) else { continue };
             if let Err(e) = begun {
                 // An attempt that a restart would not know of must not go out.
-                eprintln!("not sent: {e}");
+                tracing::warn!("not sent: {e}");
                 unsent.push((number, Outcome::Void, false));
                 continue;
             }
--- a/src/net/host/intake.rs
+++ b/src/net/host/intake.rs
@@ -39,7 +39,7 @@
                 Answer::TakenOn
             }
             Err(e) => {
-                eprintln!("refused: {e}");
+                tracing::warn!("refused: {e}");
                 self.figures.refused += 1;
                 Answer::Refused
             }
--- a/src/net/host/list.rs
+++ b/src/net/host/list.rs
@@ -80,7 +80,7 @@
         for member in targets.members {
             let (names, flavor, locality) = (&tuning.names, &member.flavor, &member.locality);
             let (Some(kind), Some(zone)) = (names.kinds.get(flavor), names.zones.get(locality)) else {
-                eprintln!("discovery: {} is of an unknown kind or zone", member.id);
+                tracing::warn!("discovery: {} is of an unknown kind or zone", member.id);
                 continue;
             };
             let listing = match member.phase {
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -178,7 +178,7 @@
             if let Some(stream) = self.new.take() {
                 match self.hand_over(stream).await {
                     Ok(stream) => return Some(self.remains(stream).await),
-                    Err(e) => eprintln!("not handed over, this process goes on: {e}"),
+                    Err(e) => tracing::error!("not handed over, this process goes on: {e}"),
                 }
             }
             let now = Instant::now();
@@ -190,7 +190,7 @@
             {
                 self.doors.send_replace(Doors::Shut);
                 if now >= wind_down.end || (self.calls.out.is_empty() && self.store.owed().next().is_none()) {
-                    eprintln!("{}", telemetry::summary(&self.snapshot()));
+                    tracing::info!("{}", telemetry::summary(&self.snapshot()));
                     return None;
                 }
             }
@@ -260,6 +260,6 @@
 /// A record that cannot be written is made good by the next compaction; the sender goes on.
 fn log_failure(written: Result<(), StoreError>) {
     if let Err(e) = written {
-        eprintln!("{e}");
+        tracing::warn!("{e}");
     }
 }
--- a/src/net/host/recovery.rs
+++ b/src/net/host/recovery.rs
@@ -27,7 +27,7 @@
             let message = match self.message(number, &owed) {
                 Ok(message) => message,
                 Err(what) => {
-                    eprintln!("resuming {}: {what}", owed.message.id);
+                    tracing::info!("resuming {}: {what}", owed.message.id);
                     self.end(number, owed.end.unwrap_or(End::Failed));
                     continue;
                 }
@@ -86,7 +86,10 @@
             }
             Some(ToNew::Yours) => {}
             None => {
-                eprintln!("the old process has ended, {} of its calls were out", self.calls.elsewhere.len());
+                tracing::info!(
+                    "the old process has ended, {} of its calls were out",
+                    self.calls.elsewhere.len()
+                );
                 self.old = None;
                 self.room.add_permits(std::mem::take(&mut self.withheld));
                 let now = self.now();
@@ -134,7 +137,7 @@
         drop((self.store, self.lock));
         // One that cannot be told any more has ended, which shows soon.
         let _ = handover::write(&mut stream, &ToNew::Yours).await;
-        eprintln!("handed over to another process, {} calls are out", calls.len());
+        tracing::info!("handed over to another process, {} calls are out", calls.len());
         Remains { stream, calls, time_of: Box::new(move |instant| clock.at(instant)), doors }
     }
 }
--- a/src/net/host/remains.rs
+++ b/src/net/host/remains.rs
@@ -75,7 +75,7 @@
                     Some(ToOld::Hello(_) | ToOld::Taken) => {}
                     // Nobody is left to pass anything on to.
                     None => {
-                        eprintln!("handover: the new process has ended");
+                        tracing::warn!("handover: the new process has ended");
                         break;
                     }
                 },
--- a/src/net/host/round.rs
+++ b/src/net/host/round.rs
@@ -58,7 +58,7 @@
                     }
                 }
                 Action::Forget(endpoint) => self.list.forget(endpoint),
-                Action::Log(line) => eprintln!("{line}"),
+                Action::Log(line) => tracing::info!("{line}"),
                 Action::Cancel { message, .. } => self.calls.call_off(message),
                 // The watch is always on; the module does not probe.
                 Action::Subscribe | Action::FetchList | Action::Probe(_) => {}
--- a/src/net/host/staff.rs
+++ b/src/net/host/staff.rs
@@ -57,8 +57,8 @@
             Order::Activate => self.drain(false),
         };
         match &done {
-            Ok(()) => eprintln!("staff: {order:?}"),
-            Err(why) => eprintln!("staff: {order:?}: {why}"),
+            Ok(()) => tracing::info!("staff: {order:?}"),
+            Err(why) => tracing::warn!("staff: {order:?}: {why}"),
         }
         done
     }
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -134,7 +134,7 @@
     let serving = async move {
         match TcpListener::from_std(listener) {
             Ok(listener) => serve(listener, orders, standing, fleet).await,
-            Err(e) => eprintln!("second address: {e}"),
+            Err(e) => tracing::warn!("second address: {e}"),
         }
     };
     std::thread::Builder::new().name("mgmt".to_owned()).spawn(move || runtime.block_on(serving))?;
@@ -154,7 +154,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                eprintln!("second address: accepting: {e}");
+                tracing::warn!("second address: accepting: {e}");
                 sleep(Duration::from_millis(20)).await;
                 continue;
             }
@@ -227,7 +227,12 @@
                 ask_fleet(fleet, FLEET_PATIENCE, |answer| fleet::Asked::Order(order, answer)).await
             }
             Ok(Ok(Parsed::Figures)) => {
-                ask(orders, Asked::Figures).await.map(|snapshot| telemetry::scrape(&snapshot))
+                // A fleet's part that has no time leaves its figures out, and holds up nobody's.
+                let known = match fleet {
+                    Some(fleet) => ask_in(fleet, HOST_PATIENCE / 2, fleet::Asked::Figures).await.ok(),
+                    None => None,
+                };
+                ask(orders, Asked::Figures).await.map(|snapshot| telemetry::scrape(&snapshot, known.as_ref()))
             }
         },
     };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod handover;
 pub mod host;
 pub mod input;
+pub mod log;
 pub mod mgmt;
 pub mod notices;
 pub mod pool;
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -86,12 +86,12 @@
                     continue;
                 }
                 Err(NoticeError::Status(StatusCode::BAD_REQUEST)) => {
-                    eprintln!("notices: the platform cannot read the one of {:?}: dropped", batch[0].id);
+                    tracing::warn!("notices: the platform cannot read the one of {:?}: dropped", batch[0].id);
                 }
                 Err(e) => {
                     // One line an outage, not one a request.
                     if !failing {
-                        eprintln!("notices: {e}");
+                        tracing::warn!("notices: {e}");
                     }
                     failing = true;
                     connection = None;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -306,7 +306,7 @@
         let states: HashMap<String, State> = match serde_json::from_slice::<Vec<BatchEnd>>(body) {
             Ok(ends) => ends.into_iter().map(|end| (end.id, end.state)).collect(),
             Err(e) => {
-                eprintln!("pool: a batch's answer cannot be read: {e}");
+                tracing::warn!("pool: a batch's answer cannot be read: {e}");
                 HashMap::new()
             }
         };
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -109,7 +109,7 @@
             }
             Err(e) => {
                 // Out of descriptors, say: what is open goes on, and closing makes room.
-                eprintln!("accepting: {e}");
+                tracing::warn!("accepting: {e}");
                 sleep(Duration::from_millis(20)).await;
             }
         }
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -356,7 +356,7 @@
             Err(e) => {
                 let _ = std::fs::remove_file(self.new_path());
                 self.compact_at = self.length + self.disk / 16;
-                eprintln!("journal: compaction failed, the old file stays: {e}");
+                tracing::error!("journal: compaction failed, the old file stays: {e}");
             }
         }
     }
--- a/src/net/telemetry.rs
+++ b/src/net/telemetry.rs
@@ -226,16 +226,38 @@
 }
 
 /// The text of a scrape, up to and with the word that ends it.
-pub fn scrape(snapshot: &Snapshot) -> String {
+pub fn scrape(snapshot: &Snapshot, fleet: Option<&Fleet>) -> String {
     let mut text = Text(String::with_capacity(16 * 1024));
     text.messages(snapshot);
     text.calls(&snapshot.figures, &snapshot.beside);
     text.members(&snapshot.present);
+    if let Some(fleet) = fleet {
+        text.fleet(fleet);
+    }
     text.process(snapshot, &Process::read());
     text.0.push_str("end\n");
     text.0
 }
 
+/// What a sender knows of its fleet, in figures.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// Members by whether they answer, as the view has it.
+    pub members: Vec<(&'static str, usize)>,
+    /// Keepers that answer, and keepers in all.
+    pub keepers: [usize; 2],
+    /// How often the fleet was founded anew, and the number of the roster.
+    pub roster: [u64; 2],
+    /// Since another member was heard; none where none ever was.
+    pub heard: Option<Duration>,
+    /// Whether this sender's start is agreed on.
+    pub confirmed: bool,
+    /// Datagrams, frames and bytes sent, and packets taken in.
+    pub packets: [u64; 4],
+    /// Packets dropped: of another fleet, of another version, damaged.
+    pub dropped: [u64; 3],
+}
+
 /// What a process did and cost in all, in one line: for its log, as it ends in order.
 pub fn summary(Snapshot { figures, present, beside }: &Snapshot) -> String {
     let process = Process::read();
@@ -285,6 +307,36 @@
         self.sample(name, &[], value);
     }
 
+    fn fleet(&mut self, fleet: &Fleet) {
+        let answers = &fleet.members;
+        self.by("fleet_members", "gauge", "Members of the fleet by whether they answer.", "health", answers);
+        let keepers = [("answering", fleet.keepers[0]), ("all", fleet.keepers[1])];
+        self.by(
+            "fleet_keepers",
+            "gauge",
+            "Keepers; with half or fewer answering nothing is agreed on.",
+            "which",
+            &keepers,
+        );
+        let [epoch, number] = fleet.roster;
+        self.one("fleet_epoch", "gauge", "How often the fleet was founded anew.", epoch);
+        self.one("fleet_roster_number", "gauge", "The number of the roster that this sender has.", number);
+        let confirmed = u8::from(fleet.confirmed);
+        self.one("fleet_confirmed", "gauge", "1 once this sender's start is agreed on.", confirmed);
+        if let Some(heard) = fleet.heard {
+            let help = "Since another member was heard.";
+            self.one("fleet_heard_seconds", "gauge", help, heard.as_secs_f64());
+        }
+        let [datagrams, frames, bytes, taken] = fleet.packets;
+        let sent = [("datagram", datagrams), ("frame", frames)];
+        self.by("fleet_sent_total", "counter", "Packets sent to peers.", "by", &sent);
+        self.one("fleet_sent_bytes_total", "counter", "Bytes of them.", bytes);
+        self.one("fleet_taken_total", "counter", "Packets taken in from peers.", taken);
+        let [foreign, versions, damaged] = fleet.dropped;
+        let dropped = [("fleet", foreign), ("version", versions), ("damaged", damaged)];
+        self.by("fleet_dropped_total", "counter", "Packets dropped.", "reason", &dropped);
+    }
+
     /// A family with one label.
     fn by<V: Display>(&mut self, name: &str, kind: &str, help: &str, label: &str, values: &[(&str, V)]) {
         self.family(name, kind, help);
--- a/tests/shell.rs
+++ b/tests/shell.rs
@@ -2,9 +2,11 @@
 use figment::Figment;
 use figment::providers::{Format, Toml};
 use serde_json::Value;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
 use tempfile::TempDir;
 
 fn micadrum() -> Command {
@@ -165,6 +167,96 @@
     sender.logs("not reloaded, the running configuration stays: ");
 }
 
+/// An answer at the second address.
+fn staff(address: &str, call: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    stream.write_all(format!("{call}\n").as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer.trim_end().to_owned()
+}
+
+/// The next line of a log in JSON whose message begins so.
+fn next(sender: &mut Running, message: &str) -> Value {
+    loop {
+        let line = sender.1.next().unwrap().unwrap();
+        let line: Value = serde_json::from_str(&line).unwrap_or_else(|e| panic!("{line}: {e}"));
+        assert!(line["sender"].is_string() && line["level"].is_string() && line["timestamp"].is_string());
+        if line["message"].as_str().unwrap().starts_with(message) {
+            return line;
+        }
+    }
+}
+
+/// The log in JSON: each line an object with level, message and the sender's name; its level is taken up by SIGHUP.
+#[test]
+fn a_log_has_a_form_and_a_level_that_changes() {
+    let text = example().replace("127.0.0.1:5000", "127.0.0.1:0").replace("127.0.0.1:9901", "127.0.0.1:0");
+    let (folder, path) = file("c.toml", &format!("{text}\n[log]\nform = \"json\"\nlevel = \"info\"\n"));
+    let mut sender = Running::start(&path, folder.path());
+    let mgmt = next(&mut sender, "second address: ")["message"].as_str().unwrap()[16..].to_owned();
+    next(&mut sender, "listening on ");
+    assert_eq!(staff(&mgmt, "evacuate"), "done");
+    assert_eq!(next(&mut sender, "staff: Evacuate")["level"], "INFO");
+    std::fs::write(&path, format!("{text}\n[log]\nform = \"json\"\nlevel = \"warn\"\n")).unwrap();
+    sender.reload();
+    // Taken up a little later: then what is told at the lower level falls away, and what is told above it stays.
+    let quiet = (0..100).any(|_| {
+        assert_eq!(staff(&mgmt, "activate"), "done");
+        assert!(staff(&mgmt, "exclude nobody").starts_with("error"));
+        let first = next(&mut sender, "staff: ");
+        if first["level"] == "INFO" {
+            assert_eq!(next(&mut sender, "staff: ")["level"], "WARN");
+        }
+        first["level"] == "WARN"
+    });
+    assert!(quiet, "the level is never taken up");
+    std::fs::write(&path, "listen =").unwrap();
+    sender.reload();
+    assert_eq!(next(&mut sender, "not reloaded")["level"], "WARN");
+}
+
+/// One place in the code writes no more than its bound, and says how many lines it left out.
+#[test]
+fn a_log_has_a_bounded_rate() {
+    let text = example().replace("127.0.0.1:5000", "127.0.0.1:0").replace("127.0.0.1:9901", "127.0.0.1:0");
+    let (folder, path) = file("c.toml", &format!("{text}\n[log]\nform = \"logfmt\"\na_second = 1\n"));
+    let mut sender = Running::start(&path, folder.path());
+    let line = sender.1.by_ref().map_while(Result::ok).find(|line| line.contains("second address")).unwrap();
+    let mgmt = line.split("second address: ").nth(1).unwrap().split(['"', ' ']).next().unwrap().to_owned();
+    for _ in 0..40 {
+        staff(&mgmt, "evacuate");
+    }
+    std::thread::sleep(Duration::from_millis(1_200));
+    staff(&mgmt, "evacuate");
+    let lines = sender.1.by_ref().map_while(Result::ok).filter(|line| line.contains("staff: Evacuate"));
+    let mut told = 0;
+    let last = lines.inspect(|_| told += 1).find(|line| line.contains("left_out=")).unwrap();
+    assert!(last.contains("sender=") && last.contains("level=info"), "{last}");
+    assert!(told < 20, "{told} of 41 lines were told");
+}
+
+/// A standard error that nobody takes from holds nothing up, and the lines that nobody took are counted.
+#[test]
+fn a_log_that_nobody_takes_holds_nothing_up() {
+    let text = example().replace("127.0.0.1:5000", "127.0.0.1:0").replace("127.0.0.1:9901", "127.0.0.1:0");
+    let (folder, path) = file("c.toml", &text);
+    let mut sender = Running::start(&path, folder.path());
+    let mgmt = sender.logs("second address: ");
+    sender.logs("listening on ");
+    // Twice what a pipe takes, with nobody at its other end.
+    for _ in 0..2_500 {
+        assert_eq!(staff(&mgmt, &format!("exclude {}", "x".repeat(60))).split(' ').next(), Some("error"));
+    }
+    assert_eq!(staff(&mgmt, "readyz"), "done");
+    let untaken = sender.1.by_ref().map_while(Result::ok).take(2_400).find_map(|line| {
+        staff(&mgmt, "evacuate");
+        line.split(" not_taken=").nth(1)?.parse::<u64>().ok()
+    });
+    assert!(untaken.is_some_and(|lines| lines > 100), "{untaken:?}");
+}
+
 #[test]
 fn a_sender_does_not_run_by_a_faulty_file() {
     let (folder, path) = file("c.toml", &example().replace("sockets = 512", "sockets = 0"));
