Test that an upgrade keeps the membership, and that a leave ends it

Two processes on one folder, the second with a second address of its own, as the first one keeps its own until its end: the member goes from its first incarnation to its second, and no view has it lost meanwhile. Then SIGTERM with leave: the others see it leaving, and gone.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -102,18 +102,36 @@
         rows.iter().map(row).collect()
     }
 
+    /// The figure of that name and label, from `telemetry`.
+    fn figure(&self, name: &str) -> Option<f64> {
+        let mut stream = TcpStream::connect(self.mgmt).ok()?;
+        stream.write_all(b"telemetry\n").ok()?;
+        let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
+        lines.find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+    }
+
     fn log(&self) -> String {
         std::fs::read_to_string(self.folder.path().join("log")).unwrap_or_default()
     }
 }
 
+/// A process that ends with its test.
+struct Ended(Child);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 impl Drop for Sender {
     fn drop(&mut self) {
         self.kill();
     }
 }
 
-fn until(senders: &[Sender], what: &str, ok: impl Fn() -> bool) {
+fn until(senders: &[Sender], what: &str, mut ok: impl FnMut() -> bool) {
     let given_up = Instant::now() + PATIENCE;
     while !ok() {
         if Instant::now() > given_up {
@@ -170,6 +188,10 @@
     senders[3].kill();
     let lost = [(1, "answers"), (1, "answers"), (1, "answers"), (1, "lost")];
     until(&senders, "the killed one is held lost, and still belongs", || all_see(&senders, &lost));
+    let lost_one = r#"sender_fleet_members{health="lost"}"#;
+    until(&senders, "figures say so", || senders[0].figure(lost_one) == Some(1.0));
+    assert_eq!(senders[0].figure(r#"sender_fleet_keepers{which="all"}"#), Some(3.0));
+    assert!(senders[0].log().contains("fleet: n3 is lost"), "{}", senders[0].log());
     senders[3].start();
     let back = [(1, "answers"), (1, "answers"), (1, "answers"), (2, "answers")];
     until(&senders, "it is back in its second incarnation", || all_see(&senders, &back));
@@ -215,6 +237,10 @@
     until(&senders, "it has a new number at all", || senders.iter().all(|s| number(s) == Some(5)));
     let roster = senders[0].ask("fleet roster").unwrap();
     assert!(roster.contains(r#""why":"Replaced""#), "{roster}");
+    until(&senders, "all have one mark", || {
+        let marks: Vec<_> = senders.iter().map(|s| s.ask("fleet mark")).collect();
+        marks[0].as_ref().is_some_and(|mark| mark.contains("view")) && marks.iter().all(|m| *m == marks[0])
+    });
     senders[3].kill();
     assert_eq!(senders[1].ask("fleet remove n3").as_deref(), Some("done"));
     until(&senders, "all have three", || senders[..3].iter().all(|s| s.members().len() == 3));
@@ -222,6 +248,38 @@
     assert!(senders[0].ask("fleet refound").unwrap().starts_with("error 3 of 3 keepers answer"));
 }
 
+/// V2, V4: a new version that takes over is the same member in its next incarnation, and nobody holds it lost meanwhile. One
+/// that is told to leave is gone once it has ended.
+#[test]
+fn an_upgrade_keeps_the_membership_and_a_leave_ends_it() {
+    let mut senders = fleet(4, &json!({"leave": true}));
+    senders.iter_mut().for_each(Sender::start);
+    until(&senders, "all see all", || all_see(&senders, &[(1, "answers"); 4]));
+    let mut former = Ended(senders[3].child.take().unwrap());
+    // Both run for a while, each with a second address of its own.
+    let path = senders[3].folder.path().join("config.json");
+    let config = std::fs::read_to_string(&path).unwrap();
+    let mgmt = free();
+    std::fs::write(&path, config.replace(&senders[3].mgmt.to_string(), &mgmt.to_string())).unwrap();
+    senders[3].mgmt = mgmt;
+    senders[3].start();
+    let taken_over = [(1, "answers"), (1, "answers"), (1, "answers"), (2, "answers")];
+    until(&senders, "all see the new one", || {
+        let rows: Vec<_> = senders.iter().flat_map(Sender::members).collect();
+        assert!(rows.iter().all(|(.., health)| health != "lost"), "{rows:?}");
+        all_see(&senders, &taken_over)
+    });
+    until(&senders, "the former process ends", || former.0.try_wait().unwrap().is_some());
+    assert!(all_see(&senders, &taken_over), "its end changes nothing");
+
+    let pid = senders[3].child.as_ref().unwrap().id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    until(&senders, "it has left", || senders[..3].iter().all(|s| s.members().len() == 3));
+    let roster = senders[0].ask("fleet roster").unwrap();
+    assert!(roster.contains(r#""why":"Left""#), "{roster}");
+    assert!(senders[0].log().contains("n3 is leaving"), "{}", senders[0].log());
+}
+
 /// V6: with a majority of the keepers lost for good the rest says so, guesses nothing, and staff have one way out. Bad input at
 /// the peers' address is dropped.
 #[test]
