Have each sender ask one that it holds lost, before that counts

Ruled out: starved senders (neither of the pair was), the time that the objection takes to spread to the others (2 s).

Now whoever still holds one lost after half of the time to object asks it itself, and once more at three quarters. Most have heard the objection by then, so that few ask.

--- a/fleet/src/view.rs
+++ b/fleet/src/view.rs
@@ -158,6 +158,25 @@
     }
 }
 
+/// One that the library holds lost.
+struct Lost {
+    since: Millis,
+    id: Identity,
+    /// How often this sender has asked it itself whether that is so.
+    asked: u8,
+    /// Whether it counts as lost.
+    told: bool,
+}
+
+impl Lost {
+    /// When it is to be asked, or to be told of as lost. By half of its time most have heard that it objects; those that have
+    /// not, as a datagram of theirs was lost too often, ask it themselves, twice.
+    fn due(&self, confirm: Millis) -> Option<Millis> {
+        let share = [confirm / 2, confirm * 3 / 4].get(usize::from(self.asked)).copied().unwrap_or(confirm);
+        (!self.told).then_some(self.since + share)
+    }
+}
+
 /// Who answers.
 pub(crate) struct Watch {
     foca: Foca<Identity, PostcardCodec, ChaCha8Rng, NoCustomBroadcast>,
@@ -166,8 +185,7 @@
     suspect: Millis,
     answer: Millis,
     confirm: Millis,
-    /// Since when those that are lost are, and whether that was told.
-    lost: BTreeMap<u64, (Millis, Identity, bool)>,
+    lost: BTreeMap<u64, Lost>,
     /// Since when those that are suspected are, and when that is looked at next.
     suspected: BTreeMap<u64, (Millis, Identity)>,
     next_look: Millis,
@@ -216,8 +234,7 @@
 
     pub(crate) fn next(&self) -> Option<Millis> {
         let timer = self.timers.first_key_value().map(|((due, _), _)| *due);
-        let untold =
-            self.lost.values().filter(|(_, _, told)| !told).map(|(since, ..)| since + self.confirm).min();
+        let untold = self.lost.values().filter_map(|lost| lost.due(self.confirm)).min();
         timer.into_iter().chain(untold).min()
     }
 
@@ -232,11 +249,11 @@
             match change {
                 // Who was never told of as lost has never been away.
                 Heard::Up(id) => match self.lost.remove(&id.folder) {
-                    Some((_, _, false)) => {}
+                    Some(Lost { told: false, .. }) => {}
                     _ => self.changes.push(*change),
                 },
                 Heard::Down(id) => {
-                    self.lost.entry(id.folder).or_insert((now, *id, false));
+                    self.lost.entry(id.folder).or_insert(Lost { since: now, id: *id, asked: 0, told: false });
                     doubtful.push(*id);
                 }
                 Heard::Returned(_) => self.changes.push(*change),
@@ -262,12 +279,20 @@
             self.next_look = now + LOOK;
             self.look(now);
         }
-        for (since, id, told) in self.lost.values_mut() {
-            if !*told && now >= *since + self.confirm {
-                *told = true;
-                self.changes.push(Heard::Down(*id));
+        let mut ask = Vec::new();
+        for lost in self.lost.values_mut() {
+            if lost.due(self.confirm).is_none_or(|due| now < due) {
+                continue;
+            }
+            if now >= lost.since + self.confirm {
+                lost.told = true;
+                self.changes.push(Heard::Down(lost.id));
+            } else {
+                lost.asked += 1;
+                ask.push(lost.id);
             }
         }
+        ask.into_iter().for_each(|id| self.greet(now, id));
         while let Some(entry) = self.timers.first_entry()
             && entry.key().0 <= now
         {
@@ -346,7 +371,7 @@
     }
 
     fn state(&self, member: &foca::Member<Identity>) -> Health {
-        let told = || self.lost.get(&member.id().folder).is_none_or(|(_, _, told)| *told);
+        let told = || self.lost.get(&member.id().folder).is_none_or(|lost| lost.told);
         match member.state() {
             foca::State::Alive => Health::Answers,
             foca::State::Down if told() => Health::Lost,
@@ -368,6 +393,6 @@
 
     /// Since when the one with that folder is held lost.
     pub(crate) fn lost_since(&self, folder: u64) -> Option<Millis> {
-        self.lost.get(&folder).map(|(since, ..)| *since)
+        self.lost.get(&folder).map(|lost| lost.since)
     }
 }
