--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -72,6 +72,9 @@
         /// A way to break the senders on purpose.
         #[arg(long, value_enum)]
         r#break: Option<Break>,
+        /// A plain heartbeat from all to all in place of the fleet's machines.
+        #[arg(long)]
+        heartbeat: bool,
         /// A file for the history of the first seed, or of the first that breaks a promise.
         #[arg(long)]
         history: Option<PathBuf>,
@@ -153,6 +156,8 @@
     NoPlay { path: PathBuf, source: serde_json::Error },
     #[error("{0} senders are more processes than are started here; `sim` takes them")]
     TooMany(usize),
+    #[error("peers.heartbeat: the plain heartbeat is simulated only, by `sim-fleet`")]
+    Simulated,
     #[error("{0} does not begin as a history does")]
     NoHistory(PathBuf),
     #[error("writing a scenario: {0}")]
@@ -207,14 +212,13 @@
                 scenario.fleet.senders = senders.unwrap_or(scenario.fleet.senders);
                 simulate_all(scenario, seed, out, stop)
             }
-            Command::SimFleet { file, seeds, senders, r#break, history } => {
+            Command::SimFleet { file, seeds, senders, r#break, heartbeat, history } => {
                 let mut scenario = Scenario::read(&file)?;
                 if let Some(senders) = senders {
                     scenario = scenario.with_senders(senders)?;
                 }
-                if scenario.peers.is_none() {
-                    return Err(LabError::NoPeers(file));
-                }
+                let Some(peers) = &mut scenario.peers else { return Err(LabError::NoPeers(file)) };
+                peers.heartbeat |= heartbeat;
                 simulate_fleet(&scenario, seeds, r#break, history, stop)
             }
             Command::Check { history } => {
@@ -390,6 +394,9 @@
     if scenario.fleet.senders > MOST_PROCESSES {
         return Err(LabError::TooMany(scenario.fleet.senders));
     }
+    if scenario.peers.as_ref().is_some_and(|peers| peers.heartbeat) {
+        return Err(LabError::Simulated);
+    }
     scenario.seeds = seed.map_or(scenario.seeds, |seed| vec![seed]);
     let variants = variants(&scenario);
     let own = match sender {
--- a/lab/src/peers/mod.rs
+++ b/lab/src/peers/mod.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod history;
 pub mod links;
+pub mod plain;
 pub mod real;
 pub mod schedule;
 pub mod shrink;
--- /dev/null
+++ b/lab/src/peers/plain.rs
@@ -0,0 +1,195 @@
+//! What the fleet's machines are compared with: a fixed list of all senders, a datagram to each of them every second, and a
+//! fixed time after which one that was not heard counts as lost. Simulated only.
+use micadrum_fleet::{
+    Counts, Effect, Halt, Health, KeeperState, Mark, Node, Order, Roster, Row, Standing, View, WireError,
+};
+use std::net::SocketAddr;
+
+/// Each is told of this often, in ms.
+const BEAT: u64 = 1_000;
+
+/// Simple senders' liveness.
+pub struct Heartbeat {
+    own: usize,
+    start: u32,
+    /// All senders: name, zone and address.
+    peers: Vec<(String, String, SocketAddr)>,
+    /// Start and time of the latest beat of each.
+    heard: Vec<Option<(u32, u64)>>,
+    lost_after: u64,
+    next: u64,
+    effects: Vec<Effect>,
+    counts: Counts,
+}
+
+impl Heartbeat {
+    /// The sender with that number, at its so-many-th start.
+    pub fn new(
+        own: usize,
+        start: u32,
+        peers: Vec<(String, String, SocketAddr)>,
+        lost_after: u64,
+        now: u64,
+    ) -> Self {
+        // All have their whole time from the start on.
+        let heard = vec![Some((0, now)); peers.len()];
+        Self { own, start, peers, heard, lost_after, next: now, effects: vec![], counts: Counts::default() }
+    }
+
+    fn beat(&self) -> Vec<u8> {
+        let number = u32::try_from(self.own).unwrap_or(u32::MAX);
+        let words = [number, self.start, !number, !self.start];
+        words.iter().flat_map(|word| word.to_le_bytes()).collect()
+    }
+
+    fn tick(&mut self, now: u64) {
+        if now < self.next {
+            return;
+        }
+        self.next = now + BEAT;
+        let bytes = self.beat();
+        for (number, (_, _, to)) in self.peers.iter().enumerate() {
+            if number != self.own {
+                self.counts.datagrams += 1;
+                self.counts.bytes += bytes.len() as u64;
+                self.effects.push(Effect::Send { to: *to, bytes: bytes.clone(), connection: false });
+            }
+        }
+    }
+
+    fn hear(&mut self, now: u64, bytes: &[u8]) -> Result<(), WireError> {
+        let words: Vec<u32> = bytes.as_chunks::<4>().0.iter().map(|word| u32::from_le_bytes(*word)).collect();
+        let [number, start, not_number, not_start] = words[..] else { return Err(WireError::Unreadable) };
+        if bytes.len() != 16 || number != !not_number || start != !not_start {
+            return Err(WireError::Damaged);
+        }
+        if let Some(heard) = self.heard.get_mut(number as usize) {
+            *heard = Some((start, now));
+        }
+        Ok(())
+    }
+
+    fn view(&self, now: u64) -> View {
+        let row = |(number, (name, zone, address)): (usize, &(String, String, SocketAddr))| {
+            let heard = self.heard[number].filter(|(_, at)| now < at + self.lost_after);
+            let own = number == self.own;
+            Row {
+                name: name.clone(),
+                number: number as u32 + 1,
+                incarnation: if own { self.start } else { self.heard[number].map_or(0, |(start, _)| start) },
+                standing: Standing::In,
+                health: if own || heard.is_some() { Health::Answers } else { Health::Lost },
+                keeper: false,
+                zone: zone.clone(),
+                machine: name.clone(),
+                version: "plain".to_owned(),
+                address: *address,
+            }
+        };
+        View {
+            fleet: Some(1),
+            epoch: 1,
+            number: 1,
+            age_ms: None,
+            keepers_answering: 0,
+            keepers: 0,
+            confirmed: true,
+            halted: None,
+            members: self.peers.iter().enumerate().map(row).collect(),
+        }
+    }
+
+    fn mark(&self, now: u64) -> Mark {
+        let mut view = 0;
+        for (number, row) in self.view(now).members.iter().enumerate() {
+            let state = u32::from(row.health == Health::Answers) + 2 * row.incarnation;
+            view = u32::rotate_left(view, 5) ^ state.wrapping_mul(0x9E37_79B9 ^ number as u32);
+        }
+        Mark { fleet: Some(1), epoch: 1, number: 1, confirmed: true, halted: false, view }
+    }
+}
+
+/// What a simulated sender runs.
+pub enum Machine {
+    /// The fleet's own.
+    Fleet(Box<Node>),
+    /// The plain one.
+    Plain(Heartbeat),
+}
+
+/// Calls one or the other.
+macro_rules! either {
+    ($self:ident, $node:ident => $fleet:expr, $beat:ident => $plain:expr) => {
+        match $self {
+            Machine::Fleet($node) => $fleet,
+            Machine::Plain($beat) => $plain,
+        }
+    };
+}
+
+impl Machine {
+    /// See [`Node::next`].
+    pub fn next(&self) -> Option<u64> {
+        either!(self, node => node.next(), beat => Some(beat.next))
+    }
+
+    /// See [`Node::tick`].
+    pub fn tick(&mut self, now: u64) {
+        either!(self, node => node.tick(now), beat => beat.tick(now));
+    }
+
+    /// See [`Node::hear`].
+    pub fn hear(&mut self, now: u64, bytes: &[u8]) -> Result<(), WireError> {
+        either!(self, node => node.hear(now, bytes), beat => beat.hear(now, bytes))
+    }
+
+    /// See [`Node::effects`].
+    pub fn effects(&mut self) -> Vec<Effect> {
+        either!(self, node => node.effects(), beat => std::mem::take(&mut beat.effects))
+    }
+
+    /// See [`Node::broke`].
+    pub fn broke(&mut self, address: SocketAddr) {
+        either!(self, node => node.broke(address), _beat => ());
+    }
+
+    /// See [`Node::disk_failed`].
+    pub fn disk_failed(&mut self) {
+        either!(self, node => node.disk_failed(), _beat => ());
+    }
+
+    /// See [`Node::reloaded`].
+    pub fn reloaded(&mut self, now: u64, keeper: Option<KeeperState>) {
+        either!(self, node => node.reloaded(now, keeper), _beat => ());
+    }
+
+    /// See [`Node::order`].
+    pub fn order(&mut self, now: u64, id: u64, order: &Order) {
+        either!(self, node => node.order(now, id, order), _beat => ());
+    }
+
+    /// See [`Node::roster`].
+    pub fn roster(&self) -> Option<&Roster> {
+        either!(self, node => node.roster(), _beat => None)
+    }
+
+    /// See [`Node::halted`].
+    pub fn halted(&self) -> Option<&Halt> {
+        either!(self, node => node.halted(), _beat => None)
+    }
+
+    /// See [`Node::mark`].
+    pub fn mark(&self, now: u64) -> Mark {
+        either!(self, node => node.mark(now), beat => beat.mark(now))
+    }
+
+    /// See [`Node::view`].
+    pub fn view(&self, now: u64) -> View {
+        either!(self, node => node.view(now), beat => beat.view(now))
+    }
+
+    /// See [`Node::counts`].
+    pub fn counts(&self) -> Counts {
+        either!(self, node => node.counts(), beat => beat.counts)
+    }
+}
--- a/lab/src/peers/schedule.rs
+++ b/lab/src/peers/schedule.rs
@@ -20,6 +20,8 @@
     pub settle_s: f64,
     /// How long one that is suspected has to object, in ms.
     pub suspect_ms: u64,
+    /// A plain heartbeat from all to all in place of the fleet's machines, to compare with; simulated only.
+    pub heartbeat: bool,
     /// What goes wrong.
     #[serde(rename = "fault")]
     pub faults: Vec<Fault>,
@@ -36,6 +38,7 @@
             keepers: 5,
             settle_s: 12.0,
             suspect_ms: 4_000,
+            heartbeat: false,
             faults: Vec::new(),
             chaos: None,
         }
--- a/lab/src/peers/sim.rs
+++ b/lab/src/peers/sim.rs
@@ -2,6 +2,7 @@
 //! seed, so that two plays of a seed have the same history to the byte.
 use super::campaign::Break;
 use super::history::{Event, SeenMember, What};
+use super::plain::{Heartbeat, Machine};
 use super::schedule::{Kind, Met, Peers};
 use micadrum_fleet::{Broken, Effect, Halt, Info, Mark, Node, Note, Record, Settings, State};
 use rand::{RngExt, SeedableRng};
@@ -87,7 +88,7 @@
 }
 
 struct Process {
-    node: Option<Node>,
+    node: Option<Machine>,
     disk: State,
     /// The start: what was meant for an earlier one comes to nothing.
     start: u32,
@@ -289,7 +290,15 @@
         process.woken_at = None;
         let blank = process.disk.folder == 0;
         let copy_of = process.copy_of;
-        process.node = Some(Node::new(settings, process.disk.clone(), seed, now));
+        process.node = Some(if peers.heartbeat {
+            // The same time as the fleet's machines take for one that does not object.
+            let lost_after = settings.suspect + settings.confirm;
+            let all = 0..self.play.senders;
+            let others = all.map(|n| (format!("n{n}"), peers.zone(n).to_owned(), address(n))).collect();
+            Machine::Plain(Heartbeat::new(sender, process.start, others, lost_after, now))
+        } else {
+            Machine::Fleet(Box::new(Node::new(settings, process.disk.clone(), seed, now)))
+        });
         self.tell(What::Up { sender, blank, copy_of });
         self.carry_out(sender);
     }
@@ -409,7 +418,7 @@
             }
         }
         let process = &mut self.processes[sender];
-        let Some(next) = process.node.as_ref().and_then(Node::next) else { return };
+        let Some(next) = process.node.as_ref().and_then(Machine::next) else { return };
         let next = next.max(self.now);
         if process.woken_at.is_none_or(|at| next < at) {
             process.woken_at = Some(next);
@@ -454,7 +463,7 @@
 
     fn note_number(&mut self, sender: usize) {
         let process = &mut self.processes[sender];
-        let Some(roster) = process.node.as_ref().and_then(Node::roster) else { return };
+        let Some(roster) = process.node.as_ref().and_then(Machine::roster) else { return };
         if process.number != Some(roster.age()) {
             process.number = Some(roster.age());
             let (fleet, (epoch, number), digest) = (roster.fleet, roster.age(), roster.digest());
