Hear a whole fleet in its first seconds, and measure how long it takes to settle

An answer to a greeting names some fifty members, and one was greeted each 2 s, of all that were not heard; the time that a never heard one has was over before its turn.

Now one is greeted each 250 ms while some are so new that they could not be heard yet, and each 2 s after that.

--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -24,6 +24,8 @@
 const HELLO_SOON: u32 = 20;
 /// Members that are not heard are greeted this often, one at a time.
 const GREET: Millis = 2_000;
+/// The same while some of them are so new here that they could not be heard yet.
+const GREET_FRESH: Millis = 250;
 /// The leader of the keepers looks at their group this often, and changes it no sooner than this after the last change.
 const HOUSEKEEPING: Millis = 1_000;
 const SETTLED: Millis = 4_000;
@@ -361,7 +363,6 @@
             }
         }
         if self.next_greet <= now && self.watching.is_some() {
-            self.next_greet = now + GREET;
             self.greet(now);
         }
         if self.next_propose <= now && (!self.confirmed() || !self.orders.is_empty()) {
@@ -778,6 +779,7 @@
     // ----- who answers
 
     fn greet(&mut self, now: Millis) {
+        self.next_greet = now + GREET;
         let Some(roster) = &self.roster else { return };
         let health = self.watch.health();
         let unheard = |folder: &u64, incarnation: u32| {
@@ -797,6 +799,9 @@
                 address: member.info.address,
             })
             .collect();
+        // Those that have their time still are to be heard in it, however many there are: as after the start of a whole fleet.
+        let hurry = lost.iter().any(|id| !health.contains_key(&id.folder) && self.fresh(id.folder, now));
+        self.next_greet = now + if hurry { GREET_FRESH } else { GREET };
         if lost.is_empty() {
             return;
         }
@@ -1211,11 +1216,16 @@
         self.effects.push(Effect::Send { to, bytes, connection });
     }
 
+    /// Whether a member that was never heard has its time still, since it is known, or since this sender listens.
+    fn fresh(&self, folder: u64, now: Millis) -> bool {
+        let listening = self.watching.unwrap_or(self.began);
+        let since = self.learned.get(&folder).map_or(listening, |(_, at)| listening.max(*at));
+        now < since + LISTEN + self.settings.suspect
+    }
+
     /// Members in the order of their folders, how each belongs, and whether it answers.
     fn rows(&self, now: Millis) -> impl Iterator<Item = (u64, &Member, Standing, Health)> {
         let health = self.watch.health();
-        let listening = self.watching.unwrap_or(self.began);
-        let patience = LISTEN + self.settings.suspect;
         self.roster.iter().flat_map(|roster| &roster.members).map(move |(folder, member)| {
             let own = *folder == self.folder;
             // Of an earlier process of the member, nothing is believed any more.
@@ -1225,14 +1235,13 @@
                 (false, true) => Standing::Leaving,
                 (false, false) => Standing::In,
             };
-            let since = || self.learned.get(folder).map_or(listening, |(_, at)| listening.max(*at));
             let health = match heard {
                 _ if own && self.halted.is_none() => Health::Answers,
                 Some((_, health)) => *health,
                 // One that is not agreed on yet listens to nobody.
                 None if self.watching.is_none() => Health::Unknown,
                 // Neither one that has only just been agreed on: nobody can have heard it yet.
-                None if now < since() + patience => Health::Unknown,
+                None if self.fresh(*folder, now) => Health::Unknown,
                 None => Health::Lost,
             };
             (*folder, member, standing, health)
