--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -925,8 +925,7 @@
                 });
                 !known && !taken && roster.farewell_of(*folder).is_none()
             }
-            Change::Leaving { folder } => roster.members.get(folder).is_some_and(|m| !m.leaving),
-            Change::Farewell { folder, .. } => roster.members.contains_key(folder),
+            Change::Leaving { .. } | Change::Farewell { .. } => !self.agreed_already(change),
             // That is the keepers' own.
             Change::Keepers { .. } => false,
         };
@@ -1004,15 +1003,11 @@
                 self.next_propose = 0;
             }
         }
-        let done = |change: &Change| match change {
-            Change::Farewell { folder, .. } => !roster.members.contains_key(folder),
-            Change::Leaving { .. } => false,
-            _ => true,
-        };
-        let (over, open) =
-            std::mem::take(&mut self.orders).into_iter().partition(|order| done(&order.change));
+        let (over, open): (Vec<Waiting>, Vec<Waiting>) = std::mem::take(&mut self.orders)
+            .into_iter()
+            .partition(|order| self.agreed_already(&order.change));
         self.orders = open;
-        self.effects.extend(Vec::into_iter(over).map(|order: Waiting| Effect::Answer(order.id, Ok(()))));
+        self.effects.extend(over.into_iter().map(|order| Effect::Answer(order.id, Ok(()))));
     }
 
     fn give_up_orders(&mut self, now: Millis) {
