Ask the system before a kept connection's next call, and close answers that never end

Needed: a connection is not to be used by what was last seen of it, and a call is over only with its answer. Read, not seen in service; each forced by a test. Suspected first, then shown: a runtime that has not looked at its sockets since writes a request behind bytes that have already come.

Seen in tests with the lines taken out (src/net/connection.rs, poll_write and send; src/net/pool.rs, Call::run): - a surplus 200 on an idle connection was read as the answer to the next call: delivered, though nobody had read it; - a connection that its peer closed between two calls ended the next one as a reset that may have run: an unsafe message lost its only try; - a 500 or 503 whose body never ends was told as ended up to 1 s before its connection was closed: the next attempt would have been a second copy, and its slot was counted as free; - a 200 that came before the request's last byte was written counted as delivered. Ruled out: hyper itself, which refuses stray bytes once it has been told of them; and the count of written bytes, which does not change between asking and closing, as one thread does both without a wait.

Changed: the first write of a request on a kept connection asks the system for what has come; if anything has, nothing goes out, and the call is made on a new connection after asking again whether it still may be. The list's watch and the notices do the same by one exchange. An answer's rest is given 50 ms, inside the 100 ms after which a told wait binds, then its connection is closed, and only then the end is told.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -7,7 +7,9 @@
 use hyper::http::request::Builder;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -26,6 +28,9 @@
 pub enum CallError {
     #[error("no connection: {0}")]
     Connect(#[source] io::Error),
+    /// A kept connection was no good any more, seen before a byte of the request went out on it.
+    #[error("gone before a byte was written: {0}")]
+    Stale(#[source] hyper::Error),
     /// It broke before the request's last byte was written.
     #[error("broken before the request was written: {0}")]
     Unsent(#[source] hyper::Error),
@@ -37,6 +42,9 @@
 /// to know whether a call that broke may have run.
 #[derive(Default)]
 struct Written {
+    /// Whether the connection had carried a request before this one.
+    kept: bool,
+    begun: bool,
     /// Bytes matched of the blank line that ends the head.
     matched: u8,
     body_left: usize,
@@ -44,6 +52,7 @@
 
 impl Written {
     fn count(&mut self, mut bytes: &[u8]) {
+        self.begun |= !bytes.is_empty();
         while self.matched < 4
             && let Some((first, rest)) = bytes.split_first()
         {
@@ -80,6 +89,13 @@
 
 impl AsyncWrite for Counted {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let first = {
+            let written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
+            written.kept && !written.begun
+        };
+        if first {
+            quiet(&self.stream)?;
+        }
         let count = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
         self.written.lock().unwrap_or_else(PoisonError::into_inner).count(&buf[..count]);
         Poll::Ready(Ok(count))
@@ -94,10 +110,23 @@
     }
 }
 
+/// An error if the peer has ended a connection on which nothing is due, or has sent anything. Asked of the system
+/// itself: what has come since the last look at the socket would be read as the answer to the next request.
+fn quiet(stream: &TcpStream) -> io::Result<()> {
+    match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+        Err(e) => Err(e),
+        Ok(0) => Err(io::ErrorKind::ConnectionAborted.into()),
+        Ok(_) => Err(io::Error::new(io::ErrorKind::InvalidData, "bytes that nobody asked for")),
+    }
+}
+
 /// A connection of our own. Dropping it closes it, which also gives up the call on it.
 pub struct Connection {
     requests: http1::SendRequest<Full<Bytes>>,
     written: Arc<Mutex<Written>>,
+    /// Whether it has carried a request.
+    used: bool,
     driver: AbortHandle,
 }
 
@@ -114,6 +143,11 @@
             Ok(stream) => stream.map_err(CallError::Connect)?,
             Err(_) => return Err(CallError::Connect(io::ErrorKind::TimedOut.into())),
         };
+        Self::over(stream).await
+    }
+
+    /// On a stream that is connected.
+    async fn over(stream: TcpStream) -> Result<Self, CallError> {
         stream.set_nodelay(true).map_err(CallError::Connect)?;
         let written = Arc::new(Mutex::new(Written::default()));
         let io = TokioIo::new(Counted { stream, written: written.clone() });
@@ -121,7 +155,7 @@
             http1::Builder::new().max_buf_size(MOST_BUFFER).handshake(io).await.map_err(CallError::Unsent)?;
         // How it ends shows in the call on it, or in `is_alive`.
         let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Self { requests, written, driver })
+        Ok(Self { requests, written, used: false, driver })
     }
 
     /// Whether it can take a call: asked before a byte of one is written.
@@ -136,18 +170,39 @@
 
     /// Sends one request; the answer is there with its head.
     pub async fn send(&mut self, request: Builder, body: Bytes) -> Result<Response<Incoming>, CallError> {
-        *self.written() = Written { matched: 0, body_left: body.len() };
+        let kept = std::mem::replace(&mut self.used, true);
+        *self.written() = Written { kept, body_left: body.len(), ..Written::default() };
         let request = request.body(Full::new(body)).unwrap_or_else(|e| {
             // All parts were valid header values when they came in.
             tracing::warn!("pool: {e}");
             Request::default()
         });
-        self.requests.send_request(request).await.map_err(|e| match self.request_written() {
-            true => CallError::Reset(e),
-            false => CallError::Unsent(e),
+        self.requests.send_request(request).await.map_err(|e| match *self.written() {
+            ref written if written.whole() => CallError::Reset(e),
+            Written { kept: true, begun: false, .. } => CallError::Stale(e),
+            _ => CallError::Unsent(e),
         })
     }
 
+    /// Sends one request on `kept`, or on a new connection where there is none or that one is stale.
+    pub async fn exchange(
+        kept: Option<Self>,
+        address: SocketAddr,
+        patience: Duration,
+        head: impl Fn() -> Builder,
+        body: Bytes,
+    ) -> Result<(Self, Response<Incoming>), CallError> {
+        if let Some(mut kept) = kept {
+            match kept.send(head(), body.clone()).await {
+                Err(CallError::Stale(_)) => {}
+                answer => return answer.map(|answer| (kept, answer)),
+            }
+        }
+        let mut new = Self::open(address, patience).await?;
+        let answer = new.send(head(), body).await?;
+        Ok((new, answer))
+    }
+
     fn written(&self) -> std::sync::MutexGuard<'_, Written> {
         self.written.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -162,3 +217,6 @@
 pub fn request(method: Method, path: &str, host: SocketAddr) -> Builder {
     Request::builder().method(method).uri(path).header(HOST, host.to_string())
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -143,12 +143,9 @@
     revision: u64,
     kept: &mut Option<Connection>,
 ) -> Result<Targets, WatchError> {
-    let mut connection = match kept.take() {
-        Some(connection) => connection,
-        None => Connection::open(agent, HOLD).await?,
-    };
     let path = format!("{TARGETS}?from={revision}&hold_ms={}", HOLD.as_millis());
-    let answer = connection.send(request(Method::GET, &path, agent), Bytes::new()).await?;
+    let head = || request(Method::GET, &path, agent);
+    let (connection, answer) = Connection::exchange(kept.take(), agent, HOLD, head, Bytes::new()).await?;
     if !answer.status().is_success() {
         return Err(WatchError::Status(answer.status()));
     }
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -123,11 +123,8 @@
 }
 
 async fn send(platform: SocketAddr, body: Bytes, kept: &mut Option<Connection>) -> Result<(), NoticeError> {
-    let mut connection = match kept.take() {
-        Some(connection) => connection,
-        None => Connection::open(platform, PATIENCE).await?,
-    };
-    let answer = connection.send(request(Method::POST, NOTICES, platform), body).await?;
+    let head = || request(Method::POST, NOTICES, platform);
+    let (connection, answer) = Connection::exchange(kept.take(), platform, PATIENCE, head, body).await?;
     let status = answer.status();
     let read = Limited::new(answer.into_body(), MOST_ANSWER).collect().await;
     if !status.is_success() {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -29,8 +29,8 @@
 const TRUST_FADES: Duration = Duration::from_secs(10);
 /// Bodies of answers are read up to this, which no peer goes beyond; longer ones cost their connection.
 const MOST_ANSWER: usize = 64 * 1024;
-/// How long the body of an answer may take once its status is known.
-const BODY_PATIENCE: Duration = Duration::from_secs(1);
+/// How long the rest of an answer may take once its head is there: a wait that it tells binds 100 ms later.
+const REST_PATIENCE: Duration = Duration::from_millis(50);
 
 /// One message of a call.
 #[derive(Clone)]
@@ -198,25 +198,37 @@
         mut called_off: oneshot::Receiver<()>,
         host: &UnboundedSender<Input>,
     ) -> Option<Connection> {
-        let done = |called| drop(host.send(Input::Called(called)));
-        let (mut connection, idle) = match self.connection(kept, host).await {
-            Ok(Some(connection)) => connection,
-            Ok(None) => {
-                done(self.called(self.all(Outcome::Void), None, None));
-                return None;
+        let mut kept = kept;
+        let (connection, idle, answer) = loop {
+            let (mut connection, idle) = match self.connection(kept.take(), host).await {
+                Ok(Some(connection)) => connection,
+                Ok(None) => {
+                    let _ = host.send(Input::Called(self.called(self.all(Outcome::Void), None, None)));
+                    return None;
+                }
+                Err(e) => {
+                    let _ = host.send(Input::Called(self.ended_by(&e)));
+                    return None;
+                }
+            };
+            let (request, body) = self.request();
+            let answer = tokio::select! {
+                answer = timeout_at(self.expires, connection.send(request, body)) => answer.map_err(|_| Outcome::TimedOut),
+                Ok(()) = &mut called_off => Err(Outcome::Cancelled),
+            };
+            // Nothing of the call went out: it is made on a new connection, and asks again whether it still may be.
+            if !matches!(answer, Ok(Err(CallError::Stale(_)))) {
+                break (connection, idle, answer);
             }
-            Err(e) => {
-                done(self.ended_by(&e));
-                return None;
-            }
-        };
-        let done = |called| done(Called { idle, ..called });
-        let (request, body) = self.request();
-        let answer = tokio::select! {
-            answer = timeout_at(self.expires, connection.send(request, body)) => answer.map_err(|_| Outcome::TimedOut),
-            Ok(()) = &mut called_off => Err(Outcome::Cancelled),
         };
+        let done = |called| drop(host.send(Input::Called(Called { idle, ..called })));
         match answer {
+            // An answer to something else: the call begins with its last byte, and that was not written.
+            Ok(Ok(answer)) if answer.status() == StatusCode::OK && !connection.request_written() => {
+                drop(connection);
+                done(self.called(self.all(Outcome::ConnectFailed), None, None));
+                None
+            }
             Ok(Ok(answer)) if self.parcels.len() > 1 && answer.status() == StatusCode::OK => {
                 // A batch is answered with its whole body, and until then its messages' fates are open.
                 let (head, body) = answer.into_parts();
@@ -239,10 +251,14 @@
                     _ => outcome(answer.status(), answer.headers(), told),
                 };
                 let ends = self.parcels.iter().map(|p| (p.number, outcome, over)).collect();
-                done(self.called(ends, told, fields.read(answer.headers())));
+                let called = self.called(ends, told, fields.read(answer.headers()));
                 let body = Limited::new(answer.into_body(), MOST_ANSWER).collect();
-                let read = timeout(BODY_PATIENCE, body).await;
-                matches!(read, Ok(Ok(_))).then_some(connection)
+                // The call is out until its answer has come whole or its connection is closed: before that its slot
+                // is taken, and another attempt would be a second copy.
+                let read = timeout(REST_PATIENCE, body).await;
+                let connection = matches!(read, Ok(Ok(_))).then_some(connection);
+                done(called);
+                connection
             }
             Ok(Err(e)) => {
                 done(self.ended_by(&e));
@@ -323,7 +339,7 @@
 
     fn ended_by(&self, error: &CallError) -> Called {
         let outcome = match error {
-            CallError::Connect(_) | CallError::Unsent(_) => Outcome::ConnectFailed,
+            CallError::Connect(_) | CallError::Stale(_) | CallError::Unsent(_) => Outcome::ConnectFailed,
             CallError::Reset(_) => Outcome::Reset,
         };
         self.called(self.all(outcome), None, None)
