Answer what is half read when a process ends, and turn new clients away once its doors are shut

Needed: between SIGTERM and SIGKILL clients send on every connection that stays open. Found by reading the end line by line, suspected in two places, each forced by a test over sockets and the real program.

Seen in the tests without the change: - a request whose body is half there at the end got no answer (src/main.rs: 200 ms for the server after the loop's end, and the queue to the loop kept open, so that whoever handed in then waited for an answer that could not come); - with a call still out, connections went on being taken by the system for up to 2.8 s after the doors were shut, and nobody served them (src/net/host: the loop held a second handle on the listening socket until the process's end).

Changed: the queue ends with the loop, so that late requests are refused at once; the server has until the time to wind down is over; the loop's handle on the socket goes when the doors are shut. A hand-over asked for after that is refused.

--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,7 @@
 use net::discovery;
 use net::fleet;
 use net::handover::{self, Inherited};
-use net::host::{Estate, Host, Links, Origin};
+use net::host::{Ended, Estate, Host, Links, Origin};
 use net::input::Input;
 use net::log;
 use net::mgmt::{self, Standing};
@@ -25,7 +25,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 #[cfg(feature = "count-allocations")]
 #[global_allocator]
@@ -39,7 +39,7 @@
 const BODIES_OF_MEMORY: f64 = 0.125;
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
-/// How long answers on their way out may take once the host has ended.
+/// How long answers on their way out may take once the time to wind down is over.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 /// How long the fleet's keepers may take to agree that this sender leaves; SIGKILL comes 3.7 s after SIGTERM.
 const LAST_LEAVE: Duration = Duration::from_millis(1500);
@@ -223,17 +223,20 @@
     let server =
         tokio::spawn(server::serve(listener, room, descriptors.clients, inputs, at_doors, bodies, shared));
     match host.run(&mut from_all, &mut orders).await {
-        Some(remains) => {
+        Ended::HandedOver(remains) => {
             // The new process takes the fleet's part on, and its address.
             stop_fleet.send_replace(true);
             watching.abort();
             remains.pass_on(from_all, orders, server).await;
         }
-        None => {
+        Ended::WoundDown(until) => {
+            // Nobody takes anything on any more: whoever is still handing in hears so at once.
+            drop(from_all);
             if let Some(to_fleet) = to_fleet.filter(|_| config.fleet.is_some_and(|fleet| fleet.leave)) {
                 leave(&to_fleet).await;
             }
-            drop(timeout(LAST_ANSWERS, server).await);
+            let until = until.max(Instant::now()) + LAST_ANSWERS;
+            drop(timeout_at(until, server).await);
         }
     }
     Ok(())
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -91,6 +91,8 @@
     Frame(#[from] postcard::Error),
     #[error("no listening socket came")]
     NoSocket,
+    #[error("this process is ending")]
+    Ending,
     #[error("it answered out of turn")]
     Turn,
     #[error("its zones, kinds or tenants are not those of this configuration")]
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -53,7 +53,8 @@
     /// A process that asks to take over.
     new: Option<UnixStream>,
     lock: Lock,
-    listener: TcpListener,
+    /// None once the doors are shut: who connects then is turned away by the system, and does not wait in vain.
+    listener: Option<TcpListener>,
     room: Arc<Semaphore>,
     most_clients: usize,
     /// The part of that room which an old process still fills.
@@ -88,6 +89,14 @@
     pub listener: TcpListener,
 }
 
+/// How a host ended.
+pub enum Ended {
+    /// In order; what clients still have to hear goes out until then.
+    WoundDown(Instant),
+    /// Another process has it all.
+    HandedOver(Box<Remains>),
+}
+
 /// Where a host begins.
 pub enum Origin {
     /// With a list of endpoints, and what the journal holds.
@@ -127,7 +136,7 @@
             old: None,
             new: None,
             lock: estate.lock,
-            listener: estate.listener,
+            listener: Some(estate.listener),
             room: links.room,
             most_clients: links.most_clients,
             withheld: 0,
@@ -153,11 +162,7 @@
     }
 
     /// Works until it has wound down, or another process has taken over.
-    pub async fn run(
-        mut self,
-        inputs: &mut UnboundedReceiver<Input>,
-        orders: &mut Receiver<Asked>,
-    ) -> Option<Remains> {
+    pub async fn run(mut self, inputs: &mut UnboundedReceiver<Input>, orders: &mut Receiver<Asked>) -> Ended {
         self.standing.send_replace(Standing::Serving);
         loop {
             let due = self.due();
@@ -166,7 +171,7 @@
                 Some(asked) = orders.recv() => self.asked(asked),
                 input = inputs.recv() => match input {
                     Some(input) => self.take_in(input),
-                    None => return None,
+                    None => return Ended::WoundDown(Instant::now()),
                 },
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
             }
@@ -177,7 +182,7 @@
             }
             if let Some(stream) = self.new.take() {
                 match self.hand_over(stream).await {
-                    Ok(stream) => return Some(self.remains(stream).await),
+                    Ok(stream) => return Ended::HandedOver(Box::new(self.remains(stream).await)),
                     Err(e) => tracing::error!("not handed over, this process goes on: {e}"),
                 }
             }
@@ -189,9 +194,10 @@
                 && now >= wind_down.shut
             {
                 self.doors.send_replace(Doors::Shut);
+                self.listener = None;
                 if now >= wind_down.end || (self.calls.out.is_empty() && self.store.owed().next().is_none()) {
                     tracing::info!("{}", telemetry::summary(&self.snapshot()));
-                    return None;
+                    return Ended::WoundDown(wind_down.end);
                 }
             }
         }
--- a/src/net/host/recovery.rs
+++ b/src/net/host/recovery.rs
@@ -111,6 +111,7 @@
         &mut self,
         mut stream: UnixStream,
     ) -> Result<UnixStream, handover::HandoverError> {
+        let Some(listener) = &self.listener else { return Err(handover::HandoverError::Ending) };
         let (next_endpoint, endpoints) = self.list.rows();
         let state = Given {
             sender: &self.sender,
@@ -122,7 +123,7 @@
             draining: *self.doors.borrow() == Doors::Draining,
             clients: self.most_clients.saturating_sub(self.room.available_permits() + self.withheld),
         };
-        timeout(HAND_OVER_PATIENCE, handover::offer(&mut stream, &self.listener, &state)).await??;
+        timeout(HAND_OVER_PATIENCE, handover::offer(&mut stream, listener, &state)).await??;
         Ok(stream)
     }
 
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod cost;
 mod figures;
 mod restarts;
+mod shutdown;
 mod staff;
 mod upgrade;
 mod world;
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -349,6 +349,11 @@
         timeout(PATIENCE, wait).await.expect("an end").unwrap()
     }
 
+    /// Whether the process has not ended.
+    pub fn runs(&mut self) -> bool {
+        self.process.as_mut().is_some_and(|process| process.try_wait().unwrap().is_none())
+    }
+
     /// Has the process read its configuration file again, which holds `text` now.
     pub fn reload(&self, text: &str) {
         std::fs::write(self.folder.path().join("config.json"), text).unwrap();
