Try what a restart finds untried, whatever the settings name now and however full the house

Suspected from reading: two places where such a message ends without a call, and the tests show both.

Ruled out: backoff and told waits (untried messages have none of their own), the deadline's margin, an unknown destination (it waits for the list to its time).

Changed: such a message keeps the class that it was taken on with, and without one it is never repeated; a tenant that nobody knows is none. The module marks what an earlier process took on until its first attempt and sheds newcomers before it; paces, trials and ramps hold for it as for all, so that no burst comes of it. What is handed over has a new field: version 5.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -113,6 +113,8 @@
     attempts: u32,
     stage: Stage,
     ran: Option<Ran>,
+    /// Taken on by an earlier process and not tried yet: it is not ended for newcomers' sake.
+    untried: bool,
 }
 
 /// One call, carrying one message or a batch.
@@ -455,8 +457,8 @@
             self.keys.entry(key).or_default().queue.push(message.id);
         }
         let deadline = Time(self.now.0 + message.budget.0);
-        let stage = Stage::Waiting(self.now);
-        self.held.insert(message.id, Held { message, deadline, attempts: 0, stage, ran: None });
+        let (stage, attempts) = (Stage::Waiting(self.now), 0);
+        self.held.insert(message.id, Held { message, deadline, attempts, stage, ran: None, untried: false });
     }
 
     /// A message of an earlier process: its attempts count, and what may have run is known.
@@ -471,7 +473,7 @@
         let wait = message.class.aim.0 as f64 * BACKOFF_OF_AIM * self.chance();
         let at = if attempts > 0 { self.now.after(wait) } else { self.now };
         let Some(held) = self.held.get_mut(&message.id) else { return };
-        held.attempts = attempts;
+        (held.attempts, held.untried) = (attempts, attempts == 0);
         held.stage = Stage::Waiting(at);
         held.ran = ran.map(|(sent, zone)| Ran { sent, zone });
         if let Some(key) = message.key.filter(|_| ran.is_some()).and_then(|k| self.keys.get_mut(&k)) {
@@ -1106,7 +1108,7 @@
         let room = (self.settings.most_held - (self.settings.most_held / SPARE_ROOM).max(1)).max(1);
         while self.held.len() > room {
             let least = (self.held.iter())
-                .filter(|(_, h)| matches!(h.stage, Stage::Waiting(_)) && h.ran.is_none())
+                .filter(|(_, h)| matches!(h.stage, Stage::Waiting(_)) && h.ran.is_none() && !h.untried)
                 .map(|(id, h)| (self.worth(h, 0.0), *id))
                 .min_by(|a, b| a.0.total_cmp(&b.0));
             let Some((_, id)) = least else { return };
@@ -1255,11 +1257,9 @@
             }
             self.destinations.entry(destination).or_default().calls += 1;
         }
-        if let Some(call) = self.calls.get_mut(&call) {
-            call.left += 1;
-        }
+        self.calls.entry(call).and_modify(|call| call.left += 1);
         if let Some(held) = self.held.get_mut(&id) {
-            held.attempts += 1;
+            (held.attempts, held.untried) = (held.attempts + 1, false);
             held.stage = Stage::Out(Try { endpoint, call });
         }
         actions.push(Action::Send { message: id, endpoint, expires });
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -32,7 +32,7 @@
 use tokio::time::{sleep, timeout};
 
 /// Raised with every change of what is handed over: processes of different versions wait for each other's end.
-const VERSION: u32 = 4;
+const VERSION: u32 = 5;
 /// No frame is longer: a thousand messages under way take a fraction of a megabyte.
 const MOST_FRAME: usize = 16 << 20;
 /// Between two attempts to have the lock.
--- a/src/net/host/intake.rs
+++ b/src/net/host/intake.rs
@@ -20,7 +20,7 @@
             Err(what) => return self.malformed(what),
         };
         let owed = Owed::new(message, self.clock.at(deadline).0, class);
-        let mut known = match self.message(0, &owed) {
+        let mut known = match self.message(0, &owed, class) {
             Ok(known) => known,
             Err(what) => return self.malformed(what),
         };
@@ -56,21 +56,35 @@
     }
 
     /// A message in the module's terms; the error says what cannot be understood.
-    pub(super) fn message(&self, number: u32, owed: &Owed) -> Result<Message, String> {
-        let class = match owed.class {
-            Some(class) => class,
-            // Taken on before journals held the class: as the settings have it now.
-            None => self.class(&owed.message.class)?,
-        };
+    pub(super) fn message(&self, number: u32, owed: &Owed, class: Class) -> Result<Message, String> {
         if matches!(class.repeat, Repeat::Keyed { .. }) && owed.message.idempotency_key.is_none() {
             return Err(format!("class {:?} needs an idempotency key", owed.message.class));
         }
-        let tenant: Option<TenantId> = match &owed.message.tenant {
-            Some(name) if !self.tuning.names.tenants.is_empty() => {
-                Some(look(&self.tuning.names.tenants, name, "tenant")?)
-            }
-            _ => None,
+        let tenants = &self.tuning.names.tenants;
+        let named = owed.message.tenant.as_ref().filter(|_| !tenants.is_empty());
+        let tenant = named.map(|name| look(tenants, name, "tenant")).transpose()?;
+        Ok(self.in_terms(number, owed, class, tenant))
+    }
+
+    /// One that an earlier process took on. It is tried whatever the settings name now: its class is the one of then,
+    /// and where not even that is known, what it does is never repeated.
+    pub(super) fn taken_on_before(&self, number: u32, owed: &Owed) -> Message {
+        let class = match owed.class {
+            Some(class) => Ok(class),
+            // Taken on before journals held the class: as the settings have it now.
+            None => self.class(&owed.message.class),
         };
+        let message = class.and_then(|class| self.message(number, owed, class));
+        message.unwrap_or_else(|what| {
+            tracing::info!("resuming {}: {what}: tried all the same", owed.message.id);
+            let left = Span(owed.deadline.saturating_sub(self.now().0));
+            let (worth, late_worth, repeat) = (1.0, 1.0, Repeat::Unsafe);
+            let strict = Class { aim: left, deadline: left, worth, late_worth, repeat, ordered: false };
+            self.in_terms(number, owed, owed.class.unwrap_or(strict), None)
+        })
+    }
+
+    fn in_terms(&self, number: u32, owed: &Owed, class: Class, tenant: Option<TenantId>) -> Message {
         // Two keys of one hash would wait for each other: harmless.
         let key = owed.message.key.as_ref().filter(|_| class.ordered).map(|key| {
             let mut hasher = DefaultHasher::new();
@@ -79,7 +93,7 @@
         });
         let budget = Span(owed.deadline.saturating_sub(self.now().0));
         let destination = DestinationId(owed.message.destination);
-        Ok(Message { id: MessageId(number), class, tenant, key, destination, budget })
+        Message { id: MessageId(number), class, tenant, key, destination, budget }
     }
 
     /// Counts a final answer, unless that was given before.
--- a/src/net/host/recovery.rs
+++ b/src/net/host/recovery.rs
@@ -7,7 +7,7 @@
 use crate::net::notices::Notice;
 use crate::net::relay::{ToNew, ToOld};
 use crate::net::server::Doors;
-use crate::net::store::{End, Owed};
+use crate::net::store::Owed;
 use micadrum::{Event, Outcome, Resumed, Time, ZoneId};
 use std::time::Duration;
 use tokio::net::UnixStream;
@@ -24,14 +24,7 @@
         for (number, owed) in owed {
             self.held.insert(owed.message.id.clone(), Instant::now());
             self.figures.resumed += u64::from(owed.end.is_none());
-            let message = match self.message(number, &owed) {
-                Ok(message) => message,
-                Err(what) => {
-                    tracing::info!("resuming {}: {what}", owed.message.id);
-                    self.end(number, owed.end.unwrap_or(End::Failed));
-                    continue;
-                }
-            };
+            let message = self.taken_on_before(number, &owed);
             if owed.out.is_some() {
                 // The process ended during the call: nobody knows how far that had come.
                 log_failure(self.store.outcome(number, true));
--- a/tests/sockets/restarts.rs
+++ b/tests/sockets/restarts.rs
@@ -208,3 +208,107 @@
     assert_eq!(notice["state"], "returned");
     assert!(endpoint.quiet(Duration::from_millis(300)).await, "an attempt too many");
 }
+
+/// What the partner does when the restarted sender calls.
+#[derive(Clone, Copy, Debug)]
+enum Partner {
+    Well,
+    Hangs,
+    TellsWait,
+    LowersLimit,
+}
+
+/// A journal full of messages that nobody has tried, as the list did not name their partner: after a restart, with
+/// settings that name neither their classes nor their tenant any more and with clients that fill the house again, each
+/// of them is called for.
+async fn untried(partner: Partner, planned: bool) {
+    let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[]).await;
+    let classes = ["unsafe", "keyed", "ordered"];
+    let mut owed = std::collections::BTreeSet::new();
+    // One under what a full house sheds for.
+    for n in 0..47 {
+        let id = format!("m{n}");
+        assert_eq!(node.hand_in(&id, classes[n % 3], &format!("key{}", n % 9)).await.status(), 202);
+        owed.insert(id);
+    }
+    if planned {
+        node.terminate();
+        assert!(node.ends_well().await);
+    } else {
+        node.kill();
+    }
+    for (n, lane) in node.config["settings"]["lanes"].as_array_mut().unwrap().iter_mut().enumerate() {
+        lane["name"] = json!(format!("renamed{n}"));
+    }
+    node.config["settings"]["tenants"] = json!([{"name": "other", "allowance_per_s": 10.0}]);
+    let asked = platform.asked();
+    node.begin().await;
+    let newcomer = "X-Lane: renamed0\r\nX-Remaining: 30.0\r\nX-Envelope: dest=7\r\n";
+    for n in 0..5 {
+        let headers = format!("X-Txn: new{n}\r\n{newcomer}");
+        let status = node.request("POST /api", &headers, b"new").await.status();
+        assert!([202, 503].contains(&status), "{status}");
+    }
+    // The list names their partner only now.
+    platform.asked_after(asked).await;
+    platform.tell(&[member("s-1", endpoint.address, "single", "SERVING")]);
+    let (mut tried, mut delivered) = (std::collections::BTreeSet::new(), std::collections::BTreeSet::new());
+    let (mut calls, mut hung) = (0, Vec::new());
+    let least = owed.len() - if matches!(partner, Partner::Hangs) { 2 } else { 0 };
+    while !owed.is_subset(&tried) || owed.intersection(&delivered).count() < least {
+        let call = endpoint.call().await;
+        calls += 1;
+        tried.insert(call.id().to_owned());
+        match partner {
+            // Until others have been answered; one that may have run by then is not repeated, and fails.
+            Partner::Hangs if calls <= 2 => hung.push(call),
+            Partner::TellsWait if calls == 1 => {
+                call.reply(answer("429 Too Many Requests", "Retry-After: 0.3\r\n", ""));
+            }
+            Partner::LowersLimit if calls <= 3 => call.reply(answer("503 Service Unavailable", "", "")),
+            _ => {
+                delivered.insert(call.id().to_owned());
+                call.ok();
+            }
+        }
+        if delivered.len() == 20 {
+            for call in hung.drain(..) {
+                call.ok();
+            }
+        }
+    }
+    let mut given_up = Vec::new();
+    while let Ok(notice) = tokio::time::timeout(Duration::from_millis(100), platform.notice()).await {
+        given_up.push(notice["id"].as_str().unwrap().to_owned());
+    }
+    let uncalled: Vec<_> = given_up.iter().filter(|id| owed.contains(*id) && !tried.contains(*id)).collect();
+    assert!(uncalled.is_empty(), "{partner:?}, planned {planned}: given up with no call: {uncalled:?}");
+}
+
+/// Guards against giving up what a restart finds untried, with no call: for the sake of newcomers, or because the
+/// settings do not name its class or its tenant any more.
+#[tokio::test]
+async fn what_a_kill_leaves_untried_is_tried() {
+    untried(Partner::Well, false).await;
+}
+
+#[tokio::test]
+async fn what_a_planned_restart_leaves_untried_is_tried() {
+    untried(Partner::Well, true).await;
+}
+
+#[tokio::test]
+async fn what_is_left_untried_is_tried_at_a_partner_that_hangs() {
+    untried(Partner::Hangs, false).await;
+}
+
+#[tokio::test]
+async fn what_is_left_untried_is_tried_after_a_told_wait() {
+    untried(Partner::TellsWait, true).await;
+}
+
+#[tokio::test]
+async fn what_is_left_untried_is_tried_at_a_lowered_limit() {
+    untried(Partner::LowersLimit, false).await;
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -5,7 +5,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tempfile::TempDir;
@@ -144,6 +144,8 @@
     changes: mpsc::UnboundedSender<Value>,
     /// While set, notices are read and not acknowledged.
     pub deaf: Arc<AtomicBool>,
+    /// Calls for the list so far.
+    asked: Arc<AtomicUsize>,
 }
 
 impl Platform {
@@ -154,6 +156,8 @@
         let (changes, mut to_tell) = mpsc::unbounded_channel::<Value>();
         let deaf = Arc::new(AtomicBool::new(false));
         let is_deaf = deaf.clone();
+        let asked = Arc::<AtomicUsize>::default();
+        let asks = asked.clone();
         tokio::spawn(async move {
             let mut watch: Option<Call> = None;
             let mut untold: Option<Value> = None;
@@ -167,6 +171,7 @@
                         let Some(call) = call else { return };
                         if call.http.first.starts_with("GET /api/targets") {
                             watch = Some(call);
+                            asks.fetch_add(1, Ordering::SeqCst);
                         } else if is_deaf.load(Ordering::SeqCst) {
                             call.reply(Reply::Break);
                         } else if call.http.body.windows(10).any(|bytes| bytes == b"unreadable") {
@@ -186,7 +191,7 @@
                 }
             }
         });
-        Self { address, notices, changes, deaf }
+        Self { address, notices, changes, deaf, asked }
     }
 
     pub async fn notice(&mut self) -> Value {
@@ -214,6 +219,21 @@
         }
     }
 
+    /// How often the list was asked for.
+    pub fn asked(&self) -> usize {
+        self.asked.load(Ordering::SeqCst)
+    }
+
+    /// Waits until the list was asked for more often than that: by a process that has just begun, say.
+    pub async fn asked_after(&self, before: usize) {
+        let asked = async {
+            while self.asked() <= before {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        timeout(PATIENCE, asked).await.expect("a call for the list");
+    }
+
     /// Tells a change of the list.
     pub fn tell(&self, members: &[Value]) {
         let change = json!({"revision": 2, "complete": false, "members": members});
