Open a silent watch anew in time in a large fleet, and ask a moved discovery again soon

Needed: what a watch that fell silent misses counts as told 2 s after its wait is over, what a moved discovery tells 4 s after SIGHUP. Suspected from reading src/net/discovery.rs, watch(): one pause for every failure, which for 300 senders begins at 15 s and is cut to 6.7 s, times 0.5 to 1.5.

Seen in tests without the change: 300 senders, a watch silent from its first moment: the list is there 12.9 s after the call began, due by 7 s; moved and turned away once: 6.9 s, due by 4 s. One sender alone was in time in both. Ruled out: the time-out itself (6 s after the call began, 1 s to spare), the revision (it moves with a whole answer only).

Changed: after a first silence the watch is opened anew within 150 ms; the fleet's calls began at different moments, so that nobody asks in step. In the 4 s after a move a failed call is repeated within 1.5 s. All other failures keep the long pauses, for which the two tests of herds stand.

Measured: both tests, for 1, 300 and 3,000 senders, fail without it.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// How long one call of the watch may wait for news: short, as an agent that fell silent shows only by it.
 const HOLD: Duration = Duration::from_secs(5);
@@ -21,6 +21,8 @@
 const PATIENCE: Duration = Duration::from_secs(1);
 /// Pause after a first failed call, at least: inside the 200 ms within which a watch goes on, whatever chance adds.
 const PAUSE: Duration = Duration::from_millis(100);
+/// For so long after a move a call that fails is soon made again: what there is to tell counts as told 4 s after it.
+const MOVING: Duration = Duration::from_secs(4);
 /// What discovery is given for the call of each sender.
 const CALL: Duration = Duration::from_millis(50);
 /// More senders than these are not reckoned with: beyond, the longest pause counts.
@@ -79,6 +81,17 @@
         full.mul_f64(0.5 + self.chance())
     }
 
+    /// The longest pause soon after a move.
+    fn while_moving(&mut self) -> Duration {
+        (MOVING / 4).mul_f64(0.5 + self.chance())
+    }
+
+    /// After a call that no answer came to: what it misses counts as told a second after its time, and others of the
+    /// fleet began theirs at other moments, so that nobody asks in step.
+    fn after_silence(&mut self) -> Duration {
+        PAUSE.mul_f64(0.5 + self.chance())
+    }
+
     /// The next failure is the first one again.
     pub fn start_over(&mut self) {
         self.next = self.start;
@@ -99,6 +112,8 @@
 ) {
     let mut connection = None;
     let mut failing = false;
+    // Until when a call that has failed is soon made again: who has moved there counts as told 4 s later.
+    let mut urgent = Instant::now();
     sleep(pauses.first()).await;
     loop {
         let agent = *address.borrow_and_update();
@@ -106,6 +121,7 @@
             // The old address answers no more: the watch goes on at the new one, from what was told.
             Ok(()) = address.changed() => {
                 connection = None;
+                urgent = Instant::now() + MOVING;
                 continue;
             }
             answer = timeout(HOLD + PATIENCE, next(agent, revision, &mut connection)) => answer,
@@ -122,6 +138,11 @@
                 }
             }
             Err(e) => {
+                let pause = match e {
+                    WatchError::Silent if !failing => pauses.after_silence(),
+                    _ if Instant::now() < urgent => pauses.again().min(pauses.while_moving()),
+                    _ => pauses.again(),
+                };
                 // One line an outage, not one a call.
                 if !failing {
                     tracing::warn!("discovery: {e}");
@@ -130,8 +151,11 @@
                 connection = None;
                 // A new address is asked at once.
                 tokio::select! {
-                    Ok(()) = address.changed() => pauses.start_over(),
-                    () = sleep(pauses.again()) => {}
+                    Ok(()) = address.changed() => {
+                        urgent = Instant::now() + MOVING;
+                        pauses.start_over();
+                    }
+                    () = sleep(pause) => {}
                 }
             }
         }
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -80,3 +80,72 @@
     assert!(late > Duration::from_millis(1000), "over two seconds: {late:?}");
     assert!(early > Duration::from_millis(100), "not at once: ten had asked after {early:?}");
 }
+
+/// Reads one call for the list.
+async fn asked(stream: &mut tokio::net::TcpStream) {
+    let mut got = Vec::new();
+    while !got.ends_with(b"\r\n\r\n") {
+        assert!(stream.read_buf(&mut got).await.unwrap() > 0, "no call");
+    }
+}
+
+/// Guards against a sender of a large fleet that stays with a watch which fell silent: what that misses counts as told
+/// 2 s after its wait is over, and the pauses of a fleet are longer than that. Silent from the first moment, and in the
+/// middle of an answer.
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_is_opened_anew_in_time_whatever_the_fleet() {
+    for said in ["", "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"revision\""] {
+        for senders in [1, 300, 3000] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (_move, address) = watch::channel(listener.local_addr().unwrap());
+            let (host, mut heard) = unbounded_channel();
+            let pauses = Pauses::new(senders as u64, senders, Duration::from_secs(10));
+            let watching = tokio::spawn(watch(address, 7, pauses, host, Arc::default()));
+            let (mut silent, _) = listener.accept().await.unwrap();
+            asked(&mut silent).await;
+            let began = Instant::now();
+            silent.write_all(said.as_bytes()).await.unwrap();
+            let (mut stream, _) = listener.accept().await.unwrap();
+            asked(&mut stream).await;
+            let list = r#"{"revision":8,"complete":true,"members":[]}"#;
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            assert!(matches!(heard.recv().await, Some(Input::Targets(targets)) if targets.revision == 8));
+            let took = began.elapsed();
+            assert!(took < HOLD + Duration::from_millis(1500), "{senders} senders: {took:?}");
+            watching.abort();
+        }
+    }
+}
+
+/// Guards against a sender of a large fleet that waits out a pause at an address to which discovery has just moved:
+/// all come there at once, some are turned away, and all count as told 4 s later.
+#[tokio::test(start_paused = true)]
+async fn a_moved_discovery_that_is_busy_is_asked_again_in_time() {
+    for senders in [1, 300, 3000] {
+        let (old, new) = (
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        );
+        let (moves, address) = watch::channel(old.local_addr().unwrap());
+        let (host, mut heard) = unbounded_channel();
+        let pauses = Pauses::new(senders as u64, senders, Duration::from_secs(10));
+        let watching = tokio::spawn(watch(address, 7, pauses, host, Arc::default()));
+        let (mut before, _) = old.accept().await.unwrap();
+        asked(&mut before).await;
+        let began = Instant::now();
+        moves.send_replace(new.local_addr().unwrap());
+        let (mut busy, _) = new.accept().await.unwrap();
+        asked(&mut busy).await;
+        busy.write_all(BUSY.as_bytes()).await.unwrap();
+        let (mut stream, _) = new.accept().await.unwrap();
+        asked(&mut stream).await;
+        let list = r#"{"revision":8,"complete":true,"members":[]}"#;
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        assert!(heard.recv().await.is_some());
+        let took = began.elapsed();
+        assert!(took < Duration::from_secs(2), "{senders} senders: {took:?}");
+        watching.abort();
+    }
+}
