--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -149,3 +149,40 @@
         watching.abort();
     }
 }
+
+/// Guards against a watch from a revision that its service does not know: one that starts anew counts from less, and
+/// what it tells is followed down; what was cut off is asked for again from the last whole answer.
+#[tokio::test(start_paused = true)]
+async fn the_watch_goes_on_from_the_last_whole_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (_move, address) = watch::channel(listener.local_addr().unwrap());
+    let (host, mut heard) = unbounded_channel();
+    tokio::spawn(watch(address, 7, Pauses::new(1, 1, Duration::from_secs(10)), host, Arc::default()));
+    let whole = |revision: u64| format!(r#"{{"revision":{revision},"complete":true,"members":[]}}"#);
+    let answer =
+        |list: &str, length: usize| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{list}");
+    let (eight, nine, three) = (whole(8), whole(9), whole(3));
+    // Whole; cut off in the middle; of a service that counts anew.
+    let told = [
+        answer(&eight, eight.len()),
+        answer(&nine, nine.len() + 9),
+        answer(&three, three.len()),
+        String::new(),
+    ];
+    for (text, from) in told.iter().zip([7, 8, 8, 3]) {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut got = Vec::new();
+        while !got.ends_with(b"\r\n\r\n") {
+            assert!(stream.read_buf(&mut got).await.unwrap() > 0, "no call");
+        }
+        let first = String::from_utf8(got).unwrap();
+        assert!(first.starts_with(&format!("GET /api/targets?from={from}&")), "{first}");
+        // Each answer ends its connection: the next call comes on another one.
+        stream.write_all(text.as_bytes()).await.unwrap();
+    }
+    let revisions = [heard.recv().await, heard.recv().await].map(|input| match input {
+        Some(Input::Targets(targets)) => targets.revision,
+        _ => 0,
+    });
+    assert_eq!(revisions, [8, 3]);
+}
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -279,3 +279,34 @@
         within(async { tokio::join!(made(call_to(address, vec![b'x'; 64 << 20]), None), peer) }).await;
     assert_eq!((called.ends, kept), (vec![(1, Outcome::ConnectFailed, false)], false));
 }
+
+/// Guards against reading half a status line as anything: behind it an end or a reset is a reset that may have run,
+/// silence is a time-out, and no such connection carries another call.
+#[tokio::test]
+async fn half_a_status_line_is_no_answer() {
+    let (end, reset, silence) = (Outcome::Reset, Outcome::Reset, Outcome::TimedOut);
+    for (n, outcome) in [end, reset, silence].into_iter().enumerate() {
+        for half in ["H", "HTTP/1.1 20", "HTTP/1.1 200 OK\r\nContent-Le"] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let peer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                read_whole(&mut stream).await;
+                stream.write_all(half.as_bytes()).await.unwrap();
+                match n {
+                    0 => drop(stream),
+                    1 => {
+                        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+                        drop(stream);
+                    }
+                    // Until the call has been given up.
+                    _ => assert_eq!(stream.read(&mut [0]).await.unwrap_or(0), 0),
+                }
+            };
+            let patience = if n == 2 { Duration::from_millis(300) } else { Duration::from_secs(20) };
+            let call = Call { expires: Instant::now() + patience, ..call_to(address, "whole") };
+            let (((called, _), _, kept), ()) = within(async { tokio::join!(made(call, None), peer) }).await;
+            assert_eq!((called.ends, kept), (vec![(1, outcome, false)], false), "{half:?}, {n}");
+        }
+    }
+}
--- a/tests/sockets/restarts.rs
+++ b/tests/sockets/restarts.rs
@@ -312,3 +312,37 @@
 async fn what_is_left_untried_is_tried_at_a_lowered_limit() {
     untried(Partner::LowersLimit, false).await;
 }
+
+/// Guards against a second copy of what is handed in once more under its id, by a client whose answer was lost: while
+/// it is held, and by the process after a kill between taking on and that answer. Other ids are not held up.
+#[tokio::test]
+async fn the_same_id_is_taken_on_once() {
+    let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+    let mut node = Node::start(&platform, &[]).await;
+    for _ in 0..2 {
+        assert_eq!(node.hand_in("m1", "unsafe", "").await.status(), 202);
+    }
+    // Read whole by the sender, whose answer nobody reads.
+    let mut unheard = tokio::net::TcpStream::connect(node.address).await.unwrap();
+    let head = "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: m2\r\nX-Lane: unsafe\r\nX-Remaining: 30\r\n\
+                X-Envelope: dest=7\r\nContent-Length: 0\r\n\r\n";
+    tokio::io::AsyncWriteExt::write_all(&mut unheard, head.as_bytes()).await.unwrap();
+    node.figures_once(|figures| figures.get("pending") == 2.0).await;
+    node.kill();
+    let asked = platform.asked();
+    node.begin().await;
+    for id in ["m1", "m2"] {
+        assert_eq!(node.hand_in(id, "unsafe", "").await.status(), 202);
+    }
+    platform.asked_after(asked).await;
+    platform.tell(&[member("s-1", endpoint.address, "single", "SERVING")]);
+    let mut ids = Vec::new();
+    for _ in 0..2 {
+        let call = endpoint.call().await;
+        ids.push(call.id().to_owned());
+        call.ok();
+    }
+    ids.sort();
+    assert_eq!(ids, ["m1", "m2"]);
+    assert!(endpoint.quiet(Duration::from_millis(300)).await, "a second copy went out");
+}
--- a/tests/sockets/shutdown.rs
+++ b/tests/sockets/shutdown.rs
@@ -136,3 +136,34 @@
     assert_eq!((answer.expect("an answer").status(), in_order), (408, true));
     assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
 }
+
+/// Guards against a second SIGTERM, or a SIGHUP beside it, that ends the process before its calls have: in either order
+/// the call that is out comes to its end, and the process ends well.
+#[tokio::test]
+async fn other_signals_do_not_cut_an_end_short() {
+    for reload_first in [true, false] {
+        let (mut endpoint, platform) = (Peer::start().await, Platform::start().await);
+        let mut node = Node::start(&platform, &[member("s-1", endpoint.address, "single", "SERVING")]).await;
+        assert_eq!(node.hand_in("out", "unsafe", "").await.status(), 202);
+        let out = endpoint.call().await;
+        let same = node.config.to_string();
+        if reload_first {
+            node.reload(&same);
+        }
+        node.terminate();
+        winding_down(&node).await;
+        node.terminate();
+        if !reload_first {
+            node.reload(&same);
+        }
+        // The doors are shut, so both signals were there long before.
+        while TcpStream::connect(node.address).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        assert!(node.runs(), "the process waits for its call");
+        out.ok();
+        assert!(node.ends_well().await);
+        node.begin().await;
+        assert!(endpoint.quiet(Duration::from_millis(200)).await, "a delivered message went out again");
+    }
+}
