Have the new tests of calls and lists share what they build and read

Changed: tests only; call_to, made and within serve all calls, asked and list all lists; every assertion stays as it was.

--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -82,11 +82,18 @@
 }
 
 /// Reads one call for the list.
-async fn asked(stream: &mut tokio::net::TcpStream) {
+async fn asked(stream: &mut tokio::net::TcpStream) -> String {
     let mut got = Vec::new();
     while !got.ends_with(b"\r\n\r\n") {
         assert!(stream.read_buf(&mut got).await.unwrap() > 0, "no call");
     }
+    String::from_utf8(got).unwrap()
+}
+
+/// A whole list of that revision, which names nobody.
+fn list(revision: u64) -> String {
+    let list = format!(r#"{{"revision":{revision},"complete":true,"members":[]}}"#);
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())
 }
 
 /// Guards against a sender of a large fleet that stays with a watch which fell silent: what that misses counts as told
@@ -107,9 +114,7 @@
             silent.write_all(said.as_bytes()).await.unwrap();
             let (mut stream, _) = listener.accept().await.unwrap();
             asked(&mut stream).await;
-            let list = r#"{"revision":8,"complete":true,"members":[]}"#;
-            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
-            stream.write_all(answer.as_bytes()).await.unwrap();
+            stream.write_all(list(8).as_bytes()).await.unwrap();
             assert!(matches!(heard.recv().await, Some(Input::Targets(targets)) if targets.revision == 8));
             let took = began.elapsed();
             assert!(took < HOLD + Duration::from_millis(1500), "{senders} senders: {took:?}");
@@ -140,9 +145,7 @@
         busy.write_all(BUSY.as_bytes()).await.unwrap();
         let (mut stream, _) = new.accept().await.unwrap();
         asked(&mut stream).await;
-        let list = r#"{"revision":8,"complete":true,"members":[]}"#;
-        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
-        stream.write_all(answer.as_bytes()).await.unwrap();
+        stream.write_all(list(8).as_bytes()).await.unwrap();
         assert!(heard.recv().await.is_some());
         let took = began.elapsed();
         assert!(took < Duration::from_secs(2), "{senders} senders: {took:?}");
@@ -158,24 +161,12 @@
     let (_move, address) = watch::channel(listener.local_addr().unwrap());
     let (host, mut heard) = unbounded_channel();
     tokio::spawn(watch(address, 7, Pauses::new(1, 1, Duration::from_secs(10)), host, Arc::default()));
-    let whole = |revision: u64| format!(r#"{{"revision":{revision},"complete":true,"members":[]}}"#);
-    let answer =
-        |list: &str, length: usize| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{list}");
-    let (eight, nine, three) = (whole(8), whole(9), whole(3));
     // Whole; cut off in the middle; of a service that counts anew.
-    let told = [
-        answer(&eight, eight.len()),
-        answer(&nine, nine.len() + 9),
-        answer(&three, three.len()),
-        String::new(),
-    ];
+    let cut = list(9);
+    let told = [list(8), cut[..cut.len() - 9].to_owned(), list(3), String::new()];
     for (text, from) in told.iter().zip([7, 8, 8, 3]) {
         let (mut stream, _) = listener.accept().await.unwrap();
-        let mut got = Vec::new();
-        while !got.ends_with(b"\r\n\r\n") {
-            assert!(stream.read_buf(&mut got).await.unwrap() > 0, "no call");
-        }
-        let first = String::from_utf8(got).unwrap();
+        let first = asked(&mut stream).await;
         assert!(first.starts_with(&format!("GET /api/targets?from={from}&")), "{first}");
         // Each answer ends its connection: the next call comes on another one.
         stream.write_all(text.as_bytes()).await.unwrap();
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -64,44 +64,15 @@
         let address = listener.local_addr().unwrap();
         let peer = async {
             let (mut stream, _) = listener.accept().await.unwrap();
-            let mut got = Vec::new();
-            while !got.ends_with(b"whole") {
-                stream.read_buf(&mut got).await.unwrap();
-            }
+            read_whole(&mut stream).await;
             stream.write_all(answer.as_bytes()).await.unwrap();
         };
-        let parcel = Parcel { number: 1, id: "m1".to_owned(), idempotency_key: None, body: "whole".into() };
-        let call = Call {
-            number: 1,
-            endpoint: EndpointId(0),
-            address,
-            parcels: vec![parcel],
-            expires: Instant::now() + Duration::from_secs(20),
-            connect_timeout: Duration::from_secs(20),
-        };
         let kept = match fresh {
             true => None,
-            false => {
-                let open = Connection::open(address, Duration::from_secs(20)).await.unwrap();
-                Some((open, Duration::ZERO))
-            }
+            false => Some(Connection::open(address, Duration::from_secs(20)).await.unwrap()),
         };
-        let (to_host, mut host) = tokio::sync::mpsc::unbounded_channel();
-        let (_call_off, called_off) = oneshot::channel();
-        let allowing = async {
-            loop {
-                match host.recv().await {
-                    Some(Input::Connected { may_begin, .. }) => drop(may_begin.send(true)),
-                    Some(Input::Called(called)) => return called,
-                    _ => panic!("the call has not ended"),
-                }
-            }
-        };
-        let (_, called, ()) = tokio::join!(
-            call.run(kept, ReportFields { left: false, limit: false }, called_off, &to_host),
-            allowing,
-            peer
-        );
+        let (((called, _), ..), ()) =
+            within(async { tokio::join!(made(call_to(address, "whole"), kept), peer) }).await;
         assert_eq!(called.ends, [(1, outcome, false)], "new: {fresh}, {answer}");
     }
 }
@@ -180,8 +151,7 @@
         drop(to_host);
         connection.is_some()
     };
-    let (kept, (called, asked)) =
-        timeout(Duration::from_secs(20), async { tokio::join!(making, hosting) }).await.unwrap();
+    let (kept, (called, asked)) = within(async { tokio::join!(making, hosting) }).await;
     (called, asked, kept)
 }
 
@@ -198,19 +168,14 @@
 async fn a_call_goes_past_a_connection_that_closes_as_it_is_taken() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let kept = Connection::open(address, Duration::from_secs(20)).await.unwrap();
-    let (first, _) = listener.accept().await.unwrap();
-    let mut first = first;
-    let (mut kept, ()) = {
-        let mut kept = kept;
-        let peer = async {
-            read_whole(&mut first).await;
-            first.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
-        };
-        let (answer, ()) = tokio::join!(kept.send(post(address), "whole".into()), peer);
-        answer.unwrap().into_body().collect().await.unwrap();
-        (kept, ())
+    let mut kept = Connection::open(address, Duration::from_secs(20)).await.unwrap();
+    let (mut first, _) = listener.accept().await.unwrap();
+    let peer = async {
+        read_whole(&mut first).await;
+        first.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
     };
+    let (answer, ()) = tokio::join!(kept.send(post(address), "whole".into()), peer);
+    answer.unwrap().into_body().collect().await.unwrap();
     assert!(kept.is_alive().await);
     // No turn of the runtime lies between the close and the call.
     drop(first.into_std().unwrap());
--- a/tests/sockets/restarts.rs
+++ b/tests/sockets/restarts.rs
@@ -1,6 +1,7 @@
 //! Kills and planned restarts.
 use super::world::*;
 use serde_json::json;
+use std::collections::BTreeSet;
 use std::io::Write;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -225,7 +226,7 @@
     let (mut endpoint, mut platform) = (Peer::start().await, Platform::start().await);
     let mut node = Node::start(&platform, &[]).await;
     let classes = ["unsafe", "keyed", "ordered"];
-    let mut owed = std::collections::BTreeSet::new();
+    let mut owed = BTreeSet::new();
     // One under what a full house sheds for.
     for n in 0..47 {
         let id = format!("m{n}");
@@ -253,7 +254,7 @@
     // The list names their partner only now.
     platform.asked_after(asked).await;
     platform.tell(&[member("s-1", endpoint.address, "single", "SERVING")]);
-    let (mut tried, mut delivered) = (std::collections::BTreeSet::new(), std::collections::BTreeSet::new());
+    let (mut tried, mut delivered) = (BTreeSet::new(), BTreeSet::new());
     let (mut calls, mut hung) = (0, Vec::new());
     let least = owed.len() - if matches!(partner, Partner::Hangs) { 2 } else { 0 };
     while !owed.is_subset(&tried) || owed.intersection(&delivered).count() < least {
