Have restart tests wait for the first process's call for the list before they end it

Cause, in the test: calls for the list are counted, and one by the process about to be killed may be counted after the count was read, so that the list was told to a watch whose process had gone. Ruled out: the sender, whose watch was out unanswered ("discovery: no answer" 6 s later). Changed: both tests wait for the first process's call before they end it; no assertion is touched.

--- a/tests/sockets/restarts.rs
+++ b/tests/sockets/restarts.rs
@@ -233,6 +233,8 @@
         assert_eq!(node.hand_in(&id, classes[n % 3], &format!("key{}", n % 9)).await.status(), 202);
         owed.insert(id);
     }
+    // Its own call for the list has come, so that the next one is the next process's.
+    platform.asked_after(0).await;
     if planned {
         node.terminate();
         assert!(node.ends_well().await);
@@ -329,6 +331,8 @@
                 X-Envelope: dest=7\r\nContent-Length: 0\r\n\r\n";
     tokio::io::AsyncWriteExt::write_all(&mut unheard, head.as_bytes()).await.unwrap();
     node.figures_once(|figures| figures.get("pending") == 2.0).await;
+    // Its own call for the list has come, so that the next one is the next process's.
+    platform.asked_after(0).await;
     node.kill();
     let asked = platform.asked();
     node.begin().await;
