--- /dev/null
+++ b/system/operator-config/tests/config/main.rs
@@ -0,0 +1,6 @@
+//! The operator's configuration.
+
+mod properties;
+mod reading;
+mod routing;
+mod samples;
