--- /dev/null
+++ b/system/peer-wire/src/server.rs
@@ -0,0 +1,232 @@
+//! Answering calls.
+
+use crate::codec::{WireError, decode, encode};
+use crate::framing::{framing, hello, keep_alive, read_hello, tune, write_frames};
+use bytes::Bytes;
+use fleet_model::{Answer, Call, Frame, Push};
+use futures_util::{Stream, StreamExt};
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::{JoinSet, spawn_local};
+use tokio_util::codec::FramedRead;
+
+/// A connection without a hello is closed after so long.
+const HELLO_PATIENCE: Duration = Duration::from_secs(2);
+
+/// How many calls of one connection are worked on at once; further ones wait in the socket.
+const CALLS_AT_ONCE: usize = 256;
+
+/// How many frames wait to be written on one connection.
+const QUEUE_FRAMES: usize = 512;
+
+/// How many bytes of pushes wait to be written on one connection; a single push may be longer.
+const QUEUE_PUSH_BYTES: usize = 4 << 20;
+
+/// How long no connection is taken in after that failed, as when files have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a process does with calls.
+pub trait Handler: 'static {
+    /// The answer to a call; `pusher` sends pushes on the call's connection. Runs to its end also if the caller leaves.
+    fn call(&self, from: SocketAddr, call: Call, pusher: Pusher) -> impl Future<Output = Answer>;
+}
+
+/// A push in the form in which it is sent: for many subscribers it is encoded once.
+#[derive(Clone, Debug)]
+pub struct PreparedPush(Bytes);
+
+impl PreparedPush {
+    /// Encodes the push.
+    pub fn new(push: &Push) -> Result<Self, WireError> {
+        encode(&Frame::Push(push.clone())).map(Self)
+    }
+
+    /// Its length.
+    #[expect(clippy::len_without_is_empty, reason = "no frame is empty")]
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+}
+
+/// Sends pushes on one connection, in the order in which they are given.
+#[derive(Clone, Debug)]
+pub struct Pusher {
+    queue: mpsc::Sender<Outgoing>,
+    waiting: Rc<Cell<usize>>,
+}
+
+/// A frame that is to be written, and how many bytes of it count as waiting pushes.
+#[derive(Debug)]
+struct Outgoing {
+    frame: Bytes,
+    push_bytes: usize,
+}
+
+impl Pusher {
+    /// Queues a push. `false`: it is not sent, since the link is full or gone, or the push is too long.
+    pub fn try_push(&self, push: &Push) -> bool {
+        match PreparedPush::new(push) {
+            Ok(push) => self.try_send(&push),
+            Err(error) => {
+                log::error!("a push cannot be sent: {error}");
+                false
+            }
+        }
+    }
+
+    /// As [`Pusher::try_push`], with a push that is encoded already.
+    pub fn try_send(&self, push: &PreparedPush) -> bool {
+        let (waiting, push_bytes) = (self.waiting.get(), push.len());
+        if waiting > 0 && waiting + push_bytes > QUEUE_PUSH_BYTES {
+            return false;
+        }
+        let queued = self.queue.try_send(Outgoing { frame: push.0.clone(), push_bytes }).is_ok();
+        if queued {
+            self.waiting.set(waiting + push_bytes);
+        }
+        queued
+    }
+
+    /// Whether the connection is gone.
+    pub fn is_closed(&self) -> bool {
+        self.queue.is_closed()
+    }
+
+    /// Waits until the connection is gone.
+    pub async fn closed(&self) {
+        self.queue.closed().await;
+    }
+}
+
+/// Takes connections in and hands their calls to a [`Handler`]. Clones share the handler and the count of strangers.
+#[derive(Debug)]
+pub struct PeerServer<H> {
+    fleet: u16,
+    handler: Rc<H>,
+    strangers: Rc<Cell<u64>>,
+}
+
+impl<H> Clone for PeerServer<H> {
+    fn clone(&self) -> Self {
+        Self { fleet: self.fleet, handler: self.handler.clone(), strangers: self.strangers.clone() }
+    }
+}
+
+/// Why a connection ended.
+enum End {
+    /// The other side left, or the network failed.
+    Gone,
+    /// It is none of the fleet, or does not speak as one.
+    Stranger(String),
+}
+
+impl From<io::Error> for End {
+    fn from(error: io::Error) -> Self {
+        // The framing tells of too long a frame in this way.
+        match error.kind() {
+            io::ErrorKind::InvalidData => Self::Stranger(error.to_string()),
+            _ => Self::Gone,
+        }
+    }
+}
+
+impl<H: Handler> PeerServer<H> {
+    /// A server for members of this fleet.
+    pub fn new(fleet: u16, handler: Rc<H>) -> Self {
+        Self { fleet, handler, strangers: Rc::default() }
+    }
+
+    /// How many connections were closed since they were none of the fleet's: another hello, or none within 2 s, or bytes
+    /// that are no calls.
+    pub fn strangers(&self) -> u64 {
+        self.strangers.get()
+    }
+
+    /// Serves until it is dropped, and then closes the connections. Has to run within a `LocalSet`.
+    pub async fn serve(&self, listener: TcpListener) {
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, from)) => {
+                        let server = self.clone();
+                        connections.spawn_local(async move { server.connection(stream, from).await });
+                    }
+                    Err(error) => {
+                        log::warn!("no connection could be taken in: {error}");
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                    }
+                },
+                Some(_) = connections.join_next() => {}
+            }
+        }
+    }
+
+    async fn connection(&self, stream: TcpStream, from: SocketAddr) {
+        if let Err(End::Stranger(why)) = self.converse(stream, from).await {
+            self.strangers.set(self.strangers.get() + 1);
+            log::warn!("closed the connection of a stranger at {from}: {why}");
+        }
+    }
+
+    async fn converse(&self, mut stream: TcpStream, from: SocketAddr) -> Result<(), End> {
+        tune(&stream)?;
+        keep_alive(&stream)?;
+        match tokio::time::timeout(HELLO_PATIENCE, read_hello(&mut stream, self.fleet)).await {
+            Ok(Ok(true)) => {}
+            Ok(Ok(false)) => return Err(End::Stranger("another hello".into())),
+            Ok(Err(error)) => return Err(error.into()),
+            Err(_) => return Err(End::Stranger("no hello".into())),
+        }
+        stream.write_all(&hello(self.fleet)).await?;
+        let (reader, writer) = stream.into_split();
+        let (queue, outgoing) = mpsc::channel(QUEUE_FRAMES);
+        let pusher = Pusher { queue, waiting: Rc::default() };
+        let waiting = pusher.waiting.clone();
+        tokio::select! {
+            end = self.read_calls(FramedRead::new(reader, framing()), from, pusher) => end,
+            written = write_frames(writer, outgoing, |next: Outgoing| {
+                waiting.set(waiting.get() - next.push_bytes);
+                next.frame
+            }) => Ok(written?),
+        }
+    }
+
+    async fn read_calls(
+        &self,
+        mut frames: impl Stream<Item = io::Result<bytes::BytesMut>> + Unpin,
+        from: SocketAddr,
+        pusher: Pusher,
+    ) -> Result<(), End> {
+        let permits = Arc::new(Semaphore::new(CALLS_AT_ONCE));
+        while let Some(bytes) = frames.next().await {
+            let (number, call) = match decode(&bytes?) {
+                Ok(Frame::Call(number, call)) => (number, call),
+                Ok(_) => return Err(End::Stranger("a frame that is no call".into())),
+                Err(error) => return Err(End::Stranger(error.to_string())),
+            };
+            let permit = permits.clone().acquire_owned().await.expect("never closed");
+            let (handler, pusher) = (self.handler.clone(), pusher.clone());
+            spawn_local(async move {
+                let answer = handler.call(from, call, pusher.clone()).await;
+                let frame = encode(&Frame::Answer(number, answer)).or_else(|error| {
+                    log::error!("an answer cannot be sent: {error}");
+                    encode(&Frame::Answer(number, Answer::Unready))
+                });
+                if let Ok(frame) = frame {
+                    // Fails if the caller is gone.
+                    let _ = pusher.queue.send(Outgoing { frame, push_bytes: 0 }).await;
+                }
+                drop(permit);
+            });
+        }
+        Ok(())
+    }
+}
