Keep turns and accounts on fjall, decided without I/O or clock

Need: turns outlive the loss of t machines, accounts are never over their bound. Change: the store's decisions, filling from others, records with checksums, a writer that commits in groups.

--- /dev/null
+++ b/system/turn-store/src/disk.rs
@@ -0,0 +1,331 @@
+//! Records in named keyspaces on fjall, each value framed with a format version and a checksum.
+
+use bytes::Bytes;
+use fjall::compaction::Leveled;
+use fjall::{Database, Keyspace, KeyspaceCreateOptions, KvSeparationOptions, PersistMode};
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+#[cfg(test)]
+mod tests;
+
+const RECORD_VERSION: u8 = 1;
+const FORMAT: u8 = 1;
+const FRAME_BYTES: usize = 5;
+const CACHE_BYTES: u64 = 4 << 20;
+const JOURNAL_BYTES: u64 = 64 << 20;
+/// Files of keys are written from memory when they are merged: their size bounds what that takes.
+const TABLE_BYTES: u64 = 4 << 20;
+/// Values from this size on are kept apart from their keys, and stay where they are when keys are merged.
+const LARGE_BYTES: u32 = 1 << 10;
+const OPEN_FILES: usize = 64;
+/// Longest key; fjall itself takes up to 65,535 bytes.
+const KEY_BYTES: usize = 16 << 10;
+const OWN: &str = "own";
+const ASIDE: &str = "aside";
+const NUMBER_KEY: &[u8] = b"number";
+const FORMAT_KEY: &[u8] = b"format";
+
+/// A keyspace to be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Space {
+    /// Its name; `own` and `aside` are taken.
+    pub name: &'static str,
+    /// How much of it is gathered in memory before it goes to a file of its own.
+    pub memtable_bytes: u64,
+}
+
+/// One record to be put or removed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// The keyspace.
+    pub space: &'static str,
+    /// The key, not empty.
+    pub key: Vec<u8>,
+    /// The value; `None` removes the record.
+    pub value: Option<Bytes>,
+}
+
+impl Write {
+    /// Put a record.
+    pub fn put(space: &'static str, key: impl Into<Vec<u8>>, value: impl Into<Bytes>) -> Self {
+        Self { space, key: key.into(), value: Some(value.into()) }
+    }
+
+    /// Remove a record.
+    pub fn remove(space: &'static str, key: impl Into<Vec<u8>>) -> Self {
+        Self { space, key: key.into(), value: None }
+    }
+}
+
+/// A record that cannot be taken for truth.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Damage {
+    /// Its keyspace.
+    pub space: &'static str,
+    /// Its key; empty where the keyspace could not be read on from some place.
+    pub key: Vec<u8>,
+    /// What is wrong.
+    pub what: String,
+}
+
+/// Why a disk cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum DiskError {
+    /// The folder or its files.
+    #[error("{}: {source}", path.display())]
+    Folder {
+        /// The place.
+        path: PathBuf,
+        /// What failed.
+        source: std::io::Error,
+    },
+    /// The engine.
+    #[error("storage engine: {0}")]
+    Engine(#[from] fjall::Error),
+    /// The folder was written in another format.
+    #[error("the folder has format {found}, this program knows format {FORMAT}")]
+    Format {
+        /// Its format.
+        found: u8,
+    },
+    /// The folder's own records are damaged.
+    #[error("the folder's own record `{record}` is damaged: {what}")]
+    Own {
+        /// Which one.
+        record: &'static str,
+        /// What is wrong.
+        what: String,
+    },
+    /// A record is damaged.
+    #[error("damaged record: {0}")]
+    Damaged(String),
+    /// There is no such keyspace.
+    #[error("no keyspace `{0}`")]
+    NoSpace(&'static str),
+    /// The key is empty or too long.
+    #[error("a key of {0} bytes")]
+    Key(usize),
+}
+
+/// A folder of records.
+pub struct Disk {
+    db: Database,
+    spaces: BTreeMap<&'static str, Keyspace>,
+    number: u64,
+}
+
+impl std::fmt::Debug for Disk {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Disk").field("number", &self.number).finish_non_exhaustive()
+    }
+}
+
+impl Disk {
+    /// Open the folder, or make it: then it gets the number that `draw` gives. It is made under another name and renamed
+    /// when all is synced, so that a half-made one is never taken for a disk.
+    pub fn open(dir: &Path, spaces: &[Space], draw: impl FnOnce() -> u64) -> Result<Self, DiskError> {
+        let (made, half) = (dir.join("records"), dir.join("records.new"));
+        if !made.try_exists().map_err(at(&made))? {
+            fs::create_dir_all(dir).map_err(at(dir))?;
+            if half.try_exists().map_err(at(&half))? {
+                fs::remove_dir_all(&half).map_err(at(&half))?;
+            }
+            Self::create(&half, spaces, draw())?;
+            fs::rename(&half, &made).map_err(at(&made))?;
+            sync_folder(dir)?;
+            if let Some(parent) = dir.canonicalize().map_err(at(dir))?.parent() {
+                sync_folder(parent)?;
+            }
+        }
+        let mut disk = Self::open_engine(&made, spaces)?;
+        match disk.own("format", FORMAT_KEY)?.as_slice() {
+            [FORMAT] => {}
+            [found] => return Err(DiskError::Format { found: *found }),
+            _ => return Err(DiskError::Own { record: "format", what: "another length".into() }),
+        }
+        let number = disk.own("number", NUMBER_KEY)?;
+        let number =
+            number.try_into().map_err(|_| DiskError::Own { record: "number", what: "length".into() })?;
+        disk.number = u64::from_be_bytes(number);
+        Ok(disk)
+    }
+
+    fn create(path: &Path, spaces: &[Space], number: u64) -> Result<(), DiskError> {
+        let disk = Self::open_engine(path, spaces)?;
+        let number = Bytes::copy_from_slice(&number.to_be_bytes());
+        disk.write(&[Write::put(OWN, FORMAT_KEY, vec![FORMAT]), Write::put(OWN, NUMBER_KEY, number)])?;
+        disk.db.persist(PersistMode::SyncAll)?;
+        drop(disk);
+        sync_folder(path)
+    }
+
+    fn open_engine(path: &Path, spaces: &[Space]) -> Result<Self, DiskError> {
+        let db = Database::builder(path)
+            .cache_size(CACHE_BYTES)
+            .max_journaling_size(JOURNAL_BYTES)
+            .max_cached_files(Some(OPEN_FILES))
+            .worker_threads(1)
+            .open()?;
+        let own = [OWN, ASIDE].map(|name| Space { name, memtable_bytes: 64 << 10 });
+        let large =
+            KvSeparationOptions::default().separation_threshold(LARGE_BYTES).file_target_size(TABLE_BYTES);
+        let mut opened = BTreeMap::new();
+        for space in own.iter().chain(spaces) {
+            let options = || {
+                KeyspaceCreateOptions::default()
+                    .max_memtable_size(space.memtable_bytes)
+                    .compaction_strategy(Arc::new(Leveled::default().with_table_target_size(TABLE_BYTES)))
+                    .with_kv_separation(Some(large.clone()))
+            };
+            opened.insert(space.name, db.keyspace(space.name, options)?);
+        }
+        Ok(Self { db, spaces: opened, number: 0 })
+    }
+
+    fn own(&self, record: &'static str, key: &[u8]) -> Result<Vec<u8>, DiskError> {
+        match self.get(OWN, key) {
+            Ok(Some(value)) => Ok(value),
+            Ok(None) => Err(DiskError::Own { record, what: "it is missing".into() }),
+            Err(DiskError::Damaged(what)) => Err(DiskError::Own { record, what }),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// The number that was drawn when the folder was made.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    fn space(&self, name: &'static str) -> Result<&Keyspace, DiskError> {
+        self.spaces.get(name).ok_or(DiskError::NoSpace(name))
+    }
+
+    /// The value of a record, checked.
+    pub fn get(&self, space: &'static str, key: &[u8]) -> Result<Option<Vec<u8>>, DiskError> {
+        check_key(key)?;
+        match self.space(space)?.get(key)? {
+            None => Ok(None),
+            Some(framed) => {
+                unframe(key, &framed).map(|value| Some(value.to_vec())).map_err(DiskError::Damaged)
+            }
+        }
+    }
+
+    /// Pass over the records of a keyspace by key. Those that are damaged, or that `visit` refuses, are told.
+    pub fn scan(
+        &self,
+        space: &'static str,
+        mut visit: impl FnMut(&[u8], &[u8]) -> Result<(), String>,
+    ) -> Result<Vec<Damage>, DiskError> {
+        let mut damages = Vec::new();
+        for guard in self.space(space)?.iter() {
+            match guard.into_inner() {
+                Ok((key, framed)) => {
+                    if let Err(what) = unframe(&key, &framed).and_then(|value| visit(&key, value)) {
+                        damages.push(Damage { space, key: key.to_vec(), what });
+                    }
+                }
+                Err(error) => {
+                    damages.push(Damage { space, key: Vec::new(), what: error.to_string() });
+                    break;
+                }
+            }
+        }
+        Ok(damages)
+    }
+
+    /// Move damaged records out of the way, as they are, together with other writes; synced.
+    pub fn set_aside(&self, damages: &[Damage], writes: &[Write]) -> Result<(), DiskError> {
+        let aside = self.space(ASIDE)?;
+        let mut batch = self.db.batch().durability(Some(PersistMode::SyncData));
+        for damage in damages {
+            log::error!("damaged record in {}: {}", damage.space, damage.what);
+            if damage.key.is_empty() {
+                continue;
+            }
+            let space = self.space(damage.space)?;
+            if let Some(raw) = space.get(&damage.key)? {
+                batch.insert(aside, [damage.space.as_bytes(), b"/", &damage.key].concat(), raw);
+                batch.remove(space, damage.key.as_slice());
+            }
+        }
+        self.add(&mut batch, writes)?;
+        Ok(batch.commit()?)
+    }
+
+    /// Write all of these or none, and sync them. Of two writes of one key the later counts.
+    pub fn write(&self, writes: &[Write]) -> Result<(), DiskError> {
+        let mut batch = self.db.batch().durability(Some(PersistMode::SyncData));
+        self.add(&mut batch, writes)?;
+        Ok(batch.commit()?)
+    }
+
+    fn add(&self, batch: &mut fjall::OwnedWriteBatch, writes: &[Write]) -> Result<(), DiskError> {
+        let mut last = BTreeMap::new();
+        for write in writes {
+            check_key(&write.key)?;
+            last.insert((write.space, write.key.as_slice()), write.value.as_ref());
+        }
+        for ((space, key), value) in last {
+            match value {
+                Some(value) => batch.insert(self.space(space)?, key, frame(key, value)),
+                None => batch.remove(self.space(space)?, key),
+            }
+        }
+        Ok(())
+    }
+
+    /// Sync what was written.
+    pub fn sync(&self) -> Result<(), DiskError> {
+        Ok(self.db.persist(PersistMode::SyncData)?)
+    }
+
+    /// Bytes that the folder takes.
+    pub fn bytes(&self) -> Result<u64, DiskError> {
+        Ok(self.db.disk_space()?)
+    }
+}
+
+fn check_key(key: &[u8]) -> Result<(), DiskError> {
+    if key.is_empty() || key.len() > KEY_BYTES { Err(DiskError::Key(key.len())) } else { Ok(()) }
+}
+
+fn checksum(key: &[u8], value: &[u8]) -> [u8; 4] {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&[RECORD_VERSION]);
+    hasher.update(key);
+    hasher.update(value);
+    hasher.finalize().to_le_bytes()
+}
+
+fn frame(key: &[u8], value: &[u8]) -> Vec<u8> {
+    let mut framed = Vec::with_capacity(FRAME_BYTES + value.len());
+    framed.push(RECORD_VERSION);
+    framed.extend(checksum(key, value));
+    framed.extend(value);
+    framed
+}
+
+fn unframe<'a>(key: &[u8], framed: &'a [u8]) -> Result<&'a [u8], String> {
+    let Some((head, value)) = framed.split_first_chunk::<FRAME_BYTES>() else {
+        return Err("cut short".into());
+    };
+    if head[0] != RECORD_VERSION {
+        return Err(format!("version {} of a record", head[0]));
+    }
+    if head[1..] != checksum(key, value) {
+        return Err("wrong checksum".into());
+    }
+    Ok(value)
+}
+
+fn at(path: &Path) -> impl FnOnce(std::io::Error) -> DiskError + use<'_> {
+    move |source| DiskError::Folder { path: path.to_owned(), source }
+}
+
+fn sync_folder(path: &Path) -> Result<(), DiskError> {
+    File::open(path).and_then(|folder| folder.sync_all()).map_err(at(path))
+}
--- /dev/null
+++ b/system/turn-store/src/lib.rs
@@ -0,0 +1,17 @@
+//! What a storage machine keeps: immutable turns and the accounts of programs.
+//!
+//! [`StoreState`] decides, without I/O and with the time passed in: one call in, one answer and the writes that belong
+//! to it out. [`Filling`] is the asker's side of filling a store from others. [`Disk`] and [`Writer`] keep records on
+//! fjall, synced in groups; they know nothing of turns and serve other keepers of records too. [`load`] joins the two.
+
+mod disk;
+mod filling;
+mod records;
+mod state;
+mod writer;
+
+pub use disk::{Damage, Disk, DiskError, Space, Write};
+pub use filling::Filling;
+pub use records::{ACCOUNTS, FillRecord, HOLDERS, Kept, KeptTurn, SPACES, STATE, TURNS, load};
+pub use state::{Bodies, Body, Durability, Outcome, StoreState};
+pub use writer::{Completion, WriteFailed, Writer};
