--- /dev/null
+++ b/system/request-routing/src/endpoint.rs
@@ -0,0 +1,321 @@
+//! What is known of one incarnation of an endpoint, and what it may be sent.
+
+use crate::types::*;
+use fleet_model::EndpointState;
+use micadrum::{Outcome, Span, Time};
+use std::sync::Arc;
+
+/// Told load counts half after this, in microseconds.
+const LOAD_HALF_LIFE: f64 = 300_000.0;
+/// First time for which a refusal as full closes an endpoint; it doubles while refusals go on.
+const CLOSED: u64 = 30_000;
+/// Most such doublings: up to 480 ms.
+const CLOSED_DOUBLINGS: u32 = 4;
+/// Chance adds up to this share.
+const CLOSED_JITTER: f64 = 0.25;
+/// Attempts in a row without a usable answer that eject an endpoint; a connection not made counts for more.
+const EJECTING: u32 = 4;
+/// Weight of one more connection that was not made.
+const NO_CONNECTION: u32 = 2;
+/// First time for which an endpoint is ejected.
+const EJECTED: u64 = 200_000;
+/// The longest.
+const MOST_EJECTED: u64 = 5_000_000;
+/// A failure counts in the choice for this long.
+const RECENT: u64 = 1_000_000;
+/// Weight of one more time to the first byte in its mean.
+const LEARN: f64 = 0.2;
+/// What was learned of an endpoint's pace counts half after this, in microseconds.
+const PACE_HALF_LIFE: f64 = 5_000_000.0;
+
+/// Whether the list has it, and how.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Presence {
+    Ready,
+    /// Once draining it stays so: an endpoint that is leaving does not come back under its name.
+    Draining,
+    Unlisted,
+}
+
+/// Whether its attempts fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Health {
+    /// In use, after so many failures in a row.
+    In(u32),
+    /// Out of use until then, for the n-th time; after that one call tries it.
+    Ejected { until: Time, times: u32 },
+    /// That call is out.
+    Trial { times: u32 },
+}
+
+/// What the service's terms and the number of proxies make of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Bounds {
+    pub engine: bool,
+    pub proxies: u32,
+    /// Connections of this proxy to one endpoint.
+    pub connections: u32,
+    pub default_slots: u32,
+}
+
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub key: EndpointKey,
+    pub listed: fleet_model::Endpoint,
+    pub instance_id: Arc<str>,
+    /// Hash of the incarnation's id, for ranks.
+    pub hash: u64,
+    pub presence: Presence,
+    pub out: u32,
+    pub connections: u32,
+    misdirected: bool,
+    health: Health,
+    failed_at: Option<Time>,
+    closed_until: Time,
+    refusals: u32,
+    /// Calls of others that it told, and when.
+    told: (f64, Time),
+    /// Mean time to the first byte, and when it was last learned.
+    pace: (f64, Time),
+}
+
+impl Endpoint {
+    pub fn new(key: EndpointKey, listed: &fleet_model::Endpoint) -> Endpoint {
+        Endpoint {
+            key,
+            instance_id: Arc::from(listed.instance_id.as_str()),
+            hash: crate::service::hash(listed.instance_id.as_bytes()),
+            presence: presence(listed),
+            listed: listed.clone(),
+            out: 0,
+            connections: 0,
+            misdirected: false,
+            health: Health::In(0),
+            failed_at: None,
+            closed_until: Time(0),
+            refusals: 0,
+            told: (0.0, Time(0)),
+            pace: (0.0, Time(0)),
+        }
+    }
+
+    /// Takes what the list says of this incarnation now.
+    pub fn list(&mut self, listed: &fleet_model::Endpoint) {
+        if self.presence != Presence::Draining {
+            self.presence = presence(listed);
+        }
+        if self.listed != *listed {
+            self.misdirected = false;
+            self.listed = listed.clone();
+        }
+    }
+
+    pub fn slots(&self, bounds: &Bounds) -> u32 {
+        if self.listed.capacity_slots > 0 { self.listed.capacity_slots } else { bounds.default_slots.max(1) }
+    }
+
+    /// Calls there: this proxy's, and those of others as far as told.
+    pub fn load(&self, now: Time) -> f64 {
+        f64::from(self.out) + self.others(now)
+    }
+
+    fn others(&self, now: Time) -> f64 {
+        let (calls, at) = self.told;
+        if calls <= 0.0 { 0.0 } else { calls * (-(now.since(at) as f64) / LOAD_HALF_LIFE).exp2() }
+    }
+
+    /// Calls of this proxy that it may have.
+    pub fn limit(&self, bounds: &Bounds, load: f64) -> u32 {
+        let slots = self.slots(bounds);
+        let calls = if bounds.engine {
+            slots
+        } else if load >= f64::from(slots) {
+            (slots + 2).min((2 * slots).div_ceil(bounds.proxies).max(2))
+        } else {
+            slots + 2
+        };
+        calls.min(bounds.connections)
+    }
+
+    /// Whether it takes new calls but for those that it has, its refusals and failures.
+    pub fn in_service(&self) -> bool {
+        self.presence == Presence::Ready && !self.misdirected
+    }
+
+    /// Closed by a refusal.
+    pub fn closed(&self, now: Time) -> bool {
+        now < self.closed_until
+    }
+
+    /// Ejected, or its one trial is out.
+    pub fn ejected(&self, now: Time) -> bool {
+        match self.health {
+            Health::In(_) => false,
+            Health::Ejected { until, .. } => now < until,
+            Health::Trial { .. } => true,
+        }
+    }
+
+    /// It has been ejected and has not proved itself since.
+    pub fn unproven(&self) -> bool {
+        !matches!(self.health, Health::In(_))
+    }
+
+    /// When it is usable again as far as refusals and failures go.
+    pub fn opens(&self, now: Time) -> Time {
+        let back = match self.health {
+            Health::Ejected { until, .. } => until,
+            Health::In(_) | Health::Trial { .. } => now,
+        };
+        back.max(self.closed_until).max(now)
+    }
+
+    /// What its recent failures add to its load, in shares of its slots.
+    pub fn penalty(&self, now: Time) -> f64 {
+        match (self.health, self.failed_at) {
+            (Health::In(failures), Some(at)) if now.since(at) < RECENT => 0.5 * f64::from(failures),
+            _ => 0.0,
+        }
+    }
+
+    /// Its time to the first byte against its service's mean; 1 unless it is much slower.
+    pub fn slowness(&self, now: Time, mean: f64) -> f64 {
+        let (pace, at) = self.pace;
+        if pace <= 0.0 || mean <= 0.0 {
+            return 1.0;
+        }
+        let kept = (-(now.since(at) as f64) / PACE_HALF_LIFE).exp2();
+        let ratio = 1.0 + (pace / mean - 1.0) * kept;
+        if ratio > 1.5 { ratio.min(3.0) } else { 1.0 }
+    }
+
+    /// A new connection is within this proxy's share; calls that have none yet are opening theirs.
+    pub fn may_open(&self, bounds: &Bounds) -> bool {
+        self.connections.max(self.out) < bounds.connections
+    }
+
+    /// A call goes there.
+    pub fn send(&mut self) {
+        self.out += 1;
+        if let Health::Ejected { times, .. } = self.health {
+            self.health = Health::Trial { times };
+        }
+    }
+
+    pub fn misdirect(&mut self) {
+        self.misdirected = true;
+    }
+
+    pub fn tell(&mut self, now: Time, load: ServerLoad) {
+        let calls = load.running.saturating_add(load.waiting).saturating_sub(self.out);
+        self.told = (f64::from(calls), now);
+    }
+
+    /// Takes the end of one of its calls. `may_eject` is whether its service can do without it, `chance` is within
+    /// 0 and 1.
+    pub fn end(
+        &mut self,
+        now: Time,
+        outcome: Outcome,
+        elapsed: Span,
+        bounds: &Bounds,
+        may_eject: bool,
+        chance: f64,
+    ) {
+        self.out = self.out.saturating_sub(1);
+        match outcome {
+            Outcome::Success => {
+                self.health = Health::In(0);
+                self.refusals = 0;
+                let (pace, _) = self.pace;
+                let took = elapsed.0 as f64;
+                self.pace = (if pace > 0.0 { pace + LEARN * (took - pace) } else { took }, now);
+            }
+            // It answers, so it is there.
+            Outcome::Full(told) => {
+                self.health = Health::In(0);
+                self.refuse(now, told, chance);
+                let missing = f64::from(self.slots(bounds)) - self.load(now);
+                if missing > 0.0 {
+                    self.told = (self.others(now) + missing, now);
+                }
+            }
+            Outcome::NoRoom => {
+                self.trial_over(now);
+                self.refuse(now, None, chance);
+            }
+            Outcome::ConnectFailed => self.fail(now, NO_CONNECTION, may_eject),
+            Outcome::Reset | Outcome::TimedOut | Outcome::Failure => self.fail(now, 1, may_eject),
+            Outcome::Cancelled | Outcome::Void => self.trial_over(now),
+        }
+    }
+
+    /// A trial that told nothing: another may go.
+    fn trial_over(&mut self, now: Time) {
+        if let Health::Trial { times } = self.health {
+            self.health = Health::Ejected { until: now, times };
+        }
+    }
+
+    /// Closes it for all messages. Refusals that arrive while it is closed are of calls sent before: they count once.
+    fn refuse(&mut self, now: Time, told: Option<Span>, chance: f64) {
+        if let Some(wait) = told {
+            self.closed_until = self.closed_until.max(now.after(wait.0 as f64));
+        } else if !self.closed(now) {
+            let wait = (CLOSED << self.refusals.min(CLOSED_DOUBLINGS)) as f64;
+            self.closed_until = now.after(wait * (1.0 + CLOSED_JITTER * chance));
+            self.refusals += 1;
+        }
+    }
+
+    fn fail(&mut self, now: Time, weight: u32, may_eject: bool) {
+        self.failed_at = Some(now);
+        let eject = |times: u32| Health::Ejected {
+            until: now.after((EJECTED << (times - 1).min(10)).min(MOST_EJECTED) as f64),
+            times,
+        };
+        self.health = match self.health {
+            Health::In(failures) if failures + weight >= EJECTING && may_eject => eject(1),
+            Health::In(failures) => Health::In(failures.saturating_add(weight).min(EJECTING)),
+            // Of calls sent before.
+            Health::Ejected { until, times } if now < until => Health::Ejected { until, times },
+            Health::Ejected { times, .. } | Health::Trial { times } => eject(times + 1),
+        };
+    }
+
+    /// For staff.
+    pub fn view(&self, now: Time, bounds: &Bounds) -> EndpointView {
+        let load = self.load(now);
+        let unused = match (self.presence, self.health) {
+            (Presence::Draining, _) => Some(Unused::Draining),
+            (Presence::Unlisted, _) => Some(Unused::Unlisted),
+            (Presence::Ready, _) if self.misdirected => Some(Unused::Misdirected),
+            (Presence::Ready, Health::Ejected { until, .. }) if now < until => {
+                Some(Unused::Ejected { until })
+            }
+            (Presence::Ready, Health::Trial { .. }) => Some(Unused::OnTrial),
+            (Presence::Ready, _) if self.closed(now) => Some(Unused::Closed { until: self.closed_until }),
+            (Presence::Ready, _) if self.out >= self.limit(bounds, load) => Some(Unused::Full),
+            (Presence::Ready, _) => None,
+        };
+        EndpointView {
+            key: self.key,
+            instance_id: self.instance_id.clone(),
+            service: self.listed.service.clone(),
+            address: self.listed.address,
+            zone: self.listed.zone.clone(),
+            out: self.out,
+            connections: self.connections,
+            slots: self.slots(bounds),
+            told: load - f64::from(self.out),
+            unused,
+        }
+    }
+}
+
+fn presence(listed: &fleet_model::Endpoint) -> Presence {
+    match listed.state {
+        EndpointState::Ready => Presence::Ready,
+        EndpointState::Draining => Presence::Draining,
+    }
+}
--- /dev/null
+++ b/system/request-routing/src/lib.rs
@@ -0,0 +1,15 @@
+//! Where a request goes, when, and whether it goes again: decisions only, without I/O or clock. A host asks
+//! [`Router::pick`], carries out the call, tells its end with [`Router::ended`] and asks [`Router::next`] after one
+//! that did not deliver. The rule is the design's: retry the transport, not the intent.
+
+mod endpoint;
+mod retry;
+mod router;
+mod service;
+mod sessions;
+mod types;
+
+pub use micadrum::{Outcome, Span, Time};
+pub use operator_config::RouteKind;
+pub use router::Router;
+pub use types::*;
--- /dev/null
+++ b/system/request-routing/src/router.rs
@@ -0,0 +1,466 @@
+//! The decisions: which endpoint, whether to wait, whether to go again.
+
+use crate::endpoint::{Bounds, Endpoint, Presence};
+use crate::retry;
+use crate::service::{Service, hash, mix, rank_of};
+use crate::sessions::Sessions;
+use crate::types::*;
+use fleet_model::EndpointList;
+use micadrum::{Outcome, Span, Time};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use std::collections::BTreeMap;
+
+/// An endpoint is passed over for a prompt's sake above this multiple of its peers' mean load ...
+const BOUND: (f64, f64) = (1.25, 2.0);
+/// ... and for a session's sake above this: all of its prompt is kept there.
+const SESSION_BOUND: (f64, f64) = (1.5, 3.0);
+/// Endpoints of other zones count as having a place below this share of their slots.
+const FAR_SHARE: f64 = 0.8;
+/// Shortest and longest wait before asking again, in microseconds.
+const WAIT: (f64, f64) = (5_000.0, 50_000.0);
+/// The shortest, where the request's own time ends sooner.
+const LEAST_WAIT: u64 = 1_000;
+/// Shortest and longest time after which a refused client is asked to come again, in microseconds.
+const RETRY_AFTER: (f64, f64) = (20_000.0, 2_000_000.0);
+/// The same where no endpoint is known: the list comes that often.
+const NO_ENDPOINT: u64 = 500_000;
+
+/// Decides for one proxy.
+pub struct Router {
+    zone: String,
+    seed: u64,
+    chance: ChaCha8Rng,
+    proxies: u32,
+    now: Time,
+    next_key: u32,
+    /// By key, rising.
+    endpoints: Vec<Endpoint>,
+    services: BTreeMap<String, Service>,
+    sessions: Sessions,
+}
+
+impl Router {
+    /// A router for a proxy in this zone; all its chance comes from the seed.
+    pub fn new(zone: String, seed: u64) -> Router {
+        Router {
+            zone,
+            seed,
+            chance: ChaCha8Rng::seed_from_u64(seed),
+            proxies: 1,
+            now: Time(0),
+            next_key: 0,
+            endpoints: Vec::new(),
+            services: BTreeMap::new(),
+            sessions: Sessions::default(),
+        }
+    }
+
+    /// Takes the services of a new configuration, in place of those before.
+    pub fn configure(&mut self, now: Time, services: &[ServiceTerms]) {
+        self.now = now;
+        for service in self.services.values_mut() {
+            service.terms = None;
+        }
+        for terms in services {
+            self.services.entry(terms.name.clone()).or_insert_with(Service::new).terms = Some(terms.clone());
+        }
+        self.services.retain(|_, service| !service.idle());
+    }
+
+    /// Takes a new list, in place of the one before: which of two is later is for the host to know. An incarnation
+    /// that was draining stays so, whatever a list says.
+    pub fn set_endpoints(&mut self, now: Time, list: &EndpointList) {
+        self.now = now;
+        for endpoint in &mut self.endpoints {
+            if endpoint.presence == Presence::Ready {
+                endpoint.presence = Presence::Unlisted;
+            }
+        }
+        let name =
+            |entry: &fleet_model::Endpoint| (entry.instance_id.clone(), entry.address, entry.service.clone());
+        let mut known: BTreeMap<_, usize> =
+            self.endpoints.iter().enumerate().map(|(at, endpoint)| (name(&endpoint.listed), at)).collect();
+        let mut listed = vec![false; self.endpoints.len()];
+        for entry in &list.endpoints {
+            let same = known.get(&name(entry)).copied();
+            match same {
+                Some(at) => {
+                    self.endpoints[at].list(entry);
+                    listed[at] = true;
+                }
+                None => {
+                    self.next_key += 1;
+                    known.insert(name(entry), self.endpoints.len());
+                    self.endpoints.push(Endpoint::new(EndpointKey(self.next_key), entry));
+                    listed.push(true);
+                }
+            }
+        }
+        let mut listed = listed.into_iter();
+        self.endpoints.retain(|endpoint| listed.next() == Some(true) || endpoint.out > 0);
+        self.index();
+    }
+
+    /// Sorts the ready endpoints by service and zone.
+    fn index(&mut self) {
+        for service in self.services.values_mut() {
+            service.near.clear();
+            service.far.clear();
+        }
+        for (at, endpoint) in self.endpoints.iter().enumerate() {
+            if endpoint.presence == Presence::Ready {
+                let service =
+                    self.services.entry(endpoint.listed.service.clone()).or_insert_with(Service::new);
+                let group =
+                    if endpoint.listed.zone == self.zone { &mut service.near } else { &mut service.far };
+                group.push(at);
+            }
+        }
+        self.services.retain(|_, service| !service.idle());
+    }
+
+    /// How many proxies there are, this one included.
+    pub fn set_proxies(&mut self, now: Time, count: u32) {
+        self.now = now;
+        self.proxies = count.max(1);
+    }
+
+    /// Where this request goes now. A send is counted as out at once.
+    pub fn pick(&mut self, now: Time, ask: &Ask, tried: &Tried) -> Pick {
+        self.now = now;
+        if retry::spent(ask, tried) || now > retry::last_send(ask) {
+            return self.give_up(now, ask, tried);
+        }
+        if now < tried.not_before {
+            return Pick::Wait(Span(tried.not_before.since(now)));
+        }
+        if let Some(service) = self.services.get_mut(&ask.service) {
+            service.sweep(now);
+        }
+        match self.choose(now, ask, tried) {
+            Some(at) => self.send(ask, at),
+            None => self.hold(now, ask, tried),
+        }
+    }
+
+    fn give_up(&mut self, now: Time, ask: &Ask, tried: &Tried) -> Pick {
+        if let Some(service) = self.services.get_mut(&ask.service) {
+            service.leave(ask);
+        }
+        Pick::GiveUp(retry::last_answer(tried, self.retry_after(now, ask)))
+    }
+
+    fn send(&mut self, ask: &Ask, at: usize) -> Pick {
+        let endpoint = &mut self.endpoints[at];
+        let mut may_open = true;
+        if let Some(service) = self.services.get_mut(&ask.service) {
+            may_open = endpoint.may_open(&service.bounds(self.proxies));
+            service.send(ask);
+        }
+        endpoint.send();
+        Pick::Send(Target {
+            key: endpoint.key,
+            address: endpoint.listed.address,
+            instance_id: endpoint.instance_id.clone(),
+            may_open,
+        })
+    }
+
+    /// No endpoint takes it now: it waits, as long as that makes sense.
+    fn hold(&mut self, now: Time, ask: &Ask, tried: &Tried) -> Pick {
+        let mut until = retry::last_send(ask);
+        if !tried.may_have_run {
+            until = until.min(retry::patience(ask));
+        }
+        if now >= until {
+            return self.give_up(now, ask, tried);
+        }
+        let opens = self.opens(now, ask);
+        let left = until.since(now).max(LEAST_WAIT);
+        let Some(service) = self.services.get_mut(&ask.service) else {
+            return Pick::Wait(Span((WAIT.1 as u64).min(left)));
+        };
+        let wait = opens.unwrap_or_else(|| service.gap()).clamp(WAIT.0, WAIT.1) as u64;
+        let wait = wait.min(left);
+        if service.hold(ask, now.after(wait as f64)) {
+            Pick::Wait(Span(wait))
+        } else {
+            self.give_up(now, ask, tried)
+        }
+    }
+
+    /// Time until the first of its endpoints opens, if refusals and failures keep all of them closed.
+    fn opens(&self, now: Time, ask: &Ask) -> Option<f64> {
+        let service = self.services.get(&ask.service)?;
+        let all = service.near.iter().chain(&service.far).map(|at| &self.endpoints[*at]);
+        let first = all.filter(|endpoint| endpoint.in_service()).map(|endpoint| endpoint.opens(now)).min()?;
+        (first > now).then(|| first.since(now) as f64)
+    }
+
+    /// When a place is expected.
+    fn retry_after(&self, now: Time, ask: &Ask) -> Span {
+        let Some(service) = self.services.get(&ask.service) else { return Span(NO_ENDPOINT) };
+        let mut all = service.near.iter().chain(&service.far);
+        if !all.any(|at| self.endpoints[*at].in_service()) {
+            return Span(NO_ENDPOINT);
+        }
+        let wait = self.opens(now, ask).unwrap_or_else(|| service.turn());
+        Span(wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1) as u64)
+    }
+
+    fn choose(&mut self, now: Time, ask: &Ask, tried: &Tried) -> Option<usize> {
+        let service = self.services.get(&ask.service)?;
+        if service.yields(rank_of(ask)) {
+            return None;
+        }
+        let bounds = service.bounds(self.proxies);
+        if (bounds.engine || ask.shared_part.is_some())
+            && let Some(at) = self.by_prompt(now, ask, tried, service, &bounds)
+        {
+            return Some(at);
+        }
+        let service = self.services.get(&ask.service)?;
+        let choice = least_loaded(now, tried, service, &bounds, &self.endpoints, &mut self.chance);
+        choice.or_else(|| least_bad(now, service, &bounds, &self.endpoints))
+    }
+
+    /// The endpoint that has most of its prompt and is not loaded far above its peers.
+    fn by_prompt(
+        &self,
+        now: Time,
+        ask: &Ask,
+        tried: &Tried,
+        service: &Service,
+        bounds: &Bounds,
+    ) -> Option<usize> {
+        let group = if service.near.is_empty() { &service.far } else { &service.near };
+        let mut loads = (0.0, 0.0);
+        for endpoint in group.iter().map(|at| &self.endpoints[*at]).filter(|endpoint| endpoint.in_service()) {
+            loads = (loads.0 + endpoint.load(now), loads.1 + 1.0);
+        }
+        let mean = loads.0 / f64::max(loads.1, 1.0);
+        let takes = |endpoint: &Endpoint, bound: (f64, f64)| {
+            let load = endpoint.load(now);
+            usable(endpoint, now, bounds, load)
+                && load < f64::from(endpoint.slots(bounds))
+                && load <= bound.0 * mean + bound.1
+                && endpoint.penalty(now) == 0.0
+                && !tried.avoid.contains(&endpoint.key)
+        };
+        let last = session_hash(ask).and_then(|session| self.sessions.get(session));
+        if let Some(at) = last.and_then(|key| self.find(key)) {
+            let endpoint = &self.endpoints[at];
+            if endpoint.listed.service == ask.service && takes(endpoint, SESSION_BOUND) {
+                return Some(at);
+            }
+        }
+        let part = hash(ask.shared_part.as_ref()?.as_bytes());
+        let taking = group.iter().copied().filter(|at| takes(&self.endpoints[*at], BOUND));
+        taking.max_by_key(|at| mix(part ^ self.endpoints[*at].hash))
+    }
+
+    fn find(&self, key: EndpointKey) -> Option<usize> {
+        self.endpoints.binary_search_by_key(&key, |endpoint| endpoint.key).ok()
+    }
+
+    /// A call has ended; `elapsed` is the time to its first byte.
+    pub fn ended(
+        &mut self,
+        now: Time,
+        key: EndpointKey,
+        ask: &Ask,
+        outcome: Outcome,
+        load: Option<ServerLoad>,
+        elapsed: Span,
+    ) {
+        self.now = now;
+        if let Some(service) = self.services.get_mut(&ask.service) {
+            service.end(now, ask);
+            if outcome == Outcome::Success {
+                service.learn_pace(elapsed);
+            }
+        }
+        let Some(at) = self.find(key) else { return };
+        if let Some(load) = load {
+            self.endpoints[at].tell(now, load);
+        }
+        let may_eject = self.may_eject(at);
+        let bounds = self.bounds(at);
+        let chance = unit(self.chance.next_u64());
+        self.endpoints[at].end(now, outcome, elapsed, &bounds, may_eject, chance);
+        if outcome == Outcome::Success
+            && (bounds.engine || ask.shared_part.is_some())
+            && let Some(session) = session_hash(ask)
+        {
+            self.sessions.put(session, key);
+        }
+    }
+
+    /// Whether half of its service is left without it.
+    fn may_eject(&self, at: usize) -> bool {
+        let Some(service) = self.services.get(&self.endpoints[at].listed.service) else { return false };
+        let all =
+            service.near.iter().chain(&service.far).filter(|other| self.endpoints[**other].in_service());
+        let (mut ready, mut out) = (0, 0);
+        for other in all {
+            ready += 1;
+            out += usize::from(*other != at && self.endpoints[*other].unproven());
+        }
+        (out + 1) * 2 <= ready
+    }
+
+    fn bounds(&self, at: usize) -> Bounds {
+        match self.services.get(&self.endpoints[at].listed.service) {
+            Some(service) => service.bounds(self.proxies),
+            None => Service::new().bounds(self.proxies),
+        }
+    }
+
+    /// An endpoint told its load.
+    pub fn note_load(&mut self, now: Time, key: EndpointKey, load: ServerLoad) {
+        self.now = now;
+        if let Some(at) = self.find(key) {
+            self.endpoints[at].tell(now, load);
+        }
+    }
+
+    /// A connection was opened.
+    pub fn connection_opened(&mut self, key: EndpointKey) {
+        if let Some(at) = self.find(key) {
+            self.endpoints[at].connections += 1;
+        }
+    }
+
+    /// A connection was closed.
+    pub fn connection_closed(&mut self, key: EndpointKey) {
+        if let Some(at) = self.find(key) {
+            let connections = &mut self.endpoints[at].connections;
+            *connections = connections.saturating_sub(1);
+        }
+    }
+
+    /// Another incarnation answers at its address: it is closed until the list says something new of it.
+    pub fn misdirected(&mut self, now: Time, key: EndpointKey) {
+        self.now = now;
+        if let Some(at) = self.find(key) {
+            self.endpoints[at].misdirect();
+        }
+    }
+
+    /// Whether a request goes again after an attempt that ended like this; to be asked after [`Router::ended`]. What
+    /// the attempt was is noted in `tried`.
+    pub fn next(&self, now: Time, ask: &Ask, tried: &mut Tried, key: EndpointKey, outcome: Outcome) -> Next {
+        retry::note(tried, key, outcome);
+        if retry::spent(ask, tried) {
+            return Next::GiveUp(retry::last_answer(tried, self.retry_after(now, ask)));
+        }
+        let first = tried.attempts.max(tried.refused) == 1;
+        let elsewhere = self.free_elsewhere(now, ask, tried);
+        let unsent = outcome == Outcome::Void;
+        let wait = if !tried.may_have_run && (unsent || (first && elsewhere)) {
+            0.0
+        } else {
+            let draw = mix(self.seed ^ mix(now.0 ^ mix(ask.arrived.0 ^ u64::from(key.0) << 40)));
+            let told = match outcome {
+                Outcome::Full(Some(told)) if !elsewhere => told.0 as f64,
+                _ => 0.0,
+            };
+            retry::backoff(ask, tried, unit(draw)).max(told)
+        };
+        tried.not_before = now.after(wait);
+        if tried.not_before > retry::last_send(ask) {
+            return Next::GiveUp(retry::last_answer(tried, self.retry_after(now, ask)));
+        }
+        Next::Again
+    }
+
+    /// Whether an endpoint that it has not met has a place.
+    fn free_elsewhere(&self, now: Time, ask: &Ask, tried: &Tried) -> bool {
+        let Some(service) = self.services.get(&ask.service) else { return false };
+        let bounds = service.bounds(self.proxies);
+        service.near.iter().chain(&service.far).map(|at| &self.endpoints[*at]).any(|endpoint| {
+            !tried.avoid.contains(&endpoint.key) && usable(endpoint, now, &bounds, endpoint.load(now))
+        })
+    }
+
+    /// All endpoints as they stood at the last event.
+    pub fn view(&self) -> Vec<EndpointView> {
+        (0..self.endpoints.len()).map(|at| self.endpoints[at].view(self.now, &self.bounds(at))).collect()
+    }
+}
+
+fn usable(endpoint: &Endpoint, now: Time, bounds: &Bounds, load: f64) -> bool {
+    endpoint.in_service()
+        && !endpoint.closed(now)
+        && !endpoint.ejected(now)
+        && endpoint.out < endpoint.limit(bounds, load)
+}
+
+/// The least loaded one: of those it has not met, before those it has; of those with a free slot in this zone, then
+/// in others, then of those that would queue it. Ties go by chance.
+fn least_loaded(
+    now: Time,
+    tried: &Tried,
+    service: &Service,
+    bounds: &Bounds,
+    endpoints: &[Endpoint],
+    chance: &mut ChaCha8Rng,
+) -> Option<usize> {
+    let mut best: Option<(u8, f64, usize)> = None;
+    let mut ties = 0;
+    let near = service.near.iter().map(|at| (*at, true));
+    for (at, near) in near.chain(service.far.iter().map(|at| (*at, false))) {
+        let endpoint = &endpoints[at];
+        let load = endpoint.load(now);
+        if !usable(endpoint, now, bounds, load) {
+            continue;
+        }
+        let slots = f64::from(endpoint.slots(bounds));
+        let tier = match near {
+            true if load < slots => 0,
+            false if load < FAR_SHARE * slots => 1,
+            true => 2,
+            false => 3,
+        };
+        let class = tier + if tried.avoid.contains(&endpoint.key) { 4 } else { 0 };
+        let score = (load + 1.0) / slots * endpoint.slowness(now, service.pace) + endpoint.penalty(now);
+        match best {
+            Some((least, lowest, _)) if (class, score) == (least, lowest) => {
+                ties += 1;
+                if chance.next_u32().is_multiple_of(ties + 1) {
+                    best = Some((class, score, at));
+                }
+            }
+            Some((least, lowest, _)) if (class, score) > (least, lowest) => {}
+            _ => {
+                best = Some((class, score, at));
+                ties = 0;
+            }
+        }
+    }
+    best.map(|(_, _, at)| at)
+}
+
+/// Where all are ejected, the one that would be back first.
+fn least_bad(now: Time, service: &Service, bounds: &Bounds, endpoints: &[Endpoint]) -> Option<usize> {
+    let all = || service.near.iter().chain(&service.far).copied().filter(|at| endpoints[*at].in_service());
+    if !all().all(|at| endpoints[at].ejected(now)) {
+        return None;
+    }
+    let free = all().filter(|at| {
+        let endpoint = &endpoints[*at];
+        !endpoint.closed(now) && endpoint.out < endpoint.limit(bounds, endpoint.load(now))
+    });
+    free.min_by_key(|at| endpoints[*at].opens(now))
+}
+
+fn session_hash(ask: &Ask) -> Option<u64> {
+    let session = ask.session.as_ref()?;
+    Some(mix(hash(ask.service.as_bytes()) ^ hash(session.as_bytes()).rotate_left(1)))
+}
+
+/// Within 0 and 1.
+fn unit(draw: u64) -> f64 {
+    (draw >> 11) as f64 / (1_u64 << 53) as f64
+}
--- /dev/null
+++ b/system/request-routing/tests/common/mod.rs
@@ -0,0 +1,98 @@
+//! A router with its world: what the stories begin with.
+#![allow(dead_code)]
+
+use fleet_model::{Endpoint, EndpointList, EndpointState};
+use request_routing::*;
+
+pub const MS: u64 = 1_000;
+
+pub fn ms(millis: u64) -> Time {
+    Time(1_000_000 + millis * MS)
+}
+
+pub fn entry(id: &str, service: &str, zone: &str, slots: u32) -> Endpoint {
+    let number = id.bytes().fold(0_u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(u32::from(byte)));
+    Endpoint {
+        instance_id: id.to_owned(),
+        service: service.to_owned(),
+        address: std::net::SocketAddrV4::new((0x0a00_0000 | (number & 0xff_ffff)).into(), 8080),
+        zone: zone.to_owned(),
+        capacity_slots: slots,
+        state: EndpointState::Ready,
+    }
+}
+
+pub fn draining(mut entry: Endpoint) -> Endpoint {
+    entry.state = EndpointState::Draining;
+    entry
+}
+
+pub fn list(endpoints: &[Endpoint]) -> EndpointList {
+    EndpointList { stamp: (1, 1), endpoints: endpoints.to_vec() }
+}
+
+pub fn terms(name: &str, max_connections: u32, engine: bool) -> ServiceTerms {
+    ServiceTerms { name: name.to_owned(), max_connections, engine, slots: None }
+}
+
+/// In zone `a`, with the plain service `tool` and the model service `model`.
+pub fn router(endpoints: &[Endpoint]) -> Router {
+    let mut router = Router::new("a".to_owned(), 7);
+    router.configure(ms(0), &[terms("tool", 1_000, false), terms("model", 1_000, true)]);
+    router.set_endpoints(ms(0), &list(endpoints));
+    router
+}
+
+pub fn ask(service: &str, kind: RouteKind) -> Ask {
+    Ask {
+        service: service.to_owned(),
+        kind,
+        session: None,
+        shared_part: None,
+        size: 0,
+        priority: 1,
+        arrived: ms(0),
+        deadline: ms(1_500),
+        aim: Span(250 * MS),
+        max_attempts: 3,
+    }
+}
+
+pub fn turn(session: &str, part: &str) -> Ask {
+    Ask {
+        session: Some(session.to_owned()),
+        shared_part: Some(part.to_owned()),
+        size: 3_000,
+        ..ask("model", RouteKind::Streaming)
+    }
+}
+
+pub fn sent(pick: Pick) -> Target {
+    match pick {
+        Pick::Send(target) => target,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+/// Sends a request and says where it went.
+pub fn send(router: &mut Router, now: Time, ask: &Ask) -> Target {
+    sent(router.pick(now, ask, &Tried::default()))
+}
+
+pub fn end(router: &mut Router, now: Time, key: EndpointKey, ask: &Ask, outcome: Outcome) {
+    router.ended(now, key, ask, outcome, None, Span(20 * MS));
+}
+
+/// Sends a request, ends it so and says where it was.
+pub fn attempt(
+    router: &mut Router,
+    now: Time,
+    ask: &Ask,
+    tried: &mut Tried,
+    outcome: Outcome,
+) -> (Target, Next) {
+    let target = sent(router.pick(now, ask, tried));
+    end(router, now, target.key, ask, outcome);
+    let next = router.next(now, ask, tried, target.key, outcome);
+    (target, next)
+}
--- /dev/null
+++ b/system/request-routing/tests/properties.rs
@@ -0,0 +1,207 @@
+//! What holds whatever happens.
+
+mod common;
+
+use common::*;
+use fleet_model::{Endpoint, EndpointState};
+use proptest::prelude::*;
+use request_routing::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A new request, or the next pick of one.
+    Pick {
+        request: usize,
+    },
+    /// One of the calls out ends.
+    End {
+        call: usize,
+        outcome: Outcome,
+        load: Option<u32>,
+    },
+    /// A new list: for each endpoint whether it is listed, and as ready.
+    List(Vec<(bool, bool)>),
+    Misdirected(usize),
+    Later(u64),
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        Just(Outcome::Success),
+        Just(Outcome::Failure),
+        Just(Outcome::Full(None)),
+        (1_u64..500_000).prop_map(|wait| Outcome::Full(Some(Span(wait)))),
+        Just(Outcome::TimedOut),
+        Just(Outcome::ConnectFailed),
+        Just(Outcome::Reset),
+        Just(Outcome::Cancelled),
+        Just(Outcome::Void),
+        Just(Outcome::NoRoom),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0_usize..REQUESTS).prop_map(|request| Step::Pick { request }),
+        4 => (0_usize..64, outcome(), proptest::option::of(0_u32..20))
+            .prop_map(|(call, outcome, load)| Step::End { call, outcome, load }),
+        1 => proptest::collection::vec((any::<bool>(), any::<bool>()), ENDPOINTS).prop_map(Step::List),
+        1 => (0_usize..ENDPOINTS).prop_map(Step::Misdirected),
+        3 => (0_u64..60_000).prop_map(Step::Later),
+    ]
+}
+
+const REQUESTS: usize = 24;
+const ENDPOINTS: usize = 7;
+
+fn fleet() -> Vec<Endpoint> {
+    (0..ENDPOINTS)
+        .map(|n| {
+            let service = if n % 3 == 0 { "model" } else { "tool" };
+            entry(&format!("i{n}"), service, if n % 2 == 0 { "a" } else { "b" }, 2 + n as u32)
+        })
+        .collect()
+}
+
+fn requests() -> Vec<Ask> {
+    (0..REQUESTS)
+        .map(|n| Ask {
+            kind: [RouteKind::Idempotent, RouteKind::NonIdempotent, RouteKind::Streaming][n % 3],
+            service: if n % 2 == 0 { "tool".to_owned() } else { "model".to_owned() },
+            session: (n % 4 == 1).then(|| format!("s{}", n % 8)),
+            shared_part: (n % 2 == 1).then(|| "p".to_owned()),
+            priority: (n % 3) as u8,
+            arrived: Time(ms(0).0 + n as u64),
+            max_attempts: 1 + (n % 4) as u32,
+            ..ask("tool", RouteKind::Idempotent)
+        })
+        .collect()
+}
+
+#[derive(Default)]
+struct Seen {
+    tried: Tried,
+    reached: u32,
+    ran: bool,
+    out: bool,
+    over: bool,
+}
+
+fn play(steps: Vec<Step>) -> Result<(), TestCaseError> {
+    let fleet = fleet();
+    let requests = requests();
+    let mut router = router(&fleet);
+    let mut now = ms(0);
+    let mut seen: Vec<Seen> = (0..REQUESTS).map(|_| Seen::default()).collect();
+    let mut calls: Vec<(usize, Target)> = Vec::new();
+    let mut ready: BTreeSet<String> = fleet.iter().map(|e| e.instance_id.clone()).collect();
+    let mut shut: BTreeSet<EndpointKey> = BTreeSet::new();
+    let check_end = |ask: &Ask, seen: &Seen, end: GiveUp| {
+        if seen.ran && ask.kind != RouteKind::Idempotent {
+            prop_assert_eq!(end, GiveUp::Failed);
+        }
+        if !seen.ran {
+            prop_assert!(matches!(end, GiveUp::Refused { .. }), "nothing ran, and it says {:?}", end);
+        }
+        Ok(())
+    };
+    for step in steps {
+        match step {
+            Step::Pick { request } => {
+                let (ask, seen) = (&requests[request], &mut seen[request]);
+                if seen.out || seen.over {
+                    continue;
+                }
+                match router.pick(now, ask, &seen.tried) {
+                    Pick::Send(target) => {
+                        prop_assert!(
+                            ready.contains(&*target.instance_id),
+                            "{} is not ready",
+                            target.instance_id
+                        );
+                        prop_assert!(!shut.contains(&target.key), "{} is another's", target.instance_id);
+                        let listed = fleet.iter().find(|e| e.instance_id == *target.instance_id).unwrap();
+                        prop_assert_eq!(&listed.service, &ask.service);
+                        prop_assert_eq!(listed.address, target.address);
+                        prop_assert!(!(seen.ran && ask.kind != RouteKind::Idempotent), "it may run twice");
+                        prop_assert!(seen.reached < ask.max_attempts, "one send too many");
+                        prop_assert!(now <= ask.deadline && now >= seen.tried.not_before);
+                        seen.out = true;
+                        calls.push((request, target));
+                    }
+                    Pick::Wait(Span(span)) => {
+                        prop_assert!(span > 0);
+                        prop_assert!(now.after(span as f64) <= ask.deadline, "it waits past its end");
+                    }
+                    Pick::GiveUp(end) => {
+                        check_end(ask, seen, end)?;
+                        seen.over = true;
+                    }
+                }
+            }
+            Step::End { call, outcome, load } => {
+                if calls.is_empty() {
+                    continue;
+                }
+                let (request, target) = calls.swap_remove(call % calls.len());
+                let (ask, seen) = (&requests[request], &mut seen[request]);
+                let load = load.map(|running| ServerLoad { running, waiting: running / 4, slots: 8 });
+                router.ended(now, target.key, ask, outcome, load, Span(5_000));
+                seen.out = false;
+                seen.ran |= outcome.may_have_run();
+                seen.reached +=
+                    u32::from(!matches!(outcome, Outcome::ConnectFailed | Outcome::Void | Outcome::NoRoom));
+                if outcome == Outcome::Success {
+                    seen.over = true;
+                } else if let Next::GiveUp(end) = router.next(now, ask, &mut seen.tried, target.key, outcome)
+                {
+                    check_end(ask, seen, end)?;
+                    seen.over = true;
+                }
+            }
+            Step::List(states) => {
+                let mut listed = Vec::new();
+                ready.clear();
+                for (endpoint, (here, is_ready)) in fleet.iter().zip(states) {
+                    let state = if is_ready { EndpointState::Ready } else { EndpointState::Draining };
+                    if here {
+                        listed.push(Endpoint { state, ..endpoint.clone() });
+                    }
+                    if here && is_ready {
+                        ready.insert(endpoint.instance_id.clone());
+                    }
+                }
+                router.set_endpoints(now, &list(&listed));
+                // What a list says of an entry anew may open it again.
+                shut.clear();
+            }
+            Step::Misdirected(n) => {
+                if let Some(view) = router.view().get(n) {
+                    router.misdirected(now, view.key);
+                    shut.insert(view.key);
+                }
+            }
+            Step::Later(span) => now = now.after(span as f64),
+        }
+    }
+    // Calls out are counted as they are.
+    let mut out: BTreeMap<EndpointKey, u32> = BTreeMap::new();
+    for (_, target) in &calls {
+        *out.entry(target.key).or_default() += 1;
+    }
+    for view in router.view() {
+        prop_assert_eq!(view.out, out.remove(&view.key).unwrap_or(0));
+    }
+    prop_assert!(out.is_empty(), "calls at endpoints that are forgotten");
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+    #[test]
+    fn given_any_history_then_no_rule_is_broken(steps in proptest::collection::vec(step(), 1..250)) {
+        play(steps)?;
+    }
+}
--- /dev/null
+++ b/system/request-routing/tests/retries.rs
@@ -0,0 +1,301 @@
+//! Whether a request waits, goes again or ends, and how endpoints are closed and ejected.
+
+mod common;
+
+use common::*;
+use googletest::prelude::*;
+use request_routing::*;
+
+const NEVER_RAN: [Outcome; 4] = [Outcome::Full(None), Outcome::NoRoom, Outcome::ConnectFailed, Outcome::Void];
+const MAY_HAVE_RUN: [Outcome; 4] = [Outcome::Failure, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled];
+const KINDS: [RouteKind; 3] = [RouteKind::Idempotent, RouteKind::NonIdempotent, RouteKind::Streaming];
+
+fn two() -> Router {
+    router(&[entry("x", "tool", "a", 8), entry("y", "tool", "a", 8)])
+}
+
+#[gtest]
+fn given_an_attempt_that_never_ran_when_another_endpoint_is_free_then_any_kind_goes_there_at_once() {
+    for kind in KINDS {
+        for outcome in [Outcome::Full(None), Outcome::NoRoom, Outcome::ConnectFailed] {
+            let mut router = two();
+            let (ask, mut tried) = (ask("tool", kind), Tried::default());
+            let (first, next) = attempt(&mut router, ms(0), &ask, &mut tried, outcome);
+            expect_that!(next, eq(Next::Again));
+            expect_that!(tried.not_before, eq(ms(0)));
+            expect_that!(sent(router.pick(ms(0), &ask, &tried)).key, not(eq(first.key)));
+        }
+    }
+}
+
+#[gtest]
+fn given_an_attempt_that_may_have_run_when_it_ends_then_only_an_idempotent_one_goes_again() {
+    for outcome in MAY_HAVE_RUN {
+        for kind in [RouteKind::NonIdempotent, RouteKind::Streaming] {
+            let mut router = two();
+            let (ask, mut tried) = (ask("tool", kind), Tried::default());
+            let (_, next) = attempt(&mut router, ms(0), &ask, &mut tried, outcome);
+            expect_that!(next, eq(Next::GiveUp(GiveUp::Failed)));
+            expect_that!(router.pick(ms(1), &ask, &tried), eq(&Pick::GiveUp(GiveUp::Failed)));
+        }
+        let mut router = two();
+        let (ask, mut tried) = (ask("tool", RouteKind::Idempotent), Tried::default());
+        let (first, next) = attempt(&mut router, ms(0), &ask, &mut tried, outcome);
+        expect_that!(next, eq(Next::Again));
+        // 0.04 x 250 ms, and half of that by chance.
+        expect_that!(tried.not_before, all![ge(ms(10)), le(ms(15))]);
+        expect_that!(router.pick(ms(0), &ask, &tried), eq(&Pick::Wait(Span(tried.not_before.since(ms(0))))));
+        expect_that!(sent(router.pick(ms(15), &ask, &tried)).key, not(eq(first.key)));
+    }
+}
+
+#[gtest]
+fn given_no_other_endpoint_when_attempts_fail_then_the_waits_double_up_to_the_cap() {
+    let mut router = router(&[entry("x", "tool", "a", 8)]);
+    let ask = Ask { max_attempts: 9, deadline: ms(60_000), ..ask("tool", RouteKind::Idempotent) };
+    let mut tried = Tried::default();
+    let mut now = ms(0);
+    for least in [10, 20, 40, 80, 100, 100, 100] {
+        let (_, next) = attempt(&mut router, now, &ask, &mut tried, Outcome::Failure);
+        expect_that!(next, eq(Next::Again));
+        expect_that!(tried.not_before.since(now), all![ge(least * MS), le((least + 5) * MS)]);
+        now = tried.not_before;
+    }
+}
+
+#[gtest]
+fn given_refusals_only_when_the_attempts_are_spent_then_it_is_refused_with_a_time() {
+    let mut router = router(&["x", "y", "z", "w"].map(|id| entry(id, "tool", "a", 8)));
+    for kind in KINDS {
+        let (ask, mut tried) = (Ask { max_attempts: 2, ..ask("tool", kind) }, Tried::default());
+        attempt(&mut router, ms(0), &ask, &mut tried, Outcome::Full(None));
+        router.set_endpoints(ms(0), &list(&["p", "q", "r"].map(|id| entry(id, "tool", "a", 8))));
+        let (_, next) = attempt(&mut router, ms(0), &ask, &mut tried, Outcome::Full(None));
+        expect_that!(next, matches_pattern!(Next::GiveUp(matches_pattern!(GiveUp::Refused { .. }))));
+        router.set_endpoints(ms(0), &list(&["x", "y", "z", "w"].map(|id| entry(id, "tool", "a", 8))));
+    }
+}
+
+#[gtest]
+fn given_a_refusal_after_one_that_may_have_run_when_attempts_are_spent_then_it_has_failed() {
+    let mut router = two();
+    let (ask, mut tried) = (Ask { max_attempts: 2, ..ask("tool", RouteKind::Idempotent) }, Tried::default());
+    attempt(&mut router, ms(0), &ask, &mut tried, Outcome::Reset);
+    let (_, next) = attempt(&mut router, ms(20), &ask, &mut tried, Outcome::Full(None));
+    expect_that!(next, eq(Next::GiveUp(GiveUp::Failed)));
+}
+
+#[gtest]
+fn given_connections_that_are_not_made_when_they_go_on_then_they_count_as_no_attempt_but_end_at_last() {
+    let mut router = router(&["x", "y"].map(|id| entry(id, "tool", "a", 8)));
+    let ask = Ask { max_attempts: 1, deadline: ms(60_000), ..ask("tool", RouteKind::NonIdempotent) };
+    let mut tried = Tried::default();
+    let mut sends = 0;
+    let mut now = ms(0);
+    let end = loop {
+        now = now.max(tried.not_before);
+        sends += 1;
+        match attempt(&mut router, now, &ask, &mut tried, Outcome::ConnectFailed).1 {
+            Next::Again => {}
+            Next::GiveUp(end) => break end,
+        }
+    };
+    expect_that!(sends, eq(6));
+    expect_that!(tried.attempts, eq(0));
+    expect_that!(end, matches_pattern!(GiveUp::Refused { .. }));
+}
+
+#[gtest]
+fn given_a_next_try_past_the_deadline_when_an_attempt_ends_then_it_ends_in_time() {
+    for (outcome, failed) in [(Outcome::Full(None), false), (Outcome::Reset, true)] {
+        let mut router = router(&[entry("x", "tool", "a", 8)]);
+        let (ask, mut tried) = (ask("tool", RouteKind::Idempotent), Tried::default());
+        let target = sent(router.pick(ms(0), &ask, &tried));
+        end(&mut router, ms(1_470), target.key, &ask, outcome);
+        match router.next(ms(1_470), &ask, &mut tried, target.key, outcome) {
+            Next::GiveUp(GiveUp::Failed) => expect_that!(failed, eq(true)),
+            Next::GiveUp(GiveUp::Refused { .. }) => expect_that!(failed, eq(false)),
+            Next::Again => panic!("again"),
+        }
+    }
+}
+
+#[gtest]
+fn given_little_time_when_a_request_comes_then_it_is_refused_at_once() {
+    let mut router = two();
+    let ask = ask("tool", RouteKind::Idempotent);
+    expect_that!(
+        router.pick(ms(1_480), &ask, &Tried::default()),
+        matches_pattern!(Pick::GiveUp(matches_pattern!(GiveUp::Refused { .. })))
+    );
+}
+
+#[gtest]
+fn given_no_place_when_a_quarter_of_the_aim_is_over_then_it_is_refused() {
+    let mut router = router(&[entry("x", "tool", "a", 1)]);
+    let ask = ask("tool", RouteKind::NonIdempotent);
+    while let Pick::Send(_) = router.pick(ms(0), &ask, &Tried::default()) {}
+    let mut now = ms(0);
+    let end = loop {
+        match router.pick(now, &ask, &Tried::default()) {
+            Pick::Wait(Span(span)) => {
+                expect_that!(span, all![ge(MS), le(50 * MS)]);
+                now = now.after(span as f64);
+            }
+            other => break other,
+        }
+    };
+    expect_that!(end, matches_pattern!(Pick::GiveUp(matches_pattern!(GiveUp::Refused { .. }))));
+    expect_that!(now, all![ge(ms(50)), le(ms(62))]);
+}
+
+#[gtest]
+fn given_one_that_may_have_run_when_no_place_comes_then_it_waits_until_its_time_is_over_and_has_failed() {
+    let mut router = router(&[entry("x", "tool", "a", 1)]);
+    let ask = ask("tool", RouteKind::Idempotent);
+    while let Pick::Send(_) = router.pick(ms(0), &ask, &Tried::default()) {}
+    let tried = Tried { attempts: 1, may_have_run: true, ..Tried::default() };
+    expect_that!(router.pick(ms(1_000), &ask, &tried), matches_pattern!(Pick::Wait(_)));
+    expect_that!(router.pick(ms(1_499), &ask, &tried), eq(&Pick::GiveUp(GiveUp::Failed)));
+}
+
+#[gtest]
+fn given_more_that_wait_when_one_is_refused_then_it_is_told_a_later_time() {
+    let retry_after = |waiting: u64| {
+        let mut router = router(&[entry("x", "tool", "a", 1)]);
+        let ask = ask("tool", RouteKind::Idempotent);
+        while let Pick::Send(_) = router.pick(ms(0), &ask, &Tried::default()) {}
+        for n in 0..waiting {
+            let waiter = Ask { arrived: Time(ms(40).0 + n), ..ask.clone() };
+            router.pick(ms(41), &waiter, &Tried::default());
+        }
+        match router.pick(ms(70), &ask, &Tried::default()) {
+            Pick::GiveUp(GiveUp::Refused { retry_after }) => retry_after,
+            other => panic!("{other:?}"),
+        }
+    };
+    expect_that!(retry_after(5), gt(retry_after(0)));
+    expect_that!(retry_after(1_000), le(Span(2_000 * MS)));
+}
+
+#[gtest]
+fn given_no_endpoint_at_all_when_a_request_comes_then_it_waits_for_the_list_for_a_while() {
+    let mut router = router(&[]);
+    let ask = ask("tool", RouteKind::Idempotent);
+    expect_that!(router.pick(ms(0), &ask, &Tried::default()), matches_pattern!(Pick::Wait(_)));
+    expect_that!(
+        router.pick(ms(60), &ask, &Tried::default()),
+        eq(&Pick::GiveUp(GiveUp::Refused { retry_after: Span(500 * MS) }))
+    );
+}
+
+#[gtest]
+fn given_a_refusal_when_others_ask_then_the_endpoint_is_closed_for_all_and_longer_while_refusals_go_on() {
+    let mut router = router(&[entry("x", "tool", "a", 8)]);
+    let ask = Ask { aim: Span(10_000 * MS), deadline: ms(60_000), ..ask("tool", RouteKind::Idempotent) };
+    let mut now = ms(0);
+    for least in [30, 60, 120, 240, 480, 480] {
+        let target = send(&mut router, now, &ask);
+        end(&mut router, now, target.key, &ask, Outcome::Full(None));
+        let just_before = now.after((least * MS - 1) as f64);
+        expect_that!(router.pick(just_before, &ask, &Tried::default()), matches_pattern!(Pick::Wait(_)));
+        now = now.after((least * MS) as f64 * 1.25);
+    }
+    let target = send(&mut router, now, &ask);
+    end(&mut router, now, target.key, &ask, Outcome::Success);
+    let target = send(&mut router, now, &ask);
+    end(&mut router, now, target.key, &ask, Outcome::Full(None));
+    send(&mut router, now.after(38.0 * MS as f64), &ask);
+}
+
+#[gtest]
+fn given_many_calls_out_when_all_are_refused_together_then_that_counts_once() {
+    let mut router = router(&[entry("x", "tool", "a", 8)]);
+    let ask = Ask { aim: Span(10_000 * MS), ..ask("tool", RouteKind::Idempotent) };
+    let targets: Vec<_> = (0..8).map(|_| send(&mut router, ms(0), &ask)).collect();
+    for target in targets {
+        end(&mut router, ms(1), target.key, &ask, Outcome::Full(None));
+    }
+    send(&mut router, ms(39), &ask);
+}
+
+#[gtest]
+fn given_a_told_wait_when_it_lasts_then_nothing_goes_there() {
+    let mut router = router(&[entry("x", "tool", "a", 8)]);
+    let ask = Ask { aim: Span(4_000 * MS), ..ask("tool", RouteKind::Idempotent) };
+    let mut tried = Tried::default();
+    let (_, next) = attempt(&mut router, ms(0), &ask, &mut tried, Outcome::Full(Some(Span(700 * MS))));
+    expect_that!(next, eq(Next::Again));
+    expect_that!(tried.not_before, ge(ms(700)));
+    expect_that!(router.pick(ms(699), &ask, &Tried::default()), matches_pattern!(Pick::Wait(_)));
+    send(&mut router, ms(700), &ask);
+}
+
+fn fail_until_ejected(router: &mut Router, now: Time, ask: &Ask, id: &str) -> EndpointKey {
+    let key = router.view().iter().find(|view| &*view.instance_id == id).map(|view| view.key).unwrap();
+    while !router
+        .view()
+        .iter()
+        .any(|view| view.key == key && matches!(view.unused, Some(Unused::Ejected { .. })))
+    {
+        let targets: Vec<_> = (0..4).map(|_| send(router, now, ask)).collect();
+        for target in targets {
+            let outcome = if target.key == key { Outcome::ConnectFailed } else { Outcome::Success };
+            end(router, now, target.key, ask, outcome);
+        }
+    }
+    key
+}
+
+#[gtest]
+fn given_an_endpoint_that_cannot_be_reached_when_it_is_ejected_then_one_trial_lets_it_back() {
+    let mut router = router(&[entry("x", "tool", "a", 50), entry("y", "tool", "a", 50)]);
+    let ask = Ask { deadline: ms(60_000), ..ask("tool", RouteKind::Idempotent) };
+    let key = fail_until_ejected(&mut router, ms(0), &ask, "x");
+    let keys = |router: &mut Router, now| (0..6).map(|_| send(router, now, &ask).key).collect::<Vec<_>>();
+    expect_that!(keys(&mut router, ms(199)), not(contains(eq(&key))));
+    let trials = keys(&mut router, ms(200));
+    expect_that!(trials.iter().filter(|tried| **tried == key).count(), eq(1));
+    end(&mut router, ms(210), key, &ask, Outcome::ConnectFailed);
+    // Out for twice as long.
+    expect_that!(
+        router.view().iter().find(|view| view.key == key).and_then(|view| view.unused),
+        some(eq(Unused::Ejected { until: ms(610) }))
+    );
+    expect_that!(send(&mut router, ms(610), &ask).key, eq(key));
+    end(&mut router, ms(611), key, &ask, Outcome::Success);
+    expect_that!(router.view().iter().find(|view| view.key == key).and_then(|view| view.unused), none());
+}
+
+#[gtest]
+fn given_a_service_that_fails_when_all_its_endpoints_do_then_half_stay_in_use() {
+    let mut router = router(&["x", "y", "z", "w"].map(|id| entry(id, "tool", "a", 8)));
+    let ask = ask("tool", RouteKind::Idempotent);
+    for _ in 0..40 {
+        let target = send(&mut router, ms(0), &ask);
+        end(&mut router, ms(0), target.key, &ask, Outcome::Reset);
+    }
+    let ejected = router.view().iter().filter(|view| view.unused.is_some()).count();
+    expect_that!(ejected, eq(2));
+    send(&mut router, ms(0), &ask);
+}
+
+#[gtest]
+fn given_the_only_others_leave_when_all_that_is_left_is_ejected_then_the_least_bad_is_used() {
+    let mut router = two();
+    let ask = ask("tool", RouteKind::Idempotent);
+    let key = fail_until_ejected(&mut router, ms(0), &ask, "x");
+    router.set_endpoints(ms(1), &list(&[entry("x", "tool", "a", 8), draining(entry("y", "tool", "a", 8))]));
+    expect_that!(send(&mut router, ms(1), &ask).key, eq(key));
+}
+
+#[gtest]
+fn given_an_ended_attempt_when_it_never_ran_then_it_says_so_in_tried() {
+    for outcome in NEVER_RAN {
+        let mut router = two();
+        let (ask, mut tried) = (ask("tool", RouteKind::Streaming), Tried::default());
+        attempt(&mut router, ms(0), &ask, &mut tried, outcome);
+        expect_that!(tried.may_have_run, eq(false));
+        expect_that!(tried.refused, eq(1));
+    }
+}
