--- /dev/null
+++ b/system/config-register/tests/schedules.rs
@@ -0,0 +1,523 @@
+//! Random schedules of five machines, of which some are voters: requests are lost, late, repeated and out of order,
+//! machines restart and lose their disks, voters change. What is checked is the history alone.
+
+use bytes::Bytes;
+use config_register::{
+    Acceptor, Change, Learner, Outbox, Proposal, Restore, RestoreStep, Step, Verdict, found, next_round,
+};
+use fleet_model::{AcceptedValue, Ballot, RegisterReply, RegisterRequest, RegisterValue};
+use googletest::prelude::*;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+const MACHINES: usize = 5;
+
+fn ip(number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, number as u8 + 1)
+}
+
+fn all() -> Vec<Ipv4Addr> {
+    (0..MACHINES).map(ip).collect()
+}
+
+#[derive(Clone)]
+enum Wish {
+    Append(u32),
+    Read,
+    /// Adds a voter or takes it out, but leaves so many.
+    Toggle(Ipv4Addr, usize),
+}
+
+impl Wish {
+    fn change(&self, read: &RegisterValue) -> Change {
+        match self {
+            Wish::Append(id) => Change::Set([&read.payload[..], &id.to_be_bytes()].concat().into()),
+            Wish::Read => Change::Keep,
+            Wish::Toggle(machine, least) => {
+                let mut voters = read.voters.clone();
+                voters.retain(|voter| voter != machine);
+                if voters.len() == read.voters.len() {
+                    voters.push(*machine);
+                }
+                if voters.len() < *least { Change::Keep } else { Change::Voters(voters) }
+            }
+        }
+    }
+}
+
+enum Run {
+    Proposal(Proposal, Wish),
+    Restore(Restore),
+    Poll(Learner, AcceptedValue),
+    Fetch(Learner, AcceptedValue),
+}
+
+/// A machine's process with its disk.
+struct Machine {
+    acceptor: Acceptor,
+    known: Option<AcceptedValue>,
+    run: Option<Run>,
+    /// When the run began, in events of the history.
+    begun: usize,
+    seen: Ballot,
+}
+
+/// What somebody was told.
+#[derive(Clone, Debug)]
+enum Told {
+    /// This value was chosen. `begun`: how much of the history there was when the run began.
+    Chosen { begun: usize, value: AcceptedValue },
+    /// Nothing newer than this ballot was chosen by then.
+    Fresh { begun: usize, ballot: Ballot },
+    /// Learnt in passing: no claim as to what is newest.
+    Learnt(AcceptedValue),
+}
+
+#[derive(Clone)]
+enum Envelope {
+    Request { call: u64, to: usize, request: RegisterRequest },
+    Reply { call: u64, reply: RegisterReply },
+}
+
+#[derive(Default, Debug, Clone, Copy)]
+struct Counts {
+    appended: usize,
+    changed: usize,
+    restored: usize,
+    fresh: usize,
+    learnt: usize,
+}
+
+struct Fleet {
+    rng: ChaCha8Rng,
+    machines: Vec<Machine>,
+    calls: BTreeMap<u64, (usize, usize)>,
+    network: Vec<Envelope>,
+    last_call: u64,
+    last_id: u32,
+    least_voters: usize,
+    wiped: Option<usize>,
+    history: Vec<Told>,
+    counts: Counts,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        let voters: Vec<_> = (0..3).map(ip).collect();
+        let founded = found(voters);
+        let machines = (0..MACHINES)
+            .map(|number| Machine {
+                acceptor: if number < 3 { Acceptor::new(founded.clone()) } else { Acceptor::unfit() },
+                known: founded.accepted.clone(),
+                run: None,
+                begun: 0,
+                seen: Ballot::default(),
+            })
+            .collect();
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            machines,
+            calls: BTreeMap::new(),
+            network: vec![],
+            last_call: 0,
+            last_id: 0,
+            least_voters: if seed.is_multiple_of(2) { 2 } else { 3 },
+            wiped: None,
+            history: vec![],
+            counts: Counts::default(),
+        }
+    }
+
+    fn below(&mut self, bound: usize) -> usize {
+        self.rng.next_u32() as usize % bound
+    }
+
+    fn send(&mut self, from: usize, outbox: Outbox) {
+        for (to, request) in outbox {
+            let to = all().iter().position(|other| *other == to).unwrap();
+            self.last_call += 1;
+            self.calls.insert(self.last_call, (from, to));
+            self.network.push(Envelope::Request { call: self.last_call, to, request });
+        }
+    }
+
+    fn end_run(&mut self, number: usize) -> Option<Run> {
+        self.calls.retain(|_, (from, _)| *from != number);
+        self.machines[number].run.take()
+    }
+
+    fn start(&mut self, number: usize) {
+        if self.machines[number].run.is_some() {
+            return;
+        }
+        let begun = self.history.len();
+        let kind = self.below(10);
+        let is_blind = self.below(3) == 0;
+        // Only a machine that may vote is made a voter.
+        let fit: Vec<_> =
+            (0..MACHINES).filter(|other| self.machines[*other].acceptor.record().is_some()).map(ip).collect();
+        let toggled = fit[self.below(fit.len())];
+        let other = self.below(MACHINES);
+        // Any machine may be told by another which voters are in force.
+        let told = self.machines[other].acceptor.record().and_then(|record| record.settled.clone());
+        let machine = &mut self.machines[number];
+        machine.begun = begun;
+        let record = machine.acceptor.record();
+        let seen = record.map_or(machine.seen, |record| record.promised.max(machine.seen));
+        let ballot = next_round(seen, ip(number));
+        let settled = record.and_then(|record| record.settled.clone());
+        let known = machine.known.clone();
+        let start = [known.as_ref().map(|known| known.value.clone()), settled, told];
+        let start = start.into_iter().flatten().max_by_key(|start| start.epoch);
+        if record.is_none() {
+            machine.seen = ballot;
+            let restore = match start {
+                Some(start) if !is_blind => Restore::start_from(ip(number), ballot, &start, &all()),
+                _ => Restore::start(ip(number), ballot, &all()),
+            };
+            let outbox = restore.outbox();
+            machine.run = Some(Run::Restore(restore));
+            self.send(number, outbox);
+            return;
+        }
+        if kind < 2
+            && let Some(known) = known
+        {
+            let learner = Learner::poll_round(&known.value.voters, known.ballot);
+            let outbox = learner.outbox();
+            machine.run = Some(Run::Poll(learner, known));
+            self.send(number, outbox);
+            return;
+        }
+        let Some(start) = start else { return };
+        machine.seen = ballot;
+        let proposal = Proposal::start(ip(number), ballot, &start);
+        let outbox = proposal.outbox();
+        let wish = match kind {
+            2..=3 => Wish::Read,
+            4..=5 => Wish::Toggle(toggled, self.least_voters),
+            _ => {
+                self.last_id += 1;
+                Wish::Append(self.last_id)
+            }
+        };
+        self.machines[number].run = Some(Run::Proposal(proposal, wish));
+        self.send(number, outbox);
+    }
+
+    fn learn(&mut self, number: usize, value: &AcceptedValue) {
+        let machine = &mut self.machines[number];
+        machine.acceptor.learn_value(value);
+        if machine.known.as_ref().is_none_or(|known| known.ballot < value.ballot) {
+            machine.known = Some(value.clone());
+        }
+    }
+
+    fn on_outcome(&mut self, number: usize, from: usize, reply: Option<&RegisterReply>) {
+        let begun = self.machines[number].begun;
+        match &mut self.machines[number].run {
+            None => {}
+            Some(Run::Proposal(proposal, wish)) => {
+                let wish = wish.clone();
+                let mut change = |read: &RegisterValue| wish.change(read);
+                let step = match reply {
+                    Some(reply) => proposal.on_reply(ip(from), reply, &mut change),
+                    None => proposal.on_failure(ip(from), &mut change),
+                };
+                match step {
+                    Step::Wait => {}
+                    Step::Send(outbox) => self.send(number, outbox),
+                    Step::Done(value) => {
+                        match wish {
+                            Wish::Append(_) => self.counts.appended += 1,
+                            Wish::Toggle(..) if value.value.epoch > 0 => self.counts.changed += 1,
+                            _ => {}
+                        }
+                        self.end_run(number);
+                        self.learn(number, &value);
+                        self.history.push(Told::Chosen { begun, value });
+                    }
+                    Step::Lost { seen } => {
+                        self.end_run(number);
+                        let machine = &mut self.machines[number];
+                        machine.seen = machine.seen.max(seen);
+                    }
+                    Step::Failed => {
+                        self.end_run(number);
+                    }
+                }
+            }
+            Some(Run::Restore(restore)) => {
+                let step = match reply {
+                    Some(reply) => restore.on_reply(ip(from), reply),
+                    None => restore.on_failure(ip(from)),
+                };
+                match step {
+                    RestoreStep::Wait => {}
+                    RestoreStep::Send(outbox) => self.send(number, outbox),
+                    RestoreStep::Done(record) => {
+                        self.end_run(number);
+                        let value = record.accepted.clone().unwrap();
+                        self.machines[number].acceptor.restore(record);
+                        self.learn(number, &value);
+                        self.history.push(Told::Chosen { begun, value });
+                        self.wiped.take_if(|wiped| *wiped == number);
+                        self.counts.restored += 1;
+                    }
+                    RestoreStep::Lost { seen } => {
+                        self.end_run(number);
+                        let machine = &mut self.machines[number];
+                        machine.seen = machine.seen.max(seen);
+                    }
+                    RestoreStep::Failed => {
+                        self.end_run(number);
+                    }
+                }
+            }
+            Some(Run::Poll(learner, known)) => {
+                let verdict = match reply {
+                    Some(RegisterReply::Polled { accepted, chosen }) => {
+                        learner.on_polled(ip(from), *accepted, *chosen)
+                    }
+                    _ => learner.on_failure(ip(from)),
+                };
+                let known = known.clone();
+                match verdict {
+                    Verdict::Wait => {}
+                    Verdict::Fresh => {
+                        self.end_run(number);
+                        self.counts.fresh += 1;
+                        self.history.push(Told::Fresh { begun, ballot: known.ballot });
+                    }
+                    Verdict::Behind { from, .. } => {
+                        let Some(Run::Poll(learner, known)) = self.end_run(number) else { unreachable!() };
+                        self.machines[number].run = Some(Run::Fetch(learner, known));
+                        let from = from[self.below(from.len())];
+                        self.send(number, vec![(from, RegisterRequest::Fetch)]);
+                    }
+                    Verdict::Unsettled | Verdict::Failed => {
+                        self.end_run(number);
+                    }
+                }
+            }
+            Some(Run::Fetch(..)) => {
+                let Some(Run::Fetch(learner, known)) = self.end_run(number) else { unreachable!() };
+                if let Some(RegisterReply::Fetched(Some(value))) = reply
+                    && learner.confirms(&known.value, value)
+                {
+                    self.counts.learnt += 1;
+                    self.learn(number, value);
+                    self.history.push(Told::Learnt(value.clone()));
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, position: usize) {
+        match self.network.swap_remove(position) {
+            Envelope::Request { call, to, request } => {
+                let (reply, _) = self.machines[to].acceptor.handle(&request);
+                self.network.push(Envelope::Reply { call, reply });
+            }
+            Envelope::Reply { call, reply } => {
+                if let Some((number, from)) = self.calls.remove(&call) {
+                    self.on_outcome(number, from, Some(&reply));
+                }
+            }
+        }
+    }
+
+    fn give_up_call(&mut self) {
+        let open: Vec<_> = self.calls.keys().copied().collect();
+        if open.is_empty() {
+            return;
+        }
+        let call = open[self.below(open.len())];
+        let (number, from) = self.calls.remove(&call).unwrap();
+        self.on_outcome(number, from, None);
+    }
+
+    /// The process ends and starts again, with its disk.
+    fn restart(&mut self, number: usize) {
+        self.end_run(number);
+        let machine = &mut self.machines[number];
+        machine.known = None;
+        machine.acceptor = machine.acceptor.record().cloned().map_or(Acceptor::unfit(), Acceptor::new);
+    }
+
+    fn lose_disk(&mut self, number: usize) {
+        if self.wiped.is_none() && self.machines[number].acceptor.record().is_some() {
+            self.restart(number);
+            self.machines[number].acceptor = Acceptor::unfit();
+            self.wiped = Some(number);
+        }
+    }
+
+    fn gossip(&mut self, from: usize, to: usize) {
+        if let Some(value) = self.machines[from].known.clone() {
+            self.learn(to, &value);
+        }
+    }
+
+    fn step(&mut self) {
+        let number = self.below(MACHINES);
+        let other = self.below(MACHINES);
+        match self.below(1000) {
+            0..=99 => self.start(number),
+            100..=109 => self.restart(number),
+            110..=116 => self.lose_disk(number),
+            117..=136 => self.gossip(number, other),
+            137..=176 => self.give_up_call(),
+            177..=999 if self.network.is_empty() => self.start(number),
+            kind => {
+                let position = self.below(self.network.len());
+                match kind {
+                    177..=206 => {
+                        self.network.swap_remove(position);
+                    }
+                    207..=236 => {
+                        if let again @ Envelope::Request { .. } = &self.network[position] {
+                            let again = again.clone();
+                            self.network.push(again);
+                        }
+                    }
+                    _ => self.deliver(position),
+                }
+            }
+        }
+    }
+
+    /// No more faults: every machine is restored, and one reads the value.
+    fn settle(&mut self) {
+        for number in 0..MACHINES {
+            self.end_run(number);
+        }
+        for turn in 0..12 * MACHINES {
+            let number = turn % MACHINES;
+            for other in 0..MACHINES {
+                self.gossip(other, number);
+            }
+            // The second try is above what the first was refused for.
+            for _ in 0..3 {
+                self.start(number);
+                while let Some(position) = self.network.len().checked_sub(1) {
+                    self.deliver(position);
+                }
+                self.end_run(number);
+            }
+        }
+    }
+}
+
+fn ids(value: &AcceptedValue) -> Vec<u32> {
+    value.value.payload.chunks(4).map(|id| u32::from_be_bytes(id.try_into().unwrap())).collect()
+}
+
+/// What is wrong with a history, if anything is.
+fn fault(history: &[Told]) -> Option<String> {
+    let chosen: Vec<_> = history
+        .iter()
+        .filter_map(|told| match told {
+            Told::Chosen { value, .. } | Told::Learnt(value) => Some(value),
+            Told::Fresh { .. } => None,
+        })
+        .collect();
+    let mut ordered = chosen.clone();
+    ordered.sort_by_key(|value| value.ballot);
+    for pair in ordered.windows(2) {
+        let (older, newer) = (&pair[0].value, &pair[1].value);
+        let is_same = pair[0].ballot != pair[1].ballot || older == newer;
+        if !is_same || !newer.payload.starts_with(&older.payload) || newer.epoch < older.epoch {
+            return Some(format!("no chain: {:?} {:?}", pair[0], pair[1]));
+        }
+        if newer.epoch == older.epoch
+            && BTreeSet::from_iter(&newer.voters) != BTreeSet::from_iter(&older.voters)
+        {
+            return Some(format!("two sets of voters in one epoch: {older:?} {newer:?}"));
+        }
+    }
+    for value in &chosen {
+        let ids = ids(value);
+        if BTreeSet::from_iter(&ids).len() != ids.len() {
+            return Some(format!("a change was made twice: {ids:?}"));
+        }
+    }
+    for told in history {
+        let (begun, ballot) = match told {
+            Told::Chosen { begun, value } => (*begun, value.ballot),
+            Told::Fresh { begun, ballot } => (*begun, *ballot),
+            Told::Learnt(_) => continue,
+        };
+        for earlier in &history[..begun] {
+            if let Told::Chosen { value, .. } | Told::Learnt(value) = earlier
+                && value.ballot > ballot
+            {
+                return Some(format!("{told:?} misses {value:?}, which was told before it began"));
+            }
+        }
+    }
+    None
+}
+
+fn run(seed: u64, steps: usize) -> (Option<String>, Counts) {
+    let mut fleet = Fleet::new(seed);
+    for _ in 0..steps {
+        fleet.step();
+    }
+    let counts = fleet.counts;
+    let calm = fleet.history.len();
+    fleet.settle();
+    let unfit = fleet.machines.iter().filter(|machine| machine.acceptor.record().is_none()).count();
+    let is_alive =
+        fleet.history[calm..].iter().any(|told| matches!(told, Told::Chosen { begun, .. } if *begun >= calm));
+    // Where one of two voters loses its disk amid two changes, the register stands still rather than guess.
+    let must_live = fleet.least_voters > 2;
+    let stuck = (must_live && (unfit > 0 || !is_alive))
+        .then(|| format!("stuck without faults, {unfit} machines unfit"));
+    (fault(&fleet.history).or(stuck), counts)
+}
+
+#[gtest]
+fn random_schedules_keep_one_chain_of_changes_and_lose_none() {
+    let mut total = Counts::default();
+    for seed in 0..3000 {
+        let (fault, counts) = run(seed, 1000);
+        assert_that!(fault, none(), "seed {seed}");
+        total.appended += counts.appended;
+        total.changed += counts.changed;
+        total.restored += counts.restored;
+        total.fresh += counts.fresh;
+        total.learnt += counts.learnt;
+    }
+
+    println!("{total:?}");
+    // Without these the schedules would tell little.
+    expect_that!(total.appended, gt(4000));
+    expect_that!(total.changed, gt(4000));
+    expect_that!(total.restored, gt(4000));
+    expect_that!(total.fresh, gt(1000));
+    expect_that!(total.learnt, gt(1000));
+}
+
+#[gtest]
+fn the_checker_finds_a_change_that_was_lost() {
+    let value = |round, ids: &[u32]| AcceptedValue {
+        ballot: Ballot { round, proposer: 1 },
+        value: RegisterValue {
+            payload: Bytes::from_iter(ids.iter().flat_map(|id| id.to_be_bytes())),
+            ..Default::default()
+        },
+    };
+
+    let lost =
+        [Told::Chosen { begun: 0, value: value(1, &[1]) }, Told::Chosen { begun: 0, value: value(2, &[2]) }];
+    let stale =
+        [Told::Learnt(value(2, &[2])), Told::Fresh { begun: 1, ballot: Ballot { round: 1, proposer: 1 } }];
+    let kept = [Told::Chosen { begun: 0, value: value(2, &[1, 2]) }, Told::Learnt(value(1, &[1]))];
+
+    expect_that!(fault(&lost), some(starts_with("no chain")));
+    expect_that!(fault(&stale), some(contains_substring("misses")));
+    expect_that!(fault(&kept), none());
+}
--- /dev/null
+++ b/system/fleet-membership/src/config.rs
@@ -0,0 +1,72 @@
+//! Times and limits.
+
+/// Times and limits of the protocol. All members of a fleet should have the same.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// The fleet's number: datagrams of another one are dropped.
+    pub fleet: u32,
+    /// Between two probes.
+    pub period_ms: u64,
+    /// In every so many periods one more member is probed, in shuffled round robin.
+    pub extra_probe_every: u64,
+    /// How long a probe waits before it asks third parties.
+    pub ack_timeout_ms: u64,
+    /// How long it then waits before it suspects.
+    pub indirect_timeout_ms: u64,
+    /// How many third parties it asks.
+    pub third_parties: usize,
+    /// How long a suspected member has to object; two in a hundred longer with each doubling of the fleet.
+    pub suspicion_ms: u64,
+    /// Between two rounds of fresh rumours.
+    pub gossip_interval_ms: u64,
+    /// How many members get a round of rumours.
+    pub gossip_fanout: usize,
+    /// A tick that comes later than due by more than this tells that this process had no time.
+    pub late_ms: u64,
+    /// How long it is remembered that a life has ended.
+    pub dead_memory_ms: u64,
+    /// Between two tries to find removed members and absent seeds again, on average.
+    pub seek_interval_ms: u64,
+    /// The same while no other member is known.
+    pub alone_interval_ms: u64,
+    /// How long the address of a removed member is tried.
+    pub lost_memory_ms: u64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            fleet: 0,
+            period_ms: 1_000,
+            extra_probe_every: 4,
+            ack_timeout_ms: 200,
+            indirect_timeout_ms: 400,
+            third_parties: 2,
+            suspicion_ms: 1_500,
+            gossip_interval_ms: 100,
+            gossip_fanout: 3,
+            late_ms: 100,
+            dead_memory_ms: 60_000,
+            seek_interval_ms: 5_000,
+            alone_interval_ms: 1_000,
+            lost_memory_ms: 24 * 3_600_000,
+        }
+    }
+}
+
+impl Config {
+    /// How long a suspected member has to object in a fleet of `members`.
+    pub(crate) fn suspicion_for(&self, members: usize) -> u64 {
+        self.suspicion_ms + self.suspicion_ms * u64::from(log2(members)) / 50
+    }
+
+    /// How often a member sends one rumour in a fleet of `members`.
+    pub(crate) fn sends_per_rumour(&self, members: usize) -> u32 {
+        3 * log2(members)
+    }
+}
+
+/// Logarithm, rounded up; at least 1.
+fn log2(members: usize) -> u32 {
+    members.max(2).next_power_of_two().trailing_zeros()
+}
--- /dev/null
+++ b/system/fleet-membership/src/rumours.rs
@@ -0,0 +1,42 @@
+//! Whose state is still to be spread, and how often it was.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+/// Addresses whose state changed lately. What is sent is always the newest state.
+#[derive(Default)]
+pub(crate) struct Rumours {
+    sent: BTreeMap<Ipv4Addr, u32>,
+    order: BTreeSet<(u32, Ipv4Addr)>,
+}
+
+impl Rumours {
+    /// Spreads the state of `ip` from the start.
+    pub fn put(&mut self, ip: Ipv4Addr) {
+        if let Some(sent) = self.sent.insert(ip, 0) {
+            self.order.remove(&(sent, ip));
+        }
+        self.order.insert((0, ip));
+    }
+
+    /// Those to send, least sent first.
+    pub fn in_order(&self) -> impl Iterator<Item = Ipv4Addr> + '_ {
+        self.order.iter().map(|(_, ip)| *ip)
+    }
+
+    /// One more was sent; with the `limit`th it ends.
+    pub fn count(&mut self, ip: Ipv4Addr, limit: u32) {
+        let Some(sent) = self.sent.get(&ip).copied() else { return };
+        self.order.remove(&(sent, ip));
+        if sent + 1 >= limit {
+            self.sent.remove(&ip);
+        } else {
+            self.sent.insert(ip, sent + 1);
+            self.order.insert((sent + 1, ip));
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.sent.is_empty()
+    }
+}
--- /dev/null
+++ b/system/fleet-membership/tests/fleet/stories.rs
@@ -0,0 +1,433 @@
+//! What a fleet does when its members die, freeze, restart and are cut off.
+
+use crate::simulator::{Simulator, ip};
+use fleet_membership::{Change, Role, start_number};
+use googletest::prelude::*;
+
+fn members(numbers: std::ops::Range<usize>) -> Vec<std::net::Ipv4Addr> {
+    numbers.map(ip).collect()
+}
+
+#[googletest::test]
+fn a_dead_member_is_removed_everywhere_within_four_seconds() {
+    for (count, seeds) in [(10, 20), (100, 5), (300, 2)] {
+        for seed in 0..seeds {
+            // Given a fleet at rest.
+            let mut fleet = Simulator::settled(seed, count);
+            let pause = fleet.draw(1_000);
+            fleet.run(pause);
+
+            // When one dies without a word.
+            fleet.kill(ip(count / 2));
+            let took = fleet.run_until_agreed(4_000);
+
+            // Then all others have removed it, after a suspicion, and nobody else.
+            expect_that!(took, some(le(4_000)), "{count} members, seed {seed}");
+            expect_that!(fleet.removals().len(), eq(count - 1), "{count} members, seed {seed}");
+            let suspected =
+                fleet.changes.iter().filter(|(_, _, change)| matches!(change, Change::Suspected(_))).count();
+            expect_that!(suspected, eq(count - 1), "{count} members, seed {seed}");
+        }
+    }
+}
+
+#[googletest::test]
+fn a_member_that_was_frozen_for_four_seconds_is_back_everywhere_within_two() {
+    for (count, seeds) in [(2, 20), (10, 20), (100, 5), (300, 1)] {
+        for seed in 0..seeds {
+            // Given one that is frozen for 4 s.
+            let mut fleet = Simulator::settled(seed, count);
+            let pause = fleet.draw(1_000);
+            fleet.run(pause);
+            fleet.freeze(ip(1));
+            fleet.run(4_000);
+            fleet.changes.clear();
+
+            // When it goes on.
+            fleet.thaw(ip(1));
+            let took = fleet.run_until_agreed(2_000);
+
+            // Then it is a member everywhere, unsuspected, and has suspected nobody for its own lack of time.
+            expect_that!(took, some(le(2_000)), "{count} members, seed {seed}");
+            fleet.run(1_000);
+            expect_that!(fleet.suspected_by(ip(1)), eq(0), "{count} members, seed {seed}");
+            let wronged: Vec<_> = fleet
+                .changes
+                .iter()
+                .filter(|(_, _, change)| match change {
+                    Change::Suspected(member) | Change::Removed(member) => member.ip != ip(1),
+                    _ => false,
+                })
+                .collect();
+            expect_that!(wronged, is_empty(), "{count} members, seed {seed}");
+        }
+    }
+}
+
+#[googletest::test]
+fn a_short_freeze_makes_nobody_a_suspect_of_the_frozen_one() {
+    for seed in 0..30 {
+        // Given one that is frozen while its own probe waits for an answer.
+        let mut fleet = Simulator::settled(seed, 10);
+        let pause = fleet.draw(1_000);
+        fleet.run(pause);
+        fleet.freeze(ip(4));
+        fleet.run(1_200);
+
+        // When it goes on.
+        fleet.thaw(ip(4));
+        fleet.run(5_000);
+
+        // Then it has noticed, and suspects nobody; nobody was removed.
+        expect_that!(fleet.view(ip(4)).counters().gaps, ge(1), "seed {seed}");
+        let suspects: Vec<_> = fleet
+            .changes
+            .iter()
+            .filter(|(_, by, change)| {
+                *by == ip(4) && matches!(change, Change::Suspected(member) if member.ip != ip(4))
+            })
+            .collect();
+        expect_that!(suspects, is_empty(), "seed {seed}");
+        expect_that!(fleet.removals(), is_empty(), "seed {seed}");
+    }
+}
+
+#[googletest::test]
+fn links_that_lose_two_in_a_hundred_lead_to_no_removal() {
+    for (count, seeds) in [(3, 10), (30, 10), (300, 1)] {
+        for seed in 0..seeds {
+            // Given a fleet.
+            let mut fleet = Simulator::settled(seed, count);
+
+            // When its links lose 2 in 100 datagrams for a minute.
+            fleet.loss_per_mille = 20;
+            fleet.run(60_000);
+
+            // Then nobody is removed.
+            expect_that!(fleet.removals(), is_empty(), "{count} members, seed {seed}");
+            fleet.assert_agreed();
+        }
+    }
+}
+
+#[googletest::test]
+fn three_parts_find_each_other_again_within_fifteen_seconds() {
+    for (count, seeds) in [(3, 20), (6, 20), (30, 10), (150, 2)] {
+        for seed in 0..seeds {
+            // Given three parts, cut off for so long that each has removed the others and no old rumour is left.
+            let mut fleet = Simulator::settled(seed, count);
+            let third = count / 3;
+            let parts = [members(0..third), members(third..2 * third), members(2 * third..count)];
+            fleet.partition(&parts);
+            let cut_ms = if seed % 2 == 0 { 30_000 } else { 90_000 };
+            fleet.run(cut_ms);
+            for part in &parts {
+                for at in part {
+                    expect_that!(fleet.view(*at).count(), eq(part.len()), "{count} members, seed {seed}");
+                }
+            }
+
+            // When the cuts heal.
+            fleet.heal();
+            let took = fleet.run_until_agreed(15_000);
+
+            // Then all see all.
+            expect_that!(took, some(le(15_000)), "{count} members, seed {seed}: {:?}", fleet.disagreement());
+        }
+    }
+}
+
+#[googletest::test]
+fn parts_that_meet_again_remove_nobody_of_their_own() {
+    for seed in 0..5 {
+        // Given two halves that have removed each other.
+        let mut fleet = Simulator::settled(seed, 40);
+        fleet.partition(&[members(0..20), members(20..40)]);
+        fleet.run(30_000);
+        fleet.changes.clear();
+
+        // When they meet again.
+        fleet.heal();
+        fleet.run(20_000);
+
+        // Then all see all, and none was removed meanwhile.
+        fleet.assert_agreed();
+        expect_that!(fleet.removals(), is_empty(), "seed {seed}");
+    }
+}
+
+#[googletest::test]
+fn a_restart_at_the_same_address_outranks_the_former_life() {
+    for (count, seed) in [(3, 0), (3, 1), (30, 0), (30, 1), (30, 2), (150, 0)] {
+        // Given one that died.
+        let mut fleet = Simulator::settled(seed, count);
+        let former = fleet.view(ip(5 % count)).me().incarnation;
+        let at = ip(5 % count);
+        fleet.kill(at);
+        let down_ms = 1 + fleet.draw(500);
+        fleet.run(down_ms);
+
+        // When it starts again within half a second.
+        fleet.start(at, &[ip(0), ip(1), ip(2)]);
+        let took = fleet.run_until_agreed(2_000);
+
+        // Then all know the new life within 2 s, each having been told that the old one is over, and it stays.
+        expect_that!(took, some(le(2_000)), "{count} members, seed {seed}");
+        expect_that!(fleet.view(ip(4 % count)).get(at).map(|member| member.incarnation), some(gt(former)));
+        let of_it = |change: &Change| match change {
+            Change::Joined(member) => member.ip == at && member.incarnation > former,
+            _ => false,
+        };
+        let joined = fleet.changes.iter().filter(|(_, by, change)| *by != at && of_it(change)).count();
+        expect_that!(joined, eq(count - 1), "{count} members, seed {seed}");
+        expect_that!(fleet.removals().len(), eq(count - 1), "{count} members, seed {seed}");
+        fleet.run(10_000);
+        fleet.assert_agreed();
+        expect_that!(fleet.removals().len(), eq(count - 1), "{count} members, seed {seed}");
+    }
+}
+
+#[googletest::test]
+fn a_restart_with_an_earlier_clock_takes_a_higher_number() {
+    for seed in 0..10 {
+        // Given one that died.
+        let mut fleet = Simulator::settled(seed, 10);
+        let former = fleet.view(ip(5)).me().incarnation;
+        fleet.kill(ip(5));
+        let down_ms = fleet.draw(10_000);
+        fleet.run(down_ms);
+
+        // When it starts again with a clock that shows an hour earlier.
+        fleet.start_with_clock(ip(5), &[ip(0)], (former >> 16) - 3_600_000);
+        let took = fleet.run_until_agreed(3_000);
+
+        // Then its number is higher all the same.
+        expect_that!(took, some(le(3_000)), "seed {seed}: {:?}", fleet.disagreement());
+        expect_that!(fleet.view(ip(5)).me().incarnation, gt(former), "seed {seed}");
+        expect_that!(fleet.view(ip(0)).get(ip(5)).map(|member| member.incarnation), some(gt(former)));
+    }
+}
+
+#[googletest::test]
+fn one_that_leaves_is_told_of_at_once() {
+    for count in [2, 10, 100] {
+        // Given a fleet.
+        let mut fleet = Simulator::settled(1, count);
+
+        // When one leaves.
+        fleet.leave(ip(1));
+        fleet.run(1_000);
+
+        // Then all know within a second, without a suspicion.
+        fleet.assert_agreed();
+        expect_that!(fleet.changes.len(), eq(count - 1), "{count} members");
+        expect_that!(
+            fleet
+                .changes
+                .iter()
+                .all(|(_, _, change)| matches!(change, Change::Left(member) if member.ip == ip(1))),
+            eq(true)
+        );
+    }
+}
+
+#[googletest::test]
+fn one_that_restarts_while_all_its_seeds_are_gone_keeps_asking_them() {
+    // Given a fleet whose seeds are gone.
+    let mut fleet = Simulator::settled(1, 10);
+    for at in members(0..3) {
+        fleet.kill(at);
+    }
+    fleet.kill(ip(9));
+    fleet.run(10_000);
+
+    // When another restarts, with only those seeds.
+    fleet.start(ip(9), &members(0..3));
+    fleet.run(2_000);
+
+    // Then those who kept its address find it.
+    fleet.run(13_000);
+    fleet.assert_agreed();
+
+    // When one that nobody knows starts, it stays alone, and asks.
+    fleet.start(ip(50), &members(0..3));
+    fleet.run(120_000);
+    expect_that!(fleet.view(ip(50)).count(), eq(1));
+
+    // Then it joins as soon as one of its seeds is back.
+    fleet.start(ip(2), &[ip(5)]);
+    expect_that!(fleet.run_until_agreed(5_000), some(le(5_000)));
+}
+
+#[googletest::test]
+fn one_that_is_alone_joins_through_other_seeds() {
+    // Given one whose seeds don't exist.
+    let mut fleet = Simulator::settled(1, 10);
+    fleet.start(ip(50), &[ip(200), ip(201)]);
+    fleet.run(20_000);
+    expect_that!(fleet.view(ip(50)).count(), eq(1));
+
+    // When it is given others.
+    fleet.join(ip(50), &[ip(7)]);
+
+    // Then it is in.
+    expect_that!(fleet.run_until_agreed(1_000), some(le(1_000)));
+}
+
+#[googletest::test]
+fn a_link_that_is_cut_one_way_removes_nobody() {
+    for seed in 0..10 {
+        // Given a fleet in which some links work one way only.
+        let mut fleet = Simulator::settled(seed, 10);
+        for _ in 0..8 {
+            let (from, to) = (fleet.draw(10) as usize, fleet.draw(10) as usize);
+            fleet.cut(ip(from), ip(to));
+        }
+
+        // When a minute goes by.
+        fleet.run(60_000);
+
+        // Then third parties have vouched for all.
+        expect_that!(fleet.removals(), is_empty(), "seed {seed}");
+    }
+}
+
+#[googletest::test]
+fn one_that_hears_nothing_is_removed_and_comes_back() {
+    for seed in 0..5 {
+        // Given one that can send to all and hears nobody.
+        let mut fleet = Simulator::settled(seed, 20);
+        for at in members(0..20) {
+            fleet.cut(at, ip(3));
+        }
+
+        // When 10 s go by, all others have removed it, and only it.
+        fleet.run(10_000);
+        expect_that!(fleet.seen_by(ip(3)), eq(1), "seed {seed}");
+        let others: Vec<_> = fleet
+            .removals()
+            .into_iter()
+            .filter(|(_, by, change)| {
+                *by != ip(3) && matches!(change, Change::Removed(member) if member.ip != ip(3))
+            })
+            .collect();
+        expect_that!(others, is_empty(), "seed {seed}");
+
+        // Then it is back soon after it hears again.
+        fleet.heal();
+        expect_that!(
+            fleet.run_until_agreed(15_000),
+            some(le(15_000)),
+            "seed {seed}: {:?}",
+            fleet.disagreement()
+        );
+    }
+}
+
+#[googletest::test]
+fn a_third_of_the_fleet_dies_at_once() {
+    for seed in 0..3 {
+        // Given a fleet.
+        let mut fleet = Simulator::settled(seed, 90);
+
+        // When a third of it dies at once.
+        for number in (0..90).step_by(3) {
+            fleet.kill(ip(number));
+        }
+
+        // Then the rest agree soon, and haven't removed one another.
+        let took = fleet.run_until_agreed(15_000);
+        expect_that!(took, some(le(15_000)), "seed {seed}: {:?}", fleet.disagreement());
+        let wronged: Vec<_> = fleet
+            .removals()
+            .into_iter()
+            .filter(
+                |(_, _, change)| matches!(change, Change::Removed(member) if member.ip.octets()[3] % 3 != 0),
+            )
+            .collect();
+        expect_that!(wronged, is_empty(), "seed {seed}");
+    }
+}
+
+#[googletest::test]
+fn a_probe_at_rest_costs_the_same_in_every_fleet() {
+    let mut rates = Vec::new();
+    for count in [30, 100, 300] {
+        // Given a fleet at rest.
+        let mut fleet = Simulator::settled(1, count);
+        fleet.run(10_000);
+        let total = |fleet: &Simulator| {
+            let counters = fleet.counters();
+            (
+                counters.iter().map(|counter| counter.bytes_sent).sum::<u64>(),
+                counters.iter().map(|counter| counter.datagrams_sent).sum::<u64>(),
+            )
+        };
+        let before = total(&fleet);
+
+        // When a minute goes by.
+        fleet.run(60_000);
+
+        // Then each member has sent less than 200 bytes, headers of UDP and IP included, for each of its probes.
+        let after = total(&fleet);
+        let member_seconds = 60.0 * count as f64;
+        let (bytes, datagrams) =
+            ((after.0 - before.0) as f64 / member_seconds, (after.1 - before.1) as f64 / member_seconds);
+        let with_headers = bytes + 28.0 * datagrams;
+        println!(
+            "{count} members: {datagrams:.2} datagrams, {bytes:.1} bytes, {with_headers:.1} with headers, a second"
+        );
+        let probes = datagrams / 2.0;
+        expect_that!(with_headers / probes, lt(200.0), "{count} members");
+        expect_that!(probes, lt(1.3), "{count} members");
+        rates.push(with_headers);
+        expect_that!(fleet.changes, is_empty());
+    }
+    expect_that!(rates[2] / rates[0], all![gt(0.9), lt(1.1)]);
+}
+
+#[googletest::test]
+fn one_without_others_sleeps() {
+    // Given one that was given no seeds.
+    let mut fleet = Simulator::new(1);
+    fleet.start(ip(1), &[]);
+    fleet.run(2_000);
+
+    // Then nothing is ever due.
+    expect_that!(fleet.view(ip(1)).next_tick_ms(), eq(u64::MAX));
+}
+
+#[googletest::test]
+fn members_are_told_by_role_and_address() {
+    // Given three members.
+    let fleet = Simulator::settled(1, 3);
+    let view = fleet.view(ip(0));
+
+    // Then each view has all of them, itself first.
+    expect_that!(view.count(), eq(3));
+    expect_that!(view.alive(Role::Edge).map(|member| member.ip).collect::<Vec<_>>(), eq(&members(0..3)));
+    expect_that!(view.alive(Role::Core).count(), eq(0));
+    expect_that!(view.get(ip(2)).map(|member| member.name.as_str()), some(eq("edge-10.0.0.2")));
+    expect_that!(view.get(ip(9)), none());
+    expect_that!(view.is_suspect(ip(2)), eq(false));
+}
+
+#[googletest::test]
+fn a_later_start_has_a_higher_number() {
+    expect_that!(start_number(1_001, 0), gt(start_number(1_000, u16::MAX)));
+    expect_that!(start_number(1_000, 8), gt(start_number(1_000, 7)));
+}
+#[test]
+fn big() {
+    let mut fleet = Simulator::settled(1, 1000);
+    fleet.kill(ip(500));
+    let t = fleet.run_until_agreed(10_000);
+    eprintln!("BIG detect {t:?}");
+    fleet.freeze(ip(1)); fleet.run(4000); fleet.thaw(ip(1));
+    let t = fleet.run_until_agreed(10_000);
+    eprintln!("BIG thaw {t:?}");
+    let b: u64 = fleet.counters().iter().map(|c| c.bytes_sent).sum();
+    fleet.run(10_000);
+    let a: u64 = fleet.counters().iter().map(|c| c.bytes_sent).sum();
+    eprintln!("BIG bytes {}", (a - b) / 10 / 999);
+}
--- /dev/null
+++ b/system/request-forwarding/src/headers.rs
@@ -0,0 +1,102 @@
+//! Headers on their way.
+
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use std::time::Duration;
+
+pub(crate) const ATTEMPT_ID: HeaderName = HeaderName::from_static("attempt-id");
+pub(crate) const DEADLINE_REMAINING: HeaderName = HeaderName::from_static("deadline-remaining");
+pub(crate) const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
+pub(crate) const PRIORITY: HeaderName = HeaderName::from_static("priority");
+pub(crate) const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
+pub(crate) const SERVER_SEAL: HeaderName = HeaderName::from_static("server-seal");
+pub(crate) const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
+pub(crate) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Whether a header is about one connection only, or about how a body is framed.
+fn is_own(name: &HeaderName) -> bool {
+    [
+        header::CONNECTION,
+        KEEP_ALIVE,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+    ]
+    .contains(name)
+        || name.as_str().starts_with("proxy-")
+}
+
+/// The headers that are passed along, less those that `Connection` names.
+pub(crate) fn passed(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .filter(|name| name != "attempt-id" && name != "host")
+        .collect();
+    let mut passed = HeaderMap::with_capacity(headers.len() + 4);
+    for (name, value) in headers {
+        if !is_own(name) && !named.iter().any(|named| named == name.as_str()) {
+            passed.append(name.clone(), value.clone());
+        }
+    }
+    passed
+}
+
+/// The value of a header that is there once.
+pub(crate) fn single<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next()?.to_str().ok()?.trim();
+    (values.next().is_none() && !value.is_empty()).then_some(value)
+}
+
+/// A header's text by its name.
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok().map(str::trim)
+}
+
+/// A whole number, or a fraction cut to one.
+pub(crate) fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    let value: f64 = text(headers, name)?.parse().ok()?;
+    (value.is_finite() && value >= 0.0).then_some(value as u64)
+}
+
+/// Tokens of the prompt, and the most that is generated.
+pub(crate) fn token_usage(headers: &HeaderMap) -> Option<(u32, u32)> {
+    let (prompt, most) = text(headers, "token-usage")?.split_once(',')?;
+    Some((prompt.trim().parse().ok()?, most.trim().parse().ok()?))
+}
+
+/// Whether the other side ends the connection after this message.
+pub(crate) fn closes(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .any(|value| value.split(',').any(|part| part.trim().eq_ignore_ascii_case("close")))
+}
+
+/// How long an idle connection may be used again: a little less than `Keep-Alive` tells.
+pub(crate) fn idle_time(headers: &HeaderMap) -> Duration {
+    let told = text(headers, KEEP_ALIVE.as_str()).and_then(|value| {
+        value.split(',').find_map(|part| {
+            let (name, seconds) = part.split_once('=')?;
+            (name.trim().eq_ignore_ascii_case("timeout")).then(|| seconds.trim().parse::<u32>().ok())?
+        })
+    });
+    match told {
+        Some(seconds) => Duration::from_secs(seconds.into()).saturating_sub(Duration::from_millis(500)),
+        None => Duration::from_secs(4),
+    }
+}
+
+/// A value of a number.
+pub(crate) fn value(number: u64) -> HeaderValue {
+    HeaderValue::from(number)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/system/request-forwarding/src/lib.rs
@@ -0,0 +1,17 @@
+//! The data plane: takes requests from clients, carries them to endpoints and brings the answers back. All of it runs
+//! on one thread, inside a `LocalSet`.
+
+mod body;
+mod events;
+mod figures;
+mod forwarder;
+mod headers;
+mod pool;
+mod queue;
+mod server;
+mod turns;
+
+pub use figures::Figures;
+pub use forwarder::{Forwarder, Knowledge};
+pub use server::{Stage, serve_readiness};
+pub use turns::{Chain, NewTurn, Reserve, TurnKeeping};
--- /dev/null
+++ b/system/request-forwarding/src/pool.rs
@@ -0,0 +1,218 @@
+//! What the requests of a process share: the router, the connections to endpoints, the queue and the figures.
+
+use crate::figures::Figures;
+use crate::headers;
+use crate::queue::Queue;
+use hyper::HeaderMap;
+use hyper::body::Incoming;
+use micadrum::net::connection::{CallError, Connection};
+use micadrum::{Outcome, Span, Time};
+use request_routing::{Ask, EndpointKey, Router, ServerLoad, Target};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout};
+
+/// So much of a body that nobody wants is read to be able to use its connection again.
+const MOST_UNWANTED: usize = 64 * 1024;
+/// For so long.
+const UNWANTED_PATIENCE: Duration = Duration::from_millis(200);
+
+pub(crate) struct Core {
+    start: Instant,
+    pub(crate) router: RefCell<Router>,
+    idle: RefCell<HashMap<EndpointKey, Vec<(Line, Instant)>>>,
+    pub(crate) queue: Rc<Queue>,
+    pub(crate) figures: Cell<Figures>,
+}
+
+/// A connection to an endpoint. The router hears when it closes.
+pub(crate) struct Line {
+    core: Weak<Core>,
+    key: EndpointKey,
+    pub(crate) connection: Connection,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        if let Some(core) = self.core.upgrade() {
+            core.router.borrow_mut().connection_closed(self.key);
+        }
+    }
+}
+
+impl Core {
+    pub(crate) fn new(router: Router, most_waiting: usize) -> Rc<Self> {
+        Rc::new(Self {
+            start: Instant::now(),
+            router: RefCell::new(router),
+            idle: RefCell::default(),
+            queue: Queue::new(most_waiting),
+            figures: Cell::default(),
+        })
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.at(Instant::now())
+    }
+
+    pub(crate) fn at(&self, instant: Instant) -> Time {
+        let micros = instant.saturating_duration_since(self.start).as_micros();
+        // One second in: nothing that is reckoned back from now falls below 0.
+        Time(1_000_000 + u64::try_from(micros).unwrap_or(u64::MAX / 2))
+    }
+
+    pub(crate) fn count(&self, change: impl FnOnce(&mut Figures)) {
+        let mut figures = self.figures.get();
+        change(&mut figures);
+        self.figures.set(figures);
+    }
+
+    /// An idle connection that may still be used.
+    pub(crate) fn idle_line(&self, key: EndpointKey) -> Option<Line> {
+        let now = Instant::now();
+        loop {
+            let (line, until) = self.idle.borrow_mut().get_mut(&key)?.pop()?;
+            if until > now && !line.connection.is_closed() {
+                return Some(line);
+            }
+        }
+    }
+
+    /// A new connection.
+    pub(crate) async fn open_line(
+        self: &Rc<Self>,
+        target: &Target,
+        patience: Duration,
+    ) -> Result<Line, CallError> {
+        // Counted from the start: an endpoint may count one that is never finished here.
+        self.router.borrow_mut().connection_opened(target.key);
+        let counted = Counted { core: self, key: Some(target.key) };
+        let connection = Connection::open(SocketAddr::V4(target.address), patience).await?;
+        counted.keep();
+        self.count(|figures| figures.connections_opened += 1);
+        Ok(Line { core: Rc::downgrade(self), key: target.key, connection })
+    }
+
+    /// Takes back a connection after an answer with this head that was read whole.
+    pub(crate) fn give_back(self: &Rc<Self>, mut line: Line, head: &HeaderMap) {
+        let stay = headers::idle_time(head);
+        // One answered before its request was written whole has the rest of that to come.
+        if headers::closes(head) || stay.is_zero() || !line.connection.request_written() {
+            return;
+        }
+        let core = self.clone();
+        spawn_local(async move {
+            if matches!(timeout(UNWANTED_PATIENCE, line.connection.is_alive()).await, Ok(true)) {
+                let until = Instant::now() + stay;
+                core.idle.borrow_mut().entry(line.key).or_default().push((line, until));
+            }
+        });
+    }
+
+    /// The same, once the rest of an unwanted answer has been read.
+    pub(crate) fn give_back_unread(self: &Rc<Self>, line: Line, head: HeaderMap, mut body: Incoming) {
+        let core = self.clone();
+        spawn_local(async move {
+            if read_away(&mut body).await {
+                drop(body);
+                core.give_back(line, &head);
+            }
+        });
+    }
+
+    /// Closes idle connections whose time is over.
+    pub(crate) fn sweep(&self) {
+        let now = Instant::now();
+        let mut over = Vec::new();
+        self.idle.borrow_mut().retain(|_, lines| {
+            over.extend(lines.extract_if(.., |(line, until)| *until <= now || line.connection.is_closed()));
+            !lines.is_empty()
+        });
+    }
+}
+
+async fn read_away(body: &mut Incoming) -> bool {
+    use http_body_util::BodyExt;
+    let whole = async {
+        let mut read = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            read += frame.data_ref().map_or(0, |data| data.len());
+            if read > MOST_UNWANTED {
+                return false;
+            }
+        }
+        true
+    };
+    timeout(UNWANTED_PATIENCE, whole).await.unwrap_or(false)
+}
+
+/// A connection that is being opened.
+struct Counted<'a> {
+    core: &'a Core,
+    key: Option<EndpointKey>,
+}
+
+impl Counted<'_> {
+    fn keep(mut self) {
+        self.key = None;
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            self.core.router.borrow_mut().connection_closed(key);
+        }
+    }
+}
+
+/// A call that is out. The router hears of its end, however that comes.
+pub(crate) struct CallOut {
+    core: Rc<Core>,
+    key: EndpointKey,
+    ask: Rc<Ask>,
+    begun: Instant,
+    first_byte: Option<Instant>,
+    load: Option<ServerLoad>,
+    outcome: Outcome,
+}
+
+impl CallOut {
+    pub(crate) fn new(core: Rc<Core>, key: EndpointKey, ask: Rc<Ask>) -> Self {
+        let begun = Instant::now();
+        Self { core, key, ask, begun, first_byte: None, load: None, outcome: Outcome::Void }
+    }
+
+    /// From now on it may run.
+    pub(crate) fn sending(&mut self) {
+        self.outcome = Outcome::Cancelled;
+    }
+
+    /// The head of the answer is there.
+    pub(crate) fn answered(&mut self, load: Option<ServerLoad>) {
+        self.first_byte = Some(Instant::now());
+        self.load = load;
+        if let Some(load) = load {
+            self.core.router.borrow_mut().note_load(self.core.now(), self.key, load);
+        }
+    }
+
+    pub(crate) fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for CallOut {
+    fn drop(&mut self) {
+        let elapsed = self.first_byte.unwrap_or_else(Instant::now) - self.begun;
+        let elapsed = Span(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX));
+        let now = self.core.now();
+        self.core.router.borrow_mut().ended(now, self.key, &self.ask, self.outcome, self.load, elapsed);
+        self.core.queue.wake_first(&self.ask.service);
+    }
+}
--- /dev/null
+++ b/system/request-forwarding/src/queue.rs
@@ -0,0 +1,121 @@
+//! Requests that wait for a place.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// A waiter's rank: the least goes first. It is its arrival plus a step for each class of lower urgency, so that
+/// whoever has waited for long goes before any who come now.
+pub(crate) type Rank = (u64, u64);
+
+/// So much later does a class of lower urgency count as arrived, in microseconds.
+const STEP: u64 = 250_000;
+/// So many of a service look for a place by themselves; those behind are woken when their turn comes.
+const HEADS: usize = 4;
+
+/// Those who wait for one service.
+type Waiters = BTreeMap<Rank, Rc<Notify>>;
+
+/// Waiters by service and rank.
+pub(crate) struct Queue {
+    most: usize,
+    waiting: Cell<usize>,
+    next: Cell<u64>,
+    services: RefCell<HashMap<Rc<str>, Waiters>>,
+}
+
+/// A place in the queue, left when it is dropped.
+pub(crate) struct Waiter {
+    queue: Rc<Queue>,
+    service: Rc<str>,
+    rank: Rank,
+    notify: Rc<Notify>,
+}
+
+impl Queue {
+    pub(crate) fn new(most: usize) -> Rc<Self> {
+        Rc::new(Self {
+            most,
+            waiting: Cell::new(0),
+            next: Cell::new(0),
+            services: RefCell::new(HashMap::new()),
+        })
+    }
+
+    pub(crate) fn rank(&self, arrived: u64, priority: u8) -> Rank {
+        self.next.set(self.next.get() + 1);
+        (arrived.saturating_add(STEP * u64::from(priority)), self.next.get())
+    }
+
+    /// Whether one of the service waits that goes before `rank`.
+    pub(crate) fn is_behind(&self, service: &str, rank: Rank) -> bool {
+        let services = self.services.borrow();
+        let first = services.get(service).and_then(|waiters| waiters.first_key_value());
+        first.is_some_and(|(first, _)| *first < rank)
+    }
+
+    /// A place; none if too many wait.
+    pub(crate) fn enter(self: &Rc<Self>, service: &str, rank: Rank) -> Option<Waiter> {
+        if self.waiting.get() >= self.most {
+            return None;
+        }
+        self.waiting.set(self.waiting.get() + 1);
+        let service: Rc<str> = service.into();
+        let notify = Rc::new(Notify::new());
+        self.services.borrow_mut().entry(service.clone()).or_default().insert(rank, notify.clone());
+        Some(Waiter { queue: self.clone(), service, rank, notify })
+    }
+
+    /// A place of the service may have come free.
+    pub(crate) fn wake_first(&self, service: &str) {
+        if let Some(waiters) = self.services.borrow().get(service)
+            && let Some((_, first)) = waiters.first_key_value()
+        {
+            first.notify_one();
+        }
+    }
+
+    /// Anything may have changed.
+    pub(crate) fn wake_all(&self) {
+        for waiters in self.services.borrow().values() {
+            waiters.values().take(HEADS).for_each(|waiter| waiter.notify_one());
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.get()
+    }
+}
+
+impl Waiter {
+    /// Whether it is among the first of its service.
+    pub(crate) fn is_ahead(&self) -> bool {
+        let services = self.queue.services.borrow();
+        services
+            .get(&self.service)
+            .is_some_and(|waiters| waiters.keys().take(HEADS).any(|rank| *rank == self.rank))
+    }
+
+    pub(crate) async fn woken(&self) {
+        self.notify.notified().await;
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        self.queue.waiting.set(self.queue.waiting.get() - 1);
+        let mut services = self.queue.services.borrow_mut();
+        if let Some(waiters) = services.get_mut(&self.service) {
+            waiters.remove(&self.rank);
+            match waiters.first_key_value() {
+                // There may be room for more than the one that leaves.
+                Some((_, first)) => first.notify_one(),
+                None => drop(services.remove(&self.service)),
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/system/request-forwarding/src/queue/tests.rs
@@ -0,0 +1,34 @@
+use super::*;
+use futures_util::FutureExt;
+
+#[test]
+fn the_most_urgent_is_woken_first_and_the_next_when_it_leaves() {
+    let queue = Queue::new(10);
+    let late = queue.enter("a", queue.rank(0, 2)).unwrap();
+    let urgent = queue.enter("a", queue.rank(100, 0)).unwrap();
+    queue.wake_first("a");
+    assert!(urgent.woken().now_or_never().is_some());
+    assert!(late.woken().now_or_never().is_none());
+    drop(urgent);
+    assert!(late.woken().now_or_never().is_some());
+}
+
+#[test]
+fn whoever_has_waited_for_long_goes_before_the_urgent_who_come_now() {
+    let queue = Queue::new(10);
+    let old = queue.rank(0, 3);
+    let _old = queue.enter("a", old).unwrap();
+    assert!(queue.is_behind("a", queue.rank(1_000_000, 0)));
+    assert!(!queue.is_behind("a", queue.rank(500_000, 0)));
+    assert!(!queue.is_behind("b", queue.rank(1_000_000, 0)));
+}
+
+#[test]
+fn it_holds_no_more_than_its_bound() {
+    let queue = Queue::new(1);
+    let only = queue.enter("a", queue.rank(0, 0)).unwrap();
+    assert!(queue.enter("b", queue.rank(0, 0)).is_none());
+    drop(only);
+    assert!(queue.enter("b", queue.rank(0, 0)).is_some());
+    assert_eq!(queue.len(), 0);
+}
