--- /dev/null
+++ b/system/programs/src/agent.rs
@@ -0,0 +1,46 @@
+//! The agent beside each proxy: it follows the feed, feeds the proxy over loopback, and other agents below it in the tree.
+
+use crate::feed::{Feed, follow, keep_beating};
+use crate::start::{Process, StartError, ended, listen};
+use fleet_model::{Answer, Call};
+use peer_wire::{Handler, PeerServer, Pusher};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+struct Agent {
+    process: Rc<Process>,
+    feed: Rc<Feed>,
+}
+
+impl Handler for Agent {
+    async fn call(&self, _from: SocketAddr, call: Call, pusher: Pusher) -> Answer {
+        match &call {
+            Call::Subscribe { .. } => {
+                self.feed.subscribe(&call, self.process.settings().peer_port(), true, pusher)
+            }
+            Call::Inspect { topic } => Answer::View(crate::feed::view(&self.feed, topic)),
+            _ => Answer::Unready,
+        }
+    }
+}
+
+/// Runs until the process is to end, and for a while more: the proxy's last answers need it.
+pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
+    let settings = process.settings();
+    let feed = Rc::new(Feed::default());
+    let agent = Rc::new(Agent { process: process.clone(), feed: feed.clone() });
+    let peers = listen(SocketAddrV4::new(settings.ip_address, settings.peer_port())).await?;
+    let loopback = listen(SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port())).await?;
+    for listener in [peers, loopback] {
+        let server = PeerServer::new(process.fleet(), agent.clone());
+        spawn_local(async move { server.serve(listener).await });
+    }
+    spawn_local(keep_beating(feed.clone()));
+    spawn_local(follow(process.clone(), feed, false));
+    ended(&process).await;
+    sleep(Duration::from_secs_f64((settings.bounds.grace_period_s - 0.6).clamp(0.0, 30.0))).await;
+    Ok(())
+}
--- /dev/null
+++ b/system/programs/src/keeper.rs
@@ -0,0 +1,338 @@
+//! A voter of the register: it answers proposers, proposes what operators and storage machines ask for, confirms what is
+//! chosen, feeds agents, and has duties.
+
+mod duties;
+mod proposing;
+
+use crate::disk::{self, Durable};
+use crate::feed::{Feed, MOST_AGE, keep_beating};
+use crate::operator::{self, Operations, Reply};
+use crate::start::{Process, StartError, drawn, ended, listen};
+use bytes::Bytes;
+use config_register::{Acceptor, AcceptorRecord, Standing};
+use fleet_model::{
+    AcceptedValue, Answer, Ballot, Call, ChosenValue, ControlState, RegisterReply, RegisterRequest, RegisterValue, Store,
+    TakenVersion,
+};
+use hyper::StatusCode;
+use operator_config::{OperatorConfig, digest};
+use peer_wire::{Handler, PeerClient, PeerServer, Pusher};
+use proposing::Wanted;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::{Mutex, Notify};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// An operator waits about a second for an answer: within this it gets one, if only that there is no majority.
+const ANSWER_WITHIN: Duration = Duration::from_millis(850);
+/// Versions taken that are remembered: an operator repeats a call for some seconds.
+const MOST_TAKEN: usize = 512;
+/// Key of the acceptor's record on disk.
+const RECORD: &str = "acceptor";
+
+/// A keeper.
+pub struct Keeper {
+    process: Rc<Process>,
+    me: Ipv4Addr,
+    feed: Rc<Feed>,
+    acceptor: RefCell<Acceptor>,
+    disk: Durable,
+    peers: RefCell<HashMap<Ipv4Addr, Rc<PeerClient>>>,
+    /// When each core machine answered last.
+    seen: RefCell<BTreeMap<Ipv4Addr, Instant>>,
+    /// Core machines that were heard of, voters or not.
+    heard: RefCell<BTreeSet<Ipv4Addr>>,
+    /// The newest value known to be chosen, with its voters' epoch.
+    known: RefCell<Option<RegisterValue>>,
+    /// Tells this life's ballots from those of others.
+    life: u64,
+    /// The highest ballot that was seen.
+    highest: Cell<Ballot>,
+    /// One proposal at a time.
+    proposing: Mutex<()>,
+    /// A poll is wanted now.
+    poll_now: Notify,
+    /// A poll has ended.
+    polled: Notify,
+    /// When storage machines told last that they are there, by disk; and when this keeper first knew them.
+    stores_seen: RefCell<BTreeMap<u64, Instant>>,
+    stores_known: RefCell<BTreeMap<u64, Instant>>,
+}
+
+impl Keeper {
+    fn peer(&self, ip: Ipv4Addr) -> Rc<PeerClient> {
+        let mut peers = self.peers.borrow_mut();
+        let new = || Rc::new(PeerClient::new(self.process.peer(ip), self.process.fleet(), None));
+        peers.entry(ip).or_insert_with(new).clone()
+    }
+
+    /// Asks a core machine, itself too, about the register.
+    async fn ask(&self, ip: Ipv4Addr, request: RegisterRequest, patience: Duration) -> Option<RegisterReply> {
+        if ip == self.me {
+            return self.answer_register(self.me, request).await;
+        }
+        match self.peer(ip).call(Call::Register(request), patience).await {
+            Ok(Answer::Register(reply)) => {
+                self.seen.borrow_mut().insert(ip, Instant::now());
+                Some(reply)
+            }
+            _ => None,
+        }
+    }
+
+    /// The acceptor's part. What it has promised or accepted is on disk before the answer leaves.
+    async fn answer_register(&self, from: Ipv4Addr, request: RegisterRequest) -> Option<RegisterReply> {
+        if let RegisterRequest::Prepare(ballot) = &request {
+            self.highest.set(self.highest.get().max(*ballot));
+        }
+        let told = match &request {
+            RegisterRequest::Poll { chosen } => Some(*chosen),
+            _ => None,
+        };
+        let (reply, record) = {
+            let mut acceptor = self.acceptor.borrow_mut();
+            let (reply, changed) = acceptor.handle(&request);
+            (reply, acceptor.record().filter(|_| changed).cloned())
+        };
+        // What an answer tells of promise or value is synced before it is told, whoever's write it was.
+        let synced = match record {
+            Some(record) => self.disk.put(RECORD, &record).await,
+            None => self.disk.settled().await,
+        };
+        if let Err(e) = synced {
+            // An answer without the disk would be a promise that may be forgotten.
+            log::error!("the acceptor's record was not written: {e}");
+            std::process::exit(1);
+        }
+        if let Some(chosen) = told {
+            self.learn_chosen(from, chosen);
+        }
+        Some(reply)
+    }
+
+    /// A ballot is known to be chosen: its value is here, or the one that says so has it.
+    fn learn_chosen(&self, from: Ipv4Addr, chosen: Ballot) {
+        if chosen <= self.feed.value().ballot {
+            return;
+        }
+        let own = self.acceptor.borrow().record().and_then(|record| record.accepted.clone());
+        match own {
+            Some(accepted) if accepted.ballot == chosen => self.adopt(accepted),
+            _ if from != self.me => self.poll_now.notify_one(),
+            _ => {}
+        }
+    }
+
+    /// Takes a chosen value.
+    fn adopt(&self, accepted: AcceptedValue) {
+        self.acceptor.borrow_mut().learn_chosen(accepted.ballot);
+        if accepted.ballot < self.feed.value().ballot {
+            return;
+        }
+        *self.known.borrow_mut() = Some(accepted.value.clone());
+        let before = (self.feed.state().version(), self.feed.value().voters.clone());
+        let voters = accepted.value.voters.clone();
+        self.heard.borrow_mut().extend(voters.iter().copied());
+        let learned = self.feed.learn_value(ChosenValue {
+            ballot: accepted.ballot,
+            voters: voters.clone(),
+            payload: accepted.value.payload,
+        });
+        if learned && (self.feed.state().version(), &voters) != (before.0, &before.1) {
+            log::info!("configuration {}, voters {voters:?}", self.feed.state().version());
+        }
+    }
+
+    /// Whether a majority confirmed lately what is known here.
+    fn is_fresh(&self) -> bool {
+        self.feed.age().is_some_and(|age| age < MOST_AGE)
+    }
+
+    /// Waits until what is known here is confirmed as of now.
+    async fn confirm_now(&self, within: Duration) -> bool {
+        let asked = Instant::now();
+        let confirmed = async {
+            while self.feed.fresh_at().is_none_or(|at| at < asked) {
+                let polled = self.polled.notified();
+                self.poll_now.notify_one();
+                polled.await;
+                if self.feed.fresh_at().is_none_or(|at| at < asked) {
+                    sleep(Duration::from_millis(10)).await;
+                }
+            }
+        };
+        timeout(within, confirmed).await.is_ok()
+    }
+}
+
+impl Handler for Keeper {
+    async fn call(&self, from: SocketAddr, call: Call, pusher: Pusher) -> Answer {
+        let from = match from {
+            SocketAddr::V4(from) => *from.ip(),
+            SocketAddr::V6(_) => return Answer::Unready,
+        };
+        match call {
+            Call::Register(request) => match self.answer_register(from, request).await {
+                Some(reply) => Answer::Register(reply),
+                None => Answer::Unready,
+            },
+            Call::Subscribe { .. } => {
+                self.feed.subscribe(&call, self.process.settings().peer_port(), false, pusher)
+            }
+            Call::JoinCore { ip } => self.join_core(ip).await,
+            Call::JoinStorage { store } => self.join_storage(store).await,
+            Call::Filled { disk, epoch } => self.filled(disk, epoch).await,
+            Call::Inspect { topic } => Answer::View(crate::feed::view(&self.feed, &topic)),
+            _ => Answer::Unready,
+        }
+    }
+}
+
+impl Operations for Keeper {
+    async fn put_config(&self, expected: Option<u64>, body: Bytes) -> Reply {
+        let config = match OperatorConfig::read(&body) {
+            Ok(config) => config,
+            Err(findings) => return Reply::new(StatusCode::BAD_REQUEST, findings.to_json()),
+        };
+        let Some(expected) = expected else {
+            return Reply::new(StatusCode::BAD_REQUEST, r#"{"error":"If-Match: names no version"}"#);
+        };
+        let taken = TakenVersion { version: config.version, digest: digest(&body) };
+        let conflict = |current: u64| {
+            Reply::new(StatusCode::PRECONDITION_FAILED, format!(r#"{{"error":"current version","version":{current}}}"#))
+        };
+        let verdict: RefCell<Option<Reply>> = RefCell::new(None);
+        let done = self
+            .change(ANSWER_WITHIN, |state| {
+                let current = state.version();
+                let judged = if state.taken.contains(&taken) {
+                    Reply::new(StatusCode::OK, format!(r#"{{"version":{}}}"#, taken.version))
+                } else if current != expected {
+                    conflict(current)
+                } else if taken.version <= current {
+                    let place = r#"[{"place":"version","what":"is not above the current one"}]"#;
+                    Reply::new(StatusCode::BAD_REQUEST, place)
+                } else {
+                    let mut next = state.clone();
+                    next.config = body.clone();
+                    next.taken.push(taken.clone());
+                    let extra = next.taken.len().saturating_sub(MOST_TAKEN);
+                    next.taken.drain(..extra);
+                    verdict.replace(Some(Reply::new(StatusCode::OK, format!(r#"{{"version":{}}}"#, taken.version))));
+                    return Wanted::State(next);
+                };
+                verdict.replace(Some(judged));
+                Wanted::Nothing
+            })
+            .await;
+        match (done, verdict.take()) {
+            (true, Some(reply)) => reply,
+            _ => Reply::unavailable(),
+        }
+    }
+
+    async fn config(&self) -> Reply {
+        if !self.confirm_now(ANSWER_WITHIN).await {
+            return Reply::unavailable();
+        }
+        let state = self.feed.state();
+        match state.version() {
+            0 => Reply::new(StatusCode::NOT_FOUND, r#"{"error":"no configuration yet"}"#),
+            _ => Reply::new(StatusCode::OK, state.config.clone()),
+        }
+    }
+
+    async fn retire(&self, name: &str) -> Reply {
+        let least = 2 * self.process.settings().fault_tolerance.machines + 1;
+        let verdict: RefCell<Option<Reply>> = RefCell::new(None);
+        let done = self
+            .change(ANSWER_WITHIN, |state| {
+                let (wanted, reply) = duties::retire(state, name, least);
+                verdict.replace(Some(reply));
+                wanted
+            })
+            .await;
+        match (done, verdict.take()) {
+            (true, Some(reply)) => reply,
+            _ => Reply::unavailable(),
+        }
+    }
+
+    async fn retiring(&self, name: &str) -> Reply {
+        if !self.confirm_now(ANSWER_WITHIN).await {
+            return Reply::unavailable();
+        }
+        duties::retire_state(&self.feed.state(), name)
+    }
+}
+
+/// Runs until the process is to end.
+pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
+    let settings = process.settings();
+    let control =
+        settings.listen_addresses.control_plane.ok_or(StartError::Lacking("listen_addresses.control_plane"))?;
+    let folder = settings.data_directory.clone().ok_or(StartError::Lacking("data_directory"))?;
+    let (disk, records) = Durable::open(&folder)?;
+    let seeds = process.seeds();
+    let me = settings.ip_address;
+    let acceptor = match records.get(RECORD) {
+        Some(record) => Acceptor::new(disk::read::<AcceptorRecord>(record)?),
+        None if settings.first_start => {
+            let record = match seeds.contains(&me) {
+                true => config_register::found(seeds.clone()),
+                // It has never voted, so there is nothing that it may have forgotten.
+                false => AcceptorRecord {
+                    promised: Ballot::default(),
+                    accepted: None,
+                    standing: Standing::Blank,
+                    settled: None,
+                },
+            };
+            disk.put(RECORD, &record).await.map_err(|e| StartError::Disk(e.to_string()))?;
+            Acceptor::new(record)
+        }
+        None => {
+            log::warn!("the disk is empty: no vote before the others have told what they hold");
+            Acceptor::unfit()
+        }
+    };
+    let record = acceptor.record().cloned();
+    let known = record.as_ref().and_then(|record| record.settled.clone());
+    let heard = known.iter().flat_map(|known| known.voters.clone()).chain(seeds).chain([me]).collect();
+    let keeper = Rc::new(Keeper {
+        process: process.clone(),
+        me,
+        feed: Rc::new(Feed::default()),
+        acceptor: RefCell::new(acceptor),
+        disk,
+        peers: RefCell::default(),
+        seen: RefCell::default(),
+        heard: RefCell::new(heard),
+        known: RefCell::new(known),
+        life: drawn() & 0xffff,
+        highest: Cell::new(record.map_or(Ballot::default(), |record| record.promised)),
+        proposing: Mutex::new(()),
+        poll_now: Notify::new(),
+        polled: Notify::new(),
+        stores_seen: RefCell::default(),
+        stores_known: RefCell::default(),
+    });
+    let peers = listen(SocketAddrV4::new(me, settings.peer_port())).await?;
+    let server = PeerServer::new(process.fleet(), keeper.clone());
+    spawn_local(async move { server.serve(peers).await });
+    spawn_local(keep_beating(keeper.feed.clone()));
+    spawn_local(keeper.clone().keep_polling());
+    spawn_local(keeper.clone().keep_voting());
+    spawn_local(keeper.clone().keep_duties());
+    spawn_local(keeper.clone().keep_following_list());
+    let operators = listen(control).await?;
+    spawn_local(operator::serve(operators, keeper.clone()));
+    ended(&process).await;
+    // What is half way ends; nothing else depends on this process.
+    sleep(Duration::from_millis(300 + drawn() % 50)).await;
+    Ok(())
+}
--- /dev/null
+++ b/system/programs/src/keeper/proposing.rs
@@ -0,0 +1,261 @@
+//! A keeper as proposer and learner of the register.
+
+use super::*;
+use config_register::{Change, Learner, Proposal, Restore, RestoreStep, Step, Verdict};
+use fleet_model::{AcceptedValue, RegisterValue};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use tokio::sync::mpsc;
+use tokio::time::timeout_at;
+
+/// Between two polls.
+const POLL: Duration = Duration::from_millis(250);
+/// Longest time for one request to an acceptor.
+const PATIENCE: Duration = Duration::from_millis(300);
+/// The low bits of a round tell the lives of a proposer apart.
+const LIFE_BITS: u32 = 16;
+
+/// What a change makes of the state that it reads.
+pub(super) enum Wanted {
+    /// Nothing: it is as wanted, or cannot be.
+    Nothing,
+    /// This state.
+    State(ControlState),
+    /// These voters, one more or less.
+    Voters(Vec<Ipv4Addr>),
+}
+
+enum Ended {
+    /// A value is chosen; whether it is as wanted.
+    Chosen(AcceptedValue, bool),
+    Lost,
+    Failed,
+}
+
+fn state_of(payload: &[u8]) -> Option<ControlState> {
+    match payload {
+        [] => Some(ControlState::default()),
+        bytes => postcard::from_bytes(bytes).ok(),
+    }
+}
+
+impl Keeper {
+    /// A ballot above all that were seen, which no other life of this machine has used.
+    fn next_ballot(&self) -> Ballot {
+        let round = ((self.highest.get().round >> LIFE_BITS) + 1) << LIFE_BITS | self.life;
+        let ballot = Ballot { round, proposer: u32::from(self.me) };
+        self.highest.set(ballot);
+        ballot
+    }
+
+    fn saw(&self, ballot: Ballot) {
+        self.highest.set(self.highest.get().max(ballot));
+    }
+
+    /// Changes the state; true once it is as wanted, by this or by another.
+    pub(super) async fn change(
+        &self,
+        within: Duration,
+        mut wanted: impl FnMut(&ControlState) -> Wanted,
+    ) -> bool {
+        self.propose(within, |state, _| wanted(state)).await
+    }
+
+    /// The same, for what looks at the voters too.
+    pub(super) async fn propose(
+        &self,
+        within: Duration,
+        mut wanted: impl FnMut(&ControlState, &[Ipv4Addr]) -> Wanted,
+    ) -> bool {
+        let deadline = tokio::time::Instant::now() + within;
+        let Ok(_alone) = timeout_at(deadline, self.proposing.lock()).await else { return false };
+        loop {
+            let Some(known) = self.known.borrow().clone() else { return false };
+            match timeout_at(deadline, self.run(&known, &mut wanted)).await {
+                Err(_) => return false,
+                Ok(Ended::Chosen(value, as_wanted)) => {
+                    self.adopt(value);
+                    self.poll_now.notify_one();
+                    if as_wanted {
+                        return true;
+                    }
+                }
+                Ok(Ended::Lost | Ended::Failed) => {}
+            }
+            let pause = Duration::from_millis(8 + drawn() % 40);
+            if tokio::time::Instant::now() + pause >= deadline {
+                return false;
+            }
+            sleep(pause).await;
+        }
+    }
+
+    async fn run(
+        &self,
+        known: &RegisterValue,
+        wanted: &mut impl FnMut(&ControlState, &[Ipv4Addr]) -> Wanted,
+    ) -> Ended {
+        let mut proposal = Proposal::start(self.me, self.next_ballot(), known);
+        let mut aim: Option<(Option<Bytes>, Option<Vec<Ipv4Addr>>)> = None;
+        let mut change = |read: &RegisterValue| {
+            let Some(state) = state_of(&read.payload) else {
+                log::error!("the register holds what cannot be read");
+                return Change::Keep;
+            };
+            match wanted(&state, &read.voters) {
+                Wanted::Nothing => {
+                    aim = Some((None, None));
+                    Change::Keep
+                }
+                Wanted::State(state) => match postcard::to_allocvec(&state) {
+                    Ok(bytes) => {
+                        let payload = Bytes::from(bytes);
+                        aim = Some((Some(payload.clone()), None));
+                        Change::Set(payload)
+                    }
+                    Err(_) => Change::Keep,
+                },
+                Wanted::Voters(voters) => {
+                    aim = Some((None, Some(voters.clone())));
+                    Change::Voters(voters)
+                }
+            }
+        };
+        let mut calls = FuturesUnordered::new();
+        let call = |(ip, request)| async move { (ip, self.ask(ip, request, PATIENCE).await) };
+        calls.extend(proposal.outbox().into_iter().map(call));
+        while let Some((ip, reply)) = calls.next().await {
+            let step = match reply {
+                Some(reply) => proposal.on_reply(ip, &reply, &mut change),
+                None => proposal.on_failure(ip, &mut change),
+            };
+            match step {
+                Step::Wait => {}
+                Step::Send(requests) => calls.extend(requests.into_iter().map(call)),
+                Step::Done(value) => {
+                    let as_wanted = aim.as_ref().is_some_and(|(payload, voters)| {
+                        payload.as_ref().is_none_or(|payload| *payload == value.value.payload)
+                            && voters.as_ref().is_none_or(|voters| *voters == value.value.voters)
+                    });
+                    return Ended::Chosen(value, as_wanted);
+                }
+                Step::Lost { seen } => {
+                    self.saw(seen);
+                    return Ended::Lost;
+                }
+                Step::Failed => return Ended::Failed,
+            }
+        }
+        Ended::Failed
+    }
+
+    /// Polls the voters for good, and whenever somebody waits for it.
+    pub(super) async fn keep_polling(self: Rc<Self>) {
+        let mut unsettled = 0;
+        loop {
+            let at_once = self.clone().poll(&mut unsettled).await;
+            self.polled.notify_waiters();
+            if !at_once {
+                let _ = timeout(POLL + Duration::from_millis(drawn() % 40), self.poll_now.notified()).await;
+            }
+        }
+    }
+
+    /// One round; true if another is to follow at once.
+    async fn poll(self: Rc<Self>, unsettled: &mut u32) -> bool {
+        let Some(known) = self.known.borrow().clone().filter(|_| self.acceptor.borrow().record().is_some()) else {
+            return false;
+        };
+        let began = Instant::now();
+        let mut learner = Learner::poll_round(&known.voters, self.feed.value().ballot);
+        let (answers, mut answered) = mpsc::unbounded_channel();
+        for (ip, request) in learner.outbox() {
+            let (keeper, answers) = (self.clone(), answers.clone());
+            spawn_local(async move {
+                let reply = keeper.ask(ip, request, PATIENCE).await;
+                // The round may have come to its end without this one: it was asked to see whether it is there.
+                let _ = answers.send((ip, reply));
+            });
+        }
+        drop(answers);
+        let mut verdict = Verdict::Failed;
+        while let Some((ip, reply)) = answered.recv().await {
+            verdict = match reply {
+                Some(RegisterReply::Polled { accepted, chosen }) => {
+                    self.saw(accepted.unwrap_or_default());
+                    learner.on_polled(ip, accepted, chosen)
+                }
+                _ => learner.on_failure(ip),
+            };
+            if verdict != Verdict::Wait {
+                break;
+            }
+        }
+        match verdict {
+            Verdict::Fresh => {
+                *unsettled = 0;
+                self.feed.confirm(began);
+                false
+            }
+            Verdict::Behind { from, .. } => {
+                for ip in from {
+                    if let Some(RegisterReply::Fetched(Some(value))) =
+                        self.ask(ip, RegisterRequest::Fetch, PATIENCE).await
+                        && learner.confirms(&known, &value)
+                    {
+                        self.adopt(value);
+                        return true;
+                    }
+                }
+                self.settle(unsettled).await
+            }
+            Verdict::Unsettled => self.settle(unsettled).await,
+            Verdict::Wait | Verdict::Failed => false,
+        }
+    }
+
+    /// A value was accepted that may or may not be chosen. Most often its proposer is just about to say; otherwise a
+    /// run that keeps it completes it.
+    async fn settle(&self, unsettled: &mut u32) -> bool {
+        *unsettled += 1;
+        sleep(Duration::from_millis(15 + drawn() % 40)).await;
+        if *unsettled > 1 {
+            *unsettled = 0;
+            self.change(Duration::from_millis(400), |_| Wanted::Nothing).await;
+        }
+        true
+    }
+
+    /// Brings an acceptor without a record to where it may vote.
+    pub(super) async fn restore(&self) {
+        let others: Vec<Ipv4Addr> = self.heard.borrow().iter().copied().filter(|ip| *ip != self.me).collect();
+        let mut restore = Restore::start(self.me, self.next_ballot(), &others);
+        let mut calls = FuturesUnordered::new();
+        let call = |(ip, request)| async move { (ip, self.ask(ip, request, PATIENCE).await) };
+        calls.extend(restore.outbox().into_iter().map(call));
+        while let Some((ip, reply)) = calls.next().await {
+            let step = match reply {
+                Some(reply) => restore.on_reply(ip, &reply),
+                None => restore.on_failure(ip),
+            };
+            match step {
+                RestoreStep::Wait => {}
+                RestoreStep::Send(requests) => calls.extend(requests.into_iter().map(call)),
+                RestoreStep::Lost { seen } => return self.saw(seen),
+                RestoreStep::Failed => return,
+                RestoreStep::Done(record) => {
+                    if self.disk.put(RECORD, &record).await.is_err() {
+                        return;
+                    }
+                    self.saw(record.promised);
+                    self.acceptor.borrow_mut().restore(record.clone());
+                    log::info!("restored under round {}: standing {:?}", record.promised.round, record.standing);
+                    // What a restore has had accepted anew is chosen.
+                    if let Some(accepted) = record.accepted {
+                        self.adopt(accepted);
+                    }
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/system/programs/src/platform.rs
@@ -0,0 +1,129 @@
+//! The platform's list of endpoints, page by page.
+
+use bytes::Bytes;
+use fleet_model::{Endpoint, EndpointState};
+use http_body_util::{BodyExt, Limited};
+use hyper::{Method, StatusCode};
+use micadrum::net::connection::{Connection, request};
+use serde::Deserialize;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Longest time for one page.
+const PATIENCE: Duration = Duration::from_millis(900);
+/// Most pages of one reading.
+const MOST_PAGES: usize = 400;
+/// Largest page.
+const MOST_PAGE: usize = 4 * 1024 * 1024;
+
+/// Why the list could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum ListError {
+    /// No answer, or a broken one.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+    /// Another status than 200.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// An answer that is no list.
+    #[error("no list: {0}")]
+    Unreadable(String),
+}
+
+#[derive(Deserialize)]
+struct Page {
+    instances: Vec<Line>,
+    #[serde(default)]
+    next_page_token: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Line {
+    instance_id: String,
+    service: String,
+    address: SocketAddrV4,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    capacity_slots: f64,
+    state: String,
+}
+
+impl From<Line> for Endpoint {
+    fn from(line: Line) -> Self {
+        Endpoint {
+            instance_id: line.instance_id,
+            service: line.service,
+            address: line.address,
+            zone: line.zone,
+            capacity_slots: line.capacity_slots.clamp(0.0, 1e6) as u32,
+            state: if line.state == "ready" { EndpointState::Ready } else { EndpointState::Draining },
+        }
+    }
+}
+
+/// Reads a page's text.
+pub fn read_page(text: &[u8]) -> Result<(Vec<Endpoint>, Option<String>), ListError> {
+    let page: Page = serde_json::from_slice(text).map_err(|e| ListError::Unreadable(e.to_string()))?;
+    Ok((page.instances.into_iter().map(Endpoint::from).collect(), page.next_page_token))
+}
+
+/// The reader of the list: one connection, kept.
+pub struct Platform {
+    address: SocketAddrV4,
+    kept: Option<Connection>,
+}
+
+impl Platform {
+    /// Of the platform at `address`.
+    pub fn new(address: SocketAddrV4) -> Self {
+        Self { address, kept: None }
+    }
+
+    /// The whole list, sorted; endpoints that moved between pages while they were read stand once.
+    pub async fn read(&mut self) -> Result<Vec<Endpoint>, ListError> {
+        let mut all: Vec<Endpoint> = Vec::new();
+        let mut token = None;
+        for _ in 0..MOST_PAGES {
+            let text = match timeout(PATIENCE, self.page(token.as_deref())).await {
+                Ok(text) => text?,
+                Err(_) => return Err(ListError::NoAnswer("silence".to_owned())),
+            };
+            let (endpoints, next) = read_page(&text)?;
+            all.extend(endpoints);
+            token = next;
+            if token.is_none() {
+                break;
+            }
+        }
+        all.sort();
+        // Of two lines of one instance the one that drains is the newer.
+        all.reverse();
+        all.dedup_by(|a, b| a.instance_id == b.instance_id);
+        all.reverse();
+        Ok(all)
+    }
+
+    async fn page(&mut self, token: Option<&str>) -> Result<Bytes, ListError> {
+        let path = match token {
+            Some(token) => format!("/instances?page_token={token}"),
+            None => "/instances".to_owned(),
+        };
+        let head = || request(Method::GET, &path, self.address.into());
+        let kept = self.kept.take();
+        let exchanged = Connection::exchange(kept, self.address.into(), PATIENCE, head, Bytes::new()).await;
+        let (connection, response) = exchanged.map_err(|e| ListError::NoAnswer(e.to_string()))?;
+        let status = response.status();
+        let closes = response.headers().get(hyper::header::CONNECTION).is_some_and(|value| value == "close");
+        let body = Limited::new(response.into_body(), MOST_PAGE).collect().await;
+        let body = body.map_err(|e| ListError::NoAnswer(e.to_string()))?.to_bytes();
+        if !closes {
+            self.kept = Some(connection);
+        }
+        match status {
+            StatusCode::OK => Ok(body),
+            status => Err(ListError::Status(status)),
+        }
+    }
+}
--- /dev/null
+++ b/system/programs/src/proxy.rs
@@ -0,0 +1,87 @@
+//! The proxy: it carries requests, with what its agent told it.
+
+use crate::feed::{Feed, follow_one, keep_beating};
+use crate::start::{Process, StartError, ended, listen};
+use crate::turns::{TurnClient, Turns};
+use operator_config::OperatorConfig;
+use request_forwarding::{Forwarder, Knowledge, Stage, serve_readiness};
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// Proxies that are assumed until the feed tells their number: connections to endpoints are shared out by it.
+const UNTOLD_PROXIES: u32 = 16;
+
+/// Hands what the feed tells to the forwarder.
+async fn keep_learning(feed: Rc<Feed>, forwarder: Rc<Forwarder<Turns>>, ready: Rc<Cell<bool>>) {
+    let mut changes = feed.changes();
+    let last: RefCell<(u64, Option<Rc<OperatorConfig>>)> = RefCell::new((0, None));
+    loop {
+        let state = feed.state();
+        let version = state.version();
+        if version > last.borrow().0 {
+            match OperatorConfig::read(&state.config) {
+                Ok(config) => *last.borrow_mut() = (version, Some(Rc::new(config))),
+                Err(e) => log::error!("configuration {version} cannot be read: {e}"),
+            }
+        }
+        let list = feed.list();
+        let list = (list.stamp != (0, 0)).then_some(list);
+        let known = feed.proxies();
+        let proxies = if known == 0 { UNTOLD_PROXIES } else { known };
+        let config = last.borrow().1.clone();
+        let complete = config.is_some() && list.as_ref().is_some_and(|list| !list.endpoints.is_empty());
+        forwarder.learn(Knowledge { config, list, proxies });
+        // What is there was confirmed since this process began: nothing is kept from an earlier life.
+        if complete && feed.fresh_at().is_some() && !ready.replace(true) {
+            log::info!("ready with configuration {version}");
+        }
+        // Beats change neither value nor list: the first one is looked for now and then.
+        let _ = timeout(Duration::from_millis(if ready.get() { 5_000 } else { 50 }), changes.changed()).await;
+    }
+}
+
+/// Runs until the process has ended its clients' requests.
+pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
+    let settings = process.settings();
+    let front = settings.listen_addresses.front.ok_or(StartError::Lacking("listen_addresses.front"))?;
+    let readiness = settings.listen_addresses.readiness.ok_or(StartError::Lacking("listen_addresses.readiness"))?;
+    let feed = Rc::new(Feed::default());
+    let turns = TurnClient::new(process.clone(), feed.clone());
+    let forwarder = Forwarder::new(
+        settings.zone.clone(),
+        crate::start::drawn(),
+        Rc::new(Turns(turns)),
+        settings.limits.max_file_descriptors,
+    );
+    let ready = Rc::new(Cell::new(false));
+    let (stage, stages) = watch::channel(Stage::Serving);
+    let readiness = listen(readiness).await?;
+    let clients = listen(front).await?;
+    {
+        let (ready, ending) = (ready.clone(), process.ending.clone());
+        spawn_local(serve_readiness(readiness, move || ready.get() && !*ending.borrow()));
+    }
+    spawn_local(keep_beating(feed.clone()));
+    spawn_local(follow_one(
+        process.clone(),
+        feed.clone(),
+        SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port()),
+    ));
+    spawn_local(keep_learning(feed, forwarder.clone(), ready));
+    let serving = spawn_local(forwarder.clone().serve(clients, stages));
+    ended(&process).await;
+    log::info!("ending");
+    stage.send_replace(Stage::Draining);
+    // The platform goes on sending new connections until it has missed two answers of readiness.
+    let grace = Duration::from_secs_f64(settings.bounds.grace_period_s.max(1.0));
+    sleep(Duration::from_millis(2_600).min(grace / 2)).await;
+    stage.send_replace(Stage::Closing);
+    let _ = timeout(grace.mul_f64(0.95).saturating_sub(Duration::from_millis(2_900).min(grace / 2)), serving).await;
+    log::info!("{}", forwarder.figures());
+    Ok(())
+}
--- /dev/null
+++ b/system/programs/src/start.rs
@@ -0,0 +1,204 @@
+//! How each program starts: command line, settings, log, one thread, signals.
+
+use bpaf::Bpaf;
+use node_settings::Settings;
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{Duration, sleep};
+
+/// The command line of every program.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// The settings file; otherwise what SEDGEWOOD_BOOT names
+    #[bpaf(argument("FILE"), optional)]
+    settings: Option<PathBuf>,
+    /// Lines of this level and above: error, warn, info, debug
+    #[bpaf(argument("LEVEL"), fallback("info".to_owned()))]
+    log: String,
+    /// Check the settings, tell all findings, and end
+    check: bool,
+}
+
+/// What ends a process early.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The settings cannot be used.
+    #[error("{0}")]
+    Settings(#[from] node_settings::SettingsError),
+    /// A setting that this program needs is not there.
+    #[error("the settings lack {0}")]
+    Lacking(&'static str),
+    /// A socket, a thread or a signal could not be had.
+    #[error("{what}: {source}")]
+    System {
+        /// What was tried.
+        what: String,
+        /// Why it failed.
+        source: std::io::Error,
+    },
+    /// The disk cannot be used.
+    #[error("the data directory: {0}")]
+    Disk(String),
+}
+
+/// What a running program knows of its own process.
+pub struct Process {
+    /// The settings, as last read whole.
+    settings: RefCell<Rc<Settings>>,
+    path: PathBuf,
+    /// Turns true with SIGTERM.
+    pub ending: watch::Receiver<bool>,
+    began: Instant,
+}
+
+impl Process {
+    /// The settings now in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Milliseconds since the process began.
+    pub fn now_ms(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// The fleet's number: processes of other deployments are strangers.
+    pub fn fleet(&self) -> u16 {
+        let zones = self.settings().zones.clone();
+        let names = zones.iter().flat_map(|(zone, region)| [zone, region]);
+        let bytes: Vec<u8> = names.flat_map(|name| name.bytes().chain([0])).collect();
+        u16::try_from(fleet_model::rank(&bytes, 0) & 0xffff).unwrap_or_default()
+    }
+
+    /// Where machine `ip` takes calls of its peers.
+    pub fn peer(&self, ip: Ipv4Addr) -> SocketAddrV4 {
+        SocketAddrV4::new(ip, self.settings().peer_port())
+    }
+
+    /// The core machines that the settings name.
+    pub fn seeds(&self) -> Vec<Ipv4Addr> {
+        self.settings().seed_nodes.iter().map(|seed| *seed.ip()).collect()
+    }
+
+    /// Reads the settings again; those in force stay where the file cannot be used.
+    pub fn reload(&self) {
+        match Settings::read(&self.path) {
+            Ok(settings) => *self.settings.borrow_mut() = Rc::new(settings),
+            Err(e) => log::error!("settings kept as they were: {e}"),
+        }
+    }
+}
+
+/// Ends the command line's and the settings' part of a start, then runs `run` until it returns.
+pub fn run<F: Future<Output = Result<(), StartError>>>(run: impl FnOnce(Rc<Process>) -> F) -> ExitCode {
+    let options = options().run();
+    let path = options
+        .settings
+        .or_else(|| std::env::var_os("SEDGEWOOD_BOOT").map(PathBuf::from))
+        .unwrap_or_else(|| PathBuf::from("/etc/sedgewood/node.yaml"));
+    let settings = match Settings::read(&path) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(2);
+        }
+    };
+    if options.check {
+        println!("{}: can be used", path.display());
+        return ExitCode::SUCCESS;
+    }
+    let logger = flexi_logger::Logger::try_with_str(&options.log).and_then(|logger| {
+        logger.log_to_stderr().format(|w, now, record| {
+            write!(w, "{} {} {}", now.format("%H:%M:%S%.3f"), record.level(), record.args())
+        }).start()
+    });
+    if let Err(e) = logger {
+        eprintln!("no log: {e}");
+    }
+    match whole(settings, path, run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("ended: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn whole<F: Future<Output = Result<(), StartError>>>(
+    settings: Settings,
+    path: PathBuf,
+    run: impl FnOnce(Rc<Process>) -> F,
+) -> Result<(), StartError> {
+    let failed = |what: &str| {
+        let what = what.to_owned();
+        move |source| StartError::System { what, source }
+    };
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(failed("the runtime"))?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async move {
+        let mut term = signal(SignalKind::terminate()).map_err(failed("SIGTERM"))?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(failed("SIGINT"))?;
+        let mut hup = signal(SignalKind::hangup()).map_err(failed("SIGHUP"))?;
+        let (end, ending) = watch::channel(false);
+        let process =
+            Rc::new(Process { settings: RefCell::new(Rc::new(settings)), path, ending, began: Instant::now() });
+        let signals = process.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                tokio::select! {
+                    _ = hup.recv() => signals.reload(),
+                    _ = term.recv() => { end.send_replace(true); }
+                    _ = interrupt.recv() => { end.send_replace(true); }
+                }
+            }
+        });
+        run(process).await
+    })
+}
+
+/// Listens at `address`, trying again for a while: the former process of this place may still be ending.
+pub async fn listen(address: SocketAddrV4) -> Result<TcpListener, StartError> {
+    let bind = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address.into())?;
+        socket.listen(1024)
+    };
+    let mut tries = 0;
+    loop {
+        match bind() {
+            Ok(listener) => return Ok(listener),
+            Err(source) if tries >= 40 => {
+                return Err(StartError::System { what: format!("listening at {address}"), source });
+            }
+            Err(_) => tries += 1,
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Waits for SIGTERM.
+pub async fn ended(process: &Process) {
+    let mut ending = process.ending.clone();
+    // The sender lives as long as the process.
+    let _ = ending.wait_for(|ending| *ending).await;
+}
+
+/// A number drawn by chance, for what must differ between processes.
+pub fn drawn() -> u64 {
+    let mut bytes = [0; 8];
+    match getrandom::fill(&mut bytes) {
+        Ok(()) => u64::from_le_bytes(bytes),
+        Err(_) => u64::from(std::process::id()) ^ 0x9e37_79b9_7f4a_7c15,
+    }
+}
