--- /dev/null
+++ b/system/control-duties/src/claim.rs
@@ -0,0 +1,87 @@
+use crate::core_watch::CoreWatch;
+use crate::times::{HEAD_START, HOLDER_GONE};
+use fleet_model::{ControlState, Fence, rank};
+use std::net::Ipv4Addr;
+
+/// Whether `holder` has `duty` under fence `number` in this state: what a holder does to the state is done only then.
+pub fn stands(state: &ControlState, duty: &str, holder: Ipv4Addr, number: u64) -> bool {
+    state.fences.get(duty).is_some_and(|fence| fence.number == number && fence.holder == Some(holder))
+}
+
+/// One keeper's claim to one duty, in this life of it. A fence that a former life took is not its own: what was told under
+/// it is forgotten here, so it takes the next one.
+#[derive(Clone, Debug)]
+pub struct DutyClaim {
+    duty: &'static str,
+    me: Ipv4Addr,
+    took: Option<u64>,
+    /// The fence whose holder is gone, and since when this is seen.
+    vacant: Option<(u64, u64)>,
+}
+
+impl DutyClaim {
+    /// The claim of a keeper that has just started.
+    pub fn new(duty: &'static str, me: Ipv4Addr) -> Self {
+        Self { duty, me, took: None, vacant: None }
+    }
+
+    /// The fence under which this life holds the duty.
+    pub fn holds(&self, state: &ControlState) -> Option<u64> {
+        self.took.filter(|number| stands(state, self.duty, self.me, *number))
+    }
+
+    /// The fence to take the duty over from: its holder is gone, and the live voters that rank before this one have had
+    /// their time.
+    pub fn wants(
+        &mut self,
+        now_ms: u64,
+        state: &ControlState,
+        voters: &[Ipv4Addr],
+        core: &CoreWatch,
+    ) -> Option<Fence> {
+        let fence = state.fences.get(self.duty).cloned().unwrap_or_default();
+        if self.holds(state).is_some() || !voters.contains(&self.me) {
+            self.vacant = None;
+            return None;
+        }
+        if fence.holder == Some(self.me) {
+            return Some(fence);
+        }
+        if fence
+            .holder
+            .is_some_and(|holder| voters.contains(&holder) && core.stands(holder, now_ms, HOLDER_GONE))
+        {
+            self.vacant = None;
+            return None;
+        }
+        let since = match self.vacant {
+            Some((number, since)) if number == fence.number => since,
+            _ => now_ms,
+        };
+        self.vacant = Some((fence.number, since));
+        let place = |ip: &Ipv4Addr| (rank(&ip.octets(), fence.number), *ip);
+        let live = |ip: &&Ipv4Addr| **ip != self.me && core.answers(**ip, now_ms, HOLDER_GONE);
+        let before = voters.iter().filter(live).filter(|ip| place(ip) > place(&self.me)).count() as u64;
+        (now_ms.saturating_sub(since) >= before * HEAD_START).then_some(fence)
+    }
+
+    /// The state in which this keeper has the duty, if it still stands as in `from`.
+    pub fn taken(&self, state: &ControlState, from: &Fence) -> Option<ControlState> {
+        let mut state = state.clone();
+        let standing = state.fences.entry(self.duty.to_owned()).or_default();
+        if standing.number != from.number {
+            return None;
+        }
+        *standing = Fence { number: from.number + 1, holder: Some(self.me) };
+        Some(state)
+    }
+
+    /// The change is chosen, and this is the state now; the fence, if the duty is this life's.
+    pub fn settle(&mut self, state: &ControlState, from: &Fence) -> Option<u64> {
+        if stands(state, self.duty, self.me, from.number + 1) {
+            self.took = Some(from.number + 1);
+            self.vacant = None;
+        }
+        self.holds(state)
+    }
+}
--- /dev/null
+++ b/system/control-duties/src/readings.rs
@@ -0,0 +1,47 @@
+use crate::times::{EMPTY_BREAK, EMPTY_FOR, READING_MOST};
+use fleet_model::{Endpoint, EndpointList};
+
+/// What becomes of the readings of the list, under one fence after another.
+#[derive(Clone, Debug, Default)]
+pub struct Readings {
+    fence: u64,
+    sequence: u64,
+    /// When a series of empty answers began, and its last one.
+    empty: Option<(u64, u64)>,
+}
+
+impl Readings {
+    /// The platform was asked at `asked_ms` under `fence` and listed these; the list to spread, if it is another one than
+    /// is known. Whoever knows a list of a later fence passes this one over.
+    pub fn take(
+        &mut self,
+        now_ms: u64,
+        asked_ms: u64,
+        fence: u64,
+        known: &EndpointList,
+        endpoints: Vec<Endpoint>,
+    ) -> Option<EndpointList> {
+        if self.fence != fence {
+            *self = Self { fence, ..Self::default() };
+        }
+        if now_ms.saturating_sub(asked_ms) > READING_MOST {
+            return None;
+        }
+        if !endpoints.is_empty() {
+            self.empty = None;
+        } else if !known.endpoints.is_empty() {
+            // The platform may have lost its memory; the endpoints live on.
+            let began = self.empty.filter(|(_, last)| asked_ms.saturating_sub(*last) <= EMPTY_BREAK);
+            let began = began.map_or(asked_ms, |(began, _)| began);
+            self.empty = Some((began, asked_ms));
+            if asked_ms - began < EMPTY_FOR {
+                return None;
+            }
+        }
+        if known.endpoints == endpoints && known.stamp.0 == fence {
+            return None;
+        }
+        self.sequence += 1;
+        Some(EndpointList { stamp: (fence, self.sequence), endpoints })
+    }
+}
--- /dev/null
+++ b/system/control-duties/src/roster.rs
@@ -0,0 +1,168 @@
+use fleet_model::{ControlState, Roster, Store};
+
+/// How far a retire is, or why there is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetireVerdict {
+    /// The machine is being emptied.
+    Active,
+    /// It is empty and out.
+    Completed,
+    /// Nobody has asked for it.
+    Serving,
+    /// There is no machine of this name.
+    Unknown,
+    /// Too few machines would be left.
+    TooFew {
+        /// So many.
+        left: usize,
+    },
+}
+
+/// The next set, whether or not a change is under way.
+pub fn proposed(roster: &Roster) -> &[Store] {
+    roster.next.as_deref().unwrap_or(&roster.current)
+}
+
+/// How many of these are not to be emptied.
+fn staying(roster: &Roster, stores: &[Store]) -> usize {
+    stores.iter().filter(|store| !roster.retiring.contains(&store.name)).count()
+}
+
+/// The roster with another next set: the epoch rises, and nobody is full yet.
+fn with_next(state: &ControlState, next: Vec<Store>) -> ControlState {
+    let mut state = state.clone();
+    state.roster.epoch += 1;
+    state.roster.filled.clear();
+    state.roster.next = (next != state.roster.current).then_some(next);
+    state
+}
+
+/// Whether the next set without this member would be the current one. Then nobody would fill, and what was meanwhile kept
+/// by the member and one other would have that one copy: such a change is carried through, and the member leaves after.
+pub(crate) fn would_abandon(roster: &Roster, store: &Store) -> bool {
+    let Some(next) = &roster.next else { return false };
+    !roster.current.contains(store) && next.iter().filter(|other| *other != store).eq(roster.current.iter())
+}
+
+/// Takes a storage machine in. One of its name or address with another disk has lost that disk, or is replaced.
+pub fn join(state: &ControlState, store: &Store, least: usize) -> Option<ControlState> {
+    let roster = &state.roster;
+    let former = proposed(roster);
+    if former.contains(store) || roster.retiring.contains(&store.name) {
+        return None;
+    }
+    if roster.current.contains(store) && former.iter().any(|other| other.name == store.name) {
+        // Two machines of one name, and this is the earlier one: it hands over, and takes nothing back.
+        return None;
+    }
+    let mut next: Vec<Store> =
+        former.iter().filter(|other| other.name != store.name && other.ip != store.ip).cloned().collect();
+    next.push(store.clone());
+    next.sort();
+    let founding = roster.current.len() < least && roster.next.is_none();
+    if !founding && next.len() < former.len() && staying(roster, &next) < least {
+        // It has one machine's name and another's address.
+        return None;
+    }
+    let mut state = state.clone();
+    if founding {
+        // Nothing can have been kept while there were so few.
+        state.roster.epoch += 1;
+        state.roster.current = next;
+        return Some(state);
+    }
+    // What is full but for the disk that this one replaces counts, as if that were waived: else one machine's loss after
+    // the other could keep all changes from their end.
+    let full = |other: &Store| roster.filled.contains(&other.disk) || !next.contains(other);
+    if let Some(set) = &roster.next
+        && set.iter().filter(|other| !next.contains(other)).count() == 1
+        && set.iter().all(full)
+    {
+        state.roster.current = set.clone();
+    }
+    Some(with_next(&state, next))
+}
+
+/// Begins to empty a storage machine.
+pub fn retire(state: &ControlState, name: &str, least: usize) -> (Option<ControlState>, RetireVerdict) {
+    let roster = &state.roster;
+    let named = |store: &&Store| store.name == name;
+    if roster.retiring.iter().any(|other| other == name) {
+        return (None, retire_state(state, name));
+    }
+    let marked = |mut state: ControlState| {
+        state.roster.retiring.push(name.to_owned());
+        (Some(state), RetireVerdict::Active)
+    };
+    let Some(store) = proposed(roster).iter().find(named) else {
+        // It may be leaving already.
+        return match roster.current.iter().any(|store| store.name == name) {
+            true => marked(state.clone()),
+            false => (None, RetireVerdict::Unknown),
+        };
+    };
+    let next: Vec<Store> = proposed(roster).iter().filter(|store| store.name != name).cloned().collect();
+    let left = staying(roster, &next);
+    if left < least {
+        return (None, RetireVerdict::TooFew { left });
+    }
+    match would_abandon(roster, store) {
+        true => marked(state.clone()),
+        false => marked(with_next(state, next)),
+    }
+}
+
+/// How far a retire is.
+pub fn retire_state(state: &ControlState, name: &str) -> RetireVerdict {
+    let roster = &state.roster;
+    let holds = |stores: &[Store]| stores.iter().any(|store| store.name == name);
+    let counts = holds(&roster.current) || roster.next.as_deref().is_some_and(holds);
+    match (roster.retiring.iter().any(|other| other == name), counts) {
+        (true, true) => RetireVerdict::Active,
+        (true, false) => RetireVerdict::Completed,
+        (false, true) => RetireVerdict::Serving,
+        (false, false) => RetireVerdict::Unknown,
+    }
+}
+
+/// A member of the next set is full; the last one makes that set current. `waived`: disks that are not waited for.
+pub fn fill(
+    state: &ControlState,
+    disk: Option<u64>,
+    epoch: u64,
+    waived: &[u64],
+    least: usize,
+) -> Option<ControlState> {
+    let roster = &state.roster;
+    let next = roster.next.clone().filter(|_| roster.epoch == epoch)?;
+    let mut state = state.clone();
+    let new =
+        disk.filter(|disk| next.iter().any(|store| store.disk == *disk) && !roster.filled.contains(disk));
+    state.roster.filled.extend(new);
+    if !next.iter().all(|store| state.roster.filled.contains(&store.disk) || waived.contains(&store.disk)) {
+        return new.map(|_| state);
+    }
+    state.roster.epoch += 1;
+    state.roster.current = next;
+    state.roster.next = None;
+    state.roster.filled.clear();
+    // Who was to be emptied while this change was under way leaves by the next one.
+    let roster = &mut state.roster;
+    let stays = |store: &&Store| !roster.retiring.contains(&store.name);
+    let left: Vec<Store> = roster.current.iter().filter(stays).cloned().collect();
+    if left.len() < roster.current.len() && left.len() >= least {
+        roster.next = Some(left);
+    }
+    Some(state)
+}
+
+/// Goes on without a member of the proposed set that is gone, if this is still the roster's epoch and enough are left.
+pub fn give_up(state: &ControlState, gone: &Store, epoch: u64, least: usize) -> Option<ControlState> {
+    let roster = &state.roster;
+    let former = proposed(roster);
+    if roster.epoch != epoch || !former.contains(gone) || would_abandon(roster, gone) {
+        return None;
+    }
+    let left: Vec<Store> = former.iter().filter(|store| *store != gone).cloned().collect();
+    (staying(roster, &left) >= least).then(|| with_next(state, left))
+}
--- /dev/null
+++ b/system/control-duties/src/roster_watch.rs
@@ -0,0 +1,164 @@
+use crate::roster::{give_up, proposed};
+use crate::times::{
+    FILL_PATIENCE, FILLING_BEGUN, FILLING_MOST, FOUNDING, LEAST_MISSES, LOOK, LOOK_AGAIN, LOOK_BREAK,
+    NEWCOMER, STORE_GONE, STORE_REPLACED, STORE_UNSURE,
+};
+use crate::turnover::Turnover;
+use fleet_model::{ControlState, Roster, Store};
+use std::collections::BTreeMap;
+
+/// What the holder of the duty is to do about the storage machines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RosterStep {
+    /// Nothing.
+    Leave,
+    /// Go on without this one, by [`give_up`](crate::give_up).
+    GiveUp {
+        /// The machine.
+        store: Store,
+        /// For how long it was silent.
+        silent_ms: u64,
+    },
+    /// Do not wait for these disks, by [`fill`](crate::fill).
+    Waive(Vec<u64>),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: u64,
+    missed: u32,
+}
+
+/// What one keeper knows of the storage machines: who is silent, and who came lately. Every keeper looks at them, so that
+/// the next holder of the duty knows what the last one knew.
+#[derive(Clone, Debug, Default)]
+pub struct RosterWatch {
+    looked: Option<u64>,
+    heard: BTreeMap<u64, Heard>,
+    /// When this keeper first saw the roster.
+    began: Option<u64>,
+    turnover: Turnover<String>,
+    /// The roster's epoch, and since when it is known.
+    epoch: (u64, u64),
+    /// Since when the roster is founded; 0 if it was when this keeper first saw it.
+    founded: Option<u64>,
+}
+
+impl RosterWatch {
+    /// This is the roster, of a fleet that is founded with `least` machines.
+    pub fn observe(&mut self, now_ms: u64, roster: &Roster, least: usize) {
+        if roster.epoch == 0 {
+            return;
+        }
+        if roster.epoch != self.epoch.0 {
+            self.epoch = (roster.epoch, now_ms);
+        }
+        let first = self.began.is_none();
+        self.began.get_or_insert(now_ms);
+        if roster.current.len() >= least {
+            self.founded.get_or_insert(if first { 0 } else { now_ms });
+        }
+        let settled = self.founded.is_some_and(|at| at == 0 || now_ms.saturating_sub(at) >= FOUNDING);
+        let names = |stores: &[Store]| stores.iter().map(|store| store.name.clone()).collect();
+        if first {
+            // A change that is under way tells who came and who leaves.
+            self.turnover.observe(now_ms, names(&roster.current), settled, |_| false);
+        }
+        let members = proposed(roster);
+        self.turnover.observe(now_ms, names(members), settled, |name| roster.retiring.contains(name));
+        let counts = |disk: u64| members.iter().chain(&roster.current).any(|store| store.disk == disk);
+        self.heard.retain(|disk, _| counts(*disk));
+        for store in members.iter().chain(&roster.current) {
+            // Who is first known has as long to answer as one that has answered.
+            self.heard.entry(store.disk).or_insert(Heard { at: now_ms, missed: 0 });
+        }
+    }
+
+    /// Whether a machine that asks to be taken in may be. Of two live machines of one name the one with the place keeps it
+    /// until it is gone, or they would push each other out for as long as both run.
+    pub fn admits(&self, roster: &Roster, store: &Store) -> bool {
+        let rival =
+            |other: &&Store| other.name == store.name && other.ip != store.ip && other.disk != store.disk;
+        let lives = |disk: u64| self.heard.get(&disk).is_none_or(|heard| heard.missed == 0);
+        !proposed(roster).iter().filter(rival).any(|other| lives(other.disk))
+    }
+
+    /// A machine with this disk has told that it is there.
+    pub fn heard(&mut self, now_ms: u64, disk: u64) {
+        self.heard.insert(disk, Heard { at: now_ms, missed: 0 });
+    }
+
+    /// A machine with this disk did not answer a look.
+    pub fn missed(&mut self, disk: u64) {
+        if let Some(heard) = self.heard.get_mut(&disk) {
+            heard.missed = heard.missed.saturating_add(1);
+        }
+    }
+
+    /// Whether it is time for a look: at the machines of the current and the proposed set.
+    pub fn is_due(&self, now_ms: u64) -> bool {
+        let pause = if self.heard.values().any(|heard| heard.missed > 0) { LOOK_AGAIN } else { LOOK };
+        self.looked.is_none_or(|looked| now_ms.saturating_sub(looked) >= pause)
+    }
+
+    /// A look begins. After a break nobody's silence counts: it may have been this keeper that slept.
+    pub fn looks(&mut self, now_ms: u64) {
+        if self.looked.is_none_or(|looked| now_ms.saturating_sub(looked) > LOOK_BREAK) {
+            self.heard.values_mut().for_each(|heard| *heard = Heard { at: now_ms, missed: 0 });
+        }
+        self.looked = Some(now_ms);
+    }
+
+    /// For how long a member has missed its looks.
+    fn silent(&self, now_ms: u64, store: &Store) -> u64 {
+        let heard = self.heard.get(&store.disk).filter(|heard| heard.missed >= LEAST_MISSES);
+        heard.map_or(0, |heard| now_ms.saturating_sub(heard.at))
+    }
+
+    /// How long a member may be silent.
+    fn patience(&self, now_ms: u64) -> u64 {
+        let unsure =
+            self.founded == Some(0) && self.began.is_some_and(|at| now_ms.saturating_sub(at) < NEWCOMER);
+        match self.turnover.surplus(now_ms) {
+            0 if unsure => STORE_UNSURE,
+            0 => STORE_GONE,
+            _ => STORE_REPLACED,
+        }
+    }
+
+    /// What is to be done after a look. `tolerance`: how many machines may be lost.
+    pub fn step(&self, now_ms: u64, state: &ControlState, tolerance: usize) -> RosterStep {
+        let roster = &state.roster;
+        if self.looked.is_none_or(|looked| now_ms.saturating_sub(looked) > LOOK_BREAK) {
+            return RosterStep::Leave;
+        }
+        let patience = self.patience(now_ms);
+        let least = 2 * tolerance + 1;
+        // What is full but for these counts first: giving one up begins the filling anew.
+        if let Some(next) = &roster.next {
+            let waived: Vec<u64> = next
+                .iter()
+                .filter(|store| self.silent(now_ms, store) > FILL_PATIENCE)
+                .map(|store| store.disk)
+                .collect();
+            let full = |store: &Store| roster.filled.contains(&store.disk) || waived.contains(&store.disk);
+            if waived.len() <= tolerance && next.iter().all(full) {
+                return RosterStep::Waive(waived);
+            }
+            let age = now_ms.saturating_sub(self.epoch.1);
+            if self.epoch.0 == roster.epoch && (FILLING_BEGUN..FILLING_MOST).contains(&age) {
+                return RosterStep::Leave;
+            }
+        }
+        let gone = proposed(roster)
+            .iter()
+            .map(|store| (store, self.silent(now_ms, store)))
+            .filter(|(_, silent)| *silent > patience)
+            .filter(|(store, _)| give_up(state, store, roster.epoch, least).is_some())
+            .max_by_key(|(_, silent)| *silent);
+        gone.map_or(RosterStep::Leave, |(store, silent_ms)| RosterStep::GiveUp {
+            store: store.clone(),
+            silent_ms,
+        })
+    }
+}
--- /dev/null
+++ b/system/control-duties/src/times.rs
@@ -0,0 +1,48 @@
+//! All times of the duties, in milliseconds, and the counts that go with them.
+
+/// Between two readings of the list.
+pub const READING: u64 = 1_000;
+/// A reading that took longer is not taken: its asker may have slept over it.
+pub const READING_MOST: u64 = 3_000;
+/// An empty list counts only after so long.
+pub const EMPTY_FOR: u64 = 5_000;
+/// Empty answers that are further apart than this begin anew.
+pub const EMPTY_BREAK: u64 = 2_500;
+
+/// A holder that did not answer for so long loses its duty.
+pub const HOLDER_GONE: u64 = 1_200;
+/// Each better-ranked live voter has so long to take a vacant duty first.
+pub const HEAD_START: u64 = 1_000;
+/// A voter that did not answer for so long is removed, where enough are left.
+pub const VOTER_GONE: u64 = 5_000;
+/// And after this, once another joined that may replace it.
+pub const VOTER_REPLACED: u64 = 2_000;
+/// The smallest set of voters that removal leaves.
+pub const LEAST_VOTERS: usize = 3;
+/// A keeper that asked nobody for so long slept: nobody's silence counts for that time.
+pub const OWN_SLEEP: u64 = 900;
+
+/// Between two looks at the storage machines.
+pub const LOOK: u64 = 1_000;
+/// The same while one of them is silent.
+pub const LOOK_AGAIN: u64 = 250;
+/// After looks further apart than this, silence is counted anew.
+pub const LOOK_BREAK: u64 = 2_200;
+/// So many looks in a row have to be missed before silence counts.
+pub const LEAST_MISSES: u32 = 2;
+/// A storage machine that did not answer for so long is replaced by one that joined meanwhile.
+pub const STORE_REPLACED: u64 = 1_500;
+/// And is given up without one after this, where enough are left.
+pub const STORE_GONE: u64 = 10_000;
+/// The same for a keeper that has not been there long enough to know who came lately.
+pub const STORE_UNSURE: u64 = 5_000;
+/// A newcomer counts as a replacement for so long.
+pub const NEWCOMER: u64 = 30_000;
+/// Who comes within this time of the founding replaces nobody.
+pub const FOUNDING: u64 = 3_000;
+/// A member of the next set that does not answer is not waited for after this.
+pub const FILL_PATIENCE: u64 = 1_500;
+/// A filling that has gone on for so long is let come to its end before another member is given up.
+pub const FILLING_BEGUN: u64 = 1_000;
+/// But only for so long in all.
+pub const FILLING_MOST: u64 = 3_000;
--- /dev/null
+++ b/system/control-duties/tests/duties/watches.rs
@@ -0,0 +1,513 @@
+//! What one keeper knows and claims.
+
+use control_duties::{CoreWatch, DutyClaim, Readings, RosterStep, RosterWatch, join, stands, times};
+use fleet_model::{ControlState, Endpoint, EndpointList, EndpointState, Fence, Store, rank};
+use googletest::prelude::*;
+use std::net::Ipv4Addr;
+
+const LIST: &str = "list";
+const A: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
+const B: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
+const C: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 3);
+const D: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 4);
+
+fn held(number: u64, holder: Ipv4Addr) -> ControlState {
+    let mut state = ControlState::default();
+    state.fences.insert(LIST.into(), Fence { number, holder: Some(holder) });
+    state
+}
+
+/// The voters, best-ranked for a fence first.
+fn ranked(number: u64, voters: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
+    let mut voters = voters.to_vec();
+    voters.sort_by_key(|ip| std::cmp::Reverse(rank(&ip.octets(), number)));
+    voters
+}
+
+fn watch(me: Ipv4Addr, now: u64, voters: &[Ipv4Addr], heard: &[Ipv4Addr]) -> CoreWatch {
+    let mut core = CoreWatch::new(me);
+    core.observe(now, voters);
+    heard.iter().for_each(|ip| core.heard(now, *ip));
+    core
+}
+
+#[gtest]
+fn a_duty_stays_where_its_holder_answers() {
+    let mut claim = DutyClaim::new(LIST, A);
+    let core = watch(A, 0, &[A, B, C], &[B, C]);
+    expect_that!(claim.wants(times::HOLDER_GONE - 1, &held(4, B), &[A, B, C], &core), none());
+}
+
+#[gtest]
+fn the_best_ranked_live_voter_takes_a_duty_whose_holder_is_gone_at_once() -> Result<()> {
+    let order = ranked(4, &[A, B]);
+    let state = held(4, C);
+    let now = times::HOLDER_GONE;
+    for (place, me) in order.iter().enumerate() {
+        let mut core = watch(*me, 0, &[A, B, C], &[]);
+        core.heard(now, order[1 - place]);
+        let mut claim = DutyClaim::new(LIST, *me);
+        let from = claim.wants(now, &state, &[A, B, C], &core);
+        expect_that!(from.is_some(), eq(place == 0));
+        if let Some(from) = from {
+            let state = claim.taken(&state, &from).or_fail()?;
+            expect_that!(claim.settle(&state, &from), some(eq(5)));
+            expect_that!(claim.holds(&state), some(eq(5)));
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_voter_that_answers_but_does_not_take_the_duty_keeps_it_from_the_next_only_for_a_while() {
+    // given a better-ranked voter that answers this one, but is cut off from the others
+    let order = ranked(4, &[A, B]);
+    let (better, me) = (order[0], order[1]);
+    let state = held(4, C);
+    let mut core = watch(me, 0, &[A, B, C], &[]);
+    let mut claim = DutyClaim::new(LIST, me);
+    let gone = times::HOLDER_GONE;
+    for now in (gone..gone + times::HEAD_START).step_by(200) {
+        core.heard(now, better);
+        expect_that!(claim.wants(now, &state, &[A, B, C], &core), none());
+    }
+    // when it has had its time, then the next takes the duty
+    let now = gone + times::HEAD_START;
+    core.heard(now, better);
+    expect_that!(claim.wants(now, &state, &[A, B, C], &core), some(anything()));
+}
+
+#[gtest]
+fn a_fence_of_a_former_life_is_not_ones_own() -> Result<()> {
+    // given a keeper that held the duty, and starts again at once
+    let state = held(4, A);
+    let mut claim = DutyClaim::new(LIST, A);
+    // then it does not hold it, and takes it under the next number without waiting
+    expect_that!(claim.holds(&state), none());
+    let core = watch(A, 0, &[A, B, C], &[B, C]);
+    let from = claim.wants(0, &state, &[A, B, C], &core).or_fail()?;
+    let state = claim.taken(&state, &from).or_fail()?;
+    expect_that!(claim.settle(&state, &from), some(eq(5)));
+    Ok(())
+}
+
+#[gtest]
+fn of_two_that_take_a_duty_one_gets_it_and_both_know_which() -> Result<()> {
+    let state = held(4, C);
+    let (mut one, mut other) = (DutyClaim::new(LIST, A), DutyClaim::new(LIST, B));
+    let from = Fence { number: 4, holder: Some(C) };
+    let state = one.taken(&state, &from).or_fail()?;
+    expect_that!(other.taken(&state, &from), none());
+    expect_that!(one.settle(&state, &from), some(eq(5)));
+    expect_that!(other.settle(&state, &from), none());
+    Ok(())
+}
+
+#[gtest]
+fn a_machine_that_is_no_voter_takes_no_duty() {
+    let core = watch(A, 0, &[B, C, D], &[]);
+    let mut claim = DutyClaim::new(LIST, A);
+    expect_that!(claim.wants(60_000, &held(4, B), &[B, C, D], &core), none());
+    expect_that!(claim.wants(60_000, &held(4, A), &[B, C, D], &core), none());
+}
+
+#[gtest]
+fn a_holder_that_slept_holds_nothing_once_it_reads_the_next_fence() -> Result<()> {
+    let mut claim = DutyClaim::new(LIST, A);
+    let from = Fence::default();
+    let state = claim.taken(&ControlState::default(), &from).or_fail()?;
+    expect_that!(claim.settle(&state, &from), some(eq(1)));
+    expect_that!(claim.holds(&held(2, B)), none());
+    // and not again under a number that another life of it took
+    expect_that!(claim.holds(&held(3, A)), none());
+    Ok(())
+}
+
+#[gtest]
+fn what_a_holder_decided_before_it_slept_is_void_once_another_has_the_duty() {
+    expect_that!(stands(&held(4, A), LIST, A, 4), eq(true));
+    expect_that!(stands(&held(5, B), LIST, A, 4), eq(false));
+    // nor under the fence of another life of it
+    expect_that!(stands(&held(5, A), LIST, A, 4), eq(false));
+}
+
+#[gtest]
+fn a_keeper_that_slept_does_not_take_the_others_for_gone() {
+    // given a keeper that asks and hears the others all the time
+    let mut core = watch(A, 0, &[A, B, C, D], &[]);
+    for now in (0..20_000).step_by(250) {
+        core.asks(now);
+        [B, C, D].iter().for_each(|ip| core.heard(now, *ip));
+    }
+    // when it sleeps for longer than a voter may be silent, and asks again
+    let woke = 20_000 + times::VOTER_GONE + 1_000;
+    core.asks(woke);
+    // then none is gone, neither as a voter nor as a holder
+    expect_that!(core.gone(woke, &[A, B, C, D]), none());
+    expect_that!(core.stands(B, woke, times::HOLDER_GONE), eq(true));
+    // but who stays silent is
+    let mut now = woke;
+    while now <= woke + times::VOTER_GONE + 500 {
+        core.asks(now);
+        [C, D].iter().for_each(|ip| core.heard(now, *ip));
+        now += 250;
+    }
+    expect_that!(core.gone(now, &[A, B, C, D]), some((eq(B), anything())));
+}
+
+#[gtest]
+fn a_voter_taken_in_a_moment_ago_is_not_gone() {
+    // given a holder that has never heard D
+    let mut core = watch(A, 0, &[A, B, C], &[]);
+    for now in (0..12_000).step_by(250) {
+        core.asks(now);
+        [B, C].iter().for_each(|ip| core.heard(now, *ip));
+    }
+    // when another keeper takes D in
+    core.observe(12_000, &[A, B, C, D]);
+    // then it has time to answer
+    expect_that!(core.gone(12_000, &[A, B, C, D]), none());
+}
+
+#[gtest]
+fn a_voter_that_is_replaced_is_removed_soon_and_others_as_late_as_ever() {
+    let voters = [A, B, C, D];
+    let mut core = watch(A, 0, &[A, B, C], &[]);
+    let mut now = 0;
+    let mut run = |core: &mut CoreWatch, until: u64, heard: &[Ipv4Addr]| {
+        while now < until {
+            now += 250;
+            core.asks(now);
+            heard.iter().for_each(|ip| core.heard(now, *ip));
+        }
+        now
+    };
+    run(&mut core, 20_000, &[B, C]);
+    // when C is gone, and D joins 1.5 s later
+    run(&mut core, 21_500, &[B]);
+    core.observe(21_500, &voters);
+    let now = run(&mut core, 20_000 + times::VOTER_REPLACED + 250, &[B, D]);
+    // then C is removed
+    expect_that!(core.gone(now, &voters), some((eq(C), anything())));
+    expect_that!(CoreWatch::without(&voters, C), some(eq(&vec![A, B, D])));
+    // and of three voters none is
+    core.observe(now, &[A, B, D]);
+    let now = run(&mut core, 60_000, &[B]);
+    expect_that!(core.gone(now, &[A, B, D]), none());
+    expect_that!(CoreWatch::without(&[A, B, D], D), none());
+}
+
+fn store(name: &str, ip: u8, disk: u64) -> Store {
+    Store { name: name.into(), ip: Ipv4Addr::new(10, 3, 0, ip), zone: "a".into(), disk }
+}
+
+fn founded(count: u8) -> ControlState {
+    let mut state = ControlState::default();
+    state.roster.epoch = 7;
+    state.roster.current = (1..=count).map(|at| store(&format!("s{at}"), at, at.into())).collect();
+    state
+}
+
+/// A keeper's watch with a clock; it looks as often as it wants to.
+struct Watching {
+    watch: RosterWatch,
+    now: u64,
+}
+
+impl Watching {
+    fn new() -> Self {
+        Self { watch: RosterWatch::default(), now: 10_000 }
+    }
+
+    /// Until then, machines with these disks answer.
+    fn run(&mut self, until: u64, state: &ControlState, live: &[u64]) {
+        while self.now < until {
+            self.watch.observe(self.now, &state.roster, 3);
+            if self.watch.is_due(self.now) {
+                self.look(state, live);
+            }
+            self.now += 50;
+        }
+    }
+
+    fn look(&mut self, state: &ControlState, live: &[u64]) {
+        self.watch.looks(self.now);
+        let mut disks: Vec<u64> = state.roster.current.iter().map(|store| store.disk).collect();
+        disks.extend(control_duties::proposed(&state.roster).iter().map(|store| store.disk));
+        disks.sort_unstable();
+        disks.dedup();
+        for disk in disks {
+            match live.contains(&disk) {
+                true => self.watch.heard(self.now, disk),
+                false => self.watch.missed(disk),
+            }
+        }
+    }
+
+    fn step(&self, state: &ControlState) -> RosterStep {
+        self.watch.step(self.now, state, 1)
+    }
+}
+
+fn gives_up(step: &RosterStep) -> Option<u64> {
+    match step {
+        RosterStep::GiveUp { store, .. } => Some(store.disk),
+        _ => None,
+    }
+}
+
+#[gtest]
+fn a_silent_machine_is_given_up_after_long_and_not_before() {
+    let state = founded(4);
+    let mut keeper = Watching::new();
+    keeper.run(60_000, &state, &[1, 2, 3, 4]);
+    keeper.run(60_000 + times::STORE_GONE - 1_000, &state, &[1, 2, 3]);
+    expect_that!(keeper.step(&state), eq(&RosterStep::Leave));
+    keeper.run(60_000 + times::STORE_GONE + 500, &state, &[1, 2, 3]);
+    expect_that!(gives_up(&keeper.step(&state)), some(eq(4)));
+}
+
+#[gtest]
+fn a_keeper_that_came_lately_gives_a_silent_machine_up_sooner() {
+    // given a keeper that cannot know whether one of the four came to replace another
+    let state = founded(4);
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 2, 3, 4]);
+    keeper.run(20_000 + times::STORE_UNSURE - 1_000, &state, &[1, 2, 3]);
+    expect_that!(keeper.step(&state), eq(&RosterStep::Leave));
+    keeper.run(20_000 + times::STORE_UNSURE + 500, &state, &[1, 2, 3]);
+    expect_that!(gives_up(&keeper.step(&state)), some(eq(4)));
+}
+
+#[gtest]
+fn a_filling_that_has_gone_on_for_a_while_is_let_come_to_its_end() -> Result<()> {
+    // given that s9 is being taken in
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &founded(3), &[1, 2, 3]);
+    let state = join(&founded(3), &store("s9", 9, 9), 3).or_fail()?;
+    keeper.run(20_100, &state, &[1, 2, 3, 9]);
+    // when s3 is gone, then nothing begins anew while that may end soon
+    keeper.run(20_000 + times::FILLING_MOST - 100, &state, &[1, 2, 9]);
+    expect_that!(keeper.step(&state), eq(&RosterStep::Leave));
+    // but not for long
+    keeper.run(20_000 + times::FILLING_MOST + 200, &state, &[1, 2, 9]);
+    expect_that!(gives_up(&keeper.step(&state)), some(eq(3)));
+    Ok(())
+}
+
+#[gtest]
+fn what_is_full_but_for_a_silent_machine_counts_before_that_one_is_given_up() -> Result<()> {
+    // given that s9 is being taken in, all others are full for it, and s3 is gone
+    let mut state = join(&founded(3), &store("s9", 9, 9), 3).or_fail()?;
+    state.roster.filled = vec![1, 2, 9];
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 2, 3, 9]);
+    keeper.run(20_000 + times::STORE_REPLACED + 800, &state, &[1, 2, 9]);
+    expect_that!(keeper.step(&state), eq(&RosterStep::Waive(vec![3])));
+    Ok(())
+}
+
+#[gtest]
+fn a_machine_that_flaps_is_not_given_up() {
+    let state = founded(4);
+    let mut keeper = Watching::new();
+    for _ in 0..10 {
+        let now = keeper.now;
+        keeper.run(now + 4_000, &state, &[1, 2, 3]);
+        expect_that!(keeper.step(&state), eq(&RosterStep::Leave));
+        keeper.run(now + 6_000, &state, &[1, 2, 3, 4]);
+    }
+}
+
+#[gtest]
+fn a_machine_replaced_at_another_address_is_given_up_soon() -> Result<()> {
+    // given that s3 is gone, and s9 comes 1.5 s later
+    let state = founded(3);
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 2, 3]);
+    keeper.run(21_500, &state, &[1, 2]);
+    let state = join(&state, &store("s9", 9, 9), 3).or_fail()?;
+    // when the holder has looked again
+    keeper.run(21_850, &state, &[1, 2, 9]);
+    // then s3 is given up
+    expect_that!(gives_up(&keeper.step(&state)), some(eq(3)));
+    Ok(())
+}
+
+#[gtest]
+fn a_planned_replacement_lets_the_old_machine_go_soon() -> Result<()> {
+    // given that s9 has come and counts
+    let mut state = founded(3);
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 2, 3]);
+    state.roster.current.push(store("s9", 9, 9));
+    keeper.run(25_000, &state, &[1, 2, 3, 9]);
+    // when s3 ends
+    keeper.run(25_000 + times::STORE_REPLACED + 1_000, &state, &[1, 2, 9]);
+    // then it is given up
+    expect_that!(gives_up(&keeper.step(&state)), some(eq(3)));
+    Ok(())
+}
+
+#[gtest]
+fn one_newcomer_replaces_one_machine() -> Result<()> {
+    // given that s9 came for s4, which is out
+    let mut state = founded(4);
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 2, 3]);
+    state.roster.current[3] = store("s9", 9, 9);
+    keeper.run(21_000, &state, &[1, 2, 3, 9]);
+    // when another sleeps for four seconds, then it stays
+    keeper.run(25_000, &state, &[1, 2, 9]);
+    expect_that!(keeper.step(&state), eq(&RosterStep::Leave));
+    // and where the wrong one was given up and returns, s9 is free for another
+    let mut without = state.clone();
+    without.roster.current.remove(2);
+    without.roster.current.push(store("s4", 4, 4));
+    keeper.run(26_000, &without, &[1, 2, 4, 9]);
+    keeper.run(29_000, &without, &[1, 4, 9]);
+    expect_that!(gives_up(&keeper.step(&without)), some(eq(2)));
+    Ok(())
+}
+
+#[gtest]
+fn a_newcomer_is_not_taken_for_the_replacement_of_a_retired_machine() -> Result<()> {
+    // given that s4 was retired, and s9 has come for s3
+    let mut state = founded(4);
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 2, 3, 4]);
+    state.roster.current.remove(3);
+    state.roster.retiring.push("s4".into());
+    keeper.run(25_000, &state, &[1, 2, 3]);
+    state.roster.current.push(store("s9", 9, 9));
+    keeper.run(28_000, &state, &[1, 2, 9]);
+    expect_that!(gives_up(&keeper.step(&state)), some(eq(3)));
+    Ok(())
+}
+
+#[gtest]
+fn a_wiped_machine_replaces_nobody_but_itself() -> Result<()> {
+    let mut state = founded(4);
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 2, 3, 4]);
+    state.roster.current[3].disk = 44;
+    keeper.run(21_000, &state, &[1, 2, 3, 44]);
+    keeper.run(25_000, &state, &[1, 2, 44]);
+    expect_that!(keeper.step(&state), eq(&RosterStep::Leave));
+    Ok(())
+}
+
+#[gtest]
+fn a_keeper_that_starts_during_a_change_reads_from_it_who_came_for_whom() -> Result<()> {
+    let state = join(&founded(3), &store("s9", 9, 9), 3).or_fail()?;
+    let mut keeper = Watching::new();
+    keeper.run(10_000 + times::FILLING_MOST + 500, &state, &[1, 2, 9]);
+    expect_that!(gives_up(&keeper.step(&state)), some(eq(3)));
+    Ok(())
+}
+
+#[gtest]
+fn a_missed_look_after_a_long_break_is_no_silence() {
+    // given a keeper that looked long ago, as one does that slept
+    let state = founded(4);
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 2, 3, 4]);
+    keeper.now = 20_000 + 2 * times::STORE_GONE;
+    // when its next looks miss s4
+    keeper.run(keeper.now + 1_000, &state, &[1, 2, 3]);
+    // then that is a second of silence
+    expect_that!(keeper.step(&state), eq(&RosterStep::Leave));
+}
+
+#[gtest]
+fn a_look_that_a_keeper_slept_over_decides_nothing() {
+    let state = founded(4);
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 2, 3, 4]);
+    keeper.look(&state, &[1, 2, 3]);
+    keeper.look(&state, &[1, 2, 3]);
+    keeper.now += 2 * times::STORE_GONE;
+    expect_that!(keeper.step(&state), eq(&RosterStep::Leave));
+}
+
+#[gtest]
+fn a_silent_member_of_the_next_set_is_waived_within_the_tolerance() {
+    let mut state = founded(3);
+    state.roster.next = Some(vec![store("s1", 1, 1), store("s2", 2, 22), store("s3", 3, 3)]);
+    state.roster.filled = vec![1, 22];
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 22, 3]);
+    keeper.run(20_000 + times::FILL_PATIENCE + 500, &state, &[1, 22]);
+    expect_that!(keeper.step(&state), eq(&RosterStep::Waive(vec![3])));
+    keeper.run(20_000 + 2 * times::FILL_PATIENCE + 1_000, &state, &[1]);
+    expect_that!(keeper.step(&state), eq(&RosterStep::Leave));
+}
+
+#[gtest]
+fn of_two_live_machines_of_one_name_the_one_with_the_place_keeps_it() {
+    let state = founded(3);
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 2, 3]);
+    let other = store("s3", 9, 33);
+    expect_that!(keeper.watch.admits(&state.roster, &other), eq(false));
+    // one that lost its disk is at its old address, and takes its place at once
+    expect_that!(keeper.watch.admits(&state.roster, &store("s3", 3, 33)), eq(true));
+    // and once the one with the place is missed, the other may have it
+    keeper.run(21_100, &state, &[1, 2]);
+    expect_that!(keeper.watch.admits(&state.roster, &other), eq(true));
+}
+
+fn endpoints(names: &[&str]) -> Vec<Endpoint> {
+    let endpoint = |name: &&str| Endpoint {
+        instance_id: (*name).into(),
+        service: "s".into(),
+        address: "10.9.0.1:80".parse().unwrap(),
+        zone: "a".into(),
+        capacity_slots: 1,
+        state: EndpointState::Ready,
+    };
+    names.iter().map(endpoint).collect()
+}
+
+#[gtest]
+fn a_reading_is_spread_where_it_is_news_or_its_fence_is() -> Result<()> {
+    let mut readings = Readings::default();
+    let first = readings.take(100, 90, 1, &EndpointList::default(), endpoints(&["a"])).or_fail()?;
+    expect_that!(first.stamp, eq((1, 1)));
+    expect_that!(readings.take(1_100, 1_090, 1, &first, endpoints(&["a"])), none());
+    let second = readings.take(2_100, 2_090, 1, &first, endpoints(&["a", "b"])).or_fail()?;
+    expect_that!(second.stamp, eq((1, 2)));
+    let third = readings.take(3_100, 3_090, 4, &second, endpoints(&["a", "b"])).or_fail()?;
+    expect_that!(third.stamp, eq((4, 1)));
+    Ok(())
+}
+
+#[gtest]
+fn an_empty_list_counts_only_after_empty_answers_without_a_break() {
+    let known = EndpointList { stamp: (1, 1), endpoints: endpoints(&["a"]) };
+    let mut readings = Readings::default();
+    let empty =
+        |readings: &mut Readings, at: u64, fence: u64| readings.take(at, at, fence, &known, Vec::new());
+    for at in (0..times::EMPTY_FOR).step_by(1_000) {
+        expect_that!(empty(&mut readings, at, 1), none());
+    }
+    expect_that!(empty(&mut readings, times::EMPTY_FOR, 1), some(anything()));
+    // an empty answer of a minute ago does not make the next one count
+    expect_that!(empty(&mut readings, 65_000, 1), none());
+    // nor does one under an earlier fence
+    expect_that!(empty(&mut readings, 66_000, 2), none());
+    expect_that!(empty(&mut readings, 70_900, 2), none());
+}
+
+#[gtest]
+fn an_empty_list_is_taken_at_once_where_there_were_no_endpoints() {
+    let mut readings = Readings::default();
+    expect_that!(readings.take(10, 10, 1, &EndpointList::default(), Vec::new()), some(anything()));
+}
+
+#[gtest]
+fn a_reading_that_its_asker_slept_over_is_not_spread() {
+    let mut readings = Readings::default();
+    let known = EndpointList::default();
+    expect_that!(readings.take(times::READING_MOST + 2, 1, 1, &known, endpoints(&["a"])), none());
+}
--- a/system/programs/src/agent.rs
+++ b/system/programs/src/agent.rs
@@ -1,7 +1,10 @@
 //! The agent beside each proxy: it follows the feed, feeds the proxy over loopback, and other agents below it in the tree.
 
 use crate::feed::{Feed, follow, keep_beating};
+use crate::members::Members;
+use crate::staff::Desk;
 use crate::start::{Process, StartError, ended, listen};
+use fleet_membership::Role;
 use fleet_model::{Answer, Call};
 use peer_wire::{Handler, PeerServer, Pusher};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -13,6 +16,7 @@
 struct Agent {
     process: Rc<Process>,
     feed: Rc<Feed>,
+    desk: Desk,
 }
 
 impl Handler for Agent {
@@ -21,7 +25,7 @@
             Call::Subscribe { .. } => {
                 self.feed.subscribe(&call, self.process.settings().peer_port(), true, pusher)
             }
-            Call::Inspect { topic } => Answer::View(crate::feed::view(&self.feed, topic)),
+            Call::Inspect { topic } => self.desk.answer(topic, |_| ()),
             _ => Answer::Unready,
         }
     }
@@ -31,7 +35,9 @@
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
     let feed = Rc::new(Feed::default());
-    let agent = Rc::new(Agent { process: process.clone(), feed: feed.clone() });
+    let members = Members::start(process.clone(), feed.clone(), Role::Edge, |_| ())?;
+    let desk = Desk::new(process.clone(), feed.clone(), Some(members), "proxy-agent");
+    let agent = Rc::new(Agent { process: process.clone(), feed: feed.clone(), desk });
     let peers = listen(SocketAddrV4::new(settings.ip_address, settings.peer_port())).await?;
     let loopback = listen(SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port())).await?;
     for listener in [peers, loopback] {
--- a/system/programs/src/feed.rs
+++ b/system/programs/src/feed.rs
@@ -1,43 +1,36 @@
-//! The feed: the register's value and the list of endpoints, from the core down a tree of relays to every proxy. Whoever
-//! is fed feeds others the same way. Values and lists only rise; every link tells by its beats how old at most what it
-//! told is, so that who hangs on a frozen or cut-off parent notices and takes another.
+//! The feed on sockets: `state-feed` decides what is pushed to whom and by whom this process is fed; here links are opened,
+//! read and written, and time passes.
 
 use crate::start::{Process, drawn};
-use fleet_model::{Answer, Ballot, Call, ChosenValue, ControlState, Endpoint, EndpointList, Push};
+use fleet_model::{Answer, Call, ChosenValue, ControlState, EndpointList, Push};
 use peer_wire::{PeerClient, PreparedPush, Pusher};
+use state_feed::{
+    Command, Event, FeedState, Follower, Learned, LinkId, Role, Sources, Spread, SubscriberId, Unreadable,
+};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-/// Between two beats on a link.
-pub const BEAT: Duration = Duration::from_millis(250);
-/// Told things older than this make a follower look for another parent.
-pub const MOST_AGE: Duration = Duration::from_millis(1_000);
-/// Subscribers of one zone that one keeper feeds itself; later ones are sent to these.
-const HEADS_PER_ZONE: usize = 2;
-/// Subscribers that a relay takes.
-const MOST_CHILDREN: usize = 24;
-
-struct Subscriber {
-    ip: Ipv4Addr,
-    zone: String,
-    pusher: Pusher,
-    list: Cell<(u64, u64)>,
-}
+pub use state_feed::MOST_AGE;
+
+/// How long the opening of a link may take, its answer included; the follower may give it up before.
+const OPENING: Duration = Duration::from_millis(300);
+/// What links have brought and is not yet taken in, at most; more waits in the sockets.
+const MOST_WAITING: usize = 64;
+/// The feed's time begins so long before the process, since ages are taken off it.
+const BEFORE: Duration = Duration::from_secs(100 * 24 * 3_600);
 
 /// What a process knows through the feed, and passes on.
 pub struct Feed {
-    value: RefCell<Rc<ChosenValue>>,
-    state: RefCell<Rc<ControlState>>,
-    list: RefCell<Rc<EndpointList>>,
-    former_list: RefCell<Rc<EndpointList>>,
-    fresh_at: Cell<Option<Instant>>,
-    proxies: Cell<u32>,
-    subscribers: RefCell<Vec<Rc<Subscriber>>>,
+    decides: RefCell<FeedState>,
+    pushers: RefCell<HashMap<SubscriberId, Pusher>>,
+    last_link: Cell<SubscriberId>,
+    began: Instant,
     /// Counts changes of value and list.
     changed: watch::Sender<u64>,
 }
@@ -45,42 +38,44 @@
 impl Default for Feed {
     fn default() -> Self {
         Self {
-            value: RefCell::default(),
-            state: RefCell::default(),
-            list: RefCell::default(),
-            former_list: RefCell::default(),
-            fresh_at: Cell::new(None),
-            proxies: Cell::new(0),
-            subscribers: RefCell::default(),
+            decides: RefCell::default(),
+            pushers: RefCell::default(),
+            last_link: Cell::new(0),
+            began: Instant::now(),
             changed: watch::Sender::new(0),
         }
     }
 }
 
 impl Feed {
+    /// The feed's time.
+    fn now(&self) -> Duration {
+        BEFORE + self.began.elapsed()
+    }
+
     /// The newest value.
     pub fn value(&self) -> Rc<ChosenValue> {
-        self.value.borrow().clone()
+        self.decides.borrow().value().clone()
     }
 
     /// The newest value, read.
     pub fn state(&self) -> Rc<ControlState> {
-        self.state.borrow().clone()
+        self.decides.borrow().state().clone()
     }
 
     /// The newest list.
     pub fn list(&self) -> Rc<EndpointList> {
-        self.list.borrow().clone()
+        self.decides.borrow().list().clone()
     }
 
     /// Proxies in the fleet, as last told; 0 if nobody told.
     pub fn proxies(&self) -> u32 {
-        self.proxies.get()
+        self.decides.borrow().proxies()
     }
 
     /// Tells how many proxies there are.
     pub fn set_proxies(&self, count: u32) {
-        self.proxies.set(count);
+        self.decides.borrow_mut().set_proxies(count);
     }
 
     /// Counts changes of value and list.
@@ -90,258 +85,224 @@
 
     /// A majority of the core had nothing newer at that time.
     pub fn confirm(&self, at: Instant) {
-        self.fresh_at.set(self.fresh_at.get().max(Some(at)));
+        let at = match at.checked_duration_since(self.began) {
+            Some(later) => Some(BEFORE + later),
+            None => BEFORE.checked_sub(self.began.duration_since(at)),
+        };
+        if let Some(at) = at {
+            self.decides.borrow_mut().confirm(at);
+        }
     }
 
     /// How old at most what is known here is.
     pub fn age(&self) -> Option<Duration> {
-        self.fresh_at.get().map(|at| at.elapsed())
+        self.decides.borrow().age(self.now())
     }
 
     /// When what is known was last confirmed.
     pub fn fresh_at(&self) -> Option<Instant> {
-        self.fresh_at.get()
+        let at = self.decides.borrow().fresh_at()?;
+        match at.checked_sub(BEFORE) {
+            Some(later) => self.began.checked_add(later),
+            None => self.began.checked_sub(BEFORE - at),
+        }
     }
 
     /// Takes a newer value.
     pub fn learn_value(&self, value: ChosenValue) -> bool {
-        if value.ballot <= self.value.borrow().ballot {
-            return false;
-        }
-        let state = match value.payload.is_empty() {
-            true => ControlState::default(),
-            false => match postcard::from_bytes(&value.payload) {
-                Ok(state) => state,
-                Err(e) => {
-                    log::error!("a value that cannot be read is passed over: {e}");
-                    return false;
-                }
-            },
-        };
-        *self.state.borrow_mut() = Rc::new(state);
-        *self.value.borrow_mut() = Rc::new(value.clone());
-        self.push_all(&Push::Value(value));
-        self.changed.send_modify(|count| *count += 1);
-        true
+        let learned = self.decides.borrow_mut().learn_value(value);
+        self.carry_out(learned).changed
     }
 
     /// Takes a newer list.
     pub fn learn_list(&self, list: EndpointList) -> bool {
-        if list.stamp <= self.list.borrow().stamp {
-            return false;
-        }
-        *self.former_list.borrow_mut() = self.list.replace(Rc::new(list));
-        self.each(|subscriber| self.push_list(subscriber));
-        self.changed.send_modify(|count| *count += 1);
-        true
+        let learned = self.decides.borrow_mut().learn_list(list);
+        self.carry_out(Ok(learned)).changed
     }
 
-    /// Takes changes on top of a list; false if it is another one that is known here.
-    fn learn_change(&self, base: (u64, u64), stamp: (u64, u64), put: Vec<Endpoint>, gone: &[String]) -> bool {
-        let old = self.list();
-        if old.stamp != base {
-            return old.stamp >= stamp;
-        }
-        let mut endpoints: BTreeMap<String, Endpoint> =
-            old.endpoints.iter().map(|endpoint| (endpoint.instance_id.clone(), endpoint.clone())).collect();
-        for instance in gone {
-            endpoints.remove(instance);
+    /// Carries out a push; false if the link's list is not the one known here.
+    pub fn take(&self, push: Push, confirms: bool) -> bool {
+        let learned = self.decides.borrow_mut().take(self.now(), push, confirms);
+        !self.carry_out(learned).out_of_step
+    }
+
+    /// Passes on what was learned, and tells of it.
+    fn carry_out(&self, learned: Result<Learned, Unreadable>) -> Learned {
+        let mut learned = learned.unwrap_or_else(|e| {
+            log::error!("passed over: {e}");
+            Learned::default()
+        });
+        self.spread(std::mem::take(&mut learned.spreads));
+        if learned.changed {
+            self.changed.send_modify(|count| *count += 1);
         }
-        endpoints.extend(put.into_iter().map(|endpoint| (endpoint.instance_id.clone(), endpoint)));
-        self.learn_list(EndpointList { stamp, endpoints: endpoints.into_values().collect() })
+        learned
     }
 
-    fn push_list(&self, subscriber: &Subscriber) -> bool {
-        let (list, former) = (self.list(), self.former_list.borrow().clone());
-        let push = match subscriber.list.get() == former.stamp && former.stamp != (0, 0) {
-            true => {
-                let known = |endpoint: &Endpoint| former.endpoints.contains(endpoint);
-                let here = |endpoint: &Endpoint| {
-                    list.endpoints.iter().any(|other| other.instance_id == endpoint.instance_id)
+    fn spread(&self, spreads: Vec<Spread>) {
+        for Spread { push, to } in spreads {
+            let prepared = PreparedPush::new(&push).inspect_err(|e| log::error!("not spread: {e}"));
+            for link in to {
+                let pushed = match (&prepared, self.pushers.borrow().get(&link)) {
+                    (Ok(push), Some(pusher)) => pusher.try_send(push),
+                    _ => false,
                 };
-                Push::ListChange {
-                    base: former.stamp,
-                    stamp: list.stamp,
-                    put: list.endpoints.iter().filter(|endpoint| !known(endpoint)).cloned().collect(),
-                    gone: former
-                        .endpoints
-                        .iter()
-                        .filter(|endpoint| !here(endpoint))
-                        .map(|endpoint| endpoint.instance_id.clone())
-                        .collect(),
+                // What it missed it would never get: it has to ask again.
+                if !pushed {
+                    self.part_with(link);
                 }
             }
-            false => Push::List((*list).clone()),
-        };
-        subscriber.list.set(list.stamp);
-        subscriber.pusher.try_push(&push)
+        }
     }
 
-    /// Does something for each subscriber, and parts with those for whom it says false.
-    fn each(&self, mut push: impl FnMut(&Subscriber) -> bool) {
-        let subscribers = self.subscribers.take();
-        let left = subscribers.into_iter().filter(|subscriber| push(subscriber)).collect();
-        self.subscribers.replace(left);
+    fn part_with(&self, link: SubscriberId) {
+        self.pushers.borrow_mut().remove(&link);
+        self.decides.borrow_mut().remove(link);
     }
 
     /// A beat to every subscriber.
     pub fn beat(&self) {
-        if let Some(beat) = self.beat_now() {
-            self.push_all(&beat);
-        }
-    }
-
-    fn push_all(&self, push: &Push) {
-        match PreparedPush::new(push) {
-            Ok(push) => self.each(|subscriber| subscriber.pusher.try_send(&push)),
-            Err(e) => log::error!("not spread: {e}"),
-        }
-    }
-
-    fn beat_now(&self) -> Option<Push> {
-        let age = self.age()?;
-        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        Some(Push::Beat { age_ms, proxies: self.proxies.get() })
+        let spreads = self.decides.borrow_mut().beat(self.now());
+        self.spread(spreads);
     }
 
     /// Takes a subscriber on, or names others to ask. `relay`: this is no keeper.
     pub fn subscribe(&self, call: &Call, peer_port: u16, relay: bool, pusher: Pusher) -> Answer {
-        let Call::Subscribe { ip, zone, urgent, value, list } = call else { return Answer::Unready };
-        if self.value.borrow().ballot == Ballot::default() || (relay && self.age().is_none_or(|age| age > MOST_AGE)) {
-            return Answer::Unready;
-        }
-        self.each(|subscriber| subscriber.ip != *ip && !subscriber.pusher.is_closed());
-        let same_zone: Vec<SocketAddrV4> = self
-            .subscribers
-            .borrow()
-            .iter()
-            .filter(|subscriber| subscriber.zone == *zone)
-            .map(|subscriber| SocketAddrV4::new(subscriber.ip, peer_port))
-            .collect();
-        let full = match relay {
-            true => self.subscribers.borrow().len() >= MOST_CHILDREN,
-            false => same_zone.len() >= HEADS_PER_ZONE,
+        let closed: Vec<SubscriberId> = {
+            let pushers = self.pushers.borrow();
+            pushers.iter().filter(|(_, pusher)| pusher.is_closed()).map(|(link, _)| *link).collect()
         };
-        if full && !urgent {
-            return Answer::Redirect(if relay { Vec::new() } else { same_zone });
-        }
-        let subscriber =
-            Rc::new(Subscriber { ip: *ip, zone: zone.clone(), pusher, list: Cell::new(*list) });
-        let known = self.value();
-        if known.ballot > *value {
-            subscriber.pusher.try_push(&Push::Value((*known).clone()));
-        }
-        if self.list.borrow().stamp > *list {
-            self.push_list(&subscriber);
+        for link in closed {
+            self.part_with(link);
         }
-        if let Some(beat) = self.beat_now() {
-            subscriber.pusher.try_push(&beat);
+        let link = self.last_link.get() + 1;
+        self.last_link.set(link);
+        let role = if relay { Role::Relay } else { Role::Keeper };
+        let subscription = self.decides.borrow_mut().subscribe(self.now(), role, peer_port, call, link);
+        // A subscriber that lacks what it was to be told first would be told that it lacks nothing.
+        if !subscription.pushes.iter().all(|push| pusher.try_push(push)) {
+            self.decides.borrow_mut().remove(link);
+            return Answer::Unready;
         }
-        self.subscribers.borrow_mut().push(subscriber);
-        Answer::Done
-    }
-
-    /// Carries out a push; false if the link's list is not the one known here.
-    pub fn take(&self, push: Push, confirms: bool) -> bool {
-        match push {
-            Push::Beat { age_ms, proxies } => {
-                if confirms && let Some(at) = Instant::now().checked_sub(Duration::from_millis(age_ms.into())) {
-                    self.confirm(at);
-                }
-                if proxies > 0 {
-                    self.proxies.set(proxies);
-                }
-                true
-            }
-            Push::Value(value) => {
-                self.learn_value(value);
-                true
-            }
-            Push::List(list) => {
-                self.learn_list(list);
-                true
-            }
-            Push::ListChange { base, stamp, put, gone } => self.learn_change(base, stamp, put, &gone),
+        if subscription.answer == Answer::Done {
+            self.pushers.borrow_mut().insert(link, pusher);
         }
+        subscription.answer
     }
 
     /// Addresses of subscribers, for staff.
     pub fn fed(&self) -> Vec<Ipv4Addr> {
-        self.subscribers.borrow().iter().map(|subscriber| subscriber.ip).collect()
+        self.decides.borrow().fed()
     }
 }
 
 /// Beats as long as the process lives.
 pub async fn keep_beating(feed: Rc<Feed>) {
     loop {
-        sleep(BEAT).await;
-        feed.beat();
+        let due = feed.decides.borrow().beat_due();
+        match due.checked_sub(feed.now()).filter(|left| !left.is_zero()) {
+            Some(left) => sleep(left).await,
+            None => feed.beat(),
+        }
     }
 }
 
 /// Follows the feed as a member of the tree, for good: a parent whose beats grow old is left for another. `urgent`: the
 /// keepers are to feed this process themselves.
 pub async fn follow(process: Rc<Process>, feed: Rc<Feed>, urgent: bool) {
-    let mut pressing = urgent;
-    let mut pause = Duration::from_millis(20);
-    let mut others: Vec<SocketAddrV4> = Vec::new();
+    let keepers = |process: &Process, feed: &Feed| {
+        let mut ips = feed.value().voters.clone();
+        ips.extend(process.seeds());
+        ips.sort();
+        ips.dedup();
+        ips.into_iter().map(|ip| process.peer(ip)).collect()
+    };
+    follow_sources(process, feed, Sources::Tree { urgent }, keepers).await;
+}
+
+/// Follows one parent for good: a proxy its agent.
+pub async fn follow_one(process: Rc<Process>, feed: Rc<Feed>, parent: SocketAddrV4) {
+    follow_sources(process, feed, Sources::One, |_, _| vec![parent]).await;
+}
+
+/// What a link brought.
+enum Brought {
+    Answer(Answer),
+    Push(Push),
+    End,
+}
+
+async fn follow_sources(
+    process: Rc<Process>,
+    feed: Rc<Feed>,
+    sources: Sources,
+    keepers: impl Fn(&Process, &Feed) -> Vec<SocketAddrV4>,
+) {
+    let mut follower = Follower::new(process.settings().ip_address, sources, drawn());
+    let (links, mut brought) = mpsc::channel(MOST_WAITING);
+    let mut open: HashMap<LinkId, AbortHandle> = HashMap::new();
+    let mut event = Event::Tick;
+    let mut parent = None;
     loop {
-        let parents = match others.is_empty() {
-            true => keepers(&process, &feed),
-            false => std::mem::take(&mut others),
-        };
-        let before = feed.fresh_at();
-        for parent in parents {
-            match hang_on(&process, &feed, parent, pressing).await {
-                Hung::Redirected(to) => {
-                    others = to;
-                    // Where a relay cannot take this process on either, a keeper has to.
-                    pressing = true;
-                    break;
+        for command in follower.handle(feed.now(), &keepers(&process, &feed), event) {
+            match command {
+                Command::Ask { link, parent, urgent } => {
+                    let asked = ask(process.clone(), &feed, parent, urgent, link, links.clone());
+                    open.insert(link, spawn_local(asked).abort_handle());
                 }
-                Hung::Left => {
-                    // It was fed for a while: again from the start, by the tree first.
-                    pressing = urgent;
-                    break;
+                Command::Close(link) => {
+                    if let Some(link) = open.remove(&link) {
+                        link.abort();
+                    }
                 }
-                Hung::Nothing => pressing = true,
             }
         }
-        if feed.fresh_at() > before {
-            pause = Duration::from_millis(20);
-        } else if others.is_empty() {
-            sleep(pause + Duration::from_millis(drawn() % 40)).await;
-            pause = (pause * 2).min(Duration::from_millis(400));
+        if follower.parent() != parent {
+            parent = follower.parent();
+            match parent {
+                Some(parent) => log::info!("fed by {parent}"),
+                None => log::info!("fed by nobody"),
+            }
         }
+        event = loop {
+            let left = follower.wake_at().saturating_sub(feed.now());
+            match timeout(left, brought.recv()).await {
+                Err(_) => break Event::Tick,
+                // Never: a sender is kept here.
+                Ok(None) => return,
+                Ok(Some((link, _))) if !open.contains_key(&link) => {}
+                Ok(Some((link, Brought::Answer(answer)))) => break Event::Answered(link, answer),
+                Ok(Some((link, Brought::Push(push)))) => {
+                    let age = match &push {
+                        Push::Beat { age_ms, .. } => Some(Duration::from_millis((*age_ms).into())),
+                        _ => None,
+                    };
+                    if !feed.take(push, true) {
+                        break Event::OutOfStep(link);
+                    }
+                    if let Some(age) = age {
+                        break Event::Beat(link, age);
+                    }
+                }
+                Ok(Some((link, Brought::End))) => {
+                    open.remove(&link);
+                    break Event::Closed(link);
+                }
+            }
+        };
     }
 }
 
-enum Hung {
-    /// The asked one named others.
-    Redirected(Vec<SocketAddrV4>),
-    /// It fed this process, until the link broke or what it told grew old.
-    Left,
-    /// It did not answer, or not well.
-    Nothing,
-}
-
-/// The keepers that are known, in an order drawn by chance.
-fn keepers(process: &Process, feed: &Feed) -> Vec<SocketAddrV4> {
-    let mut ips = feed.value().voters.clone();
-    ips.extend(process.seeds());
-    ips.sort();
-    ips.dedup();
-    let draw = drawn();
-    ips.sort_by_key(|ip| fleet_model::rank(&ip.octets(), draw));
-    ips.into_iter().map(|ip| process.peer(ip)).collect()
-}
-
-async fn hang_on(process: &Process, feed: &Feed, parent: SocketAddrV4, urgent: bool) -> Hung {
+/// Opens a link, and hands on what it brings until it ends.
+fn ask(
+    process: Rc<Process>,
+    feed: &Feed,
+    parent: SocketAddrV4,
+    urgent: bool,
+    link: LinkId,
+    links: mpsc::Sender<(LinkId, Brought)>,
+) -> impl Future<Output = ()> + 'static {
     let settings = process.settings();
-    if *parent.ip() == settings.ip_address && settings.listen_addresses.control_plane.is_none() {
-        return Hung::Nothing;
-    }
-    let client = PeerClient::new(parent, process.fleet(), None);
     let call = Call::Subscribe {
         ip: settings.ip_address,
         zone: settings.zone.clone(),
@@ -349,48 +310,19 @@
         value: feed.value().ballot,
         list: feed.list().stamp,
     };
-    let mut pushes = match client.subscribe(call, Duration::from_millis(300)).await {
-        Ok((Answer::Done, pushes)) => pushes,
-        Ok((Answer::Redirect(to), _)) if !to.is_empty() => return Hung::Redirected(to),
-        _ => return Hung::Nothing,
-    };
-    let began = Instant::now();
-    log::info!("fed by {parent}");
-    // A new parent has as long for its first beat as an old one may be silent; after that only what is fresh counts.
-    let mut newest = began;
-    loop {
-        let patience = MOST_AGE.saturating_sub(newest.elapsed());
-        match timeout(patience, pushes.next()).await {
-            Ok(Some(push)) => {
-                if let Push::Beat { age_ms, .. } = push {
-                    newest = Instant::now().checked_sub(Duration::from_millis(age_ms.into())).unwrap_or(began);
-                }
-                if !feed.take(push, true) {
-                    return Hung::Left;
+    async move {
+        let client = PeerClient::new(parent, process.fleet(), None);
+        if let Ok((answer, mut pushes)) = client.subscribe(call, OPENING).await {
+            let mut next = Some(Brought::Answer(answer));
+            while let Some(brought) = next {
+                // Fails with the process.
+                if links.send((link, brought)).await.is_err() {
+                    return;
                 }
-            }
-            Ok(None) => break,
-            Err(_) => {
-                log::info!("{parent} has told nothing fresh for {} ms", MOST_AGE.as_millis());
-                break;
+                next = pushes.next().await.map(Brought::Push);
             }
         }
-    }
-    match feed.fresh_at().is_some_and(|at| at > began) {
-        true => Hung::Left,
-        false => Hung::Nothing,
-    }
-}
-
-/// Follows one parent for good: a proxy its agent.
-pub async fn follow_one(process: Rc<Process>, feed: Rc<Feed>, parent: SocketAddrV4) {
-    let mut pause = Duration::from_millis(10);
-    loop {
-        match hang_on(&process, &feed, parent, true).await {
-            Hung::Left => pause = Duration::from_millis(10),
-            _ => pause = (pause * 2).min(Duration::from_millis(200)),
-        }
-        sleep(pause).await;
+        let _ = links.send((link, Brought::End)).await;
     }
 }
 
@@ -430,7 +362,9 @@
         value: feed.value().ballot,
         list: feed.list().stamp,
     };
-    let Ok((Answer::Done, mut pushes)) = client.subscribe(call, Duration::from_millis(300)).await else { return };
+    let Ok((Answer::Done, mut pushes)) = client.subscribe(call, Duration::from_millis(300)).await else {
+        return;
+    };
     while still() {
         match timeout(MOST_AGE, pushes.next()).await {
             Ok(Some(push)) => {
--- a/system/programs/src/keeper.rs
+++ b/system/programs/src/keeper.rs
@@ -6,10 +6,14 @@
 
 use crate::disk::{self, Durable};
 use crate::feed::{Feed, MOST_AGE, keep_beating};
+use crate::members::Members;
 use crate::operator::{self, Operations, Reply};
+use crate::staff::Desk;
 use crate::start::{Process, StartError, drawn, ended, listen};
 use bytes::Bytes;
 use config_register::{Acceptor, AcceptorRecord, Standing};
+use control_duties::{ConfigVerdict, CoreWatch, DutyClaim, RosterWatch};
+use fleet_membership::{Change, Role};
 use fleet_model::{
     AcceptedValue, Answer, Ballot, Call, ChosenValue, ControlState, RegisterReply, RegisterRequest, RegisterValue, Store,
     TakenVersion,
@@ -18,8 +22,8 @@
 use operator_config::{OperatorConfig, digest};
 use peer_wire::{Handler, PeerClient, PeerServer, Pusher};
 use proposing::Wanted;
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::{BTreeSet, HashMap};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -29,8 +33,6 @@
 
 /// An operator waits about a second for an answer: within this it gets one, if only that there is no majority.
 const ANSWER_WITHIN: Duration = Duration::from_millis(850);
-/// Versions taken that are remembered: an operator repeats a call for some seconds.
-const MOST_TAKEN: usize = 512;
 /// Key of the acceptor's record on disk.
 const RECORD: &str = "acceptor";
 
@@ -42,8 +44,8 @@
     acceptor: RefCell<Acceptor>,
     disk: Durable,
     peers: RefCell<HashMap<Ipv4Addr, Rc<PeerClient>>>,
-    /// When each core machine answered last.
-    seen: RefCell<BTreeMap<Ipv4Addr, Instant>>,
+    /// How the core machines are.
+    core: RefCell<CoreWatch>,
     /// Core machines that were heard of, voters or not.
     heard: RefCell<BTreeSet<Ipv4Addr>>,
     /// The newest value known to be chosen, with its voters' epoch.
@@ -52,17 +54,18 @@
     life: u64,
     /// The highest ballot that was seen.
     highest: Cell<Ballot>,
-    /// The fence under which this life took the duty of the list.
-    took: Cell<Option<u64>>,
+    /// This life's claim to the duty of the list.
+    claim: RefCell<DutyClaim>,
     /// One proposal at a time.
     proposing: Mutex<()>,
     /// A poll is wanted now.
     poll_now: Notify,
     /// A poll has ended.
     polled: Notify,
-    /// When storage machines told last that they are there, by disk; and when this keeper first knew them.
-    stores_seen: RefCell<BTreeMap<u64, Instant>>,
-    stores_known: RefCell<BTreeMap<u64, Instant>>,
+    /// How the storage machines are.
+    stores: RefCell<RosterWatch>,
+    /// Answers staff.
+    desk: OnceCell<Desk>,
 }
 
 impl Keeper {
@@ -74,12 +77,13 @@
 
     /// Asks a core machine, itself too, about the register.
     async fn ask(&self, ip: Ipv4Addr, request: RegisterRequest, patience: Duration) -> Option<RegisterReply> {
+        self.core.borrow_mut().asks(self.process.now_ms());
         if ip == self.me {
             return self.answer_register(self.me, request).await;
         }
         match self.peer(ip).call(Call::Register(request), patience).await {
             Ok(Answer::Register(reply)) => {
-                self.seen.borrow_mut().insert(ip, Instant::now());
+                self.core.borrow_mut().heard(self.process.now_ms(), ip);
                 Some(reply)
             }
             _ => None,
@@ -171,6 +175,42 @@
     }
 }
 
+impl Keeper {
+    /// Takes part in the membership, which tells of core machines too, and has a desk for staff.
+    fn take_part(self: &Rc<Self>) -> Result<(), StartError> {
+        let keeper = Rc::downgrade(self);
+        let hear = move |change: &Change| {
+            if let (Change::Joined(member), Some(keeper)) = (change, keeper.upgrade())
+                && member.role == Role::Core
+            {
+                keeper.heard.borrow_mut().insert(member.ip);
+            }
+        };
+        let members = Members::start(self.process.clone(), self.feed.clone(), Role::Core, hear)?;
+        // Set once, at the start.
+        let _ = self.desk.set(Desk::new(
+            self.process.clone(),
+            self.feed.clone(),
+            Some(members),
+            "config-keeper",
+        ));
+        Ok(())
+    }
+
+    /// Answers staff, also without a majority.
+    fn inspect(&self, topic: &str) -> Answer {
+        let Some(desk) = self.desk.get() else { return Answer::Unready };
+        desk.answer(topic, |figures| {
+            let votes = self.acceptor.borrow().record().is_some();
+            figures.gauge("config_keeper_fit_to_vote", f64::from(u8::from(votes)));
+            figures.gauge("config_keeper_fresh", f64::from(u8::from(self.is_fresh())));
+            figures.gauge("config_keeper_core_machines_heard", self.heard.borrow().len() as f64);
+            let holds = self.feed.state().fences.values().filter(|fence| fence.holder == Some(self.me)).count();
+            figures.gauge("config_keeper_duties", holds as f64);
+        })
+    }
+}
+
 impl Handler for Keeper {
     async fn call(&self, from: SocketAddr, call: Call, pusher: Pusher) -> Answer {
         let from = match from {
@@ -188,7 +228,7 @@
             Call::JoinCore { ip } => self.join_core(ip).await,
             Call::JoinStorage { store } => self.join_storage(store).await,
             Call::Filled { disk, epoch } => self.filled(disk, epoch).await,
-            Call::Inspect { topic } => Answer::View(crate::feed::view(&self.feed, &topic)),
+            Call::Inspect { topic } => self.inspect(&topic),
             _ => Answer::Unready,
         }
     }
@@ -204,35 +244,26 @@
             return Reply::new(StatusCode::BAD_REQUEST, r#"{"error":"If-Match: names no version"}"#);
         };
         let taken = TakenVersion { version: config.version, digest: digest(&body) };
-        let conflict = |current: u64| {
-            Reply::new(StatusCode::PRECONDITION_FAILED, format!(r#"{{"error":"current version","version":{current}}}"#))
-        };
-        let verdict: RefCell<Option<Reply>> = RefCell::new(None);
+        let verdict: Cell<Option<ConfigVerdict>> = Cell::new(None);
         let done = self
             .change(ANSWER_WITHIN, |state| {
-                let current = state.version();
-                let judged = if state.taken.contains(&taken) {
-                    Reply::new(StatusCode::OK, format!(r#"{{"version":{}}}"#, taken.version))
-                } else if current != expected {
-                    conflict(current)
-                } else if taken.version <= current {
-                    let place = r#"[{"place":"version","what":"is not above the current one"}]"#;
-                    Reply::new(StatusCode::BAD_REQUEST, place)
-                } else {
-                    let mut next = state.clone();
-                    next.config = body.clone();
-                    next.taken.push(taken.clone());
-                    let extra = next.taken.len().saturating_sub(MOST_TAKEN);
-                    next.taken.drain(..extra);
-                    verdict.replace(Some(Reply::new(StatusCode::OK, format!(r#"{{"version":{}}}"#, taken.version))));
-                    return Wanted::State(next);
-                };
-                verdict.replace(Some(judged));
-                Wanted::Nothing
+                let (wanted, judged) = control_duties::put_config(state, expected, &taken, &body);
+                verdict.set(Some(judged));
+                wanted.into()
             })
             .await;
         match (done, verdict.take()) {
-            (true, Some(reply)) => reply,
+            (true, Some(ConfigVerdict::Taken)) => {
+                Reply::new(StatusCode::OK, format!(r#"{{"version":{}}}"#, taken.version))
+            }
+            (true, Some(ConfigVerdict::OtherVersion(current))) => Reply::new(
+                StatusCode::PRECONDITION_FAILED,
+                format!(r#"{{"error":"current version","version":{current}}}"#),
+            ),
+            (true, Some(ConfigVerdict::NotAbove)) => {
+                let place = r#"[{"place":"version","what":"is not above the current one"}]"#;
+                Reply::new(StatusCode::BAD_REQUEST, place)
+            }
             _ => Reply::unavailable(),
         }
     }
@@ -249,17 +280,17 @@
     }
 
     async fn retire(&self, name: &str) -> Reply {
-        let least = 2 * self.process.settings().fault_tolerance.machines + 1;
-        let verdict: RefCell<Option<Reply>> = RefCell::new(None);
+        let least = self.least_stores();
+        let verdict = Cell::new(None);
         let done = self
             .change(ANSWER_WITHIN, |state| {
-                let (wanted, reply) = duties::retire(state, name, least);
-                verdict.replace(Some(reply));
-                wanted
+                let (wanted, judged) = control_duties::retire(state, name, least);
+                verdict.set(Some(judged));
+                wanted.into()
             })
             .await;
         match (done, verdict.take()) {
-            (true, Some(reply)) => reply,
+            (true, Some(verdict)) => duties::retire_reply(verdict, least),
             _ => Reply::unavailable(),
         }
     }
@@ -268,7 +299,8 @@
         if !self.confirm_now(ANSWER_WITHIN).await {
             return Reply::unavailable();
         }
-        duties::retire_state(&self.feed.state(), name)
+        let verdict = control_duties::retire_state(&self.feed.state(), name);
+        duties::retire_reply(verdict, self.least_stores())
     }
 }
 
@@ -312,18 +344,19 @@
         acceptor: RefCell::new(acceptor),
         disk,
         peers: RefCell::default(),
-        seen: RefCell::default(),
+        core: RefCell::new(CoreWatch::new(me)),
         heard: RefCell::new(heard),
         known: RefCell::new(known),
         life: drawn() & 0xffff,
         highest: Cell::new(record.map_or(Ballot::default(), |record| record.promised)),
-        took: Cell::new(None),
+        claim: RefCell::new(DutyClaim::new(duties::LIST, me)),
         proposing: Mutex::new(()),
         poll_now: Notify::new(),
         polled: Notify::new(),
-        stores_seen: RefCell::default(),
-        stores_known: RefCell::default(),
+        stores: RefCell::default(),
+        desk: OnceCell::new(),
     });
+    keeper.take_part()?;
     let peers = listen(SocketAddrV4::new(me, settings.peer_port())).await?;
     let server = PeerServer::new(process.fleet(), keeper.clone());
     spawn_local(async move { server.serve(peers).await });
@@ -331,6 +364,7 @@
     spawn_local(keeper.clone().keep_polling());
     spawn_local(keeper.clone().keep_voting());
     spawn_local(keeper.clone().keep_duties());
+    spawn_local(keeper.clone().keep_watch());
     spawn_local(keeper.clone().keep_following_list());
     let operators = listen(control).await?;
     spawn_local(operator::serve(operators, keeper.clone()));
--- a/system/programs/src/keeper/duties.rs
+++ b/system/programs/src/keeper/duties.rs
@@ -1,125 +1,50 @@
 //! What a keeper does beside answering: it sees to it that the core's machines vote, and, where it holds the duty, reads
-//! the platform's list and looks after the storage machines and after voters that are gone.
+//! the platform's list and looks after the storage machines and after voters that are gone. What is to be done is decided
+//! in `control-duties`; here it is carried out.
 
 use super::*;
 use crate::feed::follow_lists;
 use crate::platform::Platform;
-use fleet_model::{EndpointList, Roster, rank};
+use control_duties::{CoreWatch, Readings, RetireVerdict, RosterStep, fill, give_up, stands, times};
+use fleet_model::Fence;
 
 /// The duty of reading the list and looking after machines that are gone.
-const LIST: &str = "list";
-/// Between two readings of the list.
-const READING: Duration = Duration::from_millis(1_000);
-/// A holder that did not answer for so long loses its duty.
-const HOLDER_GONE: Duration = Duration::from_millis(1_200);
-/// A storage machine that did not answer for so long is replaced by one that joined meanwhile.
-const STORE_REPLACED: Duration = Duration::from_millis(1_500);
-/// And is given up without one after this, where enough are left.
-const STORE_GONE: Duration = Duration::from_secs(10);
-/// A newcomer counts as a replacement for so long.
-const NEWCOMER: Duration = Duration::from_secs(30);
-/// A member of the next roster that does not answer is not waited for after this.
-const FILL_PATIENCE: Duration = Duration::from_millis(2_500);
-/// A voter that did not answer for so long is removed, where enough are left.
-const VOTER_GONE: Duration = Duration::from_secs(5);
-/// The smallest set of voters that removal leaves.
-const LEAST_VOTERS: usize = 3;
-/// An empty list counts only after so long.
-const EMPTY_FOR: Duration = Duration::from_secs(5);
+pub(super) const LIST: &str = "list";
+/// Longest time for a change.
+const CHANGE: Duration = Duration::from_millis(600);
+/// Longest time for a storage machine's answer to a look.
+const LOOK: Duration = Duration::from_millis(400);
 
-/// The next set, whether or not one is under way.
-fn proposed(roster: &Roster) -> Vec<Store> {
-    roster.next.clone().unwrap_or_else(|| roster.current.clone())
-}
-
-/// The roster with another next set: the epoch rises, and nobody is full yet.
-fn with_next(state: &ControlState, next: Vec<Store>) -> ControlState {
-    let mut state = state.clone();
-    state.roster.epoch += 1;
-    state.roster.filled.clear();
-    state.roster.next = (next != state.roster.current).then_some(next);
-    state
-}
-
-/// Takes a storage machine in; a machine of its name or address with another disk has lost that disk.
-pub(super) fn join(state: &ControlState, store: &Store, least: usize) -> Wanted {
-    let mut next = proposed(&state.roster);
-    if next.contains(store) {
-        return Wanted::Nothing;
-    }
-    if state.roster.retiring.contains(&store.name) {
-        return Wanted::Nothing;
-    }
-    next.retain(|other| other.name != store.name && other.ip != store.ip);
-    next.push(store.clone());
-    next.sort();
-    if state.roster.current.len() < least && state.roster.next.is_none() {
-        // Nothing can have been kept while there were so few.
-        let mut state = state.clone();
-        state.roster.epoch += 1;
-        state.roster.current = next;
-        return Wanted::State(state);
-    }
-    Wanted::State(with_next(state, next))
-}
-
-/// Begins to empty a storage machine.
-pub(super) fn retire(state: &ControlState, name: &str, least: usize) -> (Wanted, Reply) {
-    let active = || Reply::new(StatusCode::OK, r#"{"state":"active"}"#);
-    let roster = &state.roster;
-    if roster.retiring.iter().any(|other| other == name) {
-        return (Wanted::Nothing, retire_state(state, name));
-    }
-    let mut next = proposed(roster);
-    if !next.iter().any(|store| store.name == name) {
-        return (Wanted::Nothing, Reply::new(StatusCode::NOT_FOUND, r#"{"error":"no such storage machine"}"#));
-    }
-    next.retain(|store| store.name != name);
-    if next.len() < least {
-        let body = format!(r#"{{"error":"too few would be left","left":{},"least":{least}}}"#, next.len());
-        return (Wanted::Nothing, Reply::new(StatusCode::CONFLICT, body));
-    }
-    let mut state = with_next(state, next);
-    state.roster.retiring.push(name.to_owned());
-    (Wanted::State(state), active())
-}
-
-/// How far a retire is.
-pub(super) fn retire_state(state: &ControlState, name: &str) -> Reply {
-    let roster = &state.roster;
-    let holds = |stores: &[Store]| stores.iter().any(|store| store.name == name);
-    match (roster.retiring.iter().any(|other| other == name), holds(&roster.current)) {
-        (true, true) => Reply::new(StatusCode::OK, r#"{"state":"active"}"#),
-        (true, false) => Reply::new(StatusCode::OK, r#"{"state":"completed"}"#),
-        (false, true) => Reply::new(StatusCode::OK, r#"{"state":"serving"}"#),
-        (false, false) => Reply::new(StatusCode::NOT_FOUND, r#"{"error":"no such storage machine"}"#),
+impl From<Option<ControlState>> for Wanted {
+    fn from(state: Option<ControlState>) -> Self {
+        state.map_or(Self::Nothing, Self::State)
     }
 }
 
-/// A member of the next set is full; the last one makes that set current. `waived`: disks that are not waited for.
-pub(super) fn fill(state: &ControlState, disk: Option<u64>, epoch: u64, waived: &[u64]) -> Wanted {
-    let roster = &state.roster;
-    let Some(next) = roster.next.clone().filter(|_| roster.epoch == epoch) else { return Wanted::Nothing };
-    let mut state = state.clone();
-    let new = disk.is_some_and(|disk| {
-        next.iter().any(|store| store.disk == disk) && !state.roster.filled.contains(&disk)
-    });
-    state.roster.filled.extend(disk.filter(|_| new));
-    if next.iter().all(|store| state.roster.filled.contains(&store.disk) || waived.contains(&store.disk)) {
-        state.roster.epoch += 1;
-        state.roster.current = next;
-        state.roster.next = None;
-        state.roster.filled.clear();
-        return Wanted::State(state);
+/// How a retire is answered.
+pub(super) fn retire_reply(verdict: RetireVerdict, least: usize) -> Reply {
+    let state = |state: &str| Reply::new(StatusCode::OK, format!(r#"{{"state":"{state}"}}"#));
+    match verdict {
+        RetireVerdict::Active => state("active"),
+        RetireVerdict::Completed => state("completed"),
+        RetireVerdict::Serving => state("serving"),
+        RetireVerdict::Unknown => Reply::new(StatusCode::NOT_FOUND, r#"{"error":"no such storage machine"}"#),
+        RetireVerdict::TooFew { left } => {
+            let body = format!(r#"{{"error":"too few would be left","left":{left},"least":{least}}}"#);
+            Reply::new(StatusCode::CONFLICT, body)
+        }
     }
-    if new { Wanted::State(state) } else { Wanted::Nothing }
 }
 
 impl Keeper {
-    fn least_stores(&self) -> usize {
+    pub(super) fn least_stores(&self) -> usize {
         2 * self.process.settings().fault_tolerance.machines + 1
     }
 
+    fn now_ms(&self) -> u64 {
+        self.process.now_ms()
+    }
+
     pub(super) async fn join_core(&self, ip: Ipv4Addr) -> Answer {
         self.heard.borrow_mut().insert(ip);
         if self.feed.value().voters.contains(&ip) {
@@ -132,28 +57,34 @@
                 false => Wanted::Voters(voters.iter().copied().chain([ip]).collect()),
             }
         };
-        match self.propose(Duration::from_millis(600), wanted).await {
+        match self.propose(CHANGE, wanted).await {
             true => Answer::Done,
             false => Answer::Unready,
         }
     }
 
     pub(super) async fn join_storage(&self, store: Store) -> Answer {
-        self.stores_seen.borrow_mut().insert(store.disk, Instant::now());
         let least = self.least_stores();
         let known = self.feed.state();
-        if matches!(join(&known, &store, least), Wanted::Nothing) {
+        let admitted = {
+            let mut stores = self.stores.borrow_mut();
+            stores.observe(self.now_ms(), &known.roster, least);
+            stores.heard(self.now_ms(), store.disk);
+            stores.admits(&known.roster, &store)
+        };
+        if !admitted || control_duties::join(&known, &store, least).is_none() {
             return Answer::Done;
         }
-        match self.change(Duration::from_millis(600), |state| join(state, &store, least)).await {
+        match self.change(CHANGE, |state| control_duties::join(state, &store, least).into()).await {
             true => Answer::Done,
             false => Answer::Unready,
         }
     }
 
     pub(super) async fn filled(&self, disk: u64, epoch: u64) -> Answer {
-        self.stores_seen.borrow_mut().insert(disk, Instant::now());
-        match self.change(Duration::from_millis(600), |state| fill(state, Some(disk), epoch, &[])).await {
+        self.stores.borrow_mut().heard(self.now_ms(), disk);
+        let least = self.least_stores();
+        match self.change(CHANGE, |state| fill(state, Some(disk), epoch, &[], least).into()).await {
             true => Answer::Done,
             false => Answer::Unready,
         }
@@ -182,48 +113,24 @@
         }
     }
 
-    /// The fence under which this life of the machine holds the duty. One that a former life took is not its own: the
-    /// numbers of that life's readings are forgotten.
+    /// The fence under which this life of the machine holds the duty.
     fn holds_list(&self) -> Option<u64> {
-        let state = self.feed.state();
-        let fence = state.fences.get(LIST)?;
-        (fence.holder == Some(self.me) && self.took.get() == Some(fence.number)).then_some(fence.number)
-    }
-
-    fn answers(&self, ip: Ipv4Addr, within: Duration) -> bool {
-        ip == self.me || self.seen.borrow().get(&ip).is_some_and(|at| at.elapsed() < within)
+        self.claim.borrow().holds(&self.feed.state())
     }
 
-    /// Takes the duty if its holder is gone and no voter that answers ranks before this one.
+    /// Takes the duty if it is this keeper's turn.
     async fn take_duty(&self) {
         let value = self.feed.value();
-        let fence = self.feed.state().fences.get(LIST).cloned().unwrap_or_default();
-        let live = |ip: &&Ipv4Addr| self.answers(**ip, HOLDER_GONE);
-        let of_former_life = fence.holder == Some(self.me);
-        let stands = |holder| value.voters.contains(&holder) && self.answers(holder, HOLDER_GONE);
-        if !of_former_life && fence.holder.is_some_and(stands) {
-            return;
-        }
-        let place = |ip: &&Ipv4Addr| rank(&ip.octets(), fence.number);
-        if !of_former_life && value.voters.iter().filter(live).max_by_key(place) != Some(&self.me) {
-            return;
-        }
-        let me = self.me;
-        let took = self
-            .change(Duration::from_millis(600), |state| {
-                let mut state = state.clone();
-                let standing = state.fences.entry(LIST.to_owned()).or_default();
-                if standing.number != fence.number {
-                    return Wanted::Nothing;
-                }
-                *standing = fleet_model::Fence { number: fence.number + 1, holder: Some(me) };
-                Wanted::State(state)
-            })
-            .await;
-        let standing = self.feed.state().fences.get(LIST).cloned().unwrap_or_default();
-        if took && standing == (fleet_model::Fence { number: fence.number + 1, holder: Some(me) }) {
-            self.took.set(Some(standing.number));
-            log::info!("holds the duty {LIST} under fence {}", standing.number);
+        let from: Option<Fence> = {
+            let core = self.core.borrow();
+            self.claim.borrow_mut().wants(self.now_ms(), &self.feed.state(), &value.voters, &core)
+        };
+        let Some(from) = from else { return };
+        let wanted = |state: &ControlState| self.claim.borrow().taken(state, &from).into();
+        if self.change(CHANGE, wanted).await
+            && let Some(number) = self.claim.borrow_mut().settle(&self.feed.state(), &from)
+        {
+            log::info!("holds the duty {LIST} under fence {number}");
         }
     }
 
@@ -231,9 +138,7 @@
     pub(super) async fn keep_duties(self: Rc<Self>) {
         let Some(cloud) = self.process.settings().cloud_api.clone() else { return };
         let mut platform = Platform::new(cloud.address);
-        let mut sequence = 0;
-        let mut last_fence = 0;
-        let mut empty_since: Option<Instant> = None;
+        let mut readings = Readings::default();
         let began = Instant::now();
         loop {
             if !self.is_fresh() || began.elapsed() < Duration::from_millis(300) {
@@ -247,114 +152,108 @@
                 }
                 continue;
             };
-            if fence != last_fence {
-                (last_fence, sequence) = (fence, 0);
-            }
-            let asked = Instant::now();
+            let asked = self.now_ms();
             match platform.read().await {
+                // Read under a fence that may have passed to another: its stamp says so, and loses.
                 Ok(endpoints) => {
-                    let known = self.feed.list();
-                    let senseless = endpoints.is_empty()
-                        && !known.endpoints.is_empty()
-                        && empty_since.get_or_insert(asked).elapsed() < EMPTY_FOR;
-                    if !endpoints.is_empty() {
-                        empty_since = None;
-                    }
-                    // Read under a fence that may have passed to another: its stamp says so, and loses.
-                    if !senseless && (known.endpoints != endpoints || known.stamp.0 != fence) {
-                        sequence += 1;
-                        self.feed.learn_list(EndpointList { stamp: (fence, sequence), endpoints });
+                    let list = readings.take(self.now_ms(), asked, fence, &self.feed.list(), endpoints);
+                    if let Some(list) = list {
+                        self.feed.learn_list(list);
                     }
                 }
                 Err(e) => log::debug!("the list: {e}"),
             }
-            self.look_after_stores().await;
-            self.look_after_voters().await;
-            sleep(READING.saturating_sub(asked.elapsed())).await;
+            let took = self.now_ms().saturating_sub(asked);
+            sleep(Duration::from_millis(times::READING.saturating_sub(took))).await;
+        }
+    }
+
+    /// Knows how the storage and core machines are, so that whoever gets the duty can act at once; the holder acts.
+    pub(super) async fn keep_watch(self: Rc<Self>) {
+        loop {
+            self.observe();
+            if self.stores.borrow().is_due(self.now_ms()) {
+                self.look_at_stores().await;
+                if self.is_fresh()
+                    && let Some(fence) = self.holds_list()
+                {
+                    self.look_after_stores(fence).await;
+                }
+            }
+            if self.is_fresh()
+                && let Some(fence) = self.holds_list()
+            {
+                self.look_after_voters(fence).await;
+            }
+            sleep(Duration::from_millis(times::LOOK_AGAIN)).await;
         }
     }
 
-    async fn look_after_stores(&self) {
+    /// Takes note of who belongs to the fleet.
+    fn observe(&self) {
+        let now = self.now_ms();
+        self.core.borrow_mut().observe(now, &self.feed.value().voters);
+        self.stores.borrow_mut().observe(now, &self.feed.state().roster, self.least_stores());
+    }
+
+    async fn look_at_stores(&self) {
         let state = self.feed.state();
         let roster = &state.roster;
-        let now = Instant::now();
         let mut members = roster.current.clone();
-        members.extend(proposed(roster).into_iter().filter(|store| !roster.current.contains(store)));
-        {
-            let mut known = self.stores_known.borrow_mut();
-            let mut seen = self.stores_seen.borrow_mut();
-            for store in &members {
-                // Who is first heard of has as long to answer as one that has answered.
-                known.entry(store.disk).or_insert(now);
-                seen.entry(store.disk).or_insert(now);
-            }
-            known.retain(|disk, _| members.iter().any(|store| store.disk == *disk));
-        }
+        let further = control_duties::proposed(roster).iter().filter(|store| !roster.current.contains(store));
+        members.extend(further.cloned());
+        self.stores.borrow_mut().looks(self.now_ms());
         let calls = members.iter().map(|store| async move {
             let call = Call::Inspect { topic: "disk".to_owned() };
-            let answer = self.peer(store.ip).call(call, Duration::from_millis(400)).await;
-            (store.disk, answer)
+            let answer = self.peer(store.ip).call(call, LOOK).await;
+            let there = matches!(&answer, Ok(Answer::View(text)) if text.trim() == store.disk.to_string());
+            let mut stores = self.stores.borrow_mut();
+            match there {
+                true => stores.heard(self.now_ms(), store.disk),
+                false => stores.missed(store.disk),
+            }
         });
-        for (disk, answer) in futures_util::future::join_all(calls).await {
-            if matches!(&answer, Ok(Answer::View(text)) if text.trim() == disk.to_string()) {
-                self.stores_seen.borrow_mut().insert(disk, Instant::now());
+        futures_util::future::join_all(calls).await;
+    }
+
+    async fn look_after_stores(&self, fence: u64) {
+        self.observe();
+        let state = self.feed.state();
+        let epoch = state.roster.epoch;
+        let least = self.least_stores();
+        let tolerance = self.process.settings().fault_tolerance.machines;
+        let step = self.stores.borrow().step(self.now_ms(), &state, tolerance);
+        // A holder that slept meanwhile may have lost the duty to one that sees better.
+        let still = |state: &ControlState| stands(state, LIST, self.me, fence);
+        match step {
+            RosterStep::Leave => {}
+            RosterStep::GiveUp { store, silent_ms } => {
+                log::info!("{} is given up: silent for {silent_ms} ms", store.name);
+                let wanted = |state: &ControlState| match still(state) {
+                    true => give_up(state, &store, epoch, least).into(),
+                    false => Wanted::Nothing,
+                };
+                self.change(CHANGE, wanted).await;
             }
-        }
-        let silent = |store: &Store| self.stores_seen.borrow().get(&store.disk).map_or(Duration::ZERO, Instant::elapsed);
-        let newcomer = {
-            let known = self.stores_known.borrow();
-            let first = known.values().min().copied();
-            members.iter().any(|store| {
-                known.get(&store.disk).is_some_and(|at| {
-                    at.elapsed() < NEWCOMER && first.is_some_and(|first| at.duration_since(first) > NEWCOMER / 10)
-                })
-            })
-        };
-        let patience = if newcomer { STORE_REPLACED } else { STORE_GONE };
-        let next = proposed(roster);
-        let gone = next.iter().filter(|store| silent(store) > patience).max_by_key(|store| silent(store));
-        if let Some(gone) = gone
-            && next.len() > self.least_stores()
-        {
-            log::info!("{} is given up: silent for {} ms", gone.name, silent(gone).as_millis());
-            let epoch = roster.epoch;
-            let left: Vec<Store> = next.iter().filter(|store| *store != gone).cloned().collect();
-            let wanted = |state: &ControlState| match state.roster.epoch == epoch {
-                true => Wanted::State(with_next(state, left.clone())),
-                false => Wanted::Nothing,
-            };
-            self.change(Duration::from_millis(600), wanted).await;
-            return;
-        }
-        if roster.next.is_some() {
-            let waived: Vec<u64> =
-                next.iter().filter(|store| silent(store) > FILL_PATIENCE).map(|store| store.disk).collect();
-            if waived.len() <= self.process.settings().fault_tolerance.machines {
-                let epoch = roster.epoch;
-                let wanted = |state: &ControlState| fill(state, None, epoch, &waived);
-                if !matches!(wanted(&state), Wanted::Nothing) {
-                    self.change(Duration::from_millis(600), wanted).await;
-                }
+            RosterStep::Waive(waived) => {
+                let wanted = |state: &ControlState| match still(state) {
+                    true => fill(state, None, epoch, &waived, least).into(),
+                    false => Wanted::Nothing,
+                };
+                self.change(CHANGE, wanted).await;
             }
         }
     }
 
-    async fn look_after_voters(&self) {
-        let voters = self.feed.value().voters.clone();
-        let silent = |ip: &&Ipv4Addr| {
-            **ip != self.me && self.seen.borrow().get(*ip).is_none_or(|at| at.elapsed() > VOTER_GONE)
+    async fn look_after_voters(&self, fence: u64) {
+        let gone = self.core.borrow().gone(self.now_ms(), &self.feed.value().voters);
+        let Some((gone, silent_ms)) = gone else { return };
+        log::info!("voter {gone} is removed: silent for {silent_ms} ms");
+        let wanted = |state: &ControlState, voters: &[Ipv4Addr]| match stands(state, LIST, self.me, fence) {
+            true => CoreWatch::without(voters, gone).map_or(Wanted::Nothing, Wanted::Voters),
+            false => Wanted::Nothing,
         };
-        if voters.len() <= LEAST_VOTERS || self.process.now_ms() < 10_000 {
-            return;
-        }
-        if let Some(gone) = voters.iter().find(silent).copied() {
-            log::info!("voter {gone} is removed: silent for {} ms", VOTER_GONE.as_millis());
-            let wanted = |_: &ControlState, voters: &[Ipv4Addr]| match voters.contains(&gone) && voters.len() > LEAST_VOTERS {
-                true => Wanted::Voters(voters.iter().copied().filter(|ip| *ip != gone).collect()),
-                false => Wanted::Nothing,
-            };
-            self.propose(Duration::from_millis(600), wanted).await;
-        }
+        self.propose(CHANGE, wanted).await;
     }
 
     /// Has the list from the keeper that holds the duty.
--- /dev/null
+++ b/system/programs/src/members.rs
@@ -0,0 +1,293 @@
+//! Which machines of the fleet live: joins `fleet-membership` to a socket and a clock. One process of each machine takes
+//! part. How many proxies there are follows from it.
+
+use crate::feed::Feed;
+use crate::start::{Process, StartError, drawn};
+use fleet_membership::{Change, Config, Counters, Effect, Member, MemberState, Membership, Role, start_number};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Between two probes of one process.
+const PERIOD_MS: u64 = 1_250;
+/// For so long a count that has fallen is not believed: connections are shared out by it.
+const BELIEVED_MS: u64 = 10_000;
+/// So long after the first other member was met the count is told; before that, few are known.
+const SETTLED_MS: u64 = 2_000;
+/// Longest name and zone that a member tells.
+const MAX_TEXT: usize = 128;
+/// Between two tries to have the socket.
+const SOCKET_PAUSE: Duration = Duration::from_millis(100);
+/// Longest sleep: voters that became known are looked for that often.
+const LONGEST_SLEEP_MS: u64 = 2 * PERIOD_MS;
+
+/// Times of the protocol: a probe each 1.25 s, more rarely asked again than by default, and few rounds of rumours.
+pub fn config(fleet: u16) -> Config {
+    Config {
+        fleet: u32::from(fleet),
+        period_ms: PERIOD_MS,
+        ack_timeout_ms: 300,
+        indirect_timeout_ms: 500,
+        suspicion_ms: 2_000,
+        gossip_interval_ms: 200,
+        late_ms: 250,
+        alone_interval_ms: 500,
+        ..Config::default()
+    }
+}
+
+/// How many proxies there are, as it may be told: the largest number that was seen lately, and none before enough is
+/// known.
+#[derive(Debug, Default)]
+pub struct ProxyCount {
+    /// When the first other member was met.
+    met: Option<u64>,
+    /// Counts that none after them exceeds, with the last time that they held.
+    seen: VecDeque<(u64, u32)>,
+}
+
+impl ProxyCount {
+    /// Takes note that there are `count` proxies now among `members` members; gives what may be told.
+    pub fn note(&mut self, now_ms: u64, members: usize, count: u32) -> Option<u32> {
+        if members > 1 {
+            self.met.get_or_insert(now_ms);
+        }
+        while self.seen.back().is_some_and(|(_, seen)| *seen <= count) {
+            self.seen.pop_back();
+        }
+        self.seen.push_back((now_ms, count));
+        while self.seen.front().is_some_and(|(at, _)| at + BELIEVED_MS < now_ms) {
+            self.seen.pop_front();
+        }
+        let settled = self.met.is_some_and(|met| met + SETTLED_MS <= now_ms);
+        self.seen.front().map(|(_, count)| *count).filter(|count| settled && *count > 0)
+    }
+}
+
+/// A machine's part in the membership.
+pub struct Members {
+    process: Rc<Process>,
+    feed: Rc<Feed>,
+    membership: RefCell<Membership>,
+    proxies: RefCell<ProxyCount>,
+    /// The number of proxies that was told last.
+    told: Cell<u32>,
+    /// Voters that are among the seeds.
+    voters: RefCell<Vec<Ipv4Addr>>,
+    /// When a datagram of the fleet came last.
+    heard_ms: Cell<Option<u64>>,
+    on_change: Box<dyn Fn(&Change)>,
+}
+
+impl Members {
+    /// Takes part from now on, until the process is to end. Each change is logged, and told to `on_change`.
+    pub fn start(
+        process: Rc<Process>,
+        feed: Rc<Feed>,
+        role: Role,
+        on_change: impl Fn(&Change) + 'static,
+    ) -> Result<Rc<Self>, StartError> {
+        let settings = process.settings();
+        let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis());
+        let draw = drawn();
+        let [low, high, ..] = draw.to_le_bytes();
+        let me = Member {
+            ip: settings.ip_address,
+            role,
+            zone: cut(&settings.zone),
+            name: cut(&settings.node_name),
+            incarnation: start_number(u64::try_from(unix_ms).unwrap_or_default(), u16::from_le_bytes([low, high])),
+            tags: Vec::new(),
+        };
+        let membership = Membership::new(me, config(process.fleet()), draw, process.now_ms()).map_err(|e| {
+            StartError::System { what: "membership".to_owned(), source: io::Error::other(e) }
+        })?;
+        let members = Rc::new(Self {
+            process,
+            feed,
+            membership: RefCell::new(membership),
+            proxies: RefCell::default(),
+            told: Cell::new(0),
+            voters: RefCell::default(),
+            heard_ms: Cell::new(None),
+            on_change: Box::new(on_change),
+        });
+        spawn_local(members.clone().take_part());
+        Ok(members)
+    }
+
+    /// The members of a role that count as living.
+    pub fn alive(&self, role: Role) -> Vec<Ipv4Addr> {
+        self.membership.borrow().alive(role).map(|member| member.ip).collect()
+    }
+
+    /// All members with their state, this one first.
+    pub fn all(&self) -> Vec<(Member, MemberState)> {
+        self.membership.borrow().members().map(|(member, state)| (member.clone(), state)).collect()
+    }
+
+    /// What happened so far.
+    pub fn counters(&self) -> Counters {
+        self.membership.borrow().counters()
+    }
+
+    /// How long ago another member was heard.
+    pub fn age_ms(&self) -> Option<u64> {
+        self.heard_ms.get().map(|at| self.process.now_ms().saturating_sub(at))
+    }
+
+    async fn take_part(self: Rc<Self>) {
+        let mut ending = self.process.ending.clone();
+        let settings = self.process.settings();
+        let port = settings.probe_port();
+        let socket = tokio::select! {
+            socket = bind(SocketAddrV4::new(settings.ip_address, port)) => socket,
+            _ = ending.wait_for(|ending| *ending) => return,
+        };
+        // Sends do not wait: the socket has to be known as writable before the first one.
+        if let Err(e) = socket.writable().await {
+            log::warn!("the socket of the membership: {e}");
+        }
+        let mut buffer = [0; 2048];
+        let effects = self.membership.borrow_mut().join(self.process.now_ms(), &self.seeds());
+        self.carry_out(&socket, port, effects);
+        loop {
+            let due = self.membership.borrow().next_tick_ms();
+            let pause = due.saturating_sub(self.process.now_ms()).min(LONGEST_SLEEP_MS);
+            tokio::select! {
+                _ = ending.wait_for(|ending| *ending) => {
+                    let effects = self.membership.borrow_mut().leave(self.process.now_ms());
+                    self.carry_out(&socket, port, effects);
+                    return;
+                }
+                received = socket.recv_from(&mut buffer) => match received {
+                    Ok((length, from)) => {
+                        let IpAddr::V4(from) = from.ip() else { continue };
+                        let bytes = buffer.get(..length).unwrap_or_default();
+                        self.received(&socket, port, from, bytes);
+                    }
+                    Err(e) => {
+                        log::debug!("no datagram: {e}");
+                        sleep(SOCKET_PAUSE).await;
+                    }
+                },
+                () = sleep(Duration::from_millis(pause)) => self.tick(&socket, port),
+            }
+        }
+    }
+
+    fn received(&self, socket: &UdpSocket, port: u16, from: Ipv4Addr, bytes: &[u8]) {
+        let now = self.process.now_ms();
+        let before = self.counters();
+        let effects = self.membership.borrow_mut().datagram(now, from, bytes);
+        let after = self.counters();
+        if (before.strangers, before.malformed) == (after.strangers, after.malformed) {
+            self.heard_ms.set(Some(now));
+        }
+        self.carry_out(socket, port, effects);
+    }
+
+    fn tick(&self, socket: &UdpSocket, port: u16) {
+        let now = self.process.now_ms();
+        let voters = self.feed.value().voters.clone();
+        if !voters.is_empty() && voters != *self.voters.borrow() {
+            self.voters.replace(voters);
+            let effects = self.membership.borrow_mut().join(now, &self.seeds());
+            self.carry_out(socket, port, effects);
+        }
+        let effects = self.membership.borrow_mut().tick(now);
+        self.carry_out(socket, port, effects);
+        self.tell_proxies(now);
+    }
+
+    /// The core machines to ask: those of the settings and the voters.
+    fn seeds(&self) -> Vec<Ipv4Addr> {
+        self.process.seeds().into_iter().chain(self.voters.borrow().iter().copied()).collect()
+    }
+
+    fn carry_out(&self, socket: &UdpSocket, port: u16, effects: Vec<Effect>) {
+        let mut changes = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Send { to, bytes } => {
+                    // A datagram that is lost here is as good as one lost on the way.
+                    if let Err(e) = socket.try_send_to(&bytes, SocketAddrV4::new(to, port).into()) {
+                        log::debug!("no datagram to {to}: {e}");
+                    }
+                }
+                Effect::Changed(change) => changes.push(change),
+            }
+        }
+        for line in described(&changes) {
+            log::info!("{line}");
+        }
+        changes.iter().for_each(|change| (self.on_change)(change));
+    }
+
+    fn tell_proxies(&self, now_ms: u64) {
+        let (members, count) = {
+            let membership = self.membership.borrow();
+            (membership.count(), membership.alive(Role::Edge).count())
+        };
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        let told = self.proxies.borrow_mut().note(now_ms, members, count);
+        if let Some(told) = told.filter(|told| *told != self.told.get()) {
+            self.told.set(told);
+            self.feed.set_proxies(told);
+        }
+    }
+}
+
+/// The socket; the former process of this place may still have it.
+async fn bind(address: SocketAddrV4) -> UdpSocket {
+    let mut failed = false;
+    loop {
+        match UdpSocket::bind(address).await {
+            Ok(socket) => return socket,
+            Err(e) if !failed => log::warn!("no part in the membership yet: {address}: {e}"),
+            Err(_) => {}
+        }
+        failed = true;
+        sleep(SOCKET_PAUSE).await;
+    }
+}
+
+/// One line for all changes of a kind.
+fn described(changes: &[Change]) -> Vec<String> {
+    let mut kinds: [(&str, Vec<String>); 5] = [
+        ("joined", Vec::new()),
+        ("suspected", Vec::new()),
+        ("no longer suspected", Vec::new()),
+        ("left", Vec::new()),
+        ("removed", Vec::new()),
+    ];
+    for change in changes {
+        let (kind, member) = match change {
+            Change::Joined(member) => (0, member),
+            Change::Suspected(member) => (1, member),
+            Change::Cleared(member) => (2, member),
+            Change::Left(member) => (3, member),
+            Change::Removed(member) => (4, member),
+        };
+        if let Some((_, names)) = kinds.get_mut(kind) {
+            names.push(format!("{} ({})", member.name, member.ip));
+        }
+    }
+    let told = kinds.iter().filter(|(_, names)| !names.is_empty());
+    told.map(|(kind, names)| format!("members {kind}: {}", names.join(", "))).collect()
+}
+
+/// As much of a text as a member may tell.
+fn cut(text: &str) -> String {
+    let mut end = text.len().min(MAX_TEXT);
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    text.get(..end).unwrap_or_default().to_owned()
+}
--- a/system/programs/src/proxy.rs
+++ b/system/programs/src/proxy.rs
@@ -1,12 +1,15 @@
 //! The proxy: it carries requests, with what its agent told it.
 
 use crate::feed::{Feed, follow_one, keep_beating};
+use crate::staff::{Desk, Topic, answers};
 use crate::start::{Process, StartError, ended, listen};
 use crate::turns::{TurnClient, Turns};
+use fleet_model::{Answer, Call};
 use operator_config::OperatorConfig;
+use peer_wire::{Handler, PeerServer, Pusher};
 use request_forwarding::{Forwarder, Knowledge, Stage, serve_readiness};
 use std::cell::{Cell, RefCell};
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -45,6 +48,48 @@
     }
 }
 
+/// Answers staff.
+struct ProxyDesk {
+    desk: Desk,
+    forwarder: Rc<Forwarder<Turns>>,
+}
+
+impl Handler for ProxyDesk {
+    async fn call(&self, _from: SocketAddr, call: Call, _pusher: Pusher) -> Answer {
+        let Call::Inspect { topic } = call else { return Answer::Unready };
+        match Topic::read(&topic).name {
+            "endpoints" => self.desk.view(answers::endpoints(&self.forwarder.endpoints())),
+            _ => self.desk.answer(&topic, |figures| {
+                // One figure a line; what is open or waits now is no counter.
+                for (name, value) in request_figures(&self.forwarder.figures().to_string()) {
+                    match name.as_str() {
+                        "clients" | "waiting" => figures.gauge(&format!("request_proxy_{name}"), value as f64),
+                        name => figures.counter(&format!("request_proxy_{name}"), value),
+                    }
+                }
+            }),
+        }
+    }
+}
+
+/// Reads the forwarder's figures.
+fn request_figures(text: &str) -> Vec<(String, u64)> {
+    let line = |line: &str| {
+        let (name, value) = line.split_once(' ')?;
+        Some((name.to_owned(), value.parse().ok()?))
+    };
+    text.lines().filter_map(line).collect()
+}
+
+/// Answers staff for good; without its port the proxy goes on.
+async fn serve_staff(process: Rc<Process>, desk: ProxyDesk) {
+    let settings = process.settings();
+    match listen(SocketAddrV4::new(settings.ip_address, settings.staff_port())).await {
+        Ok(listener) => PeerServer::new(process.fleet(), Rc::new(desk)).serve(listener).await,
+        Err(e) => log::warn!("staff are not answered: {e}"),
+    }
+}
+
 /// Runs until the process has ended its clients' requests.
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
@@ -72,6 +117,8 @@
         feed.clone(),
         SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port()),
     ));
+    let desk = Desk::new(process.clone(), feed.clone(), None, "request-proxy");
+    spawn_local(serve_staff(process.clone(), ProxyDesk { desk, forwarder: forwarder.clone() }));
     spawn_local(keep_learning(feed, forwarder.clone(), ready));
     let serving = spawn_local(forwarder.clone().serve(clients, stages));
     ended(&process).await;
--- /dev/null
+++ b/system/programs/src/staff/answers.rs
@@ -0,0 +1,179 @@
+//! The asked process's side.
+
+use super::figures::Figures;
+use super::{Origin, Topic};
+use crate::feed::Feed;
+use crate::members::Members;
+use crate::start::Process;
+use fleet_membership::{MemberState, Role};
+use fleet_model::{Answer, Reservation, Turn};
+use request_routing::{EndpointView, Unused};
+use serde_json::{Value, json};
+use std::rc::Rc;
+
+/// Answers for a program.
+pub struct Desk {
+    process: Rc<Process>,
+    feed: Rc<Feed>,
+    members: Option<Rc<Members>>,
+    program: &'static str,
+}
+
+impl Desk {
+    /// One for this program; a program that takes no part in the membership has no members to tell of.
+    pub fn new(
+        process: Rc<Process>,
+        feed: Rc<Feed>,
+        members: Option<Rc<Members>>,
+        program: &'static str,
+    ) -> Self {
+        Self { process, feed, members, program }
+    }
+
+    /// What every program can say. `figures`: the program's own, beside those that all have.
+    pub fn answer(&self, topic: &str, figures: impl FnOnce(&mut Figures)) -> Answer {
+        let state = self.feed.state();
+        let says = match Topic::read(topic).name {
+            "members" => return self.members_view(),
+            "config" => json!({
+                "version": state.version(),
+                "taken": state.taken.iter().map(|taken| taken.version).collect::<Vec<_>>(),
+                "digests": state.taken.iter().map(|taken| hex(&taken.digest)).collect::<Vec<_>>(),
+                "config": String::from_utf8_lossy(&state.config),
+            }),
+            "endpoints" => json!({ "stamp": self.feed.list().stamp, "list": self.feed.list().endpoints }),
+            "roster" => json!({
+                "roster": state.roster,
+                "fences": state.fences,
+                "losses": self.process.settings().fault_tolerance.machines,
+            }),
+            "figures" => {
+                let mut all = Figures::default();
+                self.common_figures(&mut all);
+                figures(&mut all);
+                json!(all)
+            }
+            _ => json!({
+                "version": state.version(),
+                "ballot": self.feed.value().ballot,
+                "voters": self.feed.value().voters,
+                "endpoints": self.feed.list().endpoints.len(),
+                "proxies": self.feed.proxies(),
+                "fed": self.feed.fed(),
+            }),
+        };
+        self.view(says)
+    }
+
+    /// A view that says this.
+    pub fn view(&self, says: Value) -> Answer {
+        let age_ms = self.feed.age().map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+        self.aged_view(age_ms, says)
+    }
+
+    fn aged_view(&self, age_ms: Option<u64>, says: Value) -> Answer {
+        let settings = self.process.settings();
+        let origin = Origin {
+            node: settings.node_name.clone(),
+            ip: settings.ip_address,
+            zone: settings.zone.clone(),
+            program: self.program.to_owned(),
+            age_ms,
+        };
+        let mut view = json!(origin);
+        if let (Value::Object(view), Value::Object(says)) = (&mut view, says) {
+            view.extend(says);
+        }
+        Answer::View(view.to_string())
+    }
+
+    fn members_view(&self) -> Answer {
+        let Some(members) = &self.members else { return self.aged_view(None, json!({ "members": [] })) };
+        let told: Vec<Value> = members
+            .all()
+            .into_iter()
+            .map(|(member, state)| {
+                let role = match member.role {
+                    Role::Edge => "edge",
+                    Role::Core => "core",
+                    Role::Storage => "storage",
+                };
+                json!({
+                    "name": member.name, "ip": member.ip, "zone": member.zone, "role": role,
+                    "suspected": state == MemberState::Suspect,
+                })
+            })
+            .collect();
+        self.aged_view(members.age_ms(), json!({ "members": told }))
+    }
+
+    fn common_figures(&self, figures: &mut Figures) {
+        if let Some(age) = self.feed.age() {
+            figures.gauge("knowledge_age_seconds", age.as_secs_f64());
+        }
+        figures.gauge("uptime_seconds", self.process.now_ms() as f64 / 1_000.0);
+        figures.gauge("configuration_version", self.feed.state().version() as f64);
+        figures.gauge("register_round", self.feed.value().ballot.round as f64);
+        figures.gauge("register_voters", self.feed.value().voters.len() as f64);
+        figures.gauge("roster_epoch", self.feed.state().roster.epoch as f64);
+        figures.gauge("endpoints_listed", self.feed.list().endpoints.len() as f64);
+        figures.gauge("feed_subscribers", self.feed.fed().len() as f64);
+        figures.gauge("proxies_told", f64::from(self.feed.proxies()));
+        if let Some(members) = &self.members {
+            let (all, counters) = (members.all(), members.counters());
+            let suspected = all.iter().filter(|(_, state)| *state == MemberState::Suspect).count();
+            figures.gauge("members", all.len() as f64);
+            figures.gauge("members_suspected", suspected as f64);
+            figures.counter("membership_datagrams_sent", counters.datagrams_sent);
+            figures.counter("membership_bytes_sent", counters.bytes_sent);
+            figures.counter("membership_strangers", counters.strangers);
+            figures.counter("membership_malformed", counters.malformed);
+            figures.counter("membership_gaps", counters.gaps);
+            figures.counter("membership_refutations", counters.refutations);
+        }
+    }
+}
+
+/// What a proxy says of the endpoints.
+pub fn endpoints(views: &[EndpointView]) -> Value {
+    let told = views.iter().map(|view| {
+        json!({
+            "instance_id": &*view.instance_id, "service": view.service, "address": view.address, "zone": view.zone,
+            "out": view.out, "connections": view.connections, "slots": view.slots, "told": view.told,
+            "unused": view.unused.as_ref().map(why),
+        })
+    });
+    json!({ "endpoints": told.collect::<Vec<_>>() })
+}
+
+fn why(unused: &Unused) -> &'static str {
+    match unused {
+        Unused::Draining => "draining",
+        Unused::Unlisted => "unlisted",
+        Unused::Misdirected => "misdirected",
+        Unused::Ejected { .. } => "ejected",
+        Unused::OnTrial => "on trial",
+        Unused::Closed { .. } => "closed: refused as full",
+        Unused::Full => "full",
+    }
+}
+
+/// What a storage machine says of a turn. The text itself is not told.
+pub fn turn(disk: u64, losses: usize, state: &str, turn: Option<&Turn>) -> Value {
+    json!({
+        "disk": disk, "losses": losses, "state": state,
+        "bytes": turn.map(|turn| turn.input.len() + turn.output.len()),
+        "previous": turn.and_then(|turn| turn.previous.clone()),
+        "holders": turn.map(|turn| turn.holders.clone()).unwrap_or_default(),
+    })
+}
+
+/// What a storage machine says of an account; none if it may not answer for it now.
+pub fn account(disk: u64, reservations: Option<&[Reservation]>) -> Value {
+    json!({ "disk": disk, "known": reservations.is_some(), "reservations": reservations.unwrap_or_default() })
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
--- /dev/null
+++ b/system/programs/src/staff/asking.rs
@@ -0,0 +1,142 @@
+//! The asking side: whom to ask, and reading what they say.
+
+use super::View;
+use fleet_model::{Answer, Call};
+use futures_util::StreamExt;
+use futures_util::stream;
+use peer_wire::PeerClient;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+/// How long a process has to answer.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Processes that are asked at once.
+const ASKED_AT_ONCE: usize = 32;
+
+/// The fleet, as staff reach it.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    /// Its number.
+    pub number: u16,
+    /// Processes to begin with.
+    pub entries: Vec<SocketAddrV4>,
+    /// The port of proxies for staff, relative to that of other processes.
+    pub staff_offset: u16,
+}
+
+/// A member as one process sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Its name.
+    pub name: String,
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Its zone.
+    pub zone: String,
+    /// `edge`, `core` or `storage`.
+    pub role: String,
+    /// Whether it is suspected.
+    pub suspected: bool,
+}
+
+/// The members that one process sees.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenMembers {
+    /// All of them, itself first.
+    pub members: Vec<Seen>,
+}
+
+/// A member as several processes see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Place {
+    /// As the first of them sees it.
+    #[serde(flatten)]
+    pub member: Seen,
+    /// Names of those that see it, suspected or not.
+    pub seen_by: BTreeSet<String>,
+    /// Names of those that suspect it.
+    pub suspected_by: BTreeSet<String>,
+    /// Names of those that were asked and do not see it.
+    pub missed_by: BTreeSet<String>,
+}
+
+/// What several processes say of the members together.
+pub fn places(views: &[View<SeenMembers>]) -> Vec<Place> {
+    let mut places: BTreeMap<Ipv4Addr, Place> = BTreeMap::new();
+    for view in views {
+        for seen in &view.says.members {
+            let place = places.entry(seen.ip).or_insert_with(|| Place {
+                member: seen.clone(),
+                seen_by: BTreeSet::new(),
+                suspected_by: BTreeSet::new(),
+                missed_by: BTreeSet::new(),
+            });
+            place.seen_by.insert(view.origin.node.clone());
+            if seen.suspected {
+                place.suspected_by.insert(view.origin.node.clone());
+            }
+        }
+    }
+    let mut places: Vec<Place> = places.into_values().collect();
+    for place in &mut places {
+        let asked = views.iter().map(|view| &view.origin.node);
+        place.missed_by = asked.filter(|node| !place.seen_by.contains(*node)).cloned().collect();
+        place.member.suspected = !place.suspected_by.is_empty();
+    }
+    places.sort_by(|a, b| (&a.member.role, &a.member.name).cmp(&(&b.member.role, &b.member.name)));
+    places
+}
+
+impl Fleet {
+    /// A process's view; nothing if it does not answer, or not with a view.
+    pub async fn ask<T: DeserializeOwned>(&self, to: SocketAddrV4, topic: &str) -> Option<View<T>> {
+        let client = PeerClient::new(to, self.number, None);
+        match client.call(Call::Inspect { topic: topic.to_owned() }, PATIENCE).await {
+            Ok(Answer::View(text)) => serde_json::from_str(&text).ok(),
+            _ => None,
+        }
+    }
+
+    /// The views of several processes, in the order asked.
+    pub async fn ask_all<T: DeserializeOwned>(
+        &self,
+        to: &[SocketAddrV4],
+        topic: &str,
+    ) -> Vec<(SocketAddrV4, Option<View<T>>)> {
+        let asked = to.iter().map(|to| async move { (*to, self.ask(*to, topic).await) });
+        stream::iter(asked).buffered(ASKED_AT_ONCE).collect().await
+    }
+
+    /// The views of those that answer.
+    pub async fn answers<T: DeserializeOwned>(&self, to: &[SocketAddrV4], topic: &str) -> Vec<View<T>> {
+        self.ask_all(to, topic).await.into_iter().filter_map(|(_, view)| view).collect()
+    }
+
+    /// The members, as the entries and one more machine of each other zone see them.
+    pub async fn members(&self) -> Vec<View<SeenMembers>> {
+        let mut views: Vec<View<SeenMembers>> = self.answers(&self.entries, "members").await;
+        let mut zones: BTreeSet<String> = views.iter().map(|view| view.origin.zone.clone()).collect();
+        let others: Vec<SocketAddrV4> = places(&views)
+            .into_iter()
+            .filter(|place| zones.insert(place.member.zone.clone()))
+            .map(|place| self.peer(place.member.ip))
+            .collect();
+        views.extend(self.answers(&others, "members").await);
+        views
+    }
+
+    /// Where the processes of a machine answer that take part in the membership.
+    pub fn peer(&self, ip: Ipv4Addr) -> SocketAddrV4 {
+        let port = self.entries.first().map_or(0, SocketAddrV4::port);
+        SocketAddrV4::new(ip, port)
+    }
+
+    /// Where the proxy of a machine answers.
+    pub fn proxy(&self, ip: Ipv4Addr) -> SocketAddrV4 {
+        let peer = self.peer(ip);
+        SocketAddrV4::new(ip, peer.port().saturating_add(self.staff_offset))
+    }
+}
--- a/system/programs/src/start.rs
+++ b/system/programs/src/start.rs
@@ -73,10 +73,7 @@
 
     /// The fleet's number: processes of other deployments are strangers.
     pub fn fleet(&self) -> u16 {
-        let zones = self.settings().zones.clone();
-        let names = zones.iter().flat_map(|(zone, region)| [zone, region]);
-        let bytes: Vec<u8> = names.flat_map(|name| name.bytes().chain([0])).collect();
-        u16::try_from(fleet_model::rank(&bytes, 0) & 0xffff).unwrap_or_default()
+        fleet_number(&self.settings())
     }
 
     /// Where machine `ip` takes calls of its peers.
@@ -98,6 +95,13 @@
     }
 }
 
+/// The fleet's number, which follows from its zones.
+pub fn fleet_number(settings: &Settings) -> u16 {
+    let names = settings.zones.iter().flat_map(|(zone, region)| [zone, region]);
+    let bytes: Vec<u8> = names.flat_map(|name| name.bytes().chain([0])).collect();
+    u16::try_from(fleet_model::rank(&bytes, 0) & 0xffff).unwrap_or_default()
+}
+
 /// Ends the command line's and the settings' part of a start, then runs `run` until it returns.
 pub fn run<F: Future<Output = Result<(), StartError>>>(run: impl FnOnce(Rc<Process>) -> F) -> ExitCode {
     let options = options().run();
--- a/system/programs/src/storage.rs
+++ b/system/programs/src/storage.rs
@@ -2,7 +2,10 @@
 
 use crate::disk::Durable;
 use crate::feed::{Feed, follow};
+use crate::members::Members;
+use crate::staff::{Desk, Topic, answers};
 use crate::start::{Process, StartError, drawn, ended, listen};
+use fleet_membership::Role;
 use fleet_model::{Answer, Call, Store};
 use futures_util::future::join_all;
 use peer_wire::{Handler, PeerClient, PeerServer, Pusher};
@@ -14,7 +17,7 @@
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use turn_store::{Disk, Durability, Filling, SPACES, StoreState, load};
+use turn_store::{Bodies, Body, Disk, Durability, Filling, SPACES, StoreState, load};
 
 /// Longest time for one call to another storage machine.
 const PATIENCE: Duration = Duration::from_millis(600);
@@ -30,6 +33,7 @@
     durable: Durable,
     me: Store,
     peers: RefCell<HashMap<Ipv4Addr, Rc<PeerClient>>>,
+    desk: Desk,
 }
 
 impl TurnKeeper {
@@ -154,22 +158,51 @@
     }
 }
 
+impl TurnKeeper {
+    /// Answers staff.
+    fn inspect(&self, topic: &str) -> Answer {
+        let (turns, accounts, bytes) = self.state.borrow().counts();
+        let full = self.state.borrow().is_full();
+        match (Topic::read(topic).name, Topic::read(topic).argument) {
+            ("disk", _) => Answer::View(self.me.disk.to_string()),
+            ("turns", _) => self.desk.view(serde_json::json!({
+                "disk": self.me.disk, "epoch": self.state.borrow().epoch(), "full": full,
+                "turns": turns, "accounts": accounts, "bytes": bytes,
+            })),
+            ("turn", Some(attempt)) => {
+                let (state, turn) = match Bodies::get(self.durable.disk(), attempt) {
+                    Body::Held(turn) => ("held", Some(turn)),
+                    Body::Lost => ("unreadable", None),
+                    Body::Pending if full => ("absent", None),
+                    Body::Pending => ("not here yet", None),
+                };
+                let losses = self.process.settings().fault_tolerance.machines;
+                self.desk.view(answers::turn(self.me.disk, losses, state, turn.as_ref()))
+            }
+            ("account", Some(program)) => {
+                let call = Call::ReadAccount { epoch: self.state.borrow().epoch(), program: program.to_owned() };
+                let now = self.process.now_ms();
+                let outcome = self.state.borrow_mut().handle(now, &call, self.durable.disk());
+                let reservations = match &outcome.answer {
+                    Answer::Account(reservations) => Some(reservations.as_slice()),
+                    _ => None,
+                };
+                self.desk.view(answers::account(self.me.disk, reservations))
+            }
+            _ => self.desk.answer(topic, |figures| {
+                figures.gauge("turn_keeper_turns", turns as f64);
+                figures.gauge("turn_keeper_accounts", accounts as f64);
+                figures.gauge("turn_keeper_turn_bytes", bytes as f64);
+                figures.gauge("turn_keeper_full", f64::from(u8::from(full)));
+            }),
+        }
+    }
+}
+
 impl Handler for TurnKeeper {
     async fn call(&self, _from: SocketAddr, call: Call, _pusher: Pusher) -> Answer {
         if let Call::Inspect { topic } = &call {
-            return Answer::View(match topic.as_str() {
-                "disk" => self.me.disk.to_string(),
-                "turns" => {
-                    let state = self.state.borrow();
-                    let (turns, accounts, bytes) = state.counts();
-                    serde_json::json!({
-                        "disk": self.me.disk, "epoch": state.epoch(), "full": state.is_full(),
-                        "turns": turns, "accounts": accounts, "bytes": bytes,
-                    })
-                    .to_string()
-                }
-                topic => crate::feed::view(&self.feed, topic),
-            });
+            return self.inspect(topic);
         }
         self.learn_roster();
         let outcome = self.state.borrow_mut().handle(self.process.now_ms(), &call, self.durable.disk());
@@ -201,7 +234,9 @@
     let (turns, accounts, bytes) = state.counts();
     log::info!("disk {} with {turns} turns, {accounts} accounts, {bytes} bytes", me.disk);
     let feed = Rc::new(Feed::default());
+    let members = Members::start(process.clone(), feed.clone(), Role::Storage, |_| ())?;
     let keeper = Rc::new(TurnKeeper {
+        desk: Desk::new(process.clone(), feed.clone(), Some(members), "turn-keeper"),
         process: process.clone(),
         feed: feed.clone(),
         state: RefCell::new(state),
--- /dev/null
+++ b/system/state-feed/src/lib.rs
@@ -0,0 +1,33 @@
+//! The feed: the register's value and the list of endpoints, from the core down a tree of relays to every proxy.
+//!
+//! [`FeedState`] is what a process knows and whom it feeds, [`Follower`] decides by whom it is fed. Neither has sockets,
+//! timers or a clock: callers hand in the time as a [`Duration`](std::time::Duration) since a moment of their own, which
+//! has to lie further back than any age that may be told, and carry out what comes back.
+//!
+//! Values and lists only rise within a life. Beats tell how old at most what a link told is, so that who hangs on a
+//! frozen, cut-off or misled parent notices and takes another.
+
+mod follower;
+mod state;
+
+pub use follower::{Command, Event, Follower, LinkId, Sources};
+pub use state::{FeedState, Learned, Role, Spread, SubscriberId, Subscription, Unreadable};
+
+use std::time::Duration;
+
+/// Between two beats of a keeper. Relays pass them on as they come.
+pub const BEAT: Duration = Duration::from_millis(400);
+/// After so long without a beat from above a relay beats by itself, to show that it is there.
+pub const RELAY_BEAT: Duration = Duration::from_millis(500);
+/// Beats from above are not passed on more often.
+pub const LEAST_BEAT_GAP: Duration = Duration::from_millis(200);
+/// A parent that has told nothing for so long is not trusted to be there.
+pub const SILENCE: Duration = Duration::from_millis(1_000);
+/// What is older is stale: another keeper is looked for, and a relay takes no one on.
+pub const MOST_AGE: Duration = Duration::from_millis(1_000);
+/// As long a relay may be stale before those below it look for another parent: first it finds one itself.
+pub const RELAY_AGE: Duration = Duration::from_millis(1_400);
+/// Agents of one zone that a keeper feeds without being pressed; it names these to the zone's others.
+pub const HEADS_PER_ZONE: usize = 2;
+/// Machines that a relay feeds without being pressed.
+pub const MOST_CHILDREN: usize = 24;
--- /dev/null
+++ b/system/state-feed/src/state.rs
@@ -0,0 +1,320 @@
+//! What a process knows, whom it feeds, and what is pushed to whom.
+
+use crate::{BEAT, HEADS_PER_ZONE, LEAST_BEAT_GAP, MOST_AGE, MOST_CHILDREN, RELAY_BEAT};
+use fleet_model::{Answer, Ballot, Call, ChosenValue, ControlState, Endpoint, EndpointList, Push};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Names a subscriber's link; the caller gives each link another number.
+pub type SubscriberId = u64;
+
+/// What the asked process is in the tree.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It knows by itself what is chosen.
+    Keeper,
+    /// It knows only what it is told.
+    Relay,
+}
+
+/// One push for some subscribers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spread {
+    /// What is pushed.
+    pub push: Push,
+    /// To whom.
+    pub to: Vec<SubscriberId>,
+}
+
+/// What a call to subscribe comes to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Subscription {
+    /// The answer; only with `Done` the link is fed.
+    pub answer: Answer,
+    /// What goes out on the link first. Where it cannot, the link has to be removed and the answer is `Unready`.
+    pub pushes: Vec<Push>,
+}
+
+/// What came of something that was told.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Learned {
+    /// Value or list is newer than before.
+    pub changed: bool,
+    /// The change was on top of a list that is not the one known here: the link is to be left.
+    pub out_of_step: bool,
+    /// What is to be passed on.
+    pub spreads: Vec<Spread>,
+}
+
+/// A value that cannot be read is passed over.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the value of ballot {ballot:?} cannot be read: {why}")]
+pub struct Unreadable {
+    /// Its ballot.
+    pub ballot: Ballot,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+#[derive(Clone, Debug)]
+struct Subscriber {
+    ip: Ipv4Addr,
+    zone: String,
+    /// It was taken on without pressing, so others of its zone may be sent to it.
+    head: bool,
+    list: (u64, u64),
+}
+
+/// What a process knows through the feed, and passes on.
+#[derive(Clone, Debug, Default)]
+pub struct FeedState {
+    value: Rc<ChosenValue>,
+    state: Rc<ControlState>,
+    list: Rc<EndpointList>,
+    former_list: Rc<EndpointList>,
+    fresh_at: Option<Duration>,
+    proxies: u32,
+    subscribers: BTreeMap<SubscriberId, Subscriber>,
+    last_beat: Option<Duration>,
+    /// Beats come from above.
+    fed: bool,
+}
+
+impl FeedState {
+    /// The newest value.
+    pub fn value(&self) -> &Rc<ChosenValue> {
+        &self.value
+    }
+
+    /// The newest value, read.
+    pub fn state(&self) -> &Rc<ControlState> {
+        &self.state
+    }
+
+    /// The newest list.
+    pub fn list(&self) -> &Rc<EndpointList> {
+        &self.list
+    }
+
+    /// Proxies in the fleet, as last told; 0 if nobody told.
+    pub fn proxies(&self) -> u32 {
+        self.proxies
+    }
+
+    /// Tells how many proxies there are.
+    pub fn set_proxies(&mut self, count: u32) {
+        self.proxies = count;
+    }
+
+    /// When what is known was last confirmed.
+    pub fn fresh_at(&self) -> Option<Duration> {
+        self.fresh_at
+    }
+
+    /// How old at most what is known is.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.fresh_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// A majority of the core had nothing newer at that time. True if none later was known.
+    pub fn confirm(&mut self, at: Duration) -> bool {
+        let later = self.fresh_at.is_none_or(|fresh| at > fresh);
+        if later {
+            self.fresh_at = Some(at);
+        }
+        later
+    }
+
+    /// Takes a newer value.
+    pub fn learn_value(&mut self, value: ChosenValue) -> Result<Learned, Unreadable> {
+        if value.ballot <= self.value.ballot {
+            return Ok(Learned::default());
+        }
+        self.state = Rc::new(match value.payload.is_empty() {
+            true => ControlState::default(),
+            false => postcard::from_bytes(&value.payload)
+                .map_err(|e| Unreadable { ballot: value.ballot, why: e.to_string() })?,
+        });
+        self.value = Rc::new(value.clone());
+        Ok(Learned { changed: true, spreads: self.to_all(Push::Value(value)), ..Learned::default() })
+    }
+
+    /// Takes a newer list.
+    pub fn learn_list(&mut self, list: EndpointList) -> Learned {
+        if list.stamp <= self.list.stamp {
+            return Learned::default();
+        }
+        self.former_list = std::mem::replace(&mut self.list, Rc::new(list));
+        let (mut change, mut whole) = (Vec::new(), Vec::new());
+        for (id, subscriber) in &mut self.subscribers {
+            if subscriber.list < self.list.stamp {
+                match subscriber.list == self.former_list.stamp && subscriber.list != (0, 0) {
+                    true => change.push(*id),
+                    false => whole.push(*id),
+                }
+                subscriber.list = self.list.stamp;
+            }
+        }
+        let mut spreads = Vec::new();
+        if !change.is_empty() {
+            spreads.push(Spread { push: self.list_change(), to: change });
+        }
+        if !whole.is_empty() {
+            spreads.push(Spread { push: Push::List((*self.list).clone()), to: whole });
+        }
+        Learned { changed: true, spreads, ..Learned::default() }
+    }
+
+    /// The newest list on top of the one before it.
+    fn list_change(&self) -> Push {
+        let by_instance = |list: &EndpointList| -> BTreeMap<String, Endpoint> {
+            list.endpoints.iter().map(|endpoint| (endpoint.instance_id.clone(), endpoint.clone())).collect()
+        };
+        let (mut put, former) = (by_instance(&self.list), by_instance(&self.former_list));
+        let gone = former.keys().filter(|instance| !put.contains_key(*instance)).cloned().collect();
+        put.retain(|instance, endpoint| former.get(instance) != Some(endpoint));
+        let (base, stamp) = (self.former_list.stamp, self.list.stamp);
+        Push::ListChange { base, stamp, put: put.into_values().collect(), gone }
+    }
+
+    /// Takes changes on top of a list.
+    fn learn_change(
+        &mut self,
+        base: (u64, u64),
+        stamp: (u64, u64),
+        put: Vec<Endpoint>,
+        gone: &[String],
+    ) -> Learned {
+        if self.list.stamp >= stamp {
+            return Learned::default();
+        }
+        if self.list.stamp != base {
+            return Learned { out_of_step: true, ..Learned::default() };
+        }
+        let mut endpoints: BTreeMap<String, Endpoint> = self
+            .list
+            .endpoints
+            .iter()
+            .map(|endpoint| (endpoint.instance_id.clone(), endpoint.clone()))
+            .collect();
+        for instance in gone {
+            endpoints.remove(instance);
+        }
+        endpoints.extend(put.into_iter().map(|endpoint| (endpoint.instance_id.clone(), endpoint)));
+        self.learn_list(EndpointList { stamp, endpoints: endpoints.into_values().collect() })
+    }
+
+    /// Takes what a parent pushes. `confirms`: its beats count.
+    pub fn take(&mut self, now: Duration, push: Push, confirms: bool) -> Result<Learned, Unreadable> {
+        match push {
+            Push::Beat { age_ms, proxies } => {
+                if proxies > 0 {
+                    self.proxies = proxies;
+                }
+                let at = now.checked_sub(Duration::from_millis(age_ms.into()));
+                let later = confirms && at.is_some_and(|at| self.confirm(at));
+                self.fed |= confirms;
+                let due = self.last_beat.is_none_or(|last| now.saturating_sub(last) >= LEAST_BEAT_GAP);
+                let spreads = if later && due { self.beat(now) } else { Vec::new() };
+                Ok(Learned { spreads, ..Learned::default() })
+            }
+            Push::Value(value) => self.learn_value(value),
+            Push::List(list) => Ok(self.learn_list(list)),
+            Push::ListChange { base, stamp, put, gone } => Ok(self.learn_change(base, stamp, put, &gone)),
+        }
+    }
+
+    /// When a beat is due next, if none goes out before.
+    pub fn beat_due(&self) -> Duration {
+        self.last_beat.map_or(Duration::ZERO, |last| last + if self.fed { RELAY_BEAT } else { BEAT })
+    }
+
+    /// A beat to every subscriber.
+    pub fn beat(&mut self, now: Duration) -> Vec<Spread> {
+        self.last_beat = Some(now);
+        match self.beat_now(now) {
+            Some(beat) => self.to_all(beat),
+            None => Vec::new(),
+        }
+    }
+
+    fn beat_now(&self, now: Duration) -> Option<Push> {
+        let age_ms = u32::try_from(self.age(now)?.as_millis()).unwrap_or(u32::MAX);
+        Some(Push::Beat { age_ms, proxies: self.proxies })
+    }
+
+    fn to_all(&self, push: Push) -> Vec<Spread> {
+        let to: Vec<SubscriberId> = self.subscribers.keys().copied().collect();
+        if to.is_empty() { Vec::new() } else { vec![Spread { push, to }] }
+    }
+
+    /// Answers a call to subscribe, and takes the link on if the answer is `Done`. Links that are gone have to be removed
+    /// before.
+    ///
+    /// Another link of the same machine stays: which of them lives, the machine knows better.
+    pub fn subscribe(
+        &mut self,
+        now: Duration,
+        role: Role,
+        peer_port: u16,
+        call: &Call,
+        link: SubscriberId,
+    ) -> Subscription {
+        let refused = |answer| Subscription { answer, pushes: Vec::new() };
+        let Call::Subscribe { ip, zone, urgent, value, list } = call else { return refused(Answer::Unready) };
+        let stale = self.age(now).is_none_or(|age| age > MOST_AGE);
+        // A stale keeper may be the only one left: who presses is fed by it until there is another.
+        if self.value.ballot == Ballot::default() || (stale && (role == Role::Relay || !urgent)) {
+            return refused(Answer::Unready);
+        }
+        let others = self.subscribers.values().filter(|subscriber| subscriber.ip != *ip);
+        match role {
+            Role::Keeper if !urgent => {
+                let heads: BTreeSet<Ipv4Addr> = others
+                    .filter(|subscriber| subscriber.head && subscriber.zone == *zone)
+                    .map(|subscriber| subscriber.ip)
+                    .collect();
+                if heads.len() >= HEADS_PER_ZONE {
+                    return refused(Answer::Redirect(
+                        heads.into_iter().map(|head| SocketAddrV4::new(head, peer_port)).collect(),
+                    ));
+                }
+            }
+            Role::Relay if !urgent => {
+                let machines: BTreeSet<Ipv4Addr> =
+                    self.subscribers.values().map(|subscriber| subscriber.ip).collect();
+                // A machine that is fed already, on a link that it may have given up, adds nothing.
+                if machines.len() >= MOST_CHILDREN && !machines.contains(ip) {
+                    return refused(Answer::Redirect(Vec::new()));
+                }
+            }
+            _ => {}
+        }
+        let mut pushes = Vec::new();
+        if self.value.ballot > *value {
+            pushes.push(Push::Value((*self.value).clone()));
+        }
+        if self.list.stamp > *list {
+            pushes.push(match *list == self.former_list.stamp && *list != (0, 0) {
+                true => self.list_change(),
+                false => Push::List((*self.list).clone()),
+            });
+        }
+        pushes.extend(self.beat_now(now));
+        let list = self.list.stamp.max(*list);
+        self.subscribers.insert(link, Subscriber { ip: *ip, zone: zone.clone(), head: !urgent, list });
+        Subscription { answer: Answer::Done, pushes }
+    }
+
+    /// A link is gone.
+    pub fn remove(&mut self, link: SubscriberId) {
+        self.subscribers.remove(&link);
+    }
+
+    /// Addresses of subscribers.
+    pub fn fed(&self) -> Vec<Ipv4Addr> {
+        self.subscribers.values().map(|subscriber| subscriber.ip).collect()
+    }
+}
