--- a/system/programs/src/disk.rs
+++ b/system/programs/src/disk.rs
@@ -12,6 +12,22 @@
 
 const RECORDS: Space = Space { name: "records", memtable_bytes: 1 << 20 };
 
+/// A write that is waited for.
+struct Unsynced<'a>(&'a Cell<usize>);
+
+impl<'a> Unsynced<'a> {
+    fn of(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Unsynced<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Writes to a disk, to be awaited.
 pub struct Durable {
     disk: Arc<Disk>,
@@ -65,11 +81,10 @@
     /// Writes these; they are synced, with all earlier writes, when this returns.
     pub async fn write(&self, writes: Vec<Write>) -> Result<(), WriteFailed> {
         let (done, waiting) = oneshot::channel();
-        self.unsynced.set(self.unsynced.get() + 1);
+        // Who asked may give up waiting: the count falls all the same.
+        let _unsynced = Unsynced::of(&self.unsynced);
         self.writer.submit(writes, Box::new(move |result| drop(done.send(result))));
-        let result = waiting.await;
-        self.unsynced.set(self.unsynced.get() - 1);
-        result.unwrap_or_else(|_| Err(WriteFailed("the writer has ended".to_owned())))
+        waiting.await.unwrap_or_else(|_| Err(WriteFailed("the writer has ended".to_owned())))
     }
 
     /// Waits until all earlier writes are synced.
--- a/system/programs/src/keeper.rs
+++ b/system/programs/src/keeper.rs
@@ -15,8 +15,8 @@
 use control_duties::{ConfigVerdict, CoreWatch, DutyClaim, RosterWatch};
 use fleet_membership::{Change, Role};
 use fleet_model::{
-    AcceptedValue, Answer, Ballot, Call, ChosenValue, ControlState, RegisterReply, RegisterRequest, RegisterValue, Store,
-    TakenVersion,
+    AcceptedValue, Answer, Ballot, Call, ChosenValue, ControlState, RegisterReply, RegisterRequest,
+    RegisterValue, Store, TakenVersion,
 };
 use hyper::StatusCode;
 use operator_config::{OperatorConfig, digest};
@@ -188,12 +188,8 @@
         };
         let members = Members::start(self.process.clone(), self.feed.clone(), Role::Core, hear)?;
         // Set once, at the start.
-        let _ = self.desk.set(Desk::new(
-            self.process.clone(),
-            self.feed.clone(),
-            Some(members),
-            "config-keeper",
-        ));
+        let _ =
+            self.desk.set(Desk::new(self.process.clone(), self.feed.clone(), Some(members), "config-keeper"));
         Ok(())
     }
 
@@ -205,7 +201,8 @@
             figures.gauge("config_keeper_fit_to_vote", f64::from(u8::from(votes)));
             figures.gauge("config_keeper_fresh", f64::from(u8::from(self.is_fresh())));
             figures.gauge("config_keeper_core_machines_heard", self.heard.borrow().len() as f64);
-            let holds = self.feed.state().fences.values().filter(|fence| fence.holder == Some(self.me)).count();
+            let holds =
+                self.feed.state().fences.values().filter(|fence| fence.holder == Some(self.me)).count();
             figures.gauge("config_keeper_duties", holds as f64);
         })
     }
@@ -307,8 +304,10 @@
 /// Runs until the process is to end.
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
-    let control =
-        settings.listen_addresses.control_plane.ok_or(StartError::Lacking("listen_addresses.control_plane"))?;
+    let control = settings
+        .listen_addresses
+        .control_plane
+        .ok_or(StartError::Lacking("listen_addresses.control_plane"))?;
     let folder = settings.data_directory.clone().ok_or(StartError::Lacking("data_directory"))?;
     let (disk, records) = Durable::open(&folder)?;
     let seeds = process.seeds();
--- a/system/programs/src/keeper/duties.rs
+++ b/system/programs/src/keeper/duties.rs
@@ -262,7 +262,8 @@
             let holder = self.feed.state().fences.get(LIST).and_then(|fence| fence.holder);
             match holder {
                 Some(holder) if holder != self.me => {
-                    let still = || self.feed.state().fences.get(LIST).and_then(|fence| fence.holder) == Some(holder);
+                    let still =
+                        || self.feed.state().fences.get(LIST).and_then(|fence| fence.holder) == Some(holder);
                     follow_lists(&self.process, &self.feed, holder, still).await;
                 }
                 _ => {}
--- a/system/programs/src/keeper/proposing.rs
+++ b/system/programs/src/keeper/proposing.rs
@@ -166,7 +166,8 @@
 
     /// One round; true if another is to follow at once.
     async fn poll(self: Rc<Self>, unsettled: &mut u32) -> bool {
-        let Some(known) = self.known.borrow().clone().filter(|_| self.acceptor.borrow().record().is_some()) else {
+        let Some(known) = self.known.borrow().clone().filter(|_| self.acceptor.borrow().record().is_some())
+        else {
             return false;
         };
         let began = Instant::now();
@@ -252,7 +253,11 @@
                     }
                     self.saw(record.promised);
                     self.acceptor.borrow_mut().restore(record.clone());
-                    log::info!("restored under round {}: standing {:?}", record.promised.round, record.standing);
+                    log::info!(
+                        "restored under round {}: standing {:?}",
+                        record.promised.round,
+                        record.standing
+                    );
                     // What a restore has had accepted anew is chosen.
                     if let Some(accepted) = record.accepted {
                         self.adopt(accepted);
--- a/system/programs/src/members.rs
+++ b/system/programs/src/members.rs
@@ -3,7 +3,9 @@
 
 use crate::feed::Feed;
 use crate::start::{Process, StartError, drawn};
-use fleet_membership::{Change, Config, Counters, Effect, Member, MemberState, Membership, Role, start_number};
+use fleet_membership::{
+    Change, Config, Counters, Effect, Member, MemberState, Membership, Role, start_number,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
@@ -102,12 +104,14 @@
             role,
             zone: cut(&settings.zone),
             name: cut(&settings.node_name),
-            incarnation: start_number(u64::try_from(unix_ms).unwrap_or_default(), u16::from_le_bytes([low, high])),
+            incarnation: start_number(
+                u64::try_from(unix_ms).unwrap_or_default(),
+                u16::from_le_bytes([low, high]),
+            ),
             tags: Vec::new(),
         };
-        let membership = Membership::new(me, config(process.fleet()), draw, process.now_ms()).map_err(|e| {
-            StartError::System { what: "membership".to_owned(), source: io::Error::other(e) }
-        })?;
+        let membership = Membership::new(me, config(process.fleet()), draw, process.now_ms())
+            .map_err(|e| StartError::System { what: "membership".to_owned(), source: io::Error::other(e) })?;
         let members = Rc::new(Self {
             process,
             feed,
--- a/system/programs/src/operator.rs
+++ b/system/programs/src/operator.rs
@@ -89,7 +89,9 @@
     let expected = expected.and_then(|text| text.trim().trim_matches('"').parse().ok());
     let body = match Limited::new(request.into_body(), MOST_BODY).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(_) => return Reply::new(StatusCode::PAYLOAD_TOO_LARGE, r#"{"error":"body cut off or too large"}"#),
+        Err(_) => {
+            return Reply::new(StatusCode::PAYLOAD_TOO_LARGE, r#"{"error":"body cut off or too large"}"#);
+        }
     };
     match operation {
         Operation::PutConfig => operations.put_config(expected, body).await,
--- a/system/programs/src/proxy.rs
+++ b/system/programs/src/proxy.rs
@@ -63,7 +63,9 @@
                 // One figure a line; what is open or waits now is no counter.
                 for (name, value) in request_figures(&self.forwarder.figures().to_string()) {
                     match name.as_str() {
-                        "clients" | "waiting" => figures.gauge(&format!("request_proxy_{name}"), value as f64),
+                        "clients" | "waiting" => {
+                            figures.gauge(&format!("request_proxy_{name}"), value as f64)
+                        }
                         name => figures.counter(&format!("request_proxy_{name}"), value),
                     }
                 }
@@ -94,7 +96,8 @@
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
     let front = settings.listen_addresses.front.ok_or(StartError::Lacking("listen_addresses.front"))?;
-    let readiness = settings.listen_addresses.readiness.ok_or(StartError::Lacking("listen_addresses.readiness"))?;
+    let readiness =
+        settings.listen_addresses.readiness.ok_or(StartError::Lacking("listen_addresses.readiness"))?;
     let feed = Rc::new(Feed::default());
     let turns = TurnClient::new(process.clone(), feed.clone());
     let forwarder = Forwarder::new(
@@ -128,7 +131,8 @@
     let grace = Duration::from_secs_f64(settings.bounds.grace_period_s.max(1.0));
     sleep(Duration::from_millis(2_600).min(grace / 2)).await;
     stage.send_replace(Stage::Closing);
-    let _ = timeout(grace.mul_f64(0.95).saturating_sub(Duration::from_millis(2_900).min(grace / 2)), serving).await;
+    let _ = timeout(grace.mul_f64(0.95).saturating_sub(Duration::from_millis(2_900).min(grace / 2)), serving)
+        .await;
     log::info!("{}", forwarder.figures());
     Ok(())
 }
--- a/system/programs/src/staff/answers.rs
+++ b/system/programs/src/staff/answers.rs
@@ -176,4 +176,3 @@
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
-
--- a/system/programs/src/staff/commands.rs
+++ b/system/programs/src/staff/commands.rs
@@ -197,12 +197,7 @@
         verdict: Verdict::wrong_if(
             all.iter().any(|place| place.member.suspected || !place.missed_by.is_empty()),
         ),
-        text: format!(
-            "{}{} members, as seen by {}\n",
-            table(&head, &rows),
-            all.len(),
-            asked.join(", ")
-        ),
+        text: format!("{}{} members, as seen by {}\n", table(&head, &rows), all.len(), asked.join(", ")),
         json: json!({ "members": all, "seen_by": views.iter().map(|view| &view.origin).collect::<Vec<_>>() }),
     }
 }
@@ -281,7 +276,8 @@
             vec![version.to_string(), digest.clone(), if in_force { "in force" } else { "" }.to_owned()]
         })
         .collect();
-    let newest = json!({ "taken": view.says.taken, "digests": view.says.digests, "version": view.says.version });
+    let newest =
+        json!({ "taken": view.says.taken, "digests": view.says.digests, "version": view.says.version });
     Report {
         verdict: Verdict::wrong_if(is_stale(&view.origin)),
         text: format!("{}{}\n", table(&["VERSION", "SHA-256", ""], &rows), source(view)),
@@ -360,7 +356,9 @@
 }
 
 fn proxys_endpoints(mut view: View<SeenEndpoints>) -> Report {
-    view.says.endpoints.sort_by(|a, b| (&a.service, &a.zone, &a.instance_id).cmp(&(&b.service, &b.zone, &b.instance_id)));
+    view.says
+        .endpoints
+        .sort_by(|a, b| (&a.service, &a.zone, &a.instance_id).cmp(&(&b.service, &b.zone, &b.instance_id)));
     let rows: Vec<Vec<String>> = view
         .says
         .endpoints
@@ -618,7 +616,10 @@
         }));
         for one in known.iter().flat_map(|view| &view.says.reservations) {
             // Two records of one try merge to the lower count.
-            merged.entry(one.attempt).and_modify(|tokens| *tokens = one.tokens.min(*tokens)).or_insert(one.tokens);
+            merged
+                .entry(one.attempt)
+                .and_modify(|tokens| *tokens = one.tokens.min(*tokens))
+                .or_insert(one.tokens);
         }
     }
     let total: u64 = merged.values().map(|tokens| u64::from(*tokens)).sum();
--- a/system/programs/src/staff/figures.rs
+++ b/system/programs/src/staff/figures.rs
@@ -66,7 +66,8 @@
         // Writing to a string does not fail.
         let _ = writeln!(text, "# TYPE {name} {kind}");
         for (origin, value) in lines {
-            let (node, zone, program) = (escaped(&origin.node), escaped(&origin.zone), escaped(&origin.program));
+            let (node, zone, program) =
+                (escaped(&origin.node), escaped(&origin.zone), escaped(&origin.program));
             let _ = writeln!(text, r#"{name}{{node="{node}",program="{program}",zone="{zone}"}} {value}"#);
         }
     }
--- a/system/programs/src/start.rs
+++ b/system/programs/src/start.rs
@@ -120,11 +120,15 @@
         println!("{}: can be used", path.display());
         return ExitCode::SUCCESS;
     }
-    let logger = flexi_logger::Logger::try_with_str(format!("{}, fjall=warn, lsm_tree=warn", options.log)).and_then(|logger| {
-        logger.log_to_stderr().format(|w, now, record| {
-            write!(w, "{} {} {}", now.format("%H:%M:%S%.3f"), record.level(), record.args())
-        }).start()
-    });
+    let logger = flexi_logger::Logger::try_with_str(format!("{}, fjall=warn, lsm_tree=warn", options.log))
+        .and_then(|logger| {
+            logger
+                .log_to_stderr()
+                .format(|w, now, record| {
+                    write!(w, "{} {} {}", now.format("%H:%M:%S%.3f"), record.level(), record.args())
+                })
+                .start()
+        });
     if let Err(e) = logger {
         eprintln!("no log: {e}");
     }
@@ -154,8 +158,12 @@
         let mut interrupt = signal(SignalKind::interrupt()).map_err(failed("SIGINT"))?;
         let mut hup = signal(SignalKind::hangup()).map_err(failed("SIGHUP"))?;
         let (end, ending) = watch::channel(false);
-        let process =
-            Rc::new(Process { settings: RefCell::new(Rc::new(settings)), path, ending, began: Instant::now() });
+        let process = Rc::new(Process {
+            settings: RefCell::new(Rc::new(settings)),
+            path,
+            ending,
+            began: Instant::now(),
+        });
         let signals = process.clone();
         tokio::task::spawn_local(async move {
             loop {
--- a/system/programs/src/storage.rs
+++ b/system/programs/src/storage.rs
@@ -63,7 +63,10 @@
         ips.sort();
         ips.dedup();
         let draw = drawn();
-        ips.sort_by_key(|ip| fleet_model::rank(&ip.octets(), draw));
+        // One keeper changes the roster for all, so that proposers do not get into each other's way.
+        let holders: Vec<Ipv4Addr> =
+            self.feed.state().fences.values().filter_map(|fence| fence.holder).collect();
+        ips.sort_by_key(|ip| (!holders.contains(ip), fleet_model::rank(&ip.octets(), draw)));
         for ip in ips {
             if let Ok(Answer::Done) = self.peer(ip).call(call.clone(), Duration::from_millis(700)).await {
                 return true;
@@ -180,7 +183,8 @@
                 self.desk.view(answers::turn(self.me.disk, losses, state, turn.as_ref()))
             }
             ("account", Some(program)) => {
-                let call = Call::ReadAccount { epoch: self.state.borrow().epoch(), program: program.to_owned() };
+                let call =
+                    Call::ReadAccount { epoch: self.state.borrow().epoch(), program: program.to_owned() };
                 let now = self.process.now_ms();
                 let outcome = self.state.borrow_mut().handle(now, &call, self.durable.disk());
                 let reservations = match &outcome.answer {
--- a/system/programs/src/turns.rs
+++ b/system/programs/src/turns.rs
@@ -155,16 +155,12 @@
         }
     }
 
-    async fn reserve_round(
-        &self,
-        program: &str,
-        reservation: Reservation,
-        budget: u32,
-    ) -> Round<Reserve> {
+    async fn reserve_round(&self, program: &str, reservation: Reservation, budget: u32) -> Round<Reserve> {
         let state = self.feed.state();
         let roster = &state.roster;
         let Some(holders) = Holders::of(roster, program, self.losses()) else { return Round::Again };
-        let write = |_: &Store| Call::Reserve { epoch: roster.epoch, program: program.to_owned(), reservation };
+        let write =
+            |_: &Store| Call::Reserve { epoch: roster.epoch, program: program.to_owned(), reservation };
         let Some((written, all)) = self.at_majority(&holders, write, true).await else { return Round::Again };
         let account = match all {
             true => {
@@ -175,10 +171,14 @@
             false => {
                 more(&self.figures.second_round);
                 let read = |_: &Store| Call::ReadAccount { epoch: roster.epoch, program: program.to_owned() };
-                let Some((mut account, _)) = self.at_majority(&holders.current_only(), read, false).await else {
+                let Some((mut account, _)) = self.at_majority(&holders.current_only(), read, false).await
+                else {
                     return Round::Again;
                 };
-                merge(&mut account, written.into_iter().map(|(attempt, tokens)| Reservation { attempt, tokens }));
+                merge(
+                    &mut account,
+                    written.into_iter().map(|(attempt, tokens)| Reservation { attempt, tokens }),
+                );
                 account
             }
         };
@@ -390,7 +390,8 @@
     }
 
     fn settle(&self, program: &str, attempt: &str, tokens: u32) {
-        let (client, program, reservation) = (self.0.clone(), program.to_owned(), reservation(attempt, tokens));
+        let (client, program, reservation) =
+            (self.0.clone(), program.to_owned(), reservation(attempt, tokens));
         tokio::task::spawn_local(async move { client.settle_everywhere(&program, reservation).await });
     }
 
--- a/system/programs/tests/staff.rs
+++ b/system/programs/tests/staff.rs
@@ -24,7 +24,10 @@
 fn a_topic_may_carry_an_argument_after_a_blank() {
     expect_that!(Topic::read("members"), eq(Topic { name: "members", argument: None }));
     expect_that!(Topic::read("turn a-1"), eq(Topic { name: "turn", argument: Some("a-1") }));
-    expect_that!(Topic::read("account my program"), eq(Topic { name: "account", argument: Some("my program") }));
+    expect_that!(
+        Topic::read("account my program"),
+        eq(Topic { name: "account", argument: Some("my program") })
+    );
     expect_that!(Topic::read("turn "), eq(Topic { name: "turn", argument: None }));
 }
 
@@ -96,8 +99,15 @@
     let told: Vec<_> = places
         .iter()
         .map(|place| {
-            let list = |names: &std::collections::BTreeSet<String>| names.iter().cloned().collect::<Vec<_>>().join(" ");
-            (place.member.name.as_str(), place.member.suspected, list(&place.suspected_by), list(&place.missed_by))
+            let list = |names: &std::collections::BTreeSet<String>| {
+                names.iter().cloned().collect::<Vec<_>>().join(" ")
+            };
+            (
+                place.member.name.as_str(),
+                place.member.suspected,
+                list(&place.suspected_by),
+                list(&place.missed_by),
+            )
         })
         .collect();
     expect_that!(
@@ -116,7 +126,10 @@
     expect_that!(read(&["members"]), some(eq(&Command::Members)));
     expect_that!(read(&["turn", "a-1"]), some(eq(&Command::Turn { attempt: "a-1".to_owned() })));
     expect_that!(read(&["figures"]), some(eq(&Command::Figures { node: None })));
-    expect_that!(read(&["figures", "edge-1"]), some(eq(&Command::Figures { node: Some("edge-1".to_owned()) })));
+    expect_that!(
+        read(&["figures", "edge-1"]),
+        some(eq(&Command::Figures { node: Some("edge-1".to_owned()) }))
+    );
     expect_that!(read(&["config", "show"]), some(eq(&Command::Config(ConfigCommand::Show))));
     let diff = ConfigCommand::Diff { file: PathBuf::from("new.json") };
     expect_that!(read(&["config", "diff", "new.json"]), some(eq(&Command::Config(diff))));
@@ -248,7 +261,11 @@
 }
 
 fn agent(number: u64) -> Made {
-    process(ip(2), &origin("edge-2", "a", "proxy-agent"), &[("members", member_list()), ("versions", version(number))])
+    process(
+        ip(2),
+        &origin("edge-2", "a", "proxy-agent"),
+        &[("members", member_list()), ("versions", version(number))],
+    )
 }
 
 fn endpoint(instance: &str, unused: Option<&str>) -> Value {
@@ -276,12 +293,8 @@
         .map(|(attempt, tokens)| json!({ "attempt": attempt, "tokens": tokens }))
         .collect();
     let account = json!({ "disk": disk, "known": reservations.is_some(), "reservations": told });
-    let topics = [
-        ("versions", version(3)),
-        ("members", member_list()),
-        ("turn t-1", turn),
-        ("account p", account),
-    ];
+    let topics =
+        [("versions", version(3)), ("members", member_list()), ("turn t-1", turn), ("account p", account)];
     process(ip(last), &origin(&format!("store-{last}"), "b", "turn-keeper"), &topics)
 }
 
@@ -412,7 +425,10 @@
     let report = run(Vec::new(), check());
     expect_that!(report.verdict, eq(Verdict::Wrong));
     expect_that!(report.json["findings"].as_array().map(Vec::len), some(ge(2)));
-    expect_that!(run(Vec::new(), Command::Config(ConfigCommand::Check { file: folder.path().join("none") })).verdict, eq(Verdict::Wrong));
+    expect_that!(
+        run(Vec::new(), Command::Config(ConfigCommand::Check { file: folder.path().join("none") })).verdict,
+        eq(Verdict::Wrong)
+    );
 }
 
 #[gtest]
@@ -433,7 +449,11 @@
     ] {
         let mut made = well();
         made[2] = proxy(&endpoints);
-        expect_that!(run(made, Command::Endpoints { node: None }).verdict, eq(Verdict::Wrong), "{endpoints:?}");
+        expect_that!(
+            run(made, Command::Endpoints { node: None }).verdict,
+            eq(Verdict::Wrong),
+            "{endpoints:?}"
+        );
     }
 }
 
@@ -502,7 +522,8 @@
 fn given_a_roster_then_its_machines_are_told_with_the_change_under_way() {
     let mut made = well();
     let next = vec![store(4), store(5), store(7)];
-    let roster = Roster { next: Some(next), filled: vec![700], retiring: vec!["store-6".to_owned()], ..roster() };
+    let roster =
+        Roster { next: Some(next), filled: vec![700], retiring: vec!["store-6".to_owned()], ..roster() };
     made[0].topics.get_mut("roster").unwrap()["roster"] = json!(roster);
     let report = run(made, Command::Roster);
     expect_that!(report.verdict, eq(Verdict::Fine));
--- a/system/state-feed/src/state.rs
+++ b/system/state-feed/src/state.rs
@@ -132,13 +132,32 @@
         if value.ballot <= self.value.ballot {
             return Ok(Learned::default());
         }
-        self.state = Rc::new(match value.payload.is_empty() {
+        let unreadable = |e: postcard::Error| Unreadable { ballot: value.ballot, why: e.to_string() };
+        let mut state: ControlState = match value.payload.is_empty() {
             true => ControlState::default(),
-            false => postcard::from_bytes(&value.payload)
-                .map_err(|e| Unreadable { ballot: value.ballot, why: e.to_string() })?,
-        });
-        self.value = Rc::new(value.clone());
-        Ok(Learned { changed: true, spreads: self.to_all(Push::Value(value)), ..Learned::default() })
+            false => postcard::from_bytes(&value.payload).map_err(unreadable)?,
+        };
+        let same_config = state.taken.last().is_some_and(|taken| self.state.taken.last() == Some(taken));
+        let (whole, slim) = match state.config.is_empty() && !state.taken.is_empty() {
+            // It came without the configuration, which has to be the one known here.
+            true if !same_config => return Ok(Learned { out_of_step: true, ..Learned::default() }),
+            true => {
+                state.config = self.state.config.clone();
+                let payload = postcard::to_allocvec(&state).map_err(unreadable)?.into();
+                (ChosenValue { payload, ..value.clone() }, value)
+            }
+            // Whoever was fed the value before this one has its configuration.
+            false if same_config => {
+                let config = std::mem::take(&mut state.config);
+                let payload = postcard::to_allocvec(&state).map_err(unreadable)?.into();
+                state.config = config;
+                (value.clone(), ChosenValue { payload, ..value })
+            }
+            false => (value.clone(), value),
+        };
+        self.state = Rc::new(state);
+        self.value = Rc::new(whole);
+        Ok(Learned { changed: true, spreads: self.to_all(Push::Value(slim)), ..Learned::default() })
     }
 
     /// Takes a newer list.
--- a/system/state-feed/tests/state.rs
+++ b/system/state-feed/tests/state.rs
@@ -266,3 +266,45 @@
     feed.take(due, beat(0), false).expect("readable");
     expect_that!(feed.fresh_at(), eq(before));
 }
+
+fn configured(round: u64, version: u64, epoch: u64) -> ChosenValue {
+    let mut state = fleet_model::ControlState { config: Bytes::from(vec![7; 9_000]), ..Default::default() };
+    state.taken.push(fleet_model::TakenVersion { version, digest: [version as u8; 32] });
+    state.roster.epoch = epoch;
+    let payload = Bytes::from(postcard::to_allocvec(&state).expect("plain"));
+    ChosenValue { payload, ..value(round) }
+}
+
+#[googletest::test]
+fn a_value_with_the_configuration_that_is_known_goes_round_without_it() {
+    // Given a process that feeds another, both with version 5.
+    let mut feed = FeedState::default();
+    feed.learn_value(configured(3, 5, 1)).expect("readable");
+    feed.confirm(NOW);
+    let subscription = feed.subscribe(NOW, Role::Keeper, PORT, &call(1, "z", false), 1);
+    let mut fed = FeedState::default();
+    for push in subscription.pushes {
+        fed.take(NOW, push, true).expect("readable");
+    }
+    // When the roster changes and the configuration does not.
+    let spreads = feed.learn_value(configured(4, 5, 2)).expect("readable").spreads;
+    let [Spread { push, .. }] = spreads.as_slice() else { panic!("one push") };
+    let Push::Value(slim) = push else { panic!("a value") };
+    expect_that!(slim.payload.len(), lt(200));
+    fed.take(NOW, push.clone(), true).expect("readable");
+    // Then the fed one has all of it, and can feed others with the whole.
+    expect_that!(fed.state().roster.epoch, eq(2));
+    expect_that!(fed.state().config.len(), eq(9_000));
+    expect_that!(fed.value().payload, eq(&feed.value().payload));
+    // And who knows another version cannot use it: it leaves, and gets the whole when it asks again.
+    let mut other = FeedState::default();
+    other.learn_value(configured(2, 4, 1)).expect("readable");
+    expect_true!(other.take(NOW, push.clone(), true).expect("readable").out_of_step);
+    expect_that!(other.state().version(), eq(4));
+    // And a new configuration goes round whole.
+    let spreads = feed.learn_value(configured(5, 6, 2)).expect("readable").spreads;
+    expect_that!(
+        spreads,
+        elements_are![matches_pattern!(Spread { push: eq(&Push::Value(configured(5, 6, 2))), .. })]
+    );
+}
