Keep a turn's copies in different zones where there are several

Cause: by reading: with two machines in the proxy's zone both copies went there, and a lost zone would take them. Change: the nearest first, the others from zones not used yet.

--- a/system/programs/src/turns.rs
+++ b/system/programs/src/turns.rs
@@ -262,6 +262,16 @@
         stores.sort_by_key(|store| {
             (self.is_down(store), store.zone != zone, !rank(turn.attempt.as_bytes(), store.disk))
         });
+        // One copy near, the others apart: a zone may go as a whole.
+        let mut zones: BTreeSet<&str> = BTreeSet::new();
+        let repeated: Vec<bool> = stores.iter().map(|store| !zones.insert(&store.zone)).collect();
+        let mut placed: Vec<(bool, bool, &Store)> = stores
+            .into_iter()
+            .zip(repeated)
+            .map(|(store, repeated)| (self.is_down(store), repeated, store))
+            .collect();
+        placed.sort_by_key(|(down, repeated, _)| (*down, *repeated));
+        let stores: Vec<&Store> = placed.into_iter().map(|(_, _, store)| store).collect();
         let copies = self.losses() + 1;
         if stores.len() < copies {
             return Round::Again;
