--- a/system/fleet-model/src/lib.rs
+++ b/system/fleet-model/src/lib.rs
@@ -400,7 +400,8 @@
 
 /// The machines among `stores` that hold the account of a program: `2 * losses + 1` of them, or all if there are fewer.
 pub fn account_holders<'a>(stores: &'a [Store], program: &str, losses: usize) -> Vec<&'a Store> {
-    let mut ranked: Vec<_> = stores.iter().map(|store| (rank(program.as_bytes(), store.disk), store)).collect();
+    let mut ranked: Vec<_> =
+        stores.iter().map(|store| (rank(program.as_bytes(), store.disk), store)).collect();
     ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.disk.cmp(&b.1.disk)));
     ranked.into_iter().take(2 * losses + 1).map(|(_, store)| store).collect()
 }
