--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -839,44 +839,58 @@
         return Err(too_large());
     }
     let read = async {
-        let mut first = Bytes::new();
-        let mut rest = BytesMut::new();
+        let mut pieces = Pieces::default();
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return Err(Own::closing(StatusCode::BAD_REQUEST)) };
             let data = frame.into_data().unwrap_or_default();
-            if first.len() + rest.len() + data.len() > most {
+            if pieces.len() + data.len() > most {
                 return Err(too_large());
             }
-            if first.is_empty() {
-                first = data;
-            } else {
-                if rest.is_empty() {
-                    rest.extend_from_slice(&std::mem::take(&mut first));
-                    first = Bytes::new();
-                }
-                rest.extend_from_slice(&data);
-            }
+            pieces.add(data);
         }
-        Ok(if rest.is_empty() { first } else { rest.freeze() })
+        Ok(pieces.whole())
     };
     timeout_at(until, read).await.unwrap_or_else(|_| Err(Own::closing(StatusCode::REQUEST_TIMEOUT)))
 }
 
 /// A whole answer, if it is that and not too large.
 async fn read_whole(mut body: Incoming) -> Option<Bytes> {
-    let mut whole = BytesMut::new();
-    let mut only = Bytes::new();
+    let mut pieces = Pieces::default();
     while let Some(frame) = body.frame().await {
         let data = frame.ok()?.into_data().unwrap_or_default();
-        if whole.len() + data.len() > MOST_UNTOLD {
+        if pieces.len() + data.len() > MOST_UNTOLD {
             return None;
         }
-        if whole.is_empty() && only.is_empty() {
-            only = data;
+        pieces.add(data);
+    }
+    Some(pieces.whole())
+}
+
+/// A body as it comes; one that comes in one piece is not copied.
+#[derive(Default)]
+struct Pieces {
+    only: Bytes,
+    several: BytesMut,
+}
+
+impl Pieces {
+    fn len(&self) -> usize {
+        self.only.len() + self.several.len()
+    }
+
+    fn add(&mut self, data: Bytes) {
+        if self.len() == 0 {
+            self.only = data;
         } else {
-            whole.extend_from_slice(&std::mem::take(&mut only));
-            whole.extend_from_slice(&data);
+            self.several.extend_from_slice(&std::mem::take(&mut self.only));
+            self.several.extend_from_slice(&data);
         }
     }
-    Some(if whole.is_empty() { only } else { whole.freeze() })
+
+    fn whole(self) -> Bytes {
+        if self.several.is_empty() { self.only } else { self.several.freeze() }
+    }
 }
+
+#[cfg(test)]
+mod tests;
