Keep a turn's copies in each set while the roster changes

Cause: by reading: with two machines new in the next set both copies could go there; readers of the current set would have said the turn is nowhere (404), and a change of the next set would have left one copy. Change: enough copies in both sets, machines of both first.

--- a/system/programs/src/storage.rs
+++ b/system/programs/src/storage.rs
@@ -223,7 +223,7 @@
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
     let folder = settings.data_directory.clone().ok_or(StartError::Lacking("data_directory"))?;
-    let disk = Arc::new(Disk::open(&folder, &SPACES, drawn)?);
+    let disk = Arc::new(Disk::open(&folder, SPACES, drawn)?);
     let (kept, damages) = load(&disk)?;
     if !damages.is_empty() {
         log::error!("{} damaged records set aside: this machine fills again", damages.len());
--- a/system/programs/src/turns.rs
+++ b/system/programs/src/turns.rs
@@ -258,24 +258,11 @@
         let state = self.feed.state();
         let roster = &state.roster;
         let zone = self.process.settings().zone.clone();
-        let mut stores: Vec<&Store> = roster.next.as_ref().unwrap_or(&roster.current).iter().collect();
-        stores.sort_by_key(|store| {
+        let copies = self.losses() + 1;
+        let stores = copy_order(roster, |store| {
             (self.is_down(store), store.zone != zone, !rank(turn.attempt.as_bytes(), store.disk))
         });
-        // One copy near, the others apart: a zone may go as a whole.
-        let mut zones: BTreeSet<&str> = BTreeSet::new();
-        let repeated: Vec<bool> = stores.iter().map(|store| !zones.insert(&store.zone)).collect();
-        let mut placed: Vec<(bool, bool, &Store)> = stores
-            .into_iter()
-            .zip(repeated)
-            .map(|(store, repeated)| (self.is_down(store), repeated, store))
-            .collect();
-        placed.sort_by_key(|(down, repeated, _)| (*down, *repeated));
-        let stores: Vec<&Store> = placed.into_iter().map(|(_, _, store)| store).collect();
-        let copies = self.losses() + 1;
-        if stores.len() < copies {
-            return Round::Again;
-        }
+        let Some(first) = copies_needed(roster, &stores, copies) else { return Round::Again };
         let record = |holders: Vec<u64>| Turn {
             attempt: turn.attempt.clone(),
             previous: turn.previous.clone(),
@@ -284,16 +271,15 @@
             retention_ms: turn.retention_ms,
             holders,
         };
-        let first: Vec<u64> = stores.iter().take(copies).map(|store| store.disk).collect();
         let keep = async |store: &Store, holders: Vec<u64>| {
             let call = Call::KeepTurn { epoch: roster.epoch, turn: record(holders) };
             (store.disk, self.ask(store, call, PATIENCE).await)
         };
         let mut waiting = stores.iter().copied();
         let mut calls: FuturesUnordered<_> =
-            waiting.by_ref().take(copies).map(|store| keep(store, first.clone())).collect();
+            waiting.by_ref().take(first.len()).map(|store| keep(store, first.clone())).collect();
         let mut kept: BTreeSet<u64> = BTreeSet::new();
-        while kept.len() < copies {
+        while !has_copies(roster, &kept, copies) {
             match timeout(HEDGE, calls.next()).await {
                 Ok(Some((disk, Ok(Answer::Done)))) => drop(kept.insert(disk)),
                 Ok(Some(_)) | Err(_) => match waiting.next() {
@@ -339,6 +325,45 @@
     }
 }
 
+/// The machines that may hold a turn, best first: while the roster changes, those that are in both sets before the others;
+/// then by `order`, with machines of a zone that has one already after those of others, since a zone may go as a whole.
+pub(crate) fn copy_order<'a, K: Ord>(
+    roster: &'a Roster,
+    order: impl Fn(&Store) -> (bool, bool, K),
+) -> Vec<&'a Store> {
+    let next = roster.next.as_deref().unwrap_or(&roster.current);
+    let mut stores: Vec<&Store> = roster.current.iter().collect();
+    stores.extend(next.iter().filter(|store| !roster.current.contains(store)));
+    let in_both = |store: &Store| roster.current.contains(store) && next.contains(store);
+    stores.sort_by_key(|store| {
+        let (down, far, rank) = order(store);
+        (down, !in_both(store), far, rank)
+    });
+    let mut zones: BTreeSet<&str> = BTreeSet::new();
+    let mut placed: Vec<(bool, bool, bool, &Store)> = stores
+        .into_iter()
+        .map(|store| (order(store).0, !in_both(store), !zones.insert(&store.zone), store))
+        .collect();
+    placed.sort_by_key(|(down, single, repeated, _)| (*down, *single, *repeated));
+    placed.into_iter().map(|(.., store)| store).collect()
+}
+
+/// Whether a turn on these disks has its copies, in each of the sets that count: while the roster changes, whichever of
+/// them comes to stand must hold it by itself.
+pub(crate) fn has_copies(roster: &Roster, kept: &BTreeSet<u64>, copies: usize) -> bool {
+    let held = |stores: &[Store]| stores.iter().filter(|store| kept.contains(&store.disk)).count() >= copies;
+    held(&roster.current) && roster.next.as_deref().is_none_or(held)
+}
+
+/// The first of `stores` that give a turn its copies, if all of them do.
+pub(crate) fn copies_needed(roster: &Roster, stores: &[&Store], copies: usize) -> Option<Vec<u64>> {
+    let disks: Vec<u64> = stores.iter().map(|store| store.disk).collect();
+    (1..=disks.len())
+        .map(|count| &disks[..count])
+        .find(|disks| has_copies(roster, &disks.iter().copied().collect(), copies))
+        .map(<[u64]>::to_vec)
+}
+
 /// Who holds an account: among the current machines, and among the next ones while a change is under way.
 struct Holders<'a> {
     current: Vec<&'a Store>,
@@ -461,3 +486,6 @@
         kept
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/system/programs/src/turns/tests.rs
@@ -0,0 +1,53 @@
+//! Where the copies of a turn go.
+
+use super::*;
+use googletest::prelude::*;
+
+fn store(disk: u64, zone: &str) -> Store {
+    Store { name: format!("s{disk}"), ip: Ipv4Addr::new(10, 0, 0, disk as u8), zone: zone.to_owned(), disk }
+}
+
+fn near_first(zone: &str) -> impl Fn(&Store) -> (bool, bool, u64) {
+    move |store| (false, store.zone != zone, store.disk)
+}
+
+fn needed(roster: &Roster, copies: usize) -> Option<Vec<u64>> {
+    copies_needed(roster, &copy_order(roster, near_first("a")), copies)
+}
+
+#[googletest::test]
+fn one_copy_is_near_and_the_other_in_another_zone() {
+    // Given two machines in the proxy's zone.
+    let current = vec![store(1, "a"), store(2, "a"), store(3, "b"), store(4, "c")];
+    let roster = Roster { current, ..Roster::default() };
+    // Then a turn goes to one of them and to another zone.
+    expect_that!(needed(&roster, 2), some(eq(&vec![1, 3])));
+    // And where zones do not suffice, a zone has two.
+    expect_that!(needed(&roster, 4), some(eq(&vec![1, 3, 4, 2])));
+    expect_that!(needed(&roster, 5), none());
+}
+
+#[googletest::test]
+fn a_machine_that_does_not_answer_comes_last() {
+    let current = vec![store(1, "a"), store(2, "b"), store(3, "c")];
+    let roster = Roster { current, ..Roster::default() };
+    let order = copy_order(&roster, |store| (store.disk == 1, store.zone != "a", store.disk));
+    expect_that!(copies_needed(&roster, &order, 2), some(eq(&vec![2, 3])));
+}
+
+#[googletest::test]
+fn while_the_roster_changes_each_of_its_sets_holds_the_turn() {
+    // Given a change that adds two machines, the only ones in the proxy's zone.
+    let current = vec![store(3, "b"), store(4, "c"), store(5, "d")];
+    let next = Some([current.clone(), vec![store(1, "a"), store(2, "a")]].concat());
+    let roster = Roster { current, next, ..Roster::default() };
+    // Then a turn goes to machines of both sets: the new ones alone would leave a reader of the old set without it.
+    expect_that!(needed(&roster, 2), some(eq(&vec![3, 4])));
+    expect_false!(has_copies(&roster, &BTreeSet::from([1, 2]), 2));
+    expect_false!(has_copies(&roster, &BTreeSet::from([1, 3]), 2));
+    expect_true!(has_copies(&roster, &BTreeSet::from([1, 3, 4]), 2));
+    // And one that leaves counts for the old set only.
+    let roster = Roster { next: Some(vec![store(3, "b"), store(4, "c"), store(1, "a")]), ..roster };
+    expect_false!(has_copies(&roster, &BTreeSet::from([3, 5]), 2));
+    expect_true!(has_copies(&roster, &BTreeSet::from([3, 5, 1]), 2));
+}
--- a/system/programs/tests/staff.rs
+++ b/system/programs/tests/staff.rs
@@ -1,5 +1,6 @@
 //! Staff's commands against processes with canned answers, and their parts.
 
+use bpaf::Parser;
 use fleet_model::{Answer, Call, Endpoint, EndpointState, Roster, Store, account_holders};
 use googletest::prelude::*;
 use peer_wire::{Handler, PeerServer, Pusher};
@@ -404,10 +405,10 @@
     let diff = || Command::Config(ConfigCommand::Diff { file: file.clone() });
     std::fs::write(&file, CONFIG).unwrap();
     let same = run(well(), diff());
-    expect_that!((same.verdict, same.text.lines().next()), eq(&(Verdict::Fine, Some("no difference"))));
+    expect_that!((same.verdict, same.text.lines().next()), eq((Verdict::Fine, Some("no difference"))));
     std::fs::write(&file, CONFIG.replace("\"version\":3", "\"version\":4")).unwrap();
     let later = run(well(), diff());
-    expect_that!((later.verdict, later.text.lines().next()), eq(&(Verdict::Fine, Some("version: 3 -> 4"))));
+    expect_that!((later.verdict, later.text.lines().next()), eq((Verdict::Fine, Some("version: 3 -> 4"))));
     std::fs::write(&file, CONFIG.replace("\"version\":3", "\"version\":2")).unwrap();
     let earlier = run(well(), diff());
     expect_that!(earlier.verdict, eq(Verdict::Wrong));
