--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod sim;
 pub mod stage;
 pub mod table;
+pub mod tier;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -15,6 +15,7 @@
 use micadrum_lab::scenario::{Baseline, MOST_PROCESSES, ParseError, Scenario, ScenarioError, Variant};
 use micadrum_lab::sim::{SimError, simulate};
 use micadrum_lab::table::table;
+use micadrum_lab::tier;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -41,6 +42,18 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// Plays the whole tier on loopback, through the loss of a disk, a restart and a new configuration; half a minute.
+    Tier {
+        /// A folder with the tier's programs; without it, those of this project are built and used.
+        #[arg(long)]
+        programs: Option<PathBuf>,
+        /// Draws other programs and other chances.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How long programs are started and troubles come.
+        #[arg(long, default_value_t = 12.0, value_parser = seconds)]
+        seconds: f64,
+    },
     /// Plays a scenario, each seed once with each variant.
     Run(Plays),
     /// Plays a scenario's variants in turn, as often as it says, and compares them.
@@ -115,6 +128,12 @@
     parsed.filter(|range| !range.is_empty()).ok_or_else(|| format!("{text:?} is no range as 0..1000"))
 }
 
+/// Seconds of a play of the tier.
+fn seconds(text: &str) -> Result<f64, String> {
+    let parsed = text.parse().ok().filter(|seconds| (6.0..=600.0).contains(seconds));
+    parsed.ok_or_else(|| format!("{text:?} is no number from 6 to 600"))
+}
+
 #[derive(clap::Args)]
 struct Plays {
     /// The scenario, in TOML.
@@ -199,6 +218,15 @@
                 let scenario = Scenario::parse(include_str!("../scenarios/demo.toml"))?;
                 play_all(scenario, sender, seed, None, false, stop).await
             }
+            Command::Tier { programs, seed, seconds } => {
+                let programs = programs.map_or_else(tier::machines::built_programs, Ok)?;
+                println!("tier, seed {seed}:");
+                let plan = tier::play::Plan { seconds, seed, grace_s: 6.0, tell: true };
+                let played = tier::play::play(plan, &programs, stop).await?;
+                println!("\n{}", tier::table::table(&played));
+                println!("{}", if played.is_good() { "all rules kept" } else { "NOT clean" });
+                Ok(played.is_good())
+            }
             Command::Run(plays) => {
                 let scenario = Scenario { repeats: 1, ..chosen(&plays)? };
                 play_all(scenario, plays.sender, plays.seed, plays.out, false, stop).await
--- /dev/null
+++ b/lab/src/tier/clients.rs
@@ -0,0 +1,387 @@
+//! Stand-in clients behind the platform's front: agent programs of turns, with tools between them.
+use super::endpoints::mixed;
+use super::history::{End, Kind, Program, Recorder, Try, Way};
+use super::operator::HOST;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::header::{CONNECTION, HOST as HOST_HEADER, RETRY_AFTER};
+use hyper::{HeaderMap, Method, Request};
+use micadrum::net::connection::{CallError, Connection, request};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// How long a client waits for one request, over all its tries.
+const DEADLINE: Duration = Duration::from_secs(4);
+/// And so much longer until it calls the silence one.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// A new connection is given so long.
+const CONNECT: Duration = Duration::from_secs(1);
+/// A turn that failed is sent again from its start so often.
+const REPEATS: u32 = 2;
+/// Between two questions whether senders are ready.
+const ASK: Duration = Duration::from_millis(250);
+/// A sender that missed so many has no new connections.
+const MISSES: usize = 2;
+/// The most tokens that a turn of a program generates.
+const MOST: u64 = 24;
+/// The budget of a program that loops.
+const LOOP_BUDGET: u64 = 120;
+/// A program that loops is ended by the lab after so many rounds.
+const MOST_ROUNDS: usize = 60;
+
+/// The front: which senders get new connections.
+pub struct Front {
+    senders: Vec<(SocketAddrV4, SocketAddrV4, AtomicUsize)>,
+}
+
+impl Front {
+    /// A front of senders, by the address for clients and that for readiness.
+    pub fn new(senders: Vec<(SocketAddrV4, SocketAddrV4)>) -> Self {
+        let out = |(front, readiness)| (front, readiness, AtomicUsize::new(MISSES));
+        Self { senders: senders.into_iter().map(out).collect() }
+    }
+
+    /// Asks all senders for good.
+    pub async fn keep_asking(self: Arc<Self>) {
+        loop {
+            for (_, readiness, missed) in &self.senders {
+                match is_ready(*readiness).await {
+                    true => missed.store(0, Ordering::Relaxed),
+                    false => drop(missed.fetch_add(1, Ordering::Relaxed)),
+                }
+            }
+            sleep(ASK).await;
+        }
+    }
+
+    /// Senders that are in.
+    pub fn ready(&self) -> usize {
+        self.senders.iter().filter(|sender| sender.2.load(Ordering::Relaxed) < MISSES).count()
+    }
+
+    /// The sender for a connection, drawn among those that are in, or among all where none is.
+    fn pick(&self, draw: u64) -> SocketAddrV4 {
+        let is_in = |sender: &&(_, _, AtomicUsize)| sender.2.load(Ordering::Relaxed) < MISSES;
+        let mut fronts: Vec<SocketAddrV4> =
+            self.senders.iter().filter(is_in).map(|sender| sender.0).collect();
+        if fronts.is_empty() {
+            fronts = self.senders.iter().map(|sender| sender.0).collect();
+        }
+        fronts[(draw % fronts.len() as u64) as usize]
+    }
+}
+
+async fn is_ready(readiness: SocketAddrV4) -> bool {
+    let ask = async {
+        let head = || request(Method::GET, "/sedgewood/readiness", readiness.into());
+        let answer = Connection::exchange(None, readiness.into(), CONNECT, head, Bytes::new()).await;
+        answer.is_ok_and(|(_, response)| response.status().is_success())
+    };
+    timeout(Duration::from_millis(500), ask).await.unwrap_or(false)
+}
+
+/// All clients.
+pub struct Clients {
+    front: Arc<Front>,
+    recorder: Arc<Recorder>,
+    seed: u64,
+    ids: AtomicU64,
+    /// Whether lookups may be asked for: their route is in force.
+    pub lookups: AtomicBool,
+}
+
+/// A connection that is kept, to this sender.
+type Kept = (SocketAddr, Connection);
+
+/// What a client asks for.
+struct Asked<'a> {
+    program: &'a Line,
+    kind: Kind,
+    previous: Option<&'a str>,
+    input: Bytes,
+}
+
+/// A line of turns of one program.
+struct Line {
+    number: usize,
+    budget: u64,
+    session: u64,
+    finish: Instant,
+}
+
+/// How a request ended, over all its tries.
+enum Ended {
+    /// With this attempt's answer.
+    Done(String),
+    /// With a status after which nothing is tried again.
+    Denied(u16),
+    /// In another way.
+    Failed(String),
+}
+
+/// How a try goes on.
+enum Next {
+    End(Ended),
+    /// It has not run: again, after a pause.
+    Again(Duration, String),
+    /// It may have run.
+    Unknown(String),
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+}
+
+impl Clients {
+    /// Clients that come by this front.
+    pub fn new(front: Arc<Front>, recorder: Arc<Recorder>, seed: u64) -> Self {
+        Self { front, recorder, seed, ids: AtomicU64::new(0), lookups: AtomicBool::new(false) }
+    }
+
+    fn draw(&self) -> u64 {
+        mixed(mixed(self.seed) ^ self.ids.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// One request, with its tries. Lines of turns keep their connection.
+    async fn ask(&self, asked: &Asked<'_>, kept: &mut Option<Kept>) -> Ended {
+        let until = Instant::now() + DEADLINE;
+        let mut last = "no time".to_owned();
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if left < Duration::from_millis(50) {
+                return Ended::Failed(last);
+            }
+            match self.one_try(asked, kept, until).await {
+                Next::End(ended) => return ended,
+                Next::Again(pause, why) => {
+                    last = why;
+                    sleep(pause.min(left / 3)).await;
+                }
+                Next::Unknown(why) if asked.kind == Kind::Idempotent => {
+                    last = why;
+                    sleep(Duration::from_millis(50)).await;
+                }
+                Next::Unknown(why) => return Ended::Failed(why),
+            }
+        }
+    }
+
+    async fn one_try(&self, asked: &Asked<'_>, kept: &mut Option<Kept>, until: Instant) -> Next {
+        let attempt = format!("{:016x}", self.draw());
+        let path = match asked.kind {
+            Kind::Turn => "/turns/next",
+            Kind::NonIdempotent => "/orders/new",
+            Kind::Idempotent => "/lookups/one",
+        };
+        let ms = |until: Instant| until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let head = || {
+            let mut head = Request::builder().method(Method::POST).uri(path).header(HOST_HEADER, HOST);
+            head = head.header("Attempt-Id", &attempt).header("Deadline-Remaining", ms(until));
+            head = head.header("Program", format!("{:x}", asked.program.number));
+            head = head.header("Session", format!("{:x}", asked.program.session));
+            head = head.header("Finish-Ms", ms(asked.program.finish));
+            if asked.kind == Kind::Turn {
+                head = head.header("Model", "m").header("Budget", asked.program.budget);
+                head = head.header("Token-Usage", format!("200,{MOST}"));
+                head = head.header("Prompt-Prefix", format!("{:x}:200", asked.program.session));
+            }
+            match asked.previous {
+                Some(previous) => head.header("Previous", previous),
+                None => head,
+            }
+        };
+        let (address, kept_before) = match kept.take() {
+            Some((address, connection)) => (address, Some(connection)),
+            None => (self.front.pick(self.draw()).into(), None),
+        };
+        // What is sent may run, whatever becomes of its client.
+        let place = {
+            let (program, previous) = (asked.program.number, asked.previous.map(str::to_owned));
+            let (attempt, input) = (attempt.clone(), asked.input.clone());
+            let way = Way { to: Some(address), began: self.recorder.now(), ended: None };
+            let mut history = self.recorder.lock();
+            history.tries.push(Try {
+                program,
+                attempt,
+                kind: asked.kind,
+                previous,
+                input,
+                way,
+                end: End::Left,
+            });
+            history.tries.len() - 1
+        };
+        let exchange = Connection::exchange(kept_before, address, CONNECT, head, asked.input.clone());
+        let silent = until + SILENCE;
+        let (end, next) = match timeout_at(silent, exchange).await {
+            Err(_) => (End::Silent, Next::Unknown("silence".to_owned())),
+            Ok(Err(CallError::Reset(e))) => (End::Broken, Next::Unknown(format!("broken: {e}"))),
+            Ok(Err(e)) => (End::Unsent, Next::Again(Duration::from_millis(50), e.to_string())),
+            Ok(Ok((connection, response))) => {
+                let (head, mut body) = response.into_parts();
+                let mut read = BytesMut::new();
+                let whole = loop {
+                    match timeout_at(silent, body.frame()).await {
+                        Err(_) => break None,
+                        Ok(None) => break Some(true),
+                        Ok(Some(Err(_))) => break Some(false),
+                        Ok(Some(Ok(frame))) => read.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                    }
+                };
+                let status = head.status.as_u16();
+                let closes = header(&head.headers, CONNECTION.as_str()).is_some_and(|value| value == "close");
+                if whole == Some(true) && !closes {
+                    *kept = Some((address, connection));
+                }
+                let pause =
+                    header(&head.headers, RETRY_AFTER.as_str()).and_then(|text| text.parse::<f64>().ok());
+                let pause = Duration::try_from_secs_f64(pause.unwrap_or(0.05)).unwrap_or(ASK);
+                let next = match (status, whole) {
+                    (200..300, Some(true)) => Next::End(Ended::Done(attempt.clone())),
+                    (200..300, _) => Next::Unknown("broken off".to_owned()),
+                    (400 | 401 | 402 | 403 | 404 | 413 | 431, _) => Next::End(Ended::Denied(status)),
+                    (408 | 421 | 429 | 503, _) => Next::Again(pause, status.to_string()),
+                    _ => Next::Unknown(status.to_string()),
+                };
+                let end = match whole {
+                    None => End::Silent,
+                    Some(whole) => End::Answered {
+                        status,
+                        id: header(&head.headers, "attempt-id"),
+                        seal: header(&head.headers, "server-seal"),
+                        body: read.freeze(),
+                        whole,
+                    },
+                };
+                (end, next)
+            }
+        };
+        let now = self.recorder.now();
+        let of = &mut self.recorder.lock().tries[place];
+        (of.end, of.way.ended) = (end, Some(now));
+        next
+    }
+
+    /// One turn, sent again from its start where it failed; its attempt.
+    async fn turn(
+        &self,
+        line: &Line,
+        previous: Option<&str>,
+        input: String,
+        kept: &mut Option<Kept>,
+    ) -> Ended {
+        let asked = Asked { program: line, kind: Kind::Turn, previous, input: input.into() };
+        let mut repeats = 0;
+        loop {
+            let ended = self.ask(&asked, kept).await;
+            if !matches!(ended, Ended::Failed(_)) || repeats == REPEATS {
+                return ended;
+            }
+            repeats += 1;
+            sleep(Duration::from_millis(100 + self.draw() % 300)).await;
+        }
+    }
+
+    /// Several tools at once.
+    async fn tools(self: &Arc<Self>, line: &Arc<Line>, count: u64) -> Result<(), String> {
+        let mut tools = JoinSet::new();
+        for tool in 0..count {
+            let (clients, line) = (self.clone(), line.clone());
+            let lookup = tool % 2 == 1 && self.lookups.load(Ordering::Relaxed);
+            let kind = if lookup { Kind::Idempotent } else { Kind::NonIdempotent };
+            tools.spawn(async move {
+                let input = format!("tool {tool} of {}", line.number).into();
+                let asked = Asked { program: &line, kind, previous: None, input };
+                match clients.ask(&asked, &mut None).await {
+                    Ended::Done(_) => Ok(()),
+                    Ended::Denied(status) => Err(format!("a tool got {status}")),
+                    Ended::Failed(why) => Err(format!("a tool failed: {why}")),
+                }
+            });
+        }
+        while let Some(done) = tools.join_next().await {
+            done.map_err(|e| e.to_string())??;
+        }
+        Ok(())
+    }
+
+    /// A program of several turns.
+    async fn work(self: &Arc<Self>, line: &Arc<Line>, draw: u64) -> Result<(), String> {
+        let mut kept = None;
+        let mut previous: Option<String> = None;
+        for turn in 0..3 + draw % 3 {
+            let input = format!("turn {turn} of {}: {:x}\n", line.number, self.draw());
+            previous = match self.turn(line, previous.as_deref(), input, &mut kept).await {
+                Ended::Done(attempt) => Some(attempt),
+                Ended::Denied(status) => return Err(format!("turn {turn} got {status}")),
+                Ended::Failed(why) => return Err(format!("turn {turn} failed: {why}")),
+            };
+            if turn == 1 && draw.is_multiple_of(4) {
+                self.side_by_side(line, previous.as_deref()).await?;
+            } else {
+                self.tools(line, 1 + self.draw() % 3).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Two sub-agents that continue from the same turn; the number of those that did.
+    async fn side_by_side(&self, line: &Line, previous: Option<&str>) -> Result<(), String> {
+        let (first, second) =
+            (Line { session: line.session ^ 1, ..*line }, Line { session: line.session ^ 2, ..*line });
+        let (mut one, mut other) = (None, None);
+        let (first, second) = tokio::join!(
+            self.turn(&first, previous, format!("first beside {}\n", line.number), &mut one),
+            self.turn(&second, previous, format!("second beside {}\n", line.number), &mut other),
+        );
+        for ended in [first, second] {
+            match ended {
+                Ended::Done(_) => {}
+                Ended::Denied(402) => return Err("402".to_owned()),
+                Ended::Denied(status) => return Err(format!("a sub-agent got {status}")),
+                Ended::Failed(why) => return Err(format!("a sub-agent failed: {why}")),
+            }
+        }
+        Ok(())
+    }
+
+    /// A program that starts sub-agents until its budget is spent, and twice more.
+    async fn repeat(&self, line: &Line) -> Result<(), String> {
+        let (mut kept, mut spent) = (None, 0);
+        for round in 0..MOST_ROUNDS {
+            let first = match self.turn(line, None, format!("round {round}\n"), &mut kept).await {
+                Ended::Done(attempt) => self.side_by_side(line, Some(&attempt)).await,
+                Ended::Denied(402) => Err("402".to_owned()),
+                Ended::Denied(status) => Err(format!("a round got {status}")),
+                Ended::Failed(why) => Err(why),
+            };
+            match first {
+                Ok(()) => {}
+                Err(why) if why == "402" && spent < 2 => spent += 1,
+                Err(why) if why == "402" => return Ok(()),
+                Err(why) => return Err(why),
+            }
+        }
+        Err("its budget did not end it".to_owned())
+    }
+
+    /// Runs one program to its end; `loops`: until it gets 402.
+    pub async fn run(self: Arc<Self>, number: usize, loops: bool, finish: Duration) {
+        self.recorder.lock().started += 1;
+        let draw = self.draw();
+        let budget = if loops { LOOP_BUDGET } else { MOST * 40 };
+        let line = Arc::new(Line { number, budget, session: draw, finish: Instant::now() + finish });
+        let running = async {
+            match loops {
+                true => self.repeat(&line).await,
+                false => self.work(&line, draw).await,
+            }
+        };
+        let end = timeout(finish, running).await.unwrap_or_else(|_| Err("not over in its time".to_owned()));
+        self.recorder.lock().programs.push(Program { number, budget, most: MOST, end });
+    }
+}
--- /dev/null
+++ b/lab/src/tier/judge.rs
@@ -0,0 +1,203 @@
+//! Whether the tier kept its rules, from a history alone.
+use super::history::{End, History, Kind, Run, TOKENS_PER_EVENT, Try};
+use bytes::Bytes;
+use std::collections::{BTreeMap, HashMap};
+
+/// A rule of the tier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// What may run once ran once.
+    Twice,
+    /// What a client was told has not run did not run.
+    Refused,
+    /// What ran is what a client sent; a turn's body is the chain before it and its input.
+    Unasked,
+    /// An answer belongs to its request.
+    Mixed,
+    /// A stream ends whole, or visibly broken.
+    Ended,
+    /// A turn that a client saw end is there for the next.
+    Lost,
+    /// A program's tokens stay within its budget and one turn's most.
+    Budget,
+    /// The configuration read back is the newest that was acknowledged.
+    Configuration,
+}
+
+/// Each rule that was broken, with what was seen.
+pub type Breaches = BTreeMap<Rule, Vec<String>>;
+
+/// Of the programs, so many in a hundred have to finish.
+pub const LEAST_FINISHED: usize = 90;
+
+/// What a history comes to.
+#[derive(Clone, Debug)]
+pub struct Verdict {
+    /// Broken rules.
+    pub breaches: Breaches,
+    /// Programs started.
+    pub started: usize,
+    /// Programs that finished.
+    pub finished: usize,
+}
+
+impl Verdict {
+    /// Whether no rule was broken and enough programs finished.
+    pub fn is_good(&self) -> bool {
+        self.breaches.is_empty() && self.started > 0 && self.finished * 100 >= self.started * LEAST_FINISHED
+    }
+}
+
+/// The data of the whole events in a stream, each with a line feed after it, and their number.
+pub fn output(stream: &[u8]) -> (Vec<u8>, u64) {
+    let (mut output, mut count) = (Vec::new(), 0);
+    let text = String::from_utf8_lossy(stream);
+    // What stands after the last blank line is no whole event.
+    let whole = text.rfind("\n\n").map_or("", |end| &text[..end]);
+    for event in whole.split("\n\n") {
+        if let Some(data) = event.lines().find_map(|line| line.strip_prefix("data: ")) {
+            output.extend_from_slice(data.as_bytes());
+            output.push(b'\n');
+            count += 1;
+        }
+    }
+    (output, count)
+}
+
+struct Judge<'a> {
+    history: &'a History,
+    tries: HashMap<&'a str, &'a Try>,
+    runs: HashMap<&'a str, Vec<&'a Run>>,
+    breaches: Breaches,
+}
+
+/// Judges a history.
+pub fn judge(history: &History) -> Verdict {
+    let mut runs: HashMap<&str, Vec<&Run>> = HashMap::new();
+    for run in &history.runs {
+        runs.entry(&run.attempt).or_default().push(run);
+    }
+    let tries = history.tries.iter().map(|t| (t.attempt.as_str(), t)).collect();
+    let mut judge = Judge { history, tries, runs, breaches: Breaches::new() };
+    history.runs.iter().for_each(|run| judge.run(run));
+    history.tries.iter().for_each(|t| judge.a_try(t));
+    judge.budgets();
+    judge.configurations();
+    Verdict {
+        breaches: judge.breaches,
+        started: history.started,
+        finished: history.programs.iter().filter(|program| program.end.is_ok()).count(),
+    }
+}
+
+impl<'a> Judge<'a> {
+    fn breach(&mut self, rule: Rule, what: String) {
+        self.breaches.entry(rule).or_default().push(what);
+    }
+
+    /// Inputs and outputs of a turn and of those before it, as their clients saw them; none if one was not seen whole.
+    fn chain(&self, mut last: Option<&'a str>) -> Option<Vec<u8>> {
+        let mut parts = Vec::new();
+        while let Some(attempt) = last {
+            let turn = self.tries.get(attempt)?;
+            let End::Answered { status: 200, body, whole: true, .. } = &turn.end else { return None };
+            parts.push([turn.input.to_vec(), output(body).0].concat());
+            last = turn.previous.as_deref();
+        }
+        parts.reverse();
+        Some(parts.concat())
+    }
+
+    fn run(&mut self, run: &'a Run) {
+        let Some(asked) = self.tries.get(run.attempt.as_str()).copied() else {
+            return self.breach(Rule::Unasked, format!("{} ran, and no client sent it", run.attempt));
+        };
+        let Some(mut body) = self.chain(asked.previous.as_deref()) else {
+            return self.breach(Rule::Unasked, format!("{} ran on a turn that has not ended", run.attempt));
+        };
+        body.extend_from_slice(&asked.input);
+        if run.body != body {
+            let (found, due) = (run.body.len(), body.len());
+            let what =
+                format!("{} ran with a body of {found} bytes that is not the one due, {due}", run.attempt);
+            self.breach(Rule::Unasked, what);
+        }
+    }
+
+    fn a_try(&mut self, asked: &'a Try) {
+        let attempt = &asked.attempt;
+        let runs = self.runs.get(attempt.as_str()).cloned().unwrap_or_default();
+        let once = asked.kind != Kind::Idempotent;
+        if once && runs.len() > 1 {
+            let at: Vec<_> = runs.iter().map(|run| run.instance.as_str()).collect();
+            self.breach(Rule::Twice, format!("{attempt} ran {} times, at {}", runs.len(), at.join(", ")));
+        }
+        match &asked.end {
+            End::Unsent if once && !runs.is_empty() => {
+                self.breach(Rule::Refused, format!("{attempt} ran, and was closed unread"));
+            }
+            End::Unsent | End::Broken | End::Left => {}
+            End::Silent => self.breach(Rule::Ended, format!("{attempt} got neither an end nor a break")),
+            End::Answered { status, id, seal, body, whole } => {
+                if once && matches!(status, 402 | 408 | 421 | 429 | 503) && !runs.is_empty() {
+                    self.breach(Rule::Refused, format!("{attempt} ran, and was answered {status}"));
+                }
+                let known = asked.previous.as_deref().is_some_and(|p| self.chain(Some(p)).is_some());
+                if *status == 404 && known {
+                    self.breach(Rule::Lost, format!("{attempt} got 404 for a turn that had ended"));
+                }
+                if id.as_ref().is_some_and(|id| id != attempt) {
+                    self.breach(Rule::Mixed, format!("{attempt} was answered as {id:?}"));
+                }
+                if (200..300).contains(status) || seal.is_some() {
+                    self.answer(attempt, &runs, seal.as_deref(), body, *whole);
+                }
+            }
+        }
+    }
+
+    /// An endpoint's answer.
+    fn answer(&mut self, attempt: &str, runs: &[&Run], seal: Option<&str>, body: &Bytes, whole: bool) {
+        let Some(run) = runs.iter().find(|run| Some(run.seal.as_str()) == seal) else {
+            return self
+                .breach(Rule::Mixed, format!("{attempt} got an answer of no run of its own: {seal:?}"));
+        };
+        if !run.answer.starts_with(body) {
+            self.breach(Rule::Mixed, format!("{attempt} got other bytes than its run gave"));
+        } else if whole && run.answer != body {
+            let (found, due) = (body.len(), run.answer.len());
+            self.breach(Rule::Ended, format!("{attempt} ended as if whole after {found} bytes of {due}"));
+        }
+    }
+
+    fn budgets(&mut self) {
+        for program in &self.history.programs {
+            let of =
+                self.history.tries.iter().filter(|t| t.program == program.number && t.kind == Kind::Turn);
+            let events = of.map(|t| match &t.end {
+                End::Answered { status: 200, body, .. } => output(body).1,
+                _ => 0,
+            });
+            let tokens = events.sum::<u64>() * TOKENS_PER_EVENT;
+            if tokens > program.budget + program.most {
+                let (number, budget, most) = (program.number, program.budget, program.most);
+                let what = format!("program {number} got {tokens} tokens, of {budget} and one turn's {most}");
+                self.breach(Rule::Budget, what);
+            }
+        }
+    }
+
+    fn configurations(&mut self) {
+        let known = &self.history.configurations;
+        let Some(newest) = known.acknowledged.iter().max() else { return };
+        let what = match &known.read {
+            None => format!("version {newest} could not be read back"),
+            // One that was sent and not acknowledged may have been taken.
+            Some(read) if known.sent.iter().any(|(version, bytes)| version >= newest && bytes == read) => {
+                return;
+            }
+            Some(read) => format!("{} bytes were read that are not version {newest}", read.len()),
+        };
+        self.breach(Rule::Configuration, what);
+    }
+}
--- /dev/null
+++ b/lab/src/tier/machines.rs
@@ -0,0 +1,332 @@
+//! The tier's machines: real processes on loopback addresses, each with a settings file and, where it has a disk, a folder.
+use crate::fleet::FleetError;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, Command};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+/// Ports that a machine uses, from the first on: four among processes, then these.
+const PORTS: u16 = 8;
+const CONTROL: u16 = 4;
+const FRONT: u16 = 5;
+const READINESS: u16 = 6;
+/// Ports are looked for here, below those that the system gives to outgoing connections.
+const PORT_RANGE: std::ops::Range<u16> = 12_000..30_000;
+/// So many places are looked at.
+const MOST_LOOKS: usize = 200;
+
+/// Zones with their region.
+const ZONES: [&str; 3] = ["lab-a", "lab-b", "lab-c"];
+
+/// A program of the tier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// On core machines.
+    ConfigKeeper,
+    /// On storage machines.
+    TurnKeeper,
+    /// On edge machines, beside each proxy.
+    ProxyAgent,
+    /// On edge machines.
+    RequestProxy,
+}
+
+impl Role {
+    /// Its program's name.
+    pub fn program(self) -> &'static str {
+        match self {
+            Self::ConfigKeeper => "config-keeper",
+            Self::TurnKeeper => "turn-keeper",
+            Self::ProxyAgent => "proxy-agent",
+            Self::RequestProxy => "request-proxy",
+        }
+    }
+
+    fn class(self) -> (&'static str, &'static [&'static str]) {
+        match self {
+            Self::ConfigKeeper => ("core", &["control_plane"]),
+            Self::TurnKeeper => ("storage", &["storage"]),
+            Self::ProxyAgent => ("edge", &[]),
+            Self::RequestProxy => ("edge", &["edge"]),
+        }
+    }
+
+    fn has_disk(self) -> bool {
+        matches!(self, Self::ConfigKeeper | Self::TurnKeeper)
+    }
+}
+
+/// Addresses of all machines.
+#[derive(Clone, Debug)]
+pub struct Addresses {
+    /// The first port of the core, the storage and the first edge machine.
+    base: u16,
+    /// The first ports of the edge machines.
+    edge_bases: Vec<u16>,
+    /// Core machines.
+    pub core: Vec<Ipv4Addr>,
+    /// Storage machines.
+    pub storage: Vec<Ipv4Addr>,
+    /// Edge machines.
+    pub edge: Vec<Ipv4Addr>,
+}
+
+fn io(what: &'static str) -> impl FnOnce(std::io::Error) -> FleetError {
+    move |source| FleetError::Io { what, source }
+}
+
+impl Addresses {
+    /// Addresses for so many machines, with ports that are free now.
+    pub async fn find(core: u8, storage: u8, edge: u8, seed: u64) -> Result<Self, FleetError> {
+        let ips = |net: u8, count: u8| (1..=count).map(|n| Ipv4Addr::new(127, 0, net, n)).collect::<Vec<_>>();
+        let (core, storage, edge) = (ips(10, core), ips(20, storage), ips(30, edge));
+        let all: Vec<Ipv4Addr> =
+            core.iter().chain(&storage).chain(&edge).copied().chain([Ipv4Addr::LOCALHOST]).collect();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ u64::from(std::process::id()));
+        let mut bases: Vec<u16> = Vec::new();
+        for _ in 0..MOST_LOOKS {
+            let base = rng.random_range(PORT_RANGE) / PORTS * PORTS;
+            if !bases.contains(&base) && is_free(&all, base).await {
+                bases.push(base);
+            }
+            if bases.len() == edge.len() {
+                return Ok(Self { base: bases[0], edge_bases: bases, core, storage, edge });
+            }
+        }
+        Err(FleetError::Io { what: "finding free ports", source: std::io::ErrorKind::AddrInUse.into() })
+    }
+
+    /// Where the operator calls a core machine.
+    pub fn control(&self, number: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.core[number], self.base + CONTROL)
+    }
+
+    /// Where clients call an edge machine.
+    pub fn front(&self, number: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.edge[number], self.edge_bases[number] + FRONT)
+    }
+
+    /// Where the platform asks an edge machine whether it is ready.
+    pub fn readiness(&self, number: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.edge[number], self.edge_bases[number] + READINESS)
+    }
+
+    /// Carries calls of the edge machines that have other ports than the rest to the core and storage machines. All
+    /// machines have the same ports where each has a loopback of its own; here proxies and agents share one, so that
+    /// the ports of edge machines must differ.
+    pub async fn carry(&self, parties: &mut JoinSet<()>) -> Result<(), FleetError> {
+        for base in self.edge_bases.iter().filter(|base| **base != self.base) {
+            for ip in self.core.iter().chain(&self.storage) {
+                let listener = TcpListener::bind((*ip, *base)).await.map_err(io("listening"))?;
+                parties.spawn(carry(listener, SocketAddrV4::new(*ip, self.base)));
+            }
+        }
+        Ok(())
+    }
+
+    /// The settings of a process.
+    fn settings(&self, role: Role, number: usize, platform: SocketAddrV4, grace_s: f64) -> Value {
+        let (class, serves) = role.class();
+        let ip = match class {
+            "core" => self.core[number],
+            "storage" => self.storage[number],
+            _ => self.edge[number],
+        };
+        let base = if class == "edge" { self.edge_bases[number] } else { self.base };
+        let listen = match role {
+            Role::ConfigKeeper => json!({"control_plane": self.control(number)}),
+            Role::RequestProxy => json!({"front": self.front(number), "readiness": self.readiness(number)}),
+            Role::TurnKeeper | Role::ProxyAgent => json!({}),
+        };
+        let seeds: Vec<_> = (0..self.core.len().min(3)).map(|number| self.control(number)).collect();
+        let zones: serde_json::Map<_, _> =
+            ZONES.iter().map(|zone| ((*zone).to_owned(), json!("lab"))).collect();
+        json!({
+            "node_name": format!("{class}-{number}"), "role": role.program(), "machine_class": class,
+            "serves": serves, "ip_address": ip, "zone": ZONES[number % ZONES.len()], "region": "lab",
+            "zones": zones, "listen_addresses": listen, "internal_port_range": [base, base + 3],
+            "seed_nodes": seeds, "first_start": true, "counted_loss": false,
+            "limits": {"cpu_share": 1.0, "cpu_cores": 1, "memory_mb": 400, "max_file_descriptors": 4100,
+                "link_mbps": 1000.0, "disk_mb": if role.has_disk() { 1000 } else { 0 }},
+            "data_directory": null, "discovery": "cloud_api", "entry_mode": "virtual_ip",
+            "heartbeat_interval_ms": 1000,
+            "contracts": ["base", "drain", "config", "recover", "agent", "stream", "engine"],
+            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
+            "bounds": {"grace_period_s": grace_s, "drain_ms": 2000, "catch_up_s": 4.0, "config_apply_ms": 2000,
+                "recovery_s": 12},
+            "cloud_api": {"address": platform, "rate_per_s": 10.0, "duties": [], "max_lag_ms": 500},
+        })
+    }
+}
+
+async fn is_free(ips: &[Ipv4Addr], base: u16) -> bool {
+    for ip in ips {
+        for port in base..base + PORTS {
+            if TcpListener::bind((*ip, port)).await.is_err() {
+                return false;
+            }
+        }
+    }
+    true
+}
+
+async fn carry(listener: TcpListener, to: SocketAddrV4) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((mut stream, _)) = accepted else { continue };
+                connections.spawn(async move {
+                    if let Ok(mut onward) = TcpStream::connect(to).await {
+                        let _ = (stream.set_nodelay(true), onward.set_nodelay(true));
+                        // However it ends, both ends are closed.
+                        let _ = copy_bidirectional(&mut stream, &mut onward).await;
+                    }
+                });
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+/// The folder with the tier's programs, built if they are not up to date, in the profile of the lab itself.
+pub fn built_programs() -> Result<PathBuf, FleetError> {
+    let lab = std::env::current_exe().map_err(io("finding this program"))?;
+    let folder = lab.parent().unwrap_or(Path::new("."));
+    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
+    let manifest = Path::new(env!("CARGO_MANIFEST_DIR")).join("../Cargo.toml");
+    if manifest.exists() {
+        let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+        let mut build = std::process::Command::new(cargo);
+        build.args(["build", "--quiet", "--locked", "-p", "system-programs", "--bins", "--manifest-path"]);
+        build.arg(&manifest).arg("--target-dir").arg(folder.parent().unwrap_or(folder));
+        if folder.ends_with("release") {
+            build.arg("--release");
+        }
+        let built = build.output().map_err(io("starting cargo"))?;
+        if !built.status.success() {
+            return Err(FleetError::Build(String::from_utf8_lossy(&built.stderr).into_owned()));
+        }
+    }
+    for role in [Role::ConfigKeeper, Role::TurnKeeper, Role::ProxyAgent, Role::RequestProxy] {
+        let program = folder.join(role.program());
+        if !program.exists() {
+            return Err(FleetError::Build(format!("{} is missing", program.display())));
+        }
+    }
+    Ok(folder.to_owned())
+}
+
+/// One process of the tier. Dropping it kills the process.
+pub struct Machine {
+    /// Its role and its number among those of the role.
+    pub name: String,
+    program: PathBuf,
+    folder: PathBuf,
+    settings: Value,
+    starts: u32,
+    child: Option<Child>,
+}
+
+impl Machine {
+    /// One in a folder of its own below `folder`, not yet started.
+    pub fn new(
+        programs: &Path,
+        folder: &Path,
+        addresses: &Addresses,
+        (role, number): (Role, usize),
+        platform: SocketAddrV4,
+        grace_s: f64,
+    ) -> Result<Self, FleetError> {
+        let name = format!("{}-{number}", role.program());
+        let folder = folder.join(&name);
+        let mut settings = addresses.settings(role, number, platform, grace_s);
+        let data = folder.join("data");
+        std::fs::create_dir_all(&data).map_err(io("making a folder"))?;
+        if role.has_disk() {
+            settings["data_directory"] = json!(data);
+        }
+        Ok(Self { name, program: programs.join(role.program()), folder, settings, starts: 0, child: None })
+    }
+
+    /// Starts the process with its settings, and with what its folder holds.
+    pub fn start(&mut self) -> Result<(), FleetError> {
+        let file = self.folder.join("node.yaml");
+        // JSON is YAML.
+        std::fs::write(&file, self.settings.to_string()).map_err(io("writing a file"))?;
+        // Whatever comes after this is no first start.
+        self.settings["first_start"] = json!(false);
+        let log = std::fs::File::options().create(true).append(true).open(self.folder.join("log"));
+        let child = Command::new(&self.program)
+            .env("SEDGEWOOD_BOOT", &file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log.map_err(io("making a log"))?)
+            // ctrl-C is for the lab, which then ends its processes.
+            .process_group(0)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(io("starting a program"))?;
+        self.starts += 1;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Whether it was started and has ended by itself.
+    pub fn crashed(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// SIGKILL, and waits for the end.
+    pub async fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill().await;
+        }
+    }
+
+    /// SIGTERM, waits for the end, and SIGKILL where it does not come within `patience`; true if it came.
+    pub async fn terminate(&mut self, patience: Duration) -> bool {
+        let Some(mut child) = self.child.take() else { return false };
+        if let Some(pid) = child.id().and_then(|id| i32::try_from(id).ok()) {
+            // One that has just ended hears nothing.
+            let _ = kill(Pid::from_raw(pid), Signal::SIGTERM);
+        }
+        let ended = timeout(patience, child.wait()).await.is_ok();
+        if !ended {
+            let _ = child.kill().await;
+        }
+        ended
+    }
+
+    /// Gives it an empty disk; the former one is gone with the play. Its process must have ended.
+    pub async fn wipe(&self) -> Result<(), FleetError> {
+        let data = self.folder.join("data");
+        // Removing a folder waits for the disk; renaming it seldom does.
+        let lost = self.folder.join(format!("lost-{}", self.starts));
+        tokio::fs::rename(&data, &lost).await.map_err(io("emptying a folder"))?;
+        tokio::fs::create_dir(&data).await.map_err(io("making a folder"))
+    }
+
+    /// Its process's number.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
+    /// The end of its log.
+    pub fn last_lines(&self, count: usize) -> String {
+        let text = std::fs::read(self.folder.join("log")).unwrap_or_default();
+        let text = String::from_utf8_lossy(&text);
+        let lines: Vec<_> = text.lines().collect();
+        lines[lines.len().saturating_sub(count)..].join("\n")
+    }
+}
--- /dev/null
+++ b/lab/src/tier/operator.rs
@@ -0,0 +1,124 @@
+//! The stand-in operator.
+use super::history::{Recorder, TOKENS_PER_EVENT};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Method;
+use hyper::header::{CONTENT_TYPE, IF_MATCH};
+use micadrum::net::connection::{Connection, request};
+use serde_json::json;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+/// The host of all routes.
+pub const HOST: &str = "tier.example";
+/// Longest time for one call.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Pause before the next sender is tried.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// The configuration: turns and orders, and with `lookups` a third route, all on the services of the play.
+pub fn configuration(version: u64, lookups: bool) -> Bytes {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({"name": name, "hostname": HOST, "path_prefix": format!("/{name}/"), "route_type": kind,
+            "timeout_ms": 6000, "target_latency_ms": 400, "priority": 1, "service": service, "max_attempts": 3})
+    };
+    let mut turns = route("turns", "streaming", "engine");
+    turns["retained"] = json!(true);
+    turns["retention_s"] = json!(60.0);
+    turns["session_affinity"] = json!(true);
+    turns["gap_aim_ms"] = json!(400);
+    let mut routes = vec![turns, route("orders", "non_idempotent", "orders")];
+    if lookups {
+        routes.push(route("lookups", "idempotent", "lookups"));
+    }
+    let service = |name: &str| json!({"name": name, "health_check_path": "/health", "max_connections": 200});
+    let mut engine = service("engine");
+    engine["engine"] = json!({"capacity_slots": 8, "kv_cache_tokens": 200_000,
+        "tokens_per_event": TOKENS_PER_EVENT, "models": [{"name": "m"}]});
+    let text = json!({
+        "version": version, "routes": routes, "services": [engine, service("orders"), service("lookups")],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4_194_304, "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000},
+    });
+    text.to_string().into()
+}
+
+/// The operator, with the senders that it knows.
+pub struct Operator {
+    keepers: Vec<SocketAddrV4>,
+    recorder: Arc<Recorder>,
+}
+
+impl Operator {
+    /// One that knows these.
+    pub fn new(keepers: Vec<SocketAddrV4>, recorder: Arc<Recorder>) -> Self {
+        Self { keepers, recorder }
+    }
+
+    async fn call(
+        &self,
+        keeper: SocketAddrV4,
+        method: Method,
+        on: Option<u64>,
+        body: Bytes,
+    ) -> Option<(u16, Bytes)> {
+        let head = || {
+            let head = request(method.clone(), "/sedgewood/config", keeper.into());
+            match on {
+                Some(on) => head.header(IF_MATCH, on).header(CONTENT_TYPE, "application/json"),
+                None => head,
+            }
+        };
+        let exchange = async {
+            let (_kept, response) =
+                Connection::exchange(None, keeper.into(), PATIENCE, head, body.clone()).await.ok()?;
+            let status = response.status().as_u16();
+            Some((status, response.into_body().collect().await.ok()?.to_bytes()))
+        };
+        timeout(PATIENCE, exchange).await.ok().flatten()
+    }
+
+    /// Sends a configuration on top of version `on` to one keeper after another, until it is acknowledged or `patience`
+    /// is over; whether it was.
+    pub async fn put(&self, version: u64, on: u64, body: Bytes, patience: Duration) -> bool {
+        self.recorder.lock().configurations.sent.push((version, body.clone()));
+        let until = Instant::now() + patience;
+        for keeper in self.keepers.iter().cycle() {
+            match self.call(*keeper, Method::PUT, Some(on), body.clone()).await {
+                Some((200, _)) => {
+                    self.recorder.lock().configurations.acknowledged.push(version);
+                    self.recorder.event(format!("configuration {version} acknowledged by {}", keeper.ip()));
+                    return true;
+                }
+                Some((status @ (400 | 409 | 412 | 413 | 422), text)) => {
+                    let text = String::from_utf8_lossy(&text).into_owned();
+                    self.recorder.event(format!("configuration {version} refused: {status} {text}"));
+                    return false;
+                }
+                _ => {}
+            }
+            if Instant::now() >= until {
+                break;
+            }
+            sleep(AGAIN).await;
+        }
+        false
+    }
+
+    /// Reads the configuration back, from one keeper after another until one gives it.
+    pub async fn read(&self, patience: Duration) {
+        let until = Instant::now() + patience;
+        for keeper in self.keepers.iter().cycle() {
+            if let Some((200, body)) = self.call(*keeper, Method::GET, None, Bytes::new()).await {
+                self.recorder.lock().configurations.read = Some(body);
+                return;
+            }
+            if Instant::now() >= until {
+                return;
+            }
+            sleep(AGAIN).await;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/tier/play.rs
@@ -0,0 +1,334 @@
+//! One play of the tier: all machines and stand-ins on loopback, the troubles in their time, and the verdict.
+use super::clients::{Clients, Front};
+use super::endpoints::{self, Endpoint, Platform};
+use super::history::{History, Kind, Recorder};
+use super::judge::{Verdict, judge};
+use super::machines::{Addresses, Machine, Role};
+use super::operator::{Operator, configuration};
+use crate::fleet::FleetError;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::sync::{Mutex, watch};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// The tier is ready within this, or it does not start.
+const START_PATIENCE: Duration = Duration::from_secs(30);
+/// Between two programs that start.
+const PROGRAMS: Duration = Duration::from_millis(120);
+/// One program in so many loops until its budget is spent.
+const LOOPS: usize = 12;
+/// How long a program has.
+const FINISH: Duration = Duration::from_secs(20);
+/// The last program starts so long before the end.
+const TAIL: f64 = 0.15;
+/// From an acknowledgement until a configuration must be in force.
+const APPLY: Duration = Duration::from_secs(2);
+/// How long the operator tries.
+const OPERATOR: Duration = Duration::from_secs(5);
+/// How long the platform refuses to tell the list.
+const LIMITED: Duration = Duration::from_secs(1);
+/// How long a killed storage machine is away.
+const AWAY: Duration = Duration::from_millis(300);
+
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// How long, in seconds.
+    pub seconds: f64,
+    /// Draws other programs and other chances.
+    pub seed: u64,
+    /// From SIGTERM to SIGKILL, in seconds.
+    pub grace_s: f64,
+    /// Whether it is told how it goes.
+    pub tell: bool,
+}
+
+/// What came of a play.
+#[derive(Debug)]
+pub struct Played {
+    /// What endpoints ran and clients saw.
+    pub history: History,
+    /// What that comes to.
+    pub verdict: Verdict,
+    /// Processes that ended by themselves, with the end of their logs.
+    pub crashes: Vec<String>,
+    /// Processes that did not end within their time after SIGTERM, with the same.
+    pub late_ends: Vec<String>,
+    /// Calls that endpoints refused as full, and as meant for another incarnation.
+    pub turned_away: (u64, u64),
+    /// Calls for the list that were answered, and that were over the rate.
+    pub list_calls: (u64, u64),
+    /// Numbers of all processes that were started.
+    pub pids: Vec<u32>,
+    /// Stopped before its end.
+    pub cut_short: bool,
+}
+
+impl Played {
+    /// Whether the rules were kept, enough programs finished, and no process failed, in a whole play.
+    pub fn is_good(&self) -> bool {
+        self.verdict.is_good() && self.crashes.is_empty() && self.late_ends.is_empty() && !self.cut_short
+    }
+}
+
+fn io(what: &'static str) -> impl FnOnce(std::io::Error) -> FleetError {
+    move |source| FleetError::Io { what, source }
+}
+
+/// All processes of the tier.
+struct Tier {
+    /// With the proxies last: they need the others.
+    machines: Vec<(Role, Mutex<Machine>)>,
+    pids: Mutex<Vec<u32>>,
+    crashes: Mutex<Vec<String>>,
+    late_ends: Mutex<Vec<String>>,
+    /// Gone with the tier.
+    _folder: TempDir,
+}
+
+impl Tier {
+    fn new(
+        programs: &Path,
+        addresses: &Addresses,
+        platform: SocketAddrV4,
+        grace_s: f64,
+    ) -> Result<Self, FleetError> {
+        let folder = tempfile::tempdir().map_err(io("making a folder"))?;
+        let roles = [
+            (Role::ConfigKeeper, addresses.core.len()),
+            (Role::TurnKeeper, addresses.storage.len()),
+            (Role::ProxyAgent, addresses.edge.len()),
+            (Role::RequestProxy, addresses.edge.len()),
+        ];
+        let mut machines = Vec::new();
+        for (role, count) in roles {
+            for number in 0..count {
+                let place = (role, number);
+                let machine = Machine::new(programs, folder.path(), addresses, place, platform, grace_s)?;
+                machines.push((role, Mutex::new(machine)));
+            }
+        }
+        Ok(Self {
+            machines,
+            pids: Mutex::default(),
+            crashes: Mutex::default(),
+            late_ends: Mutex::default(),
+            _folder: folder,
+        })
+    }
+
+    fn machine(&self, role: Role, number: usize) -> &Mutex<Machine> {
+        let mut of = self.machines.iter().filter(|(other, _)| *other == role);
+        &of.nth(number).expect("a machine of the play").1
+    }
+
+    async fn start(&self, machine: &mut Machine) -> Result<(), FleetError> {
+        machine.start()?;
+        self.pids.lock().await.extend(machine.pid());
+        Ok(())
+    }
+
+    async fn start_all(&self) -> Result<(), FleetError> {
+        for (_, machine) in &self.machines {
+            self.start(&mut *machine.lock().await).await?;
+        }
+        Ok(())
+    }
+
+    async fn note_crashes(&self) {
+        for (_, machine) in &self.machines {
+            let mut machine = machine.lock().await;
+            if machine.crashed() {
+                let crash = format!("{} ended by itself:\n{}", machine.name, machine.last_lines(5));
+                self.crashes.lock().await.push(crash);
+            }
+        }
+    }
+
+    async fn logs(&self) -> String {
+        let mut logs = String::new();
+        for (_, machine) in &self.machines {
+            let machine = machine.lock().await;
+            logs += &format!("{}:\n{}\n", machine.name, machine.last_lines(3));
+        }
+        logs
+    }
+
+    async fn end(&self) {
+        for (_, machine) in &self.machines {
+            machine.lock().await.kill().await;
+        }
+    }
+}
+
+struct Stage {
+    tier: Tier,
+    recorder: Arc<Recorder>,
+    operator: Operator,
+    front: Arc<Front>,
+    clients: Arc<Clients>,
+    platform: Arc<Platform>,
+    endpoints: Vec<Arc<Endpoint>>,
+    plan: Plan,
+}
+
+/// Plays once with the programs of a folder; `stop`, once over 0, ends it early.
+pub async fn play(plan: Plan, programs: &Path, mut stop: watch::Receiver<u32>) -> Result<Played, FleetError> {
+    let recorder = Arc::new(Recorder::new(plan.tell));
+    let mut parties = JoinSet::new();
+    let mut endpoints = Vec::new();
+    let services =
+        [("engine", Kind::Turn, 8), ("orders", Kind::NonIdempotent, 3), ("lookups", Kind::Idempotent, 3)];
+    for number in 1..=7 {
+        let (service, kind, slots) = services[usize::from(number - 1) % services.len()];
+        let (endpoint, listener) =
+            Endpoint::bind(number, service, kind, slots).await.map_err(io("listening"))?;
+        parties.spawn(endpoints::serve(endpoint.clone(), recorder.clone(), listener));
+        endpoints.push(endpoint);
+    }
+    let ip = Ipv4Addr::new(127, 0, 40, 1);
+    let listener = TcpListener::bind((ip, 0)).await.map_err(io("listening"))?;
+    let list = SocketAddrV4::new(ip, listener.local_addr().map_err(io("listening"))?.port());
+    let platform = Arc::new(Platform::new(endpoints.clone()));
+    parties.spawn(platform.clone().serve(listener));
+
+    let addresses = Addresses::find(3, 3, 2, plan.seed).await?;
+    addresses.carry(&mut parties).await?;
+    let tier = Tier::new(programs, &addresses, list, plan.grace_s)?;
+    let keepers = (0..addresses.core.len()).map(|number| addresses.control(number)).collect();
+    let senders =
+        (0..addresses.edge.len()).map(|number| (addresses.front(number), addresses.readiness(number)));
+    let front = Arc::new(Front::new(senders.collect()));
+    parties.spawn(front.clone().keep_asking());
+    let clients = Arc::new(Clients::new(front.clone(), recorder.clone(), plan.seed));
+    let operator = Operator::new(keepers, recorder.clone());
+    let stage = Stage { tier, recorder, operator, front, clients, platform, endpoints, plan };
+
+    let cut_short = tokio::select! {
+        done = stage.whole() => {
+            if let Err(e) = done {
+                stage.tier.end().await;
+                return Err(e);
+            }
+            false
+        }
+        _ = stop.wait_for(|count| *count > 0) => true,
+    };
+    stage.tier.note_crashes().await;
+    stage.tier.end().await;
+    parties.shutdown().await;
+    let history = stage.recorder.lock().clone();
+    let (mut full, mut misdirected) = (0, 0);
+    for endpoint in &stage.endpoints {
+        let (one, other) = endpoint.turned_away();
+        (full, misdirected) = (full + one, misdirected + other);
+    }
+    let [answered, limited] = &stage.platform.calls;
+    let crashes = std::mem::take(&mut *stage.tier.crashes.lock().await);
+    let late_ends = std::mem::take(&mut *stage.tier.late_ends.lock().await);
+    let pids = std::mem::take(&mut *stage.tier.pids.lock().await);
+    Ok(Played {
+        verdict: judge(&history),
+        history,
+        crashes,
+        late_ends,
+        turned_away: (full, misdirected),
+        list_calls: (answered.load(Ordering::Relaxed), limited.load(Ordering::Relaxed)),
+        pids,
+        cut_short,
+    })
+}
+
+impl Stage {
+    async fn whole(&self) -> Result<(), FleetError> {
+        self.raise().await?;
+        let began = Instant::now();
+        let at = |share: f64| began + Duration::from_secs_f64(self.plan.seconds * share);
+        let traffic = async {
+            let mut programs = JoinSet::new();
+            let mut number = 1;
+            while Instant::now() < at(1.0 - TAIL) {
+                programs.spawn(self.clients.clone().run(number, number % LOOPS == 2, FINISH));
+                number += 1;
+                sleep(PROGRAMS).await;
+            }
+            while programs.join_next().await.is_some() {}
+        };
+        let troubles = async {
+            tokio::try_join!(
+                async {
+                    sleep_until(at(0.2)).await;
+                    if self.operator.put(9, 4, configuration(9, true), OPERATOR).await {
+                        sleep(APPLY).await;
+                        self.clients.lookups.store(true, Ordering::Relaxed);
+                    }
+                    Ok::<_, FleetError>(())
+                },
+                self.lose_a_disk(at(0.35)),
+                self.restart_a_proxy(at(0.5)),
+                async {
+                    sleep_until(at(0.6)).await;
+                    self.recorder.event("an endpoint begins anew at its address");
+                    self.endpoints[0].begin_anew().await;
+                    self.recorder.event("the platform tells no list for a while");
+                    self.platform.limited.store(true, Ordering::Relaxed);
+                    sleep(LIMITED).await;
+                    self.platform.limited.store(false, Ordering::Relaxed);
+                    Ok(())
+                },
+            )
+        };
+        let ((), troubles) = tokio::join!(traffic, troubles);
+        troubles?;
+        self.operator.read(OPERATOR).await;
+        Ok(())
+    }
+
+    /// Starts the tier, gives it a configuration, and waits until a first program has gone through.
+    async fn raise(&self) -> Result<(), FleetError> {
+        self.tier.start_all().await?;
+        let ready = async {
+            while !self.operator.put(4, 0, configuration(4, false), START_PATIENCE).await {}
+            while self.front.ready() < 2 {
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        if timeout(START_PATIENCE, ready).await.is_err() {
+            return Err(FleetError::NotReady { sender: self.front.ready(), log: self.tier.logs().await });
+        }
+        self.recorder.event("both proxies are ready");
+        self.clients.clone().run(0, false, START_PATIENCE).await;
+        Ok(())
+    }
+
+    async fn lose_a_disk(&self, at: Instant) -> Result<(), FleetError> {
+        sleep_until(at).await;
+        let mut machine = self.tier.machine(Role::TurnKeeper, 1).lock().await;
+        machine.kill().await;
+        machine.wipe().await?;
+        self.recorder.event(format!("{} was killed and lost its disk", machine.name));
+        sleep(AWAY).await;
+        self.tier.start(&mut machine).await?;
+        self.recorder.event(format!("{} starts on an empty disk", machine.name));
+        Ok(())
+    }
+
+    async fn restart_a_proxy(&self, at: Instant) -> Result<(), FleetError> {
+        sleep_until(at).await;
+        let mut machine = self.tier.machine(Role::RequestProxy, 0).lock().await;
+        self.recorder.event(format!("{} gets SIGTERM", machine.name));
+        if !machine.terminate(Duration::from_secs_f64(self.plan.grace_s)).await {
+            let late = format!("{} did not end in its time:\n{}", machine.name, machine.last_lines(5));
+            self.tier.late_ends.lock().await.push(late);
+        }
+        self.tier.start(&mut machine).await?;
+        self.recorder.event(format!("{} starts again", machine.name));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lab/src/tier/table.rs
@@ -0,0 +1,75 @@
+//! The table that a play of the tier ends with.
+use super::history::{End, Kind, Try};
+use super::judge::LEAST_FINISHED;
+use super::play::Played;
+use std::fmt::Write;
+
+/// Breaches of one rule, and unfinished programs, that are told.
+const MOST_TOLD: usize = 5;
+
+/// Last tries that are told of a program that did not finish.
+const MOST_ENDS: usize = 5;
+
+/// A try's end, when it began, how long it took and the sender.
+fn told(of: &Try) -> String {
+    let end = match &of.end {
+        End::Answered { status, whole: true, .. } => status.to_string(),
+        End::Answered { status, whole: false, .. } => format!("{status} cut"),
+        other => format!("{other:?}").to_lowercase(),
+    };
+    let took =
+        of.way.ended.map_or("?".to_owned(), |ended| format!("{:.2}", (ended - of.way.began).as_secs_f64()));
+    let to = of.way.to.map_or(String::new(), |to| format!(" {}", to.ip()));
+    format!("{end} ({:.1} s +{took}{to})", of.way.began.as_secs_f64())
+}
+
+/// A play's figures, for a terminal.
+pub fn table(played: &Played) -> String {
+    let (history, verdict) = (&played.history, &played.verdict);
+    let mut text = String::new();
+    let mut row = |name: &str, value: String| {
+        let _ = writeln!(text, "{name:<44} {value:>10}");
+    };
+    let tries = |kind: Kind| history.tries.iter().filter(move |t| t.kind == kind);
+    let count = |of: fn(&Try) -> bool| history.tries.iter().filter(|t| of(t)).count().to_string();
+    row("programs started", verdict.started.to_string());
+    row(&format!("  finished (at least {LEAST_FINISHED} in 100)"), verdict.finished.to_string());
+    row("tries of turns", tries(Kind::Turn).count().to_string());
+    row("tries of tools that run once", tries(Kind::NonIdempotent).count().to_string());
+    row("tries of tools that may run again", tries(Kind::Idempotent).count().to_string());
+    row("runs at endpoints", history.runs.len().to_string());
+    row("answers whole", count(|t| matches!(t.end, End::Answered { status: 200, whole: true, .. })));
+    row("streams broken off", count(|t| matches!(t.end, End::Answered { whole: false, .. })));
+    row("budgets spent (402)", count(|t| matches!(t.end, End::Answered { status: 402, .. })));
+    row(
+        "refused by the tier, to be tried again",
+        count(|t| matches!(t.end, End::Answered { status: 503, .. })),
+    );
+    row("connections that did not come up", count(|t| t.end == End::Unsent));
+    row("connections broken without an answer", count(|t| t.end == End::Broken));
+    row("calls refused by full endpoints", played.turned_away.0.to_string());
+    row("calls meant for another incarnation", played.turned_away.1.to_string());
+    row("calls for the list, and over its rate", format!("{}, {}", played.list_calls.0, played.list_calls.1));
+    let versions: Vec<_> = history.configurations.acknowledged.iter().map(u64::to_string).collect();
+    row("configurations acknowledged", versions.join(", "));
+    row("rules broken", verdict.breaches.len().to_string());
+    let unfinished = history.programs.iter().filter_map(|p| Some((p.number, p.end.as_ref().err()?)));
+    for (number, why) in unfinished.take(MOST_TOLD) {
+        let ends: Vec<_> = history.tries.iter().filter(|t| t.program == number).map(told).collect();
+        let last = ends[ends.len().saturating_sub(MOST_ENDS)..].join(", ");
+        let _ = writeln!(text, "not finished: program {number}, {why}; its last tries: {last}");
+    }
+    for (rule, told) in &verdict.breaches {
+        let _ = writeln!(text, "\nRULE BROKEN: {rule:?}, {} times", told.len());
+        for what in told.iter().take(MOST_TOLD) {
+            let _ = writeln!(text, "  {what}");
+        }
+    }
+    for fault in played.crashes.iter().chain(&played.late_ends) {
+        let _ = writeln!(text, "\nPROCESS FAILED: {fault}");
+    }
+    if played.cut_short {
+        text.push_str("\nThe play was cut short: these figures are of a part of it.\n");
+    }
+    text
+}
--- /dev/null
+++ b/lab/tests/tier.rs
@@ -0,0 +1,262 @@
+//! The tier's play: each rule of the judge on a made-up history, and short plays of the real programs on loopback, of which only
+//! what no slow machine breaks is asserted.
+use bytes::Bytes;
+use micadrum_lab::fleet::FleetError;
+use micadrum_lab::tier::history::{End, History, Kind, Program, Run, Try, Way};
+use micadrum_lab::tier::judge::{Rule, judge, output};
+use micadrum_lab::tier::machines::built_programs;
+use micadrum_lab::tier::play::{Plan, Played, play};
+use std::path::Path;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Two events.
+const STREAM: &str = "id: 1\ndata: a b\n\nid: 2\ndata: c\n\n";
+/// Their data, as it stands in a chain.
+const OUTPUT: &str = "a b\nc\n";
+
+fn run(attempt: &str, body: &str, answer: &'static str) -> Run {
+    Run {
+        instance: "i-1".into(),
+        attempt: attempt.into(),
+        body: Bytes::copy_from_slice(body.as_bytes()),
+        seal: format!("seal-{attempt}"),
+        answer: answer.into(),
+    }
+}
+
+fn answered(attempt: &str, status: u16, body: &'static str, whole: bool) -> End {
+    let seal = (status == 200).then(|| format!("seal-{attempt}"));
+    End::Answered { status, id: Some(attempt.into()), seal, body: body.into(), whole }
+}
+
+fn asked(attempt: &str, kind: Kind, previous: Option<&str>, end: End) -> Try {
+    let previous = previous.map(str::to_owned);
+    let way = Way::default();
+    Try {
+        program: 1,
+        attempt: attempt.into(),
+        kind,
+        previous,
+        input: format!("in-{attempt}\n").into(),
+        way,
+        end,
+    }
+}
+
+/// One program with a turn, one that continues from it, and a tool; all is well.
+fn history() -> History {
+    let mut history = History { started: 1, ..History::default() };
+    history.runs = vec![
+        run("one", "in-one\n", STREAM),
+        run("two", &format!("in-one\n{OUTPUT}in-two\n"), STREAM),
+        run("tool", "in-tool\n", "done"),
+    ];
+    history.tries = vec![
+        asked("one", Kind::Turn, None, answered("one", 200, STREAM, true)),
+        asked("two", Kind::Turn, Some("one"), answered("two", 200, STREAM, true)),
+        asked("tool", Kind::NonIdempotent, None, answered("tool", 200, "done", true)),
+    ];
+    history.programs = vec![Program { number: 1, budget: 8, most: 4, end: Ok(()) }];
+    history.configurations.sent = vec![(4, "four".into()), (9, "nine".into())];
+    history.configurations.acknowledged = vec![4, 9];
+    history.configurations.read = Some("nine".into());
+    history
+}
+
+/// The rules that are broken once the good history is changed so.
+fn broken(change: impl FnOnce(&mut History)) -> Vec<Rule> {
+    let mut changed = history();
+    change(&mut changed);
+    judge(&changed).breaches.into_keys().collect()
+}
+
+#[test]
+fn a_history_in_which_all_is_well_breaks_nothing() {
+    assert_eq!(broken(|_| {}), []);
+    assert!(judge(&history()).is_good());
+}
+
+#[test]
+fn the_output_of_a_stream_is_the_data_of_its_whole_events() {
+    assert_eq!(output(STREAM.as_bytes()), (OUTPUT.into(), 2));
+    assert_eq!(output(b"id: 1\ndata: a\n\nid: 2\ndata: b"), (b"a\n".to_vec(), 1));
+    assert_eq!(output(b""), (Vec::new(), 0));
+}
+
+#[test]
+fn what_may_run_once_is_caught_when_it_runs_twice() {
+    for attempt in ["two", "tool"] {
+        let twice = |history: &mut History| {
+            let again = history.runs.iter().find(|run| run.attempt == attempt).unwrap().clone();
+            history.runs.push(again);
+        };
+        assert_eq!(broken(twice), [Rule::Twice], "{attempt}");
+        let idempotent = |history: &mut History| {
+            twice(history);
+            history.tries.iter_mut().for_each(|t| t.kind = Kind::Idempotent);
+        };
+        assert_eq!(broken(idempotent), [], "{attempt}");
+    }
+}
+
+#[test]
+fn a_promise_that_was_broken_is_caught() {
+    for status in [402, 408, 421, 429, 503] {
+        assert_eq!(
+            broken(|h| h.tries[2].end = answered("tool", status, "", true)),
+            [Rule::Refused],
+            "{status}"
+        );
+    }
+    assert_eq!(broken(|h| h.tries[2].end = End::Unsent), [Rule::Refused]);
+    for status in [502, 504] {
+        assert_eq!(broken(|h| h.tries[2].end = answered("tool", status, "", true)), [], "{status}");
+    }
+    assert_eq!(broken(|h| h.tries[2].end = End::Broken), []);
+}
+
+#[test]
+fn a_body_that_is_not_chain_and_input_is_caught() {
+    let bodies = [
+        "in-two\n".to_owned(),
+        format!("in-one\n{OUTPUT}"),
+        "in-one\na b\nin-two\n".to_owned(),
+        format!("{OUTPUT}in-one\nin-two\n"),
+        format!("in-one\n{OUTPUT}in-one\n{OUTPUT}in-two\n"),
+    ];
+    for body in bodies {
+        assert_eq!(broken(|h| h.runs[1].body = body.clone().into()), [Rule::Unasked], "{body:?}");
+    }
+    assert_eq!(broken(|h| h.runs[2].body = "in-other\n".into()), [Rule::Unasked]);
+}
+
+#[test]
+fn a_run_that_nobody_asked_for_is_caught() {
+    assert_eq!(broken(|h| h.runs.push(run("stranger", "", "done"))), [Rule::Unasked]);
+}
+
+#[test]
+fn a_run_on_a_turn_that_broke_off_is_caught() {
+    let cut = |h: &mut History| h.tries[0].end = answered("one", 200, "id: 1\ndata: a b\n\n", false);
+    assert_eq!(broken(cut), [Rule::Unasked]);
+}
+
+#[test]
+fn an_answer_of_another_request_is_caught() {
+    assert_eq!(broken(|h| h.tries[2].end = answered("one", 200, STREAM, true)), [Rule::Mixed]);
+    assert_eq!(broken(|h| h.tries[2].end = answered("tool", 200, "other", true)), [Rule::Mixed]);
+    assert_eq!(broken(|h| h.tries[2].end = answered("tool", 200, "done and more", true)), [Rule::Mixed]);
+    let unsealed = |h: &mut History| {
+        let End::Answered { seal, .. } = &mut h.tries[2].end else { unreachable!() };
+        *seal = None;
+    };
+    assert_eq!(broken(unsealed), [Rule::Mixed]);
+    let of_another = |h: &mut History| h.tries[2].end = answered("one", 502, "", true);
+    assert_eq!(broken(of_another), [Rule::Mixed]);
+}
+
+#[test]
+fn a_stream_that_ends_early_as_if_whole_or_never_is_caught() {
+    let short = "id: 1\ndata: a b\n\n";
+    assert_eq!(broken(|h| h.tries[1].end = answered("two", 200, short, true)), [Rule::Ended]);
+    assert_eq!(broken(|h| h.tries[1].end = answered("two", 200, short, false)), []);
+    assert_eq!(broken(|h| h.tries[1].end = End::Silent), [Rule::Ended]);
+}
+
+#[test]
+fn a_turn_that_ended_and_is_not_there_is_caught() {
+    let lost = |h: &mut History| {
+        h.runs.remove(1);
+        h.tries[1].end = answered("two", 404, "", true);
+    };
+    assert_eq!(broken(lost), [Rule::Lost]);
+    let unknown = |h: &mut History| {
+        lost(h);
+        h.tries[1].previous = Some("never".into());
+    };
+    assert_eq!(broken(unknown), []);
+}
+
+#[test]
+fn more_tokens_than_the_budget_and_one_turns_most_are_caught() {
+    // Four events of two tokens.
+    assert_eq!(broken(|h| (h.programs[0].budget, h.programs[0].most) = (4, 4)), []);
+    assert_eq!(broken(|h| (h.programs[0].budget, h.programs[0].most) = (3, 4)), [Rule::Budget]);
+    let cut = |h: &mut History| {
+        (h.programs[0].budget, h.programs[0].most) = (1, 4);
+        h.tries[1].end = answered("two", 200, "id: 1\ndata: a b\n\nid: 2\nda", false);
+    };
+    assert_eq!(broken(cut), [Rule::Budget], "what came before a break counts");
+}
+
+#[test]
+fn a_configuration_read_back_that_is_not_the_newest_is_caught() {
+    assert_eq!(broken(|h| h.configurations.read = Some("four".into())), [Rule::Configuration]);
+    assert_eq!(broken(|h| h.configurations.read = Some("nin".into())), [Rule::Configuration]);
+    assert_eq!(broken(|h| h.configurations.read = None), [Rule::Configuration]);
+    assert_eq!(broken(|h| h.configurations.acknowledged = vec![4]), [], "one without an answer may be taken");
+}
+
+#[test]
+fn fewer_than_ninety_in_a_hundred_programs_are_not_enough() {
+    let verdict = |finished: usize, started: usize| {
+        let mut history = History { started, ..history() };
+        let end = |number| if number < finished { Ok(()) } else { Err("late".to_owned()) };
+        let program = |number| Program { number: number + 10, budget: 8, most: 4, end: end(number) };
+        history.programs = (0..started).map(program).collect();
+        judge(&history).is_good()
+    };
+    assert!(verdict(90, 100));
+    assert!(!verdict(89, 100));
+    assert!(!verdict(0, 0));
+}
+
+/// Processes of the tier that still run.
+fn left(played: &Played, programs: &Path) -> usize {
+    let runs = |pid: &&u32| {
+        std::fs::read_link(format!("/proc/{pid}/exe")).is_ok_and(|program| program.starts_with(programs))
+    };
+    played.pids.iter().filter(runs).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_tier_that_loses_a_disk_and_restarts_a_proxy_keeps_its_rules() {
+    let programs = built_programs().unwrap();
+    let (_stop, stopped) = watch::channel(0);
+    let plan = Plan { seconds: 6.0, seed: 3, grace_s: 4.0, tell: false };
+    let played = play(plan, &programs, stopped).await.unwrap();
+    assert!(played.verdict.breaches.is_empty(), "{:?}", played.verdict.breaches);
+    assert!(played.crashes.is_empty() && !played.cut_short, "{:?}", played.crashes);
+    assert_eq!(played.history.configurations.acknowledged.first(), Some(&4));
+    assert!(played.verdict.finished > 0 && played.history.programs.len() == played.verdict.started);
+    let chained = played.history.tries.iter().filter(|t| t.previous.is_some()).count();
+    assert!(chained > 0 && played.history.runs.len() > chained, "{chained}");
+    let told = |what: &str| played.history.events.iter().any(|(_, event)| event.contains(what));
+    assert!(told("turn-keeper-1 starts on an empty disk") && told("request-proxy-0 starts again"));
+    assert_eq!(played.pids.len(), 12, "ten processes, of which two were started again");
+    assert_eq!(left(&played, &programs), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_play_that_is_stopped_leaves_no_process() {
+    let programs = built_programs().unwrap();
+    let (stop, stopped) = watch::channel(0);
+    let plan = Plan { seconds: 600.0, seed: 4, grace_s: 4.0, tell: false };
+    let stopping = async {
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        stop.send_replace(1);
+    };
+    let (played, ()) = tokio::join!(play(plan, &programs, stopped), stopping);
+    let played = played.unwrap();
+    assert!(played.cut_short && !played.is_good());
+    assert_eq!((played.pids.len(), left(&played, &programs)), (10, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_folder_without_the_programs_is_an_error() {
+    let (_stop, stopped) = watch::channel(0);
+    let plan = Plan { seconds: 6.0, seed: 5, grace_s: 4.0, tell: false };
+    let error = play(plan, Path::new("/nowhere"), stopped).await.unwrap_err();
+    assert!(matches!(error, FleetError::Io { .. }), "{error}");
+}
