Play a fleet's control traffic hollow, and work out what the system bears

Need: nothing told what each role spends for control and where it ends at 340 senders, 600 endpoints and 57,000 programs.

--- /dev/null
+++ b/lab/src/hollow/world.rs
@@ -0,0 +1,1264 @@
+//! The hollow fleet's machines, its network and its clock.
+
+use super::feed::{BEAT, Feed, MOST_AGE, Outgoing};
+use super::keeper::{Keeper, LIST, Run, Wanted, apply};
+use super::{Plan, Role, Tally};
+use bytes::Bytes;
+use config_register::{Change, Learner, Proposal, Step, Verdict};
+use fleet_model::{
+    AcceptedValue, Answer, Ballot, Call, ChosenValue, ControlState, Endpoint, EndpointList, EndpointState,
+    Fence, Frame, RegisterReply, RegisterRequest, RegisterValue, Roster, Store, TakenVersion, rank,
+};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+const MS: u64 = 1_000;
+/// One way: over loopback, within a zone, between zones, between regions.
+const DELAYS: [u64; 4] = [20, 100, 1_400, 12_000];
+/// How long a subscriber waits for an answer, connecting included; as long for a register's answer.
+const PATIENCE: u64 = 300 * MS;
+/// After so long a sender notices that its bytes are not acknowledged.
+const USER_TIMEOUT: u64 = 2_000 * MS;
+/// A killed process is back after so long.
+const RESTART: u64 = 800 * MS;
+
+/// How a process comes by its feed.
+#[derive(Debug, Default)]
+struct Follow {
+    urgent: bool,
+    sole: Option<usize>,
+    pressing: bool,
+    queue: VecDeque<usize>,
+    others: VecDeque<usize>,
+    asking: Option<u64>,
+    fed: Option<u64>,
+    newest: u64,
+    began: u64,
+    before: Option<u64>,
+    pause: u64,
+}
+
+/// One process.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) role: Role,
+    pub(crate) ip: Ipv4Addr,
+    pub(crate) zone: usize,
+    machine_up: bool,
+    up: bool,
+    life: u32,
+    pub(crate) feed: Feed,
+    follow: Option<Follow>,
+    pub(crate) keeper: Option<Keeper>,
+    disk: u64,
+    pub(crate) tally: Tally,
+    version: u64,
+    /// When it last had a newer configuration or list in force.
+    pub(crate) version_at: u64,
+    pub(crate) list_at: u64,
+    filled_for: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// Feeds its caller.
+    Feed,
+    /// Brings a keeper the lists of the duty's holder.
+    Lists,
+    /// Calls and answers.
+    Calls,
+}
+
+#[derive(Debug)]
+struct Link {
+    kind: Kind,
+    caller: (usize, u32),
+    callee: (usize, u32),
+    open: bool,
+}
+
+#[derive(Clone, Debug)]
+enum Due {
+    Frame(u64, Bytes),
+    Closed(u64),
+    Beat,
+    Follow,
+    AskOver(u64),
+    Stale(u64),
+    Poll(u64),
+    CallOver(u64),
+    Retry(u64),
+    Duty,
+    Judge,
+    Start,
+}
+
+#[derive(Debug)]
+enum Pending {
+    Poll(u64, Ipv4Addr),
+    Fetch,
+    Run(u64, Ipv4Addr),
+    Inspect(u64),
+    Filled(u64),
+}
+
+struct Item(u64, u64, usize, u32, Due);
+
+impl PartialEq for Item {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Item {}
+impl PartialOrd for Item {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Item {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// The whole fleet.
+pub(crate) struct World {
+    pub(crate) now: u64,
+    pub(crate) nodes: Vec<Node>,
+    plan: Plan,
+    links: HashMap<u64, Link>,
+    peers: BTreeMap<(usize, usize), u64>,
+    pending: HashMap<u64, (usize, Pending)>,
+    due: BinaryHeap<Reverse<Item>>,
+    number: u64,
+    rng: ChaCha8Rng,
+    by_ip: HashMap<Ipv4Addr, usize>,
+    keepers: Vec<usize>,
+    cut: bool,
+    clock_cost: u64,
+    /// The platform's list, page by page, as the platform would answer.
+    platform: Vec<Endpoint>,
+    pages: Vec<String>,
+    pub(crate) listed_at: u64,
+}
+
+/// Processor time of this thread, in nanoseconds.
+pub(super) fn processor() -> u64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    u64::try_from(time.tv_sec).unwrap_or(0) * 1_000_000_000 + u64::try_from(time.tv_nsec).unwrap_or(0)
+}
+
+#[derive(serde::Deserialize)]
+struct Page {
+    instances: Vec<Line>,
+}
+
+#[derive(serde::Deserialize)]
+struct Line {
+    instance_id: String,
+    service: String,
+    address: SocketAddrV4,
+    zone: String,
+    capacity_slots: u32,
+    state: String,
+}
+
+impl World {
+    /// A fleet with its first configuration, all processes starting within 0.3 s.
+    pub(crate) fn new(plan: &Plan) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
+        let mut world = Self {
+            now: 60_000 * MS,
+            nodes: Vec::new(),
+            plan: plan.clone(),
+            links: HashMap::new(),
+            peers: BTreeMap::new(),
+            pending: HashMap::new(),
+            due: BinaryHeap::new(),
+            number: 0,
+            by_ip: HashMap::new(),
+            keepers: Vec::new(),
+            cut: false,
+            clock_cost: (0..1_000)
+                .map(|_| {
+                    let began = processor();
+                    processor() - began
+                })
+                .sum::<u64>()
+                / 1_000,
+            platform: plan.endpoint_list(),
+            pages: Vec::new(),
+            listed_at: 0,
+            rng: ChaCha8Rng::seed_from_u64(rng.next_u64()),
+        };
+        world.write_pages();
+        for index in 0..plan.keepers {
+            let node = world.add(Role::Keeper, index, index % plan.zones);
+            world.keepers.push(node);
+        }
+        for index in 0..plan.stores {
+            world.add(Role::Store, index, index % plan.zones);
+        }
+        for index in 0..plan.senders {
+            let agent = world.add(Role::Agent, index, index % plan.zones);
+            let proxy = world.add(Role::Proxy, index, index % plan.zones);
+            world.nodes[proxy].follow = Some(Follow { sole: Some(agent), ..Follow::default() });
+        }
+        let voters: Vec<Ipv4Addr> = world.keepers.iter().map(|node| world.nodes[*node].ip).collect();
+        let stores = world.nodes.iter().filter(|node| node.role == Role::Store);
+        let current = stores.map(|node| Store {
+            name: format!("storage-{}", node.ip),
+            ip: node.ip,
+            zone: plan.zone(node.zone),
+            disk: node.disk,
+        });
+        let state = ControlState {
+            config: plan.config(1),
+            taken: (0..plan.taken).map(|_| TakenVersion { version: 1, digest: [7; 32] }).collect(),
+            fences: BTreeMap::from([(LIST.to_owned(), Fence { number: 1, holder: Some(voters[0]) })]),
+            roster: Roster { epoch: 1, current: current.collect(), ..Roster::default() },
+        };
+        let payload = Bytes::from(postcard::to_allocvec(&state).expect("a state can be written"));
+        let ballot = Ballot { round: 1 << 16, proposer: 1 };
+        let accepted =
+            AcceptedValue { ballot, value: RegisterValue { epoch: 0, voters: voters.clone(), payload } };
+        for node in world.keepers.clone() {
+            world.nodes[node].keeper = Some(Keeper::new(&accepted));
+            let value =
+                ChosenValue { ballot, voters: voters.clone(), payload: accepted.value.payload.clone() };
+            world.nodes[node].feed.learn_value(value);
+            world.nodes[node].feed.set_proxies(u32::try_from(plan.senders).unwrap_or(u32::MAX));
+        }
+        for node in 0..world.nodes.len() {
+            let at = world.draw(300 * MS);
+            world.later(node, at, Due::Start);
+        }
+        world
+    }
+
+    fn add(&mut self, role: Role, index: usize, zone: usize) -> usize {
+        let place = u8::try_from(index % 250).unwrap_or(0) + 1;
+        let block = u8::try_from(index / 250).unwrap_or(0);
+        let class = match role {
+            Role::Keeper => 10,
+            Role::Store => 20,
+            Role::Agent | Role::Proxy => 30,
+        };
+        let ip = Ipv4Addr::new(10, class, block, place);
+        let node = self.nodes.len();
+        if role != Role::Proxy {
+            self.by_ip.insert(ip, node);
+        }
+        let follow = (role != Role::Keeper).then(|| Follow {
+            urgent: role == Role::Store,
+            pressing: role == Role::Store,
+            ..Follow::default()
+        });
+        self.nodes.push(Node {
+            role,
+            ip,
+            zone,
+            machine_up: true,
+            up: true,
+            life: 0,
+            feed: Feed::default(),
+            follow,
+            keeper: None,
+            disk: rank(&ip.octets(), 1),
+            tally: Tally::default(),
+            version: 0,
+            version_at: 0,
+            list_at: 0,
+            filled_for: 0,
+        });
+        node
+    }
+
+    fn write_pages(&mut self) {
+        let line = |e: &Endpoint| {
+            let state = if e.state == EndpointState::Ready { "ready" } else { "draining" };
+            format!(
+                r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","capacity_slots":{},"state":"{state}","cold_remaining_ms":0,"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"instance_id":"{}"}}"#,
+                e.service, e.address, e.zone, e.capacity_slots, e.instance_id
+            )
+        };
+        self.pages = self
+            .platform
+            .chunks(50)
+            .map(|page| {
+                format!(r#"{{"instances":[{}]}}"#, page.iter().map(line).collect::<Vec<_>>().join(","))
+            })
+            .collect();
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.rng.random_range(0..below)
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.number += 1;
+        self.number
+    }
+
+    fn later(&mut self, node: usize, after: u64, due: Due) {
+        let number = self.next_number();
+        let life = self.nodes[node].life;
+        self.due.push(Reverse(Item(self.now + after, number, node, life, due)));
+    }
+
+    fn region(&self, node: usize) -> usize {
+        self.nodes[node].zone * self.plan.regions / self.plan.zones
+    }
+
+    fn distance(&self, a: usize, b: usize) -> usize {
+        let (one, other) = (&self.nodes[a], &self.nodes[b]);
+        if one.ip == other.ip {
+            0
+        } else if one.zone == other.zone {
+            1
+        } else {
+            2 + usize::from(self.region(a) != self.region(b))
+        }
+    }
+
+    fn reaches(&self, a: usize, b: usize) -> bool {
+        self.nodes[b].machine_up
+            && self.nodes[a].machine_up
+            && !(self.cut && self.region(a) != self.region(b))
+    }
+
+    /// Runs for so long.
+    pub(crate) fn run_for(&mut self, time: u64) {
+        let until = self.now + time;
+        while self.due.peek().is_some_and(|Reverse(item)| item.0 <= until) {
+            let Some(Reverse(Item(at, _, node, life, due))) = self.due.pop() else { break };
+            self.now = at;
+            if self.nodes[node].life != life || !self.nodes[node].up {
+                if let Due::Start = due
+                    && self.nodes[node].machine_up
+                    && self.nodes[node].life == life
+                {
+                    self.nodes[node].up = true;
+                } else {
+                    continue;
+                }
+            }
+            let began = processor();
+            self.handle(node, due);
+            let spent = (processor() - began).saturating_sub(self.clock_cost);
+            let tally = &mut self.nodes[node].tally;
+            tally.cpu_ns += spent;
+            tally.wakes += 1;
+        }
+        self.now = until;
+    }
+
+    fn handle(&mut self, node: usize, due: Due) {
+        match due {
+            Due::Start => self.start(node),
+            Due::Frame(link, bytes) => self.frame(node, link, &bytes),
+            Due::Closed(link) => self.closed(node, link),
+            Due::Beat => {
+                let beats = self.nodes[node].feed.beat(self.now);
+                self.spread(node, beats);
+                self.later(node, BEAT, Due::Beat);
+            }
+            Due::Follow => self.follow_round(node),
+            Due::AskOver(link) => {
+                if self.nodes[node].follow.as_ref().is_some_and(|follow| follow.asking == Some(link)) {
+                    self.close(node, link);
+                    self.asked_in_vain(node, true);
+                }
+            }
+            Due::Stale(link) => self.look_at_parent(node, link),
+            Due::Poll(round) => self.poll(node, round),
+            Due::CallOver(number) => self.call_over(number),
+            Due::Retry(run) => self.retry(node, run),
+            Due::Duty => self.duty(node),
+            Due::Judge => self.judge_stores(node),
+        }
+    }
+
+    fn start(&mut self, node: usize) {
+        match self.nodes[node].role {
+            Role::Keeper => {
+                self.later(node, BEAT, Due::Beat);
+                self.later(node, 0, Due::Poll(0));
+                self.later(node, 300 * MS, Due::Duty);
+            }
+            Role::Agent | Role::Proxy => {
+                self.later(node, BEAT, Due::Beat);
+                self.later(node, 0, Due::Follow);
+            }
+            Role::Store => self.later(node, 0, Due::Follow),
+        }
+    }
+
+    /// A frame leaves; its bytes count with the length before them.
+    fn send(&mut self, from: usize, link: u64, bytes: Bytes) {
+        let Some(known) = self.links.get(&link).filter(|link| link.open) else { return };
+        let (to, life) = if known.caller.0 == from { known.callee } else { known.caller };
+        let length = bytes.len() as u64 + 4;
+        let distance = self.distance(from, to);
+        self.nodes[from].tally.sent(distance, length);
+        if !self.reaches(from, to) {
+            self.later(from, USER_TIMEOUT, Due::Closed(link));
+        } else if self.nodes[to].life != life || !self.nodes[to].up {
+            self.later(from, 2 * DELAYS[distance], Due::Closed(link));
+        } else {
+            self.later(to, DELAYS[distance], Due::Frame(link, bytes));
+        }
+    }
+
+    fn spread(&mut self, from: usize, frames: Outgoing) {
+        for (link, bytes) in frames {
+            self.send(from, link, bytes);
+        }
+    }
+
+    /// A new link with its hellos: the first frame arrives after five ways, if the other side is there.
+    fn open(&mut self, kind: Kind, caller: usize, callee: usize) -> Option<u64> {
+        let distance = self.distance(caller, callee);
+        self.nodes[caller].tally.opened(distance);
+        if !self.reaches(caller, callee) || !self.nodes[callee].up {
+            return None;
+        }
+        self.nodes[callee].tally.opened(distance);
+        let link = self.next_number();
+        let end = |node: usize| (node, self.nodes[node].life);
+        let (caller, callee) = (end(caller), end(callee));
+        self.links.insert(link, Link { kind, caller, callee, open: true });
+        Some(link)
+    }
+
+    fn close(&mut self, node: usize, link: u64) {
+        let Some(known) = self.links.get_mut(&link) else { return };
+        known.open = false;
+        let other = if known.caller.0 == node { known.callee } else { known.caller };
+        let (delay, life) = (DELAYS[self.distance(node, other.0)], other.1);
+        if self.reaches(node, other.0) && self.nodes[other.0].life == life {
+            self.later(other.0, delay, Due::Closed(link));
+        }
+    }
+
+    fn closed(&mut self, node: usize, link: u64) {
+        if let Some(known) = self.links.get_mut(&link) {
+            known.open = false;
+        }
+        self.peers.retain(|_, known| *known != link);
+        self.nodes[node].feed.remove(link);
+        if let Some(keeper) = &mut self.nodes[node].keeper
+            && keeper.follows.is_some_and(|(known, _)| known == link)
+        {
+            keeper.follows = None;
+        }
+        if let Some(follow) = &self.nodes[node].follow {
+            if follow.fed == Some(link) {
+                self.left(node);
+            } else if follow.asking == Some(link) {
+                self.asked_in_vain(node, true);
+            }
+        }
+    }
+
+    // The feed's lower end.
+
+    fn follow_round(&mut self, node: usize) {
+        let parents: VecDeque<usize> = {
+            let feed = &self.nodes[node].feed;
+            let mut ips = feed.value.voters.clone();
+            ips.extend(self.keepers.iter().take(3).map(|keeper| self.nodes[*keeper].ip));
+            ips.sort();
+            ips.dedup();
+            let draw = self.rng.next_u64();
+            ips.sort_by_key(|ip| rank(&ip.octets(), draw));
+            ips.iter().filter_map(|ip| self.by_ip.get(ip).copied()).collect()
+        };
+        let fresh_at = self.nodes[node].feed.fresh_at;
+        let Some(follow) = &mut self.nodes[node].follow else { return };
+        if follow.asking.is_some() || follow.fed.is_some() {
+            return;
+        }
+        follow.queue = match follow.sole {
+            Some(agent) => VecDeque::from([agent]),
+            None if follow.others.is_empty() => parents,
+            None => std::mem::take(&mut follow.others),
+        };
+        follow.before = fresh_at;
+        self.ask_next(node);
+    }
+
+    fn ask_next(&mut self, node: usize) {
+        let Some(follow) = &mut self.nodes[node].follow else { return };
+        follow.asking = None;
+        let Some(parent) = follow.queue.pop_front() else { return self.round_over(node) };
+        let urgent = follow.pressing || follow.sole.is_some();
+        let link = self.open(Kind::Feed, node, parent);
+        let at = link.unwrap_or_else(|| self.next_number());
+        if let Some(follow) = &mut self.nodes[node].follow {
+            follow.asking = Some(at);
+        }
+        let Some(link) = link else {
+            // A machine that is there refuses at once.
+            let refused = self.reaches(node, parent);
+            let patience = if refused { 2 * DELAYS[self.distance(node, parent)] } else { PATIENCE };
+            return self.later(node, patience, Due::AskOver(at));
+        };
+        let call = self.subscription(node, urgent, None);
+        self.call_on(node, link, parent, call);
+        self.later(node, PATIENCE, Due::AskOver(link));
+    }
+
+    fn subscription(&self, node: usize, urgent: bool, zone: Option<String>) -> Call {
+        let asker = &self.nodes[node];
+        Call::Subscribe {
+            ip: asker.ip,
+            zone: zone.unwrap_or_else(|| self.plan.zone(asker.zone)),
+            urgent,
+            value: asker.feed.value.ballot,
+            list: asker.feed.list.stamp,
+        }
+    }
+
+    /// The first call on a new link.
+    fn call_on(&mut self, node: usize, link: u64, to: usize, call: Call) {
+        let bytes = peer_wire::encode(&Frame::Call(1, call)).expect("a call can be encoded");
+        let distance = self.distance(node, to);
+        self.nodes[node].tally.sent(distance, bytes.len() as u64 + 4);
+        self.later(to, 5 * DELAYS[distance], Due::Frame(link, bytes));
+    }
+
+    fn asked_in_vain(&mut self, node: usize, press: bool) {
+        if let Some(follow) = &mut self.nodes[node].follow {
+            follow.pressing |= press;
+        }
+        self.ask_next(node);
+    }
+
+    fn left(&mut self, node: usize) {
+        let fresh_at = self.nodes[node].feed.fresh_at;
+        let Some(follow) = &mut self.nodes[node].follow else { return };
+        follow.fed = None;
+        if fresh_at.is_some_and(|at| at > follow.began) {
+            // It was fed for a while: again from the start, by the tree first.
+            follow.pressing = follow.urgent;
+            follow.queue.clear();
+            self.round_over(node);
+        } else {
+            self.asked_in_vain(node, true);
+        }
+    }
+
+    fn round_over(&mut self, node: usize) {
+        let fresh_at = self.nodes[node].feed.fresh_at;
+        let drawn = self.draw(40 * MS);
+        let Some(follow) = &mut self.nodes[node].follow else { return };
+        let pause = if follow.sole.is_some() {
+            let better = fresh_at > follow.before;
+            follow.pause = if better { 10 * MS } else { (follow.pause.max(10 * MS) * 2).min(200 * MS) };
+            follow.pause
+        } else if fresh_at > follow.before {
+            follow.pause = 20 * MS;
+            0
+        } else if follow.others.is_empty() {
+            let pause = follow.pause.max(20 * MS);
+            follow.pause = (pause * 2).min(400 * MS);
+            pause + drawn
+        } else {
+            0
+        };
+        self.later(node, pause, Due::Follow);
+    }
+
+    fn look_at_parent(&mut self, node: usize, link: u64) {
+        let Some(follow) = &self.nodes[node].follow else { return };
+        if follow.fed != Some(link) {
+            return;
+        }
+        let end = follow.newest + MOST_AGE;
+        if self.now >= end {
+            self.close(node, link);
+            self.left(node);
+        } else {
+            self.later(node, end - self.now, Due::Stale(link));
+        }
+    }
+
+    fn frame(&mut self, node: usize, link: u64, bytes: &Bytes) {
+        let Some(known) = self.links.get(&link) else { return };
+        let (kind, open) = (known.kind, known.open);
+        let from = if known.caller.0 == node { known.callee.0 } else { known.caller.0 };
+        let distance = self.distance(from, node);
+        self.nodes[node].tally.received(distance, bytes.len() as u64 + 4);
+        if !open {
+            return;
+        }
+        match peer_wire::decode(bytes) {
+            Ok(Frame::Call(number, call)) => self.called(node, from, link, number, call),
+            Ok(Frame::Answer(number, answer)) => match kind {
+                Kind::Feed => self.subscribed(node, link, answer),
+                Kind::Lists => {}
+                Kind::Calls => self.answered(number, answer),
+            },
+            Ok(Frame::Push(push)) => {
+                let fed = kind == Kind::Lists
+                    || self.nodes[node].follow.as_ref().is_some_and(|follow| follow.fed == Some(link));
+                if !fed {
+                    return;
+                }
+                let beat = matches!(push, fleet_model::Push::Beat { .. });
+                let age = match &push {
+                    fleet_model::Push::Beat { age_ms, .. } => u64::from(*age_ms) * MS,
+                    _ => 0,
+                };
+                let stamp = self.nodes[node].feed.list.stamp;
+                let (stays, frames) = self.nodes[node].feed.take(self.now, push, kind == Kind::Feed);
+                self.spread(node, frames);
+                if beat && let Some(follow) = &mut self.nodes[node].follow {
+                    follow.newest = self.now.saturating_sub(age);
+                }
+                if self.nodes[node].feed.list.stamp != stamp {
+                    self.nodes[node].list_at = self.now;
+                }
+                self.learned(node);
+                if !stays {
+                    self.close(node, link);
+                    if kind == Kind::Feed {
+                        self.left(node);
+                    }
+                }
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// A proxy reads a newer configuration; a storage machine fills for a next set.
+    fn learned(&mut self, node: usize) {
+        let known = &mut self.nodes[node];
+        let version = known.feed.state.version();
+        if version > known.version {
+            known.version = version;
+            known.version_at = self.now;
+            if known.role == Role::Proxy {
+                let _ = operator_config::OperatorConfig::read(&known.feed.state.config);
+            }
+        }
+        let roster = &known.feed.state.roster;
+        if known.role == Role::Store
+            && known.filled_for < roster.epoch
+            && roster.next.iter().flatten().any(|store| store.disk == known.disk)
+            && !roster.filled.contains(&known.disk)
+        {
+            known.filled_for = roster.epoch;
+            let (disk, epoch) = (known.disk, roster.epoch);
+            self.tell_filled(node, disk, epoch);
+        }
+    }
+
+    fn tell_filled(&mut self, node: usize, disk: u64, epoch: u64) {
+        let place = self.draw(self.keepers.len() as u64) as usize;
+        let keeper = self.keepers[place];
+        self.call(node, keeper, Call::Filled { disk, epoch }, Pending::Filled(epoch), 700 * MS);
+    }
+
+    fn subscribed(&mut self, node: usize, link: u64, answer: Answer) {
+        let now = self.now;
+        let to: VecDeque<usize> = match &answer {
+            Answer::Redirect(to) => to.iter().filter_map(|to| self.by_ip.get(to.ip()).copied()).collect(),
+            _ => VecDeque::new(),
+        };
+        let Some(follow) = &mut self.nodes[node].follow else { return };
+        if follow.asking != Some(link) {
+            return;
+        }
+        follow.asking = None;
+        match answer {
+            Answer::Done => {
+                follow.fed = Some(link);
+                (follow.newest, follow.began) = (now, now);
+                self.later(node, MOST_AGE, Due::Stale(link));
+            }
+            Answer::Redirect(_) if !to.is_empty() => {
+                follow.others = to;
+                follow.pressing = true;
+                follow.queue.clear();
+                self.close(node, link);
+                self.round_over(node);
+            }
+            _ => {
+                self.close(node, link);
+                self.asked_in_vain(node, true);
+            }
+        }
+    }
+
+    // Calls.
+
+    fn call(&mut self, from: usize, to: usize, call: Call, pending: Pending, patience: u64) {
+        let number = self.next_number();
+        self.pending.insert(number, (from, pending));
+        self.later(from, patience, Due::CallOver(number));
+        let pair = (from, to);
+        let known = self.peers.get(&pair).copied().filter(|link| {
+            self.links.get(link).is_some_and(|known| {
+                known.open && known.caller.1 == self.nodes[from].life && known.callee.1 == self.nodes[to].life
+            })
+        });
+        let bytes = peer_wire::encode(&Frame::Call(number, call)).expect("a call can be encoded");
+        match known {
+            Some(link) => self.send(from, link, bytes),
+            None => {
+                let Some(link) = self.open(Kind::Calls, from, to) else { return };
+                self.peers.insert(pair, link);
+                let distance = self.distance(from, to);
+                self.nodes[from].tally.sent(distance, bytes.len() as u64 + 4);
+                self.later(to, 5 * DELAYS[distance], Due::Frame(link, bytes));
+            }
+        }
+    }
+
+    fn called(&mut self, node: usize, from: usize, link: u64, number: u64, call: Call) {
+        let answer = match call {
+            // A storage machine feeds nobody.
+            Call::Subscribe { .. } if self.nodes[node].role != Role::Store => {
+                let relay = self.nodes[node].role != Role::Keeper;
+                let (answer, first) = self.nodes[node].feed.subscribe(self.now, &call, relay, link);
+                self.answer(node, link, number, answer);
+                for bytes in first {
+                    self.send(node, link, bytes);
+                }
+                return;
+            }
+            Call::Register(request) => {
+                let ip = self.nodes[from].ip;
+                match self.register(node, ip, &request) {
+                    Some(reply) => Answer::Register(reply),
+                    None => Answer::Unready,
+                }
+            }
+            Call::Inspect { .. } => Answer::View(self.nodes[node].disk.to_string()),
+            Call::Filled { disk, epoch } => {
+                self.want(node, Wanted::Filled(disk, epoch), 600 * MS);
+                Answer::Done
+            }
+            _ => Answer::Unready,
+        };
+        self.answer(node, link, number, answer);
+    }
+
+    fn answer(&mut self, node: usize, link: u64, number: u64, answer: Answer) {
+        let bytes = peer_wire::encode(&Frame::Answer(number, answer)).expect("an answer can be encoded");
+        self.send(node, link, bytes);
+    }
+
+    fn answered(&mut self, number: u64, answer: Answer) {
+        let Some((node, pending)) = self.pending.remove(&number) else { return };
+        let now = self.now;
+        match (pending, answer) {
+            (Pending::Poll(round, ip), Answer::Register(reply)) => {
+                self.saw_peer(node, ip);
+                self.polled(node, round, ip, Some(reply));
+            }
+            (Pending::Run(run, ip), Answer::Register(reply)) => {
+                self.saw_peer(node, ip);
+                self.step(node, run, ip, Some(reply));
+            }
+            (Pending::Fetch, Answer::Register(RegisterReply::Fetched(Some(value)))) => {
+                self.adopt(node, value);
+                self.poll_now(node);
+            }
+            (Pending::Inspect(disk), Answer::View(_)) => {
+                if let Some(keeper) = &mut self.nodes[node].keeper {
+                    keeper.stores_seen.insert(disk, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn call_over(&mut self, number: u64) {
+        let Some((node, pending)) = self.pending.remove(&number) else { return };
+        match pending {
+            Pending::Poll(round, ip) => self.polled(node, round, ip, None),
+            Pending::Run(run, ip) => self.step(node, run, ip, None),
+            Pending::Filled(epoch) => {
+                let disk = self.nodes[node].disk;
+                let roster = &self.nodes[node].feed.state.roster;
+                if roster.epoch == epoch && roster.next.is_some() {
+                    self.tell_filled(node, disk, epoch);
+                }
+            }
+            Pending::Fetch | Pending::Inspect(_) => {}
+        }
+    }
+
+    // The register.
+
+    fn saw_peer(&mut self, node: usize, ip: Ipv4Addr) {
+        let now = self.now;
+        if let Some(keeper) = &mut self.nodes[node].keeper {
+            keeper.seen.insert(ip, now);
+        }
+    }
+
+    fn register(&mut self, node: usize, from: Ipv4Addr, request: &RegisterRequest) -> Option<RegisterReply> {
+        let keeper = self.nodes[node].keeper.as_mut()?;
+        if let RegisterRequest::Prepare(ballot) = request {
+            keeper.highest = keeper.highest.max(*ballot);
+        }
+        let (reply, changed) = keeper.acceptor.handle(request);
+        self.nodes[node].tally.syncs += u64::from(changed);
+        if let RegisterRequest::Poll { chosen } = request {
+            self.learn_chosen(node, from, *chosen);
+        }
+        Some(reply)
+    }
+
+    fn learn_chosen(&mut self, node: usize, from: Ipv4Addr, chosen: Ballot) {
+        if chosen <= self.nodes[node].feed.value.ballot {
+            return;
+        }
+        let Some(keeper) = &self.nodes[node].keeper else { return };
+        let own = keeper.acceptor.record().and_then(|record| record.accepted.clone());
+        match own {
+            Some(accepted) if accepted.ballot == chosen => self.adopt(node, accepted),
+            _ if from != self.nodes[node].ip => self.poll_now(node),
+            _ => {}
+        }
+    }
+
+    fn adopt(&mut self, node: usize, accepted: AcceptedValue) {
+        let known = self.nodes[node].feed.value.ballot;
+        let Some(keeper) = &mut self.nodes[node].keeper else { return };
+        keeper.acceptor.learn_value(&accepted);
+        if accepted.ballot >= known {
+            keeper.known = accepted.value.clone();
+        } else {
+            return;
+        }
+        let value = ChosenValue {
+            ballot: accepted.ballot,
+            voters: accepted.value.voters,
+            payload: accepted.value.payload,
+        };
+        if let Some(frames) = self.nodes[node].feed.learn_value(value) {
+            self.spread(node, frames);
+        }
+        self.learned(node);
+    }
+
+    fn poll_now(&mut self, node: usize) {
+        let Some(keeper) = &mut self.nodes[node].keeper else { return };
+        // A round that is under way is let go: the next one begins at once.
+        keeper.polls += 1;
+        keeper.poll = None;
+        let round = keeper.polls;
+        self.later(node, 0, Due::Poll(round));
+    }
+
+    fn poll(&mut self, node: usize, round: u64) {
+        let now = self.now;
+        let ip = self.nodes[node].ip;
+        let chosen = self.nodes[node].feed.value.ballot;
+        let Some(keeper) = &mut self.nodes[node].keeper else { return };
+        if keeper.polls != round || keeper.poll.is_some() {
+            return;
+        }
+        let learner = Learner::poll_round(&keeper.known.voters, chosen);
+        let outbox = learner.outbox();
+        keeper.poll = Some((round, learner, now));
+        for (to, request) in outbox {
+            if to == ip {
+                let reply = self.register(node, ip, &request);
+                self.polled(node, round, ip, reply);
+            } else if let Some(to_node) = self.by_ip.get(&to).copied() {
+                self.call(node, to_node, Call::Register(request), Pending::Poll(round, to), PATIENCE);
+            }
+        }
+    }
+
+    fn polled(&mut self, node: usize, round: u64, ip: Ipv4Addr, reply: Option<RegisterReply>) {
+        let Some(keeper) = &mut self.nodes[node].keeper else { return };
+        let Some((running, learner, began)) = &mut keeper.poll else { return };
+        if *running != round {
+            return;
+        }
+        let began = *began;
+        let verdict = match reply {
+            Some(RegisterReply::Polled { accepted, chosen }) => {
+                keeper.highest = keeper.highest.max(accepted.unwrap_or_default());
+                learner.on_polled(ip, accepted, chosen)
+            }
+            _ => learner.on_failure(ip),
+        };
+        if verdict == Verdict::Wait {
+            return;
+        }
+        keeper.poll = None;
+        keeper.polls += 1;
+        let next = keeper.polls;
+        let mut pause = 250 * MS + self.draw(40 * MS);
+        match verdict {
+            Verdict::Fresh => {
+                if let Some(keeper) = &mut self.nodes[node].keeper {
+                    keeper.unsettled = 0;
+                }
+                self.nodes[node].feed.confirm(began);
+            }
+            Verdict::Behind { from, .. } => {
+                if let Some(to) = from.first().and_then(|ip| self.by_ip.get(ip).copied()) {
+                    self.call(node, to, Call::Register(RegisterRequest::Fetch), Pending::Fetch, PATIENCE);
+                }
+                pause = 50 * MS;
+            }
+            Verdict::Unsettled => {
+                pause = 15 * MS + self.draw(40 * MS);
+                let Some(keeper) = &mut self.nodes[node].keeper else { return };
+                keeper.unsettled += 1;
+                if keeper.unsettled > 1 {
+                    keeper.unsettled = 0;
+                    self.want(node, Wanted::Keep, 400 * MS);
+                }
+            }
+            Verdict::Wait | Verdict::Failed => {}
+        }
+        self.later(node, pause, Due::Poll(next));
+    }
+
+    /// Has a keeper make a change; one at a time.
+    pub(crate) fn want(&mut self, node: usize, wanted: Wanted, within: u64) {
+        let until = self.now + within;
+        if let Some(keeper) = &mut self.nodes[node].keeper {
+            keeper.queue.push_back((wanted, until));
+        }
+        self.begin_run(node);
+    }
+
+    fn begin_run(&mut self, node: usize) {
+        let (now, ip) = (self.now, self.nodes[node].ip);
+        let Some(keeper) = &mut self.nodes[node].keeper else { return };
+        if keeper.run.is_some() {
+            return;
+        }
+        while keeper.queue.front().is_some_and(|(_, until)| *until < now) {
+            keeper.queue.pop_front();
+        }
+        let Some((wanted, until)) = keeper.queue.pop_front() else { return };
+        keeper.runs += 1;
+        let number = keeper.runs;
+        let ballot = keeper.next_ballot(ip);
+        let proposal = Proposal::start(ip, ballot, &keeper.known);
+        let outbox = proposal.outbox();
+        keeper.run = Some(Run { number, proposal, wanted, until });
+        self.send_run(node, number, outbox);
+    }
+
+    fn send_run(&mut self, node: usize, run: u64, outbox: Vec<(Ipv4Addr, RegisterRequest)>) {
+        let ip = self.nodes[node].ip;
+        for (to, request) in outbox {
+            if to == ip {
+                let reply = self.register(node, ip, &request);
+                self.step(node, run, ip, reply);
+            } else if let Some(to_node) = self.by_ip.get(&to).copied() {
+                self.call(node, to_node, Call::Register(request), Pending::Run(run, to), PATIENCE);
+            }
+        }
+    }
+
+    fn step(&mut self, node: usize, number: u64, ip: Ipv4Addr, reply: Option<RegisterReply>) {
+        let Some(keeper) = &mut self.nodes[node].keeper else { return };
+        let Some(run) = keeper.run.as_mut().filter(|run| run.number == number) else { return };
+        let wanted = run.wanted.clone();
+        let mut change = |read: &RegisterValue| apply(&wanted, read);
+        let step = match reply {
+            Some(reply) => run.proposal.on_reply(ip, &reply, &mut change),
+            None => run.proposal.on_failure(ip, &mut change),
+        };
+        match step {
+            Step::Wait => {}
+            Step::Send(outbox) => self.send_run(node, number, outbox),
+            Step::Done(value) => {
+                let again = !matches!(apply(&run.wanted, &value.value), Change::Keep);
+                if !again {
+                    keeper.run = None;
+                }
+                self.adopt(node, value);
+                self.poll_now(node);
+                if again {
+                    self.try_again(node, number);
+                } else {
+                    self.begin_run(node);
+                }
+            }
+            Step::Lost { seen } => {
+                keeper.highest = keeper.highest.max(seen);
+                self.try_again(node, number);
+            }
+            Step::Failed => self.try_again(node, number),
+        }
+    }
+
+    fn try_again(&mut self, node: usize, run: u64) {
+        let pause = 8 * MS + self.draw(40 * MS);
+        self.later(node, pause, Due::Retry(run));
+    }
+
+    fn retry(&mut self, node: usize, number: u64) {
+        let now = self.now;
+        let Some(keeper) = &mut self.nodes[node].keeper else { return };
+        let Some(run) = keeper.run.take_if(|run| run.number == number) else { return };
+        if run.until > now {
+            keeper.queue.push_front((run.wanted, run.until));
+        }
+        self.begin_run(node);
+    }
+
+    // Duties.
+
+    fn duty(&mut self, node: usize) {
+        let now = self.now;
+        let ip = self.nodes[node].ip;
+        let fence = self.nodes[node].feed.state.fences.get(LIST).cloned().unwrap_or_default();
+        let fresh = self.nodes[node].feed.age(now).is_some_and(|age| age < MOST_AGE);
+        if fence.holder == Some(ip) {
+            if fresh {
+                self.read_list(node, fence.number);
+                self.look_after_stores(node);
+                self.look_after_voters(node);
+            }
+            return self.later(node, if fresh { 1_000 * MS } else { 100 * MS }, Due::Duty);
+        }
+        let keeper = self.nodes[node].keeper.as_ref();
+        let answers = |other: Ipv4Addr| {
+            other == ip
+                || keeper.and_then(|keeper| keeper.seen.get(&other)).is_some_and(|at| now - at < 1_200 * MS)
+        };
+        let voters = self.nodes[node].feed.value.voters.clone();
+        let stands = fence.holder.is_some_and(|holder| voters.contains(&holder) && answers(holder));
+        let best = voters
+            .iter()
+            .filter(|voter| answers(**voter))
+            .max_by_key(|voter| rank(&voter.octets(), fence.number))
+            .copied();
+        if fresh && !stands && best == Some(ip) {
+            self.want(node, Wanted::Duty(fence.number + 1, ip), 600 * MS);
+        }
+        self.follow_lists(node, fence.holder);
+        self.later(node, 200 * MS, Due::Duty);
+    }
+
+    fn follow_lists(&mut self, node: usize, holder: Option<Ipv4Addr>) {
+        let follows = self.nodes[node].keeper.as_ref().and_then(|keeper| keeper.follows);
+        if follows.map(|(_, ip)| ip) == holder {
+            return;
+        }
+        if let Some((link, _)) = follows {
+            self.close(node, link);
+            if let Some(keeper) = &mut self.nodes[node].keeper {
+                keeper.follows = None;
+            }
+        }
+        let Some((ip, to)) = holder.and_then(|ip| Some((ip, *self.by_ip.get(&ip)?))) else { return };
+        let Some(link) = self.open(Kind::Lists, node, to) else { return };
+        let zone = format!("core:{}", self.plan.zone(self.nodes[node].zone));
+        let call = self.subscription(node, true, Some(zone));
+        self.call_on(node, link, to, call);
+        if let Some(keeper) = &mut self.nodes[node].keeper {
+            keeper.follows = Some((link, ip));
+        }
+    }
+
+    fn read_list(&mut self, node: usize, fence: u64) {
+        let mut endpoints = Vec::new();
+        for page in &self.pages {
+            let bytes = page.len() as u64;
+            self.nodes[node].tally.platform(bytes);
+            let Ok(page) = serde_json::from_str::<Page>(page) else { continue };
+            endpoints.extend(page.instances.into_iter().map(|line| Endpoint {
+                instance_id: line.instance_id,
+                service: line.service,
+                address: line.address,
+                zone: line.zone,
+                capacity_slots: line.capacity_slots,
+                state: if line.state == "ready" { EndpointState::Ready } else { EndpointState::Draining },
+            }));
+        }
+        endpoints.sort();
+        let known = self.nodes[node].feed.list.clone();
+        if known.endpoints == endpoints && known.stamp.0 == fence {
+            return;
+        }
+        let Some(keeper) = &mut self.nodes[node].keeper else { return };
+        keeper.readings += 1;
+        let stamp = (fence, keeper.readings);
+        self.listed_at = self.now;
+        let frames = self.nodes[node].feed.learn_list(EndpointList { stamp, endpoints });
+        self.spread(node, frames);
+    }
+
+    fn look_after_stores(&mut self, node: usize) {
+        let now = self.now;
+        let state = self.nodes[node].feed.state.clone();
+        let next = state.roster.next.as_ref().unwrap_or(&state.roster.current);
+        for store in next {
+            if let Some(to) = self.by_ip.get(&store.ip).copied() {
+                let call = Call::Inspect { topic: "disk".to_owned() };
+                self.call(node, to, call, Pending::Inspect(store.disk), 400 * MS);
+            }
+        }
+        let Some(keeper) = &mut self.nodes[node].keeper else { return };
+        for store in next {
+            keeper.stores_seen.entry(store.disk).or_insert(now);
+        }
+        // Who is silent is judged once all have answered, or have had the time to.
+        self.later(node, 400 * MS, Due::Judge);
+    }
+
+    fn judge_stores(&mut self, node: usize) {
+        let now = self.now;
+        let state = self.nodes[node].feed.state.clone();
+        let next = state.roster.next.as_ref().unwrap_or(&state.roster.current);
+        let Some(keeper) = &self.nodes[node].keeper else { return };
+        let silent = |disk: u64| now - keeper.stores_seen.get(&disk).copied().unwrap_or(now);
+        let gone =
+            next.iter().max_by_key(|store| silent(store.disk)).filter(|s| silent(s.disk) > 10_000 * MS);
+        if let Some(gone) = gone
+            && next.len() > 3
+        {
+            self.want(node, Wanted::WithoutStore(gone.disk, state.roster.epoch), 600 * MS);
+        }
+    }
+
+    fn look_after_voters(&mut self, node: usize) {
+        let (now, ip) = (self.now, self.nodes[node].ip);
+        let voters = self.nodes[node].feed.value.voters.clone();
+        let Some(keeper) = &self.nodes[node].keeper else { return };
+        let silent = |voter: &&Ipv4Addr| {
+            **voter != ip && keeper.seen.get(*voter).is_none_or(|at| now - at > 5_000 * MS)
+        };
+        if voters.len() > 3
+            && let Some(gone) = voters.iter().find(silent).copied()
+        {
+            self.want(node, Wanted::WithoutVoter(gone), 600 * MS);
+        }
+    }
+
+    // What happens to the fleet.
+
+    /// Everything counted so far is forgotten.
+    pub(crate) fn forget_tallies(&mut self) {
+        self.nodes.iter_mut().for_each(|node| node.tally = Tally::default());
+    }
+
+    /// An operator's configuration comes to one keeper.
+    pub(crate) fn put_config(&mut self, keeper: usize) {
+        let node = self.keepers[keeper % self.keepers.len()];
+        let version = self.nodes[node].feed.state.version() + 1;
+        let config = self.plan.config(version);
+        self.want(node, Wanted::Config(version, config), 850 * MS);
+    }
+
+    /// An endpoint begins to leave.
+    pub(crate) fn drain_endpoint(&mut self, place: usize) {
+        let place = place % self.platform.len();
+        self.platform[place].state = EndpointState::Draining;
+        self.write_pages();
+    }
+
+    fn end_process(&mut self, node: usize) {
+        let life = self.nodes[node].life;
+        let ended: Vec<(u64, usize)> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.open)
+            .filter_map(|(id, link)| {
+                if link.caller == (node, life) {
+                    Some((*id, link.callee.0))
+                } else {
+                    (link.callee == (node, life)).then_some((*id, link.caller.0))
+                }
+            })
+            .collect();
+        let mut ended = ended;
+        ended.sort_unstable();
+        for (link, other) in ended {
+            if self.reaches(node, other) {
+                let delay = DELAYS[self.distance(node, other)];
+                self.later(other, delay, Due::Closed(link));
+            }
+        }
+        let known = &mut self.nodes[node];
+        known.life += 1;
+        known.up = false;
+        known.feed = Feed::default();
+        (known.version, known.version_at, known.list_at) = (0, 0, 0);
+        if let Some(follow) = &mut known.follow {
+            let (urgent, sole) = (follow.urgent, follow.sole);
+            *follow = Follow { urgent, sole, pressing: urgent, ..Follow::default() };
+        }
+    }
+
+    /// All processes of senders are killed at once, and come back.
+    pub(crate) fn herd(&mut self) {
+        for node in 0..self.nodes.len() {
+            if matches!(self.nodes[node].role, Role::Agent | Role::Proxy) {
+                self.end_process(node);
+            }
+        }
+        for node in 0..self.nodes.len() {
+            if matches!(self.nodes[node].role, Role::Agent | Role::Proxy) {
+                let spread = self.draw(300 * MS);
+                self.later(node, RESTART + spread, Due::Start);
+            }
+        }
+    }
+
+    /// All machines of a zone lose their power.
+    pub(crate) fn lose_zone(&mut self, zone: usize) {
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].zone == zone {
+                self.nodes[node].machine_up = false;
+                self.nodes[node].up = false;
+                self.nodes[node].life += 1;
+            }
+        }
+    }
+
+    /// The regions lose or regain each other.
+    pub(crate) fn set_cut(&mut self, cut: bool) {
+        self.cut = cut;
+    }
+
+    /// Processes of a role that run.
+    pub(crate) fn running(&self, role: Role) -> impl Iterator<Item = &Node> {
+        self.nodes.iter().filter(move |node| node.role == role && node.up)
+    }
+
+    /// Proxies that run but lack value, list or a fresh age.
+    pub(crate) fn stale_proxies(&self) -> usize {
+        self.running(Role::Proxy)
+            .filter(|node| {
+                node.feed.value.ballot == Ballot::default()
+                    || node.feed.list.stamp == (0, 0)
+                    || node.feed.age(self.now).is_none_or(|age| age > 1_500 * MS)
+            })
+            .count()
+    }
+
+    /// How many links lie between a process and the keeper that feeds it, through its parents; none if it is not fed.
+    pub(crate) fn depth(&self, node: usize) -> Option<usize> {
+        let (mut at, mut depth) = (node, 0);
+        while self.nodes[at].role != Role::Keeper {
+            let link = self.nodes[at].follow.as_ref()?.fed?;
+            at = self.links.get(&link)?.callee.0;
+            depth += 1;
+            if depth > 64 {
+                return None;
+            }
+        }
+        Some(depth)
+    }
+}
