--- a/system/programs/src/start.rs
+++ b/system/programs/src/start.rs
@@ -73,10 +73,7 @@
 
     /// The fleet's number: processes of other deployments are strangers.
     pub fn fleet(&self) -> u16 {
-        let zones = self.settings().zones.clone();
-        let names = zones.iter().flat_map(|(zone, region)| [zone, region]);
-        let bytes: Vec<u8> = names.flat_map(|name| name.bytes().chain([0])).collect();
-        u16::try_from(fleet_model::rank(&bytes, 0) & 0xffff).unwrap_or_default()
+        fleet_number(&self.settings())
     }
 
     /// Where machine `ip` takes calls of its peers.
@@ -98,6 +95,13 @@
     }
 }
 
+/// The fleet's number, which follows from its zones.
+pub fn fleet_number(settings: &Settings) -> u16 {
+    let names = settings.zones.iter().flat_map(|(zone, region)| [zone, region]);
+    let bytes: Vec<u8> = names.flat_map(|name| name.bytes().chain([0])).collect();
+    u16::try_from(fleet_model::rank(&bytes, 0) & 0xffff).unwrap_or_default()
+}
+
 /// Ends the command line's and the settings' part of a start, then runs `run` until it returns.
 pub fn run<F: Future<Output = Result<(), StartError>>>(run: impl FnOnce(Rc<Process>) -> F) -> ExitCode {
     let options = options().run();
@@ -116,11 +120,15 @@
         println!("{}: can be used", path.display());
         return ExitCode::SUCCESS;
     }
-    let logger = flexi_logger::Logger::try_with_str(format!("{}, fjall=warn, lsm_tree=warn", options.log)).and_then(|logger| {
-        logger.log_to_stderr().format(|w, now, record| {
-            write!(w, "{} {} {}", now.format("%H:%M:%S%.3f"), record.level(), record.args())
-        }).start()
-    });
+    let logger = flexi_logger::Logger::try_with_str(format!("{}, fjall=warn, lsm_tree=warn", options.log))
+        .and_then(|logger| {
+            logger
+                .log_to_stderr()
+                .format(|w, now, record| {
+                    write!(w, "{} {} {}", now.format("%H:%M:%S%.3f"), record.level(), record.args())
+                })
+                .start()
+        });
     if let Err(e) = logger {
         eprintln!("no log: {e}");
     }
@@ -150,8 +158,12 @@
         let mut interrupt = signal(SignalKind::interrupt()).map_err(failed("SIGINT"))?;
         let mut hup = signal(SignalKind::hangup()).map_err(failed("SIGHUP"))?;
         let (end, ending) = watch::channel(false);
-        let process =
-            Rc::new(Process { settings: RefCell::new(Rc::new(settings)), path, ending, began: Instant::now() });
+        let process = Rc::new(Process {
+            settings: RefCell::new(Rc::new(settings)),
+            path,
+            ending,
+            began: Instant::now(),
+        });
         let signals = process.clone();
         tokio::task::spawn_local(async move {
             loop {
