--- a/system/programs/src/staff/commands.rs
+++ b/system/programs/src/staff/commands.rs
@@ -15,6 +15,8 @@
 
 /// What is older than this was not confirmed in the time in which a change has to be in force.
 const STALE_MS: u64 = 2_000;
+/// A machine that has heard no other for so long is cut off: each is probed more often.
+const ALONE_MS: u64 = 5_000;
 
 /// What staff can ask.
 #[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
@@ -191,14 +193,31 @@
         })
         .collect();
     let head = ["ROLE", "NODE", "ADDRESS", "ZONE", "STATE", "SUSPECTED BY", "NOT SEEN BY"];
-    let asked: Vec<String> =
-        views.iter().map(|view| format!("{} ({})", view.origin.node, age(view.origin.age_ms))).collect();
+    let alone: BTreeSet<String> = views
+        .iter()
+        .filter(|view| view.origin.age_ms.is_none_or(|age| age > ALONE_MS))
+        .map(|view| view.origin.node.clone())
+        .collect();
+    let silent: Vec<&SocketAddrV4> =
+        fleet.entries.iter().filter(|entry| views.iter().all(|view| view.origin.ip != *entry.ip())).collect();
+    let asked: Vec<String> = views.iter().map(|view| view.origin.node.clone()).collect();
+    let mut text = format!("{}{} members, as seen by {}\n", table(&head, &rows), all.len(), asked.join(", "));
+    if !alone.is_empty() {
+        text.push_str(&format!("no other machine heard lately by {}\n", names(&alone)));
+    }
+    if !silent.is_empty() {
+        let silent: Vec<String> = silent.iter().map(ToString::to_string).collect();
+        text.push_str(&format!("no answer from {}\n", silent.join(", ")));
+    }
+    let differ = all.iter().any(|place| place.member.suspected || !place.missed_by.is_empty());
     Report {
-        verdict: Verdict::wrong_if(
-            all.iter().any(|place| place.member.suspected || !place.missed_by.is_empty()),
-        ),
-        text: format!("{}{} members, as seen by {}\n", table(&head, &rows), all.len(), asked.join(", ")),
-        json: json!({ "members": all, "seen_by": views.iter().map(|view| &view.origin).collect::<Vec<_>>() }),
+        // Who was named in the settings may be gone for good: its silence alone is not wrong.
+        verdict: Verdict::wrong_if(differ || !alone.is_empty()),
+        text,
+        json: json!({
+            "members": all, "alone": alone, "silent": silent,
+            "seen_by": views.iter().map(|view| &view.origin).collect::<Vec<_>>(),
+        }),
     }
 }
 
--- a/system/programs/src/turns.rs
+++ b/system/programs/src/turns.rs
@@ -327,10 +327,7 @@
 
 /// The machines that may hold a turn, best first: while the roster changes, those that are in both sets before the others;
 /// then by `order`, with machines of a zone that has one already after those of others, since a zone may go as a whole.
-pub(crate) fn copy_order<'a, K: Ord>(
-    roster: &'a Roster,
-    order: impl Fn(&Store) -> (bool, bool, K),
-) -> Vec<&'a Store> {
+pub(crate) fn copy_order<K: Ord>(roster: &Roster, order: impl Fn(&Store) -> (bool, bool, K)) -> Vec<&Store> {
     let next = roster.next.as_deref().unwrap_or(&roster.current);
     let mut stores: Vec<&Store> = roster.current.iter().collect();
     stores.extend(next.iter().filter(|store| !roster.current.contains(store)));
