Let proposers of the register part by growing pauses, and leave a moving one alone

Change: a pause that doubles after each lost run; an accepted value is completed by others only if it has not moved for 120 to 240 ms.

--- a/system/programs/src/keeper/proposing.rs
+++ b/system/programs/src/keeper/proposing.rs
@@ -12,6 +12,10 @@
 const POLL: Duration = Duration::from_millis(250);
 /// Longest time for one request to an acceptor.
 const PATIENCE: Duration = Duration::from_millis(300);
+/// A value that stays unsettled is completed after this and as much again by chance: its proposer may be at it.
+const UNSETTLED: u64 = 120;
+/// Longest pause after a run that lost, in milliseconds.
+const MOST_PAUSE: u64 = 320;
 /// The low bits of a round tell the lives of a proposer apart.
 const LIFE_BITS: u32 = 16;
 
@@ -25,6 +29,13 @@
     Voters(Vec<Ipv4Addr>),
 }
 
+/// An accepted value of which it is not known whether it is chosen.
+struct Unsettled {
+    ballot: Ballot,
+    /// When it is completed, if nothing moves before.
+    until: Instant,
+}
+
 enum Ended {
     /// A value is chosen; whether it is as wanted.
     Chosen(AcceptedValue, bool),
@@ -72,7 +83,7 @@
     ) -> bool {
         let deadline = tokio::time::Instant::now() + within;
         let Ok(_alone) = timeout_at(deadline, self.proposing.lock()).await else { return false };
-        loop {
+        for lost in 0_u32.. {
             let Some(known) = self.known.borrow().clone() else { return false };
             match timeout_at(deadline, self.run(&known, &mut wanted)).await {
                 Err(_) => return false,
@@ -85,12 +96,14 @@
                 }
                 Ok(Ended::Lost | Ended::Failed) => {}
             }
-            let pause = Duration::from_millis(8 + drawn() % 40);
+            // Proposers that get into each other's way part by pauses that grow: each needs two rounds undisturbed.
+            let pause = Duration::from_millis(4 + drawn() % (MOST_PAUSE.min(16 << lost.min(8))));
             if tokio::time::Instant::now() + pause >= deadline {
                 return false;
             }
             sleep(pause).await;
         }
+        false
     }
 
     async fn run(
@@ -154,7 +167,7 @@
 
     /// Polls the voters for good, and whenever somebody waits for it.
     pub(super) async fn keep_polling(self: Rc<Self>) {
-        let mut unsettled = 0;
+        let mut unsettled = None;
         loop {
             let at_once = self.clone().poll(&mut unsettled).await;
             self.polled.notify_waiters();
@@ -165,7 +178,7 @@
     }
 
     /// One round; true if another is to follow at once.
-    async fn poll(self: Rc<Self>, unsettled: &mut u32) -> bool {
+    async fn poll(self: Rc<Self>, unsettled: &mut Option<Unsettled>) -> bool {
         let Some(known) = self.known.borrow().clone().filter(|_| self.acceptor.borrow().record().is_some())
         else {
             return false;
@@ -182,11 +195,12 @@
             });
         }
         drop(answers);
-        let mut verdict = Verdict::Failed;
+        let (mut verdict, mut newest) = (Verdict::Failed, Ballot::default());
         while let Some((ip, reply)) = answered.recv().await {
             verdict = match reply {
                 Some(RegisterReply::Polled { accepted, chosen }) => {
-                    self.saw(accepted.unwrap_or_default());
+                    newest = newest.max(accepted.unwrap_or_default());
+                    self.saw(newest);
                     learner.on_polled(ip, accepted, chosen)
                 }
                 _ => learner.on_failure(ip),
@@ -197,7 +211,7 @@
         }
         match verdict {
             Verdict::Fresh => {
-                *unsettled = 0;
+                *unsettled = None;
                 self.feed.confirm(began);
                 false
             }
@@ -211,21 +225,26 @@
                         return true;
                     }
                 }
-                self.settle(unsettled).await
+                self.settle(unsettled, newest).await
             }
-            Verdict::Unsettled => self.settle(unsettled).await,
+            Verdict::Unsettled => self.settle(unsettled, newest).await,
             Verdict::Wait | Verdict::Failed => false,
         }
     }
 
-    /// A value was accepted that may or may not be chosen. Most often its proposer is just about to say; otherwise a
-    /// run that keeps it completes it.
-    async fn settle(&self, unsettled: &mut u32) -> bool {
-        *unsettled += 1;
-        sleep(Duration::from_millis(15 + drawn() % 40)).await;
-        if *unsettled > 1 {
-            *unsettled = 0;
-            self.change(Duration::from_millis(400), |_| Wanted::Nothing).await;
+    /// A value was accepted that may or may not be chosen. Most often its proposer is just about to say, or another has
+    /// gone further meanwhile; where nothing moves, a run that keeps it completes it.
+    async fn settle(&self, unsettled: &mut Option<Unsettled>, newest: Ballot) -> bool {
+        let waiting = unsettled.take().filter(|waiting| waiting.ballot == newest);
+        let waiting = waiting.unwrap_or_else(|| Unsettled {
+            ballot: newest,
+            until: Instant::now() + Duration::from_millis(UNSETTLED + drawn() % UNSETTLED),
+        });
+        if Instant::now() < waiting.until {
+            *unsettled = Some(waiting);
+            sleep(Duration::from_millis(25 + drawn() % 20)).await;
+        } else {
+            self.change(Duration::from_millis(500), |_| Wanted::Nothing).await;
         }
         true
     }
