--- a/system/state-feed/src/lib.rs
+++ b/system/state-feed/src/lib.rs
@@ -1,7 +1,7 @@
 //! The feed: the register's value and the list of endpoints, from the core down a tree of relays to every proxy.
 //!
 //! [`FeedState`] is what a process knows and whom it feeds, [`Follower`] decides by whom it is fed. Neither has sockets,
-//! timers or a clock: callers hand in the time as a [`Duration`](std::time::Duration) since a moment of their own, which
+//! timers or a clock: callers hand in the time as a [`Duration`] since a moment of their own, which
 //! has to lie further back than any age that may be told, and carry out what comes back.
 //!
 //! Values and lists only rise within a life. Beats tell how old at most what a link told is, so that who hangs on a
