--- a/system/control-duties/src/config.rs
+++ b/system/control-duties/src/config.rs
@@ -2,7 +2,7 @@
 use fleet_model::{ControlState, TakenVersion};
 
 /// Versions taken that are remembered: an operator repeats a call for some seconds.
-const MOST_TAKEN: usize = 64;
+const MOST_TAKEN: usize = 512;
 
 /// What becomes of a configuration without fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
