--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,6 +3,7 @@
 use micadrum_lab::baseline::{self, BaselineError};
 use micadrum_lab::experiment::{comparison, order};
 use micadrum_lab::fleet::{FleetError, Program, built_sender};
+use micadrum_lab::hollow::{self, HollowError};
 use micadrum_lab::peers::campaign::{self, Break};
 use micadrum_lab::peers::check::check;
 use micadrum_lab::peers::history::{self, HistoryError, What};
@@ -15,6 +16,7 @@
 use micadrum_lab::scenario::{Baseline, MOST_PROCESSES, ParseError, Scenario, ScenarioError, Variant};
 use micadrum_lab::sim::{SimError, simulate};
 use micadrum_lab::table::table;
+use micadrum_lab::tier;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -41,6 +43,18 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// Plays the whole tier on loopback, through the loss of a disk, a restart and a new configuration; half a minute.
+    Tier {
+        /// A folder with the tier's programs; without it, those of this project are built and used.
+        #[arg(long)]
+        programs: Option<PathBuf>,
+        /// Draws other programs and other chances.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How long programs are started and troubles come.
+        #[arg(long, default_value_t = 12.0, value_parser = seconds)]
+        seconds: f64,
+    },
     /// Plays a scenario, each seed once with each variant.
     Run(Plays),
     /// Plays a scenario's variants in turn, as often as it says, and compares them.
@@ -101,6 +115,45 @@
         /// What --out named.
         folder: PathBuf,
     },
+    /// Plays the control traffic of a fleet in simulated time and in one process: load by role, times, how they grow.
+    Hollow {
+        /// Senders of each play.
+        #[arg(long, value_delimiter = ',', default_value = "30,100,340")]
+        senders: Vec<usize>,
+        /// So many endpoints for those in the target's proportion.
+        #[arg(long)]
+        endpoints: Option<usize>,
+        /// So many machines of the core.
+        #[arg(long)]
+        keepers: Option<usize>,
+        /// So many storage machines.
+        #[arg(long)]
+        stores: Option<usize>,
+        /// So many zones.
+        #[arg(long)]
+        zones: Option<usize>,
+        /// So many regions.
+        #[arg(long)]
+        regions: Option<usize>,
+        /// So many routes in the configuration.
+        #[arg(long)]
+        routes: Option<usize>,
+        /// So many versions that the register remembers.
+        #[arg(long)]
+        taken: Option<usize>,
+        /// Draws other chances.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Instead: what a storage machine's decisions cost with so many turns held.
+        #[arg(long, value_delimiter = ',')]
+        turns: Vec<usize>,
+        /// Turns of each program there.
+        #[arg(long, default_value_t = 400)]
+        chain: usize,
+        /// A file for the figures, in JSON.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
     /// A plain sender to compare with; plays start it themselves.
     #[command(hide = true)]
     BaselineSender {
@@ -115,6 +168,12 @@
     parsed.filter(|range| !range.is_empty()).ok_or_else(|| format!("{text:?} is no range as 0..1000"))
 }
 
+/// Seconds of a play of the tier.
+fn seconds(text: &str) -> Result<f64, String> {
+    let parsed = text.parse().ok().filter(|seconds| (6.0..=600.0).contains(seconds));
+    parsed.ok_or_else(|| format!("{text:?} is no number from 6 to 600"))
+}
+
 #[derive(clap::Args)]
 struct Plays {
     /// The scenario, in TOML.
@@ -168,6 +227,8 @@
     NoPeers(PathBuf),
     #[error(transparent)]
     History(#[from] HistoryError),
+    #[error(transparent)]
+    Hollow(#[from] HollowError),
     #[error("starting: {0}")]
     Start(#[from] std::io::Error),
 }
@@ -199,6 +260,15 @@
                 let scenario = Scenario::parse(include_str!("../scenarios/demo.toml"))?;
                 play_all(scenario, sender, seed, None, false, stop).await
             }
+            Command::Tier { programs, seed, seconds } => {
+                let programs = programs.map_or_else(tier::machines::built_programs, Ok)?;
+                println!("tier, seed {seed}:");
+                let plan = tier::play::Plan { seconds, seed, grace_s: 6.0, tell: true };
+                let played = tier::play::play(plan, &programs, stop).await?;
+                println!("\n{}", tier::table::table(&played));
+                println!("{}", if played.is_good() { "all rules kept" } else { "NOT clean" });
+                Ok(played.is_good())
+            }
             Command::Run(plays) => {
                 let scenario = Scenario { repeats: 1, ..chosen(&plays)? };
                 play_all(scenario, plays.sender, plays.seed, plays.out, false, stop).await
@@ -240,6 +310,49 @@
                 write_report(&folder, &title, &plays, &variants)?;
                 Ok(true)
             }
+            Command::Hollow {
+                senders,
+                endpoints,
+                keepers,
+                stores,
+                zones,
+                regions,
+                routes,
+                taken,
+                seed,
+                turns,
+                chain,
+                out,
+            } => {
+                if !turns.is_empty() {
+                    let sizes: Vec<_> =
+                        turns.iter().map(|turns| hollow::store_figures(*turns, chain)).collect();
+                    println!("{}", hollow::store_table(&sizes));
+                    return Ok(true);
+                }
+                let mut plays = Vec::new();
+                for senders in senders {
+                    let of = hollow::Plan::of(senders);
+                    let plan = hollow::Plan {
+                        endpoints: endpoints.unwrap_or(of.endpoints),
+                        keepers: keepers.unwrap_or(of.keepers),
+                        stores: stores.unwrap_or(of.stores),
+                        zones: zones.unwrap_or(of.zones),
+                        regions: regions.unwrap_or(of.regions),
+                        routes: routes.unwrap_or(of.routes),
+                        taken: taken.unwrap_or(of.taken),
+                        seed,
+                        ..of
+                    };
+                    plays.push(hollow::play(&plan)?);
+                }
+                println!("{}", hollow::table(&plays));
+                if let Some(out) = out {
+                    let text = serde_json::to_string_pretty(&plays).map_err(std::io::Error::from)?;
+                    std::fs::write(&out, text).map_err(|source| LabError::Out { path: out, source })?;
+                }
+                Ok(true)
+            }
             Command::BaselineSender { how } => {
                 baseline::run(how).await.map(|()| true).map_err(LabError::from)
             }
