Take out the feed's former view for staff, and an argument nobody reads

Need: the desk of staff answers instead since it came; nothing called the former view. Change: both go.

--- a/system/programs/src/feed.rs
+++ b/system/programs/src/feed.rs
@@ -326,31 +326,6 @@
     }
 }
 
-/// What is known here, for staff.
-pub fn view(feed: &Feed, topic: &str) -> String {
-    let state = feed.state();
-    let age_ms = feed.age().map(|age| age.as_millis());
-    match topic {
-        "config" => serde_json::json!({
-            "age_ms": age_ms,
-            "version": state.version(),
-            "taken": state.taken.iter().map(|taken| taken.version).collect::<Vec<_>>(),
-            "config": String::from_utf8_lossy(&state.config),
-        }),
-        "endpoints" => serde_json::json!({ "age_ms": age_ms, "list": *feed.list() }),
-        "roster" => serde_json::json!({ "age_ms": age_ms, "roster": state.roster, "fences": state.fences }),
-        _ => serde_json::json!({
-            "age_ms": age_ms,
-            "version": state.version(),
-            "ballot": feed.value().ballot,
-            "voters": feed.value().voters,
-            "endpoints": feed.list().endpoints.len(),
-            "fed": feed.fed(),
-        }),
-    }
-    .to_string()
-}
-
 /// Takes lists and values from `holder` while `still` says so; what it tells of their age does not count here.
 pub async fn follow_lists(process: &Process, feed: &Feed, holder: Ipv4Addr, still: impl Fn() -> bool) {
     let client = PeerClient::new(process.peer(holder), process.fleet(), None);
--- a/system/programs/src/keeper/duties.rs
+++ b/system/programs/src/keeper/duties.rs
@@ -50,12 +50,9 @@
         if self.feed.value().voters.contains(&ip) {
             return Answer::Done;
         }
-        let wanted = |state: &ControlState, voters: &[Ipv4Addr]| {
-            let _ = state;
-            match voters.contains(&ip) {
-                true => Wanted::Nothing,
-                false => Wanted::Voters(voters.iter().copied().chain([ip]).collect()),
-            }
+        let wanted = |_: &ControlState, voters: &[Ipv4Addr]| match voters.contains(&ip) {
+            true => Wanted::Nothing,
+            false => Wanted::Voters(voters.iter().copied().chain([ip]).collect()),
         };
         match self.propose(CHANGE, wanted).await {
             true => Answer::Done,
