Leave a silent endpoint for another where a request may run twice

Need: an idempotent call whose answer is lost was held until its deadline, and an idle connection that an endpoint had forgotten without a word cost a request that cannot be repeated its only try. Change: request-routing gives each such try a timeout (six times what its like take, its aim at least, and only where another try would have as long); the sender's learned trust in idle connections moves into a part of its own, kept by service in request-forwarding too.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod handover;
 pub mod host;
+pub mod idle_trust;
 pub mod input;
 pub mod log;
 pub mod mgmt;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -1,5 +1,6 @@
 //! Connections and calls: one call at a time on a connection, and what came back as an [`Outcome`].
 use super::connection::{CallError, Connection, request};
+use super::idle_trust::IdleTrust;
 use super::input::{Called, Input};
 use super::tuning::ReportFields;
 use base64::Engine;
@@ -19,14 +20,6 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// Idle times, in milliseconds, between which connections are told apart when some break.
-const IDLE_STEPS: [u64; 7] = [50, 100, 200, 400, 800, 1600, 3200];
-/// Weight of one more call in the learned shares of calls that broke.
-const TRUST_LEARN: f64 = 0.1;
-/// More broken calls than on new connections, as a share, at which a longer idle connection is not used.
-const SUSPECT_SHARE: f64 = 0.08;
-/// Time over which the learned shares fade.
-const TRUST_FADES: Duration = Duration::from_secs(10);
 /// Bodies of answers are read up to this, which no peer goes beyond; longer ones cost their connection.
 const MOST_ANSWER: usize = 64 * 1024;
 /// How long the rest of an answer may take once its head is there: a wait that it tells binds 100 ms later.
@@ -52,59 +45,17 @@
     pub connect_timeout: Duration,
 }
 
-/// What is learned of how long an idle connection can still be used. Something on the way may drop those idle
-/// for far less than the settings' time; a call on such a one ends as a reset, and may cost a message its try.
-struct Trust {
-    /// Learned share of calls on new connections that broke: what breaks anyway.
-    base: f64,
-    /// The same for connections that had been idle up to each of `IDLE_STEPS`, and for longer.
-    broken: [f64; IDLE_STEPS.len() + 1],
-    at: Instant,
-}
-
-impl Trust {
-    fn new() -> Self {
-        Self { base: 0.0, broken: [0.0; IDLE_STEPS.len() + 1], at: Instant::now() }
-    }
-
-    fn learn(&mut self, idle: Option<Duration>, broke: bool) {
-        self.forget();
-        let share = match idle {
-            Some(idle) => {
-                &mut self.broken
-                    [IDLE_STEPS.iter().filter(|step| idle.as_millis() >= u128::from(**step)).count()]
-            }
-            None => &mut self.base,
-        };
-        *share += TRUST_LEARN * (f64::from(u8::from(broke)) - *share);
-    }
-
-    /// What is not seen again fades, so that longer idle times are tried again.
-    fn forget(&mut self) {
-        let fading = (-self.at.elapsed().as_secs_f64() / TRUST_FADES.as_secs_f64()).exp();
-        self.broken.iter_mut().for_each(|share| *share *= fading);
-        self.at = Instant::now();
-    }
-
-    /// The idle time from which on connections break markedly more often than new ones.
-    fn limit(&self) -> Option<Duration> {
-        let suspect = |share: &f64| *share > self.base + SUSPECT_SHARE;
-        let step = self.broken[1..].iter().position(suspect)?;
-        IDLE_STEPS.get(step).copied().map(Duration::from_millis)
-    }
-}
-
 /// Idle connections by address, the last used one first out: an endpoint that moves leaves its old ones behind.
 pub struct Pool {
     idle: HashMap<SocketAddr, Vec<(Connection, Instant)>>,
     keep: Duration,
-    trust: Trust,
+    trust: IdleTrust,
 }
 
 impl Pool {
     /// `idle_time` is how long endpoints keep an idle connection open: ours are dropped well before.
     pub fn new(idle_time: Duration) -> Self {
-        Self { idle: HashMap::new(), keep: idle_time * 4 / 5, trust: Trust::new() }
+        Self { idle: HashMap::new(), keep: idle_time * 4 / 5, trust: IdleTrust::new() }
     }
 
     /// From now on, endpoints keep an idle connection open that long.
--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -314,7 +314,7 @@
             };
             let key = target.key;
             let mut call = CallOut::new(core.clone(), key, ask.clone());
-            let attempt = self.attempt(&outgoing, &target, &mut call, &mut sends).await;
+            let attempt = self.attempt(&outgoing, &target, &tried, &mut call, &mut sends).await;
             let outcome = match attempt {
                 Attempt::NoConnection => {
                     call.end(Outcome::Void);
@@ -450,13 +450,18 @@
         &self,
         outgoing: &Outgoing,
         target: &Target,
+        tried: &Tried,
         call: &mut CallOut,
         sends: &mut u32,
     ) -> Attempt {
         let core = &self.core;
-        let end = outgoing.deadline + GRACE;
+        let ask = call.ask().clone();
+        let patience = core.router.borrow().try_timeout(core.now(), &ask, tried);
+        let whole = outgoing.deadline + GRACE;
+        let end =
+            patience.map_or(whole, |Span(micros)| whole.min(Instant::now() + Duration::from_micros(micros)));
         let (line, response) = loop {
-            let mut line = match core.idle_line(target.key) {
+            let mut line = match core.idle_line(target.key, &ask.service) {
                 Some(line) => line,
                 None if !target.may_open => return Attempt::NoConnection,
                 None => {
@@ -476,6 +481,7 @@
                 Ok(Err(CallError::Connect(_))) => return Attempt::Ended(Outcome::ConnectFailed),
                 Ok(Err(CallError::Unsent(_))) => return Attempt::Ended(Outcome::Void),
                 Ok(Err(CallError::Reset(_))) => {
+                    core.learn_idle(&ask.service, &line, true);
                     self.count_send(sends);
                     return Attempt::Ended(Outcome::Reset);
                 }
@@ -486,6 +492,7 @@
                 Err(_) => return Attempt::Ended(Outcome::Void),
             }
         };
+        core.learn_idle(&ask.service, &line, false);
         self.count_send(sends);
         let head = response.headers();
         let status = response.status();
--- a/system/request-forwarding/src/pool.rs
+++ b/system/request-forwarding/src/pool.rs
@@ -6,6 +6,7 @@
 use hyper::HeaderMap;
 use hyper::body::Incoming;
 use micadrum::net::connection::{CallError, Connection};
+use micadrum::net::idle_trust::IdleTrust;
 use micadrum::{Outcome, Span, Time};
 use request_routing::{Ask, EndpointKey, Router, ServerLoad, Target};
 use std::cell::{Cell, RefCell};
@@ -24,7 +25,9 @@
 pub(crate) struct Core {
     start: Instant,
     pub(crate) router: RefCell<Router>,
-    idle: RefCell<HashMap<EndpointKey, Vec<(Line, Instant)>>>,
+    idle: RefCell<HashMap<EndpointKey, Vec<IdleLine>>>,
+    /// By service: for how long its idle connections can be used.
+    idle_trust: RefCell<HashMap<String, IdleTrust>>,
     pub(crate) queue: Rc<Queue>,
     pub(crate) figures: Cell<Figures>,
 }
@@ -34,6 +37,22 @@
     core: Weak<Core>,
     key: EndpointKey,
     pub(crate) connection: Connection,
+    /// For how long it was idle before this call; none if it is new.
+    idled: Option<Duration>,
+}
+
+/// A connection that waits for its next call.
+struct IdleLine {
+    line: Line,
+    since: Instant,
+    /// Its endpoint has told that it closes it then.
+    until: Instant,
+}
+
+impl IdleLine {
+    fn is_over(&self, now: Instant) -> bool {
+        self.until <= now || self.line.connection.is_closed()
+    }
 }
 
 impl Drop for Line {
@@ -50,6 +69,7 @@
             start: Instant::now(),
             router: RefCell::new(router),
             idle: RefCell::default(),
+            idle_trust: RefCell::default(),
             queue: Queue::new(most_waiting),
             figures: Cell::default(),
         })
@@ -71,17 +91,34 @@
         self.figures.set(figures);
     }
 
-    /// An idle connection that may still be used.
-    pub(crate) fn idle_line(&self, key: EndpointKey) -> Option<Line> {
+    /// An idle connection that may still be used, to an endpoint of this service.
+    pub(crate) fn idle_line(&self, key: EndpointKey, service: &str) -> Option<Line> {
         let now = Instant::now();
+        let trusted = self.idle_trust.borrow_mut().get_mut(service).and_then(|trust| {
+            trust.forget();
+            trust.limit()
+        });
         loop {
-            let (line, until) = self.idle.borrow_mut().get_mut(&key)?.pop()?;
-            if until > now && !line.connection.is_closed() {
-                return Some(line);
+            let mut idle = self.idle.borrow_mut().get_mut(&key)?.pop()?;
+            let idled = now - idle.since;
+            if !idle.is_over(now) && trusted.is_none_or(|trusted| idled < trusted) {
+                idle.line.idled = Some(idled);
+                return Some(idle.line);
             }
         }
     }
 
+    /// Takes in whether a connection broke under its call: endpoints may forget an idle one without a word.
+    pub(crate) fn learn_idle(&self, service: &str, line: &Line, broke: bool) {
+        let mut all = self.idle_trust.borrow_mut();
+        match all.get_mut(service) {
+            Some(trust) => trust.learn(line.idled, broke),
+            // Nothing is known as long as nothing breaks.
+            None if broke => all.entry(service.to_owned()).or_default().learn(line.idled, broke),
+            None => {}
+        }
+    }
+
     /// A new connection.
     pub(crate) async fn open_line(
         self: &Rc<Self>,
@@ -94,7 +131,7 @@
         let connection = Connection::open(SocketAddr::V4(target.address), patience).await?;
         counted.keep();
         self.count(|figures| figures.connections_opened += 1);
-        Ok(Line { core: Rc::downgrade(self), key: target.key, connection })
+        Ok(Line { core: Rc::downgrade(self), key: target.key, connection, idled: None })
     }
 
     /// Takes back a connection after an answer with this head that was read whole.
@@ -107,8 +144,9 @@
         let core = self.clone();
         spawn_local(async move {
             if matches!(timeout(UNWANTED_PATIENCE, line.connection.is_alive()).await, Ok(true)) {
-                let until = Instant::now() + stay;
-                core.idle.borrow_mut().entry(line.key).or_default().push((line, until));
+                let since = Instant::now();
+                let idle = IdleLine { since, until: since + stay, line };
+                core.idle.borrow_mut().entry(idle.line.key).or_default().push(idle);
             }
         });
     }
@@ -129,7 +167,7 @@
         let now = Instant::now();
         let mut over = Vec::new();
         self.idle.borrow_mut().retain(|_, lines| {
-            over.extend(lines.extract_if(.., |(line, until)| *until <= now || line.connection.is_closed()));
+            over.extend(lines.extract_if(.., |idle| idle.is_over(now)));
             !lines.is_empty()
         });
     }
@@ -188,6 +226,11 @@
         Self { core, key, ask, begun, first_byte: None, load: None, outcome: Outcome::Void }
     }
 
+    /// What it carries.
+    pub(crate) fn ask(&self) -> &Rc<Ask> {
+        &self.ask
+    }
+
     /// From now on it may run.
     pub(crate) fn sending(&mut self) {
         self.outcome = Outcome::Cancelled;
--- a/system/request-forwarding/tests/requests.rs
+++ b/system/request-forwarding/tests/requests.rs
@@ -214,6 +214,59 @@
     }
 }
 
+#[gtest]
+fn a_silent_endpoint_is_left_for_another_where_the_request_may_run_twice() {
+    run(async {
+        let servers = two(|| Reply::Silence).await;
+        let world = World::start(&[(&servers.0, "s"), (&servers.1, "s")]).await;
+        let answer = world.ask(&get("/plain/", "a")).await;
+        expect_that!((answer.status(), answer.text()), eq((200, "done")));
+        expect_that!(sends(&servers), eq(2));
+    });
+}
+
+#[gtest]
+fn a_silent_endpoint_is_waited_for_where_the_request_cannot_be_repeated() {
+    run(async {
+        let servers = two(|| Reply::Silence).await;
+        let world = World::start(&[(&servers.0, "s"), (&servers.1, "s")]).await;
+        // Its route's whole time is 150 ms.
+        let answer = world.ask(&post("/short/", "a", "", "b")).await;
+        expect_that!((answer.status(), sends(&servers)), eq((504, 1)));
+    });
+}
+
+#[gtest]
+fn a_connection_idle_for_longer_than_others_lived_is_not_used() {
+    run(async {
+        // Each connection is forgotten once it has carried one request: the next one on it is reset.
+        let connection = Rc::new(Cell::new(0));
+        let count = connection.clone();
+        let server = Server::start("i-1", move |_| {
+            count.set(count.get() + 1);
+            match count.get() {
+                2 => Reply::Reset,
+                _ => Reply::Answer(200, "", "done"),
+            }
+        })
+        .await;
+        let world = World::start(&[(&server, "s")]).await;
+        let idle = async || {
+            tokio::time::pause();
+            tokio::time::advance(std::time::Duration::from_millis(120)).await;
+            tokio::time::resume();
+        };
+        expect_that!(world.ask(&post("/unsafe/", "a", "", "b")).await.status(), eq(200));
+        idle().await;
+        expect_that!(world.ask(&post("/unsafe/", "b", "", "b")).await.status(), eq(502));
+        // The connection that was reset has ended; the next request opens another, which goes idle as long.
+        expect_that!(world.ask(&post("/unsafe/", "c", "", "b")).await.status(), eq(200));
+        idle().await;
+        expect_that!(world.ask(&post("/unsafe/", "d", "", "b")).await.status(), eq(200));
+        expect_that!(world.forwarder.figures().connections_opened, eq(3));
+    });
+}
+
 #[gtest]
 fn an_endpoints_own_error_is_passed_on() {
     run(async {
--- a/system/request-routing/src/retry.rs
+++ b/system/request-routing/src/retry.rs
@@ -20,6 +20,10 @@
 const FLOOR_OF_AIM: u64 = 10;
 /// ... but for requests whose whole time is short: this share of it.
 const FLOOR_OF_TIME: u64 = 4;
+/// An attempt that may be repeated is given up after this multiple of what its like take in the mean, ...
+const TRY_OF_PACE: f64 = 6.0;
+/// ... but no sooner than after this share of its aim.
+const TRY_OF_AIM: f64 = 1.0;
 
 /// Whether it must not run twice.
 pub(crate) fn runs_once(ask: &Ask) -> bool {
@@ -61,6 +65,15 @@
         || tried.refused.saturating_sub(tried.attempts) >= MOST_UNSENT
 }
 
+/// How long the next attempt may be silent, if another may follow it and would still have as long itself.
+pub(crate) fn try_timeout(now: Time, ask: &Ask, tried: &Tried, pace: f64) -> Option<Span> {
+    if runs_once(ask) || tried.attempts + 1 >= ask.max_attempts {
+        return None;
+    }
+    let timeout = (TRY_OF_PACE * pace).max(TRY_OF_AIM * ask.aim.0 as f64);
+    (now.after(2.0 * timeout) <= last_send(ask)).then_some(Span(timeout as u64))
+}
+
 /// The wait before the next try; `chance` is within 0 and 1.
 pub(crate) fn backoff(ask: &Ask, tried: &Tried, chance: f64) -> f64 {
     let base = (BASE_OF_AIM * ask.aim.0 as f64).clamp(BASE.0, BASE.1);
--- a/system/request-routing/src/router.rs
+++ b/system/request-routing/src/router.rs
@@ -278,7 +278,7 @@
         if let Some(service) = self.services.get_mut(&ask.service) {
             service.end(now, ask);
             if outcome == Outcome::Success {
-                service.learn_pace(elapsed);
+                service.learn_pace(ask, elapsed);
             }
         }
         let Some(at) = self.find(key) else { return };
@@ -375,6 +375,16 @@
         Next::Again
     }
 
+    /// How long an attempt that is about to be sent may be silent before another endpoint is tried: only what may run
+    /// twice is, where there is an attempt left and another endpoint to make it. `tried` is what came before it.
+    pub fn try_timeout(&self, now: Time, ask: &Ask, tried: &Tried) -> Option<Span> {
+        let service = self.services.get(&ask.service)?;
+        let timeout = retry::try_timeout(now, ask, tried, service.repeatable_pace())?;
+        let ready = service.near.iter().chain(&service.far).map(|at| &self.endpoints[*at]);
+        let others = ready.filter(|other| other.in_service() && !tried.avoid.contains(&other.key)).count();
+        (others > 1).then_some(timeout)
+    }
+
     /// Whether an endpoint that it has not met has a place.
     fn free_elsewhere(&self, now: Time, ask: &Ask, tried: &Tried) -> bool {
         let Some(service) = self.services.get(&ask.service) else { return false };
--- a/system/request-routing/src/service.rs
+++ b/system/request-routing/src/service.rs
@@ -1,6 +1,7 @@
 //! What is known of one service: its terms, who waits for it and how fast places become free.
 
 use crate::endpoint::Bounds;
+use crate::retry::runs_once;
 use crate::types::*;
 use micadrum::{Span, Time};
 use std::collections::BTreeMap;
@@ -41,6 +42,8 @@
     pub far: Vec<usize>,
     /// Mean time to the first byte, in microseconds; 0 before the first.
     pub pace: f64,
+    /// The same of requests that may run twice.
+    repeatable_pace: f64,
     out: [u32; RANKS],
     waiting: [u32; RANKS],
     /// By time of arrival: rank, and when it is to ask again.
@@ -57,6 +60,7 @@
             near: Vec::new(),
             far: Vec::new(),
             pace: 0.0,
+            repeatable_pace: 0.0,
             out: [0; RANKS],
             waiting: [0; RANKS],
             waiters: BTreeMap::new(),
@@ -97,9 +101,20 @@
         self.ended = now;
     }
 
-    pub fn learn_pace(&mut self, elapsed: Span) {
-        let took = elapsed.0 as f64;
-        self.pace = if self.pace > 0.0 { self.pace + LEARN * (took - self.pace) } else { took };
+    pub fn learn_pace(&mut self, ask: &Ask, elapsed: Span) {
+        let learn = |mean: &mut f64| {
+            let took = elapsed.0 as f64;
+            *mean = if *mean > 0.0 { *mean + LEARN * (took - *mean) } else { took };
+        };
+        learn(&mut self.pace);
+        if !runs_once(ask) {
+            learn(&mut self.repeatable_pace);
+        }
+    }
+
+    /// Mean time to the first byte of requests that may run twice, in microseconds; 0 before the first.
+    pub fn repeatable_pace(&self) -> f64 {
+        self.repeatable_pace
     }
 
     /// Whether one of this rank leaves a free place to another rank: to a more urgent one that waits, once it has its
--- a/system/request-routing/tests/retries.rs
+++ b/system/request-routing/tests/retries.rs
@@ -299,3 +299,38 @@
         expect_that!(tried.refused, eq(1));
     }
 }
+
+#[gtest]
+fn given_another_endpoint_and_an_attempt_left_when_a_repeatable_one_is_sent_then_silence_ends_the_try() {
+    let mut router = two();
+    let (ask, tried) = (ask("tool", RouteKind::Idempotent), Tried::default());
+    // Nothing is known yet: its aim.
+    expect_that!(router.try_timeout(ms(0), &ask, &tried), some(eq(Span(250 * MS))));
+    // Six times what its like take, once that is more.
+    let target = send(&mut router, ms(0), &ask);
+    router.ended(ms(60), target.key, &ask, Outcome::Success, None, Span(60 * MS));
+    expect_that!(router.try_timeout(ms(60), &ask, &tried), some(eq(Span(360 * MS))));
+    // What may not be repeated takes its own time, and tells nothing of the others.
+    let slow = Ask { kind: RouteKind::NonIdempotent, ..ask.clone() };
+    let target = send(&mut router, ms(60), &slow);
+    router.ended(ms(900), target.key, &slow, Outcome::Success, None, Span(840 * MS));
+    expect_that!(router.try_timeout(ms(60), &ask, &tried), some(eq(Span(360 * MS))));
+}
+
+#[gtest]
+fn given_no_use_in_another_try_when_an_attempt_is_sent_then_its_silence_is_borne() {
+    let mut router = two();
+    let (ask, tried) = (ask("tool", RouteKind::Idempotent), Tried::default());
+    for kind in [RouteKind::NonIdempotent, RouteKind::Streaming] {
+        expect_that!(router.try_timeout(ms(0), &Ask { kind, ..ask.clone() }, &tried), none());
+    }
+    expect_that!(router.try_timeout(ms(0), &ask, &Tried { attempts: 2, ..tried.clone() }), none());
+    // The other one was tried already, or is leaving.
+    let last = router.view()[0].key;
+    expect_that!(router.try_timeout(ms(0), &ask, &Tried { avoid: vec![last], ..tried.clone() }), none());
+    // The next try would have less time than this one: 25 ms before the deadline are of no use.
+    expect_that!(router.try_timeout(ms(975), &ask, &tried), some(anything()));
+    expect_that!(router.try_timeout(ms(976), &ask, &tried), none());
+    router.set_endpoints(ms(1), &list(&[entry("x", "tool", "a", 8), draining(entry("y", "tool", "a", 8))]));
+    expect_that!(router.try_timeout(ms(1), &ask, &tried), none());
+}
