Compress the register's payload and complete unsettled values in turn

Cause: with 8 core machines and a configuration of 102 KB no change was acknowledged for 6 s: a run took 150 ms, and seven keepers completed the value that they saw unsettled after 120 to 240 ms, each ending the others' runs and its proposer's (503 runs in 7 s, 431 of them lost). Change: payloads are compressed; each voter completes an unsettled value in a place of its own, once and not by tries; pauses after a lost run begin at the time that a run takes.

--- a/lab/src/hollow/feed.rs
+++ b/lab/src/hollow/feed.rs
@@ -66,10 +66,7 @@
         if value.ballot <= self.value.ballot {
             return None;
         }
-        self.state = Rc::new(match value.payload.is_empty() {
-            true => ControlState::default(),
-            false => postcard::from_bytes(&value.payload).ok()?,
-        });
+        self.state = Rc::new(ControlState::from_payload(&value.payload).ok()?);
         self.value = Rc::new(value.clone());
         Some(self.to_all(Push::Value(value)))
     }
--- a/lab/src/hollow/keeper.rs
+++ b/lab/src/hollow/keeper.rs
@@ -89,9 +89,9 @@
 
 /// What a change makes of the value that was read.
 pub(crate) fn apply(wanted: &Wanted, read: &RegisterValue) -> Change {
-    let Ok(mut state) = postcard::from_bytes::<ControlState>(&read.payload) else { return Change::Keep };
-    let set = |state: &ControlState| match postcard::to_allocvec(state) {
-        Ok(bytes) => Change::Set(bytes.into()),
+    let Ok(mut state) = ControlState::from_payload(&read.payload) else { return Change::Keep };
+    let set = |state: &ControlState| match state.to_payload() {
+        Ok(payload) => Change::Set(payload),
         Err(_) => Change::Keep,
     };
     match wanted {
--- a/lab/src/hollow/world.rs
+++ b/lab/src/hollow/world.rs
@@ -221,7 +221,7 @@
             fences: BTreeMap::from([(LIST.to_owned(), Fence { number: 1, holder: Some(voters[0]) })]),
             roster: Roster { epoch: 1, current: current.collect(), ..Roster::default() },
         };
-        let payload = Bytes::from(postcard::to_allocvec(&state).expect("a state can be written"));
+        let payload = state.to_payload().expect("a state can be written");
         let ballot = Ballot { round: 1 << 16, proposer: 1 };
         let accepted =
             AcceptedValue { ballot, value: RegisterValue { epoch: 0, voters: voters.clone(), payload } };
--- a/system/config-register/src/learner.rs
+++ b/system/config-register/src/learner.rs
@@ -1,7 +1,7 @@
 //! Tells whether the newest chosen value is known.
 
 use crate::Outbox;
-use fleet_model::{AcceptedValue, Ballot, RegisterRequest, RegisterValue};
+use fleet_model::{AcceptedValue, Ballot, RegisterRequest, RegisterValue, rank};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
@@ -130,3 +130,12 @@
         Verdict::Unsettled
     }
 }
+
+/// In which place `me` completes a value that was accepted under `ballot` and stays unsettled: all who see it would
+/// otherwise get into each other's way, and into its proposer's, who comes last.
+pub fn completing_place(me: Ipv4Addr, voters: &[Ipv4Addr], ballot: Ballot) -> usize {
+    let mut others: Vec<Ipv4Addr> =
+        voters.iter().copied().filter(|ip| u32::from(*ip) != ballot.proposer).collect();
+    others.sort_by_key(|ip| (rank(&ip.octets(), ballot.round), *ip));
+    others.iter().position(|ip| *ip == me).unwrap_or(others.len())
+}
--- a/system/config-register/tests/stories.rs
+++ b/system/config-register/tests/stories.rs
@@ -534,3 +534,20 @@
     expect_that!(learner.on_failure(B), eq(&Verdict::Wait));
     expect_that!(learner.on_failure(C), eq(&Verdict::Failed));
 }
+
+#[gtest]
+fn given_a_value_left_unsettled_when_all_see_it_then_each_has_another_place_and_its_proposer_the_last() {
+    let voters: Vec<Ipv4Addr> = (1..=8).map(|number| Ipv4Addr::new(10, 0, 0, number)).collect();
+    let mut firsts = std::collections::BTreeSet::new();
+    for round in 1..200 {
+        let ballot = Ballot { round, proposer: u32::from(voters[2]) };
+        let mut places: Vec<usize> =
+            voters.iter().map(|ip| config_register::completing_place(*ip, &voters, ballot)).collect();
+        expect_that!(places[2], eq(7));
+        firsts.insert(places.iter().position(|place| *place == 0));
+        places.sort_unstable();
+        expect_that!(places, eq(&(0..8).collect::<Vec<_>>()));
+    }
+    // It is not always the same one that comes first.
+    expect_that!(firsts.len(), eq(7));
+}
--- a/system/fleet-model/src/lib.rs
+++ b/system/fleet-model/src/lib.rs
@@ -22,7 +22,7 @@
     pub epoch: u64,
     /// The core machines whose majority counts.
     pub voters: Vec<Ipv4Addr>,
-    /// What the register holds: a [`ControlState`] in postcard's form.
+    /// What the register holds: a [`ControlState`], by [`ControlState::to_payload`].
     pub payload: Bytes,
 }
 
@@ -139,6 +139,56 @@
     }
 }
 
+/// Longest state that is taken from a payload: operators' bodies are shorter by far.
+const MOST_STATE: usize = 32 << 20;
+
+/// A payload that is no state.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PayloadError {
+    /// It is in a form that this program does not know.
+    #[error("a payload of form {0}")]
+    Form(u8),
+    /// It says that it is longer than any state.
+    #[error("a payload of {0} bytes")]
+    Length(usize),
+    /// Its compression is damaged.
+    #[error("a payload that cannot be unpacked: {0}")]
+    Packed(String),
+    /// What it holds cannot be read.
+    #[error("a payload that cannot be read: {0}")]
+    State(postcard::Error),
+}
+
+/// The form of a payload: a [`ControlState`] by postcard, compressed by LZ4 behind its length. Configurations repeat
+/// themselves, and a payload goes to every voter twice and to every sender once.
+const PACKED: u8 = 1;
+
+impl ControlState {
+    /// The state as the register holds it.
+    pub fn to_payload(&self) -> Result<Bytes, PayloadError> {
+        let plain = postcard::to_allocvec(self).map_err(PayloadError::State)?;
+        let mut payload = vec![PACKED];
+        payload.extend(lz4_flex::block::compress_prepend_size(&plain));
+        Ok(payload.into())
+    }
+
+    /// Reads what the register holds; before the first change that is nothing.
+    pub fn from_payload(payload: &[u8]) -> Result<Self, PayloadError> {
+        let packed = match payload {
+            [] => return Ok(Self::default()),
+            [PACKED, packed @ ..] => packed,
+            [form, ..] => return Err(PayloadError::Form(*form)),
+        };
+        let unpacked = |e: lz4_flex::block::DecompressError| PayloadError::Packed(e.to_string());
+        let (length, packed) = lz4_flex::block::uncompressed_size(packed).map_err(unpacked)?;
+        if length > MOST_STATE {
+            return Err(PayloadError::Length(length));
+        }
+        let plain = lz4_flex::block::decompress(packed, length).map_err(unpacked)?;
+        postcard::from_bytes(&plain).map_err(PayloadError::State)
+    }
+}
+
 /// A chosen value, as it is spread.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ChosenValue {
@@ -146,7 +196,7 @@
     pub ballot: Ballot,
     /// The voters.
     pub voters: Vec<Ipv4Addr>,
-    /// A [`ControlState`] in postcard's form.
+    /// A [`ControlState`], by [`ControlState::to_payload`].
     pub payload: Bytes,
 }
 
--- /dev/null
+++ b/system/fleet-model/tests/payload.rs
@@ -0,0 +1,56 @@
+//! The register's payload: what is written is read, and nothing else is taken for a state.
+
+use fleet_model::{ControlState, Fence, PayloadError, TakenVersion};
+use googletest::prelude::*;
+
+/// A state with a configuration of so many routes.
+fn state(routes: u64) -> ControlState {
+    let route = |number: u64| {
+        let name = fleet_model::rank(&number.to_le_bytes(), 7);
+        format!(r#"{{"name":"r-{name:x}","hostname":"a.example","path_prefix":"/{name:x}/","route_type":"streaming","timeout_ms":6000,"target_latency_ms":200,"priority":1,"service":"s","max_attempts":2,"retained":true,"retention_s":60.0}}"#)
+    };
+    let config: Vec<String> = (0..routes).map(route).collect();
+    ControlState {
+        config: config.join(",").into(),
+        taken: vec![TakenVersion { version: 7, digest: [3; 32] }],
+        fences: [("list".to_owned(), Fence { number: 2, holder: None })].into(),
+        ..ControlState::default()
+    }
+}
+
+#[gtest]
+fn given_a_state_when_it_is_written_then_it_reads_as_it_was() {
+    for routes in [0, 1, 400] {
+        let state = state(routes);
+        let payload = state.to_payload().unwrap();
+        expect_that!(ControlState::from_payload(&payload), ok(eq(&state)));
+        expect_that!(state.to_payload(), ok(eq(&payload)), "the same bytes each time");
+    }
+    expect_that!(ControlState::from_payload(&[]), ok(eq(&ControlState::default())));
+}
+
+#[gtest]
+fn given_a_long_configuration_when_it_is_written_then_it_takes_a_quarter_at_most() {
+    let state = state(400);
+    expect_that!(state.to_payload().unwrap().len() * 4, lt(state.config.len()));
+}
+
+#[gtest]
+fn given_bytes_that_are_no_payload_when_they_are_read_then_an_error_tells_why() {
+    let payload = state(40).to_payload().unwrap().to_vec();
+    let read = |bytes: &[u8]| ControlState::from_payload(bytes);
+    expect_that!(read(&[9, 1, 2]), err(eq(&PayloadError::Form(9))));
+    expect_that!(read(&payload[..3]), err(matches_pattern!(PayloadError::Packed(_))));
+    let mut long = payload.clone();
+    long[1..5].copy_from_slice(&u32::MAX.to_le_bytes());
+    expect_that!(read(&long), err(eq(&PayloadError::Length(u32::MAX as usize))));
+    for end in 1..payload.len() {
+        expect_that!(read(&payload[..end]), err(anything()), "cut at {end}");
+    }
+    // A flipped bit is told or changes the state; it never ends the process.
+    for at in 0..payload.len() {
+        let mut flipped = payload.clone();
+        flipped[at] ^= 0x10;
+        let _ = read(&flipped);
+    }
+}
--- a/system/programs/src/keeper.rs
+++ b/system/programs/src/keeper.rs
@@ -58,6 +58,8 @@
     claim: RefCell<DutyClaim>,
     /// One proposal at a time.
     proposing: Mutex<()>,
+    /// How long the last run took that had a value chosen, in milliseconds.
+    run_ms: Cell<u64>,
     /// A poll is wanted now.
     poll_now: Notify,
     /// A poll has ended.
@@ -350,6 +352,7 @@
         highest: Cell::new(record.map_or(Ballot::default(), |record| record.promised)),
         claim: RefCell::new(DutyClaim::new(duties::LIST, me)),
         proposing: Mutex::new(()),
+        run_ms: Cell::new(0),
         poll_now: Notify::new(),
         polled: Notify::new(),
         stores: RefCell::default(),
--- a/system/programs/src/keeper/proposing.rs
+++ b/system/programs/src/keeper/proposing.rs
@@ -1,7 +1,7 @@
 //! A keeper as proposer and learner of the register.
 
 use super::*;
-use config_register::{Change, Learner, Proposal, Restore, RestoreStep, Step, Verdict};
+use config_register::{Change, Learner, Proposal, Restore, RestoreStep, Step, Verdict, completing_place};
 use fleet_model::{AcceptedValue, RegisterValue};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -12,10 +12,16 @@
 const POLL: Duration = Duration::from_millis(250);
 /// Longest time for one request to an acceptor.
 const PATIENCE: Duration = Duration::from_millis(300);
-/// A value that stays unsettled is completed after this and as much again by chance: its proposer may be at it.
+/// A value that stays unsettled is completed after this and up to as much again by chance, in milliseconds: its proposer
+/// may be at it.
 const UNSETTLED: u64 = 120;
-/// Longest pause after a run that lost, in milliseconds.
-const MOST_PAUSE: u64 = 320;
+/// Longest time to complete it.
+const COMPLETE_WITHIN: Duration = Duration::from_millis(500);
+/// Each voter after the first that would complete it waits so much longer, in milliseconds.
+const COMPLETING_STEP: u64 = 200;
+/// Time within which pauses after runs that lost are drawn, in milliseconds: the first, unless runs take longer, and the
+/// longest.
+const PAUSES: (u64, u64) = (16, 320);
 /// The low bits of a round tell the lives of a proposer apart.
 const LIFE_BITS: u32 = 16;
 
@@ -43,13 +49,6 @@
     Failed,
 }
 
-fn state_of(payload: &[u8]) -> Option<ControlState> {
-    match payload {
-        [] => Some(ControlState::default()),
-        bytes => postcard::from_bytes(bytes).ok(),
-    }
-}
-
 impl Keeper {
     /// A ballot above all that were seen, which no other life of this machine has used: one that lost its disk does not
     /// know its old ballots, but the time of day has risen since.
@@ -84,20 +83,14 @@
         let deadline = tokio::time::Instant::now() + within;
         let Ok(_alone) = timeout_at(deadline, self.proposing.lock()).await else { return false };
         for lost in 0_u32.. {
-            let Some(known) = self.known.borrow().clone() else { return false };
-            match timeout_at(deadline, self.run(&known, &mut wanted)).await {
-                Err(_) => return false,
-                Ok(Ended::Chosen(value, as_wanted)) => {
-                    self.adopt(value);
-                    self.poll_now.notify_one();
-                    if as_wanted {
-                        return true;
-                    }
-                }
-                Ok(Ended::Lost | Ended::Failed) => {}
+            match timeout_at(deadline, self.run_once(&mut wanted)).await {
+                Err(_) | Ok(None) => return false,
+                Ok(Some(true)) => return true,
+                Ok(Some(false)) => {}
             }
             // Proposers that get into each other's way part by pauses that grow: each needs two rounds undisturbed.
-            let pause = Duration::from_millis(4 + drawn() % (MOST_PAUSE.min(16 << lost.min(8))));
+            let window = PAUSES.0.max(self.run_ms.get()) << lost.min(8);
+            let pause = Duration::from_millis(4 + drawn() % window.min(PAUSES.1));
             if tokio::time::Instant::now() + pause >= deadline {
                 return false;
             }
@@ -106,6 +99,17 @@
         false
     }
 
+    /// One run: whether the state is as wanted now; none if this keeper knows no voters.
+    async fn run_once(&self, wanted: &mut impl FnMut(&ControlState, &[Ipv4Addr]) -> Wanted) -> Option<bool> {
+        let known = self.known.borrow().clone()?;
+        let began = Instant::now();
+        let Ended::Chosen(value, as_wanted) = self.run(&known, wanted).await else { return Some(false) };
+        self.run_ms.set(u64::try_from(began.elapsed().as_millis()).unwrap_or(PAUSES.1).min(PAUSES.1));
+        self.adopt(value);
+        self.poll_now.notify_one();
+        Some(as_wanted)
+    }
+
     async fn run(
         &self,
         known: &RegisterValue,
@@ -114,18 +118,20 @@
         let mut proposal = Proposal::start(self.me, self.next_ballot(), known);
         let mut aim: Option<(Option<Bytes>, Option<Vec<Ipv4Addr>>)> = None;
         let mut change = |read: &RegisterValue| {
-            let Some(state) = state_of(&read.payload) else {
-                log::error!("the register holds what cannot be read");
-                return Change::Keep;
+            let state = match ControlState::from_payload(&read.payload) {
+                Ok(state) => state,
+                Err(e) => {
+                    log::error!("the register holds what cannot be read: {e}");
+                    return Change::Keep;
+                }
             };
             match wanted(&state, &read.voters) {
                 Wanted::Nothing => {
                     aim = Some((None, None));
                     Change::Keep
                 }
-                Wanted::State(state) => match postcard::to_allocvec(&state) {
-                    Ok(bytes) => {
-                        let payload = Bytes::from(bytes);
+                Wanted::State(state) => match state.to_payload() {
+                    Ok(payload) => {
                         aim = Some((Some(payload.clone()), None));
                         Change::Set(payload)
                     }
@@ -236,15 +242,21 @@
     /// gone further meanwhile; where nothing moves, a run that keeps it completes it.
     async fn settle(&self, unsettled: &mut Option<Unsettled>, newest: Ballot) -> bool {
         let waiting = unsettled.take().filter(|waiting| waiting.ballot == newest);
-        let waiting = waiting.unwrap_or_else(|| Unsettled {
-            ballot: newest,
-            until: Instant::now() + Duration::from_millis(UNSETTLED + drawn() % UNSETTLED),
+        let waiting = waiting.unwrap_or_else(|| {
+            let place = completing_place(self.me, &self.feed.value().voters, newest);
+            let wait = UNSETTLED + drawn() % UNSETTLED + COMPLETING_STEP * place as u64;
+            Unsettled { ballot: newest, until: Instant::now() + Duration::from_millis(wait) }
         });
         if Instant::now() < waiting.until {
             *unsettled = Some(waiting);
             sleep(Duration::from_millis(25 + drawn() % 20)).await;
         } else {
-            self.change(Duration::from_millis(500), |_| Wanted::Nothing).await;
+            // Whoever gets in its way is completing it too, or has gone further.
+            let complete = async {
+                let _alone = self.proposing.lock().await;
+                self.run_once(&mut |_, _| Wanted::Nothing).await
+            };
+            let _ = timeout(COMPLETE_WITHIN, complete).await;
         }
         true
     }
--- a/system/state-feed/src/state.rs
+++ b/system/state-feed/src/state.rs
@@ -1,7 +1,9 @@
 //! What a process knows, whom it feeds, and what is pushed to whom.
 
 use crate::{BEAT, HEADS_PER_ZONE, LEAST_BEAT_GAP, MOST_AGE, MOST_CHILDREN, RELAY_BEAT};
-use fleet_model::{Answer, Ballot, Call, ChosenValue, ControlState, Endpoint, EndpointList, Push};
+use fleet_model::{
+    Answer, Ballot, Call, ChosenValue, ControlState, Endpoint, EndpointList, PayloadError, Push,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
@@ -132,24 +134,21 @@
         if value.ballot <= self.value.ballot {
             return Ok(Learned::default());
         }
-        let unreadable = |e: postcard::Error| Unreadable { ballot: value.ballot, why: e.to_string() };
-        let mut state: ControlState = match value.payload.is_empty() {
-            true => ControlState::default(),
-            false => postcard::from_bytes(&value.payload).map_err(unreadable)?,
-        };
+        let unreadable = |e: PayloadError| Unreadable { ballot: value.ballot, why: e.to_string() };
+        let mut state = ControlState::from_payload(&value.payload).map_err(unreadable)?;
         let same_config = state.taken.last().is_some_and(|taken| self.state.taken.last() == Some(taken));
         let (whole, slim) = match state.config.is_empty() && !state.taken.is_empty() {
             // It came without the configuration, which has to be the one known here.
             true if !same_config => return Ok(Learned { out_of_step: true, ..Learned::default() }),
             true => {
                 state.config = self.state.config.clone();
-                let payload = postcard::to_allocvec(&state).map_err(unreadable)?.into();
+                let payload = state.to_payload().map_err(unreadable)?;
                 (ChosenValue { payload, ..value.clone() }, value)
             }
             // Whoever was fed the value before this one has its configuration.
             false if same_config => {
                 let config = std::mem::take(&mut state.config);
-                let payload = postcard::to_allocvec(&state).map_err(unreadable)?.into();
+                let payload = state.to_payload().map_err(unreadable)?;
                 state.config = config;
                 (value.clone(), ChosenValue { payload, ..value })
             }
--- a/system/state-feed/tests/state.rs
+++ b/system/state-feed/tests/state.rs
@@ -271,7 +271,7 @@
     let mut state = fleet_model::ControlState { config: Bytes::from(vec![7; 9_000]), ..Default::default() };
     state.taken.push(fleet_model::TakenVersion { version, digest: [version as u8; 32] });
     state.roster.epoch = epoch;
-    let payload = Bytes::from(postcard::to_allocvec(&state).expect("plain"));
+    let payload = state.to_payload().expect("plain");
     ChosenValue { payload, ..value(round) }
 }
 
