Keep the acceptor's record in a log of its own; a damaged one is lost, not a first start

Cause: a damaged record was set aside and then read as one that was never there, so a machine whose settings still told of a first start founded again; and 3,400 records of 40 KB took 198.7 MB at the most in the engine's folder, where a core machine has 128 MB. Change: the record's log; what a keeper begins with is one function; a figure for damages found.

--- a/system/programs/src/disk.rs
+++ b/system/programs/src/disk.rs
@@ -1,16 +1,13 @@
 //! Records on disk, written by a thread of their own and awaited from the program's one loop.
 
-use crate::start::{StartError, drawn};
+use crate::start::StartError;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::cell::Cell;
-use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::Arc;
 use tokio::sync::oneshot;
-use turn_store::{Disk, Space, Write, WriteFailed, Writer};
-
-const RECORDS: Space = Space { name: "records", memtable_bytes: 1 << 20 };
+use turn_store::{Disk, RecordLog, Write, WriteFailed, Writer};
 
 /// A write that is waited for.
 struct Unsynced<'a>(&'a Cell<usize>);
@@ -30,7 +27,6 @@
 
 /// Writes to a disk, to be awaited.
 pub struct Durable {
-    disk: Arc<Disk>,
     writer: Writer,
     unsynced: Cell<usize>,
 }
@@ -41,41 +37,39 @@
     }
 }
 
-/// Reads a record.
-pub fn read<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, StartError> {
-    postcard::from_bytes(bytes).map_err(|e| StartError::Disk(format!("a record that cannot be read: {e}")))
+/// Reads a record. One that is whole and cannot be read was written by another program.
+pub fn read<T: DeserializeOwned>(place: &Path, bytes: &[u8]) -> Result<T, StartError> {
+    match postcard::take_from_bytes(bytes) {
+        Ok((record, [])) => Ok(record),
+        Ok((_, rest)) => Err(unknown(place, &format!("{} bytes too many", rest.len()))),
+        Err(e) => Err(unknown(place, &e.to_string())),
+    }
+}
+
+fn unknown(place: &Path, what: &str) -> StartError {
+    StartError::Disk(format!("{}: a record that this program does not know: {what}", place.display()))
 }
 
 impl Durable {
     /// Over an open disk.
     pub fn over(disk: Arc<Disk>) -> Result<Self, StartError> {
-        let writer = Writer::start(disk.clone())
-            .map_err(|source| StartError::System { what: "the writer's thread".to_owned(), source })?;
-        Ok(Self { disk, writer, unsynced: Cell::new(0) })
+        Self::of(Writer::start(disk))
     }
 
-    /// Opens a folder of plain records and reads them.
-    pub fn open(folder: &Path) -> Result<(Self, BTreeMap<String, Vec<u8>>), StartError> {
-        let disk = Arc::new(Disk::open(folder, &[RECORDS], drawn)?);
-        let mut records = BTreeMap::new();
-        let damages = disk.scan(RECORDS.name, |key, value| {
-            records.insert(String::from_utf8_lossy(key).into_owned(), value.to_vec());
-            Ok(())
-        })?;
-        // A promise that cannot be read is as good as forgotten: such a disk counts as empty, and the damage is kept.
-        disk.set_aside(&damages, &[])?;
-        Ok((Self::over(disk)?, records))
+    /// Over the log of a record.
+    pub fn over_log(log: RecordLog) -> Result<Self, StartError> {
+        Self::of(Writer::start_log(log))
     }
 
-    /// The disk.
-    pub fn disk(&self) -> &Disk {
-        &self.disk
+    fn of(writer: std::io::Result<Writer>) -> Result<Self, StartError> {
+        let failed = |source| StartError::System { what: "the writer's thread".to_owned(), source };
+        Ok(Self { writer: writer.map_err(failed)?, unsynced: Cell::new(0) })
     }
 
-    /// Puts a record; it is synced, with all earlier writes, when this returns.
-    pub async fn put<T: Serialize>(&self, key: &str, record: &T) -> Result<(), WriteFailed> {
+    /// Puts the record of a log; it is synced, with all earlier writes, when this returns.
+    pub async fn put<T: Serialize>(&self, record: &T) -> Result<(), WriteFailed> {
         let bytes = postcard::to_allocvec(record).map_err(|e| WriteFailed(e.to_string()))?;
-        self.write(vec![Write::put(RECORDS.name, key.as_bytes().to_vec(), bytes)]).await
+        self.write(vec![Write::put("record", Vec::new(), bytes)]).await
     }
 
     /// Writes these; they are synced, with all earlier writes, when this returns.
--- a/system/programs/src/keeper.rs
+++ b/system/programs/src/keeper.rs
@@ -3,15 +3,16 @@
 
 mod duties;
 mod proposing;
+mod record;
 
-use crate::disk::{self, Durable};
+use crate::disk::Durable;
 use crate::feed::{Feed, MOST_AGE, keep_beating};
 use crate::members::Members;
 use crate::operator::{self, Operations, Reply};
 use crate::staff::Desk;
 use crate::start::{Process, StartError, drawn, ended, listen};
 use bytes::Bytes;
-use config_register::{Acceptor, AcceptorRecord, Standing};
+use config_register::Acceptor;
 use control_duties::{ConfigVerdict, CoreWatch, DutyClaim, RosterWatch};
 use fleet_membership::{Change, Role};
 use fleet_model::{
@@ -22,6 +23,7 @@
 use operator_config::{OperatorConfig, digest};
 use peer_wire::{Handler, PeerClient, PeerServer, Pusher};
 use proposing::Wanted;
+use record::Beginning;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -33,8 +35,6 @@
 
 /// An operator waits about a second for an answer: within this it gets one, if only that there is no majority.
 const ANSWER_WITHIN: Duration = Duration::from_millis(850);
-/// Key of the acceptor's record on disk.
-const RECORD: &str = "acceptor";
 
 /// A keeper.
 pub struct Keeper {
@@ -43,6 +43,8 @@
     feed: Rc<Feed>,
     acceptor: RefCell<Acceptor>,
     disk: Durable,
+    /// Damages on disk that the start has found.
+    damages: u64,
     peers: RefCell<HashMap<Ipv4Addr, Rc<PeerClient>>>,
     /// How the core machines are.
     core: RefCell<CoreWatch>,
@@ -106,7 +108,7 @@
         };
         // What an answer tells of promise or value is synced before it is told, whoever's write it was.
         let synced = match record {
-            Some(record) => self.disk.put(RECORD, &record).await,
+            Some(record) => self.disk.put(&record).await,
             None => self.disk.settled().await,
         };
         if let Err(e) = synced {
@@ -199,6 +201,7 @@
         desk.answer(topic, |figures| {
             let votes = self.acceptor.borrow().record().is_some();
             figures.gauge("config_keeper_fit_to_vote", f64::from(u8::from(votes)));
+            figures.gauge("config_keeper_damages_found", self.damages as f64);
             figures.gauge("config_keeper_fresh", f64::from(u8::from(self.is_fresh())));
             figures.gauge("config_keeper_core_machines_heard", self.heard.borrow().len() as f64);
             let holds =
@@ -309,27 +312,18 @@
         .control_plane
         .ok_or(StartError::Lacking("listen_addresses.control_plane"))?;
     let folder = settings.data_directory.clone().ok_or(StartError::Lacking("data_directory"))?;
-    let (disk, records) = Durable::open(&folder)?;
     let seeds = process.seeds();
     let me = settings.ip_address;
-    let acceptor = match records.get(RECORD) {
-        Some(record) => Acceptor::new(disk::read::<AcceptorRecord>(record)?),
-        None if settings.first_start => {
-            let record = match seeds.contains(&me) {
-                true => config_register::found(seeds.clone()),
-                // It has never voted, so there is nothing that it may have forgotten.
-                false => AcceptorRecord {
-                    promised: Ballot::default(),
-                    accepted: None,
-                    standing: Standing::Blank,
-                    settled: None,
-                },
-            };
-            disk.put(RECORD, &record).await.map_err(|e| StartError::Disk(e.to_string()))?;
+    let record::Opened { durable: disk, beginning, damages } =
+        record::open(&folder, settings.first_start, me, &seeds)?;
+    let acceptor = match beginning {
+        Beginning::Kept(record) => Acceptor::new(record),
+        Beginning::First(record) => {
+            disk.put(&record).await.map_err(|e| StartError::Disk(e.to_string()))?;
             Acceptor::new(record)
         }
-        None => {
-            log::warn!("the disk is empty: no vote before the others have told what they hold");
+        Beginning::Unfit => {
+            log::warn!("no record on the disk: no vote before the others have told what they hold");
             Acceptor::unfit()
         }
     };
@@ -342,6 +336,7 @@
         feed: Rc::new(Feed::default()),
         acceptor: RefCell::new(acceptor),
         disk,
+        damages,
         peers: RefCell::default(),
         core: RefCell::new(CoreWatch::new(me)),
         heard: RefCell::new(heard),
--- a/system/programs/src/keeper/proposing.rs
+++ b/system/programs/src/keeper/proposing.rs
@@ -267,7 +267,7 @@
                 RestoreStep::Lost { seen } => return self.saw(seen),
                 RestoreStep::Failed => return,
                 RestoreStep::Done(record) => {
-                    if self.disk.put(RECORD, &record).await.is_err() {
+                    if self.disk.put(&record).await.is_err() {
                         return;
                     }
                     self.saw(record.promised);
--- /dev/null
+++ b/system/programs/src/keeper/record/tests.rs
@@ -0,0 +1,190 @@
+//! What a keeper starts with after its disk was harmed, and how much of the disk it takes.
+
+use super::*;
+use bytes::Bytes;
+use config_register::{Acceptor, found};
+use control_duties::{ConfigVerdict, put_config};
+use fleet_model::{
+    AcceptedValue, ControlState, Fence, RegisterReply, RegisterRequest, RegisterValue, TakenVersion,
+};
+use googletest::prelude::*;
+use std::fs;
+use std::path::PathBuf;
+
+fn ip(last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, last)
+}
+
+fn seeds() -> Vec<Ipv4Addr> {
+    vec![ip(1), ip(2), ip(3)]
+}
+
+fn open_as(folder: &Path, first_start: bool, me: Ipv4Addr) -> Opened {
+    open(folder, first_start, me, &seeds()).unwrap()
+}
+
+fn wait<T>(future: impl Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(future)
+}
+
+fn put(durable: &Durable, record: &AcceptorRecord) {
+    wait(durable.put(record)).unwrap();
+}
+
+fn ballot(round: u64) -> Ballot {
+    Ballot { round, proposer: ip(2).into() }
+}
+
+fn state(version: u64, config: usize) -> ControlState {
+    let fence = Fence { number: 3, holder: Some(ip(2)) };
+    ControlState {
+        config: vec![b'c'; config].into(),
+        taken: vec![TakenVersion { version, digest: [7; 32] }],
+        fences: [("list".to_owned(), fence)].into(),
+        ..ControlState::default()
+    }
+}
+
+fn accepted(round: u64, state: &ControlState) -> AcceptedValue {
+    let payload = Bytes::from(postcard::to_allocvec(state).unwrap());
+    AcceptedValue { ballot: ballot(round), value: RegisterValue { epoch: 0, voters: seeds(), payload } }
+}
+
+fn voted(round: u64) -> AcceptorRecord {
+    AcceptorRecord {
+        promised: ballot(round),
+        accepted: Some(accepted(round, &state(round, 60))),
+        ..found(seeds())
+    }
+}
+
+/// A folder in which a voter has accepted under rounds 1 and 2, and its file.
+fn voted_twice() -> (tempfile::TempDir, PathBuf) {
+    let folder = tempfile::tempdir().unwrap();
+    let opened = open_as(folder.path(), true, ip(1));
+    for round in [1, 2] {
+        put(&opened.durable, &voted(round));
+    }
+    drop(opened);
+    let path = folder.path().join("record.1");
+    (folder, path)
+}
+
+#[googletest::test]
+fn a_first_start_founds_and_an_empty_disk_later_is_unfit() {
+    let folder = tempfile::tempdir().unwrap();
+    let begins = |first_start, me| open_as(folder.path(), first_start, me).beginning;
+    expect_that!(begins(true, ip(1)), eq(&Beginning::First(found(seeds()))));
+    expect_that!(
+        matches!(begins(true, ip(9)), Beginning::First(record) if record.accepted.is_none()),
+        eq(true)
+    );
+    expect_that!(begins(false, ip(1)), eq(&Beginning::Unfit));
+}
+
+#[googletest::test]
+fn a_record_with_any_byte_changed_is_lost_and_never_a_first_start() {
+    let (_folder, path) = voted_twice();
+    let whole = fs::read(&path).unwrap();
+    for place in 0..whole.len() {
+        let (folder, path) = voted_twice();
+        let mut bytes = whole.clone();
+        bytes[place] ^= 1 << (place % 8);
+        fs::write(path, bytes).unwrap();
+        // Given settings that still tell of a first start, then it is unfit, or has what it promised last.
+        let opened = open_as(folder.path(), true, ip(1));
+        match &opened.beginning {
+            Beginning::Kept(record) => expect_that!(*record, eq(&voted(2)), "byte {place}"),
+            other => expect_that!(*other, eq(&Beginning::Unfit), "byte {place}"),
+        }
+        expect_that!(opened.damages, ge(1));
+        drop(opened);
+        // And an unfit one stays so in its next life.
+        let again = open_as(folder.path(), true, ip(1)).beginning;
+        expect_that!(matches!(again, Beginning::First(_)), eq(false), "byte {place}");
+    }
+}
+
+#[googletest::test]
+fn a_record_cut_anywhere_is_never_a_first_start() {
+    let (_folder, path) = voted_twice();
+    let whole = fs::read(&path).unwrap();
+    for cut in 0..whole.len() {
+        let (folder, path) = voted_twice();
+        fs::write(path, &whole[..cut]).unwrap();
+        let beginning = open_as(folder.path(), true, ip(1)).beginning;
+        let is_former = beginning == Beginning::Kept(voted(1));
+        expect_that!(is_former || beginning == Beginning::Unfit, eq(true), "cut at {cut}");
+    }
+}
+
+#[googletest::test]
+fn a_damaged_voter_promises_nothing_until_it_is_restored() {
+    // Given a voter whose newest record is damaged.
+    let (folder, path) = voted_twice();
+    let mut bytes = fs::read(&path).unwrap();
+    let last = bytes.len() - 10;
+    bytes[last] ^= 1;
+    fs::write(path, bytes).unwrap();
+    let opened = open_as(folder.path(), false, ip(1));
+    expect_that!(opened.beginning, eq(&Beginning::Unfit));
+    // Then it answers as one that lost its disk.
+    let mut acceptor = Acceptor::unfit();
+    let (reply, _) = acceptor.handle(&RegisterRequest::Prepare(ballot(9)));
+    expect_that!(reply, eq(&RegisterReply::Unfit));
+    // And what it is restored with is there in its next life.
+    put(&opened.durable, &voted(5));
+    drop(opened);
+    expect_that!(open_as(folder.path(), false, ip(1)).beginning, eq(&Beginning::Kept(voted(5))));
+}
+
+#[googletest::test]
+fn a_whole_record_that_is_none_of_this_programs_is_refused_by_its_place() {
+    let folder = tempfile::tempdir().unwrap();
+    let opened = open_as(folder.path(), true, ip(1));
+    wait(opened.durable.put(&(voted(1), 5_u8))).unwrap();
+    drop(opened);
+    let told = open(folder.path(), true, ip(1), &seeds()).err().unwrap().to_string();
+    expect_that!(told, contains_substring(folder.path().display().to_string()));
+    expect_that!(told, contains_substring("1 bytes too many"));
+}
+
+#[googletest::test]
+fn thousands_of_changes_of_the_configuration_take_a_small_part_of_the_disk() {
+    // Given a voter with a configuration of 20 KB.
+    let folder = tempfile::tempdir().unwrap();
+    let opened = open_as(folder.path(), true, ip(1));
+    let mut acceptor = Acceptor::new(found(seeds()));
+    let mut state = ControlState::default();
+    let mut most = 0;
+    // When 2,000 changes are promised and accepted, each put on disk before its answer.
+    for version in 1..=2_000_u64 {
+        let body = Bytes::from(vec![b'c'; 20_000]);
+        let taken = TakenVersion { version, digest: [version as u8; 32] };
+        let (next, verdict) = put_config(&state, version - 1, &taken, &body);
+        expect_that!(verdict, eq(ConfigVerdict::Taken));
+        state = next.unwrap();
+        for request in
+            [RegisterRequest::Prepare(ballot(version)), RegisterRequest::Accept(accepted(version, &state))]
+        {
+            let (_, changed) = acceptor.handle(&request);
+            expect_that!(changed, eq(true));
+            put(&opened.durable, acceptor.record().unwrap());
+        }
+        if version % 10 == 0 {
+            most = most.max(size(folder.path()));
+        }
+    }
+    println!("most on disk: {most} bytes");
+    // Then the folder never came near the 128 MB of a core machine.
+    expect_that!(most, lt(8 << 20));
+    // And the last one is there.
+    drop(opened);
+    let beginning = open_as(folder.path(), false, ip(1)).beginning;
+    expect_that!(beginning, eq(&Beginning::Kept(acceptor.record().unwrap().clone())));
+}
+
+fn size(folder: &Path) -> u64 {
+    let entries = fs::read_dir(folder).unwrap().filter_map(|entry| entry.ok()?.metadata().ok());
+    entries.map(|metadata| metadata.len()).sum()
+}
--- a/system/programs/src/storage.rs
+++ b/system/programs/src/storage.rs
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use turn_store::{Bodies, Body, Disk, Durability, Filling, SPACES, StoreState, load};
+use turn_store::{Bodies, Body, Disk, Durability, Filling, Replaced, SPACES, StoreState, load};
 
 /// Longest time for one call to another storage machine.
 const PATIENCE: Duration = Duration::from_millis(600);
@@ -30,6 +30,9 @@
     process: Rc<Process>,
     feed: Rc<Feed>,
     state: RefCell<StoreState>,
+    disk: Arc<Disk>,
+    /// Damages on disk that the start has found.
+    damages: usize,
     durable: Durable,
     me: Store,
     peers: RefCell<HashMap<Ipv4Addr, Rc<PeerClient>>>,
@@ -173,7 +176,7 @@
                 "turns": turns, "accounts": accounts, "bytes": bytes,
             })),
             ("turn", Some(attempt)) => {
-                let (state, turn) = match Bodies::get(self.durable.disk(), attempt) {
+                let (state, turn) = match Bodies::get(&*self.disk, attempt) {
                     Body::Held(turn) => ("held", Some(turn)),
                     Body::Lost => ("unreadable", None),
                     Body::Pending if full => ("absent", None),
@@ -186,7 +189,7 @@
                 let call =
                     Call::ReadAccount { epoch: self.state.borrow().epoch(), program: program.to_owned() };
                 let now = self.process.now_ms();
-                let outcome = self.state.borrow_mut().handle(now, &call, self.durable.disk());
+                let outcome = self.state.borrow_mut().handle(now, &call, &*self.disk);
                 let reservations = match &outcome.answer {
                     Answer::Account(reservations) => Some(reservations.as_slice()),
                     _ => None,
@@ -197,6 +200,7 @@
                 figures.gauge("turn_keeper_turns", turns as f64);
                 figures.gauge("turn_keeper_accounts", accounts as f64);
                 figures.gauge("turn_keeper_turn_bytes", bytes as f64);
+                figures.gauge("turn_keeper_damages_found", self.damages as f64);
                 figures.gauge("turn_keeper_full", f64::from(u8::from(full)));
             }),
         }
@@ -209,7 +213,7 @@
             return self.inspect(topic);
         }
         self.learn_roster();
-        let outcome = self.state.borrow_mut().handle(self.process.now_ms(), &call, self.durable.disk());
+        let outcome = self.state.borrow_mut().handle(self.process.now_ms(), &call, &*self.disk);
         match outcome.durability {
             Durability::Free => {}
             Durability::Lazy => self.durable.write_lazily(outcome.writes),
@@ -223,8 +227,8 @@
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
     let folder = settings.data_directory.clone().ok_or(StartError::Lacking("data_directory"))?;
-    let disk = Arc::new(Disk::open(&folder, SPACES, drawn)?);
-    let (kept, damages) = load(&disk)?;
+    let Replaced { disk, read: (kept, damages), lost } = Disk::open_or_replace(&folder, SPACES, drawn, load)?;
+    let disk = Arc::new(disk);
     if !damages.is_empty() {
         log::error!("{} damaged records set aside: this machine fills again", damages.len());
     }
@@ -244,7 +248,9 @@
         process: process.clone(),
         feed: feed.clone(),
         state: RefCell::new(state),
-        durable: Durable::over(disk)?,
+        durable: Durable::over(disk.clone())?,
+        disk,
+        damages: damages.len() + usize::from(lost.is_some()),
         me,
         peers: RefCell::default(),
     });
