Bound what a peer's frame may ask for, and change frames in many ways in the tests

Cause: a frame of 16 bytes could tell of a message of 16 MB, which was asked for before it was read; one of 34 bytes, of a list of a million endpoints without fields, which was built. Both need a hello of the fleet only. Change: no more words than the bytes can unpack to, and no list whose elements have no room in the message. changed-bytes makes changed samples for tests of decoders. Over sockets, more than 200 frames that are no calls are each closed and counted.

--- a/system/peer-wire/src/codec.rs
+++ b/system/peer-wire/src/codec.rs
@@ -4,6 +4,7 @@
 use crate::peer_capnp as wire;
 use bytes::Bytes;
 use capnp::message::{Builder, HeapAllocator, ReaderOptions};
+use capnp::traits::{HasStructSize, OwnedStruct};
 use capnp::{primitive_list, serialize_packed, struct_list, text};
 use fleet_model::{
     AcceptedValue, Answer, Ballot, Call, ChosenValue, Endpoint, EndpointList, EndpointState, Frame, Push,
@@ -41,6 +42,9 @@
     WireError::Malformed(capnp::Error::failed(what.into()))
 }
 
+/// Two packed bytes may be a word of zeros with 255 more.
+const WORDS_PER_PACKED_BYTE: usize = 128;
+
 /// Words of a message's first segment: enough for most frames but lists and turns.
 const FIRST_SEGMENT_WORDS: u32 = 64;
 
@@ -71,12 +75,36 @@
         return Err(WireError::TooLong(bytes.len()));
     }
     let mut rest = bytes;
-    let options = ReaderOptions { traversal_limit_in_words: Some(2 * MAX_FRAME_LEN / 8), nesting_limit: 16 };
+    // What a message tells of its size is asked for before it is read: no more than these bytes can unpack to.
+    let most = (bytes.len() * WORDS_PER_PACKED_BYTE).min(MAX_FRAME_LEN / 8);
+    let options = ReaderOptions { traversal_limit_in_words: Some(2 * most), nesting_limit: 16 };
     let message = serialize_packed::read_message(&mut rest, options)?;
     if !rest.is_empty() {
         return Err(WireError::Trailing(rest.len()));
     }
-    read_frame(message.get_root()?)
+    let words = Words(message.size_in_words());
+    read_frame(message.get_root()?, words)
+}
+
+/// The length of the message that is read.
+#[derive(Clone, Copy)]
+struct Words(usize);
+
+impl Words {
+    /// A list whose elements have room in the message. Elements without fields take none, however many there are.
+    fn hold<'a, T: OwnedStruct>(
+        self,
+        list: struct_list::Reader<'a, T>,
+    ) -> Result<struct_list::Reader<'a, T>, WireError>
+    where
+        T::Builder<'a>: HasStructSize,
+    {
+        let element = <T::Builder<'a> as HasStructSize>::STRUCT_SIZE.total() as usize;
+        match list.len() as usize * element <= self.0 {
+            true => Ok(list),
+            false => Err(malformed("a list longer than the message")),
+        }
+    }
 }
 
 /// About how many bytes the long fields of a frame take.
@@ -139,13 +167,13 @@
     }
 }
 
-fn read_frame(from: wire::frame::Reader<'_>) -> Result<Frame, WireError> {
+fn read_frame(from: wire::frame::Reader<'_>, words: Words) -> Result<Frame, WireError> {
     let number = from.get_number();
     Ok(match from.which()? {
         wire::frame::Nothing(()) => return Err(malformed("nothing in it")),
         wire::frame::Call(call) => Frame::Call(number, read_call(call?)?),
-        wire::frame::Answer(answer) => Frame::Answer(number, read_answer(answer?)?),
-        wire::frame::Push(push) => Frame::Push(read_push(push?)?),
+        wire::frame::Answer(answer) => Frame::Answer(number, read_answer(answer?, words)?),
+        wire::frame::Push(push) => Frame::Push(read_push(push?, words)?),
     })
 }
 
@@ -299,32 +327,34 @@
     }
 }
 
-fn read_answer(from: wire::answer::Reader<'_>) -> Result<Answer, WireError> {
+fn read_answer(from: wire::answer::Reader<'_>, words: Words) -> Result<Answer, WireError> {
     use wire::answer::Which;
     Ok(match from.which()? {
         Which::Register(reply) => Answer::Register(read_register_reply(reply?)?),
         Which::Done(()) => Answer::Done,
         Which::Unready(()) => Answer::Unready,
         Which::Redirect(addresses) => Answer::Redirect(
-            addresses?
+            words
+                .hold(addresses?)?
                 .iter()
                 .map(|address| SocketAddrV4::new(address.get_ip().into(), address.get_port()))
                 .collect(),
         ),
         Which::WrongEpoch(epoch) => Answer::WrongEpoch(epoch),
-        Which::Account(reservations) => Answer::Account(read_reservations(reservations?)),
+        Which::Account(reservations) => Answer::Account(read_reservations(words.hold(reservations?)?)),
         Which::Chain(from) => Answer::Chain {
             text: Bytes::copy_from_slice(from.get_text()?),
             missing: from.has_missing().then(|| read_text(from.get_missing()?)).transpose()?,
         },
         Which::Absent(from) => Answer::Absent { complete: from.get_complete() },
         Which::Records(from) => Answer::Records {
-            turns: from.get_turns()?.iter().map(read_turn).collect::<Result<_, _>>()?,
-            accounts: from
-                .get_accounts()?
+            turns: words.hold(from.get_turns()?)?.iter().map(read_turn).collect::<Result<_, _>>()?,
+            accounts: words
+                .hold(from.get_accounts()?)?
                 .iter()
                 .map(|account| {
-                    Ok((read_text(account.get_program()?)?, read_reservations(account.get_reservations()?)))
+                    let reservations = words.hold(account.get_reservations()?)?;
+                    Ok((read_text(account.get_program()?)?, read_reservations(reservations)))
                 })
                 .collect::<Result<_, WireError>>()?,
             cursor: from.has_cursor().then(|| from.get_cursor().map(Bytes::copy_from_slice)).transpose()?,
@@ -364,7 +394,7 @@
     }
 }
 
-fn read_push(from: wire::push::Reader<'_>) -> Result<Push, WireError> {
+fn read_push(from: wire::push::Reader<'_>, words: Words) -> Result<Push, WireError> {
     use wire::push::Which;
     Ok(match from.which()? {
         Which::Beat(from) => Push::Beat { age_ms: from.get_age_ms(), proxies: from.get_proxies() },
@@ -375,12 +405,12 @@
         }),
         Which::List(from) => Push::List(EndpointList {
             stamp: read_stamp(from.get_stamp()?),
-            endpoints: read_endpoints(from.get_endpoints()?)?,
+            endpoints: read_endpoints(words.hold(from.get_endpoints()?)?)?,
         }),
         Which::ListChange(from) => Push::ListChange {
             base: read_stamp(from.get_base()?),
             stamp: read_stamp(from.get_stamp()?),
-            put: read_endpoints(from.get_put()?)?,
+            put: read_endpoints(words.hold(from.get_put()?)?)?,
             gone: from.get_gone()?.iter().map(|instance| read_text(instance?)).collect::<Result<_, _>>()?,
         },
     })
--- a/system/peer-wire/tests/calls.rs
+++ b/system/peer-wire/tests/calls.rs
@@ -1,8 +1,15 @@
 //! Calls and pushes over loopback sockets.
 
+mod samples;
+
+use changed_bytes::changed;
 use fleet_model::{Answer, Ballot, Call, Frame, Push};
 use googletest::prelude::*;
-use peer_wire::{CallFailure, CallLimits, HELLO_LEN, Handler, PeerClient, PeerServer, Pusher, encode};
+use peer_wire::{
+    CallFailure, CallLimits, HELLO_LEN, Handler, PeerClient, PeerServer, Pusher, decode, encode,
+};
+use proptest::strategy::{Strategy, ValueTree};
+use proptest::test_runner::TestRunner;
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -348,6 +355,30 @@
     });
 }
 
+#[test]
+fn given_frames_that_are_no_calls_when_sent_then_each_sender_is_closed_and_counted() {
+    local(async {
+        let served = serve().await;
+        // Given changed frames that are no calls, and frames that are none.
+        let samples: Vec<Vec<u8>> =
+            samples::frames().iter().map(|frame| encode(frame).unwrap().to_vec()).collect();
+        let strategy = changed(samples.clone());
+        let mut runner = TestRunner::deterministic();
+        let mut strange = samples;
+        strange.extend((0..300).map(|_| strategy.new_tree(&mut runner).unwrap().current()));
+        strange.retain(|bytes| !matches!(decode(bytes), Ok(Frame::Call(..))));
+        assert_that!(strange.len(), gt(200));
+        // When they are sent after a hello, then each connection is closed and counted, and nothing is answered.
+        for (bytes, count) in strange.iter().zip(1..) {
+            let length = u32::try_from(bytes.len()).unwrap().to_be_bytes();
+            let heard = say(served.address, &[&hello(FLEET)[..], &length, bytes].concat()).await;
+            assert!(heard.is_empty() || heard == hello(FLEET), "{heard:?}");
+            assert_that!(served.server.strangers(), eq(count));
+        }
+        assert_that!(served.client().call(inspect("x"), PATIENCE).await, ok(eq(&view("x"))));
+    });
+}
+
 #[test]
 fn given_a_client_when_dropped_then_its_connection_is_closed() {
     local(async {
--- /dev/null
+++ b/system/peer-wire/tests/samples/mod.rs
@@ -0,0 +1,132 @@
+//! A frame of each kind.
+
+use bytes::Bytes;
+use fleet_model::*;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+fn ip(last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 3, last)
+}
+
+fn ballot(round: u64) -> Ballot {
+    Ballot { round, proposer: ip(7).into() }
+}
+
+fn accepted() -> AcceptedValue {
+    let value = RegisterValue {
+        epoch: 3,
+        voters: vec![ip(1), ip(2), ip(3)],
+        payload: Bytes::from_static(b"\0state\xff"),
+    };
+    AcceptedValue { ballot: ballot(9), value }
+}
+
+fn endpoint(number: u8, state: EndpointState) -> Endpoint {
+    Endpoint {
+        instance_id: format!("backend-{number}-7f3a"),
+        service: "chat".into(),
+        address: SocketAddrV4::new(ip(number), 8080),
+        zone: "zone-b".into(),
+        capacity_slots: 16,
+        state,
+    }
+}
+
+fn turn(previous: Option<&str>) -> Turn {
+    Turn {
+        attempt: "6f1c9a52-attempt".into(),
+        previous: previous.map(Into::into),
+        input: Bytes::from_static(b"{\"q\":\"h\xc3\xa9\"}"),
+        output: Bytes::from_static(b"one\ntwo\n"),
+        retention_ms: 86_400_000,
+        holders: vec![u64::MAX, 0, 5],
+    }
+}
+
+pub fn reservations(count: u64) -> Vec<Reservation> {
+    (1..=count).map(|n| Reservation { attempt: n.wrapping_mul(0x9e37_79b9_7f4a_7c15), tokens: 800 }).collect()
+}
+
+pub fn reserve() -> Call {
+    let reservation = Reservation { attempt: 0x9e37_79b9_7f4a_7c15, tokens: 800 };
+    Call::Reserve { epoch: 4, program: "summaries".into(), reservation }
+}
+
+pub fn frames() -> Vec<Frame> {
+    use RegisterReply as Reply;
+    use RegisterRequest as Request;
+    let store = Store { name: "storage-1".into(), ip: ip(9), zone: "zone-a".into(), disk: u64::MAX - 1 };
+    let reservation = Reservation { attempt: u64::MAX, tokens: u32::MAX };
+    let calls = [
+        Call::Register(Request::Prepare(ballot(u64::MAX))),
+        Call::Register(Request::Accept(accepted())),
+        Call::Register(Request::Poll { chosen: ballot(4) }),
+        Call::Register(Request::Fetch),
+        Call::JoinCore { ip: ip(255) },
+        Call::JoinStorage { store },
+        Call::Filled { disk: 1, epoch: 2 },
+        Call::Subscribe { ip: ip(4), zone: "zone-c".into(), urgent: true, value: ballot(2), list: (3, 4) },
+        Call::Subscribe { ip: ip(4), zone: "".into(), urgent: false, value: Ballot::default(), list: (0, 0) },
+        reserve(),
+        Call::Settle { epoch: 5, program: "".into(), reservation },
+        Call::ReadAccount { epoch: 6, program: "p\0q".into() },
+        Call::KeepTurn { epoch: 7, turn: turn(Some("before")) },
+        Call::KeepTurn { epoch: 7, turn: turn(Some("")) },
+        Call::KeepTurn { epoch: 7, turn: turn(None) },
+        Call::ReadChain { epoch: 8, attempt: "a".into() },
+        Call::Fill { epoch: 9, disk: 10, cursor: Bytes::new() },
+        Call::Fill { epoch: 9, disk: 10, cursor: Bytes::from_static(b"next") },
+        Call::FillDone { epoch: 11, disk: 12 },
+        Call::Inspect { topic: "members".into() },
+    ];
+    let chain = |missing: Option<&str>| Answer::Chain {
+        text: Bytes::from_static(b"in\nout\n"),
+        missing: missing.map(Into::into),
+    };
+    let records = |cursor| Answer::Records {
+        turns: vec![turn(None), turn(Some("x"))],
+        accounts: vec![("p".into(), reservations(3)), ("q".into(), vec![])],
+        cursor,
+    };
+    let answers = [
+        Answer::Register(Reply::Promised(None)),
+        Answer::Register(Reply::Promised(Some(accepted()))),
+        Answer::Register(Reply::Accepted),
+        Answer::Register(Reply::Refused(ballot(3))),
+        Answer::Register(Reply::Unfit),
+        Answer::Register(Reply::Polled { accepted: None, chosen: Ballot::default() }),
+        Answer::Register(Reply::Polled { accepted: Some(Ballot::default()), chosen: ballot(1) }),
+        Answer::Register(Reply::Fetched(None)),
+        Answer::Register(Reply::Fetched(Some(accepted()))),
+        Answer::Done,
+        Answer::Unready,
+        Answer::Redirect(vec![]),
+        Answer::Redirect(vec![SocketAddrV4::new(ip(1), 1), SocketAddrV4::new(ip(2), u16::MAX)]),
+        Answer::WrongEpoch(77),
+        Answer::Account(vec![]),
+        Answer::Account(reservations(10)),
+        chain(None),
+        chain(Some("")),
+        chain(Some("earlier")),
+        Answer::Absent { complete: false },
+        Answer::Absent { complete: true },
+        records(None),
+        records(Some(Bytes::new())),
+        records(Some(Bytes::from_static(b"c"))),
+        Answer::View("{\"a\":1}".into()),
+    ];
+    let endpoints = vec![endpoint(1, EndpointState::Ready), endpoint(2, EndpointState::Draining)];
+    let pushes = [
+        Push::Beat { age_ms: 120, proxies: 40 },
+        Push::Value(ChosenValue {
+            ballot: ballot(8),
+            voters: vec![ip(1)],
+            payload: Bytes::from_static(b"v"),
+        }),
+        Push::List(EndpointList { stamp: (1, 2), endpoints: endpoints.clone() }),
+        Push::ListChange { base: (1, 2), stamp: (1, 3), put: endpoints, gone: vec!["x".into(), "".into()] },
+    ];
+    let calls = (1..).zip(calls).map(|(number, call)| Frame::Call(number, call));
+    let answers = answers.into_iter().map(|answer| Frame::Answer(u64::MAX, answer));
+    calls.chain(answers).chain(pushes.into_iter().map(Frame::Push)).collect()
+}
