--- a/system/node-settings/src/read.rs
+++ b/system/node-settings/src/read.rs
@@ -10,9 +10,15 @@
 
 /// Ports that the helpers of [`Settings`] name.
 const NAMED_PORTS: u16 = 4;
+/// Longest text. The time that reading takes grows with the square of how deep it nests.
+const MOST_BYTES: usize = 64 << 10;
 
 pub(crate) fn read(text: &str) -> Result<Settings, Vec<Finding>> {
     let mut findings = Findings::default();
+    if text.len() > MOST_BYTES {
+        let what = format!("cannot be read: {} bytes are too many", text.len());
+        return Err(vec![Finding { field: String::new(), what }]);
+    }
     let unreadable = |error: figment::Error| {
         vec![Finding { field: String::new(), what: format!("cannot be read: {}", error.kind) }]
     };
@@ -27,7 +33,7 @@
     let zone = findings.required("", "zone", form.zone);
     let internal_port_range = findings.required("", "internal_port_range", form.internal_port_range);
     if let Some((first, last)) = internal_port_range
-        && (last < first || last - first + 1 < NAMED_PORTS)
+        && (last < first || last - first < NAMED_PORTS - 1)
     {
         let what = format!("{first} to {last} are not {NAMED_PORTS} ports");
         findings.add("internal_port_range".to_owned(), what);
--- a/system/operator-config/tests/config/properties.rs
+++ b/system/operator-config/tests/config/properties.rs
@@ -1,6 +1,7 @@
 //! Properties of reading and routing.
 
 use crate::samples::VALID;
+use changed_bytes::changed;
 use operator_config::{OperatorConfig, Route};
 use proptest::prelude::*;
 
@@ -49,6 +50,13 @@
         read_and_check(&bytes);
     }
 
+    #[test]
+    fn given_a_valid_document_that_is_cut_repeated_and_spliced_when_read_then_it_is_whole_or_told(
+        bytes in changed(vec![VALID.as_bytes().to_vec(), br#"{"version":1,"routes":[],"services":[]}"#.to_vec()]),
+    ) {
+        read_and_check(&bytes);
+    }
+
     #[test]
     fn given_a_valid_document_with_a_value_replaced_when_read_then_it_is_whole_or_told(
         pick in any::<prop::sample::Index>(),
@@ -81,6 +89,13 @@
     }
 }
 
+#[test]
+fn given_documents_that_nest_without_end_when_read_then_they_are_told() {
+    for text in ["[".repeat(100_000), "{\"routes\":".repeat(100_000), "{\"limits\":[".repeat(50_000)] {
+        assert!(OperatorConfig::read(text.as_bytes()).is_err());
+    }
+}
+
 fn collect_pointers(value: &serde_json::Value, pointer: String, pointers: &mut Vec<String>) {
     match value {
         serde_json::Value::Object(fields) => {
