--- a/system/fleet-model/tests/payload.rs
+++ b/system/fleet-model/tests/payload.rs
@@ -7,7 +7,9 @@
 fn state(routes: u64) -> ControlState {
     let route = |number: u64| {
         let name = fleet_model::rank(&number.to_le_bytes(), 7);
-        format!(r#"{{"name":"r-{name:x}","hostname":"a.example","path_prefix":"/{name:x}/","route_type":"streaming","timeout_ms":6000,"target_latency_ms":200,"priority":1,"service":"s","max_attempts":2,"retained":true,"retention_s":60.0}}"#)
+        format!(
+            r#"{{"name":"r-{name:x}","hostname":"a.example","path_prefix":"/{name:x}/","route_type":"streaming","timeout_ms":6000,"target_latency_ms":200,"priority":1,"service":"s","max_attempts":2,"retained":true,"retention_s":60.0}}"#
+        )
     };
     let config: Vec<String> = (0..routes).map(route).collect();
     ControlState {
