Have a keeper listen for others' runs before it begins its own

Cause: a proposer began whenever it wished, and its pauses began anew with each change. Change: `Pacing` in config-register: a run waits while the acceptor beside it hears of another's, until that is chosen or silent for 0.2 s; pauses grow over all changes until a run is won or nothing newer is left; a settlement makes one run, a restore listens too. Two counters for staff tell runs and lost runs.

--- a/system/config-register/src/lib.rs
+++ b/system/config-register/src/lib.rs
@@ -51,12 +51,14 @@
 
 mod acceptor;
 mod learner;
+mod pacing;
 mod proposal;
 mod restore;
 mod round;
 
 pub use acceptor::{Acceptor, AcceptorRecord, Standing, found};
 pub use learner::{Learner, Verdict};
+pub use pacing::Pacing;
 pub use proposal::{Change, Proposal, Step};
 pub use restore::{Restore, RestoreStep};
 
--- /dev/null
+++ b/system/config-register/tests/pacing.rs
@@ -0,0 +1,213 @@
+//! Proposers beside their acceptors in simulated time, with a value so large that it takes long to carry.
+
+use bytes::Bytes;
+use config_register::{Acceptor, Change, Outbox, Pacing, Proposal, Step, found, next_round};
+use fleet_model::{Ballot, RegisterReply, RegisterRequest, RegisterValue};
+use googletest::prelude::*;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+/// A request or reply without the value takes so long, in milliseconds.
+const SMALL: u64 = 2;
+/// Each further copy of the value on one machine's link takes so long.
+const LARGE: u64 = 9;
+
+fn ballot(round: u64, proposer: u8) -> Ballot {
+    Ballot { round, proposer: u32::from(machine(proposer)) }
+}
+
+fn machine(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, number)
+}
+
+#[gtest]
+fn a_run_begins_at_once_where_nobody_elses_is_under_way() {
+    // Given a proposer that has heard nothing.
+    let pacing = Pacing::default();
+    // Then it does not wait.
+    expect_that!(pacing.waits(1_000), eq(0));
+}
+
+#[gtest]
+fn anothers_run_is_given_way_to_until_it_is_over_or_silent() {
+    // Given a run of another that was heard at 1,000 and, going on, at 1,100.
+    let mut pacing = Pacing::default();
+    pacing.hears(1_000, ballot(5, 2));
+    pacing.hears(1_100, ballot(5, 2));
+    // Then a run here waits from the last sign of life on, and no longer once that is long ago.
+    expect_that!(pacing.waits(1_150), eq(150));
+    expect_that!(pacing.waits(1_300), eq(0));
+    // When an older ballot turns out to be chosen, then the newer run is still under way.
+    pacing.learns_chosen(ballot(4, 3));
+    expect_that!(pacing.waits(1_150), eq(150));
+    // When its own is chosen, then the way is free.
+    pacing.learns_chosen(ballot(5, 2));
+    expect_that!(pacing.waits(1_150), eq(0));
+}
+
+#[gtest]
+fn pauses_grow_from_one_change_to_the_next_until_a_run_is_won() {
+    // Given a proposer whose runs for several changes were all lost.
+    let mut pacing = Pacing::default();
+    for _ in 0..3 {
+        pacing.loses(0, 63);
+    }
+    // Then the pause is drawn from four times the first span.
+    expect_that!(pacing.waits(0), eq(67));
+    // When a run is won, then the next pause is drawn from the first span again.
+    pacing.calms();
+    pacing.loses(0, 63);
+    expect_that!(pacing.waits(0), eq(19));
+}
+
+enum Event {
+    Wake(u8),
+    Request { to: u8, from: u8, run: Ballot, request: RegisterRequest },
+    Reply { to: u8, from: u8, run: Ballot, reply: RegisterReply },
+}
+
+struct Machine {
+    acceptor: Acceptor,
+    pacing: Pacing,
+    run: Option<Proposal>,
+    seen: Ballot,
+    /// When its link has carried all it was given.
+    link_free: u64,
+    done: bool,
+}
+
+struct Fleet {
+    machines: BTreeMap<u8, Machine>,
+    events: BTreeMap<(u64, u64), Event>,
+    events_made: u64,
+    now: u64,
+    random: ChaCha8Rng,
+    chosen: RegisterValue,
+}
+
+impl Fleet {
+    fn new(count: u8, seed: u64) -> Self {
+        let record = found((1..=count).map(machine).collect());
+        let chosen = record.accepted.clone().unwrap().value;
+        let new = |number| {
+            let machine = Machine {
+                acceptor: Acceptor::new(record.clone()),
+                pacing: Pacing::default(),
+                run: None,
+                seen: Ballot::default(),
+                link_free: 0,
+                done: false,
+            };
+            (number, machine)
+        };
+        let machines = (1..=count).map(new).collect();
+        let random = ChaCha8Rng::seed_from_u64(seed);
+        Self { machines, events: BTreeMap::new(), events_made: 0, now: 0, random, chosen }
+    }
+
+    fn at(&mut self, at: u64, event: Event) {
+        self.events_made += 1;
+        self.events.insert((at, self.events_made), event);
+    }
+
+    /// When what a machine sends now arrives.
+    fn carried(&mut self, sender: u8, is_large: bool) -> u64 {
+        let sender = self.machines.get_mut(&sender).unwrap();
+        let takes = if is_large { LARGE } else { 0 };
+        sender.link_free = sender.link_free.max(self.now) + takes;
+        sender.link_free + SMALL
+    }
+
+    fn send(&mut self, from: u8, run: Ballot, requests: Outbox) {
+        for (ip, request) in requests {
+            let at = self.carried(from, matches!(request, RegisterRequest::Accept(_)));
+            self.at(at, Event::Request { to: ip.octets()[3], from, run, request });
+        }
+    }
+
+    fn wake(&mut self, number: u8) {
+        let again = self.now + 10 + u64::from(self.random.next_u32()) % 15;
+        let machine = self.machines.get_mut(&number).unwrap();
+        if machine.done || machine.run.is_some() {
+            return;
+        }
+        if machine.pacing.waits(self.now) > 0 {
+            return self.at(again, Event::Wake(number));
+        }
+        let ballot = next_round(machine.seen, Ipv4Addr::new(10, 0, 0, number));
+        machine.seen = ballot;
+        let proposal = Proposal::start(Ipv4Addr::new(10, 0, 0, number), ballot, &self.chosen);
+        let requests = proposal.outbox();
+        machine.run = Some(proposal);
+        self.send(number, ballot, requests);
+    }
+
+    fn request(&mut self, to: u8, from: u8, run: Ballot, request: &RegisterRequest) {
+        let machine = self.machines.get_mut(&to).unwrap();
+        let (reply, _) = machine.acceptor.handle(request);
+        let lets_pass = matches!(reply, RegisterReply::Promised(_) | RegisterReply::Accepted);
+        if from != to && lets_pass {
+            machine.pacing.hears(self.now, run);
+        }
+        machine.seen = machine.seen.max(run);
+        let at = self.carried(to, matches!(reply, RegisterReply::Promised(_)));
+        self.at(at, Event::Reply { to: from, from: to, run, reply });
+    }
+
+    fn reply(&mut self, to: u8, from: u8, run: Ballot, reply: &RegisterReply) {
+        let drawn = u64::from(self.random.next_u32());
+        let machine = self.machines.get_mut(&to).unwrap();
+        let Some(proposal) = machine.run.as_mut().filter(|proposal| proposal.ballot() == run) else { return };
+        let mut change = |_: &RegisterValue| Change::Set(Bytes::from(vec![to]));
+        match proposal.on_reply(Ipv4Addr::new(10, 0, 0, from), reply, &mut change) {
+            Step::Wait => {}
+            Step::Send(requests) => self.send(to, run, requests),
+            Step::Done(value) => {
+                machine.run = None;
+                machine.done = true;
+                machine.pacing.calms();
+                self.chosen = value.value;
+                for machine in self.machines.values_mut() {
+                    machine.pacing.learns_chosen(run);
+                }
+            }
+            Step::Lost { .. } | Step::Failed => {
+                machine.run = None;
+                machine.pacing.loses(self.now, drawn);
+                self.at(self.now + 1, Event::Wake(to));
+            }
+        }
+    }
+
+    /// Plays for so long; how many machines have had their change chosen.
+    fn play(&mut self, until: u64) -> usize {
+        while let Some(((at, _), event)) = self.events.pop_first()
+            && at <= until
+        {
+            self.now = at;
+            match event {
+                Event::Wake(number) => self.wake(number),
+                Event::Request { to, from, run, request } => self.request(to, from, run, &request),
+                Event::Reply { to, from, run, reply } => self.reply(to, from, run, &reply),
+            }
+        }
+        self.machines.values().filter(|machine| machine.done).count()
+    }
+}
+
+#[gtest]
+fn proposers_of_a_large_value_all_come_to_their_end() {
+    for seed in 0..50 {
+        // Given eight machines, and a value that takes a tenth of a second to be carried to all of them.
+        let mut fleet = Fleet::new(8, seed);
+        // When all want a change within 20 ms.
+        for number in 1..=8 {
+            let at = u64::from(fleet.random.next_u32()) % 20;
+            fleet.at(at, Event::Wake(number));
+        }
+        // Then every change is chosen within four seconds.
+        expect_that!(fleet.play(4_000), eq(8), "seed {}", seed);
+    }
+}
--- a/system/programs/src/keeper.rs
+++ b/system/programs/src/keeper.rs
@@ -11,7 +11,7 @@
 use crate::staff::Desk;
 use crate::start::{Process, StartError, drawn, ended, listen};
 use bytes::Bytes;
-use config_register::{Acceptor, AcceptorRecord, Standing};
+use config_register::{Acceptor, AcceptorRecord, Pacing, Standing};
 use control_duties::{ConfigVerdict, CoreWatch, DutyClaim, RosterWatch};
 use fleet_membership::{Change, Role};
 use fleet_model::{
@@ -36,6 +36,13 @@
 /// Key of the acceptor's record on disk.
 const RECORD: &str = "acceptor";
 
+/// How many runs at the register this keeper has made, and how many of them were lost to those of others.
+#[derive(Default)]
+struct RunCounts {
+    begun: Cell<u64>,
+    lost: Cell<u64>,
+}
+
 /// A keeper.
 pub struct Keeper {
     process: Rc<Process>,
@@ -58,6 +65,10 @@
     claim: RefCell<DutyClaim>,
     /// One proposal at a time.
     proposing: Mutex<()>,
+    /// When a run may begin beside those of others.
+    pacing: RefCell<Pacing>,
+    /// What its runs came to.
+    runs: RunCounts,
     /// A poll is wanted now.
     poll_now: Notify,
     /// A poll has ended.
@@ -102,6 +113,7 @@
         let (reply, record) = {
             let mut acceptor = self.acceptor.borrow_mut();
             let (reply, changed) = acceptor.handle(&request);
+            self.listen(from, &request, &reply);
             (reply, acceptor.record().filter(|_| changed).cloned())
         };
         // What an answer tells of promise or value is synced before it is told, whoever's write it was.
@@ -120,6 +132,18 @@
         Some(reply)
     }
 
+    /// Takes note of another's run that was let pass here.
+    fn listen(&self, from: Ipv4Addr, request: &RegisterRequest, reply: &RegisterReply) {
+        let ballot = match request {
+            RegisterRequest::Prepare(ballot) => *ballot,
+            RegisterRequest::Accept(offered) => offered.ballot,
+            _ => return,
+        };
+        if from != self.me && !matches!(reply, RegisterReply::Refused(_)) {
+            self.pacing.borrow_mut().hears(self.process.now_ms(), ballot);
+        }
+    }
+
     /// A ballot is known to be chosen: its value is here, or the one that says so has it.
     fn learn_chosen(&self, from: Ipv4Addr, chosen: Ballot) {
         if chosen <= self.feed.value().ballot {
@@ -136,6 +160,7 @@
     /// Takes a chosen value.
     fn adopt(&self, accepted: AcceptedValue) {
         self.acceptor.borrow_mut().learn_value(&accepted);
+        self.pacing.borrow_mut().learns_chosen(accepted.ballot);
         if accepted.ballot < self.feed.value().ballot {
             return;
         }
@@ -204,6 +229,8 @@
             let holds =
                 self.feed.state().fences.values().filter(|fence| fence.holder == Some(self.me)).count();
             figures.gauge("config_keeper_duties", holds as f64);
+            figures.counter("config_keeper_runs_total", self.runs.begun.get());
+            figures.counter("config_keeper_runs_lost_total", self.runs.lost.get());
         })
     }
 }
@@ -350,6 +377,8 @@
         highest: Cell::new(record.map_or(Ballot::default(), |record| record.promised)),
         claim: RefCell::new(DutyClaim::new(duties::LIST, me)),
         proposing: Mutex::new(()),
+        pacing: RefCell::default(),
+        runs: RunCounts::default(),
         poll_now: Notify::new(),
         polled: Notify::new(),
         stores: RefCell::default(),
--- a/system/programs/src/keeper/proposing.rs
+++ b/system/programs/src/keeper/proposing.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use config_register::{Change, Learner, Proposal, Restore, RestoreStep, Step, Verdict};
-use fleet_model::{AcceptedValue, RegisterValue};
+use fleet_model::RegisterValue;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc;
@@ -14,8 +14,8 @@
 const PATIENCE: Duration = Duration::from_millis(300);
 /// A value that stays unsettled is completed after this and as much again by chance: its proposer may be at it.
 const UNSETTLED: u64 = 120;
-/// Longest pause after a run that lost, in milliseconds.
-const MOST_PAUSE: u64 = 320;
+/// Longest time that a restore waits for others' runs to end.
+const MOST_WAIT: Duration = Duration::from_millis(600);
 /// The low bits of a round tell the lives of a proposer apart.
 const LIFE_BITS: u32 = 16;
 
@@ -37,10 +37,14 @@
 }
 
 enum Ended {
-    /// A value is chosen; whether it is as wanted.
-    Chosen(AcceptedValue, bool),
+    /// A value is chosen, and taken.
+    Chosen {
+        as_wanted: bool,
+    },
     Lost,
     Failed,
+    /// Its time was over before it came to an end.
+    Late,
 }
 
 fn state_of(payload: &[u8]) -> Option<ControlState> {
@@ -51,14 +55,15 @@
 }
 
 impl Keeper {
-    /// A ballot above all that were seen, which no other life of this machine has used: one that lost its disk does not
-    /// know its old ballots, but the time of day has risen since.
+    /// The ballot of a new run: above all that were seen, and one which no other life of this machine has used. One that
+    /// lost its disk does not know its old ballots, but the time of day has risen since.
     fn next_ballot(&self) -> Ballot {
         let seconds = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs());
         let rising = ((self.highest.get().round >> LIFE_BITS) + 1).max(seconds);
         let round = rising << LIFE_BITS | self.life;
         let ballot = Ballot { round, proposer: u32::from(self.me) };
         self.highest.set(ballot);
+        self.runs.begun.set(self.runs.begun.get() + 1);
         ballot
     }
 
@@ -83,27 +88,43 @@
     ) -> bool {
         let deadline = tokio::time::Instant::now() + within;
         let Ok(_alone) = timeout_at(deadline, self.proposing.lock()).await else { return false };
-        for lost in 0_u32.. {
-            let Some(known) = self.known.borrow().clone() else { return false };
-            match timeout_at(deadline, self.run(&known, &mut wanted)).await {
-                Err(_) => return false,
-                Ok(Ended::Chosen(value, as_wanted)) => {
-                    self.adopt(value);
-                    self.poll_now.notify_one();
-                    if as_wanted {
-                        return true;
-                    }
-                }
-                Ok(Ended::Lost | Ended::Failed) => {}
+        while self.way_is_free(deadline).await {
+            match self.attempt(deadline, &mut wanted).await {
+                Ended::Chosen { as_wanted: true } => return true,
+                Ended::Chosen { as_wanted: false } | Ended::Lost | Ended::Failed => {}
+                Ended::Late => return false,
             }
-            // Proposers that get into each other's way part by pauses that grow: each needs two rounds undisturbed.
-            let pause = Duration::from_millis(4 + drawn() % (MOST_PAUSE.min(16 << lost.min(8))));
+        }
+        false
+    }
+
+    /// One run, as far as the time goes.
+    async fn attempt(
+        &self,
+        deadline: tokio::time::Instant,
+        wanted: &mut impl FnMut(&ControlState, &[Ipv4Addr]) -> Wanted,
+    ) -> Ended {
+        let Some(known) = self.known.borrow().clone() else { return Ended::Late };
+        timeout_at(deadline, self.run(&known, wanted)).await.unwrap_or(Ended::Late)
+    }
+
+    /// Waits until no other's run is under way and the pause after a lost one is over; false if that is too late.
+    async fn way_is_free(&self, deadline: tokio::time::Instant) -> bool {
+        while self.pacing.borrow().waits(self.process.now_ms()) > 0 {
+            // Those who wait do not all begin in the moment in which the way gets free.
+            let pause = Duration::from_millis(10 + drawn() % 15);
             if tokio::time::Instant::now() + pause >= deadline {
                 return false;
             }
             sleep(pause).await;
         }
-        false
+        true
+    }
+
+    /// A run that another's was in the way of, or that reached too few.
+    fn lost_run(&self) {
+        self.runs.lost.set(self.runs.lost.get() + 1);
+        self.pacing.borrow_mut().loses(self.process.now_ms(), drawn());
     }
 
     async fn run(
@@ -153,15 +174,20 @@
                         payload.as_ref().is_none_or(|payload| *payload == value.value.payload)
                             && voters.as_ref().is_none_or(|voters| *voters == value.value.voters)
                     });
-                    return Ended::Chosen(value, as_wanted);
+                    self.pacing.borrow_mut().calms();
+                    self.adopt(value);
+                    self.poll_now.notify_one();
+                    return Ended::Chosen { as_wanted };
                 }
                 Step::Lost { seen } => {
                     self.saw(seen);
+                    self.lost_run();
                     return Ended::Lost;
                 }
-                Step::Failed => return Ended::Failed,
+                Step::Failed => break,
             }
         }
+        self.lost_run();
         Ended::Failed
     }
 
@@ -212,6 +238,7 @@
         match verdict {
             Verdict::Fresh => {
                 *unsettled = None;
+                self.pacing.borrow_mut().calms();
                 self.feed.confirm(began);
                 false
             }
@@ -240,17 +267,23 @@
             ballot: newest,
             until: Instant::now() + Duration::from_millis(UNSETTLED + drawn() % UNSETTLED),
         });
-        if Instant::now() < waiting.until {
+        if Instant::now() < waiting.until || self.pacing.borrow().waits(self.process.now_ms()) > 0 {
             *unsettled = Some(waiting);
             sleep(Duration::from_millis(25 + drawn() % 20)).await;
         } else {
-            self.change(Duration::from_millis(500), |_| Wanted::Nothing).await;
+            let deadline = tokio::time::Instant::now() + Duration::from_millis(500);
+            // One run, and the next poll tells whether another is wanted.
+            if let Ok(_alone) = timeout_at(deadline, self.proposing.lock()).await {
+                self.attempt(deadline, &mut |_, _| Wanted::Nothing).await;
+            }
         }
         true
     }
 
     /// Brings an acceptor without a record to where it may vote.
     pub(super) async fn restore(&self) {
+        // It begins in any case: runs of others that go on for good must not keep this machine from its vote.
+        self.way_is_free(tokio::time::Instant::now() + MOST_WAIT).await;
         let others: Vec<Ipv4Addr> = self.heard.borrow().iter().copied().filter(|ip| *ip != self.me).collect();
         let mut restore = Restore::start(self.me, self.next_ballot(), &others);
         let mut calls = FuturesUnordered::new();
@@ -264,8 +297,11 @@
             match step {
                 RestoreStep::Wait => {}
                 RestoreStep::Send(requests) => calls.extend(requests.into_iter().map(call)),
-                RestoreStep::Lost { seen } => return self.saw(seen),
-                RestoreStep::Failed => return,
+                RestoreStep::Lost { seen } => {
+                    self.lost_run();
+                    return self.saw(seen);
+                }
+                RestoreStep::Failed => return self.lost_run(),
                 RestoreStep::Done(record) => {
                     if self.disk.put(RECORD, &record).await.is_err() {
                         return;
