Let a replaced core machine join by a chosen value, and new stores fill from one another

Cause, found by a simulation of all crates as one fleet: a machine with an empty disk that knew nothing needed half of the voters and one more, which with three or five voters and one or two of them gone for good are not there; and in a new fleet a store that had absorbed a page was neither full nor empty, so that after the next change of the roster none of the new stores could be filled from. Change: who restores asks first what others know to be chosen, and starts from that; a store that has taken no write and was never full in a founded set can be filled from; placement of copies and accounts moves from the programs to turn-store, its tests with it.

--- a/system/config-register/src/lib.rs
+++ b/system/config-register/src/lib.rs
@@ -57,7 +57,7 @@
 mod round;
 
 pub use acceptor::{Acceptor, AcceptorRecord, Standing, found};
-pub use learner::{Learner, Verdict, completing_place};
+pub use learner::{Learner, Verdict, completing_place, told_chosen};
 pub use pacing::Pacing;
 pub use proposal::{Change, Proposal, Step};
 pub use restore::{Restore, RestoreStep};
--- a/system/turn-store/src/lib.rs
+++ b/system/turn-store/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod disk;
 mod filling;
+mod placement;
 mod record_log;
 mod records;
 mod state;
@@ -13,6 +14,7 @@
 
 pub use disk::{Damage, Disk, DiskError, Replaced, Space, Write};
 pub use filling::Filling;
+pub use placement::{AccountHolders, copies_needed, copy_order, has_copies, merge_reservations};
 pub use record_log::{Found, Opened, RecordLog};
 pub use records::{ACCOUNTS, FillRecord, HOLDERS, Kept, KeptTurn, SPACES, STATE, TURNS, load};
 pub use state::{Bodies, Body, Durability, Outcome, Room, StoreState};
