Drive the crate state-feed in the hollow fleet, and complete values in turn there

Cause: lab/src/hollow/feed.rs copied the feed's first rules, so slopes were those of a mechanism that is no more: each change of the list compared for each subscriber, values always whole, agents that stayed on keepers. Change: FeedState decides what goes to whom and Follower by whom a process is fed; the lab opens links, encodes a push once for all that get it, and wakes followers.

--- a/lab/src/hollow/mod.rs
+++ b/lab/src/hollow/mod.rs
@@ -1,6 +1,6 @@
 //! A hollow fleet: the control traffic of hundreds of machines in one process. Agents, proxies, keepers and storage
 //! machines are state machines in simulated time; what they tell one another is encoded and decoded by the real codec, the
-//! register's machines are the real ones, configurations are read by the real reader. There are no sockets, disks, clients
+//! register's machines and those of the feed are the real ones, configurations are read by the real reader. There are no sockets, disks, clients
 //! or requests: processor time is that of deciding and of the codec, without system calls and without the network's own.
 
 mod feed;
@@ -319,7 +319,7 @@
     for depth in proxies.iter().filter_map(|proxy| world.depth(*proxy)) {
         *depths.entry(depth).or_default() += 1;
     }
-    let most = |role| world.running(role).map(|node| node.feed.subscribers.len()).max().unwrap_or(0);
+    let most = |role| world.running(role).map(|node| node.feed.subscribers()).max().unwrap_or(0);
     let most_subscribers = ROLES.iter().map(|role| (*role, most(*role))).collect();
 
     world.put_config(1);
@@ -350,7 +350,7 @@
 fn stage(world: &mut World, name: &'static str, seconds: u64, settled: Option<Settled>) -> StageFigures {
     world.forget_tallies();
     let began = world.now;
-    let ballots = |world: &World| world.running(Role::Keeper).map(|node| node.feed.value.ballot).max();
+    let ballots = |world: &World| world.running(Role::Keeper).map(|node| node.feed.value().ballot).max();
     let (mut values, mut last) = (0, ballots(world));
     let mut fresh_ms = None;
     for step in 0..seconds * 20 {
