--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod scenario;
 pub mod sim;
 pub mod stage;
+pub mod system;
 pub mod table;
 pub mod tier;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -15,6 +15,7 @@
 use micadrum_lab::report::{ReportError, html};
 use micadrum_lab::scenario::{Baseline, MOST_PROCESSES, ParseError, Scenario, ScenarioError, Variant};
 use micadrum_lab::sim::{SimError, simulate};
+use micadrum_lab::system::{self, MUTATIONS, Mutation, Schedule};
 use micadrum_lab::table::table;
 use micadrum_lab::tier;
 use std::path::{Path, PathBuf};
@@ -93,6 +94,31 @@
         #[arg(long)]
         history: Option<PathBuf>,
     },
+    /// Plays the whole system in simulated time, by schedules drawn from seeds, until one breaks a rule; that one is made as
+    /// short as it can be and written down.
+    SimSystem {
+        /// So many schedules, each with the next seed.
+        #[arg(long, default_value_t = 1_000)]
+        schedules: u64,
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// A way to break the system on purpose.
+        #[arg(long, value_enum)]
+        r#break: Option<Mutation>,
+        /// Instead: each way to break it in turn, each for so many seconds at most, and a table.
+        #[arg(long)]
+        mutations: Option<u64>,
+        /// Instead: plays this schedule again.
+        #[arg(long)]
+        replay: Option<PathBuf>,
+        /// A file for the shortest schedule that breaks a rule.
+        #[arg(long, default_value = "system-schedule.json")]
+        out: PathBuf,
+        /// A file for the history of the schedule that breaks a rule, or of the one that is played again.
+        #[arg(long)]
+        history: Option<PathBuf>,
+    },
     /// Checks the promises of a fleet's view on a history.
     Check {
         /// The history, in JSON lines.
@@ -229,6 +255,8 @@
     History(#[from] HistoryError),
     #[error(transparent)]
     Hollow(#[from] HollowError),
+    #[error("{path} holds no schedule: {source}")]
+    NoSchedule { path: PathBuf, source: serde_json::Error },
     #[error("starting: {0}")]
     Start(#[from] std::io::Error),
 }
@@ -291,6 +319,19 @@
                 peers.heartbeat |= heartbeat;
                 simulate_fleet(&scenario, seeds, r#break, history, stop)
             }
+            Command::SimSystem { schedules, seed, r#break, mutations, replay, out, history } => {
+                let stops = || *stop.borrow() > 0;
+                match (replay, mutations) {
+                    (Some(path), _) => replay_system(&path, r#break, history.as_deref()),
+                    (None, Some(seconds)) => {
+                        mutate_system(schedules, seed, seconds, stops);
+                        Ok(true)
+                    }
+                    (None, None) => {
+                        simulate_system(schedules, seed, r#break, &out, history.as_deref(), stops).await
+                    }
+                }
+            }
             Command::Check { history } => {
                 let verdict = check(&history::read(&history)?);
                 verdict.broken.iter().for_each(|broken| println!("{broken}"));
@@ -441,6 +482,90 @@
     Ok(true)
 }
 
+fn write(path: &Path, text: String) -> Result<(), LabError> {
+    std::fs::write(path, text).map_err(|source| LabError::Out { path: path.to_owned(), source })
+}
+
+fn write_system(history: Option<&Path>, played: &system::Played) -> Result<(), LabError> {
+    let lines = played.history.iter().map(|(at, fact)| format!("{at:6} {fact:?}\n"));
+    history.map_or(Ok(()), |path| write(path, lines.collect()))
+}
+
+fn tell_system(played: &system::Played) {
+    let Schedule { seed, tolerance, faults, .. } = &played.schedule;
+    println!("seed {seed}, {tolerance} machines may be lost at once, {} faults:", faults.len());
+    faults.iter().for_each(|fault| println!("  {fault}"));
+    played.broken.iter().for_each(|broken| println!("broken: {broken}"));
+}
+
+/// Whether no schedule broke a rule.
+async fn simulate_system(
+    schedules: u64,
+    seed: u64,
+    mutation: Option<Mutation>,
+    out: &Path,
+    history: Option<&Path>,
+    stops: impl Fn() -> bool,
+) -> Result<bool, LabError> {
+    let mut ended = system::play_until_broken(schedules, seed, mutation, stops);
+    ended.settled.sort_unstable();
+    println!(
+        "{} schedules in {:.1} s: {} turns answered whole, {} looked up, {} configurations acknowledged, settled after {} ms \
+         in the middle and {} ms at worst",
+        ended.schedules,
+        ended.took.as_secs_f64(),
+        ended.sums.0,
+        ended.sums.1,
+        ended.sums.2,
+        quantile(&ended.settled, 0.5),
+        ended.settled.last().copied().unwrap_or_default(),
+    );
+    let Some(broken) = ended.broken else {
+        println!("no rule broken");
+        return Ok(true);
+    };
+    tell_system(&broken);
+    let shortest = system::shortest(&broken, mutation).await;
+    println!("the shortest that still breaks it:");
+    tell_system(&shortest);
+    let text = serde_json::to_string_pretty(&shortest.schedule);
+    write(out, text.map_err(|source| LabError::NoSchedule { path: out.to_owned(), source })?)?;
+    write_system(history, &shortest)?;
+    println!("again: micadrum-lab sim-system --replay {}", out.display());
+    Ok(false)
+}
+
+fn replay_system(path: &Path, mutation: Option<Mutation>, history: Option<&Path>) -> Result<bool, LabError> {
+    let text = std::fs::read(path).map_err(|source| LabError::Out { path: path.to_owned(), source })?;
+    let schedule: Schedule = serde_json::from_slice(&text)
+        .map_err(|source| LabError::NoSchedule { path: path.to_owned(), source })?;
+    let played = system::play_one(&schedule, mutation);
+    tell_system(&played);
+    println!("all as it should be {} ms after the last fault", played.settled_after);
+    write_system(history, &played)?;
+    Ok(played.broken.is_empty())
+}
+
+/// After how many schedules each mutation is caught.
+fn mutate_system(schedules: u64, seed: u64, seconds: u64, stops: impl Fn() -> bool) {
+    let mut rows = vec![["mutation", "schedules", "seconds", "rule"].map(str::to_owned).to_vec()];
+    for mutation in MUTATIONS {
+        let began = Instant::now();
+        let over = || stops() || began.elapsed().as_secs() >= seconds;
+        let ended = system::play_until_broken(schedules, seed, Some(mutation), over);
+        let rule = ended.broken.as_ref().and_then(|played| played.broken.first());
+        rows.push(vec![
+            format!("{mutation:?}"),
+            ended.schedules.to_string(),
+            format!("{:.1}", ended.took.as_secs_f64()),
+            rule.map_or("not caught".to_owned(), |broken| format!("{:?}", broken.rule)),
+        ]);
+    }
+    for row in rows {
+        println!("| {} |", row.join(" | "));
+    }
+}
+
 /// The scenario of a file, as the command line changes it.
 fn chosen(plays: &Plays) -> Result<Scenario, LabError> {
     let mut scenario = Scenario::read(&plays.file)?;
--- a/lab/src/peers/shrink.rs
+++ b/lab/src/peers/shrink.rs
@@ -1,9 +1,8 @@
 //! The smallest part of a schedule that still breaks a promise, by leaving faults out (delta debugging: A. Zeller and
 //! R. Hildebrandt, "Simplifying and Isolating Failure-Inducing Input", 2002).
-use super::schedule::Fault;
 
 /// Leaves out as many faults as `breaks` lets it; asked with fewer and fewer, it says whether the promise is still broken.
-pub async fn smallest(all: Vec<Fault>, mut breaks: impl AsyncFnMut(&[Fault]) -> bool) -> Vec<Fault> {
+pub async fn smallest<T: Clone>(all: Vec<T>, mut breaks: impl AsyncFnMut(&[T]) -> bool) -> Vec<T> {
     let mut left = all;
     let mut parts = 2;
     while !left.is_empty() {
@@ -11,7 +10,7 @@
         let mut smaller = None;
         for begin in (0..left.len()).step_by(size) {
             let end = (begin + size).min(left.len());
-            let without: Vec<Fault> = left[..begin].iter().chain(&left[end..]).cloned().collect();
+            let without: Vec<T> = left[..begin].iter().chain(&left[end..]).cloned().collect();
             if breaks(&without).await {
                 smaller = Some(without);
                 break;
--- /dev/null
+++ b/lab/src/system/check.rs
@@ -0,0 +1,183 @@
+//! The rules of the whole system, read from a history alone.
+
+use super::history::{Fact, History, Told};
+use fleet_model::{Ballot, rank};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// A rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// One ballot chooses one value, and each later one holds all versions of the one before.
+    OneValue,
+    /// What was acknowledged is in every value chosen later and in what is read back.
+    Acknowledged,
+    /// Of two changes on top of one version at most one is acknowledged.
+    OneOfTwo,
+    /// A process goes back to no older value, configuration or list in one life.
+    Forward,
+    /// One life holds the duty under a fence.
+    OneHolder,
+    /// A program is handed no more than its budget and one turn's most.
+    Budget,
+    /// A turn that was answered whole is found.
+    Found,
+    /// What is found is the turns' texts, in order.
+    Text,
+    /// After the last fault all is as it should be within the stated time.
+    Settles,
+}
+
+/// A broken rule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// Which.
+    pub rule: Rule,
+    /// When it was seen, in milliseconds.
+    pub at: u64,
+    /// How.
+    pub what: String,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} at {} ms: {}", self.rule, self.at, self.what)
+    }
+}
+
+/// All rules that a history breaks; each once, in the order of their times.
+pub fn check(history: &History) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    register(history, &mut broken);
+    processes(history, &mut broken);
+    turns(history, &mut broken);
+    for (at, fact) in history {
+        if let Fact::Settled { lacks, .. } = fact
+            && !lacks.is_empty()
+        {
+            broken.push(Broken { rule: Rule::Settles, at: *at, what: lacks.join("; ") });
+        }
+    }
+    broken.sort_by_key(|broken| broken.at);
+    let mut seen = BTreeSet::new();
+    broken.retain(|broken| seen.insert(broken.rule));
+    broken
+}
+
+fn register(history: &History, broken: &mut Vec<Broken>) {
+    let mut chosen: BTreeMap<Ballot, (u64, &Vec<u64>, u64)> = BTreeMap::new();
+    let mut acknowledged: Vec<(u64, u64)> = Vec::new();
+    let mut on_top: BTreeMap<u64, u64> = BTreeMap::new();
+    for (at, fact) in history {
+        match fact {
+            Fact::Chosen { ballot, versions, hash, node } => {
+                let (_, _, first) = chosen.entry(*ballot).or_insert((*at, versions, *hash));
+                if first != hash {
+                    let what = format!("keeper {node} takes another value as chosen under {ballot:?}");
+                    broken.push(Broken { rule: Rule::OneValue, at: *at, what });
+                }
+            }
+            Fact::Acknowledged { version, on } => {
+                acknowledged.push((*at, *version));
+                let other = *on_top.entry(*on).or_insert(*version);
+                if other != *version {
+                    let what = format!("{other} and {version} were acknowledged on top of {on}");
+                    broken.push(Broken { rule: Rule::OneOfTwo, at: *at, what });
+                }
+            }
+            Fact::ReadBack { begun, version } => {
+                let newest =
+                    acknowledged.iter().filter(|(at, _)| at <= begun).map(|(_, version)| *version).max();
+                if newest > Some(*version) {
+                    let what = format!("{version} was read back after {newest:?} had been acknowledged");
+                    broken.push(Broken { rule: Rule::Acknowledged, at: *at, what });
+                }
+            }
+            _ => {}
+        }
+    }
+    let values: Vec<_> = chosen.iter().collect();
+    for pair in values.windows(2) {
+        let [(_, (_, before, _)), (ballot, (at, after, _))] = pair else { continue };
+        if !after.starts_with(before) {
+            let what = format!("{after:?} under {ballot:?} after {before:?}");
+            broken.push(Broken { rule: Rule::OneValue, at: *at, what });
+        }
+    }
+    if let Some((_, (at, last, _))) = values.last() {
+        for (_, version) in acknowledged {
+            if !last.contains(&version) {
+                let what = format!("{version} was acknowledged and is not in the last value");
+                broken.push(Broken { rule: Rule::Acknowledged, at: *at, what });
+            }
+        }
+    }
+}
+
+fn processes(history: &History, broken: &mut Vec<Broken>) {
+    let mut known: BTreeMap<(usize, u64), (Ballot, u64, u64)> = BTreeMap::new();
+    let mut holders: BTreeMap<u64, (usize, u64)> = BTreeMap::new();
+    for (at, fact) in history {
+        match fact {
+            Fact::Knows { node, life, ballot, version, list } => {
+                let now = (*ballot, *version, *list);
+                let before = known.insert((*node, *life), now).unwrap_or_default();
+                if now.0 < before.0 || now.1 < before.1 || now.2 < before.2 {
+                    let what = format!("process {node} went from {before:?} to {now:?}");
+                    broken.push(Broken { rule: Rule::Forward, at: *at, what });
+                }
+            }
+            Fact::Holds { node, life, fence } => {
+                let holder = *holders.entry(*fence).or_insert((*node, *life));
+                if holder != (*node, *life) {
+                    let what = format!("{holder:?} and {:?} held the duty under {fence}", (node, life));
+                    broken.push(Broken { rule: Rule::OneHolder, at: *at, what });
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn turns(history: &History, broken: &mut Vec<Broken>) {
+    let mut programs: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+    let mut whole: BTreeMap<&str, (u64, String)> = BTreeMap::new();
+    for (at, fact) in history {
+        match fact {
+            Fact::Program { program, budget, most } => drop(programs.insert(program, (budget + most, 0))),
+            Fact::Handed { program, tokens } => {
+                let Some((bound, handed)) = programs.get_mut(program.as_str()) else { continue };
+                *handed += tokens;
+                if handed > bound {
+                    let what = format!("{program} was handed {handed} tokens of at most {bound}");
+                    broken.push(Broken { rule: Rule::Budget, at: *at, what });
+                }
+            }
+            Fact::Whole { attempt, previous, text } => {
+                let before = previous.as_ref().and_then(|previous| whole.get(previous.as_str()));
+                let chain = before.map(|(_, chain)| chain.clone()).unwrap_or_default() + text;
+                whole.insert(attempt, (*at, chain));
+            }
+            Fact::Asked { begun, attempt, told } => {
+                let Some((since, chain)) = whole.get(attempt.as_str()).filter(|(since, _)| since <= begun)
+                else {
+                    continue;
+                };
+                match told {
+                    Told::Text(hash) if *hash == rank(chain.as_bytes(), 0) => {}
+                    Told::Text(_) => {
+                        let what = format!("{attempt}, whole since {since}, came with another text");
+                        broken.push(Broken { rule: Rule::Text, at: *at, what });
+                    }
+                    Told::NoSuchTurn => {
+                        let what =
+                            format!("{attempt}, whole since {since}, was asked for at {begun}: no such turn");
+                        broken.push(Broken { rule: Rule::Found, at: *at, what });
+                    }
+                    Told::Unavailable => {}
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/system/history.rs
@@ -0,0 +1,119 @@
+//! What was done and seen in a play of the whole system, for the checker, which reads nothing else.
+
+use fleet_model::Ballot;
+
+/// What one asked for a turn was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// This chain, by its hash.
+    Text(u64),
+    /// There is no such turn.
+    NoSuchTurn,
+    /// Not now.
+    Unavailable,
+}
+
+/// One thing that was done or seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fact {
+    /// A fault begins, as the schedule names it.
+    Fault(String),
+    /// A keeper takes a value as chosen: the versions it remembers and a hash of all of it.
+    Chosen {
+        /// Of the keeper.
+        node: usize,
+        /// Under which it was chosen.
+        ballot: Ballot,
+        /// Versions taken, oldest first.
+        versions: Vec<u64>,
+        /// Of payload and voters.
+        hash: u64,
+    },
+    /// A configuration was acknowledged.
+    Acknowledged {
+        /// Its version.
+        version: u64,
+        /// The version that it replaces.
+        on: u64,
+    },
+    /// A configuration was read back.
+    ReadBack {
+        /// When it was asked for.
+        begun: u64,
+        /// What came.
+        version: u64,
+    },
+    /// A keeper's life begins to hold the duty.
+    Holds {
+        /// Of the keeper.
+        node: usize,
+        /// Its life.
+        life: u64,
+        /// Under which fence.
+        fence: u64,
+    },
+    /// What a process on an edge machine goes by from now on.
+    Knows {
+        /// Of the process.
+        node: usize,
+        /// Its life.
+        life: u64,
+        /// The register's value.
+        ballot: Ballot,
+        /// Its configuration.
+        version: u64,
+        /// The list's reading, by the platform's count.
+        list: u64,
+    },
+    /// The platform's list is another one.
+    Platform {
+        /// Its count.
+        list: u64,
+    },
+    /// A program begins.
+    Program {
+        /// Its name.
+        program: String,
+        /// What it may be handed.
+        budget: u64,
+        /// What one turn may be handed at most.
+        most: u64,
+    },
+    /// A client got tokens.
+    Handed {
+        /// The program.
+        program: String,
+        /// So many.
+        tokens: u64,
+    },
+    /// A turn was answered whole.
+    Whole {
+        /// Its `Attempt-Id`.
+        attempt: String,
+        /// The turn before it.
+        previous: Option<String>,
+        /// Its input and output.
+        text: String,
+    },
+    /// A turn was asked for.
+    Asked {
+        /// When.
+        begun: u64,
+        /// Its `Attempt-Id`.
+        attempt: String,
+        /// What came.
+        told: Told,
+    },
+    /// The last fault is over.
+    Calm,
+    /// After this all is as it should be, or what is not.
+    Settled {
+        /// Milliseconds after the last fault.
+        after: u64,
+        /// What is not as it should be; empty where all is.
+        lacks: Vec<String>,
+    },
+}
+
+/// All of it, in order, each with its time in milliseconds.
+pub type History = Vec<(u64, Fact)>;
--- /dev/null
+++ b/lab/src/system/mod.rs
@@ -0,0 +1,65 @@
+//! The whole system in simulated time, as one fleet: the register with changes of its voters, the feed's tree, duties, the
+//! roster, turns and accounts, all by the crates under `system/`; what carries their calls here is what the programs do.
+//! Histories are checked alone.
+
+mod campaign;
+mod check;
+mod disk;
+mod edge;
+mod executor;
+mod feed;
+mod history;
+mod keeper;
+mod play;
+mod schedule;
+mod store;
+mod world;
+
+pub use campaign::{Ended, Played, play_one, play_until_broken, shortest};
+pub use check::{Broken, Rule, check};
+pub use history::{Fact, History, Told};
+pub use play::{SETTLED_MS, play};
+pub use schedule::{Class, Fault, Machine, Schedule, Trouble};
+
+use serde::{Deserialize, Serialize};
+
+/// Ways to break the system on purpose: the checker is to be seen to catch them. None is in the crates: each changes what a
+/// simulated process hands to them or takes from them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, clap::ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mutation {
+    /// Writes are told to be synced and are not.
+    NoSync,
+    /// A keeper with an empty disk votes as if it never had.
+    NoAmnesiaGuard,
+    /// Voters that do not answer are not counted.
+    MajorityOfLiving,
+    /// A turn has one copy less.
+    CopiesOneShort,
+    /// Whoever takes a duty over does not look who did so before.
+    FenceNotChecked,
+    /// A storage machine answers under whatever roster it is asked.
+    EpochNotChecked,
+    /// Members of the next set count as full before they have filled.
+    NextCountsUnfilled,
+    /// A storage machine that is not full says that there is no such turn.
+    EmptyStoreSaysNone,
+    /// What others have reserved and not settled is not counted.
+    UnsettledNotCounted,
+    /// Values and lists are taken as they come, whatever their versions.
+    RelayWithoutVersions,
+}
+
+/// All of them.
+pub const MUTATIONS: [Mutation; 10] = [
+    Mutation::NoSync,
+    Mutation::NoAmnesiaGuard,
+    Mutation::MajorityOfLiving,
+    Mutation::CopiesOneShort,
+    Mutation::FenceNotChecked,
+    Mutation::EpochNotChecked,
+    Mutation::NextCountsUnfilled,
+    Mutation::EmptyStoreSaysNone,
+    Mutation::UnsettledNotCounted,
+    Mutation::RelayWithoutVersions,
+];
--- /dev/null
+++ b/lab/src/system/schedule.rs
@@ -0,0 +1,379 @@
+//! What goes wrong in a play, and when: drawn from a seed, never more machines lost at once than the fleet is to bear.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::net::Ipv4Addr;
+
+/// What a machine, or a process, is there for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Class {
+    /// A core machine: a voter of the register.
+    Keeper,
+    /// A storage machine.
+    Store,
+    /// An edge machine, and its agent.
+    Agent,
+    /// The proxy of an edge machine.
+    Proxy,
+}
+
+/// A machine of a play.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Machine {
+    /// Its name.
+    pub name: String,
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Its zone.
+    pub zone: String,
+    /// What it is there for.
+    pub class: Class,
+    /// It is there when the whole system starts for the first time.
+    pub first: bool,
+}
+
+/// What goes wrong. Machines are numbers in the schedule's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum Trouble {
+    /// Its processes stand still.
+    Freeze { machine: usize, for_ms: u64 },
+    /// Its processes end and come back.
+    Kill { machine: usize, back_ms: u64 },
+    /// The same for its proxy alone.
+    KillProxy { machine: usize, back_ms: u64 },
+    /// It loses power; of what is not synced some is there, some gone, some torn.
+    LosePower { machine: usize, back_ms: u64 },
+    /// It loses power and its disk.
+    LoseDisk { machine: usize, back_ms: u64 },
+    /// What one sends to the other does not arrive.
+    Cut { from: usize, to: usize, for_ms: u64 },
+    /// It hears nobody and nobody hears it.
+    CutOff { machine: usize, for_ms: u64 },
+    /// So many of a thousand messages are lost or late.
+    LoseMessages { of_thousand: u64, for_ms: u64 },
+    /// A new machine starts, and the other ends for good.
+    Replace { old: usize, new: usize, starts_ms: u64, ends_ms: u64 },
+    /// A new machine starts.
+    Add { machine: usize },
+    /// The operator has it emptied.
+    Retire { machine: usize },
+    /// All processes are killed, or all machines lose power; some of them their disks.
+    All { power: bool, disks: Vec<usize>, back_ms: u64 },
+}
+
+/// A trouble at its time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// Milliseconds from the beginning.
+    pub at_ms: u64,
+    /// What it is.
+    pub trouble: Trouble,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:6} {:?}", self.at_ms, self.trouble)
+    }
+}
+
+/// A play's machines and faults.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// Draws all other chances of the play.
+    pub seed: u64,
+    /// Machines that may be lost at once.
+    pub tolerance: usize,
+    /// All machines, those that come later too.
+    pub machines: Vec<Machine>,
+    /// In order of their times.
+    pub faults: Vec<Fault>,
+    /// By then all faults are over.
+    pub calm_ms: u64,
+}
+
+const KEEPERS: usize = 3;
+const EDGES: usize = 3;
+const ZONES: usize = 3;
+/// Faults begin within this time.
+const TROUBLED: u64 = 16_000;
+/// The first ones, only after the founding.
+const BEGIN: u64 = 4_500;
+/// A machine counts as lost until so long after its return, where one may be lost at once.
+const CATCH_UP: u64 = 4_100;
+/// The same where two may be: see the schedules of `control-duties`.
+const CATCH_UP_OF_TWO: u64 = 5_000;
+
+struct Drawing {
+    rng: ChaCha8Rng,
+    schedule: Schedule,
+    catch_up: u64,
+    /// Machines that count, and until when each is in trouble.
+    keepers: Vec<(usize, u64)>,
+    stores: Vec<(usize, u64)>,
+    /// Until when a planned replacement is under way: a keeper that restarts meanwhile does not know of it.
+    planned: u64,
+    over: u64,
+}
+
+impl Schedule {
+    /// Draws a schedule.
+    pub fn draw(seed: u64) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5ced);
+        let tolerance = if seed.is_multiple_of(4) { 2 } else { 1 };
+        let schedule = Self { seed, tolerance, machines: Vec::new(), faults: Vec::new(), calm_ms: 0 };
+        let mut drawing = Drawing {
+            rng,
+            schedule,
+            catch_up: if tolerance == 2 { CATCH_UP_OF_TWO } else { CATCH_UP },
+            keepers: Vec::new(),
+            stores: Vec::new(),
+            planned: 0,
+            over: 0,
+        };
+        drawing.play();
+        drawing.schedule
+    }
+
+    /// Whether a machine is one of the edge.
+    pub fn edges(&self) -> Vec<usize> {
+        let is_edge = |number: &usize| self.machines[*number].class == Class::Agent;
+        (0..self.machines.len()).filter(is_edge).collect()
+    }
+}
+
+impl Drawing {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.rng.next_u64() % bound.max(1)
+    }
+
+    fn between(&mut self, from: u64, to: u64) -> u64 {
+        from + self.below(to - from + 1)
+    }
+
+    fn machine(&mut self, class: Class, name: Option<String>, first: bool) -> usize {
+        let number = self.schedule.machines.len();
+        let (letter, net) = match class {
+            Class::Keeper => ("k", 0),
+            Class::Store => ("s", 2),
+            Class::Agent | Class::Proxy => ("e", 1),
+        };
+        let zone = match first {
+            true => number % ZONES,
+            false => self.below(ZONES as u64) as usize,
+        };
+        self.schedule.machines.push(Machine {
+            name: name.unwrap_or_else(|| format!("{letter}{number}")),
+            ip: Ipv4Addr::new(10, 0, net, number as u8 + 1),
+            zone: format!("z{zone}"),
+            class,
+            first,
+        });
+        number
+    }
+
+    fn add(&mut self, at_ms: u64, trouble: Trouble, over: u64) {
+        self.schedule.faults.push(Fault { at_ms, trouble });
+        self.over = self.over.max(over);
+    }
+
+    fn play(&mut self) {
+        let tolerance = self.schedule.tolerance;
+        for _ in 0..KEEPERS {
+            let number = self.machine(Class::Keeper, None, true);
+            self.keepers.push((number, 0));
+        }
+        let stores = 2 * tolerance as u64 + 1 + self.below(3);
+        for _ in 0..stores {
+            let number = self.machine(Class::Store, None, true);
+            self.stores.push((number, 0));
+        }
+        let edges: Vec<usize> = (0..EDGES).map(|_| self.machine(Class::Agent, None, true)).collect();
+        let mut slots = vec![BEGIN; tolerance];
+        let mut now = BEGIN;
+        while now < TROUBLED {
+            if self.below(9) == 0 {
+                self.trouble_edge(now, &edges);
+            }
+            if self.below(60) == 0 {
+                let for_ms = self.between(500, 3_000);
+                let of_thousand = self.between(5, 40);
+                self.add(now, Trouble::LoseMessages { of_thousand, for_ms }, now + for_ms);
+            }
+            if let Some(slot) = slots.iter().position(|free| *free <= now) {
+                slots[slot] = match self.below(12) {
+                    0..3 => self.trouble_store(now),
+                    3 | 4 => self.trouble_core(now),
+                    _ => now,
+                };
+            }
+            now += 200;
+        }
+        let free = slots.into_iter().max().unwrap_or(now).max(self.over).max(now);
+        let kind = self.below(6);
+        if kind < 4 {
+            let back_ms = self.between(300, 2_000);
+            let mut disks = Vec::new();
+            if kind > 1 {
+                let places = self.between(1, tolerance as u64);
+                for _ in 0..places {
+                    let counted: Vec<usize> =
+                        self.keepers.iter().chain(&self.stores).map(|(number, _)| *number).collect();
+                    let chosen = counted[self.below(counted.len() as u64) as usize];
+                    if !disks.contains(&chosen) {
+                        disks.push(chosen);
+                    }
+                }
+            }
+            self.add(free, Trouble::All { power: kind > 0, disks, back_ms }, free + back_ms + 400);
+        }
+        self.schedule.faults.sort_by_key(|fault| fault.at_ms);
+        self.schedule.calm_ms = self.over.max(free) + 100;
+    }
+
+    fn trouble_edge(&mut self, now: u64, edges: &[usize]) {
+        let machine = edges[self.below(edges.len() as u64) as usize];
+        let for_ms = self.between(200, 3_000);
+        let counted: Vec<usize> =
+            self.keepers.iter().chain(&self.stores).map(|(number, _)| *number).collect();
+        let other = counted[self.below(counted.len() as u64) as usize];
+        let trouble = match self.below(7) {
+            0 => Trouble::Freeze { machine, for_ms },
+            1 => Trouble::Kill { machine, back_ms: for_ms },
+            2 => Trouble::KillProxy { machine, back_ms: for_ms },
+            3 => Trouble::LosePower { machine, back_ms: for_ms },
+            4 => Trouble::CutOff { machine, for_ms },
+            5 => Trouble::Cut { from: machine, to: other, for_ms },
+            _ => Trouble::Cut { from: other, to: machine, for_ms },
+        };
+        self.add(now, trouble, now + for_ms);
+    }
+
+    /// One that is in no trouble.
+    fn well(&mut self, now: u64, stores: bool) -> Option<usize> {
+        let all = if stores { &self.stores } else { &self.keepers };
+        let well: Vec<usize> =
+            all.iter().filter(|(_, until)| *until <= now).map(|(number, _)| *number).collect();
+        match well.len() {
+            0 => None,
+            count => Some(well[self.below(count as u64) as usize]),
+        }
+    }
+
+    fn occupy(&mut self, machine: usize, until: u64) -> u64 {
+        let all = self.keepers.iter_mut().chain(&mut self.stores);
+        all.filter(|(number, _)| *number == machine).for_each(|(_, at)| *at = until);
+        until
+    }
+
+    fn short(&mut self, now: u64, machine: usize, trouble: impl Fn(u64) -> Trouble, most: u64) -> u64 {
+        let for_ms = self.between(300, most);
+        self.add(now, trouble(for_ms), now + for_ms);
+        self.occupy(machine, now + for_ms + self.catch_up)
+    }
+
+    /// When the slot is free again.
+    fn trouble_store(&mut self, now: u64) -> u64 {
+        let Some(machine) = self.well(now, true) else { return now };
+        let name = self.schedule.machines[machine].name.clone();
+        match self.below(11) {
+            0 => self.short(now, machine, |for_ms| Trouble::Freeze { machine, for_ms }, 4_000),
+            1 => self.short(now, machine, |back_ms| Trouble::Kill { machine, back_ms }, 2_000),
+            2 | 3 => self.short(now, machine, |back_ms| Trouble::LosePower { machine, back_ms }, 2_000),
+            4 | 5 => self.short(now, machine, |back_ms| Trouble::LoseDisk { machine, back_ms }, 2_000),
+            6 => self.short(now, machine, |for_ms| Trouble::CutOff { machine, for_ms }, 4_000),
+            7 => match self.well(now, true).filter(|other| *other != machine) {
+                Some(other) => self.short(
+                    now,
+                    machine,
+                    |for_ms| Trouble::Cut { from: machine, to: other, for_ms },
+                    3_000,
+                ),
+                None => now,
+            },
+            8 => {
+                // One that is gone, or one whose end is planned.
+                let planned = self.below(2) == 0;
+                let name = if self.below(2) == 0 { Some(name) } else { None };
+                let new = self.machine(Class::Store, name, false);
+                let (starts_ms, ends_ms) = match planned {
+                    true => (0, self.between(4_000, 6_000)),
+                    false => (self.between(1_000, 2_000), 0),
+                };
+                let over = now + starts_ms.max(ends_ms);
+                self.add(now, Trouble::Replace { old: machine, new, starts_ms, ends_ms }, over);
+                self.stores.retain(|(number, _)| *number != machine);
+                let free = over + self.catch_up + if planned { 2_000 } else { 0 };
+                self.stores.push((new, free));
+                if planned {
+                    self.planned = self.planned.max(over + self.catch_up);
+                }
+                free
+            }
+            9 => {
+                let new = self.machine(Class::Store, None, false);
+                self.add(now, Trouble::Add { machine: new }, now + 500);
+                self.stores.push((new, now + self.catch_up));
+                now + 500
+            }
+            // An operator retires none of those that are needed once the lost ones have left.
+            _ if self.stores.iter().filter(|(_, until)| *until <= now).count()
+                <= 2 * self.schedule.tolerance + 1 =>
+            {
+                now
+            }
+            _ => {
+                self.add(now, Trouble::Retire { machine }, now + 1_000);
+                self.stores.retain(|(number, _)| *number != machine);
+                now + self.catch_up
+            }
+        }
+    }
+
+    fn trouble_core(&mut self, now: u64) -> u64 {
+        let Some(machine) = self.well(now, false) else { return now };
+        let kind = match self.below(9) {
+            // While a replacement is planned, no keeper forgets of it.
+            1 | 2 | 3 | 7 if now < self.planned => 0,
+            kind => kind,
+        };
+        match kind {
+            0 => self.short(now, machine, |for_ms| Trouble::Freeze { machine, for_ms }, 4_000),
+            1 => self.short(now, machine, |back_ms| Trouble::Kill { machine, back_ms }, 4_000),
+            2 => self.short(now, machine, |back_ms| Trouble::LosePower { machine, back_ms }, 4_000),
+            3 | 4 if now >= self.planned => {
+                self.short(now, machine, |back_ms| Trouble::LoseDisk { machine, back_ms }, 4_000)
+            }
+            5 => match self.well(now, false).filter(|other| *other != machine) {
+                Some(other) => self.short(
+                    now,
+                    machine,
+                    |for_ms| Trouble::Cut { from: machine, to: other, for_ms },
+                    3_000,
+                ),
+                None => now,
+            },
+            7 => {
+                let new = self.machine(Class::Keeper, None, false);
+                let starts_ms = self.between(500, 2_000);
+                let over = now + starts_ms;
+                self.add(now, Trouble::Replace { old: machine, new, starts_ms, ends_ms: 0 }, over);
+                self.keepers.retain(|(number, _)| *number != machine);
+                let free = over + 3_000 + self.catch_up;
+                self.keepers.push((new, free));
+                free
+            }
+            8 if self.keepers.len() < KEEPERS + 2 => {
+                let new = self.machine(Class::Keeper, None, false);
+                self.add(now, Trouble::Add { machine: new }, now + 500);
+                self.keepers.push((new, now + self.catch_up));
+                now + self.catch_up
+            }
+            _ => self.short(now, machine, |for_ms| Trouble::CutOff { machine, for_ms }, 4_000),
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/system/store.rs
@@ -0,0 +1,193 @@
+//! A storage machine in the simulated world: `turn-store` decides, here its calls and writes are carried out as the program
+//! does it.
+
+use super::Mutation;
+use super::feed::{Feed, follow};
+use super::world::{Answering, Host};
+use fleet_model::{Answer, Call, Store, rank};
+use futures_util::future::join_all;
+use std::cell::RefCell;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use turn_store::{Durability, Filling, StoreState, Write};
+
+const PATIENCE: u64 = 600;
+const SOURCE_GONE: u64 = 1_200;
+
+/// A storage machine's life.
+pub struct TurnKeeper {
+    host: Host,
+    /// What it knows.
+    pub feed: Rc<Feed>,
+    state: RefCell<StoreState>,
+    /// Itself, as the roster has it.
+    pub me: Store,
+}
+
+impl TurnKeeper {
+    /// Starts a life.
+    pub fn start(host: &Host) -> Rc<Self> {
+        let disk = host.disk();
+        let me = Store {
+            name: host.machine.name.clone(),
+            ip: host.machine.ip,
+            zone: host.machine.zone.clone(),
+            disk: disk.number(),
+        };
+        let state = StoreState::new(host.now_ms(), me.disk, host.losses(), disk.kept());
+        let keeper =
+            Rc::new(Self { host: host.clone(), feed: Feed::new(host), state: RefCell::new(state), me });
+        if let Some(world) = host.world() {
+            let serving = keeper.clone();
+            let handler = move |_: Ipv4Addr, call, _| {
+                let keeper = serving.clone();
+                Box::pin(async move { keeper.answer(call).await }) as Answering
+            };
+            world.serve(host, Rc::new(handler));
+        }
+        host.spawn(follow(keeper.feed.clone(), true));
+        host.spawn(keeper.clone().keep_place());
+        keeper
+    }
+
+    async fn synced(&self, writes: Vec<Write>) {
+        self.host.disk().write(&self.host, writes, self.host.syncs()).await;
+    }
+
+    fn learn_roster(&self) {
+        let state = self.feed.state();
+        let writes = self.state.borrow_mut().set_roster(&state.roster);
+        self.host.disk().write_lazily(&self.host, writes);
+    }
+
+    async fn tell_core(&self, call: Call) -> bool {
+        let mut ips = self.feed.value().voters.clone();
+        ips.extend(self.host.world().iter().flat_map(|world| world.seeds.clone()));
+        ips.sort();
+        ips.dedup();
+        let draw = self.host.draw();
+        let holders: Vec<Ipv4Addr> =
+            self.feed.state().fences.values().filter_map(|fence| fence.holder).collect();
+        ips.sort_by_key(|ip| (!holders.contains(ip), rank(&ip.octets(), draw)));
+        for ip in ips {
+            if let Some(Answer::Done) = self.host.call(ip, call.clone(), 700).await {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn keep_place(self: Rc<Self>) {
+        let mut changes = self.feed.changes();
+        loop {
+            self.learn_roster();
+            let roster = self.feed.state().roster.clone();
+            let has = |stores: &[Store]| stores.contains(&self.me);
+            let placed = has(roster.next.as_ref().unwrap_or(&roster.current));
+            let known = self.feed.fresh_at().is_some();
+            if known && !placed && !roster.retiring.contains(&self.me.name) {
+                self.tell_core(Call::JoinStorage { store: self.me.clone() }).await;
+            }
+            let filling = self.state.borrow().filling();
+            if let Some(filling) = filling {
+                self.fill(filling).await;
+            }
+            let full = self.state.borrow().is_filled_for_next();
+            if full && !roster.filled.contains(&self.me.disk) && roster.epoch == self.state.borrow().epoch() {
+                self.tell_core(Call::Filled { disk: self.me.disk, epoch: roster.epoch }).await;
+            }
+            let pause = if placed && !full { 2_000 } else { 120 };
+            let _ = self.host.timeout(pause + self.host.draw() % 60, changes.changed()).await;
+        }
+    }
+
+    async fn fill(&self, filling: Filling) {
+        let epoch = filling.epoch();
+        let filling = RefCell::new(filling);
+        let sources: Vec<Store> = filling.borrow().calls().map(|(store, _)| store.clone()).collect();
+        join_all(sources.iter().map(|source| self.drain(source, &filling))).await;
+        let filling = filling.into_inner();
+        if !filling.is_done() || self.state.borrow().epoch() != epoch {
+            self.host.sleep(60).await;
+            return;
+        }
+        self.synced(Vec::new()).await;
+        let told = filling.drained().map(|source| async {
+            let call = Call::FillDone { epoch, disk: self.me.disk };
+            let _ = self.host.call(source.ip, call, PATIENCE).await;
+        });
+        join_all(told).await;
+        let writes = self.state.borrow_mut().mark_filled(&filling);
+        if let Some(writes) = writes {
+            self.synced(writes).await;
+        }
+    }
+
+    async fn drain(&self, source: &Store, filling: &RefCell<Filling>) {
+        let epoch = filling.borrow().epoch();
+        let mut answered = self.host.now_ms();
+        loop {
+            let Some(call) = filling.borrow().call(source.disk) else { return };
+            if self.state.borrow().epoch() != epoch {
+                filling.borrow_mut().give_up(source.disk);
+                return;
+            }
+            if self.host.breaks(Mutation::NextCountsUnfilled) {
+                // Broken on purpose: a member counts as full before it has filled.
+                filling.borrow_mut().absorbed(source.disk, None);
+                return;
+            }
+            match self.host.call(source.ip, call, PATIENCE).await {
+                Some(Answer::Records { turns, accounts, cursor }) => {
+                    answered = self.host.now_ms();
+                    let writes = self.state.borrow_mut().absorb(answered, turns, accounts);
+                    if !writes.is_empty() {
+                        self.synced(writes).await;
+                    }
+                    filling.borrow_mut().absorbed(source.disk, cursor);
+                }
+                _ if self.host.now_ms() - answered > SOURCE_GONE => {
+                    filling.borrow_mut().give_up(source.disk);
+                    return;
+                }
+                _ => self.host.sleep(30).await,
+            }
+            self.learn_roster();
+        }
+    }
+
+    async fn answer(&self, mut call: Call) -> Answer {
+        if matches!(&call, Call::Inspect { .. }) {
+            return Answer::View(self.me.disk.to_string());
+        }
+        self.learn_roster();
+        if self.host.breaks(Mutation::EpochNotChecked) {
+            // Broken on purpose: whatever roster the caller went by.
+            set_epoch(&mut call, self.state.borrow().epoch());
+        }
+        let outcome = self.state.borrow_mut().handle(self.host.now_ms(), &call, &**self.host.disk());
+        match outcome.durability {
+            Durability::Free => {}
+            Durability::Lazy => self.host.disk().write_lazily(&self.host, outcome.writes),
+            Durability::Synced => self.synced(outcome.writes).await,
+        }
+        match outcome.answer {
+            // Broken on purpose: who has it not says that there is none.
+            Answer::Absent { .. } if self.host.breaks(Mutation::EmptyStoreSaysNone) => {
+                Answer::Absent { complete: true }
+            }
+            answer => answer,
+        }
+    }
+}
+
+fn set_epoch(call: &mut Call, known: u64) {
+    match call {
+        Call::Reserve { epoch, .. }
+        | Call::Settle { epoch, .. }
+        | Call::ReadAccount { epoch, .. }
+        | Call::KeepTurn { epoch, .. }
+        | Call::ReadChain { epoch, .. } => *epoch = known,
+        _ => {}
+    }
+}
--- /dev/null
+++ b/lab/src/system/world.rs
@@ -0,0 +1,623 @@
+//! Machines, their processes, and what lies between them: calls, links and cuts, in simulated time.
+
+use super::Mutation;
+use super::disk::Disk;
+use super::executor::{Executor, ProcessId};
+use super::history::{Fact, History};
+use super::schedule::{Class, Machine};
+use fleet_model::{Answer, Call, Endpoint, EndpointState, Push};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// Time begins far from zero, since ages are taken off it.
+const START_US: u64 = 1_000_000_000_000;
+/// What waits longer behind a cut is lost with its connection.
+const USER_TIMEOUT_US: u64 = 2_000_000;
+/// Ports of peers.
+pub const PORT: u16 = 7_000;
+
+/// What a process answers with.
+pub type Answering = Pin<Box<dyn Future<Output = Answer>>>;
+/// How a process answers.
+pub type Handler = Rc<dyn Fn(Ipv4Addr, Call, Option<Pusher>) -> Answering>;
+
+/// A process of a machine.
+struct Node {
+    class: Class,
+    machine: usize,
+    disk: Rc<Disk>,
+    life: u64,
+    running: Option<ProcessId>,
+    /// Without power: nobody is told that it is gone.
+    dark: bool,
+    serves: Option<Handler>,
+    started: bool,
+}
+
+/// A link of the feed.
+struct Link {
+    from: (usize, u64),
+    to: (usize, u64),
+    /// Where pushes go; none once it is closed.
+    pushes: Option<mpsc::UnboundedSender<Push>>,
+    last: u64,
+}
+
+enum Transit {
+    After(u64),
+    Lost,
+}
+
+/// The whole fleet.
+pub struct World {
+    /// Runs the processes.
+    pub executor: Executor,
+    /// Who makes the world go: faults, clients, the network.
+    pub driver: ProcessId,
+    /// Machines that may be lost at once.
+    pub tolerance: usize,
+    /// What is broken on purpose.
+    pub mutation: Option<Mutation>,
+    /// All machines of the schedule.
+    pub machines: Vec<Machine>,
+    /// Those that everybody is told at the start.
+    pub seeds: Vec<Ipv4Addr>,
+    nodes: RefCell<Vec<Node>>,
+    links: RefCell<BTreeMap<u64, Link>>,
+    last_link: Cell<u64>,
+    cuts: RefCell<BTreeMap<(usize, usize), u64>>,
+    /// Until when so many of a thousand messages are lost or late.
+    lossy: Cell<(u64, u64)>,
+    rng: RefCell<ChaCha8Rng>,
+    seed: u64,
+    history: RefCell<History>,
+    platform: Cell<u64>,
+    last_disk: Cell<u64>,
+    /// Calls without an answer: whoever waits for one gives up by himself.
+    unanswered: RefCell<Vec<oneshot::Sender<Answer>>>,
+}
+
+impl World {
+    /// A world in which nothing runs yet.
+    pub fn new(seed: u64, tolerance: usize, machines: Vec<Machine>, mutation: Option<Mutation>) -> Rc<Self> {
+        let executor = Executor::new(START_US);
+        let driver = executor.begin();
+        let first = |machine: &&Machine| machine.first && machine.class == Class::Keeper;
+        let seeds = machines.iter().filter(first).map(|machine| machine.ip).collect();
+        let world = Rc::new(Self {
+            executor,
+            driver,
+            tolerance,
+            mutation,
+            seeds,
+            nodes: RefCell::default(),
+            links: RefCell::default(),
+            last_link: Cell::new(0),
+            cuts: RefCell::default(),
+            lossy: Cell::new((0, 0)),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+            seed,
+            history: RefCell::default(),
+            platform: Cell::new(1),
+            last_disk: Cell::new(100),
+            unanswered: RefCell::default(),
+            machines,
+        });
+        for (number, machine) in world.machines.iter().enumerate() {
+            let classes: &[Class] = match machine.class {
+                Class::Agent => &[Class::Agent, Class::Proxy],
+                Class::Keeper => &[Class::Keeper],
+                Class::Store => &[Class::Store],
+                Class::Proxy => &[],
+            };
+            for class in classes {
+                let disk = Rc::new(Disk::new(world.new_disk()));
+                world.nodes.borrow_mut().push(Node {
+                    class: *class,
+                    machine: number,
+                    disk,
+                    life: 0,
+                    running: None,
+                    dark: false,
+                    serves: None,
+                    started: false,
+                });
+            }
+        }
+        world
+    }
+
+    /// Ends everything; returns what was seen.
+    pub fn finish(&self) -> History {
+        let processes: Vec<ProcessId> = self.nodes.borrow().iter().filter_map(|node| node.running).collect();
+        processes.into_iter().for_each(|process| self.executor.end(process));
+        self.executor.end(self.driver);
+        self.nodes.borrow_mut().clear();
+        self.links.borrow_mut().clear();
+        self.unanswered.borrow_mut().clear();
+        std::mem::take(&mut *self.history.borrow_mut())
+    }
+
+    /// Milliseconds since the beginning.
+    pub fn elapsed_ms(&self) -> u64 {
+        (self.executor.now() - START_US) / 1_000
+    }
+
+    /// Lets so much time pass.
+    pub fn run_ms(&self, for_ms: u64) {
+        self.executor.run_until(self.executor.now() + for_ms * 1_000);
+    }
+
+    /// Puts something into the history.
+    pub fn note(&self, fact: Fact) {
+        self.history.borrow_mut().push((self.elapsed_ms(), fact));
+    }
+
+    /// A number by chance.
+    pub fn draw(&self, below: u64) -> u64 {
+        self.rng.borrow_mut().next_u64() % below.max(1)
+    }
+
+    /// Whether this is broken on purpose.
+    pub fn breaks(&self, mutation: Mutation) -> bool {
+        self.mutation == Some(mutation)
+    }
+
+    fn new_disk(&self) -> u64 {
+        self.last_disk.set(self.last_disk.get() + 1);
+        self.last_disk.get()
+    }
+
+    /// Processes of a machine.
+    pub fn nodes_of(&self, machine: usize) -> Vec<usize> {
+        let nodes = self.nodes.borrow();
+        (0..nodes.len()).filter(|node| nodes[*node].machine == machine).collect()
+    }
+
+    /// Whether a process runs.
+    pub fn is_up(&self, node: usize) -> bool {
+        self.nodes.borrow()[node].running.is_some()
+    }
+
+    /// A process's machine.
+    pub fn machine_of(&self, node: usize) -> &Machine {
+        &self.machines[self.nodes.borrow()[node].machine]
+    }
+
+    /// A process's disk.
+    pub fn disk_of(&self, node: usize) -> Rc<Disk> {
+        self.nodes.borrow()[node].disk.clone()
+    }
+
+    /// Begins a life of a process; none if it runs. The flag tells whether it never ran before.
+    pub fn begin(self: &Rc<Self>, node: usize) -> Option<(Host, bool)> {
+        let (process, life, class, first) = {
+            let mut nodes = self.nodes.borrow_mut();
+            let begun = &mut nodes[node];
+            if begun.running.is_some() {
+                return None;
+            }
+            let process = self.executor.begin();
+            begun.running = Some(process);
+            begun.life += 1;
+            begun.dark = false;
+            let first = !std::mem::replace(&mut begun.started, true);
+            (process, begun.life, begun.class, first)
+        };
+        self.close_links_of(node);
+        let rng = ChaCha8Rng::seed_from_u64(self.seed ^ (node as u64 + 1) << 32 ^ life << 48);
+        let host = Host {
+            world: Rc::downgrade(self),
+            executor: self.executor.clone(),
+            node,
+            class,
+            life,
+            process,
+            rng: Rc::new(RefCell::new(rng)),
+            disk: self.disk_of(node),
+            machine: Rc::new(self.machine_of(node).clone()),
+        };
+        Some((host, first))
+    }
+
+    /// From now on the process answers calls.
+    pub fn serve(&self, host: &Host, handler: Handler) {
+        self.nodes.borrow_mut()[host.node].serves = Some(handler);
+    }
+
+    /// Ends a process. `dark`: with the machine's power.
+    pub fn end(&self, node: usize, dark: bool) {
+        let process = {
+            let mut nodes = self.nodes.borrow_mut();
+            nodes[node].dark |= dark;
+            nodes[node].serves = None;
+            nodes[node].running.take()
+        };
+        let disk = self.disk_of(node);
+        disk.end_process();
+        if let Some(process) = process {
+            self.executor.end(process);
+        }
+        if dark {
+            let unsynced = disk.unsynced() as u64;
+            // Some losses of power take all that they may.
+            let kept = if self.draw(3) == 0 { 0 } else { self.draw(unsynced + 1) };
+            disk.lose_power(kept as usize, self.draw(2) == 0);
+        } else {
+            self.close_links_of(node);
+        }
+    }
+
+    /// Empties a process's disk.
+    pub fn wipe(&self, node: usize) {
+        self.disk_of(node).wipe(self.new_disk());
+    }
+
+    /// Freezes a process's life, if it runs.
+    pub fn freeze(&self, node: usize) -> Option<ProcessId> {
+        let process = self.nodes.borrow()[node].running?;
+        self.executor.freeze(process);
+        Some(process)
+    }
+
+    /// What goes from one machine to another is held up until this time, in microseconds.
+    pub fn cut(&self, from: usize, to: usize, for_ms: u64) {
+        let until = self.executor.now() + for_ms * 1_000;
+        let mut cuts = self.cuts.borrow_mut();
+        let standing = cuts.entry((from, to)).or_default();
+        *standing = until.max(*standing);
+    }
+
+    /// For so long so many of a thousand messages are lost or late.
+    pub fn lose(&self, for_ms: u64, of_thousand: u64) {
+        self.lossy.set((self.executor.now() + for_ms * 1_000, of_thousand));
+    }
+
+    fn transit(&self, from: usize, to: usize) -> Transit {
+        if from == to {
+            return Transit::After(20 + self.draw(200));
+        }
+        let now = self.executor.now();
+        let slow = if self.draw(60) == 0 { self.draw(40_000) } else { 0 };
+        let mut after = 200 + self.draw(2_500) + slow;
+        let held = self.cuts.borrow().get(&(from, to)).map_or(0, |until| until.saturating_sub(now));
+        if held > USER_TIMEOUT_US {
+            return Transit::Lost;
+        }
+        after += if held > 0 { held + self.draw(200_000) } else { 0 };
+        let (until, of_thousand) = self.lossy.get();
+        if now < until && self.draw(1_000) < of_thousand {
+            match self.draw(2) {
+                0 => return Transit::Lost,
+                _ => after += 200_000 + self.draw(800_000),
+            }
+        }
+        Transit::After(after)
+    }
+
+    fn node_at(&self, from: usize, to: Ipv4Addr) -> Option<usize> {
+        let nodes = self.nodes.borrow();
+        let machine = match to.is_loopback() {
+            true => nodes[from].machine,
+            false => self.machines.iter().position(|machine| machine.ip == to)?,
+        };
+        (0..nodes.len()).find(|node| nodes[*node].machine == machine && nodes[*node].class != Class::Proxy)
+    }
+
+    fn call(
+        self: &Rc<Self>,
+        host: &Host,
+        to: Ipv4Addr,
+        call: Call,
+        link: Option<u64>,
+    ) -> oneshot::Receiver<Answer> {
+        let (sender, receiver) = oneshot::channel();
+        let Some(target) = self.node_at(host.node, to) else { return receiver };
+        let (here, there) = (self.nodes.borrow()[host.node].machine, self.nodes.borrow()[target].machine);
+        match self.transit(here, there) {
+            Transit::Lost => self.unanswered.borrow_mut().push(sender),
+            Transit::After(after) => {
+                let (world, from) = (self.clone(), host.machine.ip);
+                self.executor.spawn(self.driver, async move {
+                    world.executor.sleep(after).await;
+                    world.arrive(here, from, target, call, link, sender);
+                });
+            }
+        }
+        receiver
+    }
+
+    fn arrive(
+        self: &Rc<Self>,
+        here: usize,
+        from: Ipv4Addr,
+        target: usize,
+        call: Call,
+        link: Option<u64>,
+        sender: oneshot::Sender<Answer>,
+    ) {
+        let (running, dark, serves, there, life) = {
+            let nodes = self.nodes.borrow();
+            let node = &nodes[target];
+            (node.running, node.dark, node.serves.clone(), node.machine, node.life)
+        };
+        let (Some(process), Some(serves)) = (running, serves) else {
+            // A dead port resets, a machine without power says nothing.
+            if dark {
+                self.unanswered.borrow_mut().push(sender);
+            }
+            return;
+        };
+        if let Some(link) = link
+            && let Some(link) = self.links.borrow_mut().get_mut(&link)
+        {
+            link.from = (target, life);
+        }
+        let pusher = link.map(|link| Pusher { world: Rc::downgrade(self), link });
+        let world = self.clone();
+        self.executor.spawn(process, async move {
+            let answer = serves(from, call, pusher).await;
+            match world.transit(there, here) {
+                Transit::Lost => world.unanswered.borrow_mut().push(sender),
+                Transit::After(after) => {
+                    let executor = world.executor.clone();
+                    world.executor.spawn(world.driver, async move {
+                        executor.sleep(after).await;
+                        let _ = sender.send(answer);
+                    });
+                }
+            }
+        });
+    }
+
+    fn open_link(&self, host: &Host) -> (u64, mpsc::UnboundedReceiver<Push>) {
+        let (pushes, receiver) = mpsc::unbounded_channel();
+        let link = self.last_link.get() + 1;
+        self.last_link.set(link);
+        let to = (host.node, host.life);
+        let opened = Link { from: (usize::MAX, 0), to, pushes: Some(pushes), last: 0 };
+        self.links.borrow_mut().insert(link, opened);
+        (link, receiver)
+    }
+
+    fn close_links_of(&self, node: usize) {
+        let is_its = |link: &Link| link.from.0 == node || link.to.0 == node;
+        self.links.borrow_mut().retain(|_, link| !is_its(link));
+    }
+
+    fn push(self: &Rc<Self>, number: u64, push: Push) -> bool {
+        let (from, to, last) = {
+            let links = self.links.borrow();
+            let Some(link) = links.get(&number) else { return false };
+            (link.from, link.to, link.last)
+        };
+        let (here, there) = (self.nodes.borrow()[from.0].machine, self.nodes.borrow()[to.0].machine);
+        let now = self.executor.now();
+        let (world, at) = match self.transit(here, there) {
+            Transit::Lost => {
+                let world = self.clone();
+                self.executor.spawn(self.driver, async move {
+                    world.executor.sleep(USER_TIMEOUT_US).await;
+                    world.links.borrow_mut().remove(&number);
+                });
+                return true;
+            }
+            Transit::After(after) => (self.clone(), last.max(now + after)),
+        };
+        if let Some(link) = self.links.borrow_mut().get_mut(&number) {
+            link.last = at;
+        }
+        self.executor.spawn(self.driver, async move {
+            world.executor.sleep(at - now).await;
+            let nodes = world.nodes.borrow();
+            let mut links = world.links.borrow_mut();
+            let Some(link) = links.get_mut(&number) else { return };
+            match (&link.pushes, nodes[to.0].life == to.1 && nodes[to.0].running.is_some()) {
+                (Some(pushes), true) => {
+                    if pushes.send(push).is_err() {
+                        links.remove(&number);
+                    }
+                }
+                _ => drop(links.remove(&number)),
+            }
+        });
+        true
+    }
+
+    /// The platform's list changes.
+    pub fn change_list(&self) {
+        self.platform.set(self.platform.get() + 1);
+        self.note(Fact::Platform { list: self.platform.get() });
+    }
+
+    /// What the platform lists; the names of instances tell which list it is.
+    pub fn listed(&self) -> Vec<Endpoint> {
+        let list = self.platform.get();
+        (0..2)
+            .map(|place| Endpoint {
+                instance_id: format!("{list}-{place}"),
+                service: "models".to_owned(),
+                address: SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, place), 80),
+                zone: "z0".to_owned(),
+                capacity_slots: 4,
+                state: EndpointState::Ready,
+            })
+            .collect()
+    }
+}
+
+/// The count of a list that [`World::listed`] gave; 0 of none.
+pub fn list_of(endpoints: &[Endpoint]) -> u64 {
+    let first = endpoints.first().and_then(|endpoint| endpoint.instance_id.split_once('-'));
+    first.and_then(|(list, _)| list.parse().ok()).unwrap_or_default()
+}
+
+/// The server's end of a link.
+#[derive(Clone)]
+pub struct Pusher {
+    world: Weak<World>,
+    link: u64,
+}
+
+impl Pusher {
+    /// Pushes; false if the link is closed.
+    pub fn push(&self, push: Push) -> bool {
+        self.world.upgrade().is_some_and(|world| world.push(self.link, push))
+    }
+
+    /// Whether it is closed.
+    pub fn is_closed(&self) -> bool {
+        self.world.upgrade().is_none_or(|world| !world.links.borrow().contains_key(&self.link))
+    }
+}
+
+/// The client's end of a link: it closes with this.
+pub struct Pushes {
+    world: Weak<World>,
+    link: u64,
+    pushes: mpsc::UnboundedReceiver<Push>,
+}
+
+impl Pushes {
+    /// The next push; none once the link is closed.
+    pub async fn next(&mut self) -> Option<Push> {
+        self.pushes.recv().await
+    }
+}
+
+impl Drop for Pushes {
+    fn drop(&mut self) {
+        if let Some(world) = self.world.upgrade() {
+            world.links.borrow_mut().remove(&self.link);
+        }
+    }
+}
+
+/// What a life of a process has of its machine.
+#[derive(Clone)]
+pub struct Host {
+    world: Weak<World>,
+    executor: Executor,
+    /// Its number.
+    pub node: usize,
+    /// What it is.
+    pub class: Class,
+    /// Which life of it.
+    pub life: u64,
+    process: ProcessId,
+    rng: Rc<RefCell<ChaCha8Rng>>,
+    disk: Rc<Disk>,
+    /// Its machine.
+    pub machine: Rc<Machine>,
+}
+
+impl Host {
+    /// The world; only while it lasts.
+    pub fn world(&self) -> Option<Rc<World>> {
+        self.world.upgrade()
+    }
+
+    /// Time for the feed.
+    pub fn now(&self) -> Duration {
+        Duration::from_micros(self.executor.now())
+    }
+
+    /// Time in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.executor.now() / 1_000
+    }
+
+    /// A number by chance.
+    pub fn draw(&self) -> u64 {
+        self.rng.borrow_mut().next_u64()
+    }
+
+    /// A number by chance between these.
+    pub fn between(&self, from: u64, to: u64) -> u64 {
+        from + self.draw() % (to - from + 1)
+    }
+
+    /// Machines that may be lost at once.
+    pub fn losses(&self) -> usize {
+        self.world().map_or(0, |world| world.tolerance)
+    }
+
+    /// Whether this is broken on purpose.
+    pub fn breaks(&self, mutation: Mutation) -> bool {
+        self.world().is_some_and(|world| world.breaks(mutation))
+    }
+
+    /// Whether writes are synced before they are told to be.
+    pub fn syncs(&self) -> bool {
+        !self.breaks(Mutation::NoSync)
+    }
+
+    /// Its disk.
+    pub fn disk(&self) -> &Rc<Disk> {
+        &self.disk
+    }
+
+    /// Puts something into the history.
+    pub fn note(&self, fact: Fact) {
+        if let Some(world) = self.world() {
+            world.note(fact);
+        }
+    }
+
+    /// Waits so many milliseconds.
+    pub async fn sleep(&self, for_ms: u64) {
+        self.executor.sleep(for_ms * 1_000).await;
+    }
+
+    /// Waits so many microseconds.
+    pub async fn sleep_us(&self, for_us: u64) {
+        self.executor.sleep(for_us).await;
+    }
+
+    /// What the work comes to, if it does in so many milliseconds.
+    pub async fn timeout<F: Future>(&self, for_ms: u64, work: F) -> Option<F::Output> {
+        self.executor.timeout(for_ms * 1_000, work).await
+    }
+
+    /// The same, by the feed's time.
+    pub async fn timeout_for<F: Future>(&self, time: Duration, work: F) -> Option<F::Output> {
+        let us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        self.executor.timeout(us, work).await
+    }
+
+    /// Begins a task that ends with this life.
+    pub fn spawn(&self, work: impl Future<Output = ()> + 'static) -> u64 {
+        self.executor.spawn(self.process, work)
+    }
+
+    /// Ends a task.
+    pub fn abort(&self, task: u64) {
+        self.executor.abort(task);
+    }
+
+    /// Calls the process of another machine.
+    pub async fn call(&self, to: Ipv4Addr, call: Call, patience_ms: u64) -> Option<Answer> {
+        let answer = self.world()?.call(self, to, call, None);
+        self.timeout(patience_ms, answer).await?.ok()
+    }
+
+    /// Opens a link of the feed.
+    pub async fn subscribe(&self, to: Ipv4Addr, call: Call, patience_ms: u64) -> Option<(Answer, Pushes)> {
+        let (link, answer) = {
+            let world = self.world()?;
+            let (link, pushes) = world.open_link(self);
+            let answer = world.call(self, to, call, Some(link));
+            (Pushes { world: self.world.clone(), link, pushes }, answer)
+        };
+        let answer = self.timeout(patience_ms, answer).await?.ok()?;
+        Some((answer, link))
+    }
+}
--- a/system/programs/src/turns.rs
+++ b/system/programs/src/turns.rs
@@ -4,7 +4,7 @@
 use crate::feed::Feed;
 use crate::start::Process;
 use bytes::{Bytes, BytesMut};
-use fleet_model::{Answer, Call, Reservation, Roster, Store, Turn, account_holders, rank};
+use fleet_model::{Answer, Call, Reservation, Store, Turn, rank};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use peer_wire::{CallFailure, PeerClient};
 use request_forwarding::{Chain, NewTurn, Reserve, TurnKeeping};
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
+use turn_store::{AccountHolders, copies_needed, copy_order, has_copies, merge_reservations};
 
 /// Longest time for one call.
 const PATIENCE: Duration = Duration::from_millis(300);
@@ -158,7 +159,7 @@
     async fn reserve_round(&self, program: &str, reservation: Reservation, budget: u32) -> Round<Reserve> {
         let state = self.feed.state();
         let roster = &state.roster;
-        let Some(holders) = Holders::of(roster, program, self.losses()) else { return Round::Again };
+        let Some(holders) = AccountHolders::of(roster, program, self.losses()) else { return Round::Again };
         let write =
             |_: &Store| Call::Reserve { epoch: roster.epoch, program: program.to_owned(), reservation };
         let Some((written, all)) = self.at_majority(&holders, write, true).await else { return Round::Again };
@@ -175,7 +176,7 @@
                 else {
                     return Round::Again;
                 };
-                merge(
+                merge_reservations(
                     &mut account,
                     written.into_iter().map(|(attempt, tokens)| Reservation { attempt, tokens }),
                 );
@@ -190,7 +191,7 @@
     /// of the account, and whether all of them answered.
     async fn at_majority(
         &self,
-        holders: &Holders<'_>,
+        holders: &AccountHolders<'_>,
         call: impl Fn(&Store) -> Call,
         wait_for_all: bool,
     ) -> Option<(BTreeMap<u64, u32>, bool)> {
@@ -213,7 +214,7 @@
                 Some((disk, Ok(Answer::Account(reservations)))) => {
                     answered.insert(disk);
                     if holders.current.iter().any(|store| store.disk == disk) {
-                        merge(&mut account, reservations);
+                        merge_reservations(&mut account, reservations);
                     }
                 }
                 Some(_) => {}
@@ -311,7 +312,7 @@
         // A count that gets lost leaves the try at its most: the account holds all the same. Twice is enough.
         for _ in 0..2 {
             let state = self.feed.state();
-            let Some(holders) = Holders::of(&state.roster, program, self.losses()) else { return };
+            let Some(holders) = AccountHolders::of(&state.roster, program, self.losses()) else { return };
             let epoch = state.roster.epoch;
             let call = |_: &Store| Call::Settle { epoch, program: program.to_owned(), reservation };
             let calls: FuturesUnordered<_> =
@@ -325,84 +326,6 @@
     }
 }
 
-/// The machines that may hold a turn, best first: while the roster changes, those that are in both sets before the others;
-/// then by `order`, with machines of a zone that has one already after those of others, since a zone may go as a whole.
-pub(crate) fn copy_order<K: Ord>(roster: &Roster, order: impl Fn(&Store) -> (bool, bool, K)) -> Vec<&Store> {
-    let next = roster.next.as_deref().unwrap_or(&roster.current);
-    let mut stores: Vec<&Store> = roster.current.iter().collect();
-    stores.extend(next.iter().filter(|store| !roster.current.contains(store)));
-    let in_both = |store: &Store| roster.current.contains(store) && next.contains(store);
-    stores.sort_by_key(|store| {
-        let (down, far, rank) = order(store);
-        (down, !in_both(store), far, rank)
-    });
-    let mut zones: BTreeSet<&str> = BTreeSet::new();
-    let mut placed: Vec<(bool, bool, bool, &Store)> = stores
-        .into_iter()
-        .map(|store| (order(store).0, !in_both(store), !zones.insert(&store.zone), store))
-        .collect();
-    placed.sort_by_key(|(down, single, repeated, _)| (*down, *single, *repeated));
-    placed.into_iter().map(|(.., store)| store).collect()
-}
-
-/// Whether a turn on these disks has its copies, in each of the sets that count: while the roster changes, whichever of
-/// them comes to stand must hold it by itself.
-pub(crate) fn has_copies(roster: &Roster, kept: &BTreeSet<u64>, copies: usize) -> bool {
-    let held = |stores: &[Store]| stores.iter().filter(|store| kept.contains(&store.disk)).count() >= copies;
-    held(&roster.current) && roster.next.as_deref().is_none_or(held)
-}
-
-/// The first of `stores` that give a turn its copies, if all of them do.
-pub(crate) fn copies_needed(roster: &Roster, stores: &[&Store], copies: usize) -> Option<Vec<u64>> {
-    let disks: Vec<u64> = stores.iter().map(|store| store.disk).collect();
-    (1..=disks.len())
-        .map(|count| &disks[..count])
-        .find(|disks| has_copies(roster, &disks.iter().copied().collect(), copies))
-        .map(<[u64]>::to_vec)
-}
-
-/// Who holds an account: among the current machines, and among the next ones while a change is under way.
-struct Holders<'a> {
-    current: Vec<&'a Store>,
-    next: Vec<&'a Store>,
-}
-
-impl<'a> Holders<'a> {
-    fn of(roster: &'a Roster, program: &str, losses: usize) -> Option<Self> {
-        if roster.current.len() < 2 * losses + 1 {
-            return None;
-        }
-        let next = roster.next.as_ref().map(|next| account_holders(next, program, losses));
-        Some(Self {
-            current: account_holders(&roster.current, program, losses),
-            next: next.unwrap_or_default(),
-        })
-    }
-
-    fn current_only(&self) -> Self {
-        Self { current: self.current.clone(), next: Vec::new() }
-    }
-
-    fn all(&self) -> impl Iterator<Item = &'a Store> {
-        let further = self.next.iter().filter(|store| !self.current.contains(store));
-        self.current.iter().chain(further).copied()
-    }
-
-    fn majority(&self, answered: &BTreeSet<u64>) -> bool {
-        let most = |stores: &[&Store]| {
-            let count = stores.iter().filter(|store| answered.contains(&store.disk)).count();
-            stores.is_empty() || count > stores.len() / 2
-        };
-        most(&self.current) && most(&self.next)
-    }
-}
-
-fn merge(account: &mut BTreeMap<u64, u32>, reservations: impl IntoIterator<Item = Reservation>) {
-    for Reservation { attempt, tokens } in reservations {
-        account.entry(attempt).and_modify(|known| *known = tokens.min(*known)).or_insert(tokens);
-    }
-}
-
 fn reservation(attempt: &str, tokens: u32) -> Reservation {
     Reservation { attempt: rank(attempt.as_bytes(), 0), tokens }
 }
@@ -483,6 +406,3 @@
         kept
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/system/turn-store/src/lib.rs
+++ b/system/turn-store/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod disk;
 mod filling;
+mod placement;
 mod records;
 mod state;
 mod writer;
 
 pub use disk::{Damage, Disk, DiskError, Space, Write};
 pub use filling::Filling;
+pub use placement::{AccountHolders, copies_needed, copy_order, has_copies, merge_reservations};
 pub use records::{ACCOUNTS, FillRecord, HOLDERS, Kept, KeptTurn, SPACES, STATE, TURNS, load};
 pub use state::{Bodies, Body, Durability, Outcome, StoreState};
 pub use writer::{Completion, WriteFailed, Writer};
--- /dev/null
+++ b/system/turn-store/src/placement.rs
@@ -0,0 +1,92 @@
+//! Where turns and accounts are kept, as one who writes and reads them goes by the roster.
+
+use fleet_model::{Reservation, Roster, Store, account_holders};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The machines that may hold a turn, best first: while the roster changes, those that are in both sets before the others;
+/// then by `order`, with machines of a zone that has one already after those of others, since a zone may go as a whole.
+pub fn copy_order<K: Ord>(roster: &Roster, order: impl Fn(&Store) -> (bool, bool, K)) -> Vec<&Store> {
+    let next = roster.next.as_deref().unwrap_or(&roster.current);
+    let mut stores: Vec<&Store> = roster.current.iter().collect();
+    stores.extend(next.iter().filter(|store| !roster.current.contains(store)));
+    let in_both = |store: &Store| roster.current.contains(store) && next.contains(store);
+    stores.sort_by_key(|store| {
+        let (down, far, rank) = order(store);
+        (down, !in_both(store), far, rank)
+    });
+    let mut zones: BTreeSet<&str> = BTreeSet::new();
+    let mut placed: Vec<(bool, bool, bool, &Store)> = stores
+        .into_iter()
+        .map(|store| (order(store).0, !in_both(store), !zones.insert(&store.zone), store))
+        .collect();
+    placed.sort_by_key(|(down, single, repeated, _)| (*down, *single, *repeated));
+    placed.into_iter().map(|(.., store)| store).collect()
+}
+
+/// Whether a turn on these disks has its copies, in each of the sets that count: while the roster changes, whichever of
+/// them comes to stand must hold it by itself.
+pub fn has_copies(roster: &Roster, kept: &BTreeSet<u64>, copies: usize) -> bool {
+    let held = |stores: &[Store]| stores.iter().filter(|store| kept.contains(&store.disk)).count() >= copies;
+    held(&roster.current) && roster.next.as_deref().is_none_or(held)
+}
+
+/// The first of `stores` that give a turn its copies, if all of them do.
+pub fn copies_needed(roster: &Roster, stores: &[&Store], copies: usize) -> Option<Vec<u64>> {
+    let disks: Vec<u64> = stores.iter().map(|store| store.disk).collect();
+    (1..=disks.len())
+        .map(|count| &disks[..count])
+        .find(|disks| has_copies(roster, &disks.iter().copied().collect(), copies))
+        .map(<[u64]>::to_vec)
+}
+
+/// Who holds an account: among the current machines, and among the next ones while a change is under way.
+pub struct AccountHolders<'a> {
+    /// Among the current machines.
+    pub current: Vec<&'a Store>,
+    /// Among the next ones.
+    pub next: Vec<&'a Store>,
+}
+
+impl<'a> AccountHolders<'a> {
+    /// Those of a program; none while too few machines count.
+    pub fn of(roster: &'a Roster, program: &str, losses: usize) -> Option<Self> {
+        if roster.current.len() < 2 * losses + 1 {
+            return None;
+        }
+        let next = roster.next.as_ref().map(|next| account_holders(next, program, losses));
+        Some(Self {
+            current: account_holders(&roster.current, program, losses),
+            next: next.unwrap_or_default(),
+        })
+    }
+
+    /// The current ones, which are read.
+    pub fn current_only(&self) -> Self {
+        Self { current: self.current.clone(), next: Vec::new() }
+    }
+
+    /// All of them, which are written.
+    pub fn all(&self) -> impl Iterator<Item = &'a Store> {
+        let further = self.next.iter().filter(|store| !self.current.contains(store));
+        self.current.iter().chain(further).copied()
+    }
+
+    /// Whether these are a majority in each set.
+    pub fn majority(&self, answered: &BTreeSet<u64>) -> bool {
+        let most = |stores: &[&Store]| {
+            let count = stores.iter().filter(|store| answered.contains(&store.disk)).count();
+            stores.is_empty() || count > stores.len() / 2
+        };
+        most(&self.current) && most(&self.next)
+    }
+}
+
+/// Takes reservations in: of two records of one try the lower count holds.
+pub fn merge_reservations(
+    account: &mut BTreeMap<u64, u32>,
+    reservations: impl IntoIterator<Item = Reservation>,
+) {
+    for Reservation { attempt, tokens } in reservations {
+        account.entry(attempt).and_modify(|known| *known = tokens.min(*known)).or_insert(tokens);
+    }
+}
--- a/system/programs/src/turns/tests.rs
+++ b/system/turn-store/tests/placement.rs
@@ -1,7 +1,10 @@
 //! Where the copies of a turn go.
 
-use super::*;
+use fleet_model::{Roster, Store};
 use googletest::prelude::*;
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use turn_store::{copies_needed, copy_order, has_copies};
 
 fn store(disk: u64, zone: &str) -> Store {
     Store { name: format!("s{disk}"), ip: Ipv4Addr::new(10, 0, 0, disk as u8), zone: zone.to_owned(), disk }
@@ -15,7 +18,7 @@
     copies_needed(roster, &copy_order(roster, near_first("a")), copies)
 }
 
-#[googletest::test]
+#[gtest]
 fn one_copy_is_near_and_the_other_in_another_zone() {
     // Given two machines in the proxy's zone.
     let current = vec![store(1, "a"), store(2, "a"), store(3, "b"), store(4, "c")];
@@ -27,7 +30,7 @@
     expect_that!(needed(&roster, 5), none());
 }
 
-#[googletest::test]
+#[gtest]
 fn a_machine_that_does_not_answer_comes_last() {
     let current = vec![store(1, "a"), store(2, "b"), store(3, "c")];
     let roster = Roster { current, ..Roster::default() };
@@ -35,7 +38,7 @@
     expect_that!(copies_needed(&roster, &order, 2), some(eq(&vec![2, 3])));
 }
 
-#[googletest::test]
+#[gtest]
 fn while_the_roster_changes_each_of_its_sets_holds_the_turn() {
     // Given a change that adds two machines, the only ones in the proxy's zone.
     let current = vec![store(3, "b"), store(4, "c"), store(5, "d")];
