Let stores that only absorbed be drawn on, so that a founding cannot block itself

Cause: while a fleet is founded, a store that had absorbed a record from a full one was neither full nor empty, so no source. When a change of the roster began before the others had filled, too few sources were left and no filling ended, for good. Change: a store that has taken no write and was never full in a founded set is a source as an empty one is; nobody counts on it, and it holds no less.

--- a/system/turn-store/src/state.rs
+++ b/system/turn-store/src/state.rs
@@ -125,14 +125,18 @@
     fill: FillRecord,
     turns: BTreeMap<Box<str>, Entry>,
     accounts: BTreeMap<Box<str>, Account>,
+    /// It has taken no write and was never full in a founded set: what it holds it has from others, and nobody counts on it.
+    fresh: bool,
 }
 
 impl StoreState {
     /// A store with what its disk holds. All of it gets a fresh expiry.
     pub fn new(now_ms: u64, disk: u64, losses: usize, kept: Kept) -> Self {
+        let fresh = kept.turns.is_empty() && kept.accounts.is_empty() && !kept.fill.damaged;
         let mut state = Self {
             disk,
             losses,
+            fresh,
             roster: Roster::default(),
             fill: kept.fill,
             turns: BTreeMap::new(),
@@ -187,6 +191,7 @@
         self.fill.filled.retain(|(epoch, set)| {
             *set == current || (Some(set) == next.as_ref() && (*epoch == roster.epoch || told))
         });
+        self.fresh &= !(self.is_founded() && self.is_full());
         if self.fill == before { Vec::new() } else { vec![self.fill.write()] }
     }
 
@@ -245,6 +250,7 @@
         self.fill.filled.retain(|(_, filled)| *filled != set);
         self.fill.filled.push((self.roster.epoch, set));
         self.fill.damaged = false;
+        self.fresh &= !(self.is_founded() && self.is_full());
         Some(vec![self.fill.write()])
     }
 
@@ -293,6 +299,7 @@
         if !self.takes_writes() || program.len() > NAME_BYTES {
             return Outcome::free(Answer::Unready);
         }
+        self.fresh = false;
         let account = self.account(now_ms, program);
         let (tokens, _) = account.merge(reservation);
         let answer = Answer::Account(reservations(account));
@@ -303,6 +310,7 @@
         if !self.takes_writes() || program.len() > NAME_BYTES {
             return Outcome::free(Answer::Unready);
         }
+        self.fresh = false;
         let (tokens, news) = self.account(now_ms, program).merge(reservation);
         let writes = news.then(|| account_write(program, reservation.attempt, tokens));
         Outcome::lazy(Answer::Done, writes.into_iter().collect())
@@ -324,6 +332,7 @@
         if !self.takes_writes() || !named {
             return Outcome::free(Answer::Unready);
         }
+        self.fresh = false;
         // Kept already: the record stays as it is, and the answer waits for the first one's sync.
         let writes = match self.turns.get_mut(turn.attempt.as_str()) {
             None => {
@@ -408,11 +417,11 @@
         }
     }
 
-    /// A store may be drawn on if it is full. One that never held anything may be too: where all are founded together,
-    /// nobody is full yet.
+    /// A store may be drawn on if it is full. One on which nobody counts may be too, and lacks nothing that it should have:
+    /// where all are founded together, nobody is full yet, and what one has absorbed meanwhile takes it away from no other.
     fn is_source(&self) -> bool {
-        let empty = self.turns.is_empty() && self.accounts.is_empty() && !self.fill.damaged;
-        self.in_current() && (self.is_full() || empty)
+        let empty = self.turns.is_empty() && self.accounts.is_empty();
+        self.in_current() && (self.is_full() || ((empty || self.fresh) && !self.fill.damaged))
     }
 
     fn fill_page(&mut self, asker: u64, cursor: &[u8], bodies: &dyn Bodies) -> Outcome {
--- a/system/turn-store/tests/stories.rs
+++ b/system/turn-store/tests/stories.rs
@@ -633,6 +633,37 @@
     expect_that!(sum(&fleet.at(3).account("p")), eq(5));
 }
 
+#[gtest]
+fn what_new_stores_have_absorbed_keeps_none_of_them_from_filling() {
+    // Given a new fleet, of which one store is full already and has taken a reservation;
+    let mut fleet = Fleet::founded(&[], 1);
+    (1..=3).for_each(|disk| fleet.add(disk));
+    // the first of them was alone in the roster for a moment, and full by itself,
+    fleet.set_roster(roster(1, &[2], None));
+    expect_that!(fleet.fill(2), eq(true));
+    fleet.set_roster(roster(2, &[1, 2, 3], None));
+    expect_that!(fleet.fill(1), eq(true));
+    expect_that!(sum(&fleet.at(1).reserve("p", reservation(1, 5))), eq(5));
+    // and of which the others have absorbed that when a change of the stores has them begin anew.
+    for disk in [2, 3] {
+        let page = fleet.at(1).ask(&Call::Fill { epoch: 2, disk, cursor: Bytes::new() });
+        let Answer::Records { turns, accounts, .. } = page else { panic!("{page:?}") };
+        expect_that!(fleet.at(disk).state.absorb(0, turns, accounts), len(eq(1)));
+    }
+    fleet.add(4);
+    fleet.set_roster(roster(3, &[1, 2, 3], Some(&[1, 2, 3, 4])));
+    // Then they all fill, though none but the first is full or empty.
+    for disk in 1..=4 {
+        expect_that!(fleet.fill(disk), eq(true), "store {disk}");
+    }
+    // But one that has taken a write and is not full gives nothing: it may lack what it answered for.
+    fleet.set_roster(roster(4, &[1, 2, 3, 4], None));
+    fleet.at(4).reserve("p", reservation(2, 5));
+    fleet.set_roster(roster(5, &[1, 2, 4], None));
+    let call = Call::Fill { epoch: 5, disk: 1, cursor: Bytes::new() };
+    expect_that!(fleet.at(4).ask(&call), eq(&Answer::Unready));
+}
+
 #[gtest]
 fn fills_go_in_pages() {
     // Given more than a page of turns, of which one is larger than a page, and an account larger than a page.
