Restore a newcomer from a chosen value, so that it joins while a voter is gone

Cause: a keeper with an empty disk restored without a value to start from, which needs all of three voters. One that replaces a machine gone for good never voted: the gone one is not removed at three voters, and the new one could not join. Change: it first asks the others what they know to be chosen (told_chosen) and starts from that, as start_from allows.

--- a/system/config-register/src/learner.rs
+++ b/system/config-register/src/learner.rs
@@ -1,7 +1,7 @@
 //! Tells whether the newest chosen value is known.
 
 use crate::Outbox;
-use fleet_model::{AcceptedValue, Ballot, RegisterRequest, RegisterValue};
+use fleet_model::{AcceptedValue, Ballot, RegisterReply, RegisterRequest, RegisterValue};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
@@ -32,6 +32,13 @@
     Polled { accepted: Option<Ballot>, chosen: Ballot },
 }
 
+/// The value that a machine knows to be chosen and holds, by what it answered to a poll and then to a fetch.
+pub fn told_chosen(polled: &RegisterReply, fetched: &RegisterReply) -> Option<RegisterValue> {
+    let RegisterReply::Polled { accepted: Some(accepted), chosen } = polled else { return None };
+    let RegisterReply::Fetched(Some(held)) = fetched else { return None };
+    (accepted == chosen && held.ballot == *chosen).then(|| held.value.clone())
+}
+
 /// One round of polling.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Learner {
--- a/system/config-register/src/lib.rs
+++ b/system/config-register/src/lib.rs
@@ -56,7 +56,7 @@
 mod round;
 
 pub use acceptor::{Acceptor, AcceptorRecord, Standing, found};
-pub use learner::{Learner, Verdict};
+pub use learner::{Learner, Verdict, told_chosen};
 pub use proposal::{Change, Proposal, Step};
 pub use restore::{Restore, RestoreStep};
 
--- a/system/config-register/tests/stories.rs
+++ b/system/config-register/tests/stories.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use config_register::{
     Acceptor, AcceptorRecord, Change, Learner, Outbox, Proposal, Restore, RestoreStep, Standing, Step,
-    Verdict, found, next_round,
+    Verdict, found, next_round, told_chosen,
 };
 use fleet_model::{AcceptedValue, Ballot, RegisterReply, RegisterRequest, RegisterValue};
 use googletest::prelude::*;
@@ -488,6 +488,44 @@
     expect_that!(fleet.acceptors[&D].record().unwrap().standing, eq(Standing::Member));
 }
 
+#[gtest]
+fn a_machine_that_replaces_a_voter_joins_while_that_one_is_gone() {
+    // Given three voters, of which C is gone for good, and D, which has an empty disk.
+    let mut fleet = Fleet::new();
+    fleet.lose_disk(D);
+    let chosen = done(fleet.run(ballot(1, P), &founding(), &[A, B], replace("", "x")));
+    fleet.acceptors.get_mut(&B).unwrap().learn_value(&chosen);
+    // When D goes by nothing, it needs all three.
+    let alone = fleet.restore(D, Restore::start(D, ballot(2, D), &[A, B, C]), &[A, B]);
+    expect_that!(alone, eq(&RestoreStep::Failed));
+    // When it asks what is chosen, A does not know it and B does.
+    let mut told = |from| {
+        let polled = fleet.handle(from, &RegisterRequest::Poll { chosen: Ballot::default() });
+        told_chosen(&polled, &fleet.handle(from, &RegisterRequest::Fetch))
+    };
+    expect_that!(told(A), none());
+    let known = told(B);
+    expect_that!(known, some(eq(&chosen.value)));
+    // Then a majority is enough, and it can be made a voter.
+    let restore = Restore::start_from(D, ballot(3, D), &known.unwrap(), &[A, B, C]);
+    let RestoreStep::Done(record) = fleet.restore(D, restore, &[A, B]) else { panic!("not restored") };
+    expect_that!(record.accepted.unwrap().value.payload, eq(&Bytes::from("x")));
+    let added = done(fleet.run(ballot(4, P), &founding(), &[A, B, D], voters(&[A, B, C, D])));
+    expect_that!(added.value.voters, eq(&[A, B, C, D]));
+}
+
+#[gtest]
+fn what_is_held_and_not_known_to_be_chosen_is_not_told_as_chosen() {
+    let value = AcceptedValue { ballot: ballot(2, P), value: founding() };
+    let fetched = RegisterReply::Fetched(Some(value.clone()));
+    let polled = |accepted, chosen| RegisterReply::Polled { accepted: Some(accepted), chosen };
+    expect_that!(told_chosen(&polled(ballot(2, P), ballot(2, P)), &fetched), some(eq(&value.value)));
+    // It holds a later value than the one that it knows to be chosen, or accepted one after the poll.
+    expect_that!(told_chosen(&polled(ballot(2, P), ballot(1, P)), &fetched), none());
+    expect_that!(told_chosen(&polled(ballot(1, P), ballot(1, P)), &fetched), none());
+    expect_that!(told_chosen(&RegisterReply::Unfit, &fetched), none());
+}
+
 #[gtest]
 fn a_poll_is_fresh_when_a_majority_has_nothing_newer() {
     let mut learner = Learner::poll_round(&[A, B, C], ballot(3, P));
--- a/system/programs/src/keeper/proposing.rs
+++ b/system/programs/src/keeper/proposing.rs
@@ -3,6 +3,7 @@
 use super::*;
 use config_register::{Change, Learner, Proposal, Restore, RestoreStep, Step, Verdict};
 use fleet_model::{AcceptedValue, RegisterValue};
+use futures_util::future::join_all;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc;
@@ -249,10 +250,25 @@
         true
     }
 
+    /// The newest value that one of these knows to be chosen.
+    async fn told_chosen(&self, others: &[Ipv4Addr]) -> Option<RegisterValue> {
+        let asked = others.iter().map(|ip| async move {
+            let poll = RegisterRequest::Poll { chosen: Ballot::default() };
+            let polled = self.ask(*ip, poll, PATIENCE).await?;
+            let fetched = self.ask(*ip, RegisterRequest::Fetch, PATIENCE).await?;
+            config_register::told_chosen(&polled, &fetched)
+        });
+        join_all(asked).await.into_iter().flatten().max_by_key(|known| known.epoch)
+    }
+
     /// Brings an acceptor without a record to where it may vote.
     pub(super) async fn restore(&self) {
         let others: Vec<Ipv4Addr> = self.heard.borrow().iter().copied().filter(|ip| *ip != self.me).collect();
-        let mut restore = Restore::start(self.me, self.next_ballot(), &others);
+        // With a chosen value to start from, a voter that is gone for good need not answer.
+        let mut restore = match self.told_chosen(&others).await {
+            Some(known) => Restore::start_from(self.me, self.next_ballot(), &known, &others),
+            None => Restore::start(self.me, self.next_ballot(), &others),
+        };
         let mut calls = FuturesUnordered::new();
         let call = |(ip, request)| async move { (ip, self.ask(ip, request, PATIENCE).await) };
         calls.extend(restore.outbox().into_iter().map(call));
