--- a/lab/src/peers/shrink/tests.rs
+++ b/lab/src/peers/shrink/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::peers::schedule::Fault;
 use crate::peers::schedule::Kind;
 
 fn fault(at_s: f64) -> Fault {
--- /dev/null
+++ b/lab/tests/system.rs
@@ -0,0 +1,150 @@
+//! The whole system in simulated time: no schedule breaks a rule, and what is broken on purpose is caught.
+
+use fleet_model::{Ballot, rank};
+use googletest::prelude::*;
+use micadrum_lab::system::{
+    Fact, History, Mutation, Rule, Schedule, Told, check, play, play_one, play_until_broken, shortest,
+};
+
+const SCHEDULES: u64 = 200;
+
+#[gtest]
+fn no_schedule_breaks_a_rule() {
+    let ended = play_until_broken(SCHEDULES, 1, None, || false);
+    let broken = ended.broken.map(|played| (played.schedule.seed, played.broken));
+    expect_that!(broken, none());
+    // Schedules in which little is done would show little.
+    let (whole, looked_up, acknowledged) = ended.sums;
+    expect_that!(whole as u64, gt(SCHEDULES * 100));
+    expect_that!(looked_up as u64, gt(SCHEDULES * 200));
+    expect_that!(acknowledged as u64, gt(SCHEDULES * 20));
+}
+
+#[gtest]
+fn a_schedule_played_again_has_the_same_history() {
+    let schedule = Schedule::draw(3);
+    expect_that!(play(&schedule, None) == play(&schedule, None), eq(true));
+}
+
+/// The rule that some of the first schedules breaks with this mutation.
+fn caught(mutation: Mutation, schedules: u64) -> Option<Rule> {
+    let ended = play_until_broken(schedules, 1, Some(mutation), || false);
+    ended.broken.and_then(|played| played.broken.first().map(|broken| broken.rule))
+}
+
+#[gtest]
+fn a_turn_with_one_copy_less_is_not_found() {
+    expect_that!(caught(Mutation::CopiesOneShort, 20), some(eq(Rule::Found)));
+}
+
+#[gtest]
+fn what_is_reserved_and_not_counted_breaks_the_budget() {
+    expect_that!(caught(Mutation::UnsettledNotCounted, 20), some(eq(Rule::Budget)));
+}
+
+#[gtest]
+fn a_member_that_counts_before_it_has_filled_loses_turns() {
+    expect_that!(caught(Mutation::NextCountsUnfilled, 60), some(eq(Rule::Found)));
+}
+
+#[gtest]
+fn writes_that_are_not_synced_are_missed() {
+    expect_that!(caught(Mutation::NoSync, 20), some(anything()));
+}
+
+#[gtest]
+fn a_relay_without_versions_lets_processes_go_back() {
+    expect_that!(caught(Mutation::RelayWithoutVersions, 60), some(eq(Rule::Forward)));
+}
+
+#[tokio::test]
+async fn the_shortest_schedule_breaks_the_same_rule_again() {
+    // Given a schedule that breaks a rule,
+    let mutation = Some(Mutation::NextCountsUnfilled);
+    let ended = play_until_broken(60, 1, mutation, || false);
+    let broken = ended.broken.expect("it is caught");
+    let rule = broken.broken[0].rule;
+    // when faults are left out as far as it goes, and it is read from its text and played again,
+    let shortest = shortest(&broken, mutation).await;
+    assert!(shortest.schedule.faults.len() < broken.schedule.faults.len());
+    let text = serde_json::to_string(&shortest.schedule).expect("plain");
+    let again: Schedule = serde_json::from_str(&text).expect("as it was written");
+    // then the same rule is broken in the same way.
+    let played = play_one(&again, mutation);
+    assert!(played.broken.iter().any(|broken| broken.rule == rule), "{:?}", played.broken);
+    assert_eq!(played.broken, shortest.broken);
+}
+
+fn ballot(round: u64) -> Ballot {
+    Ballot { round, proposer: 1 }
+}
+
+fn chosen(round: u64, versions: &[u64], hash: u64) -> Fact {
+    Fact::Chosen { node: 0, ballot: ballot(round), versions: versions.to_vec(), hash }
+}
+
+fn knows(life: u64, round: u64, version: u64, list: u64) -> Fact {
+    Fact::Knows { node: 7, life, ballot: ballot(round), version, list }
+}
+
+fn whole(attempt: &str, previous: Option<&str>) -> Fact {
+    let previous = previous.map(str::to_owned);
+    Fact::Whole { attempt: attempt.to_owned(), previous, text: format!("{attempt};") }
+}
+
+fn asked(begun: u64, attempt: &str, told: Told) -> Fact {
+    Fact::Asked { begun, attempt: attempt.to_owned(), told }
+}
+
+fn rules(facts: &[Fact]) -> Vec<Rule> {
+    let history: History = facts.iter().enumerate().map(|(at, fact)| (at as u64, fact.clone())).collect();
+    check(&history).into_iter().map(|broken| broken.rule).collect()
+}
+
+#[gtest]
+fn the_checker_tells_what_a_register_breaks() {
+    let acknowledged = |version, on| Fact::Acknowledged { version, on };
+    expect_that!(rules(&[chosen(1, &[1], 5), acknowledged(1, 0), chosen(2, &[1, 2], 6)]), is_empty());
+    // Two values under one ballot, or a later value without what was in an earlier one.
+    expect_that!(rules(&[chosen(1, &[1], 5), chosen(1, &[1], 6)]), elements_are![eq(&Rule::OneValue)]);
+    expect_that!(rules(&[chosen(2, &[2], 5), chosen(1, &[1], 6)]), elements_are![eq(&Rule::OneValue)]);
+    // What was acknowledged is not there, or not read back.
+    expect_that!(rules(&[acknowledged(1, 0), chosen(1, &[], 5)]), elements_are![eq(&Rule::Acknowledged)]);
+    let read = |begun, version| Fact::ReadBack { begun, version };
+    expect_that!(rules(&[acknowledged(2, 0), read(1, 1)]), elements_are![eq(&Rule::Acknowledged)]);
+    expect_that!(rules(&[read(0, 1), acknowledged(2, 0), read(0, 1)]), is_empty());
+    expect_that!(rules(&[acknowledged(2, 1), acknowledged(3, 1)]), elements_are![eq(&Rule::OneOfTwo)]);
+    expect_that!(rules(&[acknowledged(2, 1), acknowledged(2, 1)]), is_empty());
+}
+
+#[gtest]
+fn the_checker_tells_what_processes_break() {
+    expect_that!(rules(&[knows(1, 2, 1, 1), knows(1, 3, 1, 2), knows(2, 1, 0, 0)]), is_empty());
+    for back in [knows(1, 1, 1, 1), knows(1, 2, 0, 1), knows(1, 2, 1, 0)] {
+        expect_that!(rules(&[knows(1, 2, 1, 1), back]), elements_are![eq(&Rule::Forward)]);
+    }
+    let holds = |node, life| Fact::Holds { node, life, fence: 4 };
+    expect_that!(rules(&[holds(1, 1), holds(1, 1)]), is_empty());
+    expect_that!(rules(&[holds(1, 1), holds(2, 1)]), elements_are![eq(&Rule::OneHolder)]);
+    expect_that!(rules(&[holds(1, 1), holds(1, 2)]), elements_are![eq(&Rule::OneHolder)]);
+    let settled =
+        |lacks: &[&str]| Fact::Settled { after: 1, lacks: lacks.iter().map(|l| l.to_string()).collect() };
+    expect_that!(rules(&[settled(&[])]), is_empty());
+    expect_that!(rules(&[settled(&["nobody holds the duty"])]), elements_are![eq(&Rule::Settles)]);
+}
+
+#[gtest]
+fn the_checker_tells_what_turns_and_budgets_break() {
+    let text = |text: &str| Told::Text(rank(text.as_bytes(), 0));
+    let kept = [whole("a", None), whole("b", Some("a"))];
+    let with = |fact: Fact| rules(&[kept[0].clone(), kept[1].clone(), fact]);
+    expect_that!(with(asked(2, "b", text("a;b;"))), is_empty());
+    expect_that!(with(asked(2, "b", Told::Unavailable)), is_empty());
+    expect_that!(with(asked(0, "b", Told::NoSuchTurn)), is_empty());
+    expect_that!(with(asked(2, "b", Told::NoSuchTurn)), elements_are![eq(&Rule::Found)]);
+    expect_that!(with(asked(2, "b", text("b;"))), elements_are![eq(&Rule::Text)]);
+    let handed = |tokens| Fact::Handed { program: "p".to_owned(), tokens };
+    let program = Fact::Program { program: "p".to_owned(), budget: 20, most: 10 };
+    expect_that!(rules(&[program.clone(), handed(20), handed(10)]), is_empty());
+    expect_that!(rules(&[program, handed(20), handed(11)]), elements_are![eq(&Rule::Budget)]);
+}
