Let a recovering replica's ballot leap above those of a flood of changes

Cause: a replica without a record hears of others' rounds only by their refusals, and tries again some 300 ms later with the next round. While changes follow one another, others have begun further rounds by then, so it is refused again and again. In the simulation, with some six changes a second, a replaced voter voted 17.6 s after its start instead of within catch_up_s; the next loss then took the majority, and in one schedule a confirmed change was lost with a wiped disk.

Change: its ballot lies 64 rounds above the highest that it has seen.

--- a/system/config-register/src/lib.rs
+++ b/system/config-register/src/lib.rs
@@ -60,7 +60,7 @@
 pub use learner::{Learner, Verdict, completing_place, told_chosen};
 pub use pacing::Pacing;
 pub use proposal::{Change, Proposal, Step};
-pub use restore::{Restore, RestoreStep};
+pub use restore::{RECOVERY_LEAP_ROUNDS, Restore, RestoreStep};
 
 use fleet_model::{Ballot, RegisterRequest};
 use std::net::Ipv4Addr;
--- a/system/config-register/src/restore.rs
+++ b/system/config-register/src/restore.rs
@@ -7,6 +7,11 @@
 use fleet_model::{Ballot, RegisterReply, RegisterValue};
 use std::net::Ipv4Addr;
 
+/// How many rounds the ballot of a restore lies above the highest that the machine has seen. It hears of others' runs only by
+/// their refusals, and by its next attempt they may have begun some more: with the next round alone it would be refused for as
+/// long as changes follow one another.
+pub const RECOVERY_LEAP_ROUNDS: u64 = 64;
+
 /// What a restore has come to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RestoreStep {
--- a/system/programs/src/keeper/proposing.rs
+++ b/system/programs/src/keeper/proposing.rs
@@ -1,7 +1,9 @@
 //! A keeper as proposer and learner of the register.
 
 use super::*;
-use config_register::{Change, Learner, Proposal, Restore, RestoreStep, Step, Verdict, completing_place};
+use config_register::{
+    Change, Learner, Proposal, RECOVERY_LEAP_ROUNDS, Restore, RestoreStep, Step, Verdict, completing_place,
+};
 use fleet_model::RegisterValue;
 use futures_util::future::join_all;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -55,8 +57,13 @@
     /// The ballot of a new run: above all that were seen, and one which no other life of this machine has used. One that
     /// lost its disk does not know its old ballots, but the time of day has risen since.
     fn next_ballot(&self) -> Ballot {
+        self.ballot_above(1)
+    }
+
+    /// The same, so many rounds above all that were seen.
+    fn ballot_above(&self, rounds: u64) -> Ballot {
         let seconds = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs());
-        let rising = ((self.highest.get().round >> LIFE_BITS) + 1).max(seconds);
+        let rising = ((self.highest.get().round >> LIFE_BITS) + rounds).max(seconds);
         let round = rising << LIFE_BITS | self.life;
         let ballot = Ballot { round, proposer: u32::from(self.me) };
         self.highest.set(ballot);
@@ -297,9 +304,11 @@
         self.way_is_free(tokio::time::Instant::now() + MOST_WAIT).await;
         let others: Vec<Ipv4Addr> = self.heard.borrow().iter().copied().filter(|ip| *ip != self.me).collect();
         // With a chosen value to start from, a voter that is gone for good need not answer.
-        let mut restore = match self.told_chosen(&others).await {
-            Some(known) => Restore::start_from(self.me, self.next_ballot(), &known, &others),
-            None => Restore::start(self.me, self.next_ballot(), &others),
+        let known = self.told_chosen(&others).await;
+        let ballot = self.ballot_above(RECOVERY_LEAP_ROUNDS);
+        let mut restore = match known {
+            Some(known) => Restore::start_from(self.me, ballot, &known, &others),
+            None => Restore::start(self.me, ballot, &others),
         };
         let mut calls = FuturesUnordered::new();
         let call = |(ip, request)| async move { (ip, self.ask(ip, request, PATIENCE).await) };
