--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -109,6 +109,10 @@
         /// Instead: each way to break it in turn, each for so many seconds at most, and a table.
         #[arg(long)]
         mutations: Option<u64>,
+        /// Instead: the cases of a named scenario, and a table of figures; with `--mutations` only the mutations that it is to
+        /// catch, in its cases.
+        #[arg(long, value_enum)]
+        scenario: Option<system::Scenario>,
         /// Instead: plays this schedule again.
         #[arg(long)]
         replay: Option<PathBuf>,
@@ -319,15 +323,22 @@
                 peers.heartbeat |= heartbeat;
                 simulate_fleet(&scenario, seeds, r#break, history, stop)
             }
-            Command::SimSystem { schedules, seed, r#break, mutations, replay, out, history } => {
+            Command::SimSystem { schedules, seed, r#break, mutations, scenario, replay, out, history } => {
                 let stops = || *stop.borrow() > 0;
-                match (replay, mutations) {
-                    (Some(path), _) => replay_system(&path, r#break, history.as_deref()),
-                    (None, Some(seconds)) => {
+                match (replay, mutations, scenario) {
+                    (Some(path), _, _) => replay_system(&path, r#break, history.as_deref()),
+                    (None, Some(_), Some(scenario)) => {
+                        mutate_scenario(scenario);
+                        Ok(true)
+                    }
+                    (None, None, Some(scenario)) => {
+                        run_scenario(scenario, r#break, &out, history.as_deref(), stops)
+                    }
+                    (None, Some(seconds), None) => {
                         mutate_system(schedules, seed, seconds, stops);
                         Ok(true)
                     }
-                    (None, None) => {
+                    (None, None, None) => {
                         simulate_system(schedules, seed, r#break, &out, history.as_deref(), stops).await
                     }
                 }
@@ -546,6 +557,90 @@
     Ok(played.broken.is_empty())
 }
 
+/// Plays a scenario's cases and prints what each comes to; the first that breaks a rule is written down.
+fn run_scenario(
+    scenario: system::Scenario,
+    mutation: Option<Mutation>,
+    out: &Path,
+    history: Option<&Path>,
+    stops: impl Fn() -> bool,
+) -> Result<bool, LabError> {
+    let mut kept = true;
+    for case in scenario.cases() {
+        if stops() {
+            break;
+        }
+        let began = Instant::now();
+        let ended = case.play(mutation);
+        println!("{} ({:.1} s):", ended.name, began.elapsed().as_secs_f64());
+        tell_measured(&ended.measured);
+        let broken = !ended.played.broken.is_empty();
+        if broken {
+            tell_system(&ended.played);
+        }
+        if broken && kept {
+            let text = serde_json::to_string_pretty(&ended.played.schedule);
+            write(out, text.map_err(|source| LabError::NoSchedule { path: out.to_owned(), source })?)?;
+            write_system(history, &ended.played)?;
+        }
+        kept &= !broken;
+    }
+    println!("{}", if kept { "no rule broken" } else { "a rule was broken" });
+    Ok(kept)
+}
+
+fn tell_measured(measured: &system::Measured) {
+    let (catch_up, missed) = measured.catch_up;
+    println!(
+        "  settled after {} ms; {} orders confirmed, {} of them again, {} refused, {} answers unclear",
+        measured.settled_after,
+        measured.confirmed,
+        measured.confirmed_again,
+        measured.refused,
+        measured.unclear
+    );
+    println!(
+        "  longest catch-up {catch_up} ms ({missed} versions missed, {} at most); longest change of the storage set {} ms; \
+         record {} bytes, payload {} bytes",
+        measured.most_missed, measured.longest_set_change, measured.record_bytes, measured.payload_bytes
+    );
+    let told = |after: Option<u64>| after.map_or("never".to_owned(), |after| format!("{after} ms"));
+    for isolated in &measured.isolated {
+        println!(
+            "  kept from others: the others answer after {}, itself {} clear answers meanwhile, its first {} after its return; \
+             longest order {} ms",
+            told(isolated.others_clear_after),
+            isolated.own_clear_answers,
+            told(isolated.own_clear_after),
+            isolated.longest_order
+        );
+    }
+}
+
+/// In how many of a scenario's cases each mutation that it is to catch is caught.
+fn mutate_scenario(scenario: system::Scenario) {
+    for mutation in scenario.mutations() {
+        let began = Instant::now();
+        let cases = scenario.cases();
+        let caught: Vec<String> = cases
+            .iter()
+            .filter_map(|case| {
+                case.play(Some(*mutation)).played.broken.first().map(|broken| format!("{:?}", broken.rule))
+            })
+            .collect();
+        let mut rules = caught.clone();
+        rules.sort();
+        rules.dedup();
+        println!(
+            "| {mutation:?} | {} of {} cases | {:.1} | {} |",
+            caught.len(),
+            cases.len(),
+            began.elapsed().as_secs_f64(),
+            rules.join(", ")
+        );
+    }
+}
+
 /// After how many schedules each mutation is caught.
 fn mutate_system(schedules: u64, seed: u64, seconds: u64, stops: impl Fn() -> bool) {
     let mut rows = vec![["mutation", "schedules", "seconds", "rule"].map(str::to_owned).to_vec()];
--- a/lab/src/system/check.rs
+++ b/lab/src/system/check.rs
@@ -1,10 +1,16 @@
 //! The rules of the whole system, read from a history alone.
 
 use super::history::{Fact, History, Told};
+use super::{bounds, orders};
 use fleet_model::{Ballot, rank};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
+/// A control node that is back knows what was chosen by then within this.
+const CATCH_UP_MS: u64 = 4_100;
+/// So many versions a value remembers.
+const MOST_TAKEN: usize = 512;
+
 /// A rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
@@ -26,6 +32,20 @@
     Text,
     /// After the last fault all is as it should be within the stated time.
     Settles,
+    /// At most one order is confirmed under a number.
+    OneOrder,
+    /// What is refused never comes into force, what is in force is not refused, and a refusal's reason is true.
+    Refused,
+    /// Who reaches no majority gives no clear answer.
+    Alone,
+    /// A machine in touch goes by no configuration older than one acknowledged longer ago than the bound.
+    Fresh,
+    /// A machine in touch goes by no list older than the bound.
+    Drain,
+    /// While the core is stable an operator has a clear answer within the bound.
+    AnswerTime,
+    /// Who comes back knows within the bound all that was chosen by then.
+    CatchUp,
 }
 
 /// A broken rule.
@@ -51,6 +71,9 @@
     register(history, &mut broken);
     processes(history, &mut broken);
     turns(history, &mut broken);
+    orders::check(history, &mut broken);
+    bounds::check(history, &mut broken);
+    returns(history, &mut broken);
     for (at, fact) in history {
         if let Fact::Settled { lacks, .. } = fact
             && !lacks.is_empty()
@@ -64,6 +87,30 @@
     broken
 }
 
+/// Who is back knows in time what was chosen by then, where nothing else goes wrong meanwhile.
+fn returns(history: &History, broken: &mut Vec<Broken>) {
+    let ends = |at: &u64, fact: &Fact| match fact {
+        Fact::Disturbed { until, .. } | Fact::PathCut { until, .. } | Fact::Lossy { until } => {
+            Some((*at, *until))
+        }
+        Fact::Begun { .. } | Fact::Gone { .. } => Some((*at, *at)),
+        _ => None,
+    };
+    let troubles: Vec<(u64, u64)> = history.iter().filter_map(|(at, fact)| ends(at, fact)).collect();
+    for (at, fact) in history {
+        let Fact::CaughtUp { node, missed, after } = fact else { continue };
+        let back = at - after;
+        let (since, until) = (back.saturating_sub(1_000), back + CATCH_UP_MS);
+        // What ended, or began, in the moment of the return is what it returns from.
+        let other = |(from, to): &(u64, u64)| *from < until && *to > since && *from != back && *to != back;
+        if *after > CATCH_UP_MS && !troubles.iter().any(|trouble| other(trouble)) {
+            let what =
+                format!("control node {node} had missed {missed} and did not know them after {after} ms");
+            broken.push(Broken { rule: Rule::CatchUp, at: *at, what });
+        }
+    }
+}
+
 fn register(history: &History, broken: &mut Vec<Broken>) {
     let mut chosen: BTreeMap<Ballot, (u64, &Vec<u64>, u64)> = BTreeMap::new();
     let mut acknowledged: Vec<(u64, u64)> = Vec::new();
@@ -99,14 +146,16 @@
     let values: Vec<_> = chosen.iter().collect();
     for pair in values.windows(2) {
         let [(_, (_, before, _)), (ballot, (at, after, _))] = pair else { continue };
-        if !after.starts_with(before) {
+        if !continues(before, after) {
             let what = format!("{after:?} under {ballot:?} after {before:?}");
             broken.push(Broken { rule: Rule::OneValue, at: *at, what });
         }
     }
     if let Some((_, (at, last, _))) = values.last() {
+        // Only so many are remembered.
+        let oldest = if last.len() < MOST_TAKEN { 0 } else { last.first().copied().unwrap_or_default() };
         for (_, version) in acknowledged {
-            if !last.contains(&version) {
+            if version >= oldest && !last.contains(&version) {
                 let what = format!("{version} was acknowledged and is not in the last value");
                 broken.push(Broken { rule: Rule::Acknowledged, at: *at, what });
             }
@@ -114,6 +163,19 @@
     }
 }
 
+/// Whether the versions that a value remembers are those of an earlier one and further ones: only the oldest are forgotten, and
+/// only when there are too many.
+fn continues(before: &[u64], after: &[u64]) -> bool {
+    if after.len() < MOST_TAKEN {
+        return after.starts_with(before);
+    }
+    let Some(newest) = before.last() else { return true };
+    match after.iter().position(|version| version == newest) {
+        Some(place) => before.ends_with(&after[..=place]),
+        None => after.first().is_some_and(|oldest| oldest > newest),
+    }
+}
+
 fn processes(history: &History, broken: &mut Vec<Broken>) {
     let mut known: BTreeMap<(usize, u64), (Ballot, u64, u64)> = BTreeMap::new();
     let mut holders: BTreeMap<u64, (usize, u64)> = BTreeMap::new();
--- a/lab/src/system/disk.rs
+++ b/lab/src/system/disk.rs
@@ -5,7 +5,7 @@
 use control_duties::times;
 use fleet_model::{Reservation, Turn};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use turn_store::{ACCOUNTS, Bodies, Body, FillRecord, HOLDERS, Kept, KeptTurn, STATE, TURNS, Write};
 
 type Records = BTreeMap<(&'static str, Vec<u8>), Bytes>;
@@ -27,8 +27,25 @@
     /// A record was damaged: whoever opens the disk is told once.
     damaged: Cell<bool>,
     waited: Cell<usize>,
+    /// Batches handed in so far, by whoever wrote them.
+    handed_in: Cell<u64>,
+    /// Until then, in microseconds, nothing is written or synced.
+    blocked_until: Cell<u64>,
+    /// The next sync is refused.
+    refuses_sync: Cell<bool>,
+    /// Records of an acceptor as they were before the last one, oldest first; only kept for a mutation.
+    former: RefCell<VecDeque<Bytes>>,
 }
 
+/// A write that found the disk full, or a sync that was refused, is tried again after this.
+const TRY_AGAIN_MS: u64 = 20;
+/// So many writes an outdated record of an acceptor is old.
+const OUTDATED_BY: usize = 8;
+/// Where an acceptor's record is kept.
+pub const ACCEPTOR_SPACE: &str = "records";
+/// Its key.
+pub const ACCEPTOR_RECORD: &[u8] = b"acceptor";
+
 fn apply(records: &mut Records, batch: &[Write]) {
     for write in batch {
         let place = (write.space, write.key.clone());
@@ -57,18 +74,39 @@
         self.number.set(number);
         self.seen.borrow_mut().clear();
         self.synced.borrow_mut().clear();
-        self.end_process();
         self.written.borrow_mut().clear();
         self.counts.set((0, 0));
+        self.former.borrow_mut().clear();
+        self.end_process();
         self.damaged.set(false);
     }
 
     /// The process ends; what it has written stays.
     pub fn end_process(&self) {
         self.queued.borrow_mut().clear();
+        self.handed_in.set(self.counts.get().0);
         self.waited.set(0);
     }
 
+    /// Until then, in microseconds, nothing is written or synced.
+    pub fn block(&self, until: u64) {
+        self.blocked_until.set(until.max(self.blocked_until.get()));
+    }
+
+    /// The next sync is refused.
+    pub fn refuse_sync(&self) {
+        self.refuses_sync.set(true);
+    }
+
+    /// Bytes of a record.
+    pub fn length(&self, space: &'static str, key: &[u8]) -> usize {
+        self.get(space, key).map_or(0, |record| record.len())
+    }
+
+    fn is_blocked(&self, host: &Host) -> bool {
+        host.now().as_micros() < u128::from(self.blocked_until.get())
+    }
+
     /// Power is lost. Of what was not synced the first `kept` batches are there. One that is there in part is found out by
     /// its checksum and counts as gone, with all after it: the journal is read up to it.
     pub fn lose_power(&self, kept: usize) {
@@ -111,31 +149,75 @@
         if writes.is_empty() {
             return;
         }
-        self.queued.borrow_mut().push(writes);
+        self.hand_in(writes);
         let host = host.clone();
         host.clone().spawn(async move {
             host.sleep_us(host.between(2_000, times::LOOK_AGAIN * 1_000)).await;
+            while host.disk().is_blocked(&host) {
+                host.sleep(TRY_AGAIN_MS).await;
+            }
             host.disk().flush();
         });
     }
 
+    fn remember_former(&self, seen: &Records, batch: &[Write]) {
+        let is_record = |write: &Write| write.space == ACCEPTOR_SPACE && write.key == ACCEPTOR_RECORD;
+        if !batch.iter().any(is_record) {
+            return;
+        }
+        let Some(record) = seen.get(&(ACCEPTOR_SPACE, ACCEPTOR_RECORD.to_vec())) else { return };
+        let mut former = self.former.borrow_mut();
+        former.push_back(record.clone());
+        if former.len() > OUTDATED_BY {
+            former.pop_front();
+        }
+    }
+
+    /// Broken on purpose: an acceptor finds its record as it was some writes ago.
+    pub fn go_back(&self) {
+        let former = std::mem::take(&mut *self.former.borrow_mut());
+        if former.len() < OUTDATED_BY {
+            return;
+        }
+        let Some(record) = former.front() else { return };
+        let place = (ACCEPTOR_SPACE, ACCEPTOR_RECORD.to_vec());
+        self.seen.borrow_mut().insert(place.clone(), record.clone());
+        self.synced.borrow_mut().insert(place, record.clone());
+    }
+
+    /// Puts a batch behind those that wait; the number of batches handed in by then.
+    fn hand_in(&self, writes: Vec<Write>) -> u64 {
+        self.queued.borrow_mut().push(writes);
+        self.handed_in.set(self.handed_in.get() + 1);
+        self.handed_in.get()
+    }
+
     fn flush(&self) {
         let queued = std::mem::take(&mut *self.queued.borrow_mut());
         let (written, synced) = self.counts.get();
         self.counts.set((written + queued.len() as u64, synced));
         let mut seen = self.seen.borrow_mut();
-        queued.iter().for_each(|batch| apply(&mut seen, batch));
+        for batch in &queued {
+            self.remember_former(&seen, batch);
+            apply(&mut seen, batch);
+        }
         self.written.borrow_mut().extend(queued);
     }
 
     /// Writes these; they are synced, with all earlier writes, when this returns.
     pub async fn write(&self, host: &Host, writes: Vec<Write>, syncs: bool) {
         self.waited.set(self.waited.get() + 1);
-        self.queued.borrow_mut().push(writes);
+        self.hand_in(writes);
         host.sleep_us(host.between(200, 1_500)).await;
+        while self.is_blocked(host) {
+            host.sleep(TRY_AGAIN_MS).await;
+        }
         self.flush();
         let (written, _) = self.counts.get();
         host.sleep_us(host.between(500, 6_000)).await;
+        while self.is_blocked(host) || self.refuses_sync.take() {
+            host.sleep(TRY_AGAIN_MS).await;
+        }
         if syncs {
             self.sync(written);
         }
--- a/lab/src/system/history.rs
+++ b/lab/src/system/history.rs
@@ -1,5 +1,6 @@
 //! What was done and seen in a play of the whole system, for the checker, which reads nothing else.
 
+use super::schedule::Class;
 use fleet_model::Ballot;
 
 /// What one asked for a turn was told.
@@ -13,6 +14,32 @@
     Unavailable,
 }
 
+/// What a process of the core tells of an order, or that it tells nothing clear.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// 200: it is in force, or was.
+    Confirmed,
+    /// 412: this version is current.
+    OtherVersion(u64),
+    /// 400: its version is not above the current one.
+    NotAbove,
+    /// 503, silence, or an answer that was lost on its way.
+    Unclear,
+}
+
+/// In which way a machine is disturbed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Disturbance {
+    /// Its processes do not run.
+    Lost,
+    /// It answers late.
+    Slow,
+    /// Its disk refuses or stalls.
+    Disk,
+    /// Its wall clock was set.
+    Clock,
+}
+
 /// One thing that was done or seen.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Fact {
@@ -117,6 +144,102 @@
         /// What came.
         told: Told,
     },
+    /// The machines of the play, by number.
+    Fleet {
+        /// What each is there for.
+        classes: Vec<Class>,
+    },
+    /// A process begins a life.
+    Begun {
+        /// Of the process.
+        node: usize,
+        /// Its life.
+        life: u64,
+        /// Its machine.
+        machine: usize,
+    },
+    /// A machine is gone for good.
+    Gone {
+        /// The machine.
+        machine: usize,
+    },
+    /// A machine is disturbed.
+    Disturbed {
+        /// The machine.
+        machine: usize,
+        /// In which way.
+        how: Disturbance,
+        /// Until when.
+        until: u64,
+    },
+    /// What one machine sends does not reach another.
+    PathCut {
+        /// The sender.
+        from: usize,
+        /// The other.
+        to: usize,
+        /// Until when.
+        until: u64,
+    },
+    /// A machine is kept from others on purpose.
+    Isolated {
+        /// The machine.
+        machine: usize,
+        /// Until when.
+        until: u64,
+    },
+    /// Messages, or answers to operators, are lost here and there.
+    Lossy {
+        /// Until when.
+        until: u64,
+    },
+    /// An operator sent an order to a machine, and this came of it.
+    Ordered {
+        /// Names the order, whose bytes are always the same.
+        order: u64,
+        /// The version that it brings.
+        number: u64,
+        /// The version on which it builds.
+        on: u64,
+        /// The core machine that was asked.
+        machine: usize,
+        /// When it was asked.
+        begun: u64,
+        /// What came.
+        answer: OrderAnswer,
+    },
+    /// A read at a machine, and whether a clear answer came.
+    Read {
+        /// The core machine that was asked.
+        machine: usize,
+        /// When it was asked.
+        begun: u64,
+        /// Whether a version came.
+        clear: bool,
+    },
+    /// An order is seen in a control node's replicated state for the first time.
+    InForce {
+        /// Names the order.
+        order: u64,
+        /// The version that it brings.
+        number: u64,
+    },
+    /// A control node that came back, or into touch, knows all that was chosen by then.
+    CaughtUp {
+        /// Of the process.
+        node: usize,
+        /// Its changes that it had missed.
+        missed: u64,
+        /// Milliseconds after it was back.
+        after: u64,
+    },
+    /// Sizes at the end of a play.
+    Sizes {
+        /// Bytes of the longest record of an acceptor.
+        record: usize,
+        /// Bytes of the longest payload, as it goes in messages.
+        payload: usize,
+    },
     /// The last fault is over.
     Calm,
     /// After this all is as it should be, or what is not.
--- a/lab/src/system/keeper.rs
+++ b/lab/src/system/keeper.rs
@@ -7,7 +7,8 @@
 use super::world::{Host, Pusher};
 use bytes::Bytes;
 use config_register::{
-    Acceptor, AcceptorRecord, Change, Learner, Proposal, Restore, RestoreStep, Standing, Step, Verdict,
+    Acceptor, AcceptorRecord, Change, Learner, Proposal, RECOVERY_LEAP_ROUNDS, Restore, RestoreStep,
+    Standing, Step, Verdict,
 };
 use control_duties::{
     ConfigVerdict, CoreWatch, DutyClaim, Readings, RosterStep, RosterWatch, fill, give_up, stands, times,
@@ -311,8 +312,7 @@
 // What operators ask for.
 impl Keeper {
     /// Takes a configuration on top of the version `expected`; none without a majority.
-    pub async fn put_config(&self, expected: u64, version: u64) -> Option<ConfigVerdict> {
-        let body = Bytes::from(format!("configuration {version}"));
+    pub async fn put_config(&self, expected: u64, version: u64, body: Bytes) -> Option<ConfigVerdict> {
         let mut digest = [0; 32];
         digest[..8].copy_from_slice(&rank(&body, 0).to_be_bytes());
         let taken = TakenVersion { version, digest };
@@ -342,7 +342,11 @@
 // As proposer and learner.
 impl Keeper {
     fn next_ballot(&self) -> Ballot {
-        let rising = ((self.highest.get().round >> LIFE_BITS) + 1).max(self.host.now().as_secs());
+        self.ballot_above(1)
+    }
+
+    fn ballot_above(&self, rounds: u64) -> Ballot {
+        let rising = ((self.highest.get().round >> LIFE_BITS) + rounds).max(self.host.wall_seconds());
         let round = rising << LIFE_BITS | self.life;
         let ballot = Ballot { round, proposer: u32::from(self.me) };
         self.highest.set(ballot);
@@ -523,9 +527,11 @@
     async fn restore(&self) {
         let others: Vec<Ipv4Addr> = self.heard.borrow().iter().copied().filter(|ip| *ip != self.me).collect();
         // With a chosen value to start from, a voter that is gone for good need not answer.
-        let mut restore = match self.told_chosen(&others).await {
-            Some(known) => Restore::start_from(self.me, self.next_ballot(), &known, &others),
-            None => Restore::start(self.me, self.next_ballot(), &others),
+        let known = self.told_chosen(&others).await;
+        let ballot = self.ballot_above(RECOVERY_LEAP_ROUNDS);
+        let mut restore = match known {
+            Some(known) => Restore::start_from(self.me, ballot, &known, &others),
+            None => Restore::start(self.me, ballot, &others),
         };
         let mut calls = FuturesUnordered::new();
         let call = |(ip, request)| async move { (ip, self.ask(ip, request, PATIENCE).await) };
--- /dev/null
+++ b/lab/src/system/measure.rs
@@ -0,0 +1,158 @@
+//! Figures of a play, read from its history alone.
+
+use super::history::{Fact, History, OrderAnswer};
+use std::collections::BTreeMap;
+
+/// A machine that was kept from others, and what came of that. Times are milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Isolated {
+    /// After its beginning another machine gave the first clear answer.
+    pub others_clear_after: Option<u64>,
+    /// Clear answers that the machine gave to what was asked of it meanwhile.
+    pub own_clear_answers: usize,
+    /// After its end the machine gave the first clear answer.
+    pub own_clear_after: Option<u64>,
+    /// Longest time from the first sending of an order to its first clear answer, of those first sent meanwhile.
+    pub longest_order: u64,
+}
+
+/// What a play shows in figures. Times are milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Measured {
+    /// Until all was as it should be after the last fault.
+    pub settled_after: u64,
+    /// Orders that were confirmed.
+    pub confirmed: usize,
+    /// Answers by which orders were refused.
+    pub refused: usize,
+    /// Answers that were not clear.
+    pub unclear: usize,
+    /// Times that an order was sent again after it had been confirmed, and was confirmed again.
+    pub confirmed_again: usize,
+    /// Longest time until a control node that came back knew all that was chosen by then, and versions that it had missed.
+    pub catch_up: (u64, u64),
+    /// Most versions that one had missed.
+    pub most_missed: u64,
+    /// Longest change of the set of storage machines.
+    pub longest_set_change: u64,
+    /// Bytes of the longest record of an acceptor.
+    pub record_bytes: usize,
+    /// Bytes of the longest payload.
+    pub payload_bytes: usize,
+    /// Machines that were kept from others.
+    pub isolated: Vec<Isolated>,
+}
+
+/// An answer to an operator, or none.
+struct Answer {
+    machine: usize,
+    begun: u64,
+    at: u64,
+    clear: bool,
+}
+
+impl Measured {
+    /// Reads them.
+    pub fn of(history: &History) -> Self {
+        let mut measured = Self::default();
+        let mut confirmed: BTreeMap<u64, usize> = BTreeMap::new();
+        let mut set_change = None;
+        for (at, fact) in history {
+            match fact {
+                Fact::Settled { after, .. } => measured.settled_after = *after,
+                Fact::Ordered { order, answer, .. } => match answer {
+                    OrderAnswer::Confirmed => *confirmed.entry(*order).or_default() += 1,
+                    OrderAnswer::Unclear => measured.unclear += 1,
+                    OrderAnswer::OtherVersion(_) | OrderAnswer::NotAbove => measured.refused += 1,
+                },
+                Fact::CaughtUp { missed, after, .. } => {
+                    measured.catch_up = measured.catch_up.max((*after, *missed));
+                    measured.most_missed = measured.most_missed.max(*missed);
+                }
+                Fact::Roster { next, .. } => match (next, set_change) {
+                    (Some(_), None) => set_change = Some(*at),
+                    (None, Some(since)) => {
+                        measured.longest_set_change = measured.longest_set_change.max(at - since);
+                        set_change = None;
+                    }
+                    _ => {}
+                },
+                Fact::Sizes { record, payload } => {
+                    (measured.record_bytes, measured.payload_bytes) = (*record, *payload);
+                }
+                _ => {}
+            }
+        }
+        measured.confirmed = confirmed.len();
+        measured.confirmed_again = confirmed.values().sum::<usize>() - confirmed.len();
+        measured.isolated = isolated(history);
+        measured
+    }
+
+    /// The worse of both, figure by figure; counts are added up.
+    pub fn join(&mut self, other: Self) {
+        self.settled_after = self.settled_after.max(other.settled_after);
+        self.confirmed += other.confirmed;
+        self.refused += other.refused;
+        self.unclear += other.unclear;
+        self.confirmed_again += other.confirmed_again;
+        self.catch_up = self.catch_up.max(other.catch_up);
+        self.most_missed = self.most_missed.max(other.most_missed);
+        self.longest_set_change = self.longest_set_change.max(other.longest_set_change);
+        self.record_bytes = self.record_bytes.max(other.record_bytes);
+        self.payload_bytes = self.payload_bytes.max(other.payload_bytes);
+        self.isolated.extend(other.isolated);
+    }
+}
+
+fn answers(history: &History) -> Vec<Answer> {
+    let answer = |(at, fact): &(u64, Fact)| match fact {
+        Fact::Ordered { machine, begun, answer, .. } => {
+            Some(Answer { machine: *machine, begun: *begun, at: *at, clear: *answer != OrderAnswer::Unclear })
+        }
+        Fact::Read { machine, begun, clear } => {
+            Some(Answer { machine: *machine, begun: *begun, at: *at, clear: *clear })
+        }
+        _ => None,
+    };
+    history.iter().filter_map(answer).collect()
+}
+
+fn isolated(history: &History) -> Vec<Isolated> {
+    let answers = answers(history);
+    let clear = |answer: &&Answer| answer.clear;
+    let measure = |since: u64, until: u64, machine: usize| {
+        let others = answers.iter().filter(clear).filter(|answer| answer.machine != machine);
+        let own = answers.iter().filter(clear).filter(|answer| answer.machine == machine);
+        let later = own.clone().filter(|answer| answer.begun >= until);
+        Isolated {
+            others_clear_after: others
+                .filter(|answer| answer.begun >= since)
+                .map(|answer| answer.at - since)
+                .min(),
+            own_clear_answers: own.filter(|answer| answer.begun >= since && answer.at < until).count(),
+            own_clear_after: later.map(|answer| answer.at - until).min(),
+            longest_order: longest_order(history, since, until),
+        }
+    };
+    let measured = history.iter().filter_map(|(at, fact)| match fact {
+        Fact::Isolated { machine, until } => Some(measure(*at, *until, *machine)),
+        _ => None,
+    });
+    measured.collect()
+}
+
+fn longest_order(history: &History, since: u64, until: u64) -> u64 {
+    let mut first: BTreeMap<u64, u64> = BTreeMap::new();
+    let mut longest = 0;
+    for (at, fact) in history {
+        let Fact::Ordered { order, begun, answer, .. } = fact else { continue };
+        let sent = *first.entry(*order).or_insert(*begun);
+        if *answer != OrderAnswer::Unclear && (since..until).contains(&sent) {
+            longest = longest.max(at - sent);
+            // Only the first clear answer counts.
+            first.insert(*order, u64::MAX);
+        }
+    }
+    longest
+}
--- a/lab/src/system/mod.rs
+++ b/lab/src/system/mod.rs
@@ -2,6 +2,7 @@
 //! roster, turns and accounts, all by the crates under `system/`; what carries their calls here is what the programs do.
 //! Histories are checked alone.
 
+mod bounds;
 mod campaign;
 mod check;
 mod disk;
@@ -10,16 +11,26 @@
 mod feed;
 mod history;
 mod keeper;
+mod measure;
+mod operators;
+mod orders;
 mod play;
+mod returns;
+mod scenario;
 mod schedule;
+mod second_loss;
 mod store;
 mod world;
 
 pub use campaign::{Ended, Played, play_one, play_until_broken, shortest};
 pub use check::{Broken, Rule, check};
-pub use history::{Fact, History, Told};
+pub use history::{Disturbance, Fact, History, OrderAnswer, Told};
+pub use measure::{Isolated, Measured};
 pub use play::{SETTLED_MS, play};
-pub use schedule::{Class, Fault, Machine, Schedule, Trouble};
+pub use scenario::{Case, CaseEnded, SCENARIOS, Scenario, thousand_changes};
+pub use schedule::{
+    Class, Fault, ISOLATIONS, Isolation, Machine, MembershipStep, Schedule, Target, Trouble, Victim,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -48,10 +59,22 @@
     UnsettledNotCounted,
     /// Values and lists are taken as they come, whatever their versions.
     RelayWithoutVersions,
+    /// A control node answers orders by its own replicated state, without a majority.
+    AnsweredAlone,
+    /// A control node answers reads by its own replicated state, without a quorum read.
+    FreshnessNotChecked,
+    /// The feed's links do not tell how old what they bring may be.
+    AgeNotCarried,
+    /// Only the newest order is known to have been committed.
+    TakenForgotten,
+    /// A retire counts as completed as soon as it is agreed.
+    CompletedEarly,
+    /// An acceptor starts from its record as it was some writes ago.
+    RecordOutdated,
 }
 
 /// All of them.
-pub const MUTATIONS: [Mutation; 10] = [
+pub const MUTATIONS: [Mutation; 16] = [
     Mutation::NoSync,
     Mutation::NoAmnesiaGuard,
     Mutation::MajorityOfLiving,
@@ -62,4 +85,10 @@
     Mutation::EmptyStoreSaysNone,
     Mutation::UnsettledNotCounted,
     Mutation::RelayWithoutVersions,
+    Mutation::AnsweredAlone,
+    Mutation::FreshnessNotChecked,
+    Mutation::AgeNotCarried,
+    Mutation::TakenForgotten,
+    Mutation::CompletedEarly,
+    Mutation::RecordOutdated,
 ];
--- a/lab/src/system/play.rs
+++ b/lab/src/system/play.rs
@@ -2,14 +2,15 @@
 //! last one all is to be as it should be again.
 
 use super::Mutation;
+use super::disk::{ACCEPTOR_RECORD, ACCEPTOR_SPACE};
 use super::edge::{MOST, Proxy, TurnEnd, Wish, start_agent};
 use super::feed::Feed;
-use super::history::{Fact, History, Told};
+use super::history::{Disturbance, Fact, History, Told};
 use super::keeper::{Keeper, Keepers};
-use super::schedule::{Class, Fault, LAST_WAITS, Schedule, Trouble};
+use super::operators::Operators;
+use super::schedule::{Class, Fault, Isolation, LAST_WAITS, Schedule, Target, Trouble};
 use super::store::TurnKeeper;
 use super::world::{Host, World};
-use control_duties::ConfigVerdict;
 use fleet_model::Ballot;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -21,31 +22,33 @@
 pub const SETTLED_MS: u64 = 20_000;
 /// What a process knows is to be no older than this then.
 const FRESH: Duration = Duration::from_millis(2_000);
+/// Between two looks at what is in force.
+const LOOK_MS: u64 = 50;
 const OPERATORS: usize = 2;
 const PROGRAMS: usize = 3;
 const BRANCHES: usize = 2;
 const BUDGETS: [u32; 3] = [25, 40, 60];
 
 /// A play under way.
-struct Stage {
-    world: Rc<World>,
-    schedule: Schedule,
-    keepers: RefCell<Keepers>,
+pub(super) struct Stage {
+    pub(super) world: Rc<World>,
+    pub(super) schedule: Schedule,
+    pub(super) keepers: RefCell<Keepers>,
+    pub(super) operators: Operators,
     stores: RefCell<BTreeMap<usize, Rc<TurnKeeper>>>,
     agents: RefCell<BTreeMap<usize, (Host, Rc<Feed>)>>,
     proxies: RefCell<BTreeMap<usize, Rc<Proxy>>>,
     /// Machines that are gone for good.
     gone: RefCell<Vec<usize>>,
     retired: RefCell<Vec<usize>>,
-    last_version: Cell<u64>,
     last_attempt: Cell<u64>,
     /// Turns answered whole.
     whole: RefCell<Vec<String>>,
-    calm: Cell<bool>,
+    pub(super) calm: Cell<bool>,
     /// The last fault, which waits for a configuration to be acknowledged.
     last: RefCell<Option<(bool, Vec<usize>, u64)>>,
     /// A configuration was acknowledged after the last fault.
-    acknowledged: Cell<bool>,
+    pub(super) acknowledged: Cell<bool>,
 }
 
 /// Plays a schedule; what was done and seen.
@@ -68,7 +71,7 @@
         proxies: RefCell::default(),
         gone: RefCell::default(),
         retired: RefCell::default(),
-        last_version: Cell::new(0),
+        operators: Operators::default(),
         last_attempt: Cell::new(0),
         whole: RefCell::default(),
         calm: Cell::new(false),
@@ -81,6 +84,8 @@
     world.note(Fact::Calm);
     let settled = stage.settle();
     world.note(settled);
+    stage.note_in_force();
+    stage.note_sizes();
     let history = world.finish();
     // What still refers to the world goes with its processes.
     stage.keepers.borrow_mut().clear();
@@ -99,11 +104,13 @@
         });
     }
 
-    fn pause(&self, for_ms: u64) -> super::executor::Sleep {
+    pub(super) fn pause(&self, for_ms: u64) -> super::executor::Sleep {
         self.world.executor.sleep(for_ms * 1_000)
     }
 
     fn begin(self: &Rc<Self>) {
+        let classes = self.schedule.machines.iter().map(|machine| machine.class).collect();
+        self.world.note(Fact::Fleet { classes });
         for (number, machine) in self.schedule.machines.iter().enumerate() {
             if machine.first {
                 self.later(self.world.draw(300), move |stage| stage.start(number));
@@ -120,6 +127,13 @@
             self.world.executor.spawn(driver, self.clone().run_programs());
         }
         let stage = self.clone();
+        self.world.executor.spawn(driver, async move {
+            loop {
+                stage.pause(LOOK_MS).await;
+                stage.note_in_force();
+            }
+        });
+        let stage = self.clone();
         self.world.executor.spawn(driver, async move {
             while !stage.calm.get() {
                 stage.pause(700 + stage.world.draw(900)).await;
@@ -162,15 +176,36 @@
         self.world.nodes_of(machine).into_iter().for_each(|node| self.end_process(node, power));
     }
 
-    fn down(self: &Rc<Self>, machine: usize, power: bool, wiped: bool, back_ms: u64) {
+    /// A machine is gone for good.
+    pub(super) fn leave(&self, machine: usize) {
+        self.gone.borrow_mut().push(machine);
+        self.world.note(Fact::Gone { machine });
+        self.end(machine, true);
+    }
+
+    fn disturb(&self, machine: usize, for_ms: u64) {
+        let until = self.world.elapsed_ms() + for_ms;
+        self.world.note(Fact::Disturbed { machine, how: Disturbance::Lost, until });
+    }
+
+    /// A machine's processes end and come back.
+    pub(super) fn down(self: &Rc<Self>, machine: usize, power: bool, wiped: bool, back_ms: u64) {
+        self.disturb(machine, back_ms);
         self.end(machine, power);
         if wiped {
             self.world.nodes_of(machine).into_iter().for_each(|node| self.world.wipe(node));
         }
-        self.later(back_ms, move |stage| stage.start(machine));
+        self.later(back_ms, move |stage| stage.arrive(machine));
+    }
+
+    /// A machine is there, again or for the first time.
+    fn arrive(self: &Rc<Self>, machine: usize) {
+        self.start(machine);
+        self.watch_return(machine);
     }
 
     fn freeze(self: &Rc<Self>, machine: usize, for_ms: u64) {
+        self.disturb(machine, for_ms);
         for node in self.world.nodes_of(machine) {
             if let Some(process) = self.world.freeze(node) {
                 self.later(for_ms, move |stage| stage.world.executor.thaw(process));
@@ -186,6 +221,7 @@
             Trouble::Kill { machine, back_ms } => self.down(machine, false, false, back_ms),
             Trouble::KillProxy { machine, back_ms } => {
                 let Some(proxy) = self.world.nodes_of(machine).pop() else { return };
+                self.disturb(machine, back_ms);
                 self.end_process(proxy, false);
                 self.later(back_ms, move |stage| stage.start(machine));
             }
@@ -212,16 +248,39 @@
             }
             Trouble::LoseMessages { of_thousand, for_ms } => self.world.lose(for_ms, of_thousand),
             Trouble::Replace { old, new, starts_ms, ends_ms } => {
-                self.later(starts_ms, move |stage| stage.start(new));
-                self.later(ends_ms, move |stage| {
-                    stage.gone.borrow_mut().push(old);
-                    stage.end(old, true);
-                });
+                self.later(starts_ms, move |stage| stage.arrive(new));
+                self.later(ends_ms, move |stage| stage.leave(old));
             }
-            Trouble::Add { machine } => self.start(machine),
+            Trouble::Add { machine } => self.arrive(machine),
             Trouble::Retire { machine } => {
                 self.retired.borrow_mut().push(machine);
-                self.world.executor.spawn(self.world.driver, self.clone().retire(machine));
+                let stage = self.clone();
+                self.act(async move { stage.retire(machine).await });
+            }
+            Trouble::Isolate { target, how, for_ms } => self.isolate(target, how, for_ms),
+            Trouble::LoseAnswers { of_thousand, for_ms } => self.world.lose_answers(for_ms, of_thousand),
+            Trouble::StallDisk { machine, for_ms } | Trouble::RefuseWrites { machine, for_ms } => {
+                self.block_disk(machine, for_ms);
+            }
+            Trouble::RefuseSync { machine } => {
+                let nodes = self.world.nodes_of(machine);
+                nodes.into_iter().for_each(|node| self.world.disk_of(node).refuse_sync());
+            }
+            Trouble::StepClock { machine, by_seconds } => self.world.step_clock(machine, by_seconds),
+            Trouble::Burst { orders } => self.act(self.clone().burst(orders)),
+            Trouble::KillCore { back_ms } => {
+                for machine in self.machines_of(Class::Keeper) {
+                    if self.is_up(machine) {
+                        self.down(machine, false, false, back_ms + self.world.draw(300));
+                    }
+                }
+            }
+            Trouble::LossAtStep { step, victim, wiped, back_ms } => {
+                self.act(self.clone().lose_at(step, victim, wiped, back_ms));
+            }
+            Trouble::RetireThenWipe { machine, wiped, back_ms } => {
+                self.retired.borrow_mut().push(machine);
+                self.act(self.clone().retire_then_wipe(machine, wiped, back_ms));
             }
             Trouble::All { power, disks, back_ms } => {
                 *self.last.borrow_mut() = Some((power, disks, back_ms));
@@ -230,12 +289,83 @@
         }
     }
 
+    fn is_up(&self, machine: usize) -> bool {
+        self.world.nodes_of(machine).into_iter().any(|node| self.world.is_up(node))
+    }
+
+    fn machines_of(&self, class: Class) -> Vec<usize> {
+        let machines = &self.schedule.machines;
+        (0..machines.len()).filter(|machine| machines[*machine].class == class).collect()
+    }
+
+    /// Something goes on beside the schedule.
+    fn act(&self, work: impl Future<Output = ()> + 'static) {
+        self.world.executor.spawn(self.world.driver, work);
+    }
+
+    /// Keeps a machine from others. To a core machine operators send changes meanwhile, and one in the moment of its return.
+    fn isolate(self: &Rc<Self>, target: Target, how: Isolation, for_ms: u64) {
+        let machine = match target {
+            Target::Machine(machine) => Some(machine),
+            Target::LeaseHolder => self.lease_holder(),
+        };
+        let Some(machine) = machine else { return };
+        self.world.note(Fact::Isolated { machine, until: self.world.elapsed_ms() + for_ms });
+        self.later(for_ms, move |stage| stage.watch_return(machine));
+        let everybody: Vec<usize> = (0..self.schedule.machines.len()).collect();
+        let core = self.machines_of(Class::Keeper);
+        match how {
+            Isolation::Cut => self.cut_paths(machine, &everybody, true, true, for_ms),
+            Isolation::CutIncoming => self.cut_paths(machine, &everybody, true, false, for_ms),
+            Isolation::CutOutgoing => self.cut_paths(machine, &everybody, false, true, for_ms),
+            Isolation::PeersCut => self.cut_paths(machine, &core, true, true, for_ms),
+            Isolation::PeersCutIncoming => self.cut_paths(machine, &core, true, false, for_ms),
+            Isolation::PeersCutOutgoing => self.cut_paths(machine, &core, false, true, for_ms),
+            Isolation::Frozen => self.freeze(machine, for_ms),
+            Isolation::Slow => self.world.slow_down(machine, for_ms),
+        }
+        if self.schedule.machines[machine].class == Class::Keeper {
+            for node in self.world.nodes_of(machine) {
+                self.act(self.clone().insist(node, for_ms));
+                self.act(self.clone().send_on_return(node, for_ms));
+            }
+        }
+    }
+
+    fn cut_paths(&self, machine: usize, others: &[usize], incoming: bool, outgoing: bool, for_ms: u64) {
+        for other in others.iter().filter(|other| **other != machine) {
+            if incoming {
+                self.world.cut(*other, machine, for_ms);
+            }
+            if outgoing {
+                self.world.cut(machine, *other, for_ms);
+            }
+        }
+    }
+
+    /// The machine whose process holds the lease of the singleton task.
+    fn lease_holder(&self) -> Option<usize> {
+        let keepers = self.keepers.borrow();
+        let holder = keepers.iter().find(|(_, keeper)| keeper.holds_list().is_some())?;
+        Some(self.world.machine_number(*holder.0))
+    }
+
+    fn note_sizes(&self) {
+        let keepers = self.keepers.borrow();
+        let record = |node: &usize| self.world.disk_of(*node).length(ACCEPTOR_SPACE, ACCEPTOR_RECORD);
+        let payload = keepers.values().map(|keeper| keeper.feed.value().payload.len()).max();
+        self.world.note(Fact::Sizes {
+            record: keepers.keys().map(record).max().unwrap_or_default(),
+            payload: payload.unwrap_or_default(),
+        });
+    }
+
     /// The last fault, if it has not been yet.
-    fn strike(self: &Rc<Self>) {
+    pub(super) fn strike(self: &Rc<Self>) {
         let Some((power, disks, back_ms)) = self.last.borrow_mut().take() else { return };
         self.world.note(Fact::Fault("all go down".to_owned()));
         for machine in 0..self.schedule.machines.len() {
-            if self.world.nodes_of(machine).into_iter().any(|node| self.world.is_up(node)) {
+            if self.is_up(machine) {
                 let later = back_ms + self.world.draw(300);
                 let wiped = disks.contains(&machine);
                 self.down(machine, power || wiped, wiped, later);
@@ -245,14 +375,14 @@
 
     // Who comes from outside.
 
-    fn some<T: Clone>(&self, all: &RefCell<BTreeMap<usize, T>>) -> Option<T> {
+    pub(super) fn some<T: Clone>(&self, all: &RefCell<BTreeMap<usize, T>>) -> Option<T> {
         let all = all.borrow();
         let place = self.world.draw(all.len() as u64) as usize;
         all.values().nth(place).cloned()
     }
 
     /// Has a process do something; none if it takes too long or ends.
-    async fn at<T: 'static>(
+    pub(super) async fn at<T: 'static>(
         &self,
         host: &Host,
         within_ms: u64,
@@ -266,58 +396,6 @@
         self.world.executor.timeout(within_ms * 1_000, receiver).await?.ok()
     }
 
-    /// Changes the configuration again and again; what got no clear answer is sent again as it was.
-    async fn operate(self: Rc<Self>) {
-        let mut newest = 0;
-        let mut sent = (self.new_version(), newest);
-        loop {
-            self.pause(250 + self.world.draw(500)).await;
-            let Some(keeper) = self.some(&self.keepers) else { continue };
-            let host = keeper.host().clone();
-            if self.world.draw(4) == 0 {
-                let begun = self.world.elapsed_ms();
-                let read = self.at(&host, 1_200, async move { keeper.version().await }).await;
-                if let Some(Some(version)) = read {
-                    self.world.note(Fact::ReadBack { begun, version });
-                    newest = newest.max(version);
-                }
-                continue;
-            }
-            let (version, on) = sent;
-            let answer = self.at(&host, 1_200, async move { keeper.put_config(on, version).await }).await;
-            match answer.flatten() {
-                Some(ConfigVerdict::Taken) => {
-                    self.world.note(Fact::Acknowledged { version, on });
-                    self.acknowledged.set(self.calm.get());
-                    self.strike();
-                    newest = newest.max(version);
-                }
-                Some(ConfigVerdict::OtherVersion(current)) => newest = current,
-                Some(ConfigVerdict::NotAbove) => {}
-                None => continue,
-            }
-            sent = (self.new_version(), newest);
-        }
-    }
-
-    fn new_version(&self) -> u64 {
-        self.last_version.set(self.last_version.get() + 1);
-        self.last_version.get()
-    }
-
-    async fn retire(self: Rc<Self>, machine: usize) {
-        let name = self.schedule.machines[machine].name.clone();
-        loop {
-            if let Some(keeper) = self.some(&self.keepers) {
-                let (host, name) = (keeper.host().clone(), name.clone());
-                if self.at(&host, 1_200, async move { keeper.retire(&name).await }).await == Some(true) {
-                    return;
-                }
-            }
-            self.pause(300).await;
-        }
-    }
-
     async fn run_programs(self: Rc<Self>) {
         while !self.calm.get() {
             self.pause(100 + self.world.draw(1_000)).await;
--- /dev/null
+++ b/lab/src/system/scenario.rs
@@ -0,0 +1,373 @@
+//! Named scenarios: the worst days of the control side, each as a few schedules that are played like any other.
+
+use super::Mutation;
+use super::measure::Measured;
+use super::schedule::{
+    Class, Fault, ISOLATIONS, Isolation, MembershipStep, Schedule, Target, Trouble, Victim,
+};
+use serde::{Deserialize, Serialize};
+
+/// Faults begin after the founding.
+const BEGIN_MS: u64 = 5_000;
+/// A control machine is kept from others for so long.
+const ISOLATED_MS: u64 = 20_000;
+/// A lost machine counts as lost until so long after its return, and a moment.
+const CAUGHT_UP_MS: u64 = 4_150;
+/// After the last fault the play goes on for so long before all is looked at.
+const AFTER_MS: u64 = 2_000;
+
+/// A named scenario.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, clap::ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum Scenario {
+    /// A control machine is cut off, frozen or slowed for twenty seconds, with orders arriving at it all the while.
+    CutControlNode,
+    /// Operators under one number, answers lost, orders sent again elsewhere, with restarts, replaced voters and losses of power.
+    OrdersAgain,
+    /// A second loss at each step of a change of members.
+    SecondLoss,
+    /// Thousands of changes with restarts, wiped disks, a long cut and replaced voters among them.
+    ThousandChanges,
+}
+
+/// All of them.
+pub const SCENARIOS: [Scenario; 4] =
+    [Scenario::CutControlNode, Scenario::OrdersAgain, Scenario::SecondLoss, Scenario::ThousandChanges];
+
+/// One of a scenario's schedules.
+#[derive(Clone, Debug)]
+pub struct Case {
+    /// What it is about.
+    pub name: String,
+    /// Its machines and faults.
+    pub schedule: Schedule,
+}
+
+/// What came of a case.
+#[derive(Clone, Debug)]
+pub struct CaseEnded {
+    /// What it is about.
+    pub name: String,
+    /// What was done and seen, and the rules that it broke.
+    pub played: super::Played,
+    /// Its figures.
+    pub measured: Measured,
+}
+
+impl Case {
+    /// Plays it.
+    pub fn play(&self, mutation: Option<Mutation>) -> CaseEnded {
+        let played = super::play_one(&self.schedule, mutation);
+        let measured = Measured::of(&played.history);
+        CaseEnded { name: self.name.clone(), played, measured }
+    }
+}
+
+impl Scenario {
+    /// Its schedules.
+    pub fn cases(self) -> Vec<Case> {
+        match self {
+            Self::CutControlNode => cut_control_node(),
+            Self::OrdersAgain => orders_again(),
+            Self::SecondLoss => second_loss(),
+            Self::ThousandChanges => vec![thousand_changes(1, 1_200), thousand_changes(2, 1_200)],
+        }
+    }
+
+    /// The mutations that it is to catch.
+    pub fn mutations(self) -> &'static [Mutation] {
+        match self {
+            Self::CutControlNode => {
+                &[Mutation::AnsweredAlone, Mutation::FreshnessNotChecked, Mutation::AgeNotCarried]
+            }
+            Self::OrdersAgain => &[Mutation::TakenForgotten, Mutation::MajorityOfLiving],
+            Self::SecondLoss => &[Mutation::NextCountsUnfilled, Mutation::CompletedEarly],
+            Self::ThousandChanges => &[Mutation::RecordOutdated, Mutation::NoAmnesiaGuard],
+        }
+    }
+}
+
+/// A schedule that is written fault by fault.
+struct Writing {
+    name: String,
+    schedule: Schedule,
+}
+
+impl Writing {
+    fn new(name: impl Into<String>, seed: u64, tolerance: usize, stores: usize, edges: usize) -> Self {
+        Self { name: name.into(), schedule: Schedule::fleet(seed, tolerance, stores, edges) }
+    }
+
+    fn at(&mut self, at_ms: u64, trouble: Trouble) -> &mut Self {
+        self.schedule.faults.push(Fault { at_ms, trouble });
+        self
+    }
+
+    fn core(&self, place: usize) -> usize {
+        self.schedule.machines_of(Class::Keeper)[place]
+    }
+
+    fn store(&self, place: usize) -> usize {
+        self.schedule.machines_of(Class::Store)[place]
+    }
+
+    fn edge(&self, place: usize) -> usize {
+        self.schedule.machines_of(Class::Agent)[place]
+    }
+
+    fn newcomer(&mut self, class: Class, name: Option<String>) -> usize {
+        let zone = self.schedule.machines.len() % 3;
+        self.schedule.add_machine(class, name, zone, false)
+    }
+
+    /// The case, whose faults are over by then.
+    fn until(mut self, over_ms: u64) -> Case {
+        self.schedule.faults.sort_by_key(|fault| fault.at_ms);
+        self.schedule.calm_ms = over_ms + AFTER_MS;
+        Case { name: self.name, schedule: self.schedule }
+    }
+}
+
+/// Each way to be kept from others, for the machine that holds the lease and for another one, with changes of the configuration
+/// and of the storage machines under way and a proxy that starts meanwhile.
+fn cut_control_node() -> Vec<Case> {
+    let targets = [("the lease holder", Target::LeaseHolder), ("a voter", Target::Machine(1))];
+    let mut cases = Vec::new();
+    for (which, target) in targets {
+        for how in ISOLATIONS {
+            let mut writing = Writing::new(format!("{which}: {how:?}"), cases.len() as u64 + 1, 1, 4, 9);
+            let (first, second) = (writing.edge(0), writing.edge(4));
+            let (leaver, joins) = (writing.store(3), writing.newcomer(Class::Store, None));
+            let begins = BEGIN_MS + 1_000;
+            writing
+                .at(begins - 50, Trouble::Burst { orders: 40 })
+                .at(begins, Trouble::Isolate { target, how, for_ms: ISOLATED_MS })
+                .at(begins + 3_500, Trouble::Add { machine: joins })
+                .at(begins + 5_000, Trouble::KillProxy { machine: first, back_ms: 300 })
+                .at(begins + 9_000, Trouble::Kill { machine: second, back_ms: 300 })
+                .at(begins + 11_000, Trouble::Retire { machine: leaver })
+                .at(begins + ISOLATED_MS - 200, Trouble::Burst { orders: 40 });
+            cases.push(writing.until(begins + ISOLATED_MS + CAUGHT_UP_MS));
+        }
+    }
+    cases
+}
+
+fn orders_again() -> Vec<Case> {
+    let mut cases = Vec::new();
+    for seed in 1..=3 {
+        for kind in ["answers lost", "and restarts", "and voters replaced", "and losses of all power"] {
+            let mut writing = Writing::new(format!("{kind}, {seed}"), seed, 1, 3, 3);
+            writing.at(BEGIN_MS, Trouble::LoseAnswers { of_thousand: 400, for_ms: 12_000 });
+            for burst in 0..4 {
+                writing.at(BEGIN_MS + 3_000 * burst, Trouble::Burst { orders: 60 });
+            }
+            let mut over = BEGIN_MS + 13_000;
+            match kind {
+                "and restarts" => {
+                    writing
+                        .at(BEGIN_MS + 1_000, Trouble::KillCore { back_ms: 500 })
+                        .at(BEGIN_MS + 7_000, Trouble::KillCore { back_ms: 300 });
+                }
+                "and voters replaced" => {
+                    for place in 0..2 {
+                        let (old, new) = (writing.core(place), writing.newcomer(Class::Keeper, None));
+                        let at = BEGIN_MS + 1_000 + 9_000 * place as u64;
+                        writing.at(at, Trouble::Replace { old, new, starts_ms: 1_000, ends_ms: 0 });
+                    }
+                    over += 9_000;
+                }
+                "and losses of all power" => {
+                    writing.at(BEGIN_MS + 5_000, Trouble::All { power: true, disks: vec![], back_ms: 800 });
+                }
+                _ => {}
+            }
+            cases.push(writing.until(over));
+        }
+    }
+    cases
+}
+
+const STEPS: [MembershipStep; 5] = [
+    MembershipStep::Agreed,
+    MembershipStep::Filling,
+    MembershipStep::Filled,
+    MembershipStep::Current,
+    MembershipStep::Released,
+];
+const VICTIMS: [Victim; 4] = [Victim::Newcomer, Victim::Source, Victim::Leaver, Victim::Oldest];
+
+/// How the set of storage machines changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SetChange {
+    Joins,
+    Retires,
+    /// Both at once.
+    JoinsAndRetires,
+    /// The old one goes on for a while after the new one has started.
+    Replaced,
+    /// The old one is lost first; only where two may be lost.
+    ReplacedAfterLoss,
+    /// One loses its disk; only where two may be lost.
+    Wiped,
+}
+
+fn second_loss() -> Vec<Case> {
+    let mut cases = Vec::new();
+    let planned = [SetChange::Joins, SetChange::Retires, SetChange::JoinsAndRetires, SetChange::Replaced];
+    for change in planned {
+        cases.extend(at_each_step(1, change));
+    }
+    for change in [SetChange::Replaced, SetChange::ReplacedAfterLoss, SetChange::Wiped] {
+        cases.extend(at_each_step(2, change));
+    }
+    cases.extend([1, 2].into_iter().flat_map(core_at_each_step));
+    for tolerance in [1, 2] {
+        cases.extend([1, 2, 3].map(|seed| retired_and_wiped(seed, tolerance)));
+        cases.push(in_turn(tolerance, Class::Store));
+        cases.push(in_turn(tolerance, Class::Keeper));
+        cases.push(one_name(tolerance));
+    }
+    cases
+}
+
+/// Whether a change of this kind has such a member.
+fn has_victim(change: SetChange, victim: Victim) -> bool {
+    match victim {
+        Victim::Newcomer => change != SetChange::Retires,
+        Victim::Leaver => {
+            matches!(change, SetChange::Retires | SetChange::JoinsAndRetires | SetChange::Replaced)
+        }
+        Victim::Source | Victim::Oldest => true,
+    }
+}
+
+fn at_each_step(tolerance: usize, change: SetChange) -> Vec<Case> {
+    let mut cases = Vec::new();
+    for step in STEPS {
+        for victim in VICTIMS.into_iter().filter(|victim| has_victim(change, *victim)) {
+            let name = format!("{change:?}, {step:?}: {victim:?}, {tolerance} may be lost");
+            let mut writing = Writing::new(name, cases.len() as u64 + 1, tolerance, 2 * tolerance + 2, 3);
+            let old = writing.store(2);
+            writing.at(BEGIN_MS + 900, Trouble::LossAtStep { step, victim, wiped: true, back_ms: 600 });
+            begin_change(&mut writing, change, old);
+            cases.push(writing.until(BEGIN_MS + 9_000 + CAUGHT_UP_MS));
+        }
+    }
+    cases
+}
+
+fn begin_change(writing: &mut Writing, change: SetChange, old: usize) {
+    let at = BEGIN_MS + 1_000;
+    let joins = |writing: &mut Writing| {
+        let machine = writing.newcomer(Class::Store, None);
+        writing.at(at, Trouble::Add { machine });
+    };
+    let replaces = |writing: &mut Writing, starts_ms, ends_ms| {
+        let new = writing.newcomer(Class::Store, None);
+        writing.at(at, Trouble::Replace { old, new, starts_ms, ends_ms });
+    };
+    match change {
+        SetChange::Joins => joins(writing),
+        SetChange::Retires => drop(writing.at(at, Trouble::Retire { machine: old })),
+        SetChange::JoinsAndRetires => {
+            joins(writing);
+            writing.at(at, Trouble::Retire { machine: old });
+        }
+        SetChange::Replaced => replaces(writing, 0, 5_000),
+        SetChange::ReplacedAfterLoss => replaces(writing, 1_500, 0),
+        SetChange::Wiped => drop(writing.at(at, Trouble::LoseDisk { machine: old, back_ms: 500 })),
+    }
+}
+
+fn core_at_each_step(tolerance: usize) -> Vec<Case> {
+    let mut cases = Vec::new();
+    for step in [MembershipStep::VoterAdded, MembershipStep::VoterRemoved] {
+        for victim in [Victim::Newcomer, Victim::Source, Victim::Oldest] {
+            let name = format!("core, {step:?}: {victim:?}, {tolerance} may be lost");
+            let mut writing = Writing::new(name, cases.len() as u64 + 1, tolerance, 2 * tolerance + 1, 3);
+            let new = writing.newcomer(Class::Keeper, None);
+            let old = writing.core(1);
+            let at = BEGIN_MS + 1_000;
+            writing.at(at - 100, Trouble::LossAtStep { step, victim, wiped: true, back_ms: 600 });
+            match tolerance {
+                // With one loss to be borne the newcomer only joins.
+                1 => writing.at(at, Trouble::Add { machine: new }),
+                _ => writing.at(at, Trouble::Replace { old, new, starts_ms: 500, ends_ms: 0 }),
+            };
+            cases.push(writing.until(BEGIN_MS + 9_000 + CAUGHT_UP_MS));
+        }
+    }
+    cases
+}
+
+/// A machine is taken away once its retire is completed, and in that moment as many as may be lost lose their disks.
+fn retired_and_wiped(seed: u64, tolerance: usize) -> Case {
+    let name = format!("retired, then {tolerance} wiped, {seed}");
+    let mut writing = Writing::new(name, seed, tolerance, 2 * tolerance + 2, 3);
+    let machine = writing.store(seed as usize);
+    let others = (0..2 * tolerance + 2).filter(|place| *place != seed as usize);
+    let wiped = others.take(tolerance).map(|place| writing.store(place)).collect();
+    writing.at(BEGIN_MS + 3_000, Trouble::RetireThenWipe { machine, wiped, back_ms: 600 });
+    writing.until(BEGIN_MS + 8_000 + CAUGHT_UP_MS)
+}
+
+/// Each machine of a class loses its disk, one after the other, as soon as the one before counts as well again.
+fn in_turn(tolerance: usize, class: Class) -> Case {
+    let mut writing = Writing::new(
+        format!("{class:?}, wiped in turn, {tolerance} may be lost"),
+        1,
+        tolerance,
+        2 * tolerance + 1,
+        3,
+    );
+    let back_ms = 500;
+    let mut at = BEGIN_MS;
+    for machine in writing.schedule.machines_of(class) {
+        writing.at(at, Trouble::LoseDisk { machine, back_ms });
+        at += back_ms + CAUGHT_UP_MS;
+    }
+    writing.until(at)
+}
+
+/// A storage machine is replaced again and again by one of the same name.
+fn one_name(tolerance: usize) -> Case {
+    let mut writing =
+        Writing::new(format!("one name, {tolerance} may be lost"), 1, tolerance, 2 * tolerance + 1, 3);
+    let mut old = writing.store(0);
+    let name = writing.schedule.machines[old].name.clone();
+    let mut at = BEGIN_MS;
+    for planned in [true, false, true] {
+        let new = writing.newcomer(Class::Store, Some(name.clone()));
+        let (starts_ms, ends_ms) = if planned { (0, 5_000) } else { (1_500, 0) };
+        writing.at(at, Trouble::Replace { old, new, starts_ms, ends_ms });
+        at += starts_ms.max(ends_ms) + CAUGHT_UP_MS + 1_000;
+        old = new;
+    }
+    writing.until(at)
+}
+
+/// Five voters. One is away for all changes and comes back during a flood of them; among the others there are a long cut, a wiped
+/// disk, restarts of all, and a replaced one.
+pub fn thousand_changes(seed: u64, orders: u64) -> Case {
+    let mut writing = Writing::new(format!("{orders} changes, {seed}"), seed, 2, 5, 3);
+    let (away, cut, wiped, replaced) = (writing.core(0), writing.core(1), writing.core(2), writing.core(3));
+    let new = writing.newcomer(Class::Keeper, None);
+    let begins = BEGIN_MS;
+    let cut_at = begins + 9_000;
+    let replaced_at = cut_at + ISOLATED_MS + CAUGHT_UP_MS;
+    let returns = replaced_at + 9_000;
+    writing
+        .at(begins, Trouble::Kill { machine: away, back_ms: returns - begins })
+        .at(begins + 100, Trouble::Burst { orders })
+        .at(begins + 2_000, Trouble::LoseDisk { machine: wiped, back_ms: 800 })
+        .at(
+            cut_at,
+            Trouble::Isolate { target: Target::Machine(cut), how: Isolation::Cut, for_ms: ISOLATED_MS },
+        )
+        .at(cut_at + ISOLATED_MS - 1_000, Trouble::Burst { orders: orders / 4 })
+        .at(replaced_at, Trouble::Replace { old: replaced, new, starts_ms: 1_000, ends_ms: 0 })
+        .at(returns - 500, Trouble::Burst { orders: orders / 4 })
+        .at(returns + CAUGHT_UP_MS, Trouble::KillCore { back_ms: 500 });
+    writing.until(returns + 3 * CAUGHT_UP_MS)
+}
--- a/lab/src/system/schedule.rs
+++ b/lab/src/system/schedule.rs
@@ -35,6 +35,84 @@
     pub first: bool,
 }
 
+/// How a machine is kept from others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Isolation {
+    /// It hears nobody and nobody hears it.
+    Cut,
+    /// It hears nobody; what it sends arrives.
+    CutIncoming,
+    /// Nobody hears it; what others send arrives.
+    CutOutgoing,
+    /// It and the other core machines do not hear one another; edge and storage machines and operators reach it.
+    PeersCut,
+    /// It does not hear the other core machines.
+    PeersCutIncoming,
+    /// The other core machines do not hear it.
+    PeersCutOutgoing,
+    /// Its processes stand still.
+    Frozen,
+    /// What it sends arrives after its askers have given up.
+    Slow,
+}
+
+/// All of them.
+pub const ISOLATIONS: [Isolation; 8] = [
+    Isolation::Cut,
+    Isolation::CutIncoming,
+    Isolation::CutOutgoing,
+    Isolation::PeersCut,
+    Isolation::PeersCutIncoming,
+    Isolation::PeersCutOutgoing,
+    Isolation::Frozen,
+    Isolation::Slow,
+];
+
+/// Whom a fault befalls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Target {
+    /// The machine of this number.
+    Machine(usize),
+    /// The core machine that holds the lease of the singleton task at that time.
+    LeaseHolder,
+}
+
+/// A moment of a change of members.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MembershipStep {
+    /// The next set of storage machines is agreed.
+    Agreed,
+    /// Its members catch up.
+    Filling,
+    /// The first of them has caught up.
+    Filled,
+    /// The next set is the current one.
+    Current,
+    /// A while after that: what the former set holds is released.
+    Released,
+    /// The core has a voter more.
+    VoterAdded,
+    /// The core has a voter less.
+    VoterRemoved,
+}
+
+/// Who is lost in a change of members.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Victim {
+    /// The member that joins.
+    Newcomer,
+    /// A member that stays, from which the newcomer catches up.
+    Source,
+    /// The member that leaves.
+    Leaver,
+    /// The member with the oldest disk.
+    Oldest,
+}
+
 /// What goes wrong. Machines are numbers in the schedule's list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -69,6 +147,26 @@
     /// Right after a configuration was acknowledged, or after a while: all processes are killed, or all machines lose power;
     /// some of them their disks.
     All { power: bool, disks: Vec<usize>, back_ms: u64 },
+    /// A machine is kept from others; operators send it changes all the while, and one in the moment of its return.
+    Isolate { target: Target, how: Isolation, for_ms: u64 },
+    /// So many of a thousand answers to operators are lost: the orders are sent again elsewhere.
+    LoseAnswers { of_thousand: u64, for_ms: u64 },
+    /// Nothing is written to its disk in this time.
+    StallDisk { machine: usize, for_ms: u64 },
+    /// Its disk is full: writes are refused in this time.
+    RefuseWrites { machine: usize, for_ms: u64 },
+    /// Its disk refuses the next sync.
+    RefuseSync { machine: usize },
+    /// Its wall clock is set to another time.
+    StepClock { machine: usize, by_seconds: i64 },
+    /// Eight operators send so many changes, each as soon as its last was answered.
+    Burst { orders: u64 },
+    /// All core processes are killed.
+    KillCore { back_ms: u64 },
+    /// At this step of the next change of members one is lost.
+    LossAtStep { step: MembershipStep, victim: Victim, wiped: bool, back_ms: u64 },
+    /// The operator has a machine emptied and takes it away once that is completed; in that moment others lose their disks.
+    RetireThenWipe { machine: usize, wiped: Vec<usize>, back_ms: u64 },
 }
 
 /// A trouble at its time.
@@ -109,6 +207,14 @@
 const TROUBLED: u64 = 16_000;
 /// The first ones, only after the founding.
 const BEGIN: u64 = 4_500;
+/// A burst of changes is over by then, in most plays.
+const BURST_MS: u64 = 3_000;
+/// How long a core machine is kept from others, at least and at most.
+const ISOLATED: (u64, u64) = (12_000, 22_000);
+/// Most seconds by which a wall clock is set ahead or back.
+const CLOCK_STEP_SECONDS: u64 = 7_200;
+/// So long after it begins a change of members that was begun for a loss is over, with the loss.
+const STEP_MS: u64 = 7_000;
 /// A machine counts as lost until so long after its return, where one may be lost at once.
 const CATCH_UP: u64 = 4_100;
 /// The same where two may be: see the schedules of `control-duties`.
@@ -145,6 +251,41 @@
         drawing.schedule
     }
 
+    /// A fleet without faults, whose machines are spread over the zones.
+    pub fn fleet(seed: u64, tolerance: usize, stores: usize, edges: usize) -> Self {
+        let mut schedule = Self { seed, tolerance, machines: Vec::new(), faults: Vec::new(), calm_ms: BEGIN };
+        let counts = [(Class::Keeper, 2 * tolerance + 1), (Class::Store, stores), (Class::Agent, edges)];
+        for (class, count) in counts {
+            for place in 0..count {
+                schedule.add_machine(class, None, place % ZONES, true);
+            }
+        }
+        schedule
+    }
+
+    /// Adds a machine; its number.
+    pub fn add_machine(&mut self, class: Class, name: Option<String>, zone: usize, first: bool) -> usize {
+        let number = self.machines.len();
+        let (letter, net) = match class {
+            Class::Keeper => ("k", 0),
+            Class::Store => ("s", 2),
+            Class::Agent | Class::Proxy => ("e", 1),
+        };
+        self.machines.push(Machine {
+            name: name.unwrap_or_else(|| format!("{letter}{number}")),
+            ip: Ipv4Addr::new(10, 0, net, number as u8 + 1),
+            zone: format!("z{zone}"),
+            class,
+            first,
+        });
+        number
+    }
+
+    /// Machines of a class, those that come later too.
+    pub fn machines_of(&self, class: Class) -> Vec<usize> {
+        (0..self.machines.len()).filter(|number| self.machines[*number].class == class).collect()
+    }
+
     /// Whether a machine is one of the edge.
     pub fn edges(&self) -> Vec<usize> {
         let is_edge = |number: &usize| self.machines[*number].class == Class::Agent;
@@ -162,24 +303,11 @@
     }
 
     fn machine(&mut self, class: Class, name: Option<String>, first: bool) -> usize {
-        let number = self.schedule.machines.len();
-        let (letter, net) = match class {
-            Class::Keeper => ("k", 0),
-            Class::Store => ("s", 2),
-            Class::Agent | Class::Proxy => ("e", 1),
-        };
         let zone = match first {
-            true => number % ZONES,
+            true => self.schedule.machines.len() % ZONES,
             false => self.below(ZONES as u64) as usize,
         };
-        self.schedule.machines.push(Machine {
-            name: name.unwrap_or_else(|| format!("{letter}{number}")),
-            ip: Ipv4Addr::new(10, 0, net, number as u8 + 1),
-            zone: format!("z{zone}"),
-            class,
-            first,
-        });
-        number
+        self.schedule.add_machine(class, name, zone, first)
     }
 
     fn add(&mut self, at_ms: u64, trouble: Trouble, over: u64) {
@@ -210,6 +338,7 @@
                 let of_thousand = self.between(5, 40);
                 self.add(now, Trouble::LoseMessages { of_thousand, for_ms }, now + for_ms);
             }
+            self.trouble_operators(now);
             if let Some(slot) = slots.iter().position(|free| *free <= now) {
                 slots[slot] = match self.below(12) {
                     0..3 => self.trouble_store(now),
@@ -242,6 +371,20 @@
         self.schedule.calm_ms = self.over.max(free) + 100;
     }
 
+    fn trouble_operators(&mut self, now: u64) {
+        match self.below(160) {
+            0 | 1 => {
+                let (of_thousand, for_ms) = (self.between(50, 500), self.between(500, 4_000));
+                self.add(now, Trouble::LoseAnswers { of_thousand, for_ms }, now + for_ms);
+            }
+            2 => {
+                let orders = self.between(20, 200);
+                self.add(now, Trouble::Burst { orders }, now + BURST_MS);
+            }
+            _ => {}
+        }
+    }
+
     fn trouble_edge(&mut self, now: u64, edges: &[usize]) {
         let machine = edges[self.below(edges.len() as u64) as usize];
         let for_ms = self.between(200, 3_000);
@@ -292,7 +435,17 @@
     fn trouble_store(&mut self, now: u64) -> u64 {
         let Some(machine) = self.well(now, true) else { return now };
         let name = self.schedule.machines[machine].name.clone();
-        match self.below(11) {
+        match self.below(18) {
+            11 => self.short(now, machine, |for_ms| Trouble::StallDisk { machine, for_ms }, 4_000),
+            12 => self.short(now, machine, |for_ms| Trouble::RefuseWrites { machine, for_ms }, 4_000),
+            13 => self.short(now, machine, |_| Trouble::RefuseSync { machine }, 300),
+            14 => self.step_clock(now, machine),
+            15 => {
+                let (target, how) = (Target::Machine(machine), self.isolation());
+                self.short(now, machine, |for_ms| Trouble::Isolate { target, how, for_ms }, 6_000)
+            }
+            16 => self.lose_at_step(now),
+            17 if self.has_spare_store(now) => self.retire_then_wipe(now, machine),
             0 => self.short(now, machine, |for_ms| Trouble::Freeze { machine, for_ms }, 4_000),
             1 => self.short(now, machine, |back_ms| Trouble::Kill { machine, back_ms }, 2_000),
             2 => self.short(now, machine, |back_ms| Trouble::LosePower { machine, back_ms }, 2_000),
@@ -334,11 +487,7 @@
                 now + 500
             }
             // An operator retires none of those that are needed once the lost ones have left.
-            _ if self.stores.iter().filter(|(_, until)| *until <= now).count()
-                <= 2 * self.schedule.tolerance + 1 =>
-            {
-                now
-            }
+            _ if !self.has_spare_store(now) => now,
             _ => {
                 self.add(now, Trouble::Retire { machine }, now + 1_000);
                 self.stores.retain(|(number, _)| *number != machine);
@@ -347,14 +496,90 @@
         }
     }
 
+    fn has_spare_store(&self, now: u64) -> bool {
+        let well = self.stores.iter().filter(|(_, until)| *until <= now).count();
+        well > 2 * self.schedule.tolerance + 1
+    }
+
+    fn isolation(&mut self) -> Isolation {
+        ISOLATIONS[self.below(ISOLATIONS.len() as u64) as usize]
+    }
+
+    fn step_clock(&mut self, now: u64, machine: usize) -> u64 {
+        let seconds = self.between(1, CLOCK_STEP_SECONDS) as i64;
+        let by_seconds = if self.below(2) == 0 { seconds } else { -seconds };
+        self.add(now, Trouble::StepClock { machine, by_seconds }, now);
+        now + 300
+    }
+
+    /// A storage machine joins, and at some step of that change one is lost.
+    fn lose_at_step(&mut self, now: u64) -> u64 {
+        let steps = [
+            MembershipStep::Agreed,
+            MembershipStep::Filling,
+            MembershipStep::Filled,
+            MembershipStep::Current,
+            MembershipStep::Released,
+        ];
+        let victims = [Victim::Newcomer, Victim::Source, Victim::Oldest];
+        let step = steps[self.below(steps.len() as u64) as usize];
+        let victim = victims[self.below(victims.len() as u64) as usize];
+        let (wiped, back_ms) = (self.below(3) > 0, self.between(300, 2_000));
+        let new = self.machine(Class::Store, None, false);
+        self.add(now, Trouble::LossAtStep { step, victim, wiped, back_ms }, now + STEP_MS);
+        self.add(now + 50, Trouble::Add { machine: new }, now + STEP_MS);
+        let free = now + STEP_MS + self.catch_up;
+        // Who is lost is not known yet.
+        self.stores.iter_mut().for_each(|(_, until)| *until = free);
+        self.stores.push((new, free));
+        free
+    }
+
+    /// A storage machine is emptied and taken away, and in that moment as many as may be lose their disks.
+    fn retire_then_wipe(&mut self, now: u64, machine: usize) -> u64 {
+        self.stores.retain(|(number, _)| *number != machine);
+        let Some(other) = self.well(now, true) else { return now };
+        let back_ms = self.between(300, 2_000);
+        let trouble = Trouble::RetireThenWipe { machine, wiped: vec![other], back_ms };
+        self.add(now, trouble, now + STEP_MS);
+        self.occupy(other, now + STEP_MS + self.catch_up)
+    }
+
+    /// A core machine is kept from others for long, at times the one that holds the lease.
+    fn isolate_core(&mut self, now: u64, machine: usize) -> u64 {
+        let how = self.isolation();
+        let for_ms = self.between(ISOLATED.0, ISOLATED.1);
+        let over = now + for_ms;
+        let target = if self.below(2) == 0 { Target::LeaseHolder } else { Target::Machine(machine) };
+        self.add(now, Trouble::Isolate { target, how, for_ms }, over);
+        let free = over + self.catch_up;
+        self.keepers.iter_mut().for_each(|(_, until)| *until = free);
+        free
+    }
+
     fn trouble_core(&mut self, now: u64) -> u64 {
         let Some(machine) = self.well(now, false) else { return now };
-        let kind = match self.below(9) {
+        let kind = match self.below(17) {
             // While a replacement is planned, no keeper forgets of it.
-            1 | 2 | 3 | 7 if now < self.planned => 0,
+            1 | 2 | 3 | 7 | 13 if now < self.planned => 0,
             kind => kind,
         };
         match kind {
+            9 => self.isolate_core(now, machine),
+            10 => self.short(now, machine, |for_ms| Trouble::StallDisk { machine, for_ms }, 4_000),
+            11 => self.short(now, machine, |for_ms| Trouble::RefuseWrites { machine, for_ms }, 4_000),
+            12 => self.short(now, machine, |_| Trouble::RefuseSync { machine }, 300),
+            13 => {
+                let back_ms = self.between(300, 2_000);
+                let over = now + back_ms + 400;
+                self.add(now, Trouble::KillCore { back_ms }, over);
+                over + self.catch_up
+            }
+            14 => self.step_clock(now, machine),
+            15 => {
+                let (target, how) = (Target::Machine(machine), self.isolation());
+                self.short(now, machine, |for_ms| Trouble::Isolate { target, how, for_ms }, 6_000)
+            }
             0 => self.short(now, machine, |for_ms| Trouble::Freeze { machine, for_ms }, 4_000),
             1 => self.short(now, machine, |back_ms| Trouble::Kill { machine, back_ms }, 4_000),
             2 => self.short(now, machine, |back_ms| Trouble::LosePower { machine, back_ms }, 4_000),
--- /dev/null
+++ b/lab/src/system/second_loss.rs
@@ -0,0 +1,133 @@
+//! Losses that wait for a step of a change of members: who is lost is known only then.
+
+use super::history::Disturbance;
+use super::play::Stage;
+use super::schedule::{MembershipStep, Victim};
+use fleet_model::{ControlState, Store};
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+/// Between two looks.
+const LOOK_MS: u64 = 5;
+/// A change that does not come to the step in this time has none.
+pub const STEP_WITHIN_MS: u64 = 4_000;
+/// So long after a set is agreed its members are in the midst of catching up.
+const FILLING_FOR_MS: u64 = 40;
+/// So long after a set is current the former one has released what it held.
+const RELEASED_AFTER_MS: u64 = 400;
+
+/// Who counts, in the core and among the storage machines.
+#[derive(Clone, Default)]
+struct Members {
+    state: Rc<ControlState>,
+    voters: Vec<Ipv4Addr>,
+}
+
+impl Members {
+    fn has_reached(&self, step: MembershipStep, before: &Members) -> bool {
+        let (now, former) = (&self.state.roster, &before.state.roster);
+        match step {
+            MembershipStep::Agreed | MembershipStep::Filling => {
+                now.next.is_some() && now.epoch > former.epoch
+            }
+            MembershipStep::Filled => !now.filled.is_empty() && now.epoch > former.epoch,
+            MembershipStep::Current | MembershipStep::Released => {
+                now.current != former.current && now.epoch > former.epoch
+            }
+            MembershipStep::VoterAdded => self.voters.iter().any(|voter| !before.voters.contains(voter)),
+            MembershipStep::VoterRemoved => before.voters.iter().any(|voter| !self.voters.contains(voter)),
+        }
+    }
+
+    fn victim(&self, step: MembershipStep, victim: Victim, before: &Members) -> Option<Ipv4Addr> {
+        match step {
+            MembershipStep::VoterAdded | MembershipStep::VoterRemoved => {
+                chosen(victim, &before.voters, &self.voters, |voter| *voter)
+            }
+            _ => {
+                let now = &self.state.roster;
+                let mut after = now.next.clone().unwrap_or_else(|| now.current.clone());
+                let mut former = before.state.roster.current.clone();
+                let by_disk = |store: &Store| store.disk;
+                after.sort_by_key(by_disk);
+                former.sort_by_key(by_disk);
+                chosen(victim, &former, &after, |store| store.ip)
+            }
+        }
+    }
+}
+
+/// Which member is meant, of those before and after a change, the oldest first.
+fn chosen<T: PartialEq>(
+    victim: Victim,
+    before: &[T],
+    after: &[T],
+    ip: impl Fn(&T) -> Ipv4Addr,
+) -> Option<Ipv4Addr> {
+    let found = match victim {
+        Victim::Newcomer => after.iter().find(|member| !before.contains(member)),
+        Victim::Leaver => before.iter().find(|member| !after.contains(member)),
+        Victim::Source => before.iter().rev().find(|member| after.contains(member)),
+        Victim::Oldest => before.iter().find(|member| after.contains(member)),
+    };
+    found.map(ip)
+}
+
+impl Stage {
+    fn members(&self) -> Members {
+        let keepers = self.keepers.borrow();
+        let newest = keepers.values().max_by_key(|keeper| keeper.feed.value().ballot);
+        newest.map_or_else(Members::default, |keeper| Members {
+            state: keeper.feed.state(),
+            voters: keeper.feed.value().voters.clone(),
+        })
+    }
+
+    /// Waits for a step of the next change of members and loses one of them then.
+    pub(super) async fn lose_at(
+        self: Rc<Self>,
+        step: MembershipStep,
+        victim: Victim,
+        wiped: bool,
+        back_ms: u64,
+    ) {
+        let before = self.members();
+        let until = self.world.elapsed_ms() + STEP_WITHIN_MS;
+        while !self.members().has_reached(step, &before) {
+            if self.world.elapsed_ms() > until {
+                return;
+            }
+            self.pause(LOOK_MS).await;
+        }
+        match step {
+            MembershipStep::Filling => self.pause(FILLING_FOR_MS).await,
+            MembershipStep::Released => self.pause(RELEASED_AFTER_MS).await,
+            _ => {}
+        }
+        let lost = self.members().victim(step, victim, &before);
+        let machines = &self.schedule.machines;
+        let machine = lost.and_then(|ip| machines.iter().position(|machine| machine.ip == ip));
+        if let Some(machine) = machine {
+            self.down(machine, true, wiped, back_ms);
+        }
+    }
+
+    /// Has a machine emptied, takes it away once that is completed, and in that moment others lose their disks.
+    pub(super) async fn retire_then_wipe(self: Rc<Self>, machine: usize, wiped: Vec<usize>, back_ms: u64) {
+        self.retire(machine).await;
+        self.retire_completed(machine).await;
+        self.leave(machine);
+        for other in wiped {
+            self.down(other, true, true, back_ms);
+        }
+    }
+
+    /// A core machine's process stalls or its disk refuses: it counts as disturbed.
+    pub(super) fn block_disk(&self, machine: usize, for_ms: u64) {
+        let until = self.world.elapsed_ms() + for_ms;
+        for node in self.world.nodes_of(machine) {
+            self.world.disk_of(node).block(self.world.executor.now() + for_ms * 1_000);
+        }
+        self.world.note(super::Fact::Disturbed { machine, how: Disturbance::Disk, until });
+    }
+}
--- a/lab/src/system/world.rs
+++ b/lab/src/system/world.rs
@@ -3,7 +3,7 @@
 use super::Mutation;
 use super::disk::Disk;
 use super::executor::{Executor, ProcessId};
-use super::history::{Fact, History};
+use super::history::{Disturbance, Fact, History};
 use super::schedule::{Class, Machine};
 use fleet_model::{Answer, Call, Endpoint, EndpointState, Push};
 use rand::{Rng, SeedableRng};
@@ -21,6 +21,8 @@
 const START_US: u64 = 1_000_000_000_000;
 /// What waits longer behind a cut is lost with its connection.
 const USER_TIMEOUT_US: u64 = 2_000_000;
+/// What a slow machine sends is so late, and up to as much again.
+const SLOW_US: u64 = 400_000;
 /// Core machines that found the register.
 const SEEDS: usize = 3;
 /// Ports of peers.
@@ -78,6 +80,12 @@
     cuts: RefCell<BTreeMap<(usize, usize), u64>>,
     /// Until when so many of a thousand messages are lost or late.
     lossy: Cell<(u64, u64)>,
+    /// The same for answers to operators.
+    answers_lost: Cell<(u64, u64)>,
+    /// Until when what a machine sends is late.
+    slow: RefCell<BTreeMap<usize, u64>>,
+    /// Seconds by which a machine's wall clock was set ahead, or back.
+    clock_steps: RefCell<BTreeMap<usize, i64>>,
     rng: RefCell<ChaCha8Rng>,
     seed: u64,
     history: RefCell<History>,
@@ -105,6 +113,9 @@
             last_link: Cell::new(0),
             cuts: RefCell::default(),
             lossy: Cell::new((0, 0)),
+            answers_lost: Cell::new((0, 0)),
+            slow: RefCell::default(),
+            clock_steps: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
             seed,
             history: RefCell::default(),
@@ -194,6 +205,11 @@
         &self.machines[self.nodes.borrow()[node].machine]
     }
 
+    /// The number of a process's machine.
+    pub fn machine_number(&self, node: usize) -> usize {
+        self.nodes.borrow()[node].machine
+    }
+
     /// A process's disk.
     pub fn disk_of(&self, node: usize) -> Rc<Disk> {
         self.nodes.borrow()[node].disk.clone()
@@ -215,6 +231,11 @@
             (process, begun.life, begun.class, first)
         };
         self.close_links_of(node);
+        let machine = self.nodes.borrow()[node].machine;
+        self.note(Fact::Begun { node, life, machine });
+        if self.breaks(Mutation::RecordOutdated) {
+            self.disk_of(node).go_back();
+        }
         let rng = ChaCha8Rng::seed_from_u64(self.seed ^ (node as u64 + 1) << 32 ^ life << 48);
         let host = Host {
             world: Rc::downgrade(self),
@@ -276,11 +297,43 @@
         let mut cuts = self.cuts.borrow_mut();
         let standing = cuts.entry((from, to)).or_default();
         *standing = until.max(*standing);
+        self.note(Fact::PathCut { from, to, until: self.elapsed_ms() + for_ms });
     }
 
     /// For so long so many of a thousand messages are lost or late.
     pub fn lose(&self, for_ms: u64, of_thousand: u64) {
         self.lossy.set((self.executor.now() + for_ms * 1_000, of_thousand));
+        self.note(Fact::Lossy { until: self.elapsed_ms() + for_ms });
+    }
+
+    /// For so long so many of a thousand answers to operators are lost.
+    pub fn lose_answers(&self, for_ms: u64, of_thousand: u64) {
+        self.answers_lost.set((self.executor.now() + for_ms * 1_000, of_thousand));
+        self.note(Fact::Lossy { until: self.elapsed_ms() + for_ms });
+    }
+
+    /// Whether this answer to an operator is lost.
+    pub fn loses_answer(&self) -> bool {
+        let (until, of_thousand) = self.answers_lost.get();
+        self.executor.now() < until && self.draw(1_000) < of_thousand
+    }
+
+    /// For so long what a machine sends arrives after its askers have given up.
+    pub fn slow_down(&self, machine: usize, for_ms: u64) {
+        self.slow.borrow_mut().insert(machine, self.executor.now() + for_ms * 1_000);
+        let until = self.elapsed_ms() + for_ms;
+        self.note(Fact::Disturbed { machine, how: Disturbance::Slow, until });
+    }
+
+    /// Sets a machine's wall clock to another time.
+    pub fn step_clock(&self, machine: usize, by_seconds: i64) {
+        *self.clock_steps.borrow_mut().entry(machine).or_default() += by_seconds;
+        self.note(Fact::Disturbed { machine, how: Disturbance::Clock, until: self.elapsed_ms() });
+    }
+
+    fn lateness(&self, machine: usize) -> u64 {
+        let until = self.slow.borrow().get(&machine).copied().unwrap_or_default();
+        if self.executor.now() < until { SLOW_US + self.draw(SLOW_US) } else { 0 }
     }
 
     fn transit(&self, from: usize, to: usize) -> Transit {
@@ -289,7 +342,7 @@
         }
         let now = self.executor.now();
         let slow = if self.draw(60) == 0 { self.draw(40_000) } else { 0 };
-        let mut after = 200 + self.draw(2_500) + slow;
+        let mut after = 200 + self.draw(2_500) + slow + self.lateness(from);
         let held = self.cuts.borrow().get(&(from, to)).map_or(0, |until| until.saturating_sub(now));
         if held > USER_TIMEOUT_US {
             return Transit::Lost;
@@ -402,6 +455,7 @@
             (link.from, link.to, link.last)
         };
         let (here, there) = (self.nodes.borrow()[from.0].machine, self.nodes.borrow()[to.0].machine);
+        let push = self.without_age(push);
         let now = self.executor.now();
         let (world, at) = match self.transit(here, there) {
             Transit::Lost => {
@@ -434,6 +488,16 @@
         true
     }
 
+    /// Broken on purpose: links do not tell how old what they bring may be.
+    fn without_age(&self, push: Push) -> Push {
+        match push {
+            Push::Beat { proxies, .. } if self.breaks(Mutation::AgeNotCarried) => {
+                Push::Beat { age_ms: 0, proxies }
+            }
+            push => push,
+        }
+    }
+
     /// The platform's list changes.
     pub fn change_list(&self) {
         self.platform.set(self.platform.get() + 1);
@@ -537,6 +601,15 @@
         self.executor.now() / 1_000
     }
 
+    /// The machine's wall clock, in seconds; it may be set ahead or back.
+    pub fn wall_seconds(&self) -> u64 {
+        let step = self.world().map_or(0, |world| {
+            let machine = world.nodes.borrow()[self.node].machine;
+            world.clock_steps.borrow().get(&machine).copied().unwrap_or_default()
+        });
+        self.now().as_secs().saturating_add_signed(step)
+    }
+
     /// A number by chance.
     pub fn draw(&self) -> u64 {
         self.rng.borrow_mut().next_u64()
--- /dev/null
+++ b/lab/tests/system_scenarios.rs
@@ -0,0 +1,99 @@
+//! The worst days of the control side, as named scenarios: no case breaks a rule, and each mechanism that is taken out is missed.
+
+use googletest::prelude::*;
+use micadrum_lab::system::{Case, Measured, Mutation, Rule, Scenario, play_until_broken, thousand_changes};
+
+/// The rules that these cases break, each with its case.
+fn broken(cases: &[Case], mutation: Option<Mutation>) -> Vec<(String, Rule)> {
+    let broken = |case: &Case| {
+        let ended = case.play(mutation);
+        let rules: Vec<_> =
+            ended.played.broken.iter().map(|broken| (ended.name.clone(), broken.rule)).collect();
+        rules
+    };
+    cases.iter().flat_map(broken).collect()
+}
+
+/// The first rule that a case breaks with this mutation.
+fn caught(scenario: Scenario, mutation: Mutation) -> Option<Rule> {
+    let broken = |case: &Case| case.play(Some(mutation)).played.broken.first().map(|broken| broken.rule);
+    scenario.cases().iter().find_map(broken)
+}
+
+fn figures(cases: &[Case]) -> Measured {
+    let mut sum = Measured::default();
+    cases.iter().for_each(|case| sum.join(case.play(None).measured));
+    sum
+}
+
+#[gtest]
+fn a_control_node_kept_from_others_breaks_no_rule() {
+    // Given each way to be kept from others, when changes and reads come to it all the while,
+    let cases = Scenario::CutControlNode.cases();
+    // then no rule is broken, the others answer, and so does it after its return.
+    expect_that!(broken(&cases, None), is_empty());
+    for case in &cases {
+        for isolated in case.play(None).measured.isolated {
+            expect_that!(isolated.others_clear_after, some(lt(4_000)), "{}", case.name);
+            expect_that!(isolated.own_clear_after, some(lt(4_000)), "{}", case.name);
+        }
+    }
+}
+
+#[gtest]
+fn orders_that_are_sent_again_are_confirmed_or_left_open() {
+    let cases = Scenario::OrdersAgain.cases();
+    expect_that!(broken(&cases, None), is_empty());
+    // Cases in which little is sent again would show little.
+    expect_that!(figures(&cases).confirmed_again, gt(100));
+}
+
+#[gtest]
+fn a_second_loss_at_any_step_breaks_no_rule() {
+    expect_that!(broken(&Scenario::SecondLoss.cases(), None), is_empty());
+}
+
+#[gtest]
+fn hundreds_of_changes_and_a_return_in_a_flood_break_no_rule() {
+    let case = thousand_changes(1, 300);
+    expect_that!(broken(std::slice::from_ref(&case), None), is_empty());
+    let figures = case.play(None).measured;
+    expect_that!(figures.confirmed, gt(300));
+    expect_that!(figures.most_missed, gt(300));
+}
+
+#[gtest]
+fn what_a_control_node_answers_alone_is_caught() {
+    let rule = caught(Scenario::CutControlNode, Mutation::AnsweredAlone);
+    expect_that!(rule, some(any![eq(Rule::Alone), eq(Rule::Refused)]));
+}
+
+#[gtest]
+fn a_read_without_a_quorum_is_caught() {
+    let rule = caught(Scenario::CutControlNode, Mutation::FreshnessNotChecked);
+    expect_that!(rule, some(any![eq(Rule::Alone), eq(Rule::Acknowledged)]));
+}
+
+#[gtest]
+fn a_feed_without_ages_is_caught() {
+    let rule = caught(Scenario::CutControlNode, Mutation::AgeNotCarried);
+    expect_that!(rule, some(any![eq(Rule::Fresh), eq(Rule::Drain)]));
+}
+
+#[gtest]
+fn forgotten_orders_are_caught() {
+    expect_that!(caught(Scenario::OrdersAgain, Mutation::TakenForgotten), some(eq(Rule::Refused)));
+}
+
+#[gtest]
+fn a_retire_that_is_completed_too_early_is_caught() {
+    let rule = caught(Scenario::SecondLoss, Mutation::CompletedEarly);
+    expect_that!(rule, some(any![eq(Rule::Found), eq(Rule::Settles)]));
+}
+
+#[gtest]
+fn an_outdated_record_is_caught() {
+    let ended = play_until_broken(20, 1, Some(Mutation::RecordOutdated), || false);
+    let rule = ended.broken.and_then(|played| played.broken.first().map(|broken| broken.rule));
+    expect_that!(rule, some(any![eq(Rule::OneValue), eq(Rule::Acknowledged)]));
+}
