Split the staff commands into a module for each group, with typed reports

Each group (members, config, endpoints, roster, turn, account, processes) is a module now: what it asks, how it judges, and a typed report that is serialized. Functions fit on a screen; what several groups share (provenance, staleness, the newest view) stands once.

No change of behaviour: text, JSON and exit codes are as they were.

--- /dev/null
+++ b/system/programs/src/staff/commands/processes.rs
@@ -0,0 +1,127 @@
+//! `versions` and `figures`: what every process of the fleet says of itself.
+
+use super::{Report, Verdict, is_stale};
+use crate::staff::View;
+use crate::staff::asking::{Fleet, Place, places};
+use crate::staff::figures::{Figures, exposition};
+use crate::staff::table::{age, table};
+use serde::{Deserialize, Serialize};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+const VERSIONS_HEAD: [&str; 8] = ["NODE", "PROGRAM", "ZONE", "VERSION", "AGE", "ENDPOINTS", "FEEDS", "NOTE"];
+
+/// What a process has in force, and whom it feeds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct SeenVersion {
+    version: u64,
+    voters: Vec<Ipv4Addr>,
+    endpoints: usize,
+    fed: Vec<Ipv4Addr>,
+}
+
+/// A process of the fleet.
+struct FleetProcess<'a> {
+    place: &'a Place,
+    program: &'static str,
+    address: SocketAddrV4,
+}
+
+#[derive(Serialize)]
+struct VersionsReport<'a> {
+    newest: Option<u64>,
+    processes: Vec<ProcessReport<'a>>,
+}
+
+#[derive(Serialize)]
+struct ProcessReport<'a> {
+    node: &'a str,
+    program: &'a str,
+    address: SocketAddrV4,
+    view: Option<&'a View<SeenVersion>>,
+}
+
+/// Every process of these machines.
+fn processes<'a>(fleet: &Fleet, places: &'a [Place]) -> Vec<FleetProcess<'a>> {
+    places.iter().flat_map(|place| processes_of(fleet, place)).collect()
+}
+
+/// An edge machine runs two processes, each other one a single one.
+fn processes_of<'a>(fleet: &Fleet, place: &'a Place) -> Vec<FleetProcess<'a>> {
+    let peer = |program| FleetProcess { place, program, address: fleet.peer(place.member.ip) };
+    let proxy = || FleetProcess { place, program: "request-proxy", address: fleet.proxy(place.member.ip) };
+    match place.member.role.as_str() {
+        "edge" => vec![peer("proxy-agent"), proxy()],
+        "core" => vec![peer("config-keeper")],
+        _ => vec![peer("turn-keeper")],
+    }
+}
+
+pub(super) async fn versions(fleet: &Fleet) -> Report {
+    let members = fleet.members().await;
+    if members.is_empty() {
+        return Report::silent();
+    }
+    let places = places(&members);
+    let processes = processes(fleet, &places);
+    let asked: Vec<SocketAddrV4> = processes.iter().map(|process| process.address).collect();
+    let answers = fleet.ask_all::<SeenVersion>(&asked, "versions").await;
+    let views: Vec<Option<View<SeenVersion>>> = answers.into_iter().map(|(_, view)| view).collect();
+    versions_report(&processes, &views)
+}
+
+/// `views`: what each of the processes answers, in the same order.
+fn versions_report(processes: &[FleetProcess<'_>], views: &[Option<View<SeenVersion>>]) -> Report {
+    let newest = views.iter().flatten().map(|view| view.says.version).max();
+    let notes: Vec<&str> = views.iter().map(|view| note(view.as_ref(), newest)).collect();
+    let wrong = notes.iter().filter(|note| !note.is_empty()).count();
+    let mut rows = Vec::new();
+    for ((process, view), note) in processes.iter().zip(views).zip(notes) {
+        rows.push(versions_row(process, view.as_ref(), note));
+    }
+    let text = format!("{}{wrong} of {} processes need a look\n", table(&VERSIONS_HEAD, &rows), rows.len());
+    let processes = processes.iter().zip(views).map(|(process, view)| ProcessReport {
+        node: &process.place.member.name,
+        program: process.program,
+        address: process.address,
+        view: view.as_ref(),
+    });
+    let report = VersionsReport { newest, processes: processes.collect() };
+    Report::new(Verdict::wrong_if(wrong > 0), text, report)
+}
+
+/// What is wrong with a process, if anything is.
+fn note(view: Option<&View<SeenVersion>>, newest: Option<u64>) -> &'static str {
+    match view {
+        None => "no answer",
+        Some(view) if Some(view.says.version) != newest => "behind",
+        Some(view) if is_stale(&view.origin) => "stale",
+        Some(_) => "",
+    }
+}
+
+fn versions_row(process: &FleetProcess<'_>, view: Option<&View<SeenVersion>>, note: &str) -> Vec<String> {
+    let member = &process.place.member;
+    let mut row = vec![member.name.clone(), process.program.to_owned(), member.zone.clone()];
+    match view {
+        Some(View { origin, says }) => row.extend([
+            says.version.to_string(),
+            age(origin.age_ms),
+            says.endpoints.to_string(),
+            says.fed.len().to_string(),
+        ]),
+        None => row.extend(["-"; 4].map(str::to_owned)),
+    }
+    row.push(note.to_owned());
+    row
+}
+
+pub(super) async fn figures(fleet: &Fleet, node: Option<&str>) -> Report {
+    let mut places = places(&fleet.members().await);
+    places.retain(|place| node.is_none_or(|node| place.member.name == node));
+    let asked: Vec<SocketAddrV4> = processes(fleet, &places).iter().map(|process| process.address).collect();
+    let views: Vec<View<Figures>> = fleet.answers(&asked, "figures").await;
+    if views.is_empty() {
+        return Report::silent();
+    }
+    Report::new(Verdict::wrong_if(views.len() < asked.len()), exposition(&views), views)
+}
