Read lenient fields of settings and configurations by one crate, document-fields

node-settings and operator-config each had a copy of the field that does not fail when it is wrong, of the number that may be a fraction, and of how findings are collected. Both now use document-fields, with tests of its own; each keeps its public Finding and implements CollectFindings.

No change of behaviour, except that whole numbers above 2^53 in a settings file stay exact, as they did in configurations.

--- /dev/null
+++ b/system/document-fields/src/number.rs
@@ -0,0 +1,80 @@
+//! Numbers that may be written as a whole number or as a fraction.
+
+use serde::de::{Deserialize, Deserializer, Error, Unexpected, Visitor};
+use std::fmt;
+
+/// A number that is not negative; a fraction such as 60.0 is a number like any other.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Number {
+    /// Written without a fraction.
+    Whole(u64),
+    /// Written with one.
+    Fraction(f64),
+}
+
+impl Number {
+    /// As a whole number: fractions are rounded up, what is too large becomes the largest.
+    pub fn rounded_up(self) -> u64 {
+        match self {
+            Self::Whole(number) => number,
+            Self::Fraction(number) => number.ceil() as u64,
+        }
+    }
+
+    /// The same as a whole number of 32 bits.
+    pub fn rounded_up_u32(self) -> u32 {
+        u32::try_from(self.rounded_up()).unwrap_or(u32::MAX)
+    }
+
+    /// As a whole number, if it is exactly one.
+    pub fn exact(self) -> Option<u64> {
+        match self {
+            Self::Whole(number) => Some(number),
+            Self::Fraction(number) if number.fract() == 0.0 && number < 2_f64.powi(64) => Some(number as u64),
+            Self::Fraction(_) => None,
+        }
+    }
+
+    /// As a fraction.
+    pub fn as_f64(self) -> f64 {
+        match self {
+            Self::Whole(number) => number as f64,
+            Self::Fraction(number) => number,
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Number {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(NumberVisitor)
+    }
+}
+
+struct NumberVisitor;
+
+impl Visitor<'_> for NumberVisitor {
+    type Value = Number;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a number of at least 0")
+    }
+
+    fn visit_u64<E: Error>(self, number: u64) -> Result<Number, E> {
+        Ok(Number::Whole(number))
+    }
+
+    fn visit_i64<E: Error>(self, number: i64) -> Result<Number, E> {
+        match u64::try_from(number) {
+            Ok(number) => Ok(Number::Whole(number)),
+            Err(_) => Err(E::invalid_value(Unexpected::Signed(number), &self)),
+        }
+    }
+
+    fn visit_f64<E: Error>(self, number: f64) -> Result<Number, E> {
+        if number >= 0.0 {
+            Ok(Number::Fraction(number))
+        } else {
+            Err(E::invalid_value(Unexpected::Float(number), &self))
+        }
+    }
+}
--- /dev/null
+++ b/system/document-fields/tests/fields.rs
@@ -0,0 +1,108 @@
+//! Lenient fields: what they take, and what is noted about those that are missing or wrong.
+
+use document_fields::{CollectFindings, Field, Number, within};
+use googletest::prelude::*;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+#[derive(Default)]
+struct Findings(Vec<(String, String)>);
+
+impl CollectFindings for Findings {
+    fn add(&mut self, place: String, what: impl Into<String>) {
+        self.0.push((place, what.into()));
+    }
+}
+
+impl Findings {
+    fn places(&self) -> Vec<&str> {
+        self.0.iter().map(|(place, _)| place.as_str()).collect()
+    }
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Form {
+    name: Field<String>,
+    time_ms: Field<Number>,
+    zones: Field<Vec<Field<String>>>,
+}
+
+fn form(document: Value) -> Form {
+    serde_json::from_value(document).expect("a form takes any fields")
+}
+
+fn number(value: Value) -> Option<Number> {
+    serde_json::from_value(value).ok()
+}
+
+#[gtest]
+fn given_a_whole_document_when_its_fields_are_taken_then_nothing_is_found() {
+    let form = form(json!({ "name": "a", "time_ms": 5, "zones": ["x", "y"] }));
+    let mut findings = Findings::default();
+
+    expect_that!(findings.required("", "name", form.name), some(eq("a")));
+    expect_that!(findings.optional("", "time_ms", form.time_ms), some(eq(Number::Whole(5))));
+    expect_that!(findings.list("", "zones", form.zones), elements_are![eq("x"), eq("y")]);
+    expect_that!(findings.0, is_empty());
+}
+
+#[gtest]
+fn given_several_wrong_fields_when_they_are_taken_then_each_is_found_at_its_place() {
+    let form = form(json!({ "name": 7, "time_ms": -1, "zones": ["x", 3, null] }));
+    let mut findings = Findings::default();
+
+    expect_that!(findings.required("base", "name", form.name), none());
+    expect_that!(findings.optional("base", "time_ms", form.time_ms), none());
+    expect_that!(findings.list("base", "zones", form.zones), elements_are![eq("x")]);
+
+    let places = ["base.name", "base.time_ms", "base.zones[1]", "base.zones[2]"];
+    expect_that!(findings.places(), container_eq(places));
+    expect_that!(findings.0[1].1, contains_substring("a number of at least 0"));
+    expect_that!(findings.0[3].1, eq("is missing"));
+}
+
+#[gtest]
+fn given_absent_and_null_fields_when_they_are_taken_then_only_required_ones_are_found() {
+    for document in [json!({}), json!({ "name": null, "time_ms": null, "zones": null })] {
+        let form = form(document);
+        let mut findings = Findings::default();
+
+        expect_that!(findings.optional("", "time_ms", form.time_ms), none());
+        expect_that!(findings.list("", "zones", form.zones), is_empty());
+        expect_that!(findings.required("", "name", form.name), none());
+        expect_that!(findings.0, elements_are![eq(&("name".to_owned(), "is missing".to_owned()))]);
+    }
+}
+
+#[gtest]
+fn given_numbers_when_read_then_whole_ones_stay_exact_and_fractions_are_rounded_up() {
+    let largest = number(json!(u64::MAX)).expect("a number");
+    expect_that!(largest.exact(), some(eq(u64::MAX)));
+    expect_that!(largest.rounded_up_u32(), eq(u32::MAX));
+
+    let whole = number(json!(60.0)).expect("a number");
+    expect_that!(whole.exact(), some(eq(60)));
+    expect_that!(whole.as_f64(), eq(60.0));
+
+    let fraction = number(json!(0.25)).expect("a number");
+    expect_that!(fraction.exact(), none());
+    expect_that!(fraction.rounded_up(), eq(1));
+
+    let too_large = number(json!(1e30)).expect("a number");
+    expect_that!(too_large.exact(), none());
+    expect_that!(too_large.rounded_up(), eq(u64::MAX));
+}
+
+#[gtest]
+fn given_what_is_no_number_of_at_least_zero_when_read_then_it_is_refused() {
+    for value in [json!(-1), json!(-0.5), json!("1"), json!(true), json!([1])] {
+        expect_that!(number(value.clone()), none(), "{value}");
+    }
+}
+
+#[gtest]
+fn a_place_names_its_base_unless_that_is_the_document() {
+    expect_that!(within("", "name"), eq("name"));
+    expect_that!(within("limits", "name"), eq("limits.name"));
+}
--- a/system/node-settings/src/form.rs
+++ b/system/node-settings/src/form.rs
@@ -1,7 +1,8 @@
 //! The file as it is written, before any check. Fields that are not named here are passed over.
 
-use crate::field::{Field, Number};
+use crate::findings::Findings;
 use crate::{Figure, ListenAddresses};
+use document_fields::{CollectFindings, Field, Number};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use std::collections::BTreeMap;
@@ -43,7 +44,7 @@
 }
 
 impl ListenAddressesForm {
-    pub(crate) fn checked(self, findings: &mut crate::field::Findings) -> ListenAddresses {
+    pub(crate) fn checked(self, findings: &mut Findings) -> ListenAddresses {
         let base = "listen_addresses";
         ListenAddresses {
             front: findings.optional(base, "front", self.front),
--- a/system/node-settings/src/lib.rs
+++ b/system/node-settings/src/lib.rs
@@ -1,7 +1,7 @@
 //! The settings file of a process. Reading is pure: it gives whole settings or everything that is wrong with the
 //! file, so a process keeps what it has when a new file cannot be read.
 
-mod field;
+mod findings;
 mod form;
 mod read;
 
--- a/system/node-settings/src/read.rs
+++ b/system/node-settings/src/read.rs
@@ -1,8 +1,9 @@
 //! From the text to checked settings.
 
-use crate::field::{Field, Findings, Number, within};
+use crate::findings::Findings;
 use crate::form::{BoundForm, CloudApiForm, FaultToleranceForm, LimitsForm, SettingsForm};
 use crate::{Bounds, CloudApi, FaultTolerance, Figure, Finding, Limits, Settings};
+use document_fields::{CollectFindings, Field, Number, within};
 use figment::Figment;
 use figment::providers::{Format, Yaml};
 use std::collections::BTreeMap;
--- a/system/operator-config/src/lib.rs
+++ b/system/operator-config/src/lib.rs
@@ -2,13 +2,13 @@
 //! routes. Whether its version may follow the current one is for the caller to judge.
 
 mod difference;
-mod field;
 mod form;
 mod read;
 mod table;
 
 pub use difference::difference;
 
+use document_fields::CollectFindings;
 use sha2::{Digest, Sha256};
 use std::fmt;
 use table::RouteTable;
@@ -158,6 +158,12 @@
     }
 }
 
+impl CollectFindings for Findings {
+    fn add(&mut self, place: String, what: impl Into<String>) {
+        self.0.push(Finding { place, what: what.into() });
+    }
+}
+
 impl OperatorConfig {
     /// Reads and checks a configuration as sent, in JSON. Fields that are not known are passed over.
     pub fn read(bytes: &[u8]) -> Result<Self, Findings> {
--- a/system/operator-config/src/read.rs
+++ b/system/operator-config/src/read.rs
@@ -1,9 +1,9 @@
 //! From the bytes to a checked configuration.
 
-use crate::field::{Field, Number, within};
 use crate::form::{ConfigForm, EngineForm, LimitsForm, RouteForm, ServiceForm, ShareForm};
 use crate::table::{RouteTable, normal_host};
 use crate::{Engine, Findings, Limits, OperatorConfig, Route, RouteKind, Service, Share};
+use document_fields::{CollectFindings, Field, Number, within};
 use figment::Provider;
 use figment::providers::{Format, Json};
 use figment::value::{Dict, Value};
