--- a/system/fleet-membership/src/config.rs
+++ b/system/fleet-membership/src/config.rs
@@ -9,24 +9,24 @@
     pub period_ms: u64,
     /// In every so many periods one more member is probed, in shuffled round robin.
     pub extra_probe_every: u64,
-    /// How long a probe waits before it asks third parties.
+    /// How long a probe waits before indirect ones are asked for.
     pub ack_timeout_ms: u64,
     /// How long it then waits before it suspects.
     pub indirect_timeout_ms: u64,
-    /// How many third parties it asks.
-    pub third_parties: usize,
-    /// How long a suspected member has to object; two in a hundred longer with each doubling of the fleet.
+    /// How many members are asked for an indirect probe.
+    pub indirect_probes: usize,
+    /// How long a suspected member has to refute; two in a hundred longer with each doubling of the fleet.
     pub suspicion_ms: u64,
-    /// Between two rounds of fresh rumours.
+    /// Between two rounds of gossip.
     pub gossip_interval_ms: u64,
-    /// How many members get a round of rumours.
+    /// How many members get a round of gossip.
     pub gossip_fanout: usize,
     /// A tick that comes later than due by more than this tells that this process had no time.
     pub late_ms: u64,
     /// How long it is remembered that a life has ended.
     pub dead_memory_ms: u64,
-    /// Between two tries to find removed members and absent seeds again, on average.
-    pub seek_interval_ms: u64,
+    /// Between two tries to rejoin removed members and absent seeds, on average.
+    pub rejoin_interval_ms: u64,
     /// The same while no other member is known.
     pub alone_interval_ms: u64,
     /// How long the address of a removed member is tried.
@@ -41,13 +41,13 @@
             extra_probe_every: 4,
             ack_timeout_ms: 200,
             indirect_timeout_ms: 400,
-            third_parties: 2,
+            indirect_probes: 2,
             suspicion_ms: 1_500,
             gossip_interval_ms: 100,
             gossip_fanout: 3,
             late_ms: 100,
             dead_memory_ms: 60_000,
-            seek_interval_ms: 5_000,
+            rejoin_interval_ms: 5_000,
             alone_interval_ms: 1_000,
             lost_memory_ms: 24 * 3_600_000,
         }
@@ -55,13 +55,13 @@
 }
 
 impl Config {
-    /// How long a suspected member has to object in a fleet of `members`.
+    /// How long a suspected member has to refute in a fleet of `members`.
     pub(crate) fn suspicion_for(&self, members: usize) -> u64 {
         self.suspicion_ms + self.suspicion_ms * u64::from(log2(members)) / 50
     }
 
-    /// How often a member sends one rumour in a fleet of `members`.
-    pub(crate) fn sends_per_rumour(&self, members: usize) -> u32 {
+    /// How often a member gossips one change in a fleet of `members`.
+    pub(crate) fn sends_per_change(&self, members: usize) -> u32 {
         3 * log2(members)
     }
 }
--- a/system/fleet-membership/src/gossip_queue.rs
+++ b/system/fleet-membership/src/gossip_queue.rs
@@ -1,17 +1,17 @@
-//! Whose state is still to be spread, and how often it was.
+//! Members whose state is still to be disseminated, and how often it was sent.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
 /// Addresses whose state changed lately. What is sent is always the newest state.
 #[derive(Default)]
-pub(crate) struct Rumours {
+pub(crate) struct GossipQueue {
     sent: BTreeMap<Ipv4Addr, u32>,
     order: BTreeSet<(u32, Ipv4Addr)>,
 }
 
-impl Rumours {
-    /// Spreads the state of `ip` from the start.
+impl GossipQueue {
+    /// Disseminates the state of `ip` from the start.
     pub fn put(&mut self, ip: Ipv4Addr) {
         if let Some(sent) = self.sent.insert(ip, 0) {
             self.order.remove(&(sent, ip));
--- a/system/fleet-membership/src/member.rs
+++ b/system/fleet-membership/src/member.rs
@@ -62,7 +62,7 @@
 pub enum MemberState {
     /// It answers.
     Alive,
-    /// It didn't answer, and has a while to object.
+    /// It didn't answer, and has a while to refute the suspicion.
     Suspect,
 }
 
--- a/system/fleet-membership/src/probing.rs
+++ b/system/fleet-membership/src/probing.rs
@@ -1,4 +1,4 @@
-//! Probes under way, those of others that are passed on, and whose turn it is.
+//! Probes that wait for an acknowledgement, and indirect probes that are made for others.
 
 use std::net::Ipv4Addr;
 
@@ -6,28 +6,29 @@
 pub(crate) struct Probe {
     pub number: u32,
     pub target: Ipv4Addr,
-    /// Third parties that were asked, once the direct answer is late.
-    pub third_parties: Option<Vec<Ipv4Addr>>,
+    /// Members that were asked for indirect probes, once the direct acknowledgement is late.
+    pub relays: Option<Vec<Ipv4Addr>>,
     pub deadline: u64,
 }
 
-/// A ping on behalf of another.
-pub(crate) struct Relay {
+/// A probe on behalf of another member.
+pub(crate) struct IndirectProbe {
     pub number: u32,
     pub target: Ipv4Addr,
-    pub asker: Ipv4Addr,
-    pub asker_number: u32,
+    /// Who has asked for it, and under which number.
+    pub requester: Ipv4Addr,
+    pub requester_number: u32,
     pub deadline: u64,
 }
 
-/// Most relays at once.
-const MAX_RELAYS: usize = 256;
+/// Most indirect probes at once.
+const MAX_INDIRECT: usize = 256;
 
-/// All questions that wait for an answer.
+/// All probes that wait for an acknowledgement.
 #[derive(Default)]
 pub(crate) struct Probes {
     pub waiting: Vec<Probe>,
-    relays: Vec<Relay>,
+    indirect: Vec<IndirectProbe>,
     last_number: u32,
 }
 
@@ -50,25 +51,24 @@
         self.waiting.extract_if(.., |probe| probe.deadline <= now_ms).collect()
     }
 
-    /// Ends the probe that this answers.
-    pub fn answered(&mut self, from: Ipv4Addr, number: u32) {
+    /// Ends the probe that this acknowledges.
+    pub fn acknowledged(&mut self, from: Ipv4Addr, number: u32) {
         self.waiting.retain(|probe| {
-            let may_answer = probe.target == from
-                || probe.third_parties.as_ref().is_some_and(|third| third.contains(&from));
-            probe.number != number || !may_answer
+            let is_relay = probe.relays.as_ref().is_some_and(|relays| relays.contains(&from));
+            probe.number != number || !(probe.target == from || is_relay)
         });
     }
 
-    pub fn relay(&mut self, now_ms: u64, relay: Relay) {
-        self.relays.retain(|relay| relay.deadline > now_ms);
-        if self.relays.len() < MAX_RELAYS {
-            self.relays.push(relay);
+    pub fn put_indirect(&mut self, now_ms: u64, probe: IndirectProbe) {
+        self.indirect.retain(|probe| probe.deadline > now_ms);
+        if self.indirect.len() < MAX_INDIRECT {
+            self.indirect.push(probe);
         }
     }
 
-    /// The relay that this answers.
-    pub fn relayed(&mut self, now_ms: u64, from: Ipv4Addr, number: u32) -> Option<Relay> {
-        let at = self.relays.iter().position(|relay| relay.number == number && relay.target == from)?;
-        Some(self.relays.swap_remove(at)).filter(|relay| relay.deadline > now_ms)
+    /// The indirect probe that this acknowledges in time.
+    pub fn take_indirect(&mut self, now_ms: u64, from: Ipv4Addr, number: u32) -> Option<IndirectProbe> {
+        let at = self.indirect.iter().position(|probe| probe.number == number && probe.target == from)?;
+        Some(self.indirect.swap_remove(at)).filter(|probe| probe.deadline > now_ms)
     }
 }
--- a/system/fleet-membership/src/wire.rs
+++ b/system/fleet-membership/src/wire.rs
@@ -16,7 +16,7 @@
 pub(crate) struct Version {
     /// Which life.
     pub incarnation: u64,
-    /// How often that life has objected.
+    /// How often that life has refuted what was said of it.
     pub refutation: u32,
 }
 
