--- a/lab/src/hollow/keeper.rs
+++ b/lab/src/hollow/keeper.rs
@@ -1,7 +1,7 @@
 //! A keeper of the hollow fleet: the register's real machines, and the duties' rules.
 
 use bytes::Bytes;
-use config_register::{Acceptor, AcceptorRecord, Change, Learner, Proposal, Standing};
+use config_register::{Acceptor, AcceptorRecord, BallotSource, Change, Learner, Proposal, Standing};
 use fleet_model::{AcceptedValue, Ballot, ControlState, Fence, RegisterValue, TakenVersion};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::Ipv4Addr;
@@ -75,7 +75,7 @@
 pub(crate) struct Keeper {
     pub(crate) acceptor: Acceptor,
     pub(crate) known: RegisterValue,
-    pub(crate) highest: Ballot,
+    pub(crate) ballots: BallotSource,
     pub(crate) seen: BTreeMap<Ipv4Addr, u64>,
     pub(crate) poll: Option<Poll>,
     pub(crate) polls: u64,
@@ -91,8 +91,10 @@
 }
 
 impl Keeper {
-    /// A voter that holds what was chosen.
-    pub(crate) fn new(accepted: &AcceptedValue) -> Self {
+    /// A voter that holds what was chosen, in the life of that nonce.
+    pub(crate) fn new(me: Ipv4Addr, life: u64, accepted: &AcceptedValue) -> Self {
+        let mut ballots = BallotSource::new(me, life);
+        ballots.saw(accepted.ballot);
         let settled = RegisterValue { payload: Bytes::new(), ..accepted.value.clone() };
         Self {
             acceptor: Acceptor::new(AcceptorRecord {
@@ -102,7 +104,7 @@
                 settled: Some(settled),
             }),
             known: accepted.value.clone(),
-            highest: accepted.ballot,
+            ballots,
             seen: BTreeMap::new(),
             poll: None,
             polls: 0,
@@ -116,13 +118,6 @@
             follows: None,
         }
     }
-
-    /// A ballot above all that were seen.
-    pub(crate) fn next_ballot(&mut self, me: Ipv4Addr) -> Ballot {
-        let round = ((self.highest.round >> 16) + 1) << 16;
-        self.highest = Ballot { round, proposer: u32::from(me) };
-        self.highest
-    }
 }
 
 /// What a change makes of the value that was read.
--- a/lab/src/hollow/world.rs
+++ b/lab/src/hollow/world.rs
@@ -238,11 +238,12 @@
             roster: Roster { epoch: 1, current: current.collect(), ..Roster::default() },
         };
         let payload = state.to_payload().expect("a state can be written");
-        let ballot = Ballot { round: 1 << 16, proposer: 1 };
+        let ballot = Ballot { round: 1 << 16, proposer: 1, life: 1 };
         let accepted =
             AcceptedValue { ballot, value: RegisterValue { epoch: 0, voters: voters.clone(), payload } };
         for node in world.keepers.clone() {
-            world.nodes[node].keeper = Some(Keeper::new(&accepted));
+            let ip = world.nodes[node].ip;
+            world.nodes[node].keeper = Some(Keeper::new(ip, node as u64, &accepted));
             let value =
                 ChosenValue { ballot, voters: voters.clone(), payload: accepted.value.payload.clone() };
             world.nodes[node].feed.learn_value(value);
@@ -787,7 +788,7 @@
     fn register(&mut self, node: usize, from: Ipv4Addr, request: &RegisterRequest) -> Option<RegisterReply> {
         let keeper = self.nodes[node].keeper.as_mut()?;
         if let RegisterRequest::Prepare(ballot) = request {
-            keeper.highest = keeper.highest.max(*ballot);
+            keeper.ballots.saw(*ballot);
         }
         let (reply, changed) = keeper.acceptor.handle(request);
         self.nodes[node].tally.syncs += u64::from(changed);
@@ -865,7 +866,7 @@
         let verdict = match reply {
             Some(RegisterReply::Polled { accepted, chosen }) => {
                 poll.newest = poll.newest.max(accepted.unwrap_or_default());
-                keeper.highest = keeper.highest.max(poll.newest);
+                keeper.ballots.saw(poll.newest);
                 poll.learner.on_polled(ip, accepted, chosen)
             }
             _ => poll.learner.on_failure(ip),
@@ -938,7 +939,7 @@
         let Some(queued) = keeper.queue.pop_front() else { return };
         keeper.runs += 1;
         let number = keeper.runs;
-        let ballot = keeper.next_ballot(ip);
+        let ballot = keeper.ballots.next_ballot();
         let proposal = Proposal::start(ip, ballot, &keeper.known);
         let outbox = proposal.outbox();
         keeper.run = Some(Run { number, proposal, queued, began: now });
@@ -985,7 +986,7 @@
                 }
             }
             Step::Lost { seen } => {
-                keeper.highest = keeper.highest.max(seen);
+                keeper.ballots.saw(seen);
                 self.try_again(node, number);
             }
             Step::Failed => self.try_again(node, number),
--- a/lab/src/system/keeper.rs
+++ b/lab/src/system/keeper.rs
@@ -7,7 +7,8 @@
 use super::world::{Host, Pusher};
 use bytes::Bytes;
 use config_register::{
-    Acceptor, AcceptorRecord, Change, Learner, Proposal, Restore, RestoreStep, Standing, Step, Verdict,
+    Acceptor, AcceptorRecord, BallotSource, Change, Learner, Proposal, Restore, RestoreStep, Standing, Step,
+    Verdict,
 };
 use control_duties::{
     ConfigVerdict, CoreWatch, DutyClaim, Readings, RosterStep, RosterWatch, fill, give_up, stands, times,
@@ -34,7 +35,6 @@
 const PATIENCE: u64 = 300;
 const UNSETTLED: u64 = 120;
 const MOST_PAUSE: u64 = 320;
-const LIFE_BITS: u32 = 16;
 const CHANGE: u64 = 600;
 const LOOK: u64 = 400;
 const ANSWER_WITHIN: u64 = 850;
@@ -76,8 +76,7 @@
     core: RefCell<CoreWatch>,
     heard: RefCell<BTreeSet<Ipv4Addr>>,
     known: RefCell<Option<RegisterValue>>,
-    life: u64,
-    highest: Cell<Ballot>,
+    ballots: RefCell<BallotSource>,
     claim: RefCell<DutyClaim>,
     proposing: Mutex<()>,
     poll_now: Notify,
@@ -112,6 +111,10 @@
         let record = acceptor.record().cloned();
         let known = record.as_ref().and_then(|record| record.settled.clone());
         let heard = known.iter().flat_map(|known| known.voters.clone()).chain(seeds).chain([me]).collect();
+        let mut ballots = BallotSource::new(me, host.draw());
+        if let Some(record) = &record {
+            ballots.saw(record.promised);
+        }
         let keeper = Rc::new(Self {
             host: host.clone(),
             me,
@@ -120,8 +123,7 @@
             core: RefCell::new(CoreWatch::new(me)),
             heard: RefCell::new(heard),
             known: RefCell::new(known),
-            life: host.draw() & 0xffff,
-            highest: Cell::new(record.as_ref().map_or(Ballot::default(), |record| record.promised)),
+            ballots: RefCell::new(ballots),
             claim: RefCell::new(DutyClaim::new(LIST, me)),
             proposing: Mutex::new(()),
             poll_now: Notify::new(),
@@ -202,7 +204,7 @@
 
     async fn answer_register(&self, from: Ipv4Addr, request: RegisterRequest) -> RegisterReply {
         if let RegisterRequest::Prepare(ballot) = &request {
-            self.highest.set(self.highest.get().max(*ballot));
+            self.saw(*ballot);
         }
         let told = match &request {
             RegisterRequest::Poll { chosen } => Some(*chosen),
@@ -342,15 +344,11 @@
 // As proposer and learner.
 impl Keeper {
     fn next_ballot(&self) -> Ballot {
-        let rising = ((self.highest.get().round >> LIFE_BITS) + 1).max(self.host.now().as_secs());
-        let round = rising << LIFE_BITS | self.life;
-        let ballot = Ballot { round, proposer: u32::from(self.me) };
-        self.highest.set(ballot);
-        ballot
+        self.ballots.borrow_mut().next_ballot()
     }
 
     fn saw(&self, ballot: Ballot) {
-        self.highest.set(self.highest.get().max(ballot));
+        self.ballots.borrow_mut().saw(ballot);
     }
 
     async fn change(&self, within: u64, mut wanted: impl FnMut(&ControlState) -> Wanted) -> bool {
@@ -514,6 +512,9 @@
         let asked = others.iter().map(|ip| async move {
             let poll = RegisterRequest::Poll { chosen: Ballot::default() };
             let polled = self.ask(*ip, poll, PATIENCE).await?;
+            if let RegisterReply::Polled { accepted, chosen } = &polled {
+                self.saw(accepted.unwrap_or_default().max(*chosen));
+            }
             let fetched = self.ask(*ip, RegisterRequest::Fetch, PATIENCE).await?;
             config_register::told_chosen(&polled, &fetched)
         });
--- a/lab/tests/system.rs
+++ b/lab/tests/system.rs
@@ -76,7 +76,7 @@
 }
 
 fn ballot(round: u64) -> Ballot {
-    Ballot { round, proposer: 1 }
+    Ballot { round, proposer: 1, life: 1 }
 }
 
 fn chosen(round: u64, versions: &[u64], hash: u64) -> Fact {
--- a/system/config-register/src/acceptor.rs
+++ b/system/config-register/src/acceptor.rs
@@ -1,5 +1,6 @@
 //! The voter's side.
 
+use crate::stored::StoredRecord;
 use bytes::Bytes;
 use fleet_model::{AcceptedValue, Ballot, RegisterReply, RegisterRequest, RegisterValue};
 use serde::{Deserialize, Serialize};
@@ -14,8 +15,9 @@
     Member,
 }
 
-/// What a voter keeps on disk.
+/// What a voter keeps on disk. It is written with the form that it is in, see [`crate::RecordForm`].
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(into = "StoredRecord", try_from = "StoredRecord")]
 pub struct AcceptorRecord {
     /// It listens to no ballot below this one.
     pub promised: Ballot,
--- a/system/config-register/src/lib.rs
+++ b/system/config-register/src/lib.rs
@@ -4,7 +4,9 @@
 //!
 //! # What the caller owes
 //!
-//! - No two runs share a ballot, also across restarts: see [`next_round`].
+//! - No two runs share a ballot, also across restarts and lost disks: all come from a [`BallotSource`], made once in each
+//!   life of the process with a nonce of 64 random bits. It counts on over a restore, a freeze and every lost run.
+//! - Each ballot that is heard of goes to [`BallotSource::saw`]; that is for progress alone, not for safety.
 //! - A record that changed is synced before the reply leaves; [`Acceptor::handle`] tells.
 //! - Each request handed out gets at most one `on_reply` or `on_failure`, to the run that asked. A reply that comes
 //!   after its request was given up is dropped. Replies carry no ballot, so they are told apart by their calls.
@@ -50,26 +52,24 @@
 //!   than the newest it has seen, unless it was asked for after that: so b' asks M again, and hears what M holds now.
 
 mod acceptor;
+mod ballots;
 mod learner;
 mod pacing;
 mod proposal;
 mod restore;
 mod round;
+mod stored;
 
 pub use acceptor::{Acceptor, AcceptorRecord, Standing, found};
+pub use ballots::BallotSource;
 pub use learner::{Learner, Verdict, completing_place, told_chosen};
 pub use pacing::Pacing;
 pub use proposal::{Change, Proposal, Step};
 pub use restore::{Restore, RestoreStep};
+pub use stored::{FirstRecord, RecordForm};
 
-use fleet_model::{Ballot, RegisterRequest};
+use fleet_model::RegisterRequest;
 use std::net::Ipv4Addr;
 
 /// Requests with the machines that they go to.
 pub type Outbox = Vec<(Ipv4Addr, RegisterRequest)>;
-
-/// The lowest ballot of `me` in a round above `seen`. The caller keeps `seen` at or above every ballot that it has
-/// used itself, also before a restart.
-pub fn next_round(seen: Ballot, me: Ipv4Addr) -> Ballot {
-    Ballot { round: seen.round + 1, proposer: u32::from(me) }
-}
--- /dev/null
+++ b/system/config-register/tests/ballots.rs
@@ -0,0 +1,271 @@
+//! Ballots over the lives of machines: disks are kept, lost or put back from an older copy, processes freeze and end at any
+//! time, and what others used is heard of or not. No clock is among what happens, since a source is given none.
+
+use bytes::Bytes;
+use config_register::{Acceptor, BallotSource, Change, Proposal, Restore, RestoreStep, Step, found};
+use fleet_model::{AcceptedValue, Ballot, RegisterReply, RegisterRequest, RegisterValue};
+use googletest::prelude::*;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+const A: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
+const B: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
+const C: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 3);
+const PROPOSER: Ipv4Addr = Ipv4Addr::new(10, 0, 1, 1);
+const VOTERS: [Ipv4Addr; 3] = [A, B, C];
+
+/// A process over its disk.
+struct Life {
+    ballots: BallotSource,
+    last: Option<Ballot>,
+    highest_seen: Ballot,
+}
+
+struct Machine {
+    ip: Ipv4Addr,
+    /// The promise on its disk.
+    disk: Option<Ballot>,
+    older_copy: Option<Ballot>,
+    life: Life,
+}
+
+struct Lives {
+    rng: ChaCha8Rng,
+    nonce: fn(u64) -> u64,
+    machines: Vec<Machine>,
+    made: Vec<Ballot>,
+}
+
+impl Lives {
+    fn new(seed: u64, nonce: fn(u64) -> u64) -> Self {
+        let mut lives = Self { rng: ChaCha8Rng::seed_from_u64(seed), nonce, machines: vec![], made: vec![] };
+        for ip in VOTERS {
+            let life = lives.begin(ip, None);
+            lives.machines.push(Machine { ip, disk: None, older_copy: None, life });
+        }
+        lives
+    }
+
+    fn below(&mut self, bound: usize) -> usize {
+        self.rng.next_u32() as usize % bound
+    }
+
+    fn begin(&mut self, ip: Ipv4Addr, disk: Option<Ballot>) -> Life {
+        let mut ballots = BallotSource::new(ip, (self.nonce)(self.rng.next_u64()));
+        if let Some(promised) = disk {
+            ballots.saw(promised);
+        }
+        Life { ballots, last: None, highest_seen: disk.unwrap_or_default() }
+    }
+
+    fn begin_again(&mut self, number: usize) {
+        let (ip, disk) = (self.machines[number].ip, self.machines[number].disk);
+        self.machines[number].life = self.begin(ip, disk);
+    }
+
+    fn run(&mut self, number: usize) {
+        let reaches_disk = self.below(2) == 0;
+        let machine = &mut self.machines[number];
+        let ballot = machine.life.ballots.next_ballot();
+        assert!(Some(ballot) > machine.life.last && ballot > machine.life.highest_seen);
+        machine.life.last = Some(ballot);
+        if reaches_disk {
+            machine.disk = machine.disk.max(Some(ballot));
+        }
+        self.made.push(ballot);
+    }
+
+    /// It hears of another's ballot, by a refusal, a poll or a Prepare; one that was frozen hears of none meanwhile.
+    fn hear(&mut self, number: usize) {
+        let Some(last) = self.made.len().checked_sub(1) else { return };
+        let position = self.below(last + 1);
+        let heard = self.made[position];
+        let promises = self.below(2) == 0;
+        let machine = &mut self.machines[number];
+        machine.life.ballots.saw(heard);
+        machine.life.highest_seen = machine.life.highest_seen.max(heard);
+        if promises {
+            machine.disk = machine.disk.max(Some(heard));
+        }
+    }
+
+    fn step(&mut self) {
+        let number = self.below(VOTERS.len());
+        match self.below(20) {
+            0..=8 => self.run(number),
+            9..=14 => self.hear(number),
+            15 => self.machines[number].older_copy = self.machines[number].disk,
+            16 => {
+                self.machines[number].disk = self.machines[number].older_copy;
+                self.begin_again(number);
+            }
+            17 => {
+                self.machines[number].disk = None;
+                self.begin_again(number);
+            }
+            _ => self.begin_again(number),
+        }
+    }
+
+    fn shares_a_ballot(&self) -> bool {
+        BTreeSet::from_iter(&self.made).len() < self.made.len()
+    }
+}
+
+fn sharing(schedules: u64, nonce: fn(u64) -> u64) -> usize {
+    let shares = |seed| {
+        let mut lives = Lives::new(seed, nonce);
+        (0..400).for_each(|_| lives.step());
+        lives.shares_a_ballot()
+    };
+    (0..schedules).filter(|seed| shares(*seed)).count()
+}
+
+#[gtest]
+fn given_any_lives_and_disks_when_runs_begin_then_no_two_share_a_ballot() {
+    expect_that!(sharing(2_000, |drawn| drawn), eq(0));
+}
+
+#[gtest]
+fn given_a_nonce_of_few_bits_when_disks_are_lost_then_the_check_finds_a_shared_ballot() {
+    expect_that!(sharing(200, |_| 0), gt(100));
+    expect_that!(sharing(200, |drawn| drawn & 0xf), gt(100));
+}
+
+#[gtest]
+fn given_a_damaged_ballot_without_measure_when_it_is_seen_then_the_count_goes_on() {
+    let mut ballots = BallotSource::new(A, 7);
+    ballots.saw(Ballot { round: 5, proposer: 9, life: 1 });
+    ballots.saw(Ballot { round: u64::MAX, proposer: 9, life: 1 });
+
+    expect_that!(ballots.next_ballot(), eq(Ballot { round: 6, proposer: u32::from(A), life: 7 }));
+    expect_that!(ballots.next_ballot(), eq(Ballot { round: 7, proposer: u32::from(A), life: 7 }));
+}
+
+#[gtest]
+fn given_two_lives_of_one_machine_in_one_round_then_their_ballots_are_ordered() {
+    let (mut one, mut other) = (BallotSource::new(A, 1), BallotSource::new(A, 2));
+    let (one, other) = (one.next_ballot(), other.next_ballot());
+
+    // A promise to the later holds against the earlier, and an acceptor tells their values apart.
+    let mut acceptor = Acceptor::new(found(VOTERS.to_vec()));
+    acceptor.handle(&RegisterRequest::Prepare(other));
+    expect_that!(acceptor.handle(&RegisterRequest::Prepare(one)).0, eq(&RegisterReply::Refused(other)));
+}
+
+/// Voters in memory, which answer at once.
+struct Fleet(BTreeMap<Ipv4Addr, Acceptor>);
+
+impl Fleet {
+    /// All have promised a ballot far up.
+    fn far_up(promised: Ballot) -> Self {
+        let mut acceptor = Acceptor::new(found(VOTERS.to_vec()));
+        acceptor.handle(&RegisterRequest::Prepare(promised));
+        Self(VOTERS.map(|ip| (ip, acceptor.clone())).into())
+    }
+
+    /// A run that reaches these machines; it keeps what it reads if there is nothing to write.
+    fn propose_to(
+        &mut self,
+        reach: &[Ipv4Addr],
+        me: Ipv4Addr,
+        ballot: Ballot,
+        payload: &'static str,
+    ) -> Step {
+        let mut change = |_: &RegisterValue| match payload {
+            "" => Change::Keep,
+            payload => Change::Set(payload.into()),
+        };
+        let mut run = Proposal::start(me, ballot, &founding());
+        let mut queue = run.outbox();
+        while !queue.is_empty() {
+            let (to, request) = queue.remove(0);
+            let step = match reach.contains(&to) {
+                true => run.on_reply(to, &self.0.get_mut(&to).unwrap().handle(&request).0, &mut change),
+                false => run.on_failure(to, &mut change),
+            };
+            match step {
+                Step::Wait => {}
+                Step::Send(outbox) => queue.extend(outbox),
+                end => return end,
+            }
+        }
+        Step::Wait
+    }
+
+    fn restore(&mut self, me: Ipv4Addr, ballot: Ballot) -> RestoreStep {
+        let mut restore = Restore::start_from(me, ballot, &founding(), &VOTERS);
+        let mut queue = restore.outbox();
+        while !queue.is_empty() {
+            let (to, request) = queue.remove(0);
+            let (reply, _) = self.0.get_mut(&to).unwrap().handle(&request);
+            match restore.on_reply(to, &reply) {
+                RestoreStep::Wait => {}
+                RestoreStep::Send(outbox) => queue.extend(outbox),
+                end => return end,
+            }
+        }
+        RestoreStep::Wait
+    }
+}
+
+fn founding() -> RegisterValue {
+    found(VOTERS.to_vec()).settled.unwrap()
+}
+
+#[gtest]
+fn given_a_life_that_knows_nothing_when_its_first_run_is_refused_then_the_second_goes_through() {
+    // Given a fleet that is at round 1,000,000, and A back with an empty disk and a clock that stands anywhere.
+    let promised = Ballot { round: 1_000_000, proposer: u32::from(B), life: 3 };
+    let mut fleet = Fleet::far_up(promised);
+    fleet.0.insert(A, Acceptor::unfit());
+    let mut ballots = BallotSource::new(A, 4);
+    // When it is to be restored, then the refusal tells how far the others are, and the next run is above it.
+    let RestoreStep::Lost { seen } = fleet.restore(A, ballots.next_ballot()) else { panic!("not refused") };
+    ballots.saw(seen);
+    let RestoreStep::Done(record) = fleet.restore(A, ballots.next_ballot()) else { panic!("not restored") };
+    expect_that!(record.promised > promised, eq(true));
+    // And so for a proposer, such as one that joins.
+    let mut ballots = BallotSource::new(C, 5);
+    let Step::Lost { seen } = fleet.propose_to(&VOTERS, C, ballots.next_ballot(), "x") else {
+        panic!("not refused")
+    };
+    ballots.saw(seen);
+    expect_that!(fleet.propose_to(&VOTERS, C, ballots.next_ballot(), "x"), matches_pattern!(Step::Done(_)));
+}
+
+/// What a reader finds when two lives of one proposer run in the first round under these nonces, and an Accept of the first one
+/// comes late.
+fn read_after_a_late_accept(nonces: [u64; 2]) -> Bytes {
+    let mut voters = Fleet(VOTERS.map(|ip| (ip, Acceptor::new(found(VOTERS.to_vec())))).into());
+    // Given a run that ends with its life before its Accept has arrived anywhere but at A,
+    let first = BallotSource::new(PROPOSER, nonces[0]).next_ballot();
+    let late =
+        AcceptedValue { ballot: first, value: RegisterValue { payload: "first".into(), ..founding() } };
+    voters.0.get_mut(&A).unwrap().handle(&RegisterRequest::Prepare(first));
+    voters.0.get_mut(&B).unwrap().handle(&RegisterRequest::Prepare(first));
+    voters.0.get_mut(&A).unwrap().handle(&RegisterRequest::Accept(late.clone()));
+    // and a run of the next life, which the disk's loss has left without memory, that has its value chosen by B and C,
+    let mut ballots = BallotSource::new(PROPOSER, nonces[1]);
+    voters.0.get_mut(&A).unwrap().handle(&RegisterRequest::Prepare(first));
+    let mut second = voters.propose_to(&[B, C], PROPOSER, ballots.next_ballot(), "second");
+    if let Step::Lost { seen } = second {
+        ballots.saw(seen);
+        second = voters.propose_to(&[B, C], PROPOSER, ballots.next_ballot(), "second");
+    }
+    assert_that!(second, matches_pattern!(Step::Done(_)));
+    // when the Accept of the first comes to B, then a reader of A and B is told this.
+    voters.0.get_mut(&B).unwrap().handle(&RegisterRequest::Accept(late));
+    let read = voters.propose_to(&[A, B], C, Ballot { round: 9, proposer: 9, life: 9 }, "");
+    let Step::Done(read) = read else { panic!("{read:?}") };
+    read.value.payload
+}
+
+#[gtest]
+fn given_two_runs_under_one_ballot_when_an_accept_is_late_then_a_chosen_change_is_lost_and_else_never() {
+    expect_that!(read_after_a_late_accept([1, 1]), eq(&Bytes::from("first")));
+    expect_that!(read_after_a_late_accept([1, 2]), eq(&Bytes::from("second")));
+    expect_that!(read_after_a_late_accept([2, 1]), eq(&Bytes::from("second")));
+}
--- a/system/config-register/tests/model.rs
+++ b/system/config-register/tests/model.rs
@@ -2,7 +2,7 @@
 //! and is restored. Messages come late, in any order or never.
 
 use bytes::Bytes;
-use config_register::{Acceptor, Change, Outbox, Proposal, Restore, RestoreStep, Step, found, next_round};
+use config_register::{Acceptor, BallotSource, Change, Outbox, Proposal, Restore, RestoreStep, Step, found};
 use fleet_model::{AcceptedValue, Ballot, RegisterReply, RegisterRequest, RegisterValue};
 use googletest::prelude::*;
 use stateright::{Checker, Model, Property};
@@ -60,6 +60,13 @@
     Ipv4Addr::new(10, 0, 1, number as u8 + 1)
 }
 
+/// The ballot above `seen` of a proposer whose life has the nonce 0.
+fn next_round(seen: Ballot, me: Ipv4Addr) -> Ballot {
+    let mut ballots = BallotSource::new(me, 0);
+    ballots.saw(seen);
+    ballots.next_ballot()
+}
+
 fn founding() -> RegisterValue {
     RegisterValue { epoch: 0, voters: VOTERS.to_vec(), payload: Bytes::new() }
 }
@@ -164,7 +171,7 @@
         };
         for (number, round) in self.rounds.into_iter().enumerate() {
             let me = proposer(number);
-            let ballot = Ballot { round, proposer: u32::from(me) };
+            let ballot = Ballot { round, proposer: u32::from(me), life: 0 };
             let run = Proposal::start(me, ballot, &founding());
             fleet.send(Asker::Proposer(number), run.outbox());
             fleet.runs.push(Run::Running(Box::new(run)));
--- a/system/config-register/tests/pacing.rs
+++ b/system/config-register/tests/pacing.rs
@@ -1,7 +1,7 @@
 //! Proposers beside their acceptors in simulated time, with a value so large that it takes long to carry.
 
 use bytes::Bytes;
-use config_register::{Acceptor, Change, Outbox, Pacing, Proposal, Step, found, next_round};
+use config_register::{Acceptor, BallotSource, Change, Outbox, Pacing, Proposal, Step, found};
 use fleet_model::{Ballot, RegisterReply, RegisterRequest, RegisterValue};
 use googletest::prelude::*;
 use rand_chacha::ChaCha8Rng;
@@ -15,7 +15,14 @@
 const LARGE: u64 = 9;
 
 fn ballot(round: u64, proposer: u8) -> Ballot {
-    Ballot { round, proposer: u32::from(machine(proposer)) }
+    Ballot { round, proposer: u32::from(machine(proposer)), life: 0 }
+}
+
+/// The ballot above `seen` of a proposer whose life has the nonce 0.
+fn next_round(seen: Ballot, me: Ipv4Addr) -> Ballot {
+    let mut ballots = BallotSource::new(me, 0);
+    ballots.saw(seen);
+    ballots.next_ballot()
 }
 
 fn machine(number: u8) -> Ipv4Addr {
--- a/system/config-register/tests/schedules.rs
+++ b/system/config-register/tests/schedules.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use config_register::{
-    Acceptor, Change, Learner, Outbox, Proposal, Restore, RestoreStep, Step, Verdict, found, next_round,
+    Acceptor, BallotSource, Change, Learner, Outbox, Proposal, Restore, RestoreStep, Step, Verdict, found,
 };
 use fleet_model::{AcceptedValue, Ballot, RegisterReply, RegisterRequest, RegisterValue};
 use googletest::prelude::*;
@@ -61,7 +61,8 @@
     run: Option<Run>,
     /// When the run began, in events of the history.
     begun: usize,
-    seen: Ballot,
+    /// The ballots of its life: of what earlier ones used, a life knows what is on its disk.
+    ballots: BallotSource,
 }
 
 /// What somebody was told.
@@ -99,25 +100,31 @@
     last_id: u32,
     least_voters: usize,
     wiped: Option<usize>,
+    /// How a life draws its nonce from a random number.
+    nonce: fn(u64) -> u64,
+    used: BTreeSet<Ballot>,
+    /// The first ballot that a second run has.
+    shared: Option<Ballot>,
     history: Vec<Told>,
     counts: Counts,
 }
 
 impl Fleet {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, nonce: fn(u64) -> u64) -> Self {
         let voters: Vec<_> = (0..3).map(ip).collect();
         let founded = found(voters);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let machines = (0..MACHINES)
             .map(|number| Machine {
                 acceptor: if number < 3 { Acceptor::new(founded.clone()) } else { Acceptor::unfit() },
                 known: founded.accepted.clone(),
                 run: None,
                 begun: 0,
-                seen: Ballot::default(),
+                ballots: BallotSource::new(ip(number), nonce(rng.next_u64())),
             })
             .collect();
         Self {
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng,
             machines,
             calls: BTreeMap::new(),
             network: vec![],
@@ -125,6 +132,9 @@
             last_id: 0,
             least_voters: if seed.is_multiple_of(2) { 2 } else { 3 },
             wiped: None,
+            nonce,
+            used: BTreeSet::new(),
+            shared: None,
             history: vec![],
             counts: Counts::default(),
         }
@@ -143,6 +153,14 @@
         }
     }
 
+    fn next_ballot(&mut self, number: usize) -> Ballot {
+        let ballot = self.machines[number].ballots.next_ballot();
+        if !self.used.insert(ballot) {
+            self.shared.get_or_insert(ballot);
+        }
+        ballot
+    }
+
     fn end_run(&mut self, number: usize) -> Option<Run> {
         self.calls.retain(|_, (from, _)| *from != number);
         self.machines[number].run.take()
@@ -165,20 +183,21 @@
         let machine = &mut self.machines[number];
         machine.begun = begun;
         let record = machine.acceptor.record();
-        let seen = record.map_or(machine.seen, |record| record.promised.max(machine.seen));
-        let ballot = next_round(seen, ip(number));
         let settled = record.and_then(|record| record.settled.clone());
         let known = machine.known.clone();
         let start = [known.as_ref().map(|known| known.value.clone()), settled, told];
         let start = start.into_iter().flatten().max_by_key(|start| start.epoch);
+        if let Some(record) = record {
+            machine.ballots.saw(record.promised);
+        }
         if record.is_none() {
-            machine.seen = ballot;
+            let ballot = self.next_ballot(number);
             let restore = match start {
                 Some(start) if !is_blind => Restore::start_from(ip(number), ballot, &start, &all()),
                 _ => Restore::start(ip(number), ballot, &all()),
             };
             let outbox = restore.outbox();
-            machine.run = Some(Run::Restore(restore));
+            self.machines[number].run = Some(Run::Restore(restore));
             self.send(number, outbox);
             return;
         }
@@ -192,7 +211,7 @@
             return;
         }
         let Some(start) = start else { return };
-        machine.seen = ballot;
+        let ballot = self.next_ballot(number);
         let proposal = Proposal::start(ip(number), ballot, &start);
         let outbox = proposal.outbox();
         let wish = match kind {
@@ -241,8 +260,7 @@
                     }
                     Step::Lost { seen } => {
                         self.end_run(number);
-                        let machine = &mut self.machines[number];
-                        machine.seen = machine.seen.max(seen);
+                        self.machines[number].ballots.saw(seen);
                     }
                     Step::Failed => {
                         self.end_run(number);
@@ -268,8 +286,7 @@
                     }
                     RestoreStep::Lost { seen } => {
                         self.end_run(number);
-                        let machine = &mut self.machines[number];
-                        machine.seen = machine.seen.max(seen);
+                        self.machines[number].ballots.saw(seen);
                     }
                     RestoreStep::Failed => {
                         self.end_run(number);
@@ -342,8 +359,10 @@
     /// The process ends and starts again, with its disk.
     fn restart(&mut self, number: usize) {
         self.end_run(number);
+        let life = (self.nonce)(self.rng.next_u64());
         let machine = &mut self.machines[number];
         machine.known = None;
+        machine.ballots = BallotSource::new(ip(number), life);
         machine.acceptor = machine.acceptor.record().cloned().map_or(Acceptor::unfit(), Acceptor::new);
     }
 
@@ -461,8 +480,8 @@
     None
 }
 
-fn run(seed: u64, steps: usize) -> (Option<String>, Counts) {
-    let mut fleet = Fleet::new(seed);
+fn run(seed: u64, steps: usize, nonce: fn(u64) -> u64) -> (Option<String>, Counts) {
+    let mut fleet = Fleet::new(seed, nonce);
     for _ in 0..steps {
         fleet.step();
     }
@@ -476,14 +495,15 @@
     let must_live = fleet.least_voters > 2;
     let stuck = (must_live && (unfit > 0 || !is_alive))
         .then(|| format!("stuck without faults, {unfit} machines unfit"));
-    (fault(&fleet.history).or(stuck), counts)
+    let shared = fleet.shared.map(|ballot| format!("two runs under {ballot:?}"));
+    (fault(&fleet.history).or(shared).or(stuck), counts)
 }
 
 #[gtest]
 fn random_schedules_keep_one_chain_of_changes_and_lose_none() {
     let mut total = Counts::default();
     for seed in 0..3000 {
-        let (fault, counts) = run(seed, 1000);
+        let (fault, counts) = run(seed, 1000, |drawn| drawn);
         assert_that!(fault, none(), "seed {seed}");
         total.appended += counts.appended;
         total.changed += counts.changed;
@@ -501,10 +521,19 @@
     expect_that!(total.learnt, gt(1000));
 }
 
+#[gtest]
+fn the_checker_finds_lives_without_a_nonce() {
+    let told: Vec<String> = (0..300).filter_map(|seed| run(seed, 1000, |_| 0).0).collect();
+
+    let shared = told.iter().filter(|what| what.starts_with("two runs under")).count();
+    println!("{shared} of 300 schedules share a ballot");
+    expect_that!(shared, gt(200));
+}
+
 #[gtest]
 fn the_checker_finds_a_change_that_was_lost() {
     let value = |round, ids: &[u32]| AcceptedValue {
-        ballot: Ballot { round, proposer: 1 },
+        ballot: Ballot { round, proposer: 1, life: 0 },
         value: RegisterValue {
             payload: Bytes::from_iter(ids.iter().flat_map(|id| id.to_be_bytes())),
             ..Default::default()
@@ -513,8 +542,10 @@
 
     let lost =
         [Told::Chosen { begun: 0, value: value(1, &[1]) }, Told::Chosen { begun: 0, value: value(2, &[2]) }];
-    let stale =
-        [Told::Learnt(value(2, &[2])), Told::Fresh { begun: 1, ballot: Ballot { round: 1, proposer: 1 } }];
+    let stale = [
+        Told::Learnt(value(2, &[2])),
+        Told::Fresh { begun: 1, ballot: Ballot { round: 1, proposer: 1, life: 0 } },
+    ];
     let kept = [Told::Chosen { begun: 0, value: value(2, &[1, 2]) }, Told::Learnt(value(1, &[1]))];
 
     expect_that!(fault(&lost), some(starts_with("no chain")));
--- a/system/config-register/tests/stories.rs
+++ b/system/config-register/tests/stories.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use config_register::{
-    Acceptor, AcceptorRecord, Change, Learner, Outbox, Proposal, Restore, RestoreStep, Standing, Step,
-    Verdict, found, next_round, told_chosen,
+    Acceptor, AcceptorRecord, BallotSource, Change, Learner, Outbox, Proposal, Restore, RestoreStep,
+    Standing, Step, Verdict, found, told_chosen,
 };
 use fleet_model::{AcceptedValue, Ballot, RegisterReply, RegisterRequest, RegisterValue};
 use googletest::prelude::*;
@@ -20,7 +20,14 @@
 const ALL: [Ipv4Addr; 5] = [A, B, C, D, E];
 
 fn ballot(round: u64, proposer: Ipv4Addr) -> Ballot {
-    Ballot { round, proposer: u32::from(proposer) }
+    Ballot { round, proposer: u32::from(proposer), life: 0 }
+}
+
+/// The ballot above `seen` of a proposer whose life has the nonce 0.
+fn next_round(seen: Ballot, me: Ipv4Addr) -> Ballot {
+    let mut ballots = BallotSource::new(me, 0);
+    ballots.saw(seen);
+    ballots.next_ballot()
 }
 
 fn founding() -> RegisterValue {
@@ -578,7 +585,7 @@
     let voters: Vec<Ipv4Addr> = (1..=8).map(|number| Ipv4Addr::new(10, 0, 0, number)).collect();
     let mut firsts = std::collections::BTreeSet::new();
     for round in 1..200 {
-        let ballot = Ballot { round, proposer: u32::from(voters[2]) };
+        let ballot = Ballot { round, proposer: u32::from(voters[2]), life: 0 };
         let mut places: Vec<usize> =
             voters.iter().map(|ip| config_register::completing_place(*ip, &voters, ballot)).collect();
         expect_that!(places[2], eq(7));
--- a/system/fleet-model/src/lib.rs
+++ b/system/fleet-model/src/lib.rs
@@ -6,13 +6,16 @@
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-/// A ballot of the register: rounds rise, the machine's address tells two of one round apart.
+/// A ballot of the register, ordered by its fields in turn: rounds rise, the machine's address tells two machines of one
+/// round apart, and the nonce two lives of one machine. `config-register` makes them (`BallotSource`).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ballot {
     /// The round.
     pub round: u64,
     /// The proposer's address as a number.
     pub proposer: u32,
+    /// The nonce of the proposer's life; 0 in the founding ballot and in those read from a record of an older form.
+    pub life: u64,
 }
 
 /// The register's value.
--- a/system/peer-wire/schema/peer.capnp
+++ b/system/peer-wire/schema/peer.capnp
@@ -16,6 +16,7 @@
 struct Ballot {
   round @0 :UInt64;
   proposer @1 :UInt32;
+  life @2 :UInt64;
 }
 
 struct RegisterValue {
--- a/system/peer-wire/src/codec.rs
+++ b/system/peer-wire/src/codec.rs
@@ -483,10 +483,11 @@
 fn write_ballot(mut to: wire::ballot::Builder<'_>, ballot: &Ballot) {
     to.set_round(ballot.round);
     to.set_proposer(ballot.proposer);
+    to.set_life(ballot.life);
 }
 
 fn read_ballot(from: wire::ballot::Reader<'_>) -> Ballot {
-    Ballot { round: from.get_round(), proposer: from.get_proposer() }
+    Ballot { round: from.get_round(), proposer: from.get_proposer(), life: from.get_life() }
 }
 
 fn write_accepted(mut to: wire::accepted_value::Builder<'_>, accepted: &AcceptedValue) {
--- a/system/peer-wire/src/peer_capnp.rs
+++ b/system/peer-wire/src/peer_capnp.rs
@@ -456,11 +456,15 @@
     pub fn get_proposer(self) -> u32 {
       self.reader.get_data_field::<u32>(2)
     }
+    #[inline]
+    pub fn get_life(self) -> u64 {
+      self.reader.get_data_field::<u64>(2)
+    }
   }
 
   pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
   impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-    const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
   }
   impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
     const TYPE_ID: u64 = _private::TYPE_ID;
@@ -526,6 +530,14 @@
     pub fn set_proposer(&mut self, value: u32)  {
       self.builder.set_data_field::<u32>(2, value);
     }
+    #[inline]
+    pub fn get_life(self) -> u64 {
+      self.builder.get_data_field::<u64>(2)
+    }
+    #[inline]
+    pub fn set_life(&mut self, value: u64)  {
+      self.builder.set_data_field::<u64>(2, value);
+    }
   }
 
   pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -537,38 +549,45 @@
   impl Pipeline  {
   }
   mod _private {
-    pub static ENCODED_NODE: [::capnp::Word; 48] = [
+    pub static ENCODED_NODE: [::capnp::Word; 63] = [
       ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
       ::capnp::word(155, 199, 102, 9, 99, 147, 138, 171),
-      ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+      ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
       ::capnp::word(148, 114, 91, 62, 168, 198, 240, 209),
       ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
       ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+      ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
       ::capnp::word(110, 112, 58, 66, 97, 108, 108, 111),
       ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-      ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+      ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+      ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+      ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(114, 111, 117, 110, 100, 0, 0, 0),
       ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -586,11 +605,20 @@
       ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(108, 105, 102, 101, 0, 0, 0, 0),
+      ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ];
     pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
       match index {
         0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
         1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+        2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
         _ => ::capnp::introspect::panic_invalid_field_index(index),
       }
     }
@@ -603,9 +631,9 @@
       members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
       members_by_name: MEMBERS_BY_NAME,
     };
-    pub static NONUNION_MEMBERS : &[u16] = &[0,1];
+    pub static NONUNION_MEMBERS : &[u16] = &[0,1,2];
     pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-    pub static MEMBERS_BY_NAME : &[u16] = &[1,0];
+    pub static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
     pub const TYPE_ID: u64 = 0xab8a_9363_0966_c79b;
   }
 }
--- a/system/peer-wire/tests/samples/mod.rs
+++ b/system/peer-wire/tests/samples/mod.rs
@@ -9,7 +9,7 @@
 }
 
 fn ballot(round: u64) -> Ballot {
-    Ballot { round, proposer: ip(7).into() }
+    Ballot { round, proposer: ip(7).into(), life: u64::MAX - round }
 }
 
 fn accepted() -> AcceptedValue {
--- a/system/programs/src/keeper.rs
+++ b/system/programs/src/keeper.rs
@@ -10,9 +10,9 @@
 use crate::members::Members;
 use crate::operator::{self, Operations, Reply};
 use crate::staff::Desk;
-use crate::start::{Process, StartError, drawn, ended, listen};
+use crate::start::{Process, StartError, drawn, ended, life_nonce, listen};
 use bytes::Bytes;
-use config_register::{Acceptor, Pacing};
+use config_register::{Acceptor, BallotSource, Pacing};
 use control_duties::{ConfigVerdict, CoreWatch, DutyClaim, RosterWatch};
 use fleet_membership::{Change, Role};
 use fleet_model::{
@@ -59,10 +59,8 @@
     heard: RefCell<BTreeSet<Ipv4Addr>>,
     /// The newest value known to be chosen, with its voters' epoch.
     known: RefCell<Option<RegisterValue>>,
-    /// Tells this life's ballots from those of others.
-    life: u64,
-    /// The highest ballot that was seen.
-    highest: Cell<Ballot>,
+    /// Makes the ballots of this life.
+    ballots: RefCell<BallotSource>,
     /// This life's claim to the duty of the list.
     claim: RefCell<DutyClaim>,
     /// One proposal at a time.
@@ -106,7 +104,7 @@
     /// The acceptor's part. What it has promised or accepted is on disk before the answer leaves.
     async fn answer_register(&self, from: Ipv4Addr, request: RegisterRequest) -> Option<RegisterReply> {
         if let RegisterRequest::Prepare(ballot) = &request {
-            self.highest.set(self.highest.get().max(*ballot));
+            self.saw(*ballot);
         }
         let told = match &request {
             RegisterRequest::Poll { chosen } => Some(*chosen),
@@ -357,6 +355,10 @@
     let record = acceptor.record().cloned();
     let known = record.as_ref().and_then(|record| record.settled.clone());
     let heard = known.iter().flat_map(|known| known.voters.clone()).chain(seeds).chain([me]).collect();
+    let mut ballots = BallotSource::new(me, life_nonce()?);
+    if let Some(record) = &record {
+        ballots.saw(record.promised);
+    }
     let keeper = Rc::new(Keeper {
         process: process.clone(),
         me,
@@ -368,8 +370,7 @@
         core: RefCell::new(CoreWatch::new(me)),
         heard: RefCell::new(heard),
         known: RefCell::new(known),
-        life: drawn() & 0xffff,
-        highest: Cell::new(record.map_or(Ballot::default(), |record| record.promised)),
+        ballots: RefCell::new(ballots),
         claim: RefCell::new(DutyClaim::new(duties::LIST, me)),
         proposing: Mutex::new(()),
         pacing: RefCell::default(),
--- a/system/programs/src/keeper/proposing.rs
+++ b/system/programs/src/keeper/proposing.rs
@@ -5,7 +5,6 @@
 use fleet_model::RegisterValue;
 use futures_util::future::join_all;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
@@ -20,8 +19,6 @@
 const COMPLETING_STEP: u64 = 200;
 /// Longest time that a restore waits for others' runs to end.
 const MOST_WAIT: Duration = Duration::from_millis(600);
-/// The low bits of a round tell the lives of a proposer apart.
-const LIFE_BITS: u32 = 16;
 
 /// What a change makes of the state that it reads.
 pub(super) enum Wanted {
@@ -52,20 +49,14 @@
 }
 
 impl Keeper {
-    /// The ballot of a new run: above all that were seen, and one which no other life of this machine has used. One that
-    /// lost its disk does not know its old ballots, but the time of day has risen since.
+    /// The ballot of a new run.
     fn next_ballot(&self) -> Ballot {
-        let seconds = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs());
-        let rising = ((self.highest.get().round >> LIFE_BITS) + 1).max(seconds);
-        let round = rising << LIFE_BITS | self.life;
-        let ballot = Ballot { round, proposer: u32::from(self.me) };
-        self.highest.set(ballot);
         self.runs.begun.set(self.runs.begun.get() + 1);
-        ballot
+        self.ballots.borrow_mut().next_ballot()
     }
 
-    fn saw(&self, ballot: Ballot) {
-        self.highest.set(self.highest.get().max(ballot));
+    pub(super) fn saw(&self, ballot: Ballot) {
+        self.ballots.borrow_mut().saw(ballot);
     }
 
     /// Changes the state; true once it is as wanted, by this or by another.
@@ -285,6 +276,9 @@
         let asked = others.iter().map(|ip| async move {
             let poll = RegisterRequest::Poll { chosen: Ballot::default() };
             let polled = self.ask(*ip, poll, PATIENCE).await?;
+            if let RegisterReply::Polled { accepted, chosen } = &polled {
+                self.saw(accepted.unwrap_or_default().max(*chosen));
+            }
             let fetched = self.ask(*ip, RegisterRequest::Fetch, PATIENCE).await?;
             config_register::told_chosen(&polled, &fetched)
         });
--- a/system/programs/src/keeper/record.rs
+++ b/system/programs/src/keeper/record.rs
@@ -2,7 +2,7 @@
 
 use crate::disk::{Durable, read};
 use crate::start::StartError;
-use config_register::{AcceptorRecord, Standing};
+use config_register::{AcceptorRecord, FirstRecord, RecordForm, Standing};
 use fleet_model::Ballot;
 use std::net::Ipv4Addr;
 use std::path::Path;
@@ -32,6 +32,20 @@
     pub damages: u64,
 }
 
+/// Reads a record of a form that this program knows.
+fn read_record(folder: &Path, bytes: &[u8]) -> Result<AcceptorRecord, StartError> {
+    match RecordForm::of(bytes) {
+        RecordForm::Present => read(folder, bytes),
+        RecordForm::First => read::<FirstRecord>(folder, bytes).map(AcceptorRecord::from),
+        RecordForm::Unknown(form) => {
+            let place = folder.display();
+            Err(StartError::Disk(format!(
+                "{place}: a record of form {form}, which this program does not know"
+            )))
+        }
+    }
+}
+
 /// Opens the folder.
 pub fn open(
     folder: &Path,
@@ -44,7 +58,7 @@
         log::error!("set aside: {damage}");
     }
     let beginning = match opened.found {
-        Found::Kept(record) => Beginning::Kept(read(folder, &record)?),
+        Found::Kept(record) => Beginning::Kept(read_record(folder, &record)?),
         Found::Never if first_start && seeds.contains(&me) => {
             Beginning::First(config_register::found(seeds.to_vec()))
         }
--- a/system/programs/src/keeper/record/tests.rs
+++ b/system/programs/src/keeper/record/tests.rs
@@ -32,7 +32,7 @@
 }
 
 fn ballot(round: u64) -> Ballot {
-    Ballot { round, proposer: ip(2).into() }
+    Ballot { round, proposer: ip(2).into(), life: 0x1234_5678_9abc_def0 }
 }
 
 fn state(version: u64, config: usize) -> ControlState {
@@ -149,6 +149,51 @@
     expect_that!(told, contains_substring("1 bytes too many"));
 }
 
+#[googletest::test]
+fn given_a_record_from_before_lives_had_nonces_when_read_then_it_is_kept_and_written_anew() {
+    // Given records as the first form had them: ballots of a round and a proposer alone.
+    let proposer = u32::from(ip(2));
+    let value = accepted(6, &state(6, 60)).value;
+    let kept =
+        ((7_u64, proposer), Some(((6_u64, proposer), value.clone())), Standing::Member, Some(value.clone()));
+    let founding =
+        ((0_u64, 0_u32), None::<((u64, u32), RegisterValue)>, Standing::Blank, None::<RegisterValue>);
+    let folder = tempfile::tempdir().unwrap();
+    let opened = open_as(folder.path(), true, ip(1));
+    wait(opened.durable.put(&kept)).unwrap();
+    drop(opened);
+    // When the folder is opened, then the promise and the value are there.
+    let opened = open_as(folder.path(), false, ip(1));
+    let without_nonce = |round| Ballot { round, proposer, life: 0 };
+    let record = AcceptorRecord {
+        promised: without_nonce(7),
+        accepted: Some(AcceptedValue { ballot: without_nonce(6), value: value.clone() }),
+        standing: Standing::Member,
+        settled: Some(value),
+    };
+    expect_that!(opened.beginning, eq(&Beginning::Kept(record.clone())));
+    // And what is written next is of the present form.
+    put(&opened.durable, &record);
+    drop(opened);
+    expect_that!(open_as(folder.path(), false, ip(1)).beginning, eq(&Beginning::Kept(record.clone())));
+    // The forms are told apart by how they begin, whatever the first promise was.
+    let form = |bytes: Vec<u8>| RecordForm::of(&bytes);
+    expect_that!(form(postcard::to_allocvec(&record).unwrap()), eq(RecordForm::Present));
+    expect_that!(form(postcard::to_allocvec(&founding).unwrap()), eq(RecordForm::First));
+    expect_that!(form(postcard::to_allocvec(&(u64::MAX, u32::MAX)).unwrap()), eq(RecordForm::First));
+}
+
+#[googletest::test]
+fn a_record_of_an_unknown_form_is_refused_by_its_place() {
+    let folder = tempfile::tempdir().unwrap();
+    let opened = open_as(folder.path(), true, ip(1));
+    wait(opened.durable.put(&([0xff_u8; 10], 9_u8, voted(1)))).unwrap();
+    drop(opened);
+    let told = open(folder.path(), true, ip(1), &seeds()).err().unwrap().to_string();
+    expect_that!(told, contains_substring(folder.path().display().to_string()));
+    expect_that!(told, contains_substring("a record of form 9"));
+}
+
 #[googletest::test]
 fn thousands_of_changes_of_the_configuration_take_a_small_part_of_the_disk() {
     // Given a voter with a configuration of 20 KB.
--- a/system/state-feed/tests/fleet/world.rs
+++ b/system/state-feed/tests/fleet/world.rs
@@ -603,7 +603,7 @@
     /// What a poll tells that has ended now.
     fn learn_newest(&mut self, keeper: usize) {
         let value = ChosenValue {
-            ballot: Ballot { round: self.round, proposer: 1 },
+            ballot: Ballot { round: self.round, proposer: 1, life: 1 },
             voters: Vec::new(),
             payload: Bytes::new(),
         };
--- a/system/state-feed/tests/state.rs
+++ b/system/state-feed/tests/state.rs
@@ -11,7 +11,7 @@
 const PORT: u16 = 7_000;
 
 fn value(round: u64) -> ChosenValue {
-    ChosenValue { ballot: Ballot { round, proposer: 1 }, voters: Vec::new(), payload: Bytes::new() }
+    ChosenValue { ballot: Ballot { round, proposer: 1, life: 1 }, voters: Vec::new(), payload: Bytes::new() }
 }
 
 fn endpoint(instance: &str, state: EndpointState) -> Endpoint {
@@ -87,7 +87,7 @@
         ip: ip(2),
         zone: "z".to_owned(),
         urgent: false,
-        value: Ballot { round: 3, proposer: 1 },
+        value: Ballot { round: 3, proposer: 1, life: 1 },
         list: (1, 1),
     };
     // When they are taken on 0.3 s later.
