--- a/lab/tests/record_log.rs
+++ b/lab/tests/record_log.rs
@@ -82,7 +82,7 @@
     }
 
     fn change(&mut self, version: u64) {
-        let ballot = Ballot { round: version << 16, proposer: 1 };
+        let ballot = Ballot { round: version << 16, proposer: 1, life: 1 };
         let promised = self.handle(RegisterRequest::Prepare(ballot));
         assert!(matches!(promised, RegisterReply::Promised(_)), "{promised:?}");
         let sent = TakenVersion { version, digest: digest(version) };
--- a/system/programs/src/keeper/proposing.rs
+++ b/system/programs/src/keeper/proposing.rs
@@ -1,13 +1,10 @@
 //! A keeper as proposer and learner of the register.
 
 use super::*;
-use config_register::{
-    Change, Learner, Proposal, RECOVERY_LEAP_ROUNDS, Restore, RestoreStep, Step, Verdict, completing_place,
-};
+use config_register::{Change, Learner, Proposal, Restore, RestoreStep, Step, Verdict, completing_place};
 use fleet_model::RegisterValue;
 use futures_util::future::join_all;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
@@ -22,8 +19,6 @@
 const COMPLETING_STEP: u64 = 200;
 /// Longest time that a restore waits for others' runs to end.
 const MOST_WAIT: Duration = Duration::from_millis(600);
-/// The low bits of a round tell the lives of a proposer apart.
-const LIFE_BITS: u32 = 16;
 
 /// What a change makes of the state that it reads.
 pub(super) enum Wanted {
@@ -54,25 +49,20 @@
 }
 
 impl Keeper {
-    /// The ballot of a new run: above all that were seen, and one which no other life of this machine has used. One that
-    /// lost its disk does not know its old ballots, but the time of day has risen since.
+    /// The ballot of a new run.
     fn next_ballot(&self) -> Ballot {
-        self.ballot_above(1)
+        self.runs.begun.set(self.runs.begun.get() + 1);
+        self.ballots.borrow_mut().next_ballot()
     }
 
-    /// The same, so many rounds above all that were seen.
-    fn ballot_above(&self, rounds: u64) -> Ballot {
-        let seconds = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs());
-        let rising = ((self.highest.get().round >> LIFE_BITS) + rounds).max(seconds);
-        let round = rising << LIFE_BITS | self.life;
-        let ballot = Ballot { round, proposer: u32::from(self.me) };
-        self.highest.set(ballot);
+    /// The ballot of a new run that restores this machine.
+    fn recovery_ballot(&self) -> Ballot {
         self.runs.begun.set(self.runs.begun.get() + 1);
-        ballot
+        self.ballots.borrow_mut().recovery_ballot()
     }
 
-    fn saw(&self, ballot: Ballot) {
-        self.highest.set(self.highest.get().max(ballot));
+    pub(super) fn saw(&self, ballot: Ballot) {
+        self.ballots.borrow_mut().saw(ballot);
     }
 
     /// Changes the state; true once it is as wanted, by this or by another.
@@ -292,6 +282,9 @@
         let asked = others.iter().map(|ip| async move {
             let poll = RegisterRequest::Poll { chosen: Ballot::default() };
             let polled = self.ask(*ip, poll, PATIENCE).await?;
+            if let RegisterReply::Polled { accepted, chosen } = &polled {
+                self.saw(accepted.unwrap_or_default().max(*chosen));
+            }
             let fetched = self.ask(*ip, RegisterRequest::Fetch, PATIENCE).await?;
             config_register::told_chosen(&polled, &fetched)
         });
@@ -305,7 +298,7 @@
         let others: Vec<Ipv4Addr> = self.heard.borrow().iter().copied().filter(|ip| *ip != self.me).collect();
         // With a chosen value to start from, a voter that is gone for good need not answer.
         let known = self.told_chosen(&others).await;
-        let ballot = self.ballot_above(RECOVERY_LEAP_ROUNDS);
+        let ballot = self.recovery_ballot();
         let mut restore = match known {
             Some(known) => Restore::start_from(self.me, ballot, &known, &others),
             None => Restore::start(self.me, ballot, &others),
