Add the control node and the feed as crates over a runtime trait

Cause: system/programs and lab's simulation each carried a copy of the control node and of the feed, and the simulation's had fallen behind, so it proved little about the code in service.

node-runtime: the Runtime trait (time, chance, tasks, calls, links) and the feed over it. control-node: replica, proposer, quorum reads, recovery, singleton tasks and orders with typed outcomes, as the program has them, without I/O, clock or chance of its own.

What a disk refuses no longer ends the process: the acceptor keeps a newest and a synced state; votes are answered once synced, reads from what is synced, and a failed write brings the newest state back.

--- /dev/null
+++ b/system/control-node/src/lib.rs
@@ -0,0 +1,71 @@
+//! A control node: it answers proposers of the register as an acceptor, proposes what operators and storage nodes ask for,
+//! confirms by quorum reads what it knows, feeds agents, and carries out the singleton tasks of whoever holds their lease.
+//!
+//! What is decided stands in `config-register` and `control-duties`; here it is carried out, over [`node_runtime::Runtime`] and
+//! [`ControlBackend`]: the program in service and the simulation run this very code. Nothing here does I/O, reads a clock or
+//! draws random numbers.
+
+mod ballots;
+mod durable_acceptor;
+mod event;
+mod membership;
+mod node;
+mod orders;
+mod polling;
+mod proposing;
+mod recovery;
+mod replica;
+mod singleton;
+
+pub use ballots::next_ballot;
+pub use durable_acceptor::{DiskState, DurableAcceptor, Handled, PendingWrite, WriteNumber, WriteOutcome};
+pub use event::ControlEvent;
+pub use node::{Beginning, ControlNode, RoundCounts};
+pub use orders::{CurrentConfig, PutConfig, Retire};
+
+use config_register::AcceptorRecord;
+use control_duties::DutyClaim;
+use fleet_model::{ControlState, Endpoint, Fence};
+use std::time::Duration;
+
+/// The name of the singleton task that reads the platform's list and looks after machines that are gone.
+pub const LIST: &str = "list";
+
+/// The disk refused a write; what it holds of it is not known.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct PersistError(pub String);
+
+/// The platform's list could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct DiscoveryError(pub String);
+
+/// What a control node needs of its machine beside a [`node_runtime::Runtime`].
+#[allow(async_fn_in_trait)]
+pub trait ControlBackend: 'static {
+    /// Machines that may be lost at once, as the settings have it.
+    fn tolerance(&self) -> usize;
+
+    /// The time of day, since 1970. It may step.
+    fn wall_clock(&self) -> Duration;
+
+    /// Writes the acceptor's whole state; it is synced when this returns. After an error it is called again some time: then it
+    /// is the later write that counts, also after a restart. It is called again only after it has returned.
+    async fn persist(&self, record: &AcceptorRecord) -> Result<(), PersistError>;
+
+    /// Whether the settings name a platform to read endpoints from.
+    fn discovers_endpoints(&self) -> bool;
+
+    /// Reads the platform's list.
+    async fn discover_endpoints(&self) -> Result<Vec<Endpoint>, DiscoveryError>;
+
+    /// Is told of changes of state.
+    fn on_event(&self, event: &ControlEvent<'_>);
+
+    /// The state in which a lease passes to this node, if it still stands as in `from`. Nothing else is to be done here in
+    /// service; a simulation that breaks the fencing on purpose does it here.
+    fn acquire(&self, candidate: &DutyClaim, state: &ControlState, from: &Fence) -> Option<ControlState> {
+        candidate.taken(state, from)
+    }
+}
--- /dev/null
+++ b/system/control-node/src/membership.rs
@@ -0,0 +1,56 @@
+//! Changes of members that machines ask for: voters, storage machines, and what these have caught up with.
+
+use crate::proposing::Wanted;
+use crate::{ControlBackend, ControlNode};
+use control_duties::fill;
+use fleet_model::{Answer, ControlState, Store};
+use node_runtime::Runtime;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+/// Longest time for a change.
+pub(crate) const CHANGE: Duration = Duration::from_millis(600);
+
+fn done(is_done: bool) -> Answer {
+    if is_done { Answer::Done } else { Answer::Unready }
+}
+
+impl<R: Runtime, B: ControlBackend> ControlNode<R, B> {
+    /// So many storage machines make a set.
+    pub(crate) fn least_stores(&self) -> usize {
+        2 * self.backend.tolerance() + 1
+    }
+
+    pub(crate) async fn join_core(&self, ip: Ipv4Addr) -> Answer {
+        self.hear_of(ip);
+        if self.feed.value().voters.contains(&ip) {
+            return Answer::Done;
+        }
+        let wanted = |_: &ControlState, voters: &[Ipv4Addr]| match voters.contains(&ip) {
+            true => Wanted::Nothing,
+            false => Wanted::Voters(voters.iter().copied().chain([ip]).collect()),
+        };
+        done(self.propose(CHANGE, wanted).await)
+    }
+
+    pub(crate) async fn join_storage(&self, store: Store) -> Answer {
+        let least = self.least_stores();
+        let known = self.feed.state();
+        let admitted = {
+            let mut stores = self.stores.borrow_mut();
+            stores.observe(self.runtime.now_ms(), &known.roster, least);
+            stores.heard(self.runtime.now_ms(), store.disk);
+            stores.admits(&known.roster, &store)
+        };
+        if !admitted || control_duties::join(&known, &store, least).is_none() {
+            return Answer::Done;
+        }
+        done(self.change(CHANGE, |state| control_duties::join(state, &store, least).into()).await)
+    }
+
+    pub(crate) async fn filled(&self, disk: u64, epoch: u64) -> Answer {
+        self.stores.borrow_mut().heard(self.runtime.now_ms(), disk);
+        let least = self.least_stores();
+        done(self.change(CHANGE, |state| fill(state, Some(disk), epoch, &[], least).into()).await)
+    }
+}
--- /dev/null
+++ b/system/control-node/src/node.rs
@@ -0,0 +1,299 @@
+//! The node: what it knows, and how it answers its peers.
+
+use crate::replica::Replica;
+use crate::{ControlBackend, ControlEvent, DiskState, LIST};
+use config_register::{AcceptorRecord, Pacing, Standing};
+use control_duties::{CoreWatch, DutyClaim, RosterWatch};
+use fleet_model::{
+    AcceptedValue, Answer, Ballot, Call, ChosenValue, RegisterReply, RegisterRequest, RegisterValue,
+};
+use node_runtime::{Feed, MOST_AGE, Runtime, keep_beating, timeout};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{Mutex, Notify};
+
+/// Between two looks at whether a quorum read has confirmed what is known.
+const CONFIRM_AGAIN: Duration = Duration::from_millis(10);
+
+/// What a replica of the register starts with.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Beginning {
+    /// Its record.
+    Kept(AcceptorRecord),
+    /// It has never voted: this is to be kept before it does.
+    First(AcceptorRecord),
+    /// It may have voted and does not know: it votes when it is restored from the others.
+    Unfit,
+}
+
+impl Beginning {
+    /// Of a machine that has never voted: a seed founds the register, any other knows nothing.
+    pub fn never_voted(me: Ipv4Addr, seeds: &[Ipv4Addr]) -> Self {
+        if seeds.contains(&me) {
+            return Self::First(config_register::found(seeds.to_vec()));
+        }
+        Self::First(AcceptorRecord {
+            promised: Ballot::default(),
+            accepted: None,
+            standing: Standing::Blank,
+            settled: None,
+        })
+    }
+
+    fn record(&self) -> Option<&AcceptorRecord> {
+        match self {
+            Self::Kept(record) | Self::First(record) => Some(record),
+            Self::Unfit => None,
+        }
+    }
+}
+
+/// How many rounds at the register this node has begun, and how many of them were lost to those of others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RoundCounts {
+    /// Begun.
+    pub begun: u64,
+    /// Lost.
+    pub lost: u64,
+}
+
+/// A control node, in one life of its process.
+pub struct ControlNode<R: Runtime, B> {
+    pub(crate) runtime: R,
+    pub(crate) backend: Rc<B>,
+    pub(crate) me: Ipv4Addr,
+    /// What it knows, and passes on.
+    pub feed: Rc<Feed<R>>,
+    pub(crate) replica: Rc<Replica<R, B>>,
+    /// To be written before the first vote of a machine that never voted.
+    pub(crate) founding: RefCell<Option<AcceptorRecord>>,
+    /// How the core machines are.
+    pub(crate) core: RefCell<CoreWatch>,
+    /// Core machines that were heard of, voters or not.
+    pub(crate) heard: RefCell<BTreeSet<Ipv4Addr>>,
+    /// The newest value known to be chosen, with its voters' epoch.
+    pub(crate) known: RefCell<Option<RegisterValue>>,
+    /// Tells this life's ballots from those of others.
+    pub(crate) life: u64,
+    /// The highest ballot that was seen.
+    pub(crate) highest: Cell<Ballot>,
+    /// This life's candidacy for the lease of the singleton task.
+    pub(crate) candidate: RefCell<DutyClaim>,
+    /// One proposal at a time.
+    pub(crate) proposing: Mutex<()>,
+    /// When a round may begin beside those of others.
+    pub(crate) pacing: RefCell<Pacing>,
+    pub(crate) rounds: Cell<RoundCounts>,
+    /// A poll is wanted now.
+    pub(crate) poll_now: Notify,
+    /// A poll has ended.
+    pub(crate) polled: Notify,
+    /// How the storage machines are.
+    pub(crate) stores: RefCell<RosterWatch>,
+}
+
+impl<R: Runtime, B: ControlBackend> ControlNode<R, B> {
+    /// A node that has just started; it does nothing yet.
+    pub fn new(runtime: R, backend: B, feed: Rc<Feed<R>>, beginning: Beginning) -> Rc<Self> {
+        let (me, backend) = (runtime.ip(), Rc::new(backend));
+        let record = beginning.record().cloned();
+        let known = record.as_ref().and_then(|record| record.settled.clone());
+        let heard = known.iter().flat_map(|known| known.voters.clone());
+        let heard = heard.chain(runtime.seeds()).chain([me]).collect();
+        let highest = record.map_or(Ballot::default(), |record| record.promised);
+        let (kept, founding) = match beginning {
+            Beginning::Kept(record) => (Some(record), None),
+            Beginning::First(record) => (None, Some(record)),
+            Beginning::Unfit => (None, None),
+        };
+        Rc::new(Self {
+            me,
+            feed,
+            replica: Replica::new(runtime.clone(), backend.clone(), kept),
+            founding: RefCell::new(founding),
+            core: RefCell::new(CoreWatch::new(me)),
+            heard: RefCell::new(heard),
+            known: RefCell::new(known),
+            life: runtime.draw(),
+            highest: Cell::new(highest),
+            candidate: RefCell::new(DutyClaim::new(LIST, me)),
+            proposing: Mutex::new(()),
+            pacing: RefCell::default(),
+            rounds: Cell::default(),
+            poll_now: Notify::new(),
+            polled: Notify::new(),
+            stores: RefCell::default(),
+            runtime,
+            backend,
+        })
+    }
+
+    /// Begins all that it does by itself.
+    pub fn run(self: &Rc<Self>) {
+        self.runtime.spawn(keep_beating(self.feed.clone()));
+        self.runtime.spawn(self.clone().keep_voting());
+        self.runtime.spawn(self.clone().keep_polling());
+        self.runtime.spawn(self.clone().keep_tasks());
+        self.runtime.spawn(self.clone().keep_watch());
+        self.runtime.spawn(self.clone().keep_following_list());
+    }
+
+    /// Answers a call of a peer; `subscriber` is the call's link, if it can take pushes.
+    pub async fn answer(&self, from: Ipv4Addr, call: Call, subscriber: Option<R::Subscriber>) -> Answer {
+        match (call, subscriber) {
+            (Call::Register(request), _) => match self.answer_register(from, request).await {
+                Some(reply) => Answer::Register(reply),
+                None => Answer::Unready,
+            },
+            (call @ Call::Subscribe { .. }, Some(subscriber)) => {
+                self.feed.subscribe(&call, false, subscriber)
+            }
+            (Call::JoinCore { ip }, _) => self.join_core(ip).await,
+            (Call::JoinStorage { store }, _) => self.join_storage(store).await,
+            (Call::Filled { disk, epoch }, _) => self.filled(disk, epoch).await,
+            _ => Answer::Unready,
+        }
+    }
+
+    /// Another core machine was heard of, such as by the membership.
+    pub fn hear_of(&self, core_machine: Ipv4Addr) {
+        self.heard.borrow_mut().insert(core_machine);
+    }
+
+    /// How many core machines were heard of, voters or not.
+    pub fn core_machines_heard(&self) -> usize {
+        self.heard.borrow().len()
+    }
+
+    /// Whether it has a state to vote by; one that lost it is a recovering replica.
+    pub fn is_fit(&self) -> bool {
+        self.replica.has_record()
+    }
+
+    /// Whether the disk takes what is to be synced; while it refuses, the node does not vote.
+    pub fn disk(&self) -> DiskState {
+        self.replica.disk()
+    }
+
+    /// Its rounds at the register so far.
+    pub fn rounds(&self) -> RoundCounts {
+        self.rounds.get()
+    }
+
+    /// Whether a majority confirmed lately what is known here.
+    pub fn is_fresh(&self) -> bool {
+        self.feed.age().is_some_and(|age| age < MOST_AGE)
+    }
+
+    /// The fencing token under which this life of the node holds the lease of the singleton task.
+    pub fn holds_list(&self) -> Option<u64> {
+        self.candidate.borrow().holds(&self.feed.state())
+    }
+
+    /// Asks a core machine, itself too, about the register.
+    pub(crate) async fn ask(
+        &self,
+        ip: Ipv4Addr,
+        request: RegisterRequest,
+        patience: Duration,
+    ) -> Option<RegisterReply> {
+        self.core.borrow_mut().asks(self.runtime.now_ms());
+        if ip == self.me {
+            return self.answer_register(self.me, request).await;
+        }
+        match self.runtime.call(ip, Call::Register(request), patience).await {
+            Some(Answer::Register(reply)) => {
+                self.core.borrow_mut().heard(self.runtime.now_ms(), ip);
+                Some(reply)
+            }
+            _ => None,
+        }
+    }
+
+    /// The acceptor's part. What it has promised or accepted is on disk before the answer leaves.
+    async fn answer_register(&self, from: Ipv4Addr, request: RegisterRequest) -> Option<RegisterReply> {
+        if let RegisterRequest::Prepare(ballot) = &request {
+            self.saw(*ballot);
+        }
+        let handled = self.replica.handle(&request);
+        self.listen(from, &request, &handled.reply);
+        let reply = self.replica.release(handled).await;
+        if let RegisterRequest::Poll { chosen } = &request {
+            self.learn_chosen(from, *chosen);
+        }
+        reply
+    }
+
+    /// Takes note of another's round that was let pass here.
+    fn listen(&self, from: Ipv4Addr, request: &RegisterRequest, reply: &RegisterReply) {
+        let ballot = match request {
+            RegisterRequest::Prepare(ballot) => *ballot,
+            RegisterRequest::Accept(offered) => offered.ballot,
+            _ => return,
+        };
+        if from != self.me && !matches!(reply, RegisterReply::Refused(_)) {
+            self.pacing.borrow_mut().hears(self.runtime.now_ms(), ballot);
+        }
+    }
+
+    /// A ballot is known to be chosen: its value is here, or the one that says so has it.
+    fn learn_chosen(&self, from: Ipv4Addr, chosen: Ballot) {
+        if chosen <= self.feed.value().ballot {
+            return;
+        }
+        match self.replica.accepted() {
+            Some(accepted) if accepted.ballot == chosen => self.adopt(accepted),
+            _ if from != self.me => self.poll_now.notify_one(),
+            _ => {}
+        }
+    }
+
+    /// Takes a chosen value.
+    pub(crate) fn adopt(&self, accepted: AcceptedValue) {
+        self.replica.learn_value(&accepted);
+        self.pacing.borrow_mut().learns_chosen(accepted.ballot);
+        self.backend.on_event(&ControlEvent::Chosen(&accepted));
+        if accepted.ballot < self.feed.value().ballot {
+            return;
+        }
+        *self.known.borrow_mut() = Some(accepted.value.clone());
+        let (state_before, value_before) = (self.feed.state(), self.feed.value());
+        let voters = accepted.value.voters.clone();
+        self.heard.borrow_mut().extend(voters.iter().copied());
+        let learned = self.feed.learn_value(ChosenValue {
+            ballot: accepted.ballot,
+            voters,
+            payload: accepted.value.payload,
+        });
+        if learned {
+            let (state, value) = (self.feed.state(), self.feed.value());
+            let is_news = state.version() != state_before.version() || value.voters != value_before.voters;
+            self.backend.on_event(&ControlEvent::Adopted {
+                value: &value,
+                state: &state,
+                before: &state_before,
+                is_news,
+            });
+        }
+    }
+
+    /// Waits until what is known here is confirmed as of now, by a quorum read.
+    pub(crate) async fn confirm_now(&self, within: Duration) -> bool {
+        let asked = self.runtime.now();
+        let is_confirmed = || self.feed.fresh_at().is_some_and(|at| at >= asked);
+        let confirmed = async {
+            while !is_confirmed() {
+                let polled = self.polled.notified();
+                self.poll_now.notify_one();
+                polled.await;
+                if !is_confirmed() {
+                    self.runtime.sleep(CONFIRM_AGAIN).await;
+                }
+            }
+        };
+        timeout(&self.runtime, within, confirmed).await.is_some()
+    }
+}
--- /dev/null
+++ b/system/control-node/src/orders.rs
@@ -0,0 +1,118 @@
+//! Orders of operators, with what becomes of them. Who serves operators translates.
+
+use crate::{ControlBackend, ControlNode};
+use bytes::Bytes;
+use control_duties::{ConfigVerdict, RetireVerdict};
+use fleet_model::{ControlState, TakenVersion};
+use node_runtime::Runtime;
+use operator_config::{Findings, OperatorConfig, digest};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// An operator waits about a second for an answer: within this it gets one, if only that there is no majority.
+const ANSWER_WITHIN: Duration = Duration::from_millis(850);
+
+/// What becomes of a configuration that an operator sends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PutConfig {
+    /// This version is committed, now or before.
+    Committed(u64),
+    /// The operator goes by another version than the current one, which is this.
+    OtherVersion(u64),
+    /// Its version is not above the current one.
+    NotAbove,
+    /// It has faults.
+    Invalid(Findings),
+    /// The order does not say which version it replaces.
+    NoBase,
+    /// It is not known what becomes of it: no majority answered in time.
+    Unavailable,
+}
+
+/// The configuration in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CurrentConfig {
+    /// There is none yet.
+    Nothing,
+    /// The state that has it, confirmed since it was asked for.
+    Current(Rc<ControlState>),
+    /// It cannot be told: no majority answered in time.
+    Unavailable,
+}
+
+/// What becomes of the retirement of a storage machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Retire {
+    /// This, where so many machines have to stay.
+    Told {
+        /// How far it is.
+        verdict: RetireVerdict,
+        /// Machines that have to stay.
+        least: usize,
+    },
+    /// It is not known: no majority answered in time.
+    Unavailable,
+}
+
+impl<R: Runtime, B: ControlBackend> ControlNode<R, B> {
+    /// Takes a configuration on top of the version `expected`.
+    pub async fn put_config(&self, expected: Option<u64>, body: Bytes) -> PutConfig {
+        let config = match OperatorConfig::read(&body) {
+            Ok(config) => config,
+            Err(findings) => return PutConfig::Invalid(findings),
+        };
+        let Some(expected) = expected else { return PutConfig::NoBase };
+        let taken = TakenVersion { version: config.version, digest: digest(&body) };
+        let verdict = Cell::new(None);
+        let done = self
+            .change(ANSWER_WITHIN, |state| {
+                let (wanted, judged) = control_duties::put_config(state, expected, &taken, &body);
+                verdict.set(Some(judged));
+                wanted.into()
+            })
+            .await;
+        match verdict.take().filter(|_| done) {
+            Some(ConfigVerdict::Taken) => PutConfig::Committed(taken.version),
+            Some(ConfigVerdict::OtherVersion(current)) => PutConfig::OtherVersion(current),
+            Some(ConfigVerdict::NotAbove) => PutConfig::NotAbove,
+            None => PutConfig::Unavailable,
+        }
+    }
+
+    /// The configuration in force.
+    pub async fn config(&self) -> CurrentConfig {
+        if !self.confirm_now(ANSWER_WITHIN).await {
+            return CurrentConfig::Unavailable;
+        }
+        let state = self.feed.state();
+        match state.version() {
+            0 => CurrentConfig::Nothing,
+            _ => CurrentConfig::Current(state),
+        }
+    }
+
+    /// Begins to empty a storage machine.
+    pub async fn retire(&self, name: &str) -> Retire {
+        let least = self.least_stores();
+        let verdict = Cell::new(None);
+        let done = self
+            .change(ANSWER_WITHIN, |state| {
+                let (wanted, judged) = control_duties::retire(state, name, least);
+                verdict.set(Some(judged));
+                wanted.into()
+            })
+            .await;
+        let verdict = verdict.take().filter(|_| done);
+        verdict.map_or(Retire::Unavailable, |verdict| Retire::Told { verdict, least })
+    }
+
+    /// How far that is.
+    pub async fn retiring(&self, name: &str) -> Retire {
+        if !self.confirm_now(ANSWER_WITHIN).await {
+            return Retire::Unavailable;
+        }
+        let verdict = control_duties::retire_state(&self.feed.state(), name);
+        Retire::Told { verdict, least: self.least_stores() }
+    }
+}
--- /dev/null
+++ b/system/control-node/src/proposing.rs
@@ -0,0 +1,208 @@
+//! The node as proposer: it changes the register's value.
+
+use crate::{ControlBackend, ControlEvent, ControlNode, next_ballot};
+use bytes::Bytes;
+use config_register::{Change, Proposal, Step};
+use fleet_model::{Ballot, ControlState, RegisterValue};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use node_runtime::{Runtime, timeout_at};
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+/// Longest time for one request to an acceptor.
+pub(crate) const PATIENCE: Duration = Duration::from_millis(300);
+
+/// What a change makes of the state that it reads.
+pub(crate) enum Wanted {
+    /// Nothing: it is as wanted, or cannot be.
+    Nothing,
+    /// This state.
+    State(ControlState),
+    /// These voters, one more or less.
+    Voters(Vec<Ipv4Addr>),
+}
+
+impl From<Option<ControlState>> for Wanted {
+    fn from(state: Option<ControlState>) -> Self {
+        state.map_or(Self::Nothing, Self::State)
+    }
+}
+
+/// What a round is to have chosen, where it proposes a change.
+#[derive(Default)]
+struct Aim {
+    payload: Option<Bytes>,
+    voters: Option<Vec<Ipv4Addr>>,
+}
+
+impl Aim {
+    fn is_met_by(&self, value: &RegisterValue) -> bool {
+        self.payload.as_ref().is_none_or(|payload| *payload == value.payload)
+            && self.voters.as_ref().is_none_or(|voters| *voters == value.voters)
+    }
+}
+
+/// How a round ended.
+pub(crate) enum Ended {
+    /// A value is chosen, and taken.
+    Chosen {
+        /// It is the wanted one.
+        as_wanted: bool,
+    },
+    /// Another's round was in the way.
+    Lost,
+    /// It reached too few.
+    Failed,
+    /// Its time was over before it came to an end.
+    Late,
+}
+
+impl<R: Runtime, B: ControlBackend> ControlNode<R, B> {
+    /// The ballot of a new round.
+    pub(crate) fn next_ballot(&self) -> Ballot {
+        let ballot = next_ballot(self.me, self.highest.get(), self.backend.wall_clock(), self.life);
+        self.highest.set(ballot);
+        let mut rounds = self.rounds.get();
+        rounds.begun += 1;
+        self.rounds.set(rounds);
+        ballot
+    }
+
+    /// A ballot was seen: later ones of this node are above it.
+    pub(crate) fn saw(&self, ballot: Ballot) {
+        self.highest.set(self.highest.get().max(ballot));
+    }
+
+    /// Changes the state; true once it is as wanted, by this or by another.
+    pub(crate) async fn change(
+        &self,
+        within: Duration,
+        mut wanted: impl FnMut(&ControlState) -> Wanted,
+    ) -> bool {
+        self.propose(within, |state, _| wanted(state)).await
+    }
+
+    /// The same, for what looks at the voters too.
+    pub(crate) async fn propose(
+        &self,
+        within: Duration,
+        mut wanted: impl FnMut(&ControlState, &[Ipv4Addr]) -> Wanted,
+    ) -> bool {
+        let deadline = self.runtime.now() + within;
+        let Some(_alone) = timeout_at(&self.runtime, deadline, self.proposing.lock()).await else {
+            return false;
+        };
+        while self.way_is_free(deadline).await {
+            match self.attempt(deadline, &mut wanted).await {
+                Ended::Chosen { as_wanted: true } => return true,
+                Ended::Chosen { as_wanted: false } | Ended::Lost | Ended::Failed => {}
+                Ended::Late => return false,
+            }
+        }
+        false
+    }
+
+    /// One round, as far as the time goes.
+    pub(crate) async fn attempt(
+        &self,
+        deadline: Duration,
+        wanted: &mut impl FnMut(&ControlState, &[Ipv4Addr]) -> Wanted,
+    ) -> Ended {
+        let Some(known) = self.known.borrow().clone() else { return Ended::Late };
+        timeout_at(&self.runtime, deadline, self.round(&known, wanted)).await.unwrap_or(Ended::Late)
+    }
+
+    /// Waits until no other's round is under way and the pause after a lost one is over; false if that is too late.
+    pub(crate) async fn way_is_free(&self, deadline: Duration) -> bool {
+        while self.pacing.borrow().waits(self.runtime.now_ms()) > 0 {
+            // Those who wait do not all begin in the moment in which the way gets free.
+            let pause = Duration::from_millis(10 + self.runtime.draw() % 15);
+            if self.runtime.now() + pause >= deadline {
+                return false;
+            }
+            self.runtime.sleep(pause).await;
+        }
+        true
+    }
+
+    /// A round that another's was in the way of, or that reached too few.
+    pub(crate) fn lost_round(&self) {
+        let mut rounds = self.rounds.get();
+        rounds.lost += 1;
+        self.rounds.set(rounds);
+        self.pacing.borrow_mut().loses(self.runtime.now_ms(), self.runtime.draw());
+    }
+
+    /// What is proposed on top of the value that was read.
+    fn proposed(
+        &self,
+        read: &RegisterValue,
+        wanted: &mut impl FnMut(&ControlState, &[Ipv4Addr]) -> Wanted,
+    ) -> (Change, Option<Aim>) {
+        let state = match ControlState::from_payload(&read.payload) {
+            Ok(state) => state,
+            Err(e) => {
+                self.backend.on_event(&ControlEvent::Unreadable(&e.to_string()));
+                return (Change::Keep, None);
+            }
+        };
+        match wanted(&state, &read.voters) {
+            Wanted::Nothing => (Change::Keep, Some(Aim::default())),
+            Wanted::State(state) => match state.to_payload() {
+                Ok(payload) => {
+                    let aim = Aim { payload: Some(payload.clone()), voters: None };
+                    (Change::Set(payload), Some(aim))
+                }
+                Err(_) => (Change::Keep, None),
+            },
+            Wanted::Voters(voters) => {
+                let aim = Aim { payload: None, voters: Some(voters.clone()) };
+                (Change::Voters(voters), Some(aim))
+            }
+        }
+    }
+
+    async fn round(
+        &self,
+        known: &RegisterValue,
+        wanted: &mut impl FnMut(&ControlState, &[Ipv4Addr]) -> Wanted,
+    ) -> Ended {
+        let mut proposal = Proposal::start(self.me, self.next_ballot(), known);
+        let mut aim: Option<Aim> = None;
+        let mut change = |read: &RegisterValue| {
+            let (change, aims) = self.proposed(read, wanted);
+            if aims.is_some() {
+                aim = aims;
+            }
+            change
+        };
+        let mut calls = FuturesUnordered::new();
+        let call = |(ip, request)| async move { (ip, self.ask(ip, request, PATIENCE).await) };
+        calls.extend(proposal.outbox().into_iter().map(call));
+        while let Some((ip, reply)) = calls.next().await {
+            let step = match reply {
+                Some(reply) => proposal.on_reply(ip, &reply, &mut change),
+                None => proposal.on_failure(ip, &mut change),
+            };
+            match step {
+                Step::Wait => {}
+                Step::Send(requests) => calls.extend(requests.into_iter().map(call)),
+                Step::Done(value) => {
+                    let as_wanted = aim.as_ref().is_some_and(|aim| aim.is_met_by(&value.value));
+                    self.pacing.borrow_mut().calms();
+                    self.adopt(value);
+                    self.poll_now.notify_one();
+                    return Ended::Chosen { as_wanted };
+                }
+                Step::Lost { seen } => {
+                    self.saw(seen);
+                    self.lost_round();
+                    return Ended::Lost;
+                }
+                Step::Failed => break,
+            }
+        }
+        self.lost_round();
+        Ended::Failed
+    }
+}
--- /dev/null
+++ b/system/control-node/src/singleton.rs
@@ -0,0 +1,190 @@
+//! Singleton tasks: whoever holds the lease reads the platform's list and looks after storage machines and voters that are
+//! gone. What is to be done is decided in `control-duties`; here it is carried out.
+
+use crate::membership::CHANGE;
+use crate::proposing::Wanted;
+use crate::{ControlBackend, ControlEvent, ControlNode, LIST};
+use control_duties::{CoreWatch, Readings, RosterStep, fill, give_up, stands, times};
+use fleet_model::{Answer, Call, ControlState, Fence, Store};
+use futures_util::future::join_all;
+use node_runtime::{Runtime, follow_lists, timeout};
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest time for a storage machine's answer to a look.
+const LOOK: Duration = Duration::from_millis(400);
+/// Who lives is not known before so long after the start.
+const KNOWS_OTHERS: Duration = Duration::from_millis(300);
+/// Between two looks at whether what is known is fresh, if no poll ends before.
+const UNTIL_FRESH: Duration = Duration::from_millis(100);
+/// Between two looks at who holds the lease, to be fed by it.
+const FOLLOW_AGAIN: Duration = Duration::from_millis(150);
+
+impl<R: Runtime, B: ControlBackend> ControlNode<R, B> {
+    /// Who holds the lease of the singleton task.
+    fn holder(&self) -> Option<Ipv4Addr> {
+        self.feed.state().fences.get(LIST).and_then(|fence| fence.holder)
+    }
+
+    /// Acquires the lease if it is this node's turn.
+    async fn acquire_lease(&self) {
+        let value = self.feed.value();
+        let from: Option<Fence> = {
+            let core = self.core.borrow();
+            let now = self.runtime.now_ms();
+            self.candidate.borrow_mut().wants(now, &self.feed.state(), &value.voters, &core)
+        };
+        let Some(from) = from else { return };
+        let wanted =
+            |state: &ControlState| self.backend.acquire(&self.candidate.borrow(), state, &from).into();
+        if self.change(CHANGE, wanted).await {
+            let token = self.candidate.borrow_mut().settle(&self.feed.state(), &from);
+            if let Some(token) = token {
+                self.backend.on_event(&ControlEvent::LeaseAcquired { task: LIST, token });
+            }
+        }
+    }
+
+    /// The task of reading the list, as long as the lease is this node's and a majority stands behind it.
+    pub(crate) async fn keep_tasks(self: Rc<Self>) {
+        if !self.backend.discovers_endpoints() {
+            return;
+        }
+        let mut readings = Readings::default();
+        let began = self.runtime.now();
+        loop {
+            // Who lives is not known at once; a node that had the lease in its former life need not know it.
+            let knows_others = self.holder() == Some(self.me) || self.runtime.now() - began >= KNOWS_OTHERS;
+            if !self.is_fresh() || !knows_others {
+                let _ = timeout(&self.runtime, UNTIL_FRESH, self.polled.notified()).await;
+                continue;
+            }
+            let Some(token) = self.holds_list() else {
+                self.acquire_lease().await;
+                if self.holds_list().is_none() {
+                    self.runtime.sleep(Duration::from_millis(200 + self.runtime.draw() % 50)).await;
+                }
+                continue;
+            };
+            let asked = self.runtime.now_ms();
+            self.read_list(&mut readings, asked, token).await;
+            let took = self.runtime.now_ms().saturating_sub(asked);
+            self.runtime.sleep(Duration::from_millis(times::READING.saturating_sub(took))).await;
+        }
+    }
+
+    async fn read_list(&self, readings: &mut Readings, asked: u64, token: u64) {
+        match self.backend.discover_endpoints().await {
+            // Read under a lease that may have passed to another: its stamp says so, and loses.
+            Ok(endpoints) => {
+                let now = self.runtime.now_ms();
+                if let Some(list) = readings.take(now, asked, token, &self.feed.list(), endpoints) {
+                    self.feed.learn_list(list);
+                }
+            }
+            Err(e) => self.backend.on_event(&ControlEvent::DiscoveryFailed(&e.to_string())),
+        }
+    }
+
+    /// Knows how the storage and core machines are, so that whoever gets the lease can act at once; the holder acts.
+    pub(crate) async fn keep_watch(self: Rc<Self>) {
+        loop {
+            self.observe();
+            if self.stores.borrow().is_due(self.runtime.now_ms()) {
+                self.look_at_stores().await;
+                if self.is_fresh()
+                    && let Some(token) = self.holds_list()
+                {
+                    self.look_after_stores(token).await;
+                }
+            }
+            if self.is_fresh()
+                && let Some(token) = self.holds_list()
+            {
+                self.look_after_voters(token).await;
+            }
+            self.runtime.sleep(Duration::from_millis(times::LOOK_AGAIN)).await;
+        }
+    }
+
+    /// Takes note of who belongs to the fleet.
+    fn observe(&self) {
+        let now = self.runtime.now_ms();
+        self.core.borrow_mut().observe(now, &self.feed.value().voters);
+        self.stores.borrow_mut().observe(now, &self.feed.state().roster, self.least_stores());
+    }
+
+    async fn look_at_stores(&self) {
+        let state = self.feed.state();
+        let roster = &state.roster;
+        let mut members = roster.current.clone();
+        let further = control_duties::proposed(roster).iter().filter(|store| !roster.current.contains(store));
+        members.extend(further.cloned());
+        self.stores.borrow_mut().looks(self.runtime.now_ms());
+        join_all(members.iter().map(|store| self.look_at(store))).await;
+    }
+
+    async fn look_at(&self, store: &Store) {
+        let call = Call::Inspect { topic: "disk".to_owned() };
+        let answer = self.runtime.call(store.ip, call, LOOK).await;
+        let is_there = matches!(&answer, Some(Answer::View(text)) if text.trim() == store.disk.to_string());
+        let mut stores = self.stores.borrow_mut();
+        match is_there {
+            true => stores.heard(self.runtime.now_ms(), store.disk),
+            false => stores.missed(store.disk),
+        }
+    }
+
+    async fn look_after_stores(&self, token: u64) {
+        self.observe();
+        let state = self.feed.state();
+        let epoch = state.roster.epoch;
+        let least = self.least_stores();
+        let step = self.stores.borrow().step(self.runtime.now_ms(), &state, self.backend.tolerance());
+        // A holder that slept meanwhile may have lost the lease to one that sees better.
+        let still_holds = |state: &ControlState| stands(state, LIST, self.me, token);
+        match step {
+            RosterStep::Leave => {}
+            RosterStep::GiveUp { store, silent_ms } => {
+                self.backend.on_event(&ControlEvent::Evicts { store: &store, silent_ms });
+                let wanted = |state: &ControlState| match still_holds(state) {
+                    true => give_up(state, &store, epoch, least).into(),
+                    false => Wanted::Nothing,
+                };
+                self.change(CHANGE, wanted).await;
+            }
+            RosterStep::Waive(waived) => {
+                let wanted = |state: &ControlState| match still_holds(state) {
+                    true => fill(state, None, epoch, &waived, least).into(),
+                    false => Wanted::Nothing,
+                };
+                self.change(CHANGE, wanted).await;
+            }
+        }
+    }
+
+    async fn look_after_voters(&self, token: u64) {
+        let gone = self.core.borrow().gone(self.runtime.now_ms(), &self.feed.value().voters);
+        let Some((voter, silent_ms)) = gone else { return };
+        self.backend.on_event(&ControlEvent::RemovesVoter { voter, silent_ms });
+        let wanted = |state: &ControlState, voters: &[Ipv4Addr]| match stands(state, LIST, self.me, token) {
+            true => CoreWatch::without(voters, voter).map_or(Wanted::Nothing, Wanted::Voters),
+            false => Wanted::Nothing,
+        };
+        self.propose(CHANGE, wanted).await;
+    }
+
+    /// Has the list from the node that holds the lease.
+    pub(crate) async fn keep_following_list(self: Rc<Self>) {
+        loop {
+            match self.holder() {
+                Some(holder) if holder != self.me => {
+                    follow_lists(&self.feed, holder, || self.holder() == Some(holder)).await;
+                }
+                _ => {}
+            }
+            self.runtime.sleep(FOLLOW_AGAIN).await;
+        }
+    }
+}
