Have config-keeper run the control node's crate, also with a refusing disk

Cause: the program was the control node's only whole copy, and ended itself when the disk refused the acceptor's record.

The program keeps plumbing: sockets, settings, disk, platform, log, the staff desk, and orders as HTTP. A data directory that the disk refuses at a start is tried again each second.

--- a/system/programs/src/agent.rs
+++ b/system/programs/src/agent.rs
@@ -1,6 +1,6 @@
 //! The agent beside each proxy: it follows the feed, feeds the proxy over loopback, and other agents below it in the tree.
 
-use crate::feed::{Feed, follow, keep_beating};
+use crate::feed::{Feed, SubscriberLink, follow, keep_beating, new_feed};
 use crate::members::Members;
 use crate::staff::Desk;
 use crate::start::{Process, StartError, ended, listen};
@@ -14,7 +14,6 @@
 use tokio::time::sleep;
 
 struct Agent {
-    process: Rc<Process>,
     feed: Rc<Feed>,
     desk: Desk,
 }
@@ -22,9 +21,7 @@
 impl Handler for Agent {
     async fn call(&self, _from: SocketAddr, call: Call, pusher: Pusher) -> Answer {
         match &call {
-            Call::Subscribe { .. } => {
-                self.feed.subscribe(&call, self.process.settings().peer_port(), true, pusher)
-            }
+            Call::Subscribe { .. } => self.feed.subscribe(&call, true, SubscriberLink(pusher)),
             Call::Inspect { topic } => self.desk.answer(topic, |_| ()),
             _ => Answer::Unready,
         }
@@ -34,10 +31,10 @@
 /// Runs until the process is to end, and for a while more: the proxy's last answers need it.
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
-    let feed = Rc::new(Feed::default());
+    let feed = new_feed(&process);
     let members = Members::start(process.clone(), feed.clone(), Role::Edge, |_| ())?;
     let desk = Desk::new(process.clone(), feed.clone(), Some(members), "proxy-agent");
-    let agent = Rc::new(Agent { process: process.clone(), feed: feed.clone(), desk });
+    let agent = Rc::new(Agent { feed: feed.clone(), desk });
     let peers = listen(SocketAddrV4::new(settings.ip_address, settings.peer_port())).await?;
     let loopback = listen(SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port())).await?;
     for listener in [peers, loopback] {
@@ -45,7 +42,7 @@
         spawn_local(async move { server.serve(listener).await });
     }
     spawn_local(keep_beating(feed.clone()));
-    spawn_local(follow(process.clone(), feed, false));
+    spawn_local(follow(feed, false));
     ended(&process).await;
     sleep(Duration::from_secs_f64((settings.bounds.grace_period_s - 0.6).clamp(0.0, 30.0))).await;
     Ok(())
--- /dev/null
+++ b/system/programs/src/keeper/backend.rs
@@ -0,0 +1,62 @@
+//! What the control node has of its machine: the disk, the platform's list, the time of day and the log.
+
+use crate::disk::Durable;
+use crate::platform::Platform;
+use crate::start::Process;
+use config_register::AcceptorRecord;
+use control_node::{ControlBackend, ControlEvent, DiscoveryError, PersistError};
+use fleet_model::Endpoint;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::Mutex;
+
+/// See the module.
+pub struct Backend {
+    process: Rc<Process>,
+    disk: Durable,
+    /// None where the settings name no platform.
+    platform: Option<Mutex<Platform>>,
+}
+
+impl Backend {
+    /// Over the disk of the acceptor's record.
+    pub fn new(process: Rc<Process>, disk: Durable) -> Self {
+        let cloud = process.settings().cloud_api.clone();
+        let platform = cloud.map(|cloud| Mutex::new(Platform::new(cloud.address)));
+        Self { process, disk, platform }
+    }
+}
+
+impl ControlBackend for Backend {
+    fn tolerance(&self) -> usize {
+        self.process.settings().fault_tolerance.machines
+    }
+
+    fn wall_clock(&self) -> Duration {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    }
+
+    async fn persist(&self, record: &AcceptorRecord) -> Result<(), PersistError> {
+        self.disk.put(record).await.map_err(|e| PersistError(e.to_string()))
+    }
+
+    fn discovers_endpoints(&self) -> bool {
+        self.platform.is_some()
+    }
+
+    async fn discover_endpoints(&self) -> Result<Vec<Endpoint>, DiscoveryError> {
+        let Some(platform) = &self.platform else {
+            return Err(DiscoveryError("the settings name no platform".to_owned()));
+        };
+        platform.lock().await.read().await.map_err(|e| DiscoveryError(e.to_string()))
+    }
+
+    fn on_event(&self, event: &ControlEvent<'_>) {
+        match event {
+            ControlEvent::Chosen(_) | ControlEvent::Adopted { is_news: false, .. } => {}
+            ControlEvent::DiscoveryFailed(_) => log::debug!("{event}"),
+            ControlEvent::Unreadable(_) | ControlEvent::DiskRefuses(_) => log::error!("{event}"),
+            _ => log::info!("{event}"),
+        }
+    }
+}
--- /dev/null
+++ b/system/programs/src/keeper/orders.rs
@@ -0,0 +1,64 @@
+//! What becomes of operators' orders, as HTTP.
+
+use super::Keeper;
+use crate::operator::{Operations, Reply};
+use bytes::Bytes;
+use control_duties::RetireVerdict;
+use control_node::{CurrentConfig, PutConfig, Retire};
+use hyper::StatusCode;
+
+impl Operations for Keeper {
+    async fn put_config(&self, expected: Option<u64>, body: Bytes) -> Reply {
+        put_config_reply(self.node.put_config(expected, body).await)
+    }
+
+    async fn config(&self) -> Reply {
+        match self.node.config().await {
+            CurrentConfig::Nothing => {
+                Reply::new(StatusCode::NOT_FOUND, r#"{"error":"no configuration yet"}"#)
+            }
+            CurrentConfig::Current(state) => Reply::new(StatusCode::OK, state.config.clone()),
+            CurrentConfig::Unavailable => Reply::unavailable(),
+        }
+    }
+
+    async fn retire(&self, name: &str) -> Reply {
+        retire_reply(self.node.retire(name).await)
+    }
+
+    async fn retiring(&self, name: &str) -> Reply {
+        retire_reply(self.node.retiring(name).await)
+    }
+}
+
+fn put_config_reply(outcome: PutConfig) -> Reply {
+    match outcome {
+        PutConfig::Committed(version) => Reply::new(StatusCode::OK, format!(r#"{{"version":{version}}}"#)),
+        PutConfig::OtherVersion(current) => Reply::new(
+            StatusCode::PRECONDITION_FAILED,
+            format!(r#"{{"error":"current version","version":{current}}}"#),
+        ),
+        PutConfig::NotAbove => {
+            let place = r#"[{"place":"version","what":"is not above the current one"}]"#;
+            Reply::new(StatusCode::BAD_REQUEST, place)
+        }
+        PutConfig::Invalid(findings) => Reply::new(StatusCode::BAD_REQUEST, findings.to_json()),
+        PutConfig::NoBase => Reply::new(StatusCode::BAD_REQUEST, r#"{"error":"If-Match: names no version"}"#),
+        PutConfig::Unavailable => Reply::unavailable(),
+    }
+}
+
+fn retire_reply(outcome: Retire) -> Reply {
+    let Retire::Told { verdict, least } = outcome else { return Reply::unavailable() };
+    let state = |state: &str| Reply::new(StatusCode::OK, format!(r#"{{"state":"{state}"}}"#));
+    match verdict {
+        RetireVerdict::Active => state("active"),
+        RetireVerdict::Completed => state("completed"),
+        RetireVerdict::Serving => state("serving"),
+        RetireVerdict::Unknown => Reply::new(StatusCode::NOT_FOUND, r#"{"error":"no such storage machine"}"#),
+        RetireVerdict::TooFew { left } => {
+            let body = format!(r#"{{"error":"too few would be left","left":{left},"least":{least}}}"#);
+            Reply::new(StatusCode::CONFLICT, body)
+        }
+    }
+}
--- a/system/programs/src/keeper/record.rs
+++ b/system/programs/src/keeper/record.rs
@@ -2,25 +2,18 @@
 
 use crate::disk::{Durable, read};
 use crate::start::StartError;
-use config_register::{AcceptorRecord, Standing};
-use fleet_model::Ballot;
+use control_node::Beginning;
 use std::net::Ipv4Addr;
 use std::path::Path;
-use turn_store::{Found, RecordLog};
+use std::time::Duration;
+use tokio::time::sleep;
+use turn_store::{DiskError, Found, RecordLog};
 
 #[cfg(test)]
 mod tests;
 
-/// What an acceptor starts with.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Beginning {
-    /// Its record.
-    Kept(AcceptorRecord),
-    /// It has never voted: this is to be kept before it does.
-    First(AcceptorRecord),
-    /// It may have voted and does not know: it votes when it is restored from the others.
-    Unfit,
-}
+/// Between two tries to open a folder that the disk refuses.
+const OPEN_AGAIN: Duration = Duration::from_secs(1);
 
 /// The disk of an acceptor.
 pub struct Opened {
@@ -32,29 +25,43 @@
     pub damages: u64,
 }
 
-/// Opens the folder.
-pub fn open(
+/// Opens the folder, and tries again for as long as the disk refuses that.
+pub async fn open_patiently(
+    folder: &Path,
+    first_start: bool,
+    me: Ipv4Addr,
+    seeds: &[Ipv4Addr],
+) -> Result<Opened, StartError> {
+    let mut is_told = false;
+    loop {
+        match RecordLog::open(folder) {
+            Err(refused @ DiskError::Folder { .. }) => {
+                if !is_told {
+                    log::error!("the disk refuses the acceptor's record, tried again: {refused}");
+                }
+                is_told = true;
+                sleep(OPEN_AGAIN).await;
+            }
+            opened => return begin(opened?, folder, first_start, me, seeds),
+        }
+    }
+}
+
+/// What the folder holds, and how a node begins with it.
+fn begin(
+    opened: turn_store::Opened,
     folder: &Path,
     first_start: bool,
     me: Ipv4Addr,
     seeds: &[Ipv4Addr],
 ) -> Result<Opened, StartError> {
-    let opened = RecordLog::open(folder)?;
     for damage in &opened.damages {
         log::error!("set aside: {damage}");
     }
     let beginning = match opened.found {
         Found::Kept(record) => Beginning::Kept(read(folder, &record)?),
-        Found::Never if first_start && seeds.contains(&me) => {
-            Beginning::First(config_register::found(seeds.to_vec()))
-        }
         // It has never voted, so there is nothing that it may have forgotten.
-        Found::Never if first_start => Beginning::First(AcceptorRecord {
-            promised: Ballot::default(),
-            accepted: None,
-            standing: Standing::Blank,
-            settled: None,
-        }),
+        Found::Never if first_start => Beginning::never_voted(me, seeds),
         // A promise that cannot be read is as good as forgotten.
         Found::Never | Found::Lost => Beginning::Unfit,
     };
--- a/system/programs/src/keeper/record/tests.rs
+++ b/system/programs/src/keeper/record/tests.rs
@@ -2,10 +2,10 @@
 
 use super::*;
 use bytes::Bytes;
-use config_register::{Acceptor, found};
+use config_register::{Acceptor, AcceptorRecord, found};
 use control_duties::{ConfigVerdict, put_config};
 use fleet_model::{
-    AcceptedValue, ControlState, Fence, RegisterReply, RegisterRequest, RegisterValue, TakenVersion,
+    AcceptedValue, Ballot, ControlState, Fence, RegisterReply, RegisterRequest, RegisterValue, TakenVersion,
 };
 use googletest::prelude::*;
 use std::fs;
@@ -19,8 +19,12 @@
     vec![ip(1), ip(2), ip(3)]
 }
 
+fn open(folder: &Path, first_start: bool, me: Ipv4Addr) -> Result<Opened, StartError> {
+    begin(RecordLog::open(folder)?, folder, first_start, me, &seeds())
+}
+
 fn open_as(folder: &Path, first_start: bool, me: Ipv4Addr) -> Opened {
-    open(folder, first_start, me, &seeds()).unwrap()
+    open(folder, first_start, me).unwrap()
 }
 
 fn wait<T>(future: impl Future<Output = T>) -> T {
@@ -144,7 +148,7 @@
     let opened = open_as(folder.path(), true, ip(1));
     wait(opened.durable.put(&(voted(1), 5_u8))).unwrap();
     drop(opened);
-    let told = open(folder.path(), true, ip(1), &seeds()).err().unwrap().to_string();
+    let told = open(folder.path(), true, ip(1)).err().unwrap().to_string();
     expect_that!(told, contains_substring(folder.path().display().to_string()));
     expect_that!(told, contains_substring("1 bytes too many"));
 }
@@ -184,6 +188,26 @@
     expect_that!(beginning, eq(&Beginning::Kept(acceptor.record().unwrap().clone())));
 }
 
+#[googletest::test]
+fn a_folder_that_the_disk_refuses_is_opened_once_it_lets_it() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.unwrap().block_on(async {
+        // Given a folder that cannot be had,
+        let place = tempfile::tempdir().unwrap();
+        let folder = place.path().join("data");
+        fs::write(&folder, "no folder").unwrap();
+        let seeds = seeds();
+        let opening = open_patiently(&folder, true, ip(1), &seeds);
+        let mut opening = std::pin::pin!(opening);
+        let early = tokio::time::timeout(Duration::from_secs(60), &mut opening).await;
+        expect_that!(early.is_err(), eq(true));
+        // when it can, then the node begins as if it could from the start.
+        fs::remove_file(&folder).unwrap();
+        let opened = opening.await.unwrap();
+        expect_that!(opened.beginning, eq(&Beginning::First(found(seeds.clone()))));
+    });
+}
+
 fn size(folder: &Path) -> u64 {
     let entries = fs::read_dir(folder).unwrap().filter_map(|entry| entry.ok()?.metadata().ok());
     entries.map(|metadata| metadata.len()).sum()
--- a/system/programs/src/proxy.rs
+++ b/system/programs/src/proxy.rs
@@ -1,6 +1,6 @@
 //! The proxy: it carries requests, with what its agent told it.
 
-use crate::feed::{Feed, follow_one, keep_beating};
+use crate::feed::{Feed, follow_one, keep_beating, new_feed};
 use crate::staff::{Desk, Topic, answers};
 use crate::start::{Process, StartError, ended, listen};
 use crate::turns::{TurnClient, Turns};
@@ -98,7 +98,7 @@
     let front = settings.listen_addresses.front.ok_or(StartError::Lacking("listen_addresses.front"))?;
     let readiness =
         settings.listen_addresses.readiness.ok_or(StartError::Lacking("listen_addresses.readiness"))?;
-    let feed = Rc::new(Feed::default());
+    let feed = new_feed(&process);
     let turns = TurnClient::new(process.clone(), feed.clone());
     let forwarder = Forwarder::new(
         settings.zone.clone(),
@@ -115,11 +115,8 @@
         spawn_local(serve_readiness(readiness, move || ready.get() && !*ending.borrow()));
     }
     spawn_local(keep_beating(feed.clone()));
-    spawn_local(follow_one(
-        process.clone(),
-        feed.clone(),
-        SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port()),
-    ));
+    let agent = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
+    spawn_local(follow_one(feed.clone(), agent));
     let desk = Desk::new(process.clone(), feed.clone(), None, "request-proxy");
     spawn_local(serve_staff(process.clone(), ProxyDesk { desk, forwarder: forwarder.clone() }));
     spawn_local(keep_learning(feed, forwarder.clone(), ready));
--- a/system/programs/src/start.rs
+++ b/system/programs/src/start.rs
@@ -28,6 +28,9 @@
     check: bool,
 }
 
+/// A process's time begins so long before it, since ages are taken off it.
+const BEFORE: Duration = Duration::from_secs(100 * 24 * 3_600);
+
 /// What ends a process early.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -71,6 +74,11 @@
         u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Time that only rises, and begins long before the process.
+    pub fn now(&self) -> Duration {
+        BEFORE + self.began.elapsed()
+    }
+
     /// The fleet's number: processes of other deployments are strangers.
     pub fn fleet(&self) -> u16 {
         fleet_number(&self.settings())
--- a/system/programs/src/storage.rs
+++ b/system/programs/src/storage.rs
@@ -1,7 +1,7 @@
 //! A storage machine: it keeps turns and accounts, tells the core that it is there, and fills from others what it should hold.
 
 use crate::disk::Durable;
-use crate::feed::{Feed, follow};
+use crate::feed::{Feed, follow, new_feed};
 use crate::members::Members;
 use crate::staff::{Desk, Topic, answers};
 use crate::start::{Process, StartError, drawn, ended, listen};
@@ -259,7 +259,7 @@
     let state = StoreState::new(process.now_ms(), me.disk, settings.fault_tolerance.machines, kept);
     let (turns, accounts, bytes) = state.counts();
     log::info!("disk {} with {turns} turns, {accounts} accounts, {bytes} bytes", me.disk);
-    let feed = Rc::new(Feed::default());
+    let feed = new_feed(&process);
     let members = Members::start(process.clone(), feed.clone(), Role::Storage, |_| ())?;
     let keeper = Rc::new(TurnKeeper {
         desk: Desk::new(process.clone(), feed.clone(), Some(members), "turn-keeper"),
@@ -275,7 +275,7 @@
     let peers = listen(SocketAddrV4::new(settings.ip_address, settings.peer_port())).await?;
     let server = PeerServer::new(process.fleet(), keeper.clone());
     spawn_local(async move { server.serve(peers).await });
-    spawn_local(follow(process.clone(), feed, true));
+    spawn_local(follow(feed, true));
     spawn_local(keeper.clone().keep_place());
     let expiring = keeper.clone();
     spawn_local(async move {
