Have the simulation play the control node and the feed that are in service

Cause: lab/src/system/{keeper,feed}.rs were copies, older than the programs: their proposers did not listen before a run.

The copies are gone; runtime.rs and control.rs bring the crates onto a simulated machine, and send configurations that an operator could send. The mutations are brought about from outside: disks that do not sync, an empty disk taken for a first start, calls that pretend agreement, and two hooks of the traits that production leaves as they are.

--- /dev/null
+++ b/lab/src/system/control.rs
@@ -0,0 +1,206 @@
+//! A simulated control node: the one in service, over a simulated machine.
+
+use super::Mutation;
+use super::history::Fact;
+use super::runtime::Feed;
+use super::world::{Answering, Host};
+use bytes::Bytes;
+use config_register::AcceptorRecord;
+use control_duties::{ConfigVerdict, DutyClaim, RetireVerdict};
+use control_node::{
+    Beginning, ControlBackend, ControlEvent, ControlNode, CurrentConfig, DiscoveryError, LIST, PersistError,
+    PutConfig, Retire,
+};
+use fleet_model::{AcceptedValue, Call, ControlState, Endpoint, Fence, Roster, Store, rank};
+use node_runtime::Runtime;
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+use turn_store::Write;
+
+const SPACE: &str = "records";
+const RECORD: &[u8] = b"acceptor";
+
+/// What a simulated control node has of its machine.
+pub struct Backend {
+    host: Host,
+}
+
+/// Keepers by their process.
+pub type Keepers = BTreeMap<usize, Rc<Keeper>>;
+
+/// A keeper's life.
+pub struct Keeper {
+    host: Host,
+    node: Rc<ControlNode<Host, Backend>>,
+    /// What it knows and passes on.
+    pub feed: Rc<Feed>,
+}
+
+fn beginning(host: &Host, first: bool) -> Beginning {
+    let record = host.disk().get(SPACE, RECORD);
+    let record: Option<AcceptorRecord> = record.and_then(|bytes| postcard::from_bytes(&bytes).ok());
+    let never_voted = first && host.machine.first;
+    match record {
+        Some(record) => Beginning::Kept(record),
+        // Broken on purpose: an empty disk is taken for that of a machine that never voted.
+        None if never_voted || host.breaks(Mutation::NoAmnesiaGuard) => {
+            Beginning::never_voted(host.machine.ip, &host.seeds())
+        }
+        None => Beginning::Unfit,
+    }
+}
+
+/// A configuration as an operator sends it.
+fn configuration(version: u64) -> Bytes {
+    let body = serde_json::json!({
+        "version": version,
+        "routes": [{
+            "name": "r", "hostname": "h.example", "path_prefix": "/", "route_type": "idempotent",
+            "timeout_ms": 1_500, "service": "models",
+        }],
+        "services": [{"name": "models", "health_check_path": "/health", "max_connections": 8}],
+    });
+    Bytes::from(body.to_string())
+}
+
+impl Keeper {
+    /// Starts a life. `first`: its machine never ran before, and the whole system starts.
+    pub fn start(host: &Host, first: bool) -> Rc<Self> {
+        let feed = Feed::new(host.clone());
+        let backend = Backend { host: host.clone() };
+        let node = ControlNode::new(host.clone(), backend, feed.clone(), beginning(host, first));
+        if let Some(world) = host.world() {
+            let serving = node.clone();
+            let handler = move |from: Ipv4Addr, call: Call, pusher| {
+                let node = serving.clone();
+                Box::pin(async move { node.answer(from, call, pusher).await }) as Answering
+            };
+            world.serve(host, Rc::new(handler));
+        }
+        node.run();
+        Rc::new(Self { host: host.clone(), node, feed })
+    }
+
+    /// Its process.
+    pub fn host(&self) -> &Host {
+        &self.host
+    }
+
+    /// Whether it may vote.
+    pub fn is_fit(&self) -> bool {
+        self.node.is_fit()
+    }
+
+    /// The fencing token under which this life holds the lease of the singleton task.
+    pub fn holds_list(&self) -> Option<u64> {
+        self.node.holds_list()
+    }
+
+    /// Takes a configuration on top of the version `expected`; none without a majority.
+    pub async fn put_config(&self, expected: u64, version: u64) -> Option<ConfigVerdict> {
+        match self.node.put_config(Some(expected), configuration(version)).await {
+            PutConfig::Committed(_) => Some(ConfigVerdict::Taken),
+            PutConfig::OtherVersion(current) => Some(ConfigVerdict::OtherVersion(current)),
+            PutConfig::NotAbove => Some(ConfigVerdict::NotAbove),
+            PutConfig::Unavailable => None,
+            outcome @ (PutConfig::Invalid(_) | PutConfig::NoBase) => unreachable!("{outcome:?}"),
+        }
+    }
+
+    /// The version of the configuration in force; none if that cannot be told.
+    pub async fn version(&self) -> Option<u64> {
+        match self.node.config().await {
+            CurrentConfig::Nothing => Some(0),
+            CurrentConfig::Current(state) => Some(state.version()),
+            CurrentConfig::Unavailable => None,
+        }
+    }
+
+    /// Begins to empty a storage machine; whether that is answered.
+    pub async fn retire(&self, name: &str) -> Option<RetireVerdict> {
+        match self.node.retire(name).await {
+            Retire::Told { verdict, .. } => Some(verdict),
+            Retire::Unavailable => None,
+        }
+    }
+}
+
+impl Backend {
+    fn note_chosen(&self, chosen: &AcceptedValue) {
+        let state = ControlState::from_payload(&chosen.value.payload).unwrap_or_default();
+        let voters: Vec<u8> = chosen.value.voters.iter().flat_map(|ip| ip.octets()).collect();
+        self.host.note(Fact::Chosen {
+            node: self.host.node,
+            ballot: chosen.ballot,
+            versions: state.taken.iter().map(|taken| taken.version).collect(),
+            hash: rank(&chosen.value.payload, rank(&voters, 0)),
+        });
+    }
+
+    fn note_roster(&self, roster: &Roster) {
+        let disks = |stores: &[Store]| stores.iter().map(|store| store.disk).collect();
+        self.host.note(Fact::Roster {
+            node: self.host.node,
+            epoch: roster.epoch,
+            current: disks(&roster.current),
+            next: roster.next.as_deref().map(disks),
+            filled: roster.filled.clone(),
+        });
+    }
+}
+
+impl ControlBackend for Backend {
+    fn tolerance(&self) -> usize {
+        self.host.losses()
+    }
+
+    fn wall_clock(&self) -> Duration {
+        self.host.now()
+    }
+
+    async fn persist(&self, record: &AcceptorRecord) -> Result<(), PersistError> {
+        let bytes = postcard::to_allocvec(record).map_err(|e| PersistError(e.to_string()))?;
+        let write = Write::put(SPACE, RECORD.to_vec(), bytes);
+        self.host.disk().write(&self.host, vec![write], self.host.syncs()).await;
+        Ok(())
+    }
+
+    fn discovers_endpoints(&self) -> bool {
+        true
+    }
+
+    async fn discover_endpoints(&self) -> Result<Vec<Endpoint>, DiscoveryError> {
+        self.host.sleep(2 + self.host.draw() % 40).await;
+        let world = self.host.world().ok_or_else(|| DiscoveryError("the play is over".to_owned()))?;
+        let endpoints = world.listed();
+        self.host.sleep(2 + self.host.draw() % 40).await;
+        Ok(endpoints)
+    }
+
+    fn on_event(&self, event: &ControlEvent<'_>) {
+        match event {
+            ControlEvent::Chosen(chosen) => self.note_chosen(chosen),
+            ControlEvent::Adopted { state, before, .. } if state.roster != before.roster => {
+                self.note_roster(&state.roster);
+            }
+            ControlEvent::LeaseAcquired { token, .. } => {
+                let (node, life) = (self.host.node, self.host.life);
+                self.host.note(Fact::Holds { node, life, fence: *token });
+            }
+            _ => {}
+        }
+    }
+
+    fn acquire(&self, candidate: &DutyClaim, state: &ControlState, from: &Fence) -> Option<ControlState> {
+        if !self.host.breaks(Mutation::FenceNotChecked) {
+            return candidate.taken(state, from);
+        }
+        // Broken on purpose: whatever token stands by now.
+        let mut state = state.clone();
+        let fence = Fence { number: from.number + 1, holder: Some(self.host.machine.ip) };
+        state.fences.insert(LIST.to_owned(), fence);
+        Some(state)
+    }
+}
--- a/lab/src/system/disk.rs
+++ b/lab/src/system/disk.rs
@@ -26,7 +26,6 @@
     counts: Cell<(u64, u64)>,
     /// A record was damaged: whoever opens the disk is told once.
     damaged: Cell<bool>,
-    waited: Cell<usize>,
 }
 
 fn apply(records: &mut Records, batch: &[Write]) {
@@ -66,7 +65,6 @@
     /// The process ends; what it has written stays.
     pub fn end_process(&self) {
         self.queued.borrow_mut().clear();
-        self.waited.set(0);
     }
 
     /// Power is lost. Of what was not synced the first `kept` batches are there. One that is there in part is found out by
@@ -130,7 +128,6 @@
 
     /// Writes these; they are synced, with all earlier writes, when this returns.
     pub async fn write(&self, host: &Host, writes: Vec<Write>, syncs: bool) {
-        self.waited.set(self.waited.get() + 1);
         self.queued.borrow_mut().push(writes);
         host.sleep_us(host.between(200, 1_500)).await;
         self.flush();
@@ -139,7 +136,6 @@
         if syncs {
             self.sync(written);
         }
-        self.waited.set(self.waited.get().saturating_sub(1));
     }
 
     fn sync(&self, up_to: u64) {
@@ -152,13 +148,6 @@
         self.counts.set((written, synced + due as u64));
     }
 
-    /// Waits until all earlier writes are synced.
-    pub async fn settled(&self, host: &Host, syncs: bool) {
-        if self.waited.get() > 0 {
-            self.write(host, Vec::new(), syncs).await;
-        }
-    }
-
     /// What a store finds when it starts; a damaged record makes it fill again.
     pub fn kept(&self) -> Kept {
         let seen = self.seen.borrow();
--- a/lab/src/system/edge.rs
+++ b/lab/src/system/edge.rs
@@ -2,15 +2,16 @@
 //! as the program does it, without its memory of chains: each chain is read.
 
 use super::Mutation;
-use super::feed::{Feed, follow, follow_one, keep_beating};
 use super::history::{Fact, Told};
-use super::world::{Answering, Host};
+use super::runtime::{Feed, follow, follow_one, keep_beating};
+use super::world::{Answering, Host, PORT};
 use bytes::Bytes;
 use fleet_model::{Answer, Call, Reservation, Store, Turn, rank};
 use futures_util::future::join;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use turn_store::{AccountHolders, copies_needed, copy_order, has_copies, merge_reservations};
 
@@ -26,14 +27,14 @@
 
 /// Starts an agent's life.
 pub fn start_agent(host: &Host) -> Rc<Feed> {
-    let feed = Feed::new(host);
+    let feed = Feed::new(host.clone());
     if let Some(world) = host.world() {
         let serving = feed.clone();
         let handler = move |_, call: Call, pusher: Option<super::world::Pusher>| {
             let feed = serving.clone();
             Box::pin(async move {
                 match (&call, pusher) {
-                    (Call::Subscribe { .. }, Some(pusher)) => feed.subscribe(&call, &pusher),
+                    (Call::Subscribe { .. }, Some(pusher)) => feed.subscribe(&call, true, pusher),
                     _ => Answer::Unready,
                 }
             }) as Answering
@@ -118,8 +119,9 @@
 impl Proxy {
     /// Starts a life.
     pub fn start(host: &Host) -> Rc<Self> {
-        let feed = Feed::new(host);
-        host.spawn(follow_one(feed.clone()));
+        let feed = Feed::new(host.clone());
+        let agent = SocketAddrV4::new(Ipv4Addr::LOCALHOST, PORT);
+        host.spawn(follow_one(feed.clone(), agent));
         Rc::new(Self { host: host.clone(), feed, down: RefCell::default() })
     }
 
--- a/lab/src/system/mod.rs
+++ b/lab/src/system/mod.rs
@@ -4,13 +4,13 @@
 
 mod campaign;
 mod check;
+mod control;
 mod disk;
 mod edge;
 mod executor;
-mod feed;
 mod history;
-mod keeper;
 mod play;
+mod runtime;
 mod schedule;
 mod store;
 mod world;
--- a/lab/src/system/play.rs
+++ b/lab/src/system/play.rs
@@ -2,10 +2,10 @@
 //! last one all is to be as it should be again.
 
 use super::Mutation;
+use super::control::{Keeper, Keepers};
 use super::edge::{MOST, Proxy, TurnEnd, Wish, start_agent};
-use super::feed::Feed;
 use super::history::{Fact, History, Told};
-use super::keeper::{Keeper, Keepers};
+use super::runtime::Feed;
 use super::schedule::{Class, Fault, LAST_WAITS, Schedule, Trouble};
 use super::store::TurnKeeper;
 use super::world::{Host, World};
@@ -310,7 +310,8 @@
         loop {
             if let Some(keeper) = self.some(&self.keepers) {
                 let (host, name) = (keeper.host().clone(), name.clone());
-                if self.at(&host, 1_200, async move { keeper.retire(&name).await }).await == Some(true) {
+                if self.at(&host, 1_200, async move { keeper.retire(&name).await }).await.flatten().is_some()
+                {
                     return;
                 }
             }
--- /dev/null
+++ b/lab/src/system/runtime.rs
@@ -0,0 +1,170 @@
+//! A simulated process as its node sees it: the crates that carry the feed and the control node in service run over this.
+
+use super::Mutation;
+use super::history::Fact;
+use super::schedule::Class;
+use super::world::{Host, PORT, Pusher, Pushes, list_of};
+use fleet_model::{Answer, Ballot, Call, Push, RegisterReply, RegisterRequest};
+use node_runtime::{FeedEvent, Runtime, Subscriber, Task, Upstream};
+use state_feed::FeedState;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+pub use node_runtime::{follow, follow_one, keep_beating};
+
+/// What a simulated process knows through the feed, and passes on.
+pub type Feed = node_runtime::Feed<Host>;
+
+/// No timer of the programs is finer.
+const TICK: Duration = Duration::from_millis(1);
+
+/// A time as timers see it: whole ticks, and one at least.
+fn ticks(pause: Duration) -> u64 {
+    let whole = pause.as_nanos().div_ceil(TICK.as_nanos()).max(1);
+    u64::try_from(whole).unwrap_or(u64::MAX).saturating_mul(1_000)
+}
+
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Host {
+    fn is_edge(&self) -> bool {
+        matches!(self.class, Class::Agent | Class::Proxy)
+    }
+
+    /// Broken on purpose: what relays pass on has no versions, so that whoever hears takes it.
+    fn takes_all(&self) -> bool {
+        self.is_edge() && self.breaks(Mutation::RelayWithoutVersions)
+    }
+}
+
+impl Runtime for Host {
+    type Task = SimulatedTask;
+    type Upstream = Pushes;
+    type Subscriber = Pusher;
+
+    fn ip(&self) -> Ipv4Addr {
+        self.machine.ip
+    }
+
+    fn zone(&self) -> String {
+        self.machine.zone.clone()
+    }
+
+    fn seeds(&self) -> Vec<Ipv4Addr> {
+        self.world().map(|world| world.seeds.clone()).unwrap_or_default()
+    }
+
+    fn peer_port(&self) -> u16 {
+        PORT
+    }
+
+    fn now(&self) -> Duration {
+        Host::now(self)
+    }
+
+    fn draw(&self) -> u64 {
+        Host::draw(self)
+    }
+
+    async fn sleep(&self, pause: Duration) {
+        self.sleep_us(ticks(pause)).await;
+    }
+
+    fn spawn(&self, work: impl Future<Output = ()> + 'static) -> SimulatedTask {
+        SimulatedTask { host: self.clone(), task: Host::spawn(self, work) }
+    }
+
+    async fn call(&self, to: Ipv4Addr, call: Call, patience: Duration) -> Option<Answer> {
+        let unheard = match (&call, self.breaks(Mutation::MajorityOfLiving)) {
+            (Call::Register(request), true) => agreeing(request),
+            _ => None,
+        };
+        // Broken on purpose: those that do not answer are not counted, as if they agreed.
+        Host::call(self, to, call, milliseconds(patience)).await.or(unheard)
+    }
+
+    async fn subscribe(
+        &self,
+        to: SocketAddrV4,
+        mut call: Call,
+        patience: Duration,
+    ) -> Option<(Answer, Pushes)> {
+        if let (Call::Subscribe { value, list, .. }, true) = (&mut call, self.takes_all()) {
+            (*value, *list) = (Ballot::default(), (0, 0));
+        }
+        Host::subscribe(self, *to.ip(), call, milliseconds(patience)).await
+    }
+
+    fn on_feed(&self, event: FeedEvent<'_>) {
+        if let FeedEvent::Changed { value, state, list } = event
+            && self.is_edge()
+        {
+            self.note(Fact::Knows {
+                node: self.node,
+                life: self.life,
+                ballot: value.ballot,
+                version: state.version(),
+                list: list_of(&list.endpoints),
+            });
+        }
+    }
+
+    fn before_push(&self, known: &mut FeedState, push: &Push) {
+        let is_older = match push {
+            Push::Value(value) => value.ballot < known.value().ballot,
+            Push::List(list) => list.stamp < known.list().stamp,
+            _ => false,
+        };
+        if is_older && self.takes_all() {
+            // Broken on purpose: what comes last is taken.
+            *known = FeedState::default();
+        }
+    }
+}
+
+/// What one that agrees would answer.
+fn agreeing(request: &RegisterRequest) -> Option<Answer> {
+    let reply = match request {
+        RegisterRequest::Prepare(_) => RegisterReply::Promised(None),
+        RegisterRequest::Accept(_) => RegisterReply::Accepted,
+        RegisterRequest::Poll { .. } => RegisterReply::Polled { accepted: None, chosen: Ballot::default() },
+        RegisterRequest::Fetch => return None,
+    };
+    Some(Answer::Register(reply))
+}
+
+/// A task of a simulated process.
+pub struct SimulatedTask {
+    host: Host,
+    task: u64,
+}
+
+impl Task for SimulatedTask {
+    fn abort(self) {
+        self.host.abort(self.task);
+    }
+}
+
+impl Upstream for Pushes {
+    async fn next(&mut self) -> Option<Push> {
+        Pushes::next(self).await
+    }
+}
+
+impl Subscriber for Pusher {
+    type Prepared = Push;
+
+    fn prepare(push: &Push) -> Option<Push> {
+        Some(push.clone())
+    }
+
+    fn send(&self, push: &Push) -> bool {
+        self.push(push.clone())
+    }
+
+    fn is_closed(&self) -> bool {
+        Pusher::is_closed(self)
+    }
+}
--- a/lab/src/system/store.rs
+++ b/lab/src/system/store.rs
@@ -2,7 +2,7 @@
 //! does it.
 
 use super::Mutation;
-use super::feed::{Feed, follow};
+use super::runtime::{Feed, follow};
 use super::world::{Answering, Host};
 use fleet_model::{Answer, Call, Store, rank};
 use futures_util::future::join_all;
@@ -35,8 +35,12 @@
             disk: disk.number(),
         };
         let state = StoreState::new(host.now_ms(), me.disk, host.losses(), disk.kept());
-        let keeper =
-            Rc::new(Self { host: host.clone(), feed: Feed::new(host), state: RefCell::new(state), me });
+        let keeper = Rc::new(Self {
+            host: host.clone(),
+            feed: Feed::new(host.clone()),
+            state: RefCell::new(state),
+            me,
+        });
         if let Some(world) = host.world() {
             let serving = keeper.clone();
             let handler = move |_: Ipv4Addr, call, _| {
--- a/lab/src/system/world.rs
+++ b/lab/src/system/world.rs
@@ -589,12 +589,6 @@
         self.executor.timeout(for_ms * 1_000, work).await
     }
 
-    /// The same, by the feed's time.
-    pub async fn timeout_for<F: Future>(&self, time: Duration, work: F) -> Option<F::Output> {
-        let us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-        self.executor.timeout(us, work).await
-    }
-
     /// Begins a task that ends with this life.
     pub fn spawn(&self, work: impl Future<Output = ()> + 'static) -> u64 {
         self.executor.spawn(self.process, work)
