--- a/lab/src/system/second_loss.rs
+++ b/lab/src/system/second_loss.rs
@@ -122,12 +122,16 @@
         }
     }
 
-    /// A core machine's process stalls or its disk refuses: it counts as disturbed.
-    pub(super) fn block_disk(&self, machine: usize, for_ms: u64) {
-        let until = self.world.elapsed_ms() + for_ms;
+    /// A machine's disk stalls, or is full and refuses; the machine counts as disturbed.
+    pub(super) fn disturb_disk(&self, machine: usize, is_full: bool, for_ms: u64) {
+        let until = self.world.executor.now() + for_ms * 1_000;
         for node in self.world.nodes_of(machine) {
-            self.world.disk_of(node).block(self.world.executor.now() + for_ms * 1_000);
+            match is_full {
+                true => self.world.disk_of(node).fill_up(until),
+                false => self.world.disk_of(node).stall(until),
+            }
         }
+        let until = self.world.elapsed_ms() + for_ms;
         self.world.note(super::Fact::Disturbed { machine, how: Disturbance::Disk, until });
     }
 }
