--- a/lab/src/system/schedule.rs
+++ b/lab/src/system/schedule.rs
@@ -157,7 +157,7 @@
     RefuseWrites { machine: usize, for_ms: u64 },
     /// Its disk refuses the next sync.
     RefuseSync { machine: usize },
-    /// Eight operators send so many changes, each as soon as its last was answered.
+    /// Operators send so many changes, eight at once with those that are always there, each as soon as its last was answered.
     Burst { orders: u64 },
     /// All core processes are killed.
     KillCore { back_ms: u64 },
