Use the field's names within state-feed: upstream, heartbeat, staleness, backoff

The follower's parent is its upstream, a keeper is a control node, pressing is asking urgently, pauses are a Backoff with a first and a longest step, what is to be asked is a Candidate in place of a pair. In the state former lists are previous, heads of zones are zone relays, and whom to ask instead is found by functions of its own. Public names are unchanged.

--- a/system/state-feed/src/follower.rs
+++ b/system/state-feed/src/follower.rs
@@ -1,6 +1,6 @@
-//! By whom a process is fed: whom it asks next, when it leaves a parent, when it presses a keeper.
+//! By whom a process is fed: whom it asks next, when it leaves its upstream, when it asks a control node urgently.
 //!
-//! A parent that grows silent or stale is kept until another one feeds: it may come back, and none may be better. What any
+//! An upstream that grows silent or stale is kept until another one feeds: it may come back, and none may be better. What any
 //! link brings is taken in, so during a change two links do no harm.
 
 use crate::{MOST_AGE, RELAY_AGE, SILENCE};
@@ -12,31 +12,38 @@
 /// Names an asked process's link; no two of a follower have the same.
 pub type LinkId = u64;
 
-/// How long an asked process may take to answer, and then to send its first beat.
+/// How long an asked process may take to answer, and then to send its first heartbeat.
 const PATIENCE: Duration = Duration::from_millis(300);
 /// After so long without an answer the next one is asked as well.
 const HEDGE: Duration = Duration::from_millis(120);
 /// Asked at once.
 const MOST_ATTEMPTS: usize = 2;
-/// Pauses after a round in which nobody fed, doubled from the first to the longest.
-const PAUSES: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(400));
-/// The same for a follower of one parent.
-const SOLE_PAUSES: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(200));
-/// Who pressed a keeper asks to be fed by the tree after the first of these, doubled up to the other.
-const RETURNS: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(32));
+/// Pauses that are doubled from the first to the longest.
+struct Backoff {
+    first: Duration,
+    longest: Duration,
+}
+
+/// After a round in which nobody fed.
+const ROUNDS: Backoff = Backoff { first: Duration::from_millis(40), longest: Duration::from_millis(400) };
+/// The same for a follower of one upstream.
+const ROUNDS_OF_ONE: Backoff =
+    Backoff { first: Duration::from_millis(10), longest: Duration::from_millis(200) };
+/// Who has asked a control node urgently asks to be fed by the tree after these.
+const RETURNS: Backoff = Backoff { first: Duration::from_secs(4), longest: Duration::from_secs(32) };
 /// What failed is asked again only after the others for so long.
-const SHUNNED: Duration = Duration::from_secs(3);
-/// A parent that is silent for so long is given up, also if there is no other.
+const AVOIDED: Duration = Duration::from_secs(3);
+/// An upstream that is silent for so long is given up, also if there is no other.
 const GIVEN_UP: Duration = Duration::from_secs(5);
-/// Up to so long who lost a parent waits, by chance: its former siblings have lost it too.
+/// Up to so long who lost an upstream waits, by chance: its former siblings have lost it too.
 const SPREAD: Duration = Duration::from_millis(60);
 
 /// Who may feed a follower.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Sources {
-    /// The keepers, and relays that they name. `urgent`: only keepers.
+    /// The control nodes, and relays that they name. `urgent`: only control nodes.
     Tree {
-        /// The keepers are to feed this process themselves.
+        /// The control nodes are to feed this process themselves.
         urgent: bool,
     },
     /// One process, however stale.
@@ -46,11 +53,11 @@
 /// What happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
-    /// Time has passed, or nothing but the keepers changed.
+    /// Time has passed, or nothing but the control nodes changed.
     Tick,
     /// The asked one answered.
     Answered(LinkId, Answer),
-    /// A beat came that told this age. What else the link brings is no event here.
+    /// A heartbeat came that told this age. What else the link brings is no event here.
     Beat(LinkId, Duration),
     /// What the link brought is on top of a list that is not known here.
     OutOfStep(LinkId),
@@ -76,42 +83,50 @@
 
 /// The link on which this process is fed.
 #[derive(Clone, Debug)]
-struct Parent {
+struct Upstream {
     link: LinkId,
     address: SocketAddrV4,
-    keeper: bool,
-    pressed: bool,
+    is_control_node: bool,
+    /// It took this process on because it was asked urgently, however many it feeds.
+    is_urgent: bool,
     heard_at: Duration,
-    fresh_at: Option<Duration>,
+    confirmed_at: Option<Duration>,
 }
 
 #[derive(Clone, Debug)]
 struct Attempt {
     link: LinkId,
     address: SocketAddrV4,
-    keeper: bool,
+    is_control_node: bool,
     urgent: bool,
     until: Duration,
 }
 
+/// Who is to be asked.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    address: SocketAddrV4,
+    urgent: bool,
+}
+
 /// Who is asked in turn.
 #[derive(Clone, Debug)]
 struct Round {
-    queue: VecDeque<(SocketAddrV4, bool)>,
+    queue: VecDeque<Candidate>,
     attempts: Vec<Attempt>,
     /// From then on the next one is asked, though others have not answered yet.
     hedge_at: Duration,
-    /// All is well, but a keeper was pressed: now the tree is asked.
+    /// All is well, but a control node was asked urgently: now the tree is asked.
     returning: bool,
 }
 
-/// What the follower is at, beside the parent that it may have.
+/// What the follower is at, beside the upstream that it may have.
 #[derive(Clone, Debug)]
 enum Search {
-    /// The parent is good.
+    /// The upstream is trusted.
     Resting,
     /// A round begins then.
-    Pausing(Duration),
+    BackingOff(Duration),
     /// A round is under way.
     Asking(Round),
 }
@@ -124,69 +139,74 @@
     seed: u64,
     draws: u64,
     last_link: LinkId,
-    parent: Option<Parent>,
+    upstream: Option<Upstream>,
     search: Search,
-    pressing: bool,
-    pause: Duration,
-    /// Drawn for each parent, so that siblings do not leave it at one time.
+    /// Whether the control nodes are asked urgently.
+    asks_urgently: bool,
+    /// The pause after the next round in which nobody feeds.
+    backoff: Duration,
+    /// Drawn for each upstream, so that siblings do not leave it at one time.
     slack: Duration,
     return_at: Duration,
-    return_pause: Duration,
-    shunned: BTreeMap<SocketAddrV4, Duration>,
+    return_backoff: Duration,
+    avoided: BTreeMap<SocketAddrV4, Duration>,
 }
 
 impl Follower {
     /// Of machine `me`; `seed` is drawn by chance.
     pub fn new(me: Ipv4Addr, sources: Sources, seed: u64) -> Self {
-        let pause = if sources == Sources::One { SOLE_PAUSES.0 } else { PAUSES.0 };
+        let backoff = Self::round_backoff(&sources).first;
         Self {
             me,
-            pressing: sources != Sources::Tree { urgent: false },
+            asks_urgently: sources != Sources::Tree { urgent: false },
             sources,
             seed,
             draws: 0,
             last_link: 0,
-            parent: None,
-            search: Search::Pausing(Duration::ZERO),
-            pause,
+            upstream: None,
+            search: Search::BackingOff(Duration::ZERO),
+            backoff,
             slack: Duration::ZERO,
             return_at: Duration::MAX,
-            return_pause: RETURNS.0,
-            shunned: BTreeMap::new(),
+            return_backoff: RETURNS.first,
+            avoided: BTreeMap::new(),
         }
     }
 
     /// Who feeds this process now, be it silent.
     pub fn parent(&self) -> Option<SocketAddrV4> {
-        self.parent.as_ref().map(|parent| parent.address)
+        self.upstream.as_ref().map(|upstream| upstream.address)
     }
 
-    /// The one place where state changes. `keepers`: those known now; with [`Sources::One`] the one parent.
-    pub fn handle(&mut self, now: Duration, keepers: &[SocketAddrV4], event: Event) -> Vec<Command> {
+    /// The one place where state changes. `control_nodes`: those known now; with [`Sources::One`] the one upstream.
+    pub fn handle(&mut self, now: Duration, control_nodes: &[SocketAddrV4], event: Event) -> Vec<Command> {
         let mut commands = Vec::new();
-        self.shunned.retain(|_, until| now < *until);
+        self.avoided.retain(|_, until| now < *until);
         match event {
             Event::Tick => {}
-            Event::Answered(link, answer) => self.answered(now, keepers, link, answer, &mut commands),
-            Event::Beat(link, age) => self.beat(now, link, age, &mut commands),
+            Event::Answered(link, answer) => self.answered(now, control_nodes, link, answer, &mut commands),
+            Event::Beat(link, age) => self.heartbeat(now, link, age, &mut commands),
             Event::OutOfStep(link) => self.out_of_step(now, link, &mut commands),
             Event::Closed(link) => self.closed(now, link, &mut commands),
         }
-        self.settle(now, keepers, &mut commands);
+        self.advance(now, control_nodes, &mut commands);
         commands
     }
 
     /// When [`Event::Tick`] is due, if nothing else happens before.
     pub fn wake_at(&self) -> Duration {
-        let parent = self.parent.as_ref();
-        let silent = parent.map_or(Duration::MAX, |parent| parent.heard_at + GIVEN_UP);
+        let upstream = self.upstream.as_ref();
+        let silent = upstream.map_or(Duration::MAX, |upstream| upstream.heard_at + GIVEN_UP);
         match &self.search {
             Search::Resting => {
-                let returning =
-                    if parent.is_some_and(|parent| parent.pressed) { self.return_at } else { Duration::MAX };
-                parent.map_or(Duration::ZERO, |parent| self.good_until(parent)).min(returning)
+                let returning = if upstream.is_some_and(|upstream| upstream.is_urgent) {
+                    self.return_at
+                } else {
+                    Duration::MAX
+                };
+                upstream.map_or(Duration::ZERO, |upstream| self.trusted_until(upstream)).min(returning)
             }
-            Search::Pausing(until) => silent.min(*until),
+            Search::BackingOff(until) => silent.min(*until),
             Search::Asking(round) => {
                 let mut at =
                     round.attempts.iter().map(|attempt| attempt.until).min().unwrap_or(Duration::ZERO);
@@ -194,15 +214,19 @@
                     at = at.min(round.hedge_at);
                 }
                 if round.returning
-                    && let Some(parent) = parent
+                    && let Some(upstream) = upstream
                 {
-                    at = at.min(self.good_until(parent));
+                    at = at.min(self.trusted_until(upstream));
                 }
                 silent.min(at)
             }
         }
     }
 
+    fn round_backoff(sources: &Sources) -> Backoff {
+        if *sources == Sources::One { ROUNDS_OF_ONE } else { ROUNDS }
+    }
+
     fn draw(&mut self) -> u64 {
         self.draws += 1;
         rank(&self.draws.to_le_bytes(), self.seed)
@@ -217,25 +241,25 @@
         self.sources == Sources::One
     }
 
-    /// Until then a parent is trusted, if nothing more comes of it.
-    fn good_until(&self, parent: &Parent) -> Duration {
-        let stale = match (self.is_one(), parent.fresh_at) {
+    /// Until then an upstream is trusted, if nothing more comes of it.
+    fn trusted_until(&self, upstream: &Upstream) -> Duration {
+        let stale = match (self.is_one(), upstream.confirmed_at) {
             (true, _) => Duration::MAX,
             (false, None) => Duration::ZERO,
-            (false, Some(at)) => at + if parent.keeper { MOST_AGE } else { RELAY_AGE },
+            (false, Some(at)) => at + if upstream.is_control_node { MOST_AGE } else { RELAY_AGE },
         };
-        (parent.heard_at + SILENCE).min(stale).saturating_add(self.slack)
+        (upstream.heard_at + SILENCE).min(stale).saturating_add(self.slack)
     }
 
-    fn is_good(&self, now: Duration) -> bool {
-        self.parent.as_ref().is_some_and(|parent| now < self.good_until(parent))
+    fn trusts_upstream(&self, now: Duration) -> bool {
+        self.upstream.as_ref().is_some_and(|upstream| now < self.trusted_until(upstream))
     }
 
     /// What is known here is as good as it can be until something changes.
-    fn rest(&mut self) {
+    fn settle(&mut self) {
         self.search = Search::Resting;
-        self.pause = if self.is_one() { SOLE_PAUSES.0 } else { PAUSES.0 };
-        self.pressing = self.sources != Sources::Tree { urgent: false };
+        self.backoff = Self::round_backoff(&self.sources).first;
+        self.asks_urgently = self.sources != Sources::Tree { urgent: false };
     }
 
     fn take_attempt(&mut self, link: LinkId) -> Option<Attempt> {
@@ -250,23 +274,23 @@
         }
     }
 
-    fn shun(&mut self, now: Duration, address: SocketAddrV4) {
+    fn avoid(&mut self, now: Duration, address: SocketAddrV4) {
         if !self.is_one() {
-            self.shunned.insert(address, now + SHUNNED);
+            self.avoided.insert(address, now + AVOIDED);
         }
     }
 
     /// It can be seen to live, so to ask it again brings nothing.
     fn hears(&self, now: Duration, address: SocketAddrV4) -> bool {
-        self.parent
+        self.upstream
             .as_ref()
-            .is_some_and(|parent| parent.address == address && now < parent.heard_at + SILENCE)
+            .is_some_and(|upstream| upstream.address == address && now < upstream.heard_at + SILENCE)
     }
 
     fn answered(
         &mut self,
         now: Duration,
-        keepers: &[SocketAddrV4],
+        control_nodes: &[SocketAddrV4],
         link: LinkId,
         answer: Answer,
         commands: &mut Vec<Command>,
@@ -275,7 +299,7 @@
             if let Search::Asking(round) = &mut self.search
                 && let Some(attempt) = round.attempts.iter_mut().find(|attempt| attempt.link == link)
             {
-                // Its first beat is waited for.
+                // Its first heartbeat is waited for.
                 attempt.until = now + PATIENCE;
             }
             return;
@@ -283,87 +307,92 @@
         let Some(attempt) = self.take_attempt(link) else { return };
         commands.push(Command::Close(link));
         match answer {
-            Answer::Redirect(heads) if attempt.keeper && !attempt.urgent => {
-                self.redirected(now, keepers, attempt.address, heads);
+            Answer::Redirect(relays) if attempt.is_control_node && !attempt.urgent => {
+                self.redirected(now, control_nodes, attempt.address, relays);
             }
-            _ => self.shun(now, attempt.address),
+            _ => self.avoid(now, attempt.address),
         }
     }
 
-    /// First those that were named are asked, then the keepers are pressed.
+    /// First those that were named are asked, then the control nodes, urgently.
     fn redirected(
         &mut self,
         now: Duration,
-        keepers: &[SocketAddrV4],
+        control_nodes: &[SocketAddrV4],
         by: SocketAddrV4,
-        mut heads: Vec<SocketAddrV4>,
+        mut relays: Vec<SocketAddrV4>,
     ) {
-        heads.retain(|head| {
-            *head.ip() != self.me && !self.shunned.contains_key(head) && !self.hears(now, *head)
+        relays.retain(|relay| {
+            *relay.ip() != self.me && !self.avoided.contains_key(relay) && !self.hears(now, *relay)
         });
         let draw = self.draw();
-        heads.sort_by_key(|head| rank(&head.ip().octets(), draw));
+        relays.sort_by_key(|relay| rank(&relay.ip().octets(), draw));
         let Search::Asking(round) = &mut self.search else { return };
-        heads.retain(|head| {
-            !round.queue.iter().any(|(asked, _)| asked == head)
-                && !round.attempts.iter().any(|attempt| attempt.address == *head)
+        relays.retain(|relay| {
+            !round.queue.iter().any(|candidate| candidate.address == *relay)
+                && !round.attempts.iter().any(|attempt| attempt.address == *relay)
         });
         round.hedge_at = now;
         if round.returning {
-            round.queue.extend(heads.into_iter().map(|head| (head, false)));
+            round.queue.extend(relays.into_iter().map(|address| Candidate { address, urgent: false }));
             return;
         }
-        for (address, urgent) in &mut round.queue {
-            *urgent |= keepers.contains(address);
+        for candidate in &mut round.queue {
+            candidate.urgent |= control_nodes.contains(&candidate.address);
         }
-        let first_keeper = round.queue.iter().position(|(address, _)| keepers.contains(address));
-        round.queue.insert(first_keeper.unwrap_or(round.queue.len()), (by, true));
-        for head in heads {
-            round.queue.push_front((head, false));
+        let first_control_node =
+            round.queue.iter().position(|candidate| control_nodes.contains(&candidate.address));
+        round
+            .queue
+            .insert(first_control_node.unwrap_or(round.queue.len()), Candidate { address: by, urgent: true });
+        for address in relays {
+            round.queue.push_front(Candidate { address, urgent: false });
         }
     }
 
-    fn beat(&mut self, now: Duration, link: LinkId, age: Duration, commands: &mut Vec<Command>) {
+    fn heartbeat(&mut self, now: Duration, link: LinkId, age: Duration, commands: &mut Vec<Command>) {
         let at = now.checked_sub(age);
-        if let Some(parent) = self.parent.as_mut().filter(|parent| parent.link == link) {
-            parent.heard_at = now;
-            parent.fresh_at = parent.fresh_at.max(at);
+        if let Some(upstream) = self.upstream.as_mut().filter(|upstream| upstream.link == link) {
+            upstream.heard_at = now;
+            upstream.confirmed_at = upstream.confirmed_at.max(at);
             return;
         }
         let returning = matches!(&self.search, Search::Asking(round) if round.returning);
         let Some(attempt) = self.take_attempt(link) else { return };
         let fresh = self.is_one() || age < MOST_AGE;
-        let better = match &self.parent {
+        let better = match &self.upstream {
             None => true,
-            Some(parent) => {
-                now >= parent.heard_at + SILENCE || at > parent.fresh_at.map(|fresh| fresh + MOST_AGE / 4)
+            Some(upstream) => {
+                now >= upstream.heard_at + SILENCE
+                    || at > upstream.confirmed_at.map(|confirmed| confirmed + MOST_AGE / 4)
             }
         };
         if !fresh && (returning || !better) {
             commands.push(Command::Close(link));
-            self.shun(now, attempt.address);
+            self.avoid(now, attempt.address);
             return;
         }
-        let pressed = attempt.keeper && attempt.urgent && self.sources == Sources::Tree { urgent: false };
-        let parent = Parent {
+        let is_urgent =
+            attempt.is_control_node && attempt.urgent && self.sources == Sources::Tree { urgent: false };
+        let upstream = Upstream {
             link,
             address: attempt.address,
-            keeper: attempt.keeper,
-            pressed,
+            is_control_node: attempt.is_control_node,
+            is_urgent,
             heard_at: now,
-            fresh_at: at,
+            confirmed_at: at,
         };
-        if let Some(former) = self.parent.replace(parent) {
+        if let Some(former) = self.upstream.replace(upstream) {
             commands.push(Command::Close(former.link));
         }
         self.slack = self.draw_below(SPREAD);
-        if !pressed {
-            self.return_pause = RETURNS.0;
+        if !is_urgent {
+            self.return_backoff = RETURNS.first;
         }
-        self.return_at = now + self.return_pause + self.draw_below(self.return_pause);
+        self.return_at = now + self.return_backoff + self.draw_below(self.return_backoff);
         if fresh {
             self.close_attempts(commands);
-            self.rest();
+            self.settle();
         }
     }
 
@@ -372,10 +401,10 @@
             commands.push(Command::Close(link));
             return;
         }
-        let Some(parent) = self.parent.take_if(|parent| parent.link == link) else { return };
+        let Some(upstream) = self.upstream.take_if(|upstream| upstream.link == link) else { return };
         commands.push(Command::Close(link));
         // Nothing is wrong with it: it only has to send the whole list.
-        let again = (parent.address, parent.pressed || self.pressing);
+        let again = Candidate { address: upstream.address, urgent: upstream.is_urgent || self.asks_urgently };
         match &mut self.search {
             Search::Asking(round) if !round.returning => round.queue.push_front(again),
             _ => {
@@ -392,56 +421,56 @@
 
     fn closed(&mut self, now: Duration, link: LinkId, commands: &mut Vec<Command>) {
         if let Some(attempt) = self.take_attempt(link) {
-            self.shun(now, attempt.address);
-        } else if let Some(parent) = self.parent.take_if(|parent| parent.link == link) {
-            self.shun(now, parent.address);
+            self.avoid(now, attempt.address);
+        } else if let Some(upstream) = self.upstream.take_if(|upstream| upstream.link == link) {
+            self.avoid(now, upstream.address);
             if !matches!(&self.search, Search::Asking(round) if !round.returning) {
                 self.close_attempts(commands);
-                let spread = if self.is_one() { self.pause } else { self.draw_below(SPREAD) };
-                self.search = Search::Pausing(now + spread);
+                let spread = if self.is_one() { self.backoff } else { self.draw_below(SPREAD) };
+                self.search = Search::BackingOff(now + spread);
             }
         }
     }
 
     /// Goes on with what has become due.
-    fn settle(&mut self, now: Duration, keepers: &[SocketAddrV4], commands: &mut Vec<Command>) {
-        if let Some(parent) = self.parent.take_if(|parent| now >= parent.heard_at + GIVEN_UP) {
-            commands.push(Command::Close(parent.link));
+    fn advance(&mut self, now: Duration, control_nodes: &[SocketAddrV4], commands: &mut Vec<Command>) {
+        if let Some(upstream) = self.upstream.take_if(|upstream| now >= upstream.heard_at + GIVEN_UP) {
+            commands.push(Command::Close(upstream.link));
         }
         loop {
-            let good = self.is_good(now);
+            let trusted = self.trusts_upstream(now);
             let next = match &mut self.search {
-                Search::Resting if !good => {
+                Search::Resting if !trusted => {
                     if let Some(address) = self.parent() {
-                        self.shun(now, address);
+                        self.avoid(now, address);
                     }
-                    Search::Pausing(now)
+                    Search::BackingOff(now)
                 }
-                Search::Resting => match &self.parent {
-                    Some(parent) if parent.pressed && now >= self.return_at => Search::Asking(Round {
-                        queue: [(parent.address, false)].into(),
+                Search::Resting => match &self.upstream {
+                    Some(upstream) if upstream.is_urgent && now >= self.return_at => Search::Asking(Round {
+                        queue: [Candidate { address: upstream.address, urgent: false }].into(),
                         attempts: Vec::new(),
                         hedge_at: now,
                         returning: true,
                     }),
                     _ => return,
                 },
-                Search::Pausing(_) if good => {
-                    self.rest();
+                Search::BackingOff(_) if trusted => {
+                    self.settle();
                     return;
                 }
-                Search::Pausing(until) if now < *until => return,
-                Search::Pausing(_) => Search::Asking(self.round(now, keepers)),
-                Search::Asking(round) if good && !round.returning => {
+                Search::BackingOff(until) if now < *until => return,
+                Search::BackingOff(_) => Search::Asking(self.round(now, control_nodes)),
+                Search::Asking(round) if trusted && !round.returning => {
                     self.close_attempts(commands);
-                    self.rest();
+                    self.settle();
                     return;
                 }
-                Search::Asking(round) if !good && round.returning => {
+                Search::Asking(round) if !trusted && round.returning => {
                     self.close_attempts(commands);
-                    Search::Pausing(now)
+                    Search::BackingOff(now)
                 }
-                Search::Asking(_) => match self.ask_on(now, keepers, commands) {
+                Search::Asking(_) => match self.ask_on(now, control_nodes, commands) {
                     Some(next) => next,
                     None => return,
                 },
@@ -454,7 +483,7 @@
     fn ask_on(
         &mut self,
         now: Duration,
-        keepers: &[SocketAddrV4],
+        control_nodes: &[SocketAddrV4],
         commands: &mut Vec<Command>,
     ) -> Option<Search> {
         let Search::Asking(round) = &mut self.search else { return None };
@@ -468,43 +497,44 @@
             stays
         });
         while round.attempts.is_empty() || (now >= round.hedge_at && round.attempts.len() < MOST_ATTEMPTS) {
-            let Some((address, urgent)) = round.queue.pop_front() else { break };
+            let Some(Candidate { address, urgent }) = round.queue.pop_front() else { break };
             self.last_link += 1;
             commands.push(Command::Ask { link: self.last_link, parent: address, urgent });
-            let keeper = keepers.contains(&address) && self.sources != Sources::One;
+            let is_control_node = control_nodes.contains(&address) && self.sources != Sources::One;
             let until = now + PATIENCE;
-            round.attempts.push(Attempt { link: self.last_link, address, keeper, urgent, until });
+            round.attempts.push(Attempt { link: self.last_link, address, is_control_node, urgent, until });
             round.hedge_at = now + HEDGE;
         }
         let (ended, returning) = (round.attempts.is_empty(), round.returning);
         for address in late {
-            self.shun(now, address);
+            self.avoid(now, address);
         }
         if !ended {
             return None;
         }
         if returning {
-            self.return_pause = (self.return_pause * 2).min(RETURNS.1);
-            self.return_at = now + self.return_pause + self.draw_below(self.return_pause);
+            self.return_backoff = (self.return_backoff * 2).min(RETURNS.longest);
+            self.return_at = now + self.return_backoff + self.draw_below(self.return_backoff);
             return Some(Search::Resting);
         }
-        let until = now + self.pause + self.draw_below(self.pause);
-        let longest = if self.is_one() { SOLE_PAUSES.1 } else { PAUSES.1 };
-        self.pause = (self.pause * 2).min(longest);
-        self.pressing = true;
-        Some(Search::Pausing(until))
+        let until = now + self.backoff + self.draw_below(self.backoff);
+        let longest = Self::round_backoff(&self.sources).longest;
+        self.backoff = (self.backoff * 2).min(longest);
+        self.asks_urgently = true;
+        Some(Search::BackingOff(until))
     }
 
-    /// A round over the keepers, in an order drawn by chance.
-    fn round(&mut self, now: Duration, keepers: &[SocketAddrV4]) -> Round {
+    /// A round over the control nodes, in an order drawn by chance.
+    fn round(&mut self, now: Duration, control_nodes: &[SocketAddrV4]) -> Round {
         let draw = self.draw();
-        let mut order: Vec<SocketAddrV4> = keepers
+        let mut order: Vec<SocketAddrV4> = control_nodes
             .iter()
             .copied()
-            .filter(|keeper| self.is_one() || (*keeper.ip() != self.me && !self.hears(now, *keeper)))
+            .filter(|node| self.is_one() || (*node.ip() != self.me && !self.hears(now, *node)))
             .collect();
-        order.sort_by_key(|keeper| (self.shunned.contains_key(keeper), rank(&keeper.ip().octets(), draw)));
-        let queue = order.into_iter().map(|keeper| (keeper, self.pressing)).collect();
+        order.sort_by_key(|node| (self.avoided.contains_key(node), rank(&node.ip().octets(), draw)));
+        let queue =
+            order.into_iter().map(|address| Candidate { address, urgent: self.asks_urgently }).collect();
         Round { queue, attempts: Vec::new(), hedge_at: now, returning: false }
     }
 }
--- a/system/state-feed/src/lib.rs
+++ b/system/state-feed/src/lib.rs
@@ -1,11 +1,12 @@
-//! The feed: the register's value and the list of endpoints, from the core down a tree of relays to every proxy.
+//! The feed: the register's value and the list of endpoints, from the core down a dissemination tree of relays to every
+//! proxy.
 //!
 //! [`FeedState`] is what a process knows and whom it feeds, [`Follower`] decides by whom it is fed. Neither has sockets,
 //! timers or a clock: callers hand in the time as a [`Duration`] since a moment of their own, which
 //! has to lie further back than any age that may be told, and carry out what comes back.
 //!
-//! Values and lists only rise within a life. Beats tell how old at most what a link told is, so that who hangs on a
-//! frozen, cut-off or misled parent notices and takes another.
+//! Values and lists only rise within a life. Heartbeats tell the staleness of what a link told, so that who hangs
+//! on a frozen, cut-off or misled upstream notices and takes another.
 
 mod follower;
 mod state;
@@ -15,19 +16,19 @@
 
 use std::time::Duration;
 
-/// Between two beats of a keeper. Relays pass them on as they come.
+/// Between two heartbeats of a control node. Relays pass them on as they come.
 pub const BEAT: Duration = Duration::from_millis(400);
-/// After so long without a beat from above a relay beats by itself, to show that it is there.
+/// After so long without a heartbeat from its upstream a relay sends one by itself, to show that it is there.
 pub const RELAY_BEAT: Duration = Duration::from_millis(500);
-/// Beats from above are not passed on more often.
+/// Heartbeats from the upstream are not passed on more often.
 pub const LEAST_BEAT_GAP: Duration = Duration::from_millis(200);
-/// A parent that has told nothing for so long is not trusted to be there.
+/// An upstream that has told nothing for so long is not trusted to be there.
 pub const SILENCE: Duration = Duration::from_millis(1_000);
-/// What is older is stale: another keeper is looked for, and a relay takes no one on.
+/// What is older is stale: another control node is looked for, and a relay takes no one on.
 pub const MOST_AGE: Duration = Duration::from_millis(1_000);
-/// As long a relay may be stale before those below it look for another parent: first it finds one itself.
+/// As long a relay may be stale before those below it look for another upstream: first it finds one itself.
 pub const RELAY_AGE: Duration = Duration::from_millis(1_400);
-/// Agents of one zone that a keeper feeds without being pressed; it names these to the zone's others.
+/// Relays of one zone that a control node feeds without being asked urgently; it names these to the zone's others.
 pub const HEADS_PER_ZONE: usize = 2;
-/// Machines that a relay feeds without being pressed.
+/// Machines that a relay feeds without being asked urgently.
 pub const MOST_CHILDREN: usize = 24;
--- a/system/state-feed/src/state.rs
+++ b/system/state-feed/src/state.rs
@@ -64,8 +64,9 @@
 struct Subscriber {
     ip: Ipv4Addr,
     zone: String,
-    /// It was taken on without pressing, so others of its zone may be sent to it.
-    head: bool,
+    /// It was taken on without asking urgently, so others of its zone may be sent to it.
+    is_zone_relay: bool,
+    /// The stamp of the newest list that it was sent.
     list: (u64, u64),
 }
 
@@ -75,13 +76,14 @@
     value: Rc<ChosenValue>,
     state: Rc<ControlState>,
     list: Rc<EndpointList>,
-    former_list: Rc<EndpointList>,
-    fresh_at: Option<Duration>,
+    /// The one before the newest.
+    previous_list: Rc<EndpointList>,
+    confirmed_at: Option<Duration>,
     proxies: u32,
     subscribers: BTreeMap<SubscriberId, Subscriber>,
-    last_beat: Option<Duration>,
-    /// Beats come from above.
-    fed: bool,
+    last_heartbeat: Option<Duration>,
+    /// Heartbeats come from an upstream.
+    has_upstream: bool,
 }
 
 impl FeedState {
@@ -112,19 +114,19 @@
 
     /// When what is known was last confirmed.
     pub fn fresh_at(&self) -> Option<Duration> {
-        self.fresh_at
+        self.confirmed_at
     }
 
     /// How old at most what is known is.
     pub fn age(&self, now: Duration) -> Option<Duration> {
-        self.fresh_at.map(|at| now.saturating_sub(at))
+        self.confirmed_at.map(|at| now.saturating_sub(at))
     }
 
     /// A majority of the core had nothing newer at that time. True if none later was known.
     pub fn confirm(&mut self, at: Duration) -> bool {
-        let later = self.fresh_at.is_none_or(|fresh| at > fresh);
+        let later = self.confirmed_at.is_none_or(|confirmed| at > confirmed);
         if later {
-            self.fresh_at = Some(at);
+            self.confirmed_at = Some(at);
         }
         later
     }
@@ -164,11 +166,11 @@
         if list.stamp <= self.list.stamp {
             return Learned::default();
         }
-        self.former_list = std::mem::replace(&mut self.list, Rc::new(list));
+        self.previous_list = std::mem::replace(&mut self.list, Rc::new(list));
         let (mut change, mut whole) = (Vec::new(), Vec::new());
         for (id, subscriber) in &mut self.subscribers {
             if subscriber.list < self.list.stamp {
-                match subscriber.list == self.former_list.stamp && subscriber.list != (0, 0) {
+                match subscriber.list == self.previous_list.stamp && subscriber.list != (0, 0) {
                     true => change.push(*id),
                     false => whole.push(*id),
                 }
@@ -190,10 +192,10 @@
         let by_instance = |list: &EndpointList| -> BTreeMap<String, Endpoint> {
             list.endpoints.iter().map(|endpoint| (endpoint.instance_id.clone(), endpoint.clone())).collect()
         };
-        let (mut put, former) = (by_instance(&self.list), by_instance(&self.former_list));
+        let (mut put, former) = (by_instance(&self.list), by_instance(&self.previous_list));
         let gone = former.keys().filter(|instance| !put.contains_key(*instance)).cloned().collect();
         put.retain(|instance, endpoint| former.get(instance) != Some(endpoint));
-        let (base, stamp) = (self.former_list.stamp, self.list.stamp);
+        let (base, stamp) = (self.previous_list.stamp, self.list.stamp);
         Push::ListChange { base, stamp, put: put.into_values().collect(), gone }
     }
 
@@ -224,7 +226,7 @@
         self.learn_list(EndpointList { stamp, endpoints: endpoints.into_values().collect() })
     }
 
-    /// Takes what a parent pushes. `confirms`: its beats count.
+    /// Takes what an upstream pushes. `confirms`: its heartbeats count.
     pub fn take(&mut self, now: Duration, push: Push, confirms: bool) -> Result<Learned, Unreadable> {
         match push {
             Push::Beat { age_ms, proxies } => {
@@ -233,8 +235,8 @@
                 }
                 let at = now.checked_sub(Duration::from_millis(age_ms.into()));
                 let later = confirms && at.is_some_and(|at| self.confirm(at));
-                self.fed |= confirms;
-                let due = self.last_beat.is_none_or(|last| now.saturating_sub(last) >= LEAST_BEAT_GAP);
+                self.has_upstream |= confirms;
+                let due = self.last_heartbeat.is_none_or(|last| now.saturating_sub(last) >= LEAST_BEAT_GAP);
                 let spreads = if later && due { self.beat(now) } else { Vec::new() };
                 Ok(Learned { spreads, ..Learned::default() })
             }
@@ -244,21 +246,22 @@
         }
     }
 
-    /// When a beat is due next, if none goes out before.
+    /// When a heartbeat is due next, if none goes out before.
     pub fn beat_due(&self) -> Duration {
-        self.last_beat.map_or(Duration::ZERO, |last| last + if self.fed { RELAY_BEAT } else { BEAT })
+        self.last_heartbeat
+            .map_or(Duration::ZERO, |last| last + if self.has_upstream { RELAY_BEAT } else { BEAT })
     }
 
-    /// A beat to every subscriber.
+    /// A heartbeat to every subscriber.
     pub fn beat(&mut self, now: Duration) -> Vec<Spread> {
-        self.last_beat = Some(now);
-        match self.beat_now(now) {
-            Some(beat) => self.to_all(beat),
+        self.last_heartbeat = Some(now);
+        match self.heartbeat_now(now) {
+            Some(heartbeat) => self.to_all(heartbeat),
             None => Vec::new(),
         }
     }
 
-    fn beat_now(&self, now: Duration) -> Option<Push> {
+    fn heartbeat_now(&self, now: Duration) -> Option<Push> {
         let age_ms = u32::try_from(self.age(now)?.as_millis()).unwrap_or(u32::MAX);
         Some(Push::Beat { age_ms, proxies: self.proxies })
     }
@@ -282,48 +285,63 @@
     ) -> Subscription {
         let refused = |answer| Subscription { answer, pushes: Vec::new() };
         let Call::Subscribe { ip, zone, urgent, value, list } = call else { return refused(Answer::Unready) };
-        let stale = self.age(now).is_none_or(|age| age > MOST_AGE);
-        // A stale keeper may be the only one left: who presses is fed by it until there is another.
-        if self.value.ballot == Ballot::default() || (stale && (role == Role::Relay || !urgent)) {
+        let is_stale = self.age(now).is_none_or(|age| age > MOST_AGE);
+        // A stale control node may be the only one left: who asks urgently is fed by it until there is another.
+        if self.value.ballot == Ballot::default() || (is_stale && (role == Role::Relay || !urgent)) {
             return refused(Answer::Unready);
         }
-        let others = self.subscribers.values().filter(|subscriber| subscriber.ip != *ip);
+        if !urgent && let Some(others) = self.redirects(role, peer_port, *ip, zone) {
+            return refused(Answer::Redirect(others));
+        }
+        let pushes = self.first_pushes(now, *value, *list);
+        let list = self.list.stamp.max(*list);
+        self.subscribers
+            .insert(link, Subscriber { ip: *ip, zone: zone.clone(), is_zone_relay: !urgent, list });
+        Subscription { answer: Answer::Done, pushes }
+    }
+
+    /// Whom to ask instead of this process, if it feeds enough already; nobody is named by a relay.
+    fn redirects(&self, role: Role, peer_port: u16, ip: Ipv4Addr, zone: &str) -> Option<Vec<SocketAddrV4>> {
         match role {
-            Role::Keeper if !urgent => {
-                let heads: BTreeSet<Ipv4Addr> = others
-                    .filter(|subscriber| subscriber.head && subscriber.zone == *zone)
-                    .map(|subscriber| subscriber.ip)
-                    .collect();
-                if heads.len() >= HEADS_PER_ZONE {
-                    return refused(Answer::Redirect(
-                        heads.into_iter().map(|head| SocketAddrV4::new(head, peer_port)).collect(),
-                    ));
-                }
+            Role::Keeper => {
+                let relays = self.zone_relays(ip, zone);
+                let addresses = || relays.iter().map(|relay| SocketAddrV4::new(*relay, peer_port)).collect();
+                (relays.len() >= HEADS_PER_ZONE).then(addresses)
             }
-            Role::Relay if !urgent => {
+            Role::Relay => {
                 let machines: BTreeSet<Ipv4Addr> =
                     self.subscribers.values().map(|subscriber| subscriber.ip).collect();
                 // A machine that is fed already, on a link that it may have given up, adds nothing.
-                if machines.len() >= MOST_CHILDREN && !machines.contains(ip) {
-                    return refused(Answer::Redirect(Vec::new()));
-                }
+                (machines.len() >= MOST_CHILDREN && !machines.contains(&ip)).then(Vec::new)
             }
-            _ => {}
         }
+    }
+
+    /// Machines of a zone, other than the asking one, that others may be sent to.
+    fn zone_relays(&self, asker: Ipv4Addr, zone: &str) -> BTreeSet<Ipv4Addr> {
+        let subscribers = self.subscribers.values();
+        subscribers
+            .filter(|subscriber| {
+                subscriber.ip != asker && subscriber.is_zone_relay && subscriber.zone == zone
+            })
+            .map(|subscriber| subscriber.ip)
+            .collect()
+    }
+
+    /// What a subscriber lacks that knows this value and this list, and a heartbeat.
+    fn first_pushes(&self, now: Duration, value: Ballot, list: (u64, u64)) -> Vec<Push> {
         let mut pushes = Vec::new();
-        if self.value.ballot > *value {
+        if self.value.ballot > value {
             pushes.push(Push::Value((*self.value).clone()));
         }
-        if self.list.stamp > *list {
-            pushes.push(match *list == self.former_list.stamp && *list != (0, 0) {
+        if self.list.stamp > list {
+            pushes.push(match list == self.previous_list.stamp && list != (0, 0) {
                 true => self.list_change(),
                 false => Push::List((*self.list).clone()),
             });
         }
-        pushes.extend(self.beat_now(now));
-        let list = self.list.stamp.max(*list);
-        self.subscribers.insert(link, Subscriber { ip: *ip, zone: zone.clone(), head: !urgent, list });
-        Subscription { answer: Answer::Done, pushes }
+        pushes.extend(self.heartbeat_now(now));
+        pushes
     }
 
     /// A link is gone.
