Build the lab's programs by one function

built_sender and built_programs were the same but for cargo's arguments and the programs looked for: both now call build_folder in built.rs.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -1,4 +1,5 @@
 //! The senders of a play: real processes with a folder and a configuration each, ended with the play.
+use crate::built::build_folder;
 use crate::directory::invariants;
 use crate::plan::Plan;
 use crate::scenario::{Baseline, Effect, Scenario, Variant};
@@ -8,7 +9,7 @@
 use serde_json::{Value, json};
 use std::io::Write;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::Stdio;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +19,8 @@
 use tokio::process::{Child, Command};
 use tokio::time::{Instant, sleep, timeout};
 
+/// The sender's program.
+const SENDER: &str = "micadrum";
 /// A sender that is not ready by then does not start.
 const START_PATIENCE: Duration = Duration::from_secs(20);
 /// After SIGTERM a process has so long until SIGKILL.
@@ -62,7 +65,8 @@
     },
 }
 
-fn io(what: &'static str) -> impl FnOnce(std::io::Error) -> FleetError {
+/// An error of the machine's, by what was tried.
+pub(crate) fn io(what: &'static str) -> impl FnOnce(std::io::Error) -> FleetError {
     move |source| FleetError::Io { what, source }
 }
 
@@ -77,29 +81,8 @@
 
 /// The sender of this project, built if it is not up to date, in the profile of the lab itself.
 pub fn built_sender() -> Result<PathBuf, FleetError> {
-    let lab = std::env::current_exe().map_err(io("finding this program"))?;
-    let folder = lab.parent().unwrap_or(Path::new("."));
-    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
-    let manifest = Path::new(env!("CARGO_MANIFEST_DIR")).join("../Cargo.toml");
-    if manifest.exists() {
-        let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
-        let mut build = std::process::Command::new(cargo);
-        build.args(["build", "--quiet", "--locked", "--bin", "micadrum", "--manifest-path"]).arg(&manifest);
-        build.arg("--target-dir").arg(folder.parent().unwrap_or(folder));
-        if folder.ends_with("release") {
-            build.arg("--release");
-        }
-        let built = build.output().map_err(io("starting cargo"))?;
-        if !built.status.success() {
-            return Err(FleetError::Build(String::from_utf8_lossy(&built.stderr).into_owned()));
-        }
-    }
-    let sender = folder.join("micadrum");
-    if sender.exists() {
-        Ok(sender)
-    } else {
-        Err(FleetError::Build(format!("{} is missing", sender.display())))
-    }
+    let folder = build_folder(&["--bin", SENDER], [SENDER])?;
+    Ok(folder.join(SENDER))
 }
 
 /// What faults have a sender's process in hand for.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod baseline;
+mod built;
 pub mod clients;
 pub mod directory;
 pub mod endpoints;
--- a/lab/src/tier/machines.rs
+++ b/lab/src/tier/machines.rs
@@ -1,5 +1,6 @@
 //! The tier's machines: real processes on loopback addresses, each with a settings file and, where it has a disk, a folder.
-use crate::fleet::FleetError;
+use crate::built::build_folder;
+use crate::fleet::{FleetError, io};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use rand::{RngExt, SeedableRng};
@@ -81,10 +82,6 @@
     pub edge: Vec<Ipv4Addr>,
 }
 
-fn io(what: &'static str) -> impl FnOnce(std::io::Error) -> FleetError {
-    move |source| FleetError::Io { what, source }
-}
-
 impl Addresses {
     /// Addresses for so many machines, with ports that are free now.
     pub async fn find(core: u8, storage: u8, edge: u8, seed: u64) -> Result<Self, FleetError> {
@@ -201,30 +198,8 @@
 
 /// The folder with the tier's programs, built if they are not up to date, in the profile of the lab itself.
 pub fn built_programs() -> Result<PathBuf, FleetError> {
-    let lab = std::env::current_exe().map_err(io("finding this program"))?;
-    let folder = lab.parent().unwrap_or(Path::new("."));
-    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
-    let manifest = Path::new(env!("CARGO_MANIFEST_DIR")).join("../Cargo.toml");
-    if manifest.exists() {
-        let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
-        let mut build = std::process::Command::new(cargo);
-        build.args(["build", "--quiet", "--locked", "-p", "system-programs", "--bins", "--manifest-path"]);
-        build.arg(&manifest).arg("--target-dir").arg(folder.parent().unwrap_or(folder));
-        if folder.ends_with("release") {
-            build.arg("--release");
-        }
-        let built = build.output().map_err(io("starting cargo"))?;
-        if !built.status.success() {
-            return Err(FleetError::Build(String::from_utf8_lossy(&built.stderr).into_owned()));
-        }
-    }
-    for role in [Role::ConfigKeeper, Role::TurnKeeper, Role::ProxyAgent, Role::RequestProxy] {
-        let program = folder.join(role.program());
-        if !program.exists() {
-            return Err(FleetError::Build(format!("{} is missing", program.display())));
-        }
-    }
-    Ok(folder.to_owned())
+    let roles = [Role::ConfigKeeper, Role::TurnKeeper, Role::ProxyAgent, Role::RequestProxy];
+    build_folder(&["-p", "system-programs", "--bins"], roles.map(Role::program))
 }
 
 /// One process of the tier. Dropping it kills the process.
--- a/lab/src/tier/play.rs
+++ b/lab/src/tier/play.rs
@@ -5,7 +5,7 @@
 use super::judge::{Verdict, judge};
 use super::machines::{Addresses, Machine, Role};
 use super::operator::{Operator, configuration};
-use crate::fleet::FleetError;
+use crate::fleet::{FleetError, io};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
 use std::sync::Arc;
@@ -77,10 +77,6 @@
     }
 }
 
-fn io(what: &'static str) -> impl FnOnce(std::io::Error) -> FleetError {
-    move |source| FleetError::Io { what, source }
-}
-
 /// All processes of the tier.
 struct Tier {
     /// With the proxies last: they need the others.
