Keep what an operator was told true: forgotten and early orders

Cause: a version that was taken and is no longer among the 512 remembered was refused when it was sent again; and an order on top of a version still to come got 412, while a second copy of the call at another machine could be taken when that version came. A refusal on top of a version still to come is kept in the state (32 at most, then no clear answer) until that version is passed. The payload gets form 2; form 1 is read.

--- a/lab/src/hollow/world.rs
+++ b/lab/src/hollow/world.rs
@@ -236,6 +236,7 @@
             taken: (0..plan.taken).map(|_| TakenVersion { version: 1, digest: [7; 32] }).collect(),
             fences: BTreeMap::from([(LIST.to_owned(), Fence { number: 1, holder: Some(voters[0]) })]),
             roster: Roster { epoch: 1, current: current.collect(), ..Roster::default() },
+            ..ControlState::default()
         };
         let payload = state.to_payload().expect("a state can be written");
         let ballot = Ballot { round: 1 << 16, proposer: 1, life: 1 };
--- a/lab/src/system/play.rs
+++ b/lab/src/system/play.rs
@@ -294,7 +294,7 @@
                 }
                 Some(ConfigVerdict::OtherVersion(current)) => newest = current,
                 Some(ConfigVerdict::NotAbove) => {}
-                None => continue,
+                Some(ConfigVerdict::Unclear) | None => continue,
             }
             sent = (self.new_version(), newest);
         }
--- a/system/config-register/tests/model.rs
+++ b/system/config-register/tests/model.rs
@@ -1,5 +1,5 @@
-//! All schedules of a small fleet: three voters, two proposers of one change each, one voter that loses its disk once
-//! and is restored. Messages come late, in any order or never.
+//! All schedules of a small fleet: two to four voters, two proposers of one change each, of which one may be a change of the
+//! voters, and one voter that loses its disk once and is restored. Messages come late, in any order or never.
 
 use bytes::Bytes;
 use config_register::{Acceptor, BallotSource, Change, Outbox, Proposal, Restore, RestoreStep, Step, found};
@@ -9,8 +9,12 @@
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
-const VOTERS: [Ipv4Addr; 3] =
-    [Ipv4Addr::new(10, 0, 0, 1), Ipv4Addr::new(10, 0, 0, 2), Ipv4Addr::new(10, 0, 0, 3)];
+const MACHINES: [Ipv4Addr; 4] = [
+    Ipv4Addr::new(10, 0, 0, 1),
+    Ipv4Addr::new(10, 0, 0, 2),
+    Ipv4Addr::new(10, 0, 0, 3),
+    Ipv4Addr::new(10, 0, 0, 4),
+];
 const LOSER: usize = 0;
 
 /// Who waits for a reply: a proposer by its number, or a try of the restore.
@@ -37,7 +41,8 @@
     restore: Option<Restore>,
     tries: u8,
     lost_disk: bool,
-    restored: bool,
+    /// What the restore has ended with.
+    restored: Option<AcceptedValue>,
     /// Whose second round has begun.
     accepting: BTreeSet<Asker>,
     /// In an order of its own, so that equal states are found equal.
@@ -50,10 +55,25 @@
     LoseDisk,
 }
 
+/// What the second proposer wants.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Second {
+    /// To add its number, as the first does.
+    Append,
+    /// Another voter: the machine after the founders.
+    AddVoter,
+    /// The last of the founders is to be no voter.
+    RemoveVoter,
+}
+
 /// The rounds of the two proposers, and whether a disk is lost.
 struct Schedules {
+    founders: usize,
+    second: Second,
     rounds: [u64; 2],
     loses_disk: bool,
+    /// A voter with an empty disk does not vote; without this, it starts anew as if it had never voted.
+    has_amnesia_guard: bool,
 }
 
 fn proposer(number: usize) -> Ipv4Addr {
@@ -67,19 +87,28 @@
     ballots.next_ballot()
 }
 
-fn founding() -> RegisterValue {
-    RegisterValue { epoch: 0, voters: VOTERS.to_vec(), payload: Bytes::new() }
-}
+impl Schedules {
+    fn founding(&self) -> RegisterValue {
+        RegisterValue { epoch: 0, voters: MACHINES[..self.founders].to_vec(), payload: Bytes::new() }
+    }
 
-/// Each change adds its proposer's number to those read.
-fn append(number: usize) -> impl FnMut(&RegisterValue) -> Change {
-    move |read| Change::Set([&read.payload[..], &[number as u8]].concat().into())
+    /// Each change but that of the voters adds its proposer's number to those read.
+    fn change(&self, number: usize, read: &RegisterValue) -> Change {
+        let last = self.founders - 1;
+        match (number, self.second) {
+            (1, Second::AddVoter) => Change::Voters([&read.voters[..], &[MACHINES[last + 1]]].concat()),
+            (1, Second::RemoveVoter) => {
+                Change::Voters(read.voters.iter().copied().filter(|ip| *ip != MACHINES[last]).collect())
+            }
+            _ => Change::Set([&read.payload[..], &[number as u8]].concat().into()),
+        }
+    }
 }
 
 impl Fleet {
     fn send(&mut self, asker: Asker, outbox: Outbox) {
         for (to, request) in outbox {
-            let to = VOTERS.iter().position(|ip| *ip == to).unwrap();
+            let to = MACHINES.iter().position(|ip| *ip == to).unwrap();
             if matches!(request, RegisterRequest::Accept(_)) {
                 self.accepting.insert(asker);
             }
@@ -87,23 +116,23 @@
         }
     }
 
-    fn start_restore(&mut self, seen: Ballot) {
+    fn start_restore(&mut self, seen: Ballot, founding: &RegisterValue) {
         if self.tries == 2 {
             self.restore = None;
             return;
         }
         self.tries += 1;
-        let me = VOTERS[LOSER];
-        let restore = Restore::start_from(me, next_round(seen, me), &founding(), &VOTERS);
+        let me = MACHINES[LOSER];
+        let restore = Restore::start_from(me, next_round(seen, me), founding, &founding.voters);
         self.send(Asker::Restore(self.tries), restore.outbox());
         self.restore = Some(restore);
     }
 
-    fn on_reply(&mut self, asker: Asker, from: usize, reply: &RegisterReply) {
+    fn on_reply(&mut self, model: &Schedules, asker: Asker, from: usize, reply: &RegisterReply) {
         match asker {
             Asker::Proposer(number) => {
                 let Run::Running(run) = &mut self.runs[number] else { return };
-                match run.on_reply(VOTERS[from], reply, &mut append(number)) {
+                match run.on_reply(MACHINES[from], reply, &mut |read| model.change(number, read)) {
                     Step::Wait => {}
                     Step::Send(outbox) => self.send(asker, outbox),
                     Step::Done(value) => self.runs[number] = Run::Done(value),
@@ -112,21 +141,26 @@
             }
             Asker::Restore(_) => {
                 let Some(restore) = &mut self.restore else { return };
-                match restore.on_reply(VOTERS[from], reply) {
+                match restore.on_reply(MACHINES[from], reply) {
                     RestoreStep::Wait => {}
                     RestoreStep::Send(outbox) => self.send(asker, outbox),
                     RestoreStep::Done(record) => {
+                        self.restored = record.accepted.clone();
                         self.acceptors[LOSER].restore(record);
                         self.restore = None;
-                        self.restored = true;
                     }
-                    RestoreStep::Lost { seen } => self.start_restore(seen),
+                    RestoreStep::Lost { seen } => self.start_restore(seen, &model.founding()),
                     RestoreStep::Failed => self.restore = None,
                 }
             }
         }
     }
 
+    fn told_chosen(&self) -> Vec<&AcceptedValue> {
+        let done = |run| if let &Run::Done(ref value) = run { Some(value) } else { None };
+        self.runs.iter().filter_map(done).chain(&self.restored).collect()
+    }
+
     fn is_past(&self, asker: Asker) -> bool {
         match asker {
             Asker::Proposer(number) => !matches!(self.runs[number], Run::Running(_)),
@@ -154,25 +188,38 @@
     }
 }
 
+/// Whether the newer of two chosen values holds the older one, with voters that can follow on its.
+fn is_chain(older: &AcceptedValue, newer: &AcceptedValue) -> bool {
+    let (older_voters, newer_voters) =
+        (BTreeSet::from_iter(&older.value.voters), BTreeSet::from_iter(&newer.value.voters));
+    let voters_follow = match newer.value.epoch.checked_sub(older.value.epoch) {
+        Some(0) => older_voters == newer_voters,
+        Some(1) => older_voters.symmetric_difference(&newer_voters).count() == 1,
+        _ => false,
+    };
+    let is_same = older.ballot != newer.ballot || older.value == newer.value;
+    is_same && voters_follow && newer.value.payload.starts_with(&older.value.payload)
+}
+
 impl Model for Schedules {
     type State = Fleet;
     type Action = Event;
 
     fn init_states(&self) -> Vec<Fleet> {
         let mut fleet = Fleet {
-            acceptors: vec![Acceptor::new(found(VOTERS.to_vec())); 3],
+            acceptors: vec![Acceptor::new(found(self.founding().voters)); MACHINES.len()],
             runs: vec![],
             restore: None,
             tries: 0,
             lost_disk: false,
-            restored: false,
+            restored: None,
             accepting: BTreeSet::new(),
             network: vec![],
         };
         for (number, round) in self.rounds.into_iter().enumerate() {
             let me = proposer(number);
             let ballot = Ballot { round, proposer: u32::from(me), life: 0 };
-            let run = Proposal::start(me, ballot, &founding());
+            let run = Proposal::start(me, ballot, &self.founding());
             fleet.send(Asker::Proposer(number), run.outbox());
             fleet.runs.push(Run::Running(Box::new(run)));
         }
@@ -198,15 +245,19 @@
         match event {
             Event::LoseDisk => {
                 fleet.lost_disk = true;
-                fleet.acceptors[LOSER] = Acceptor::unfit();
-                fleet.start_restore(Ballot::default());
+                if self.has_amnesia_guard {
+                    fleet.acceptors[LOSER] = Acceptor::unfit();
+                    fleet.start_restore(Ballot::default(), &self.founding());
+                } else {
+                    fleet.acceptors[LOSER] = Acceptor::new(found(self.founding().voters));
+                }
             }
             Event::Deliver { message, reply_is_lost } => {
                 let position = fleet.network.iter().position(|other| *other == message)?;
                 let (asker, to, request) = fleet.network.remove(position);
                 let (reply, _) = fleet.acceptors[to].handle(&request);
                 if !reply_is_lost && !fleet.is_past(asker) {
-                    fleet.on_reply(asker, to, &reply);
+                    fleet.on_reply(self, asker, to, &reply);
                 }
             }
         }
@@ -216,17 +267,10 @@
 
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
-            Property::always("acknowledged changes form one chain", |_, fleet: &Fleet| {
-                let done: Vec<_> = fleet
-                    .runs
-                    .iter()
-                    .filter_map(|run| match run {
-                        Run::Done(value) => Some(&value.value.payload),
-                        _ => None,
-                    })
-                    .collect();
-                let is_chain = |one: &Bytes, other: &Bytes| one.starts_with(other) || other.starts_with(one);
-                done.iter().all(|one| done.iter().all(|other| is_chain(one, other)))
+            Property::always("what was told to be chosen forms one chain", |_, fleet: &Fleet| {
+                let mut chosen = fleet.told_chosen();
+                chosen.sort_by_key(|value| value.ballot);
+                chosen.is_sorted_by(|older, newer| is_chain(older, newer))
             }),
             Property::sometimes("both changes are acknowledged", |_, fleet: &Fleet| {
                 fleet.runs.iter().all(|run| matches!(run, Run::Done(_)))
@@ -235,31 +279,74 @@
                 "the disk's loser is restored after a change",
                 |model: &Self, fleet: &Fleet| {
                     let is_done = fleet.runs.iter().any(|run| matches!(run, Run::Done(_)));
-                    !model.loses_disk || (fleet.restored && is_done)
+                    !model.loses_disk || (fleet.restored.is_some() && is_done)
                 },
             ),
         ]
     }
 }
 
-fn check(rounds: [u64; 2], loses_disk: bool) -> usize {
-    let checker = Schedules { rounds, loses_disk }.checker().threads(2).spawn_bfs().join();
+const TWO_CHANGES: Schedules = Schedules {
+    founders: 3,
+    second: Second::Append,
+    rounds: [2, 3],
+    loses_disk: false,
+    has_amnesia_guard: true,
+};
+
+/// Goes through all schedules; how many states there are.
+fn check(schedules: Schedules) -> usize {
+    let checker = schedules.checker().threads(2).spawn_bfs().join();
     checker.assert_properties();
+    println!("{} states", checker.unique_state_count());
     checker.unique_state_count()
 }
 
 #[gtest]
 fn two_proposers_in_all_schedules() {
-    let states = check([2, 3], false);
-
-    println!("{states} states");
-    expect_that!(states, gt(1000));
+    expect_that!(check(TWO_CHANGES), gt(1000));
 }
 
 #[gtest]
 fn two_proposers_and_a_lost_disk_in_all_schedules() {
-    let states = check([2, 3], true);
+    expect_that!(check(Schedules { loses_disk: true, ..TWO_CHANGES }), gt(1000));
+}
 
-    println!("{states} states");
-    expect_that!(states, gt(1000));
+#[gtest]
+fn a_voter_more_and_a_lost_disk_in_all_schedules() {
+    let schedules = Schedules { second: Second::AddVoter, loses_disk: true, ..TWO_CHANGES };
+    expect_that!(check(schedules), gt(10_000));
+}
+
+#[gtest]
+fn a_voter_less_and_a_lost_disk_in_all_schedules() {
+    let schedules = Schedules { second: Second::RemoveVoter, loses_disk: true, ..TWO_CHANGES };
+    expect_that!(check(schedules), gt(10_000));
+}
+
+#[gtest]
+fn two_voters_that_become_three_in_all_schedules() {
+    expect_that!(check(Schedules { founders: 2, second: Second::AddVoter, ..TWO_CHANGES }), gt(500));
+}
+
+#[gtest]
+fn four_voters_that_become_three_in_all_schedules() {
+    expect_that!(check(Schedules { founders: 4, second: Second::RemoveVoter, ..TWO_CHANGES }), gt(1000));
+}
+
+#[gtest]
+fn a_voter_more_or_less_below_the_other_change_in_all_schedules() {
+    for second in [Second::AddVoter, Second::RemoveVoter] {
+        let schedules = Schedules { second, rounds: [3, 2], loses_disk: true, ..TWO_CHANGES };
+        expect_that!(check(schedules), gt(10_000));
+    }
+}
+
+#[gtest]
+fn the_checker_finds_a_voter_that_votes_with_an_empty_disk() {
+    for second in [Second::Append, Second::AddVoter, Second::RemoveVoter] {
+        let schedules = Schedules { second, loses_disk: true, has_amnesia_guard: false, ..TWO_CHANGES };
+        let checker = schedules.checker().threads(2).spawn_bfs().join();
+        expect_that!(checker.discovery("what was told to be chosen forms one chain"), some(anything()));
+    }
 }
--- a/system/control-duties/src/config.rs
+++ b/system/control-duties/src/config.rs
@@ -1,11 +1,25 @@
+//! Operators' configurations: which one is taken, and what every other is answered, once and again.
+//!
+//! An order is a configuration's number and bytes with the version that it goes by. It is judged on a state that a run has read
+//! from a majority, and the verdict counts once that run has ended with its value chosen. Then:
+//!
+//! - *Taken* stays taken: it is remembered, and where it no longer is, the verdict is [`ConfigVerdict::Unclear`].
+//! - *Refused* stays refused. Versions in force only rise. So an order that goes by a lower one than that in force, or whose
+//!   number is not above it, can never be taken later. One that goes by a version *above* that in force could be, by a second
+//!   copy of the call that another machine still works on when that version is taken. So such a refusal is kept in the
+//!   state, and told only once that is chosen.
+
 use bytes::Bytes;
-use fleet_model::{ControlState, TakenVersion};
+use fleet_model::{ControlState, RefusedConfig, TakenVersion};
+use std::cmp::Ordering;
 
 /// Versions taken that are remembered: an operator repeats a call for some seconds.
 const MOST_TAKEN: usize = 512;
+/// Refusals that are kept until the version that their orders go by is passed.
+const MOST_REFUSED: usize = 32;
 
 /// What becomes of a configuration without fault.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ConfigVerdict {
     /// It is taken, now or before.
     Taken,
@@ -13,10 +27,12 @@
     OtherVersion(u64),
     /// Its version is not above the current one.
     NotAbove,
+    /// It may have been taken so long ago that this is forgotten, or its refusal cannot be kept: neither is to be told.
+    Unclear,
 }
 
-/// Judges a configuration that an operator sends on top of the version `expected`; with the state that has it, if that
-/// is another.
+/// Judges a configuration that an operator sends on top of the version `expected`; with the state that has it, or keeps its
+/// refusal, if that is another. The verdict is told only when that state is chosen, or the one that was read.
 pub fn put_config(
     state: &ControlState,
     expected: u64,
@@ -24,19 +40,53 @@
     body: &Bytes,
 ) -> (Option<ControlState>, ConfigVerdict) {
     let current = state.version();
+    let refusal = RefusedConfig { expected, sent: sent.clone() };
     if state.taken.contains(sent) {
         return (None, ConfigVerdict::Taken);
     }
-    if current != expected {
+    if may_be_forgotten(state, &refusal) {
+        return (None, ConfigVerdict::Unclear);
+    }
+    if state.refused.contains(&refusal) {
         return (None, ConfigVerdict::OtherVersion(current));
     }
-    if sent.version <= current {
-        return (None, ConfigVerdict::NotAbove);
+    match current.cmp(&expected) {
+        Ordering::Greater => (None, ConfigVerdict::OtherVersion(current)),
+        Ordering::Less => refuse_for_good(state, refusal),
+        Ordering::Equal if sent.version <= current => (None, ConfigVerdict::NotAbove),
+        Ordering::Equal => (Some(take(state, sent, body)), ConfigVerdict::Taken),
+    }
+}
+
+/// Whether it can be one of those that were taken and are remembered no more. Whatever was taken is above what it went by.
+fn may_be_forgotten(state: &ControlState, order: &RefusedConfig) -> bool {
+    order.sent.version <= state.forgotten && order.expected < order.sent.version
+}
+
+/// Refuses an order that goes by a version which may yet come.
+fn refuse_for_good(state: &ControlState, refusal: RefusedConfig) -> (Option<ControlState>, ConfigVerdict) {
+    let verdict = ConfigVerdict::OtherVersion(state.version());
+    if refusal.sent.version <= refusal.expected {
+        // It is refused on top of that one too.
+        return (None, verdict);
+    }
+    if state.refused.len() == MOST_REFUSED {
+        return (None, ConfigVerdict::Unclear);
     }
+    let mut next = state.clone();
+    next.refused.push(refusal);
+    (Some(next), verdict)
+}
+
+fn take(state: &ControlState, sent: &TakenVersion, body: &Bytes) -> ControlState {
     let mut next = state.clone();
     next.config = body.clone();
     next.taken.push(sent.clone());
     let extra = next.taken.len().saturating_sub(MOST_TAKEN);
-    next.taken.drain(..extra);
-    (Some(next), ConfigVerdict::Taken)
+    if let Some(last) = next.taken.drain(..extra).next_back() {
+        next.forgotten = last.version;
+    }
+    // What goes by an earlier version is refused for that.
+    next.refused.retain(|refused| refused.expected >= sent.version);
+    next
 }
--- a/system/fleet-model/src/lib.rs
+++ b/system/fleet-model/src/lib.rs
@@ -2,6 +2,7 @@
 //! from their fields. `peer-wire` puts them on the wire, `config-register` and `turn-store` keep them.
 
 use bytes::Bytes;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -122,6 +123,15 @@
     pub digest: [u8; 32],
 }
 
+/// A configuration that was refused on top of a version that was not in force yet, and stays refused when it is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct RefusedConfig {
+    /// The version that it goes by.
+    pub expected: u64,
+    /// What was sent.
+    pub sent: TakenVersion,
+}
+
 /// What the register holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ControlState {
@@ -133,6 +143,30 @@
     pub fences: BTreeMap<String, Fence>,
     /// The storage machines.
     pub roster: Roster,
+    /// The highest version that was taken and is not among `taken` any more; 0 while all are.
+    pub forgotten: u64,
+    /// Refusals that must be remembered, oldest first.
+    pub refused: Vec<RefusedConfig>,
+}
+
+/// The state as the first form has it.
+#[derive(Deserialize)]
+struct FirstState {
+    config: Bytes,
+    taken: Vec<TakenVersion>,
+    fences: BTreeMap<String, Fence>,
+    roster: Roster,
+}
+
+/// So many versions taken the first form remembered, without a word of those that it forgot.
+const FIRST_MOST_TAKEN: usize = 512;
+
+impl From<FirstState> for ControlState {
+    fn from(FirstState { config, taken, fences, roster }: FirstState) -> Self {
+        let before_oldest = taken.first().map_or(0, |oldest| oldest.version.saturating_sub(1));
+        let forgotten = if taken.len() < FIRST_MOST_TAKEN { 0 } else { before_oldest };
+        Self { config, taken, fences, roster, forgotten, refused: Vec::new() }
+    }
 }
 
 impl ControlState {
@@ -164,7 +198,9 @@
 
 /// The form of a payload: a [`ControlState`] by postcard, compressed by LZ4 behind its length. Configurations repeat
 /// themselves, and a payload goes to every voter twice and to every sender once.
-const PACKED: u8 = 1;
+const PACKED: u8 = 2;
+/// The first form, packed alike: its states tell of no forgotten and no refused versions. It is read and no longer written.
+const FIRST_PACKED: u8 = 1;
 
 impl ControlState {
     /// The state as the register holds it.
@@ -177,21 +213,25 @@
 
     /// Reads what the register holds; before the first change that is nothing.
     pub fn from_payload(payload: &[u8]) -> Result<Self, PayloadError> {
-        let packed = match payload {
-            [] => return Ok(Self::default()),
-            [PACKED, packed @ ..] => packed,
-            [form, ..] => return Err(PayloadError::Form(*form)),
-        };
-        let unpacked = |e: lz4_flex::block::DecompressError| PayloadError::Packed(e.to_string());
-        let (length, packed) = lz4_flex::block::uncompressed_size(packed).map_err(unpacked)?;
-        if length > MOST_STATE {
-            return Err(PayloadError::Length(length));
+        match payload {
+            [] => Ok(Self::default()),
+            [PACKED, packed @ ..] => unpack(packed),
+            [FIRST_PACKED, packed @ ..] => unpack::<FirstState>(packed).map(Self::from),
+            [form, ..] => Err(PayloadError::Form(*form)),
         }
-        let plain = lz4_flex::block::decompress(packed, length).map_err(unpacked)?;
-        postcard::from_bytes(&plain).map_err(PayloadError::State)
     }
 }
 
+fn unpack<T: DeserializeOwned>(packed: &[u8]) -> Result<T, PayloadError> {
+    let unpacked = |e: lz4_flex::block::DecompressError| PayloadError::Packed(e.to_string());
+    let (length, packed) = lz4_flex::block::uncompressed_size(packed).map_err(unpacked)?;
+    if length > MOST_STATE {
+        return Err(PayloadError::Length(length));
+    }
+    let plain = lz4_flex::block::decompress(packed, length).map_err(unpacked)?;
+    postcard::from_bytes(&plain).map_err(PayloadError::State)
+}
+
 /// A chosen value, as it is spread.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ChosenValue {
--- a/system/fleet-model/tests/payload.rs
+++ b/system/fleet-model/tests/payload.rs
@@ -31,6 +31,25 @@
     expect_that!(ControlState::from_payload(&[]), ok(eq(&ControlState::default())));
 }
 
+/// The state as programs of the first form wrote it.
+fn first_form(state: &ControlState) -> Vec<u8> {
+    let ControlState { config, taken, fences, roster, .. } = state;
+    let plain = postcard::to_allocvec(&(config, taken, fences, roster)).unwrap();
+    [vec![1], lz4_flex::block::compress_prepend_size(&plain)].concat()
+}
+
+#[gtest]
+fn given_a_state_of_the_first_form_when_it_is_read_then_what_it_has_forgotten_is_known_too() {
+    // Given one that remembers all that was taken.
+    let short = state(40);
+    expect_that!(ControlState::from_payload(&first_form(&short)), ok(eq(&short)));
+    // And one that remembers as much as it could: those before may have been taken too.
+    let taken = (100..612).map(|version| TakenVersion { version, digest: [3; 32] }).collect();
+    let full = ControlState { taken, ..state(1) };
+    let read = ControlState::from_payload(&first_form(&full)).unwrap();
+    expect_that!(read, eq(&ControlState { forgotten: 99, ..full }));
+}
+
 #[gtest]
 fn given_a_long_configuration_when_it_is_written_then_it_takes_a_quarter_at_most() {
     let state = state(400);
