--- a/system/config-register/tests/model.rs
+++ b/system/config-register/tests/model.rs
@@ -157,8 +157,11 @@
     }
 
     fn told_chosen(&self) -> Vec<&AcceptedValue> {
-        let done = |run| if let &Run::Done(ref value) = run { Some(value) } else { None };
-        self.runs.iter().filter_map(done).chain(&self.restored).collect()
+        let done = self.runs.iter().filter_map(|run| match run {
+            Run::Done(value) => Some(value),
+            _ => None,
+        });
+        done.chain(&self.restored).collect()
     }
 
     fn is_past(&self, asker: Asker) -> bool {
--- a/system/control-duties/tests/orders.rs
+++ b/system/control-duties/tests/orders.rs
@@ -54,10 +54,13 @@
     InForce(Vec<usize>),
 }
 
+type Judged = (Option<ControlState>, ConfigVerdict);
+type Judge = fn(&ControlState, u64, &TakenVersion, &Bytes) -> Judged;
+
 /// How an order's call is judged and answered: as it should be, or broken on purpose.
 #[derive(Clone, Copy)]
 struct Rules {
-    judge: fn(&ControlState, u64, &TakenVersion, &Bytes) -> (Option<ControlState>, ConfigVerdict),
+    judge: Judge,
     /// Broken: the verdict is told as soon as it is known, not when its run has ended.
     tells_at_once: bool,
 }
@@ -429,12 +432,7 @@
 }
 
 /// Broken: only the version in force is known as taken.
-fn knows_the_last_alone(
-    state: &ControlState,
-    expected: u64,
-    sent: &TakenVersion,
-    body: &Bytes,
-) -> (Option<ControlState>, ConfigVerdict) {
+fn knows_the_last_alone(state: &ControlState, expected: u64, sent: &TakenVersion, body: &Bytes) -> Judged {
     match put_config(state, expected, sent, body) {
         (None, ConfigVerdict::Taken) if state.taken.last() != Some(sent) => {
             (None, ConfigVerdict::OtherVersion(state.version()))
@@ -444,12 +442,7 @@
 }
 
 /// Broken: no refusal is kept.
-fn keeps_no_refusal(
-    state: &ControlState,
-    expected: u64,
-    sent: &TakenVersion,
-    body: &Bytes,
-) -> (Option<ControlState>, ConfigVerdict) {
+fn keeps_no_refusal(state: &ControlState, expected: u64, sent: &TakenVersion, body: &Bytes) -> Judged {
     match put_config(state, expected, sent, body) {
         (_, verdict @ ConfigVerdict::OtherVersion(_)) => (None, verdict),
         judged => judged,
@@ -457,12 +450,7 @@
 }
 
 /// Broken: an order is taken on top of whatever is in force.
-fn asks_for_no_base(
-    state: &ControlState,
-    _: u64,
-    sent: &TakenVersion,
-    body: &Bytes,
-) -> (Option<ControlState>, ConfigVerdict) {
+fn asks_for_no_base(state: &ControlState, _: u64, sent: &TakenVersion, body: &Bytes) -> Judged {
     put_config(state, state.version(), sent, body)
 }
 
