--- a/lab/src/hollow/world/build.rs
+++ b/lab/src/hollow/world/build.rs
@@ -93,8 +93,7 @@
         let proxies = u32::try_from(self.plan.senders).unwrap_or(u32::MAX);
         for node in &self.keepers {
             let node = &mut self.nodes[*node];
-            let ip = world.nodes[node].ip;
-            node.keeper = Some(Keeper::new(ip, node as u64, &accepted));
+            node.keeper = Some(Keeper::new(node.ip, u64::from(u32::from(node.ip)), &accepted));
             node.feed.learn_value(ChosenValue { ballot, voters: voters.clone(), payload: payload.clone() });
             node.feed.set_proxies(proxies);
         }
@@ -114,6 +113,7 @@
             taken: vec![taken; self.plan.taken],
             fences: BTreeMap::from([(LIST.to_owned(), Fence { number: 1, holder: Some(holder) })]),
             roster: Roster { epoch: 1, current: current.collect(), ..Roster::default() },
+            ..ControlState::default()
         }
     }
 
