--- a/system/programs/src/storage/recovery.rs
+++ b/system/programs/src/storage/recovery.rs
@@ -107,6 +107,7 @@
 
     async fn keep_open_with(self: Rc<Self>, mut failures: Failures, first_pause: Duration) {
         let mut pauses = Pauses::from(first_pause);
+        let mut told = None;
         loop {
             if !self.refusing.get() {
                 let opened = Instant::now();
@@ -117,8 +118,16 @@
                 }
             }
             sleep(pauses.take()).await;
-            if let Err(error) = self.recover().await {
-                log::debug!("the disk still refuses: {error}");
+            match self.recover().await {
+                Ok(()) => told = None,
+                Err(error) => {
+                    // The same reason is told once, however often it is met.
+                    let reason = Some(error.to_string());
+                    if told != reason {
+                        log::warn!("the disk still refuses: {error}");
+                    }
+                    told = reason;
+                }
             }
         }
     }
--- a/system/turn-store/src/record_log/faults.rs
+++ b/system/turn-store/src/record_log/faults.rs
@@ -75,7 +75,8 @@
     /// What was told synced is found after a loss of power now, or what was put later.
     fn check(&self, when: &str) {
         let left = self.files.after_power_loss();
-        let opened = RecordLog::open(left.path()).unwrap();
+        let files = InFolder { files: FaultyFiles::default(), folder: left.path().to_owned() };
+        let opened = RecordLog::open_with(left.path(), Box::new(files)).unwrap();
         let found = number(&opened.found);
         expect_that!(found, all!(ge(self.told), le(self.put)), "{when}");
     }
