--- a/system/turn-store/src/record_log/faults.rs
+++ b/system/turn-store/src/record_log/faults.rs
@@ -243,3 +243,26 @@
     go.send(()).unwrap();
     expect_that!(completed.iter().take(2).collect::<Vec<_>>(), eq(&vec![(1, true), (2, true)]));
 }
+
+#[gtest]
+fn an_older_file_never_takes_the_place_of_a_damaged_one() {
+    // Given an older file that came back beside a damaged newer one, on a disk that refuses to remove it.
+    let mut story = Story::begin();
+    expect_that!(story.put(), eq(true));
+    let older = fs::read(story.folder.path().join("record.1")).unwrap();
+    let mut damaged = older.clone();
+    let place = damaged.len() - 10;
+    damaged[place] ^= 1;
+    fs::write(story.folder.path().join("record.2"), damaged).unwrap();
+    story.log = None;
+    story.files.refuse(Operation::Remove, 0, 1);
+    let folder = story.folder.path().to_owned();
+    let open = || {
+        let files = InFolder { files: story.files.clone(), folder: folder.clone() };
+        RecordLog::open_with(&folder, Box::new(files)).map(|opened| opened.found)
+    };
+    // When it is opened, and again, then the record is lost, and at no time the older one.
+    expect_that!(open().is_err(), eq(true));
+    expect_that!(open().unwrap(), eq(&Found::Lost));
+    expect_that!(open().unwrap(), eq(&Found::Lost));
+}
