--- a/system/control-node/src/orders.rs
+++ b/system/control-node/src/orders.rs
@@ -26,7 +26,7 @@
     Invalid(Findings),
     /// The order does not say which version it replaces.
     NoBase,
-    /// It is not known what becomes of it: no majority answered in time.
+    /// It is not known what becomes of it: no majority answered in time, or what became of it is no longer remembered.
     Unavailable,
 }
 
@@ -76,7 +76,7 @@
             Some(ConfigVerdict::Taken) => PutConfig::Committed(taken.version),
             Some(ConfigVerdict::OtherVersion(current)) => PutConfig::OtherVersion(current),
             Some(ConfigVerdict::NotAbove) => PutConfig::NotAbove,
-            None => PutConfig::Unavailable,
+            Some(ConfigVerdict::Unclear) | None => PutConfig::Unavailable,
         }
     }
 
