Let the numbers of calls rise over all connections of a client

An answer is known by its call's number alone, and each connection began again at 1: an answer to a call of a former connection, had a peer ever sent it on the next one, would have passed for that of another call. Numbers now belong to the client.

--- a/system/peer-wire/src/client.rs
+++ b/system/peer-wire/src/client.rs
@@ -76,6 +76,9 @@
     local: Option<Ipv4Addr>,
     limits: CallLimits,
     state: RefCell<State>,
+    /// The number of the last call. It rises over all connections, so that an answer to a call of a former one is no
+    /// answer to any of this one.
+    last_number: Cell<u64>,
     /// Attempts since a connection last brought something.
     failures: Cell<u32>,
 }
@@ -95,7 +98,6 @@
 struct Link {
     queue: mpsc::Sender<Bytes>,
     pending: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
-    last_number: Cell<u64>,
     last_received: Cell<Option<Instant>>,
     /// When the first of the calls was sent that timed out with nothing received since then.
     silent_since: Cell<Option<Instant>>,
@@ -136,7 +138,8 @@
         limits: CallLimits,
     ) -> Self {
         let (state, failures) = (RefCell::new(State::Closed(None)), Cell::new(0));
-        Self { shared: Rc::new(Shared { address, fleet, local, limits, state, failures }) }
+        let last_number = Cell::new(0);
+        Self { shared: Rc::new(Shared { address, fleet, local, limits, state, last_number, failures }) }
     }
 
     /// The address of the process that it calls.
@@ -148,8 +151,8 @@
     pub async fn call(&self, call: Call, patience: Duration) -> Result<Answer, CallFailure> {
         let deadline = Instant::now() + patience;
         let link = self.link(deadline).await?;
-        let number = link.last_number.get() + 1;
-        link.last_number.set(number);
+        let number = self.shared.last_number.get() + 1;
+        self.shared.last_number.set(number);
         let frame = encode(&Frame::Call(number, call)).map_err(|error| {
             log::error!("a call cannot be sent: {error}");
             CallFailure::Unreachable
@@ -326,7 +329,6 @@
         let link = Rc::new(Self {
             queue,
             pending: RefCell::default(),
-            last_number: Cell::new(0),
             last_received: Cell::new(None),
             silent_since: Cell::new(None),
             ended: CancellationToken::new(),
