Say in one place what makes a request one that may have run

Four places judged it: the attempt, the loop around it, the router's notes and the last answer. Now `SendEnd` names each way in which a send ends on the wire and `Execution` holds the state with one transition; the router and the forwarder only read it. With it a fault goes: a request whose head was written and whose body was not whole yet counted as never sent, but an endpoint may answer, and so begin, before it has read a long body; it was sent again and could be refused with a promise. From its head on it may have run.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -66,8 +66,12 @@
         self.body_left = self.body_left.saturating_sub(bytes.len());
     }
 
+    fn head_whole(&self) -> bool {
+        self.matched == 4
+    }
+
     fn whole(&self) -> bool {
-        self.matched == 4 && self.body_left == 0
+        self.head_whole() && self.body_left == 0
     }
 }
 
@@ -207,6 +211,11 @@
         self.written.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether the last request's head has been written: an endpoint may begin work on it before it has the body.
+    pub fn head_written(&self) -> bool {
+        self.written().head_whole()
+    }
+
     /// Whether the whole of the last request has been written.
     pub fn request_written(&self) -> bool {
         self.written().whole()
--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -21,7 +21,8 @@
 use micadrum::{Outcome, Span, Time};
 use operator_config::{OperatorConfig, Route};
 use request_routing::{
-    Ask, EndpointView, GiveUp, Next, Pick, RouteKind, Router, ServerLoad, ServiceTerms, Target, Tried,
+    Ask, EndpointView, GiveUp, Next, Pick, RouteKind, Router, SendEnd, ServerLoad, ServiceTerms, Target, Tried,
+    promises_not_run,
 };
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -326,11 +327,12 @@
                     tokio::time::sleep(Duration::from_micros(CONNECTION_WAIT.0)).await;
                     continue;
                 }
-                Attempt::Ended(outcome) => outcome,
-                Attempt::Misdirected => {
-                    core.router.borrow_mut().misdirected(core.now(), key);
-                    core.count(|figures| figures.misdirected += 1);
-                    Outcome::Void
+                Attempt::Ended(end) => {
+                    if end == SendEnd::Misdirected {
+                        core.router.borrow_mut().misdirected(core.now(), key);
+                        core.count(|figures| figures.misdirected += 1);
+                    }
+                    end.outcome()
                 }
                 Attempt::Answer(response, line) => {
                     let (head, body) = response.into_parts();
@@ -347,15 +349,15 @@
                         return Ok(self.stream(head, body, length, line, call, turn.unkept(), &outgoing));
                     }
                     match timeout_at(outgoing.deadline + GRACE, read_whole(body)).await {
-                        Err(_) => Outcome::TimedOut,
+                        Err(_) => SendEnd::Silent.outcome(),
                         Ok(None) => {
                             core.count(|figures| figures.unusable += 1);
-                            Outcome::Reset
+                            SendEnd::Unusable.outcome()
                         }
                         Ok(Some(whole)) => {
                             core.give_back(line, &head.headers);
                             let answer = pass_on(&head, AnswerBody::whole(whole), &outgoing);
-                            let promises = is_promise(head.status, ask.kind);
+                            let promises = promises_not_run(head.status.as_u16(), ask.kind);
                             if !head.status.is_server_error() && !promises {
                                 call.end(Outcome::Success);
                                 core.count(|figures| figures.passed += 1);
@@ -369,11 +371,7 @@
                                 key,
                                 Outcome::Failure,
                             );
-                            tried.may_have_run = true;
-                            if ask.kind == RouteKind::Idempotent
-                                && next == Next::Again
-                                && Instant::now() < outgoing.deadline
-                            {
+                            if next == Next::Again && Instant::now() < outgoing.deadline {
                                 continue;
                             }
                             if promises {
@@ -394,12 +392,8 @@
             });
             call.end(outcome);
             let next = core.router.borrow().next(core.now(), &ask, &mut tried, key, outcome);
-            // Whatever the router says: once it may have run, only what may be repeated goes again.
-            tried.may_have_run |= outcome.may_have_run();
-            match next {
-                Next::Again if !tried.may_have_run || ask.kind == RouteKind::Idempotent => {}
-                Next::Again => return Err(own_end(GiveUp::Failed, &tried, &outgoing)),
-                Next::GiveUp(give_up) => return Err(own_end(give_up, &tried, &outgoing)),
+            if let Next::GiveUp(give_up) = next {
+                return Err(own_end(give_up, &tried, &outgoing));
             }
         }
     }
@@ -468,8 +462,8 @@
                     let left = outgoing.deadline.saturating_duration_since(Instant::now());
                     match core.open_line(target, CONNECT_PATIENCE.min(left / 2)).await {
                         Ok(line) => line,
-                        Err(CallError::Connect(_)) => return Attempt::Ended(Outcome::ConnectFailed),
-                        Err(_) => return Attempt::Ended(Outcome::Void),
+                        Err(CallError::Connect(_)) => return Attempt::Ended(SendEnd::NotConnected),
+                        Err(_) => return Attempt::Ended(SendEnd::HeadUnwritten),
                     }
                 }
             };
@@ -478,18 +472,22 @@
             match timeout_at(end, send).await {
                 Ok(Ok(response)) => break (line, response),
                 Ok(Err(CallError::Stale(_))) => {}
-                Ok(Err(CallError::Connect(_))) => return Attempt::Ended(Outcome::ConnectFailed),
-                Ok(Err(CallError::Unsent(_))) => return Attempt::Ended(Outcome::Void),
-                Ok(Err(CallError::Reset(_))) => {
-                    core.learn_idle(&ask.service, &line, true);
-                    self.count_send(sends);
-                    return Attempt::Ended(Outcome::Reset);
+                Ok(Err(CallError::Connect(_))) => return Attempt::Ended(SendEnd::NotConnected),
+                Ok(Err(CallError::Unsent(_) | CallError::Reset(_))) => {
+                    let end = SendEnd::broken(line.connection.head_written());
+                    if end == SendEnd::Broken {
+                        core.learn_idle(&ask.service, &line, true);
+                        self.count_send(sends);
+                    }
+                    return Attempt::Ended(end);
                 }
-                Err(_) if line.connection.request_written() => {
-                    self.count_send(sends);
-                    return Attempt::Ended(Outcome::TimedOut);
+                Err(_) => {
+                    let end = SendEnd::silent(line.connection.head_written());
+                    if end == SendEnd::Silent {
+                        self.count_send(sends);
+                    }
+                    return Attempt::Ended(end);
                 }
-                Err(_) => return Attempt::Ended(Outcome::Void),
             }
         };
         core.learn_idle(&ask.service, &line, false);
@@ -499,7 +497,7 @@
         if headers::single(head, &ATTEMPT_ID) != Some(&outgoing.attempt) {
             // An answer that belongs to another request: whatever became of this one, the connection is no good.
             core.count(|figures| figures.unusable += 1);
-            return Attempt::Ended(Outcome::Reset);
+            return Attempt::Ended(SendEnd::Unusable);
         }
         call.answered(server_load(head));
         if status == StatusCode::MISDIRECTED_REQUEST || head.contains_key(NOT_EXECUTED) {
@@ -510,8 +508,8 @@
             let (head, body) = response.into_parts();
             core.give_back_unread(line, head.headers, body);
             return match status {
-                StatusCode::MISDIRECTED_REQUEST => Attempt::Misdirected,
-                _ => Attempt::Ended(Outcome::Full(wait)),
+                StatusCode::MISDIRECTED_REQUEST => Attempt::Ended(SendEnd::Misdirected),
+                _ => Attempt::Ended(SendEnd::Declined(wait)),
             };
         }
         let framed = outgoing.method == Method::HEAD
@@ -521,7 +519,7 @@
         if !framed || status.is_success() && !head.contains_key(SERVER_SEAL) {
             // It cannot be known to be whole, or is no answer of an endpoint.
             core.count(|figures| figures.unusable += 1);
-            return Attempt::Ended(Outcome::Reset);
+            return Attempt::Ended(SendEnd::Unusable);
         }
         Attempt::Answer(response, line)
     }
@@ -589,10 +587,8 @@
 enum Attempt {
     /// No connection is free, and none may be opened.
     NoConnection,
-    /// Another incarnation answered.
-    Misdirected,
     /// It ended without an answer to pass on.
-    Ended(Outcome),
+    Ended(SendEnd),
     /// The head of an answer that belongs to the request.
     Answer(Response<Incoming>, Line),
 }
@@ -783,8 +779,8 @@
 /// The end of a request that no endpoint answered.
 fn own_end(give_up: GiveUp, tried: &Tried, outgoing: &Outgoing) -> Own {
     match give_up {
-        GiveUp::Refused { retry_after } if !tried.may_have_run => Own::refused(retry_after),
-        GiveUp::Failed if !tried.may_have_run => Own::refused(RETRY),
+        GiveUp::Refused { retry_after } if tried.execution.may_promise() => Own::refused(retry_after),
+        GiveUp::Failed if tried.execution.may_promise() => Own::refused(RETRY),
         _ if Instant::now() >= outgoing.deadline => Own::new(StatusCode::GATEWAY_TIMEOUT),
         _ => Own::new(StatusCode::BAD_GATEWAY),
     }
@@ -807,16 +803,6 @@
     answer
 }
 
-/// Whether the status would promise the client that a request of this kind has not run: that of an endpoint that does
-/// not say so is no such promise.
-fn is_promise(status: StatusCode, kind: RouteKind) -> bool {
-    match kind {
-        RouteKind::Idempotent => false,
-        RouteKind::NonIdempotent => matches!(status.as_u16(), 408 | 421 | 429 | 503),
-        RouteKind::Streaming => matches!(status.as_u16(), 402 | 408 | 421 | 429 | 503),
-    }
-}
-
 fn is_event_stream(headers: &HeaderMap) -> bool {
     headers::text(headers, CONTENT_TYPE.as_str())
         .is_some_and(|kind| kind.get(..17).is_some_and(|kind| kind.eq_ignore_ascii_case("text/event-stream")))
--- a/system/request-routing/src/lib.rs
+++ b/system/request-routing/src/lib.rs
@@ -3,12 +3,14 @@
 //! that did not deliver. The rule is the design's: retry the transport, not the intent.
 
 mod endpoint;
+mod execution;
 mod retry;
 mod router;
 mod service;
 mod sessions;
 mod types;
 
+pub use execution::{Execution, SendEnd, promises_not_run};
 pub use micadrum::{Outcome, Span, Time};
 pub use operator_config::RouteKind;
 pub use router::Router;
--- a/system/request-routing/src/retry.rs
+++ b/system/request-routing/src/retry.rs
@@ -1,5 +1,6 @@
 //! The retry stage's own arithmetic: which outcomes count, how long the next try waits, when it is too late.
 
+use crate::execution::Execution;
 use crate::types::*;
 use micadrum::{Outcome, Span, Time};
 use operator_config::RouteKind;
@@ -43,6 +44,11 @@
     }
 }
 
+/// Whether an attempt that ended so may have run.
+fn ran_or_may(outcome: Outcome) -> bool {
+    Execution::NeverRan.after(outcome) == Execution::MayHaveRun
+}
+
 /// Notes an attempt's end.
 pub(crate) fn note(tried: &mut Tried, key: EndpointKey, outcome: Outcome) {
     tried.last = Some(key);
@@ -50,17 +56,14 @@
     if outcome != Outcome::Void && !tried.avoid.contains(&key) {
         tried.avoid.push(key);
     }
-    if outcome.may_have_run() || outcome == Outcome::Success {
-        tried.may_have_run = true;
-    } else {
-        tried.refused += 1;
-    }
+    tried.execution = tried.execution.after(outcome);
+    tried.refused += u32::from(!ran_or_may(outcome));
     tried.attempts += u32::from(reached(outcome));
 }
 
 /// Whether it may not be sent again, however much time is left.
 pub(crate) fn spent(ask: &Ask, tried: &Tried) -> bool {
-    (tried.may_have_run && runs_once(ask))
+    !tried.execution.may_send(ask.kind)
         || tried.attempts >= ask.max_attempts.max(1)
         || tried.refused.saturating_sub(tried.attempts) >= MOST_UNSENT
 }
@@ -94,5 +97,5 @@
 
 /// The answer to one that is not sent again.
 pub(crate) fn last_answer(tried: &Tried, retry_after: Span) -> GiveUp {
-    if tried.may_have_run { GiveUp::Failed } else { GiveUp::Refused { retry_after } }
+    if tried.execution.may_promise() { GiveUp::Refused { retry_after } } else { GiveUp::Failed }
 }
--- a/system/request-routing/src/router.rs
+++ b/system/request-routing/src/router.rs
@@ -170,7 +170,7 @@
     /// No endpoint takes it now: it waits, as long as that makes sense.
     fn hold(&mut self, now: Time, ask: &Ask, tried: &Tried) -> Pick {
         let mut until = retry::last_send(ask);
-        if !tried.may_have_run {
+        if tried.execution.may_promise() {
             until = until.min(retry::patience(ask));
         }
         if now >= until {
@@ -358,7 +358,7 @@
         let first = tried.attempts.max(tried.refused) == 1;
         let elsewhere = self.free_elsewhere(now, ask, tried);
         let unsent = outcome == Outcome::Void;
-        let wait = if !tried.may_have_run && (unsent || (first && elsewhere)) {
+        let wait = if tried.execution.may_promise() && (unsent || (first && elsewhere)) {
             0.0
         } else {
             let draw = mix(self.seed ^ mix(now.0 ^ mix(ask.arrived.0 ^ u64::from(key.0) << 40)));
--- a/system/request-routing/src/types.rs
+++ b/system/request-routing/src/types.rs
@@ -1,5 +1,6 @@
 //! The types that a host and the router speak.
 
+use crate::execution::Execution;
 use micadrum::{Span, Time};
 use operator_config::RouteKind;
 use std::net::SocketAddrV4;
@@ -39,8 +40,8 @@
 pub struct Tried {
     /// Sends that reached an endpoint.
     pub attempts: u32,
-    /// One of them may have run.
-    pub may_have_run: bool,
+    /// Whether one of them may have run.
+    pub execution: Execution,
     /// Attempts that ended without having run: refusals, and connections not made.
     pub refused: u32,
     /// The endpoint of the last attempt.
--- a/system/request-routing/tests/retries.rs
+++ b/system/request-routing/tests/retries.rs
@@ -154,7 +154,7 @@
     let mut router = router(&[entry("x", "tool", "a", 1)]);
     let ask = ask("tool", RouteKind::Idempotent);
     while let Pick::Send(_) = router.pick(ms(0), &ask, &Tried::default()) {}
-    let tried = Tried { attempts: 1, may_have_run: true, ..Tried::default() };
+    let tried = Tried { attempts: 1, execution: Execution::MayHaveRun, ..Tried::default() };
     expect_that!(router.pick(ms(1_000), &ask, &tried), matches_pattern!(Pick::Wait(_)));
     expect_that!(router.pick(ms(1_499), &ask, &tried), eq(&Pick::GiveUp(GiveUp::Failed)));
 }
@@ -295,7 +295,7 @@
         let mut router = two();
         let (ask, mut tried) = (ask("tool", RouteKind::Streaming), Tried::default());
         attempt(&mut router, ms(0), &ask, &mut tried, outcome);
-        expect_that!(tried.may_have_run, eq(false));
+        expect_that!(tried.execution, eq(Execution::NeverRan));
         expect_that!(tried.refused, eq(1));
     }
 }
