Send a refused request again on another connection than the one that refused it

An endpoint may answer twice, the second time in the place of the next answer. After a standstill between connection and send the deadline is looked at once more.

--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -6,7 +6,7 @@
 use crate::headers::{
     self, ATTEMPT_ID, DEADLINE_REMAINING, EXPECT_INSTANCE, NOT_EXECUTED, PRIORITY, SERVER_SEAL,
 };
-use crate::pool::{CallOut, Core, Line};
+use crate::pool::{CallOut, Core, Line, RequestNumber};
 use crate::turns::{Chain, NewTurn, Reserve, TurnKeeping};
 use bytes::{Bytes, BytesMut};
 use fleet_model::EndpointList;
@@ -193,6 +193,7 @@
         }
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let outgoing = Outgoing {
+            number: self.core.number_request(),
             method: head.method,
             path,
             headers: passed,
@@ -455,12 +456,17 @@
         let end =
             patience.map_or(whole, |Span(micros)| whole.min(Instant::now() + Duration::from_micros(micros)));
         let (line, response) = loop {
-            let mut line = match core.idle_line(target.key, &ask.service) {
+            let mut line = match core.idle_line(target, &ask.service, outgoing.number) {
                 Some(line) => line,
                 None if !target.may_open => return Attempt::NoConnection,
                 None => {
                     let left = outgoing.deadline.saturating_duration_since(Instant::now());
-                    match core.open_line(target, CONNECT_PATIENCE.min(left / 2)).await {
+                    let patience = CONNECT_PATIENCE.min(left / 2);
+                    match core.open_line(target, patience, outgoing.number).await {
+                        // The process may have stood still meanwhile.
+                        Ok(_) if Instant::now() >= outgoing.deadline => {
+                            return Attempt::Ended(SendEnd::HeadUnwritten);
+                        }
                         Ok(line) => line,
                         Err(CallError::Connect(_)) => return Attempt::Ended(SendEnd::NotConnected),
                         Err(_) => return Attempt::Ended(SendEnd::HeadUnwritten),
@@ -560,6 +566,7 @@
 
 /// A request as it goes out.
 struct Outgoing {
+    number: RequestNumber,
     method: Method,
     path: String,
     headers: HeaderMap,
--- a/system/request-forwarding/src/pool.rs
+++ b/system/request-forwarding/src/pool.rs
@@ -22,8 +22,13 @@
 /// For so long.
 const UNWANTED_PATIENCE: Duration = Duration::from_millis(200);
 
+/// Tells the requests of this process apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RequestNumber(u64);
+
 pub(crate) struct Core {
     start: Instant,
+    last_request: Cell<u64>,
     pub(crate) router: RefCell<Router>,
     idle: RefCell<HashMap<EndpointKey, Vec<IdleLine>>>,
     /// By service: for how long its idle connections can be used.
@@ -37,6 +42,8 @@
     core: Weak<Core>,
     key: EndpointKey,
     pub(crate) connection: Connection,
+    /// The request that it has carried last, or carries now.
+    carried: RequestNumber,
     /// For how long it was idle before this call; none if it is new.
     idled: Option<Duration>,
 }
@@ -67,6 +74,7 @@
     pub(crate) fn new(router: Router, most_waiting: usize) -> Rc<Self> {
         Rc::new(Self {
             start: Instant::now(),
+            last_request: Cell::new(0),
             router: RefCell::new(router),
             idle: RefCell::default(),
             idle_trust: RefCell::default(),
@@ -91,23 +99,44 @@
         self.figures.set(figures);
     }
 
-    /// An idle connection that may still be used, to an endpoint of this service.
-    pub(crate) fn idle_line(&self, key: EndpointKey, service: &str) -> Option<Line> {
+    /// A number for the next request.
+    pub(crate) fn number_request(&self) -> RequestNumber {
+        self.last_request.set(self.last_request.get() + 1);
+        RequestNumber(self.last_request.get())
+    }
+
+    /// An idle connection that may still be used, to an endpoint of this service: none that has carried the same
+    /// request just before. An endpoint may answer twice, and the second answer, as that a request was not run, would
+    /// pass for the answer to the new send, as both have the same `Attempt-Id`.
+    pub(crate) fn idle_line(&self, target: &Target, service: &str, request: RequestNumber) -> Option<Line> {
         let now = Instant::now();
         let trusted = self.idle_trust.borrow_mut().get_mut(service).and_then(|trust| {
             trust.forget();
             trust.limit()
         });
         loop {
-            let mut idle = self.idle.borrow_mut().get_mut(&key)?.pop()?;
+            let mut idle = self.take_idle(target, request)?;
             let idled = now - idle.since;
             if !idle.is_over(now) && trusted.is_none_or(|trusted| idled < trusted) {
                 idle.line.idled = Some(idled);
+                idle.line.carried = request;
                 return Some(idle.line);
             }
         }
     }
 
+    /// The newest idle connection that did not carry this request. Where there are only such that did, and no more may
+    /// be opened, one of them is closed, so that another may.
+    fn take_idle(&self, target: &Target, request: RequestNumber) -> Option<IdleLine> {
+        let mut all = self.idle.borrow_mut();
+        let lines = all.get_mut(&target.key)?;
+        let other = lines.iter().rposition(|idle| idle.line.carried != request);
+        if other.is_none() && !target.may_open {
+            drop(lines.pop());
+        }
+        Some(lines.remove(other?))
+    }
+
     /// Takes in whether a connection broke under its call: endpoints may forget an idle one without a word.
     pub(crate) fn learn_idle(&self, service: &str, line: &Line, broke: bool) {
         let mut all = self.idle_trust.borrow_mut();
@@ -124,6 +153,7 @@
         self: &Rc<Self>,
         target: &Target,
         patience: Duration,
+        request: RequestNumber,
     ) -> Result<Line, CallError> {
         // Counted from the start: an endpoint may count one that is never finished here.
         self.router.borrow_mut().connection_opened(target.key);
@@ -131,7 +161,7 @@
         let connection = Connection::open(SocketAddr::V4(target.address), patience).await?;
         counted.keep();
         self.count(|figures| figures.connections_opened += 1);
-        Ok(Line { core: Rc::downgrade(self), key: target.key, connection, idled: None })
+        Ok(Line { core: Rc::downgrade(self), key: target.key, connection, carried: request, idled: None })
     }
 
     /// Takes back a connection after an answer with this head that was read whole.
--- a/system/request-forwarding/tests/world/mod.rs
+++ b/system/request-forwarding/tests/world/mod.rs
@@ -19,8 +19,13 @@
 
 /// Runs a story on one thread.
 pub fn run(story: impl Future<Output = ()>) {
+    run_within(Duration::from_secs(15), story);
+}
+
+/// The same for one that lets more time pass at once.
+pub fn run_within(limit: Duration, story: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&runtime, async { timeout(Duration::from_secs(15), story).await.unwrap() });
+    LocalSet::new().block_on(&runtime, async { timeout(limit, story).await.unwrap() });
 }
 
 /// The head and body of a message.
@@ -125,6 +130,12 @@
     /// The next message; its `whole` tells whether it came to its end.
     pub async fn message(&mut self) -> Option<Message> {
         let mut message = self.head().await?;
+        self.body_of(&mut message).await;
+        Some(message)
+    }
+
+    /// Reads the body that follows a head.
+    pub async fn body_of(&mut self, message: &mut Message) {
         if message.headers.contains_key("transfer-encoding") {
             while let Some(chunk) = self.chunk().await {
                 if chunk.is_empty() {
@@ -140,7 +151,6 @@
                 message.whole = true;
             }
         }
-        Some(message)
     }
 
     /// True once the other side has ended the connection, with nothing more before.
@@ -400,6 +410,19 @@
    "engine":{"capacity_slots":8,"kv_cache_tokens":100000,"tokens_per_event":2}}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 
+/// The list of these endpoints with their services.
+pub fn listed(endpoints: &[(&Server, &str)]) -> EndpointList {
+    let endpoints = endpoints.iter().map(|(server, service)| Endpoint {
+        instance_id: server.instance.into(),
+        service: (*service).into(),
+        address: server.address,
+        zone: "z".into(),
+        capacity_slots: 8,
+        state: EndpointState::Ready,
+    });
+    EndpointList { stamp: (1, 1), endpoints: endpoints.collect() }
+}
+
 impl World {
     pub async fn start(endpoints: &[(&Server, &str)]) -> Self {
         let world = Self::unconfigured().await;
@@ -418,15 +441,7 @@
     }
 
     pub fn learn(&self, endpoints: &[(&Server, &str)]) {
-        let endpoints = endpoints.iter().map(|(server, service)| Endpoint {
-            instance_id: server.instance.into(),
-            service: (*service).into(),
-            address: server.address,
-            zone: "z".into(),
-            capacity_slots: 8,
-            state: EndpointState::Ready,
-        });
-        let list = EndpointList { stamp: (1, 1), endpoints: endpoints.collect() };
+        let list = listed(endpoints);
         let config = OperatorConfig::read(CONFIG.as_bytes()).unwrap();
         self.forwarder.learn(Knowledge {
             config: Some(Rc::new(config)),
