Go by the newest configuration's idle time on connections from before it

A connection kept to the limits of the moment in which it was accepted: where a configuration raised idle_timeout_ms, older ones were closed before four fifths of the new time, up to which clients take them up. Shown by tests/renewed_rules.rs.

--- a/system/request-forwarding/src/server.rs
+++ b/system/request-forwarding/src/server.rs
@@ -255,10 +255,12 @@
             .timer(TokioTimer::new())
             .serve_connection(io, service);
         let mut connection = pin!(connection);
-        let header_patience = Duration::from_millis(limits.header_timeout_ms.max(1));
-        let idle_patience = Duration::from_millis(limits.idle_timeout_ms.max(1));
         let mut leaving = false;
         loop {
+            // Those of now: a client goes by the newest configuration, however old its connection is.
+            let limits = self.limits();
+            let header_patience = Duration::from_millis(limits.header_timeout_ms.max(1));
+            let idle_patience = Duration::from_millis(limits.idle_timeout_ms.max(1));
             let now = Instant::now();
             let stage = stage_of(&mut shutdown);
             let mut look_again = now + header_patience.min(idle_patience);
