See that a client has left also where more of its requests lie behind

The connection reads no further while a request is answered and bytes of a next one are there, so that it did not see its end: the endpoint went on working for a client that was gone, to the deadline. Where it does not read, whether the client has closed is looked at every 200 ms; it costs nothing otherwise.

--- a/system/request-forwarding/src/server.rs
+++ b/system/request-forwarding/src/server.rs
@@ -14,6 +14,7 @@
 use socket2::SockRef;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -21,7 +22,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
@@ -48,6 +49,9 @@
 /// So long may one of them be idle.
 const ASKER_IDLE: Duration = Duration::from_secs(10);
 
+/// Whether a client has left is looked at so often where nothing tells it.
+const LEAVING_LOOK: Duration = Duration::from_millis(200);
+
 /// How far the process has wound down.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
@@ -62,6 +66,8 @@
 /// What is known of a client's connection.
 struct Client {
     in_flight: Cell<bool>,
+    /// Whether its next bytes, or its end, wake the connection: not while some lie unread before them.
+    watched: Cell<bool>,
     /// Whether it has yet to send its first request.
     fresh: Cell<bool>,
     /// When the head that is being read began.
@@ -88,7 +94,9 @@
 impl AsyncRead for ClientStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
+            self.client.watched.set(true);
             ready!(self.stream.poll_read_ready(cx))?;
+            self.client.watched.set(false);
             match self.stream.try_read(buf.initialize_unfilled()) {
                 Ok(count) => {
                     buf.advance(count);
@@ -223,6 +231,7 @@
         let accepted = Instant::now();
         let client = Rc::new(Client {
             in_flight: Cell::new(false),
+            watched: Cell::new(false),
             fresh: Cell::new(true),
             head_began: Cell::new(None),
             idle_since: Cell::new(accepted),
@@ -255,6 +264,7 @@
             .timer(TokioTimer::new())
             .serve_connection(io, service);
         let mut connection = pin!(connection);
+        let mut left = pin!(client_left(&client, &stream));
         let mut leaving = false;
         loop {
             // Those of now: a client goes by the newest configuration, however old its connection is.
@@ -298,6 +308,7 @@
                     }
                     return;
                 }
+                () = &mut left => return,
                 _ = shutdown.changed(), if !leaving => {}
                 () = sleep_until(look_again) => {}
             }
@@ -317,6 +328,42 @@
     }
 }
 
+/// Ends once the client has left while its request is answered. The connection itself sees that, unless further
+/// requests lie before the end: those it does not read on before it has answered the first.
+async fn client_left(client: &Client, stream: &TcpStream) {
+    let mut look = pin!(sleep(Duration::ZERO));
+    let mut looking = false;
+    poll_fn(|cx| {
+        loop {
+            if !client.in_flight.get() || client.watched.get() {
+                looking = false;
+                return Poll::Pending;
+            }
+            if !looking {
+                looking = true;
+                look.as_mut().reset(Instant::now() + LEAVING_LOOK);
+            }
+            ready!(look.as_mut().poll(cx));
+            looking = false;
+            if has_ended(stream) {
+                return Poll::Ready(());
+            }
+        }
+    })
+    .await;
+}
+
+/// Whether the client has closed its side, as far as that shows past what lies unread.
+fn has_ended(stream: &TcpStream) -> bool {
+    let told = stream.ready(Interest::READABLE).now_or_never();
+    let closed = told.is_some_and(|ready| ready.map_or(true, |ready| ready.is_read_closed()));
+    closed
+        || match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(count) => count == 0,
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        }
+}
+
 /// Whether nothing has come that was not read yet.
 fn is_quiet(stream: &TcpStream) -> bool {
     !matches!(SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]), Ok(count) if count > 0)
