Deny nothing before a configuration is known, and hold a body no longer than its route

Without a configuration a long body was answered 413 and a request without an id 400, though the first configuration might allow them; both now get 503. A body that came slowly was waited for past its route's timeout_ms.

--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -4,7 +4,8 @@
 use crate::events::EventScan;
 use crate::figures::Figures;
 use crate::headers::{
-    self, ATTEMPT_ID, DEADLINE_REMAINING, EXPECT_INSTANCE, NOT_EXECUTED, PRIORITY, SERVER_SEAL,
+    self, ATTEMPT_ID, DEADLINE_REMAINING, EXPECT_INSTANCE, EXPECT_VERSION, NOT_EXECUTED, PRIORITY,
+    SERVER_SEAL,
 };
 use crate::pool::{CallOut, Core, Line, RequestNumber};
 use crate::turns::{Chain, NewTurn, Reserve, TurnKeeping};
@@ -21,8 +22,8 @@
 use micadrum::{Outcome, Span, Time};
 use operator_config::{OperatorConfig, Route};
 use request_routing::{
-    Ask, EndpointView, GiveUp, Next, Pick, RouteKind, Router, SendEnd, ServerLoad, ServiceTerms, Target, Tried,
-    promises_not_run,
+    Ask, EndpointView, GiveUp, Next, Pick, RouteKind, Router, SendEnd, ServerLoad, ServiceTerms, Target,
+    Tried, promises_not_run,
 };
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -163,15 +164,23 @@
         let (head, body) = request.into_parts();
         let remaining =
             headers::number(&head.headers, DEADLINE_REMAINING.as_str()).map(Duration::from_millis);
+        let host = headers::single(&head.headers, &HOST);
+        let route = config.as_ref().zip(host).and_then(|(config, host)| config.route(host, head.uri.path()));
+        let timeout = route.map(|route| Duration::from_millis(route.timeout_ms));
+        let patience = remaining.into_iter().chain(timeout).min().unwrap_or(DEFAULT_PATIENCE);
+        let deadline = arrived + patience;
         let most = config.as_ref().map_or(DEFAULT_BODY, |config| config.limits.max_body_bytes as usize);
-        let input = read_body(body, most, arrived + remaining.unwrap_or(DEFAULT_PATIENCE)).await?;
+        let input = read_body(body, most, deadline).await;
+        let Some(config) = &config else {
+            // What is allowed is not known yet: whatever came of the body, nothing is denied.
+            self.core.count(|figures| figures.requests += 1);
+            return Err(Own { close: input.is_err(), ..Own::refused(RETRY) });
+        };
+        let input = input?;
         self.core.count(|figures| figures.requests += 1);
-        let Some(config) = config else { return Err(Own::refused(RETRY)) };
         let attempt = attempt.ok_or(Own::new(StatusCode::BAD_REQUEST))?;
-        let host = headers::single(&head.headers, &HOST).ok_or(Own::new(StatusCode::BAD_REQUEST))?;
-        let route = config.route(host, head.uri.path()).ok_or(Own::new(StatusCode::NOT_FOUND))?;
-        let timeout = Duration::from_millis(route.timeout_ms);
-        let deadline = arrived + remaining.map_or(timeout, |remaining| remaining.min(timeout));
+        host.ok_or(Own::new(StatusCode::BAD_REQUEST))?;
+        let route = route.ok_or(Own::new(StatusCode::NOT_FOUND))?;
         let service = route.pick_service(draw(attempt));
         let urgency = urgency(&head.headers, route.priority);
         let ask = Rc::new(self.ask(&head.headers, route, service, arrived, deadline));
@@ -514,6 +523,10 @@
             let (head, body) = response.into_parts();
             core.give_back_unread(line, head.headers, body);
             return match status {
+                // The weights that the client wants may be another version: that is no other incarnation.
+                StatusCode::MISDIRECTED_REQUEST if outgoing.headers.contains_key(EXPECT_VERSION) => {
+                    Attempt::Ended(SendEnd::Declined(wait))
+                }
                 StatusCode::MISDIRECTED_REQUEST => Attempt::Ended(SendEnd::Misdirected),
                 _ => Attempt::Ended(SendEnd::Declined(wait)),
             };
--- a/system/request-forwarding/src/headers.rs
+++ b/system/request-forwarding/src/headers.rs
@@ -6,6 +6,7 @@
 pub(crate) const ATTEMPT_ID: HeaderName = HeaderName::from_static("attempt-id");
 pub(crate) const DEADLINE_REMAINING: HeaderName = HeaderName::from_static("deadline-remaining");
 pub(crate) const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
+pub(crate) const EXPECT_VERSION: HeaderName = HeaderName::from_static("expect-version");
 pub(crate) const PRIORITY: HeaderName = HeaderName::from_static("priority");
 pub(crate) const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 pub(crate) const SERVER_SEAL: HeaderName = HeaderName::from_static("server-seal");
