--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -604,6 +604,10 @@
 }
 
 /// What became of one call.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "it is moved once; a box would be an allocation for each answer"
+)]
 enum Attempt {
     /// No connection is free, and none may be opened.
     NoConnection,
