Take the circle of endpoint and service out of request-routing

Both used the other's: the service the endpoint's bounds, the endpoint the service's hash. The hashes are a module of their own. No change of behaviour.

--- a/system/request-routing/src/endpoint.rs
+++ b/system/request-routing/src/endpoint.rs
@@ -84,7 +84,7 @@
         Endpoint {
             key,
             instance_id: Arc::from(listed.instance_id.as_str()),
-            hash: crate::service::hash(listed.instance_id.as_bytes()),
+            hash: crate::hash::hash(listed.instance_id.as_bytes()),
             presence: presence(listed),
             listed: listed.clone(),
             out: 0,
--- a/system/request-routing/src/lib.rs
+++ b/system/request-routing/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod endpoint;
 mod execution;
+mod hash;
 mod retry;
 mod router;
 mod service;
--- a/system/request-routing/src/router.rs
+++ b/system/request-routing/src/router.rs
@@ -1,8 +1,9 @@
 //! The decisions: which endpoint, whether to wait, whether to go again.
 
 use crate::endpoint::{Bounds, Endpoint, Presence};
+use crate::hash::{hash, mix};
 use crate::retry;
-use crate::service::{Service, hash, mix, rank_of};
+use crate::service::{Service, rank_of};
 use crate::sessions::Sessions;
 use crate::types::*;
 use fleet_model::EndpointList;
