Let a newcomer after a retired replacement stand for the machine that is gone

A replacement that was retired gave back the place of the machine that it had replaced, and the next newcomer was taken to fill that one: the machine that it did replace stayed in the set, dead, for 10 s in place of 1.5 s, and one more loss left too few to fill from.

--- a/system/control-duties/src/turnover.rs
+++ b/system/control-duties/src/turnover.rs
@@ -46,7 +46,8 @@
     fn leaves(&mut self, now_ms: u64, left: &K, bidden: bool) {
         if let Some(place) = self.newcomers.iter().position(|(came, _, _)| came == left) {
             let (_, _, replaced) = self.newcomers.remove(place);
-            self.leavers.extend(replaced.map(|replaced| (replaced, now_ms)));
+            // One that was told to leave leaves no place: who comes next may replace another.
+            self.leavers.extend(replaced.filter(|_| !bidden).map(|replaced| (replaced, now_ms)));
             return;
         }
         if bidden {
