Fit the sets of storage machines to those that are there, and fill only from full ones

A deployment with fewer storage machines than 2t + 1 served nothing, for ever: accounts had no holders, stores took no write, and a fleet was founded only with so many. QuorumSizes now says for n machines and t losses who holds an account (min(n, 2t + 1)), how many write (min(t + 1, n)) and read, how many a filling has to read and how many must say that a turn is not there; placement, stores, fillings, proxies and the roster go by it. From 2t + 1 machines on the sizes are as before.

The first set is now formed like any other: machines gather in the next set, each tells that it is full, and it counts when it has 2t + 1 members, or 3 s after the first came, with those there are. A set with fewer than 2t + 1 that cannot be written without silent members shrinks to the others after 2 s, if these know everything. Figures and a line in the log tell what is not borne.

An empty store that was not waited for when its set became current gave itself as a source and counted on itself: a turn could be denied that its one source had. Sources are full stores only. Damage found during a filling that counts on the store itself voids it. A filling is done when enough sources are drained.

--- a/system/control-duties/src/lib.rs
+++ b/system/control-duties/src/lib.rs
@@ -19,4 +19,4 @@
 pub use core_watch::CoreWatch;
 pub use readings::Readings;
 pub use roster::{RetireVerdict, fill, give_up, join, proposed, retire, retire_state};
-pub use roster_watch::{RosterStep, RosterWatch};
+pub use roster_watch::{LossesBorne, RosterStep, RosterWatch, least_stores};
--- a/system/control-duties/src/roster.rs
+++ b/system/control-duties/src/roster.rs
@@ -45,6 +45,9 @@
 }
 
 /// Takes a storage machine in. One of its name or address with another disk has lost that disk, or is replaced.
+///
+/// Before the founding there is no current set, and nothing is kept: machines gather in the next set, and the first set
+/// becomes current by [`fill`] like any other, once it has `least` machines or the founding has waited long enough.
 pub fn join(state: &ControlState, store: &Store, least: usize) -> Option<ControlState> {
     let roster = &state.roster;
     let former = proposed(roster);
@@ -59,22 +62,18 @@
         former.iter().filter(|other| other.name != store.name && other.ip != store.ip).cloned().collect();
     next.push(store.clone());
     next.sort();
-    let founding = roster.current.len() < least && roster.next.is_none();
-    if !founding && next.len() < former.len() && staying(roster, &next) < least {
+    let founded = !roster.current.is_empty();
+    if founded && next.len() < former.len() && staying(roster, &next) < least {
         // It has one machine's name and another's address.
         return None;
     }
     let mut state = state.clone();
-    if founding {
-        // Nothing can have been kept while there were so few.
-        state.roster.epoch += 1;
-        state.roster.current = next;
-        return Some(state);
-    }
     // What is full but for the disk that this one replaces counts, as if that were waived: else one machine's loss after
-    // the other could keep all changes from their end.
+    // the other could keep all changes from their end. Someone has to be full: a set of that disk alone has nothing.
     let full = |other: &Store| roster.filled.contains(&other.disk) || !next.contains(other);
     if let Some(set) = &roster.next
+        && founded
+        && set.len() > 1
         && set.iter().filter(|other| !next.contains(other)).count() == 1
         && set.iter().all(full)
     {
@@ -103,7 +102,7 @@
     };
     let next: Vec<Store> = proposed(roster).iter().filter(|store| store.name != name).cloned().collect();
     let left = staying(roster, &next);
-    if left < least {
+    if left < least || roster.current.is_empty() {
         return (None, RetireVerdict::TooFew { left });
     }
     match would_abandon(roster, store) {
@@ -125,7 +124,8 @@
     }
 }
 
-/// A member of the next set is full; the last one makes that set current. `waived`: disks that are not waited for.
+/// A member of the next set is full; the last one makes that set current. `waived`: disks that are not waited for. The
+/// first set needs `least` machines.
 pub fn fill(
     state: &ControlState,
     disk: Option<u64>,
@@ -139,7 +139,10 @@
     let new =
         disk.filter(|disk| next.iter().any(|store| store.disk == *disk) && !roster.filled.contains(disk));
     state.roster.filled.extend(new);
-    if !next.iter().all(|store| state.roster.filled.contains(&store.disk) || waived.contains(&store.disk)) {
+    let waits =
+        next.iter().any(|store| !state.roster.filled.contains(&store.disk) && !waived.contains(&store.disk));
+    let founds_too_early = roster.current.is_empty() && next.len() < least;
+    if waits || founds_too_early {
         return new.map(|_| state);
     }
     state.roster.epoch += 1;
@@ -156,13 +159,14 @@
     Some(state)
 }
 
-/// Goes on without a member of the proposed set that is gone, if this is still the roster's epoch and enough are left.
-pub fn give_up(state: &ControlState, gone: &Store, epoch: u64, least: usize) -> Option<ControlState> {
+/// Goes on without a member of the proposed set that is gone, if this is still the roster's epoch and at least `fewest`
+/// are left.
+pub fn give_up(state: &ControlState, gone: &Store, epoch: u64, fewest: usize) -> Option<ControlState> {
     let roster = &state.roster;
     let former = proposed(roster);
     if roster.epoch != epoch || !former.contains(gone) || would_abandon(roster, gone) {
         return None;
     }
     let left: Vec<Store> = former.iter().filter(|store| *store != gone).cloned().collect();
-    (staying(roster, &left) >= least).then(|| with_next(state, left))
+    (staying(roster, &left) >= fewest.max(1)).then(|| with_next(state, left))
 }
--- a/system/control-duties/src/roster_watch.rs
+++ b/system/control-duties/src/roster_watch.rs
@@ -1,10 +1,10 @@
-use crate::roster::{give_up, proposed};
+use crate::roster::{fill, give_up, proposed};
 use crate::times::{
-    FILL_PATIENCE, FILLING_BEGUN, FILLING_MOST, FOUNDING, LEAST_MISSES, LOOK, LOOK_AGAIN, LOOK_BREAK,
-    NEWCOMER, STORE_GONE, STORE_REPLACED, STORE_UNSURE,
+    FILL_PATIENCE, FILLING_BEGUN, FILLING_MOST, FOUNDING, FOUNDING_WAIT, LEAST_MISSES, LOOK, LOOK_AGAIN,
+    LOOK_BREAK, NEWCOMER, STORE_BLOCKING, STORE_GONE, STORE_REPLACED, STORE_UNSURE,
 };
 use crate::turnover::Turnover;
-use fleet_model::{ControlState, Roster, Store};
+use fleet_model::{ControlState, QuorumSizes, Roster, Store};
 use std::collections::BTreeMap;
 
 /// What the holder of the duty is to do about the storage machines.
@@ -18,9 +18,57 @@
         store: Store,
         /// For how long it was silent.
         silent_ms: u64,
+        /// How few may be left.
+        fewest: usize,
     },
     /// Do not wait for these disks, by [`fill`](crate::fill).
     Waive(Vec<u64>),
+    /// Found the fleet with the machines that have come, though the tolerance asks for more.
+    Found,
+}
+
+impl RosterStep {
+    /// The state after the step, if it still fits the one that was read. `least`: with how many machines a fleet is
+    /// founded at once.
+    pub fn applied(&self, state: &ControlState, epoch: u64, least: usize) -> Option<ControlState> {
+        match self {
+            Self::Leave => None,
+            Self::GiveUp { store, fewest, .. } => give_up(state, store, epoch, *fewest),
+            Self::Waive(waived) => fill(state, None, epoch, waived, least),
+            Self::Found => fill(state, None, epoch, &[], 1),
+        }
+    }
+}
+
+/// How many storage machines a fleet needs for all that it is to bear.
+pub fn least_stores(tolerance: usize) -> usize {
+    2 * tolerance + 1
+}
+
+/// What the storage machines bear, by the smallest set that counts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LossesBorne {
+    /// So many may be silent at once, and turns go on.
+    pub served: usize,
+    /// So many disks may be lost at once, and all that was acknowledged is left.
+    pub survived: usize,
+}
+
+impl LossesBorne {
+    /// By this roster. Nothing is borne before it is founded.
+    pub fn of(roster: &Roster, tolerance: usize) -> Self {
+        let sets = [Some(roster.current.as_slice()), roster.next.as_deref()];
+        let sizes = sets.into_iter().flatten().map(|set| QuorumSizes::of(set.len(), tolerance));
+        let borne = |sizes: Option<QuorumSizes>| {
+            sizes.map_or_else(Self::default, |sizes| Self {
+                served: sizes.losses_served(),
+                survived: sizes.losses_survived(),
+            })
+        };
+        let fewer =
+            |a: Self, b: Self| Self { served: a.served.min(b.served), survived: a.survived.min(b.survived) };
+        sizes.map(borne).reduce(fewer).unwrap_or_default()
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -40,8 +88,12 @@
     turnover: Turnover<String>,
     /// The roster's epoch, and since when it is known.
     epoch: (u64, u64),
-    /// Since when the roster is founded; 0 if it was when this keeper first saw it.
+    /// Since when the roster has as many machines as the tolerance asks for; 0 if it had when this keeper first saw it.
     founded: Option<u64>,
+    /// Since when machines wait for the founding.
+    gathering: Option<u64>,
+    /// What the machines bore when staff were last told.
+    borne: Option<LossesBorne>,
 }
 
 impl RosterWatch {
@@ -53,6 +105,9 @@
         if roster.epoch != self.epoch.0 {
             self.epoch = (roster.epoch, now_ms);
         }
+        if roster.current.is_empty() {
+            self.gathering.get_or_insert(now_ms);
+        }
         let first = self.began.is_none();
         self.began.get_or_insert(now_ms);
         if roster.current.len() >= least {
@@ -74,6 +129,18 @@
         }
     }
 
+    /// What the machines bear of the losses of `tolerance`, where staff have not been told that yet. All of them is news
+    /// only after less.
+    pub fn news_of_losses(&mut self, roster: &Roster, tolerance: usize) -> Option<LossesBorne> {
+        if roster.epoch == 0 {
+            return None;
+        }
+        let borne = LossesBorne::of(roster, tolerance);
+        let before =
+            self.borne.replace(borne).unwrap_or(LossesBorne { served: tolerance, survived: tolerance });
+        (borne != before).then_some(borne)
+    }
+
     /// Whether a machine that asks to be taken in may be. Of two live machines of one name the one with the place keeps it
     /// until it is gone, or they would push each other out for as long as both run.
     pub fn admits(&self, roster: &Roster, store: &Store) -> bool {
@@ -132,8 +199,9 @@
         if self.looked.is_none_or(|looked| now_ms.saturating_sub(looked) > LOOK_BREAK) {
             return RosterStep::Leave;
         }
-        let patience = self.patience(now_ms);
-        let least = 2 * tolerance + 1;
+        if roster.current.is_empty() {
+            return self.founding_step(now_ms, roster);
+        }
         // What is full but for these counts first: giving one up begins the filling anew.
         if let Some(next) = &roster.next {
             let waived: Vec<u64> = next
@@ -142,7 +210,8 @@
                 .map(|store| store.disk)
                 .collect();
             let full = |store: &Store| roster.filled.contains(&store.disk) || waived.contains(&store.disk);
-            if waived.len() <= tolerance && next.iter().all(full) {
+            let may_lack = QuorumSizes::of(next.len(), tolerance).map_or(0, |sizes| sizes.losses_survived());
+            if waived.len() <= may_lack && next.iter().all(full) {
                 return RosterStep::Waive(waived);
             }
             let age = now_ms.saturating_sub(self.epoch.1);
@@ -150,15 +219,58 @@
                 return RosterStep::Leave;
             }
         }
+        match self.is_blocked(now_ms, roster, tolerance) {
+            true => self.give_up_step(now_ms, state, STORE_BLOCKING, 1),
+            false => self.give_up_step(now_ms, state, self.patience(now_ms), least_stores(tolerance)),
+        }
+    }
+
+    /// Gives up who was silent longest, if that is longer than `patience` and `fewest` are left.
+    fn give_up_step(&self, now_ms: u64, state: &ControlState, patience: u64, fewest: usize) -> RosterStep {
+        let roster = &state.roster;
         let gone = proposed(roster)
             .iter()
             .map(|store| (store, self.silent(now_ms, store)))
             .filter(|(_, silent)| *silent > patience)
-            .filter(|(store, _)| give_up(state, store, roster.epoch, least).is_some())
+            .filter(|(store, _)| give_up(state, store, roster.epoch, fewest).is_some())
             .max_by_key(|(_, silent)| *silent);
         gone.map_or(RosterStep::Leave, |(store, silent_ms)| RosterStep::GiveUp {
             store: store.clone(),
             silent_ms,
+            fewest,
         })
     }
+
+    /// Founds the fleet with the live machines there are once it has waited for more long enough.
+    fn founding_step(&self, now_ms: u64, roster: &Roster) -> RosterStep {
+        let waited = self.gathering.is_some_and(|since| now_ms.saturating_sub(since) >= FOUNDING_WAIT);
+        let Some(next) = roster.next.as_ref().filter(|_| waited) else { return RosterStep::Leave };
+        let silent = next.iter().map(|store| (store, self.silent(now_ms, store)));
+        let gone = silent.filter(|(_, silent)| *silent > FILL_PATIENCE).max_by_key(|(_, silent)| *silent);
+        match gone {
+            Some((store, silent_ms)) if next.len() > 1 => {
+                RosterStep::GiveUp { store: store.clone(), silent_ms, fewest: 1 }
+            }
+            None if next.iter().all(|store| roster.filled.contains(&store.disk)) => RosterStep::Found,
+            _ => RosterStep::Leave,
+        }
+    }
+
+    /// Whether there are fewer machines than the tolerance asks for, nothing can be written without those that are silent,
+    /// and the others hold all that was kept: then the set has to shrink to these.
+    fn is_blocked(&self, now_ms: u64, roster: &Roster, tolerance: usize) -> bool {
+        let members = proposed(roster);
+        let silent = |stores: &[Store]| {
+            stores.iter().filter(|store| self.silent(now_ms, store) > STORE_BLOCKING).count()
+        };
+        let (Some(sizes), Some(current)) =
+            (QuorumSizes::of(members.len(), tolerance), QuorumSizes::of(roster.current.len(), tolerance))
+        else {
+            return false;
+        };
+        members.len() < least_stores(tolerance)
+            && silent(members) > sizes.losses_served()
+            && silent(members) < members.len()
+            && roster.current.len() - silent(&roster.current) >= current.covering
+    }
 }
--- a/system/control-duties/src/times.rs
+++ b/system/control-duties/src/times.rs
@@ -38,6 +38,11 @@
 pub const STORE_UNSURE: u64 = 5_000;
 /// A newcomer counts as a replacement for so long.
 pub const NEWCOMER: u64 = 30_000;
+/// With fewer machines than the tolerance asks for, a fleet is founded so long after the first one joined.
+pub const FOUNDING_WAIT: u64 = 3_000;
+/// Where fewer machines than the tolerance asks for are left, one without which nothing can be written is given up after
+/// it did not answer for so long.
+pub const STORE_BLOCKING: u64 = 2_000;
 /// Who comes within this time of the founding replaces nobody.
 pub const FOUNDING: u64 = 3_000;
 /// A member of the next set that does not answer is not waited for after this.
--- a/system/control-duties/tests/duties/stories.rs
+++ b/system/control-duties/tests/duties/stories.rs
@@ -45,6 +45,63 @@
     });
 }
 
+#[gtest]
+fn a_wiped_machine_is_full_again_in_time_while_one_of_its_sources_is_silent() {
+    let mut longest = 0;
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(seed, 2, 3, 6);
+        fleet.stop(2);
+        fleet.run(1_000);
+        fleet.freeze(3, 60_000);
+        let disk = fleet.start("s2", 2);
+        let took = fleet.run_until(CATCH_UP, |fleet| is_in(fleet, disk));
+        expect_that!(took, some(anything()), "seed {seed}");
+        longest = longest.max(took.unwrap_or(CATCH_UP));
+        expect_that!(fleet.broken(), elements_are![]);
+    }
+    println!("full again after {longest} ms at most");
+}
+
+#[gtest]
+fn a_fleet_of_fewer_machines_than_asked_for_is_founded_shrinks_and_grows() {
+    each(|seed| {
+        // given four machines where two losses are to be borne
+        let mut fleet = Fleet::new(seed, 2, 3, 4);
+        expect_that!(fleet.roster().current.len(), eq(4), "seed {seed}");
+        expect_that!(fleet.is_settled(), eq(true));
+        // when two are gone, then the other two go on by themselves
+        fleet.stop(1);
+        fleet.stop(2);
+        let two_left = |fleet: &Fleet| is_out(fleet, 1) && is_out(fleet, 2);
+        expect_that!(fleet.run_until(6_000, two_left), some(anything()), "seed {seed}");
+        expect_that!(fleet.roster().current.len(), eq(2));
+        // and when one of those is gone and five more come, then they are one set in the end
+        fleet.stop(3);
+        expect_that!(fleet.run_until(6_000, |fleet| is_out(fleet, 3)), some(anything()), "seed {seed}");
+        for at in 11..=15 {
+            fleet.start(&format!("s{at}"), at);
+        }
+        let all = |fleet: &Fleet| fleet.is_settled() && fleet.roster().current.len() == 6;
+        expect_that!(fleet.run_until(CATCH_UP, all), some(anything()), "seed {seed}");
+        expect_that!(fleet.broken(), elements_are![]);
+    });
+}
+
+#[gtest]
+fn a_fleet_is_founded_at_once_where_enough_machines_come_and_in_bounded_time_where_not() {
+    for (machines, tolerance, within) in
+        [(3, 1, 1_500), (5, 2, 1_500), (2, 1, 6_000), (1, 1, 6_000), (4, 2, 6_000)]
+    {
+        let fleet = Fleet::new(1, tolerance, 3, machines);
+        let founded = |(at, event): &(u64, Event)| match event {
+            Event::Roster(roster, _) if roster.current.len() == usize::from(machines) => Some(*at),
+            _ => None,
+        };
+        let at = fleet.history.iter().find_map(founded);
+        expect_that!(at, some(le(within)), "{machines} machines");
+    }
+}
+
 #[gtest]
 fn a_machine_replaced_at_another_address_is_made_good_in_time() {
     each(|seed| {
--- a/system/control-duties/tests/duties/watches.rs
+++ b/system/control-duties/tests/duties/watches.rs
@@ -1,6 +1,8 @@
 //! What one keeper knows and claims.
 
-use control_duties::{CoreWatch, DutyClaim, Readings, RosterStep, RosterWatch, join, stands, times};
+use control_duties::{
+    CoreWatch, DutyClaim, LossesBorne, Readings, RosterStep, RosterWatch, join, stands, times,
+};
 use fleet_model::{ControlState, Endpoint, EndpointList, EndpointState, Fence, Store, rank};
 use googletest::prelude::*;
 use std::net::Ipv4Addr;
@@ -385,6 +387,25 @@
     Ok(())
 }
 
+#[gtest]
+fn a_replacement_that_is_retired_leaves_no_place_for_the_next_newcomer() -> Result<()> {
+    // given that s9 came for s4, which is out, and was retired in its turn
+    let mut state = founded(4);
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 2, 3]);
+    state.roster.current[3] = store("s9", 9, 9);
+    keeper.run(21_000, &state, &[1, 2, 3, 9]);
+    state.roster.retiring.push("s9".into());
+    state.roster.current.remove(3);
+    keeper.run(24_000, &state, &[1, 2, 3]);
+    // when s3 is gone and s10 comes, then it came for s3
+    keeper.run(25_000, &state, &[1, 2]);
+    state.roster.current.push(store("s10", 10, 10));
+    keeper.run(27_000, &state, &[1, 2, 10]);
+    expect_that!(gives_up(&keeper.step(&state)), some(eq(3)));
+    Ok(())
+}
+
 #[gtest]
 fn a_wiped_machine_replaces_nobody_but_itself() -> Result<()> {
     let mut state = founded(4);
@@ -443,6 +464,106 @@
     expect_that!(keeper.step(&state), eq(&RosterStep::Leave));
 }
 
+fn gathered(count: u8, filled: &[u64]) -> ControlState {
+    let mut state = founded(count);
+    state.roster.next = Some(std::mem::take(&mut state.roster.current));
+    state.roster.filled = filled.to_vec();
+    state
+}
+
+#[gtest]
+fn a_founding_waits_for_more_machines_a_bounded_time_and_goes_without_them() {
+    // given two machines where three are asked for
+    let mut keeper = Watching::new();
+    let state = gathered(2, &[1, 2]);
+    keeper.run(10_000 + times::FOUNDING_WAIT - 200, &state, &[1, 2]);
+    expect_that!(keeper.step(&state), eq(&RosterStep::Leave));
+    // when the time is over, then they are founded, but not before each is full
+    keeper.run(10_000 + times::FOUNDING_WAIT + 200, &state, &[1, 2]);
+    expect_that!(keeper.step(&gathered(2, &[1])), eq(&RosterStep::Leave));
+    expect_that!(keeper.step(&state), eq(&RosterStep::Found));
+    // and a machine that keeps coming and going does not begin the time anew
+    let mut later = gathered(3, &[1, 2, 3]);
+    later.roster.epoch += 1;
+    keeper.run(keeper.now + 200, &later, &[1, 2, 3]);
+    expect_that!(keeper.step(&later), eq(&RosterStep::Found));
+}
+
+#[gtest]
+fn a_founding_goes_without_a_machine_that_is_gone_again() -> Result<()> {
+    let state = gathered(2, &[1]);
+    let mut keeper = Watching::new();
+    keeper.run(11_000, &state, &[1, 2]);
+    keeper.run(10_000 + times::FOUNDING_WAIT + 600, &state, &[1]);
+    let step = keeper.step(&state);
+    expect_that!(gives_up(&step), some(eq(2)));
+    expect_that!(step.applied(&state, 7, 3).or_fail()?.roster.next, some(len(eq(1))));
+    // but the last one is not given up
+    keeper.run(keeper.now + 4_000, &gathered(1, &[]), &[]);
+    expect_that!(keeper.step(&gathered(1, &[])), eq(&RosterStep::Leave));
+    Ok(())
+}
+
+/// Members of `count` that are given up, one after the other, when only these are live.
+fn left_after(count: u8, tolerance: usize, live: &[u64]) -> Vec<u64> {
+    let mut state = founded(count);
+    let mut watch = Watching::new();
+    let all: Vec<u64> = (1..=count.into()).collect();
+    watch.run(60_000, &state, &all);
+    loop {
+        watch.run(watch.now + times::STORE_BLOCKING + 1_000, &state, live);
+        let step = watch.watch.step(watch.now, &state, tolerance);
+        let Some(next) = step.applied(&state, state.roster.epoch, 2 * tolerance + 1) else { break };
+        state = next;
+    }
+    control_duties::proposed(&state.roster).iter().map(|store| store.disk).collect()
+}
+
+#[gtest]
+fn where_fewer_machines_are_than_asked_for_the_set_shrinks_to_those_that_hold_everything() {
+    // four with two losses to bear: three write, so one loss is served through, and two are not
+    expect_that!(left_after(4, 2, &[1, 2, 3]), elements_are![&1, &2, &3, &4]);
+    expect_that!(left_after(4, 2, &[1, 2]), elements_are![&1, &2]);
+    // one of four may not know all
+    expect_that!(left_after(4, 2, &[1]), elements_are![&1, &2, &3, &4]);
+    expect_that!(left_after(3, 2, &[1, 2]), elements_are![&1, &2]);
+    expect_that!(left_after(3, 2, &[1]), elements_are![&1]);
+    expect_that!(left_after(2, 1, &[2]), elements_are![&2]);
+    // a keeper that hears nobody gives nobody up
+    expect_that!(left_after(2, 1, &[]), elements_are![&1, &2]);
+    // enough machines stay as they are for as long as ever
+    expect_that!(left_after(3, 1, &[1, 2]), elements_are![&1, &2, &3]);
+    expect_that!(left_after(3, 1, &[1]), elements_are![&1, &2, &3]);
+    expect_that!(left_after(5, 2, &[1, 2, 3]), elements_are![&1, &2, &3, &4, &5]);
+}
+
+#[gtest]
+fn no_member_of_a_small_next_set_is_waived_that_alone_would_hold_something() {
+    let mut state = founded(1);
+    state.roster.next = Some(vec![store("s1", 1, 11)]);
+    let mut keeper = Watching::new();
+    keeper.run(20_000, &state, &[1, 11]);
+    keeper.run(20_000 + times::FILL_PATIENCE + 1_000, &state, &[1]);
+    expect_that!(keeper.step(&state), eq(&RosterStep::Leave));
+}
+
+#[gtest]
+fn what_the_machines_bear_is_told_when_it_is_less_than_asked_for_and_when_it_changes() {
+    let borne = |served, survived| LossesBorne { served, survived };
+    let mut watch = RosterWatch::default();
+    expect_that!(watch.news_of_losses(&Default::default(), 2), none());
+    expect_that!(watch.news_of_losses(&founded(5).roster, 2), none());
+    expect_that!(watch.news_of_losses(&founded(4).roster, 2), some(eq(borne(1, 2))));
+    expect_that!(watch.news_of_losses(&founded(4).roster, 2), none());
+    expect_that!(watch.news_of_losses(&founded(2).roster, 2), some(eq(borne(0, 1))));
+    // while a set grows, what the smaller one bears
+    let mut growing = founded(2);
+    growing.roster.next = Some(founded(5).roster.current);
+    expect_that!(watch.news_of_losses(&growing.roster, 2), none());
+    expect_that!(watch.news_of_losses(&founded(6).roster, 2), some(eq(borne(2, 2))));
+    expect_that!(watch.news_of_losses(&gathered(5, &[]).roster, 2), some(eq(borne(0, 0))));
+}
+
 #[gtest]
 fn of_two_live_machines_of_one_name_the_one_with_the_place_keeps_it() {
     let state = founded(3);
--- a/system/fleet-model/src/lib.rs
+++ b/system/fleet-model/src/lib.rs
@@ -448,6 +448,56 @@
     hash ^ (hash >> 32)
 }
 
+/// How many storage machines of a set hold a record, write it and are read, so that `losses` are borne as far as there are
+/// machines for it.
+///
+/// With `n` machines and `t` losses, a record that was acknowledged is on at least `write = min(t + 1, n)` machines of the
+/// set: an account on so many of its `holders = min(n, 2t + 1)`, a turn on so many of all. It follows:
+///
+/// - `write + read = holders + 1`: among an account's holders each read meets each write.
+/// - `write - 1 = min(t, n - 1)` disks may be lost, and one of each record's is left.
+/// - `covering = n - write + 1` machines of the set leave out `write - 1`, fewer than hold any record: together they
+///   know all of them. Who fills reads so many.
+/// - `absent = max(covering, write)` machines that answer "not there" under one epoch prove that nothing is: `absent`
+///   leave out too few to hold it all, and since `absent + covering > n`, no later set has been filled from machines
+///   that go by a later epoch, so that nothing can have been acknowledged there. From 2t + 1 machines on, both are n - t.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuorumSizes {
+    /// Machines that hold an account.
+    pub holders: usize,
+    /// Holders that must have synced an account's record; also the copies of a turn.
+    pub write: usize,
+    /// Holders that are read to meet each write.
+    pub read: usize,
+    /// Machines of the whole set that together know every record.
+    pub covering: usize,
+    /// Machines of the whole set that must say that a turn is not there.
+    pub absent: usize,
+}
+
+impl QuorumSizes {
+    /// For a set of so many machines; none for an empty one, which keeps nothing.
+    pub fn of(machines: usize, losses: usize) -> Option<Self> {
+        if machines == 0 {
+            return None;
+        }
+        let holders = machines.min(2 * losses + 1);
+        let write = holders.min(losses + 1);
+        let covering = machines + 1 - write;
+        Some(Self { holders, write, read: holders + 1 - write, covering, absent: covering.max(write) })
+    }
+
+    /// So many disks may be lost at once, and every record is left.
+    pub fn losses_survived(&self) -> usize {
+        self.write - 1
+    }
+
+    /// So many machines may be silent at once, and records are still taken and read.
+    pub fn losses_served(&self) -> usize {
+        self.holders - self.write
+    }
+}
+
 /// The machines among `stores` that hold the account of a program: `2 * losses + 1` of them, or all if there are fewer.
 pub fn account_holders<'a>(stores: &'a [Store], program: &str, losses: usize) -> Vec<&'a Store> {
     let mut ranked: Vec<_> =
--- a/system/programs/src/keeper.rs
+++ b/system/programs/src/keeper.rs
@@ -232,6 +232,11 @@
             let holds =
                 self.feed.state().fences.values().filter(|fence| fence.holder == Some(self.me)).count();
             figures.gauge("config_keeper_duties", holds as f64);
+            let tolerance = self.process.settings().fault_tolerance.machines;
+            let borne = control_duties::LossesBorne::of(&self.feed.state().roster, tolerance);
+            figures.gauge("config_keeper_storage_losses_to_bear", tolerance as f64);
+            figures.gauge("config_keeper_storage_losses_borne", borne.served as f64);
+            figures.gauge("config_keeper_storage_losses_survived", borne.survived as f64);
             figures.counter("config_keeper_runs_total", self.runs.begun.get());
             figures.counter("config_keeper_runs_lost_total", self.runs.lost.get());
         })
--- a/system/programs/src/keeper/duties.rs
+++ b/system/programs/src/keeper/duties.rs
@@ -5,7 +5,7 @@
 use super::*;
 use crate::feed::follow_lists;
 use crate::platform::Platform;
-use control_duties::{CoreWatch, Readings, RetireVerdict, RosterStep, fill, give_up, stands, times};
+use control_duties::{CoreWatch, LossesBorne, Readings, RetireVerdict, RosterStep, fill, stands, times};
 use fleet_model::Fence;
 
 /// The duty of reading the list and looking after machines that are gone.
@@ -38,7 +38,7 @@
 
 impl Keeper {
     pub(super) fn least_stores(&self) -> usize {
-        2 * self.process.settings().fault_tolerance.machines + 1
+        control_duties::least_stores(self.process.settings().fault_tolerance.machines)
     }
 
     fn now_ms(&self) -> u64 {
@@ -193,7 +193,15 @@
     fn observe(&self) {
         let now = self.now_ms();
         self.core.borrow_mut().observe(now, &self.feed.value().voters);
-        self.stores.borrow_mut().observe(now, &self.feed.state().roster, self.least_stores());
+        let state = self.feed.state();
+        let mut stores = self.stores.borrow_mut();
+        stores.observe(now, &state.roster, self.least_stores());
+        let tolerance = self.process.settings().fault_tolerance.machines;
+        if let Some(LossesBorne { served, survived }) = stores.news_of_losses(&state.roster, tolerance) {
+            log::warn!(
+                "the storage machines now go on without {served} and keep all through the loss of {survived}, of {tolerance} asked for"
+            );
+        }
     }
 
     async fn look_at_stores(&self) {
@@ -225,23 +233,15 @@
         let step = self.stores.borrow().step(self.now_ms(), &state, tolerance);
         // A holder that slept meanwhile may have lost the duty to one that sees better.
         let still = |state: &ControlState| stands(state, LIST, self.me, fence);
-        match step {
-            RosterStep::Leave => {}
-            RosterStep::GiveUp { store, silent_ms } => {
-                log::info!("{} is given up: silent for {silent_ms} ms", store.name);
-                let wanted = |state: &ControlState| match still(state) {
-                    true => give_up(state, &store, epoch, least).into(),
-                    false => Wanted::Nothing,
-                };
-                self.change(CHANGE, wanted).await;
-            }
-            RosterStep::Waive(waived) => {
-                let wanted = |state: &ControlState| match still(state) {
-                    true => fill(state, None, epoch, &waived, least).into(),
-                    false => Wanted::Nothing,
-                };
-                self.change(CHANGE, wanted).await;
-            }
+        if let RosterStep::GiveUp { store, silent_ms, .. } = &step {
+            log::info!("{} is given up: silent for {silent_ms} ms", store.name);
+        }
+        if step != RosterStep::Leave {
+            let wanted = |state: &ControlState| match still(state) {
+                true => step.applied(state, epoch, least).into(),
+                false => Wanted::Nothing,
+            };
+            self.change(CHANGE, wanted).await;
         }
     }
 
--- a/system/programs/src/turns.rs
+++ b/system/programs/src/turns.rs
@@ -1,4 +1,4 @@
-//! A proxy's way to the storage machines: accounts written at a majority of their holders, turns at as many machines as
+//! A proxy's way to the storage machines: accounts written at a quorum of their holders, turns at as many machines as
 //! the loss of all but one is to be borne.
 
 use crate::feed::Feed;
@@ -14,7 +14,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
-use turn_store::{AccountHolders, copies_needed, copy_order, has_copies, merge_reservations};
+use turn_store::{
+    AccountHolders, copies_needed, copy_order, has_copies, is_surely_absent, merge_reservations,
+};
 
 /// Longest time for one call.
 const PATIENCE: Duration = Duration::from_millis(300);
@@ -22,7 +24,7 @@
 const DOWN: Duration = Duration::from_millis(1_500);
 /// Without an answer for so long, another machine is asked as well.
 const HEDGE: Duration = Duration::from_millis(70);
-/// How long the last of an account's holders are waited for, once a majority has written.
+/// How long the last of an account's holders are waited for, once a quorum has written.
 const GRACE: Duration = Duration::from_millis(6);
 /// How long a reservation, a chain or a turn is tried.
 const TRY_FOR: Duration = Duration::from_millis(1_500);
@@ -162,7 +164,7 @@
         let Some(holders) = AccountHolders::of(roster, program, self.losses()) else { return Round::Again };
         let write =
             |_: &Store| Call::Reserve { epoch: roster.epoch, program: program.to_owned(), reservation };
-        let Some((written, all)) = self.at_majority(&holders, write, true).await else { return Round::Again };
+        let Some((written, all)) = self.at_quorum(&holders, write, true).await else { return Round::Again };
         let account = match all {
             true => {
                 more(&self.figures.at_once);
@@ -172,7 +174,7 @@
             false => {
                 more(&self.figures.second_round);
                 let read = |_: &Store| Call::ReadAccount { epoch: roster.epoch, program: program.to_owned() };
-                let Some((mut account, _)) = self.at_majority(&holders.current_only(), read, false).await
+                let Some((mut account, _)) = self.at_quorum(&holders.current_only(), read, false).await
                 else {
                     return Round::Again;
                 };
@@ -187,9 +189,9 @@
         Round::Done(if sum <= u64::from(budget) { Reserve::Granted } else { Reserve::Spent })
     }
 
-    /// Calls all holders and waits for a majority of the current ones and of the next ones; what the current ones know
+    /// Calls all holders and waits for a quorum of the current ones and of the next ones; what the current ones know
     /// of the account, and whether all of them answered.
-    async fn at_majority(
+    async fn at_quorum(
         &self,
         holders: &AccountHolders<'_>,
         call: impl Fn(&Store) -> Call,
@@ -201,7 +203,7 @@
             .collect();
         let (mut account, mut answered) = (BTreeMap::new(), BTreeSet::new());
         loop {
-            let enough = holders.majority(&answered);
+            let enough = holders.is_quorum(&answered);
             let all = holders.current.iter().all(|store| answered.contains(&store.disk));
             if enough && (all || !wait_for_all) {
                 return Some((account, all));
@@ -247,9 +249,7 @@
                 }
             }
         }
-        let absent = roster.current.iter().filter(|store| surely_not.contains(&store.disk)).count();
-        // A turn that was answered whole is on more machines than may be lost.
-        match !roster.current.is_empty() && absent + self.losses() >= roster.current.len() {
+        match is_surely_absent(roster, &surely_not, self.losses()) {
             true => Round::Done(Found::Nowhere),
             false => Round::Again,
         }
--- a/system/turn-store/src/filling.rs
+++ b/system/turn-store/src/filling.rs
@@ -10,6 +10,7 @@
     epoch: u64,
     disk: u64,
     needed: usize,
+    counts_itself: bool,
     sources: BTreeMap<u64, Source>,
 }
 
@@ -27,10 +28,23 @@
 }
 
 impl Filling {
-    pub(crate) fn new(epoch: u64, disk: u64, sources: impl Iterator<Item = Store>, needed: usize) -> Self {
+    /// From so many full stores, of which the one that fills is one if it `counts_itself`.
+    pub(crate) fn new(
+        epoch: u64,
+        disk: u64,
+        sources: impl Iterator<Item = Store>,
+        covering: usize,
+        counts_itself: bool,
+    ) -> Self {
         let source = |store| Source { store, progress: Progress::Asking(Bytes::new()) };
         let sources = sources.map(|store: Store| (store.disk, source(store))).collect();
-        Self { epoch, disk, needed, sources }
+        let needed = covering.saturating_sub(usize::from(counts_itself));
+        Self { epoch, disk, needed, counts_itself, sources }
+    }
+
+    /// Whether it relies on what the one that fills holds itself.
+    pub(crate) fn counts_itself(&self) -> bool {
+        self.counts_itself
     }
 
     /// The epoch that it fills for: under another it is worth nothing.
@@ -87,9 +101,10 @@
             .map(|source| &source.store)
     }
 
-    /// All are drained or given up, and enough are drained that no record was on the others alone.
+    /// Enough are drained that no record was on the others alone. The rest is not waited for: one that is silent would cost
+    /// the time until it is given up.
     pub fn is_done(&self) -> bool {
-        self.calls().next().is_none() && self.drained().count() >= self.needed
+        self.drained().count() >= self.needed
     }
 
     /// All are drained or given up, and too few are drained: time to [`retry`](Self::retry).
--- a/system/turn-store/src/lib.rs
+++ b/system/turn-store/src/lib.rs
@@ -14,7 +14,9 @@
 
 pub use disk::{Damage, Disk, DiskError, Replaced, Space, Write};
 pub use filling::Filling;
-pub use placement::{AccountHolders, copies_needed, copy_order, has_copies, merge_reservations};
+pub use placement::{
+    AccountHolders, copies_needed, copy_order, has_copies, is_surely_absent, merge_reservations,
+};
 pub use record_log::{Found, Opened, RecordLog};
 pub use records::{ACCOUNTS, FillRecord, HOLDERS, Kept, KeptTurn, SPACES, STATE, TURNS, load};
 pub use state::{Bodies, Body, Durability, Outcome, Room, StoreState};
--- a/system/turn-store/src/placement.rs
+++ b/system/turn-store/src/placement.rs
@@ -1,6 +1,6 @@
 //! Where turns and accounts are kept, as one who writes and reads them goes by the roster.
 
-use fleet_model::{Reservation, Roster, Store, account_holders};
+use fleet_model::{QuorumSizes, Reservation, Roster, Store, account_holders};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The machines that may hold a turn, best first: while the roster changes, those that are in both sets before the others;
@@ -24,10 +24,18 @@
 }
 
 /// Whether a turn on these disks has its copies, in each of the sets that count: while the roster changes, whichever of
-/// them comes to stand must hold it by itself.
+/// them comes to stand must hold it by itself. A set with fewer machines than `copies` has one on each of them.
 pub fn has_copies(roster: &Roster, kept: &BTreeSet<u64>, copies: usize) -> bool {
-    let held = |stores: &[Store]| stores.iter().filter(|store| kept.contains(&store.disk)).count() >= copies;
-    held(&roster.current) && roster.next.as_deref().is_none_or(held)
+    let held = |stores: &[Store]| {
+        stores.iter().filter(|store| kept.contains(&store.disk)).count() >= copies.min(stores.len())
+    };
+    !roster.current.is_empty() && held(&roster.current) && roster.next.as_deref().is_none_or(held)
+}
+
+/// Whether no copy of a turn can exist that was answered whole, if these disks, each of them full, do not have it.
+pub fn is_surely_absent(roster: &Roster, absent: &BTreeSet<u64>, losses: usize) -> bool {
+    let count = roster.current.iter().filter(|store| absent.contains(&store.disk)).count();
+    QuorumSizes::of(roster.current.len(), losses).is_some_and(|sizes| count >= sizes.absent)
 }
 
 /// The first of `stores` that give a turn its copies, if all of them do.
@@ -39,30 +47,41 @@
         .map(<[u64]>::to_vec)
 }
 
+/// What a quorum of an account's holders is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Access {
+    Write,
+    Read,
+}
+
 /// Who holds an account: among the current machines, and among the next ones while a change is under way.
 pub struct AccountHolders<'a> {
     /// Among the current machines.
     pub current: Vec<&'a Store>,
     /// Among the next ones.
     pub next: Vec<&'a Store>,
+    losses: usize,
+    access: Access,
 }
 
 impl<'a> AccountHolders<'a> {
-    /// Those of a program; none while too few machines count.
+    /// Those of a program, to be written; none before the roster is founded.
     pub fn of(roster: &'a Roster, program: &str, losses: usize) -> Option<Self> {
-        if roster.current.len() < 2 * losses + 1 {
+        if roster.current.is_empty() {
             return None;
         }
         let next = roster.next.as_ref().map(|next| account_holders(next, program, losses));
         Some(Self {
             current: account_holders(&roster.current, program, losses),
             next: next.unwrap_or_default(),
+            losses,
+            access: Access::Write,
         })
     }
 
     /// The current ones, which are read.
     pub fn current_only(&self) -> Self {
-        Self { current: self.current.clone(), next: Vec::new() }
+        Self { current: self.current.clone(), next: Vec::new(), losses: self.losses, access: Access::Read }
     }
 
     /// All of them, which are written.
@@ -71,13 +90,19 @@
         self.current.iter().chain(further).copied()
     }
 
-    /// Whether these are a majority in each set.
-    pub fn majority(&self, answered: &BTreeSet<u64>) -> bool {
-        let most = |stores: &[&Store]| {
-            let count = stores.iter().filter(|store| answered.contains(&store.disk)).count();
-            stores.is_empty() || count > stores.len() / 2
+    /// Whether these are a quorum for the access in each set.
+    pub fn is_quorum(&self, answered: &BTreeSet<u64>) -> bool {
+        self.answers_suffice(&self.current, answered) && self.answers_suffice(&self.next, answered)
+    }
+
+    fn answers_suffice(&self, holders: &[&Store], answered: &BTreeSet<u64>) -> bool {
+        // Of a set's machines its holders are as many as they may be: their sizes are the set's.
+        let Some(sizes) = QuorumSizes::of(holders.len(), self.losses) else { return true };
+        let needed = match self.access {
+            Access::Write => sizes.write,
+            Access::Read => sizes.read,
         };
-        most(&self.current) && most(&self.next)
+        holders.iter().filter(|store| answered.contains(&store.disk)).count() >= needed
     }
 }
 
--- a/system/turn-store/src/state.rs
+++ b/system/turn-store/src/state.rs
@@ -7,7 +7,7 @@
     turn_write,
 };
 use bytes::{Bytes, BytesMut};
-use fleet_model::{Answer, Call, Reservation, Roster, Store, Turn, account_holders, rank};
+use fleet_model::{Answer, Call, QuorumSizes, Reservation, Roster, Store, Turn, account_holders, rank};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::ops::Bound::{Excluded, Included, Unbounded};
@@ -154,18 +154,14 @@
     room: Room,
     turns: BTreeMap<Box<str>, Entry>,
     accounts: BTreeMap<Box<str>, Account>,
-    /// It has taken no write and was never full in a founded set: what it holds it has from others, and nobody counts on it.
-    fresh: bool,
 }
 
 impl StoreState {
     /// A store with what its disk holds. All of it gets a fresh expiry.
     pub fn new(now_ms: u64, disk: u64, losses: usize, kept: Kept) -> Self {
-        let fresh = kept.turns.is_empty() && kept.accounts.is_empty() && !kept.fill.damaged;
         let mut state = Self {
             disk,
             losses,
-            fresh,
             roster: Roster::default(),
             fill: kept.fill,
             room: Room::default(),
@@ -221,7 +217,6 @@
         self.fill.filled.retain(|(epoch, set)| {
             *set == current || (Some(set) == next.as_ref() && (*epoch == roster.epoch || told))
         });
-        self.fresh &= !(self.is_founded() && self.is_full());
         if self.fill == before { Vec::new() } else { vec![self.fill.write()] }
     }
 
@@ -253,16 +248,19 @@
         self.in_current() && self.filled_for(&self.roster.current)
     }
 
-    /// Enough stores for writes to outlive the losses.
+    /// Before there is a current set, nothing is kept: the founding ends only when its members are full without sources.
     fn is_founded(&self) -> bool {
-        self.roster.current.len() > 2 * self.losses
+        !self.roster.current.is_empty()
     }
 
     fn takes_writes(&self) -> bool {
         self.is_founded() && if self.in_current() { self.is_full() } else { self.in_next() }
     }
 
-    /// The filling that this store has to do under its roster, if any.
+    /// The filling that this store has to do under its roster, if any. It needs as many full current stores, itself
+    /// counted if it is one, as together know every record ([`QuorumSizes::covering`]). That holds also where some were
+    /// not waited for when the set became current: with `w` of those, a record is on `write - w` full ones or more, and
+    /// of the `n - w` full ones `covering` leave out only `write - 1 - w`. A founding has no sources and needs none.
     pub fn filling(&self) -> Option<Filling> {
         let due = match &self.roster.next {
             Some(next) if self.in_next() => !self.filled_for(next),
@@ -270,18 +268,22 @@
         };
         due.then(|| {
             let sources = self.roster.current.iter().filter(|store| store.disk != self.disk).cloned();
-            let needed =
-                self.roster.current.len().saturating_sub(self.losses + usize::from(self.is_source()));
-            Filling::new(self.roster.epoch, self.disk, sources, needed)
+            let covering =
+                QuorumSizes::of(self.roster.current.len(), self.losses).map_or(0, |sizes| sizes.covering);
+            Filling::new(self.roster.epoch, self.disk, sources, covering, self.is_source())
         })
     }
 
     /// A [`Filling`] is done and all that it brought is synced. Once the writes are synced too, `Filled` is told, if the
-    /// store is in `next`. `None` if the roster has moved on: then it begins anew.
+    /// store is in `next`. `None` if the roster has moved on, or the store counted on itself and has found damage since:
+    /// then it begins anew.
     pub fn mark_filled(&mut self, filling: &Filling) -> Option<Vec<Write>> {
         if filling.epoch() != self.roster.epoch || !filling.is_done() {
             return None;
         }
+        if filling.counts_itself() && !self.is_source() {
+            return None;
+        }
         let set = match &self.roster.next {
             Some(next) if self.in_next() => disks(next),
             _ if self.in_current() => disks(&self.roster.current),
@@ -290,7 +292,6 @@
         self.fill.filled.retain(|(_, filled)| *filled != set);
         self.fill.filled.push((self.roster.epoch, set));
         self.fill.damaged = false;
-        self.fresh &= !(self.is_founded() && self.is_full());
         Some(vec![self.fill.write()])
     }
 
@@ -342,7 +343,6 @@
         if self.room != Room::Ample && !self.accounts.contains_key(program) {
             return Outcome::free(Answer::Unready);
         }
-        self.fresh = false;
         let account = self.account(now_ms, program);
         let (tokens, _) = account.merge(reservation);
         let answer = Answer::Account(reservations(account));
@@ -353,7 +353,6 @@
         if !self.takes_writes() || program.len() > NAME_BYTES {
             return Outcome::free(Answer::Unready);
         }
-        self.fresh = false;
         let (tokens, news) = self.account(now_ms, program).merge(reservation);
         let writes = news.then(|| account_write(program, reservation.attempt, tokens));
         Outcome::lazy(Answer::Done, writes.into_iter().collect())
@@ -375,7 +374,6 @@
         if !self.takes_writes() || !named {
             return Outcome::free(Answer::Unready);
         }
-        self.fresh = false;
         // Kept already: the record stays as it is, and the answer waits for the first one's sync.
         let writes = match self.turns.get_mut(turn.attempt.as_str()) {
             None if self.room == Room::Full => return Outcome::free(Answer::Unready),
@@ -461,11 +459,10 @@
         }
     }
 
-    /// A store may be drawn on if it is full. One on which nobody counts may be too, and lacks nothing that it should have:
-    /// where all are founded together, nobody is full yet, and what one has absorbed meanwhile takes it away from no other.
+    /// A store may be drawn on if it is full. An empty one that is not may lack all that it should have: it joined, was not
+    /// waited for, and came back.
     fn is_source(&self) -> bool {
-        let empty = self.turns.is_empty() && self.accounts.is_empty();
-        self.in_current() && (self.is_full() || ((empty || self.fresh) && !self.fill.damaged))
+        self.is_full()
     }
 
     fn fill_page(&mut self, asker: u64, cursor: &[u8], bodies: &dyn Bodies) -> Outcome {
--- /dev/null
+++ b/system/turn-store/tests/changes/losses.rs
@@ -0,0 +1,233 @@
+//! A loss at each step of each kind of change.
+
+use crate::fleet::{Fleet, Mutation};
+use crate::operations::BOUND;
+use control_duties::RetireVerdict;
+
+/// What the staff, or chance, begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Begun {
+    /// A further machine joins.
+    Add,
+    /// A machine is emptied.
+    Retire,
+    /// Both at once.
+    AddAndRetire,
+    /// A machine loses its disk.
+    Wipe,
+    /// A machine is replaced by an empty one of its name at another address.
+    ReplaceByName,
+    /// A machine is gone, and another joins.
+    ReplaceByAnother,
+    /// Machines of one name take its place in turn.
+    ReplaceTwice,
+}
+
+const BEGUN: [Begun; 7] = [
+    Begun::Add,
+    Begun::Retire,
+    Begun::AddAndRetire,
+    Begun::Wipe,
+    Begun::ReplaceByName,
+    Begun::ReplaceByAnother,
+    Begun::ReplaceTwice,
+];
+
+/// What then happens to a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    Wiped,
+    Destroyed,
+    StopsForAWhile,
+}
+
+const LOSSES: [Loss; 3] = [Loss::Wiped, Loss::Destroyed, Loss::StopsForAWhile];
+
+/// The most steps of a change at which a loss is tried.
+const MOST_STEPS: usize = 400;
+
+fn begin(fleet: &mut Fleet, begun: Begun) {
+    match begun {
+        Begun::Add => drop(fleet.start_another()),
+        Begun::Retire => drop(fleet.retire("s1")),
+        Begun::AddAndRetire => {
+            fleet.start_another();
+            fleet.retire("s1");
+        }
+        Begun::Wipe => fleet.wipe("s1", false),
+        Begun::ReplaceByName => fleet.wipe("s1", true),
+        Begun::ReplaceByAnother => {
+            fleet.destroy("s1");
+            fleet.start_another();
+        }
+        Begun::ReplaceTwice => {
+            fleet.wipe("s1", true);
+            fleet.advance(fleet.machines.len() - 1);
+            fleet.wipe("s1", true);
+        }
+    }
+}
+
+fn lose(fleet: &mut Fleet, name: &str, loss: Loss) {
+    match loss {
+        Loss::Wiped => fleet.wipe(name, false),
+        Loss::Destroyed => fleet.destroy(name),
+        Loss::StopsForAWhile => fleet.stop(name),
+    }
+}
+
+/// When the turns and reservations of a run are made.
+const PHASES: [&str; 3] = ["before", "during", "after"];
+
+/// Turns and reservations; each phase has its own.
+fn write(fleet: &mut Fleet, phase: &str) {
+    let place = PHASES.iter().position(|other| *other == phase).expect("a phase of a run") as u64;
+    for number in 0..4 {
+        fleet.begin_turn(format!("{phase}-{number}"));
+        fleet.begin_reservation(format!("p{number}"), 10 * place + number);
+    }
+    fleet.operate_all();
+}
+
+/// One small step of the whole fleet: the first machine that has something to do, else the time goes on.
+fn step(fleet: &mut Fleet) {
+    let moved = (0..fleet.machines.len()).any(|at| at < fleet.machines.len() && fleet.advance(at));
+    if !moved {
+        fleet.keep();
+    }
+}
+
+/// Runs a change with losses after some steps; tells after how many steps it was whole before they came.
+fn run(
+    machines: usize,
+    tolerance: usize,
+    begun: Begun,
+    after: usize,
+    victims: &[usize],
+    loss: Loss,
+    mutation: Mutation,
+) -> Result<bool, String> {
+    let mut fleet = Fleet::new(after as u64, machines, tolerance, mutation);
+    write(&mut fleet, "before");
+    begin(&mut fleet, begun);
+    let mut whole = false;
+    for _ in 0..after {
+        step(&mut fleet);
+        fleet.look_whether_whole();
+        whole = fleet.is_at_rest();
+        if whole {
+            break;
+        }
+    }
+    write(&mut fleet, "during");
+    let mut lost = Vec::new();
+    for victim in victims {
+        let name = fleet.machines[victim % fleet.machines.len()].store.name.clone();
+        if fleet.may_hurt() > 0 && !fleet.hurt.contains(&name) {
+            lose(&mut fleet, &name, loss);
+            lost.push(name);
+        }
+        fleet.check_turns();
+    }
+    for _ in 0..20 {
+        step(&mut fleet);
+        fleet.check_turns();
+    }
+    if loss == Loss::StopsForAWhile {
+        // One that was being emptied may be out by now.
+        lost.retain(|name| fleet.at(name).is_some());
+        lost.iter().for_each(|name| fleet.come_back(name));
+    }
+    let settled = fleet.settle();
+    write(&mut fleet, "after");
+    let served = fleet.turns.iter().filter(|turn| turn.starts_with("after")).count();
+    fleet.check_turns();
+    fleet.check_accounts(BOUND);
+    if settled && fleet.roster().retiring.contains(&"s1".to_owned()) && fleet.at("s1").is_some() {
+        fleet.broken.push("s1 is still there".to_owned());
+    }
+    if !settled || served < 4 || !fleet.broken.is_empty() {
+        return Err(format!(
+            "{machines} machines, tolerance {tolerance}, {begun:?}, {loss:?} of {victims:?} after {after} steps: \
+             settled {settled}, {served} of 4 served, broken {:#?}\n{}",
+            fleet.broken,
+            fleet.told.join("\n"),
+        ));
+    }
+    Ok(whole)
+}
+
+/// All steps of a change until it is whole, each with each loss of each machine.
+fn each_step(machines: usize, tolerance: usize, begun: Begun, mutation: Mutation) -> Result<usize, String> {
+    let mut runs = 0;
+    for after in 0..MOST_STEPS {
+        let mut whole = false;
+        for victim in 0..=machines {
+            for loss in LOSSES {
+                let victims: Vec<usize> = (victim..victim + tolerance).collect();
+                whole |= run(machines, tolerance, begun, after, &victims, loss, mutation)?;
+                runs += 1;
+            }
+        }
+        if whole {
+            return Ok(runs);
+        }
+    }
+    Err(format!("{begun:?} of {machines} machines with tolerance {tolerance} does not end"))
+}
+
+fn each_step_of_all(machines: usize, tolerance: usize) {
+    let mut all = 0;
+    for begun in BEGUN {
+        let runs = each_step(machines, tolerance, begun, Mutation::None).unwrap_or_else(|e| panic!("{e}"));
+        println!("{machines} machines, tolerance {tolerance}, {begun:?}: {runs} runs");
+        all += runs;
+    }
+    assert!(all > 500, "only {all} runs");
+}
+
+#[test]
+fn one_loss_at_each_step_of_a_change_of_three_machines() {
+    each_step_of_all(3, 1);
+}
+
+#[test]
+fn one_loss_at_each_step_of_a_change_of_four_machines() {
+    each_step_of_all(4, 1);
+}
+
+#[test]
+fn two_losses_at_each_step_of_a_change_of_six_machines() {
+    each_step_of_all(6, 2);
+}
+
+#[test]
+fn losses_at_each_step_of_a_change_of_fewer_machines_than_the_tolerance_asks_for() {
+    each_step_of_all(2, 1);
+    each_step_of_all(3, 2);
+    each_step_of_all(4, 2);
+}
+
+#[test]
+fn a_retire_that_would_leave_too_few_is_refused_and_the_machine_stays() {
+    let mut fleet = Fleet::new(1, 3, 1, Mutation::None);
+    assert_eq!(fleet.retire("s1"), RetireVerdict::TooFew { left: 2 });
+    write(&mut fleet, "after");
+    assert_eq!(fleet.turns.len(), 4);
+}
+
+#[test]
+fn the_wrong_ways_of_a_change_are_found() {
+    let found = |mutation, begun, machines, tolerance| {
+        each_step(machines, tolerance, begun, mutation).expect_err(&format!("{mutation:?} is not found"))
+    };
+    for (mutation, begun, machines, tolerance) in [
+        (Mutation::NextCountsUnfilled, Begun::Wipe, 3, 1),
+        (Mutation::FormerReleasedEarly, Begun::Retire, 4, 1),
+        (Mutation::CopiesOneShort, Begun::Add, 3, 1),
+        (Mutation::FillsFromOneLess, Begun::Retire, 4, 1),
+    ] {
+        let told = found(mutation, begun, machines, tolerance);
+        println!("{mutation:?}: {}", told.lines().next().unwrap_or_default());
+    }
+}
