--- a/system/control-node/src/lib.rs
+++ b/system/control-node/src/lib.rs
@@ -17,7 +17,7 @@
 mod singleton;
 
 pub use durable_acceptor::{DiskState, DurableAcceptor, Handled, PendingWrite, WriteNumber, WriteOutcome};
-pub use event::ControlEvent;
+pub use event::{ControlEvent, StorageLosses};
 pub use node::{Beginning, ControlNode, RoundCounts};
 pub use orders::{CurrentConfig, PutConfig, Retire};
 
--- a/system/programs/src/keeper.rs
+++ b/system/programs/src/keeper.rs
@@ -58,6 +58,10 @@
             let state = node.feed.state();
             let holds = state.fences.values().filter(|fence| fence.holder == Some(self.me)).count();
             figures.gauge("config_keeper_duties", holds as f64);
+            let losses = node.storage_losses();
+            figures.gauge("config_keeper_storage_losses_to_bear", losses.to_bear as f64);
+            figures.gauge("config_keeper_storage_losses_borne", losses.borne.served as f64);
+            figures.gauge("config_keeper_storage_losses_survived", losses.borne.survived as f64);
             let (rounds, disk) = (node.rounds(), node.disk());
             figures.counter("config_keeper_runs_total", rounds.begun);
             figures.counter("config_keeper_runs_lost_total", rounds.lost);
--- a/system/programs/src/storage.rs
+++ b/system/programs/src/storage.rs
@@ -29,9 +29,10 @@
 const CORE_PATIENCE: Duration = Duration::from_millis(700);
 /// Between two looks for what has expired.
 const EXPIRY: Duration = Duration::from_secs(30);
-/// Between two looks at the place in the roster, without news, while there is something to be told to the core.
-const TELLING_PAUSE_MS: u64 = 120;
-/// The same with nothing to tell.
+/// Between two looks at the place in the roster, without news, while there is something to be told to the core or to catch up
+/// with.
+const BUSY_PAUSE_MS: u64 = 120;
+/// The same with nothing to do.
 const QUIET_PAUSE_MS: u64 = 2_000;
 /// Pauses differ by up to this between machines.
 const PAUSE_SPREAD_MS: u64 = 60;
@@ -54,13 +55,16 @@
     is_placed: bool,
     /// It holds all that it is to hold for the set that comes next.
     in_sync: bool,
+    /// It has to catch up.
+    is_behind: bool,
 }
 
 impl Place {
     fn of(replica: &Replica, roster: Rc<Roster>) -> Self {
         let me = replica.me.clone();
         let is_placed = roster.next.as_ref().unwrap_or(&roster.current).contains(&me);
-        Self { me, is_placed, in_sync: replica.state.is_filled_for_next(), roster }
+        let in_sync = replica.state.is_filled_for_next();
+        Self { me, is_placed, in_sync, is_behind: replica.state.filling().is_some(), roster }
     }
 
     /// It is to ask for being taken in.
@@ -74,7 +78,8 @@
     }
 
     fn pause_ms(&self) -> u64 {
-        if self.is_placed && !self.in_sync { QUIET_PAUSE_MS } else { TELLING_PAUSE_MS }
+        let is_quiet = self.is_placed && !self.in_sync && !self.is_behind;
+        if is_quiet { QUIET_PAUSE_MS } else { BUSY_PAUSE_MS }
     }
 }
 
@@ -139,18 +144,18 @@
         self.look_at_room();
         self.learn_roster();
         if self.replica.is_refusing() {
-            return TELLING_PAUSE_MS;
+            return BUSY_PAUSE_MS;
         }
         let roster = Rc::new(self.feed.state().roster.clone());
         let place = || self.replica.with(|replica| Place::of(replica, roster.clone()));
-        let Some(before) = place() else { return TELLING_PAUSE_MS };
+        let Some(before) = place() else { return BUSY_PAUSE_MS };
         if self.feed.fresh_at().is_some() && before.must_join() {
             self.tell_core(Call::JoinStorage { store: before.me }).await;
         }
         if let Some(filling) = self.replica.with(|replica| replica.state.filling()).flatten() {
             self.catch_up(filling).await;
         }
-        let Some(after) = place() else { return TELLING_PAUSE_MS };
+        let Some(after) = place() else { return BUSY_PAUSE_MS };
         let epoch = self.replica.with(|replica| replica.state.epoch()).unwrap_or_default();
         if after.must_tell_in_sync(epoch) && !self.replica.is_refusing() {
             self.tell_core(Call::Filled { disk: after.me.disk, epoch }).await;
--- a/system/programs/src/storage/catch_up.rs
+++ b/system/programs/src/storage/catch_up.rs
@@ -5,6 +5,7 @@
 use futures_util::future::join_all;
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use turn_store::{Filling, WriteFailed};
 
@@ -22,6 +23,8 @@
     epoch: u64,
     generation: u64,
     filling: RefCell<Filling>,
+    /// Told once enough sources are drained: the others need not be waited for.
+    enough: Notify,
 }
 
 impl CatchUp {
@@ -34,7 +37,12 @@
     /// One catch-up, as long as the roster stays as it is and the replica is the same.
     pub(super) async fn catch_up(&self, filling: Filling) {
         let generation = self.replica.generation();
-        let catch_up = CatchUp { epoch: filling.epoch(), generation, filling: RefCell::new(filling) };
+        let catch_up = CatchUp {
+            epoch: filling.epoch(),
+            generation,
+            filling: RefCell::new(filling),
+            enough: Notify::new(),
+        };
         let began = Instant::now();
         let sources: Vec<Store> = catch_up.filling.borrow().calls().map(|(store, _)| store.clone()).collect();
         join_all(sources.iter().map(|source| self.drain(source, &catch_up))).await;
@@ -63,7 +71,7 @@
         epoch == Some(catch_up.epoch)
     }
 
-    /// All sources are drained: once it is synced they are told, and it is kept that this replica is in sync.
+    /// Enough sources are drained: once it is synced they are told, and it is kept that this replica is in sync.
     async fn finish(&self, catch_up: &CatchUp) -> Result<bool, WriteFailed> {
         self.replica.write(catch_up.generation, Vec::new()).await?;
         let drained: Vec<Store> = catch_up.filling.borrow().drained().cloned().collect();
@@ -86,15 +94,24 @@
         }
     }
 
-    /// Asks one source for page after page. A page counts when it is synced.
+    /// Asks one source for page after page, until it is drained or gone, or enough others are. A page counts when it is synced.
     async fn drain(&self, source: &Store, catch_up: &CatchUp) {
         let mut answered = Instant::now();
         loop {
+            if catch_up.filling.borrow().is_done() {
+                return catch_up.enough.notify_waiters();
+            }
             let Some(call) = catch_up.filling.borrow().call(source.disk) else { return };
             if !self.goes_on(catch_up) {
                 return catch_up.give_up(source);
             }
-            match self.peer(source.ip).call(call, PATIENCE).await {
+            let peer = self.peer(source.ip);
+            // Only the asking is left off: what has been absorbed is written in any case.
+            let answer = tokio::select! {
+                answer = peer.call(call, PATIENCE) => answer,
+                () = catch_up.enough.notified() => return,
+            };
+            match answer {
                 Ok(Answer::Records { turns, accounts, cursor }) => {
                     answered = Instant::now();
                     let now = self.process.now_ms();
