Wake those that wait for a write in their order, so that plays repeat

Cause: lab's the_shortest_schedule_breaks_the_same_rule_again failed: a schedule played again had another history. tokio's watch wakes several waiting tasks in an order drawn by chance.

Change: a Notify, which wakes in the order of waiting.

--- a/system/control-node/src/replica.rs
+++ b/system/control-node/src/replica.rs
@@ -7,7 +7,7 @@
 use node_runtime::Runtime;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use tokio::sync::watch;
+use tokio::sync::Notify;
 
 /// An acceptor with its disk.
 pub(crate) struct Replica<R, B> {
@@ -17,8 +17,9 @@
     /// To be written once the write before it has come to its end.
     queued: RefCell<Option<PendingWrite>>,
     is_writing: Cell<bool>,
-    /// Counts writes that have come to their end.
-    ended: watch::Sender<u64>,
+    /// A write has come to its end. All that wait are woken in their order: a `watch` would wake them in any, and no play of
+    /// the simulation would be like the one before.
+    ended: Notify,
 }
 
 impl<R: Runtime, B: ControlBackend> Replica<R, B> {
@@ -30,7 +31,7 @@
             acceptor,
             queued: RefCell::default(),
             is_writing: Cell::new(false),
-            ended: watch::Sender::new(0),
+            ended: Notify::new(),
         })
     }
 
@@ -110,7 +111,7 @@
             if changed {
                 self.tell_disk(written.err().map(|e| e.to_string()));
             }
-            self.ended.send_modify(|count| *count += 1);
+            self.ended.notify_waiters();
         }
         self.is_writing.set(false);
     }
@@ -123,14 +124,13 @@
     }
 
     async fn is_synced(&self, number: WriteNumber) -> bool {
-        let mut ended = self.ended.subscribe();
         loop {
+            let ended = self.ended.notified();
             let outcome = self.acceptor.borrow().outcome(number);
             match outcome {
                 WriteOutcome::Synced => return true,
                 WriteOutcome::Failed => return false,
-                // The sender is here as long as this is.
-                WriteOutcome::Pending => drop(ended.changed().await),
+                WriteOutcome::Pending => ended.await,
             }
         }
     }
