--- a/lab/src/system/operators.rs
+++ b/lab/src/system/operators.rs
@@ -336,7 +336,7 @@
         Some(ConfigVerdict::Taken) => OrderAnswer::Confirmed,
         Some(ConfigVerdict::OtherVersion(current)) => OrderAnswer::OtherVersion(current),
         Some(ConfigVerdict::NotAbove) => OrderAnswer::NotAbove,
-        None => OrderAnswer::Unclear,
+        Some(ConfigVerdict::Unclear) | None => OrderAnswer::Unclear,
     }
 }
 
--- a/system/control-node/src/event.rs
+++ b/system/control-node/src/event.rs
@@ -1,10 +1,20 @@
 //! Changes of state that a control node tells of.
 
 use config_register::AcceptorRecord;
+use control_duties::LossesBorne;
 use fleet_model::{AcceptedValue, ChosenValue, ControlState, Store};
 use std::fmt;
 use std::net::Ipv4Addr;
 
+/// How many losses of storage nodes are to be borne, and how many are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StorageLosses {
+    /// As the settings have it.
+    pub to_bear: usize,
+    /// As the current set allows.
+    pub borne: LossesBorne,
+}
+
 /// A change of a control node's state. Shown, it is a line for the log.
 #[derive(Debug)]
 pub enum ControlEvent<'a> {
@@ -39,6 +49,8 @@
         /// For how long it has been silent, in milliseconds.
         silent_ms: u64,
     },
+    /// The storage nodes bear more or fewer losses than before.
+    StorageLosses(StorageLosses),
     /// A voter is to be removed.
     RemovesVoter {
         /// Which.
@@ -67,6 +79,11 @@
             Self::Evicts { store, silent_ms } => {
                 write!(f, "{} is given up: silent for {silent_ms} ms", store.name)
             }
+            Self::StorageLosses(StorageLosses { to_bear, borne }) => write!(
+                f,
+                "the storage machines now go on without {} and keep all through the loss of {}, of {to_bear} asked for",
+                borne.served, borne.survived
+            ),
             Self::RemovesVoter { voter, silent_ms } => {
                 write!(f, "voter {voter} is removed: silent for {silent_ms} ms")
             }
--- a/system/control-node/src/membership.rs
+++ b/system/control-node/src/membership.rs
@@ -18,7 +18,7 @@
 impl<R: Runtime, B: ControlBackend> ControlNode<R, B> {
     /// So many storage machines make a set.
     pub(crate) fn least_stores(&self) -> usize {
-        2 * self.backend.tolerance() + 1
+        control_duties::least_stores(self.backend.tolerance())
     }
 
     pub(crate) async fn join_core(&self, ip: Ipv4Addr) -> Answer {
--- a/system/control-node/src/node.rs
+++ b/system/control-node/src/node.rs
@@ -1,9 +1,9 @@
 //! The node: what it knows, and how it answers its peers.
 
 use crate::replica::Replica;
-use crate::{ControlBackend, ControlEvent, DiskState, LIST};
+use crate::{ControlBackend, ControlEvent, DiskState, LIST, StorageLosses};
 use config_register::{AcceptorRecord, BallotSource, Pacing, Standing};
-use control_duties::{CoreWatch, DutyClaim, RosterWatch};
+use control_duties::{CoreWatch, DutyClaim, LossesBorne, RosterWatch};
 use fleet_model::{
     AcceptedValue, Answer, Ballot, Call, ChosenValue, RegisterReply, RegisterRequest, RegisterValue,
 };
@@ -183,6 +183,12 @@
         self.replica.disk()
     }
 
+    /// How many losses of storage nodes are to be borne, and how many are.
+    pub fn storage_losses(&self) -> StorageLosses {
+        let to_bear = self.backend.tolerance();
+        StorageLosses { to_bear, borne: LossesBorne::of(&self.feed.state().roster, to_bear) }
+    }
+
     /// Its rounds at the register so far.
     pub fn rounds(&self) -> RoundCounts {
         self.rounds.get()
--- a/system/control-node/src/singleton.rs
+++ b/system/control-node/src/singleton.rs
@@ -3,8 +3,8 @@
 
 use crate::membership::CHANGE;
 use crate::proposing::Wanted;
-use crate::{ControlBackend, ControlEvent, ControlNode, LIST};
-use control_duties::{CoreWatch, Readings, RosterStep, fill, give_up, stands, times};
+use crate::{ControlBackend, ControlEvent, ControlNode, LIST, StorageLosses};
+use control_duties::{CoreWatch, Readings, RosterStep, stands, times};
 use fleet_model::{Answer, Call, ControlState, Fence, Store};
 use futures_util::future::join_all;
 use node_runtime::{Runtime, follow_lists, timeout};
@@ -112,7 +112,13 @@
     fn observe(&self) {
         let now = self.runtime.now_ms();
         self.core.borrow_mut().observe(now, &self.feed.value().voters);
-        self.stores.borrow_mut().observe(now, &self.feed.state().roster, self.least_stores());
+        let state = self.feed.state();
+        let mut stores = self.stores.borrow_mut();
+        stores.observe(now, &state.roster, self.least_stores());
+        let to_bear = self.backend.tolerance();
+        if let Some(borne) = stores.news_of_losses(&state.roster, to_bear) {
+            self.backend.on_event(&ControlEvent::StorageLosses(StorageLosses { to_bear, borne }));
+        }
     }
 
     async fn look_at_stores(&self) {
@@ -144,23 +150,15 @@
         let step = self.stores.borrow().step(self.runtime.now_ms(), &state, self.backend.tolerance());
         // A holder that slept meanwhile may have lost the lease to one that sees better.
         let still_holds = |state: &ControlState| stands(state, LIST, self.me, token);
-        match step {
-            RosterStep::Leave => {}
-            RosterStep::GiveUp { store, silent_ms } => {
-                self.backend.on_event(&ControlEvent::Evicts { store: &store, silent_ms });
-                let wanted = |state: &ControlState| match still_holds(state) {
-                    true => give_up(state, &store, epoch, least).into(),
-                    false => Wanted::Nothing,
-                };
-                self.change(CHANGE, wanted).await;
-            }
-            RosterStep::Waive(waived) => {
-                let wanted = |state: &ControlState| match still_holds(state) {
-                    true => fill(state, None, epoch, &waived, least).into(),
-                    false => Wanted::Nothing,
-                };
-                self.change(CHANGE, wanted).await;
-            }
+        if let RosterStep::GiveUp { store, silent_ms, .. } = &step {
+            self.backend.on_event(&ControlEvent::Evicts { store, silent_ms: *silent_ms });
+        }
+        if step != RosterStep::Leave {
+            let wanted = |state: &ControlState| match still_holds(state) {
+                true => step.applied(state, epoch, least).into(),
+                false => Wanted::Nothing,
+            };
+            self.change(CHANGE, wanted).await;
         }
     }
 
--- a/system/programs/src/keeper/backend.rs
+++ b/system/programs/src/keeper/backend.rs
@@ -51,6 +51,7 @@
             ControlEvent::Chosen(_) | ControlEvent::Adopted { is_news: false, .. } => {}
             ControlEvent::DiscoveryFailed(_) => log::debug!("{event}"),
             ControlEvent::Unreadable(_) | ControlEvent::DiskRefuses(_) => log::error!("{event}"),
+            ControlEvent::StorageLosses(_) => log::warn!("{event}"),
             _ => log::info!("{event}"),
         }
     }
