Let a storage machine that is gone for good leave also below what was founded

Two retires were granted by counting the newcomer whose predecessor was still there; the predecessor's end left a set of three with one machine gone for good, which could not be evicted as fewer than 2t + 1 would be left. One more lost disk then left nobody to fill from.

Change: a machine that is silent for 10 s is evicted as long as more than the tolerance are left: these keep what they were told through as many losses as are to be borne, and the next lost disk is filled from the rest. As before, eviction is sooner while 2t + 1 are left.

A new story evicts one of three for good and then wipes another.

--- a/system/control-duties/src/roster_watch.rs
+++ b/system/control-duties/src/roster_watch.rs
@@ -221,7 +221,18 @@
         }
         match self.is_blocked(now_ms, roster, tolerance) {
             true => self.give_up_step(now_ms, state, STORE_BLOCKING, 1),
-            false => self.give_up_step(now_ms, state, self.patience(now_ms), least_stores(tolerance)),
+            false => self.give_up_gone(now_ms, state, tolerance),
+        }
+    }
+
+    /// Gives up a machine that is gone: sooner while as many are left as a fleet is founded with, and later below that. Fewer
+    /// than that, but more than are to be lost, keep what they were told through as many losses as are to be borne; with the
+    /// machine that is gone for good still among them, the next loss could stop them for ever.
+    fn give_up_gone(&self, now_ms: u64, state: &ControlState, tolerance: usize) -> RosterStep {
+        let step = self.give_up_step(now_ms, state, self.patience(now_ms), least_stores(tolerance));
+        match step {
+            RosterStep::Leave => self.give_up_step(now_ms, state, STORE_GONE, tolerance + 1),
+            step => step,
         }
     }
 
--- a/system/control-duties/tests/duties/stories.rs
+++ b/system/control-duties/tests/duties/stories.rs
@@ -87,6 +87,28 @@
     });
 }
 
+#[gtest]
+fn a_machine_that_is_gone_for_good_leaves_also_below_what_was_founded_and_a_later_wipe_is_made_good() {
+    each(|seed| {
+        // given three machines where one loss is to be borne
+        let mut fleet = Fleet::new(seed, 1, 3, 3);
+        // when one is gone for good and none comes for it, then the two others become the set, but not soon
+        fleet.stop(2);
+        fleet.run(6_000);
+        expect_that!(is_out(&fleet, 2), eq(false), "seed {seed}");
+        expect_that!(fleet.run_until(8_000, |fleet| is_out(fleet, 2)), some(anything()), "seed {seed}");
+        // and when one of these loses its disk, then it fills from the other, which knows all
+        fleet.stop(1);
+        fleet.run(1_000);
+        let disk = fleet.start("s1", 1);
+        let filled = |fleet: &Fleet| {
+            fleet.is_settled() && fleet.roster().current.iter().any(|store| store.disk == disk)
+        };
+        expect_that!(fleet.run_until(CATCH_UP, filled), some(anything()), "seed {seed}");
+        expect_that!(fleet.broken(), elements_are![]);
+    });
+}
+
 #[gtest]
 fn a_fleet_is_founded_at_once_where_enough_machines_come_and_in_bounded_time_where_not() {
     for (machines, tolerance, within) in
