Refuse a path prefix with a query or a fragment, which no request matches

RouteTable::find looks at a request's path up to its query, while reading accepted any prefix between slashes: a route under "/?ohu930/" was in force and never matched, and the property that every route is found by its own prefix failed by chance (properties.rs:23). Reading now has a finding for '?' and '#' in path_prefix.

--- a/system/operator-config/src/read.rs
+++ b/system/operator-config/src/read.rs
@@ -14,6 +14,8 @@
 const DEFAULT_HEALTH_CHECK_PATH: &str = "/health";
 const DEFAULT_MAX_CONNECTIONS: u32 = 64;
 const DEFAULT_RETENTION_MS: u64 = 60_000;
+/// The path of a request ends before these: its query and its fragment take no part in routing.
+const PATH_ENDS: [char; 2] = ['?', '#'];
 /// The largest weight of a split whose weights are fractions or too large.
 const SCALED_WEIGHT: f64 = 1_000_000.0;
 
@@ -144,10 +146,8 @@
     let name = findings.optional(base, "name", form.name).unwrap_or_default();
     let hostname = findings.required(base, "hostname", form.hostname);
     let path_prefix = findings.required(base, "path_prefix", form.path_prefix);
-    if let Some(prefix) = &path_prefix
-        && !(prefix.starts_with('/') && prefix.ends_with('/'))
-    {
-        findings.add(within(base, "path_prefix"), format!("{prefix:?} does not start and end with a slash"));
+    if let Some(prefix) = &path_prefix {
+        check_path_prefix(base, prefix, findings);
     }
     let route_type = findings.optional(base, "route_type", form.route_type);
     let kind = match route_type.as_deref() {
@@ -194,6 +194,16 @@
     })
 }
 
+fn check_path_prefix(base: &str, prefix: &str, findings: &mut Findings) {
+    if !(prefix.starts_with('/') && prefix.ends_with('/')) {
+        findings.add(within(base, "path_prefix"), format!("{prefix:?} does not start and end with a slash"));
+    }
+    if let Some(end) = prefix.chars().find(|character| PATH_ENDS.contains(character)) {
+        let what = format!("{prefix:?} contains {end:?}, at which the path of a request ends");
+        findings.add(within(base, "path_prefix"), what);
+    }
+}
+
 /// The shares of a route: those of `traffic_split`, or all for `service`.
 fn read_split(
     base: &str,
--- a/system/operator-config/tests/config/reading.rs
+++ b/system/operator-config/tests/config/reading.rs
@@ -183,6 +183,9 @@
         (r#""path_prefix":"/""#, r#""path_prefix":"/x""#, "routes[2].path_prefix"),
         (r#""path_prefix":"/""#, r#""path_prefix":"x/""#, "routes[2].path_prefix"),
         (r#""path_prefix":"/""#, r#""path_prefix":"""#, "routes[2].path_prefix"),
+        (r#""path_prefix":"/""#, r#""path_prefix":"/?ohu930/""#, "routes[2].path_prefix"),
+        (r#""path_prefix":"/""#, r#""path_prefix":"/ohu930/?/""#, "routes[2].path_prefix"),
+        (r#""path_prefix":"/""#, r##""path_prefix":"/#ohu930/""##, "routes[2].path_prefix"),
         (r#""route_type":"idempotent""#, r#""route_type":"often""#, "routes[1].route_type"),
         (r#""priority":1"#, r#""priority":"high""#, "routes[0].priority"),
         (r#""weight":90"#, r#""weight":"most""#, "routes[0].traffic_split[0].weight"),
@@ -226,3 +229,11 @@
     let told: String = digest(b"abc").iter().map(|byte| format!("{byte:02x}")).collect();
     expect_eq!(told, "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
+
+#[gtest]
+fn given_a_prefix_in_which_a_query_begins_when_read_then_the_finding_tells_why() {
+    let text = with(r#""path_prefix":"/""#, r#""path_prefix":"/?ohu930/""#);
+    let findings = read(&text).expect_err("a finding").0;
+    expect_that!(findings.len(), eq(1));
+    expect_that!(findings[0].what, contains_substring("contains '?'"));
+}
