Bring the merged tests to what clippy asks

Cause: the lints ran per package before the merge, and three places of tests and lab failed over the whole workspace. Change: the forms that clippy names; no behaviour.

--- a/lab/src/system/check.rs
+++ b/lab/src/system/check.rs
@@ -103,7 +103,7 @@
         let (since, until) = (back.saturating_sub(1_000), back + CATCH_UP_MS);
         // What ended, or began, in the moment of the return is what it returns from.
         let other = |(from, to): &(u64, u64)| *from < until && *to > since && *from != back && *to != back;
-        if *after > CATCH_UP_MS && !troubles.iter().any(|trouble| other(trouble)) {
+        if *after > CATCH_UP_MS && !troubles.iter().any(other) {
             let what =
                 format!("control node {node} had missed {missed} and did not know them after {after} ms");
             broken.push(Broken { rule: Rule::CatchUp, at: *at, what });
--- a/lab/tests/system_rules.rs
+++ b/lab/tests/system_rules.rs
@@ -62,7 +62,7 @@
         elements_are![eq(&Rule::Refused)]
     );
     // The reason is true: the version is another one, was in force, and is not older than one acknowledged before.
-    expect_that!(rules(&[refused.clone()]), elements_are![eq(&Rule::Refused)]);
+    expect_that!(rules(std::slice::from_ref(&refused)), elements_are![eq(&Rule::Refused)]);
     let on_current = ordered(10, 0, 70, 7, 3, other);
     expect_that!(rules(&[in_force(1, 30, 3), on_current]), elements_are![eq(&Rule::Refused)]);
     let newer = [in_force(1, 30, 3), in_force(2, 40, 4), acknowledged(3, 4, 3)];
--- a/system/control-duties/tests/duties/fleet.rs
+++ b/system/control-duties/tests/duties/fleet.rs
@@ -272,7 +272,7 @@
             .map(|store| (store.disk, self.silent_ms(store.disk)))
             .collect();
         let falls_below = before.len() >= self.least() && left.len() < self.least();
-        (falls_below && !out.is_empty()).then(|| Event::Shrunk(left.len(), out))
+        (falls_below && !out.is_empty()).then_some(Event::Shrunk(left.len(), out))
     }
 
     fn silent_ms(&self, disk: u64) -> u64 {
