--- a/system/programs/src/start.rs
+++ b/system/programs/src/start.rs
@@ -64,6 +64,12 @@
 }
 
 impl Process {
+    /// One that begins now, with the settings read from `path`. `ending` turns true when it is to end.
+    pub fn new(settings: Settings, path: PathBuf, ending: watch::Receiver<bool>) -> Rc<Self> {
+        let settings = RefCell::new(Rc::new(settings));
+        Rc::new(Self { settings, path, ending, began: Instant::now() })
+    }
+
     /// The settings now in force.
     pub fn settings(&self) -> Rc<Settings> {
         self.settings.borrow().clone()
@@ -166,12 +172,7 @@
         let mut interrupt = signal(SignalKind::interrupt()).map_err(failed("SIGINT"))?;
         let mut hup = signal(SignalKind::hangup()).map_err(failed("SIGHUP"))?;
         let (end, ending) = watch::channel(false);
-        let process = Rc::new(Process {
-            settings: RefCell::new(Rc::new(settings)),
-            path,
-            ending,
-            began: Instant::now(),
-        });
+        let process = Process::new(settings, path, ending);
         let signals = process.clone();
         tokio::task::spawn_local(async move {
             loop {
