Test turns by another zone each time, and a spent budget over restarts of storage

No test ran the proxy's way to storage machines. Three zones' clients over three machines with disks of their own: a chain whose turns come in by another zone each time is read whole by each, also by one that just started and with a zone gone; a program that was told 402 is told so by every zone, before and after all storage machines restarted at once, and goes on by what a raised budget adds. With far machines not asked the first fails, with accounts lost at a restart the second. 503 is asked again five times at most.

--- a/system/programs/tests/loopback/main.rs
+++ b/system/programs/tests/loopback/main.rs
@@ -2,3 +2,5 @@
 
 mod machines;
 mod shutdown;
+mod storage;
+mod turns;
