Test seeds of which none listens yet, and that are cut off or gone later

The rule had no test at the core. Fleets in memory now take nodes one by one and cut machines off: a machine that starts before any seed votes once two listen, a new one finds a core of seven through any one live seed and commits with the voters it has heard of once that one is cut off too, and four voters that are no seeds go on without all three.

--- a/system/control-node/tests/disk/fleet.rs
+++ b/system/control-node/tests/disk/fleet.rs
@@ -7,7 +7,7 @@
 use fleet_model::{Answer, Call, Endpoint, Push, RegisterReply, RegisterRequest};
 use node_runtime::{Feed, FeedEvent, Runtime, Subscriber, Task, Upstream};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,6 +46,8 @@
     events: RefCell<Vec<(Ipv4Addr, String)>>,
     /// Votes that were told while the disk did not hold them.
     untrue: RefCell<Vec<String>>,
+    /// Machines that answer nobody and reach nobody.
+    cut_off: RefCell<BTreeSet<Ipv4Addr>>,
     drawn: Cell<u64>,
 }
 
@@ -61,18 +63,34 @@
             fleet.disks.borrow_mut().insert(ip, Rc::default());
         }
         moods.iter().for_each(|(ip, mood)| fleet.set_mood(*ip, *mood));
-        for ip in seeds() {
-            let host = Host { fleet: fleet.clone(), ip, began: Instant::now() };
-            let machine = Machine { host: host.clone(), disk: fleet.disk(ip) };
-            let feed = Feed::new(host.clone());
-            let ballots = BallotSource::new(ip, u64::from(u32::from(ip)));
-            let node = ControlNode::new(host, machine, feed, ballots, Beginning::never_voted(ip, &seeds()));
-            fleet.nodes.borrow_mut().insert(ip, node.clone());
-            node.run();
-        }
+        seeds().into_iter().for_each(|ip| fleet.start_node(ip));
         fleet
     }
 
+    /// Starts a node that never voted; it is told the seeds.
+    pub fn start_node(self: &Rc<Self>, ip: Ipv4Addr) {
+        self.disks.borrow_mut().entry(ip).or_default();
+        let host = Host { fleet: self.clone(), ip, began: Instant::now() };
+        let machine = Machine { host: host.clone(), disk: self.disk(ip) };
+        let feed = Feed::new(host.clone());
+        let ballots = BallotSource::new(ip, u64::from(u32::from(ip)));
+        let node = ControlNode::new(host, machine, feed, ballots, Beginning::never_voted(ip, &seeds()));
+        self.nodes.borrow_mut().insert(ip, node.clone());
+        node.run();
+    }
+
+    /// From now on this machine answers nobody and reaches nobody.
+    pub fn cut_off(&self, ip: Ipv4Addr) {
+        self.cut_off.borrow_mut().insert(ip);
+    }
+
+    /// The node at `to`, if it listens and `from` reaches it.
+    fn reached(&self, from: Ipv4Addr, to: Ipv4Addr) -> Option<Rc<Node>> {
+        let cut_off = self.cut_off.borrow();
+        let is_cut = cut_off.contains(&from) || cut_off.contains(&to);
+        self.nodes.borrow().get(&to).filter(|_| !is_cut).cloned()
+    }
+
     fn disk(&self, ip: Ipv4Addr) -> Rc<Disk> {
         self.disks.borrow()[&ip].clone()
     }
@@ -115,7 +133,7 @@
     }
 }
 
-fn configuration(version: u64) -> bytes::Bytes {
+pub fn configuration(version: u64) -> bytes::Bytes {
     let text = format!(
         r#"{{"version":{version},"routes":[{{"name":"r","hostname":"h.example","path_prefix":"/",
         "route_type":"idempotent","timeout_ms":1500,"service":"s"}}],
@@ -171,7 +189,10 @@
     }
 
     async fn call(&self, to: Ipv4Addr, call: Call, patience: Duration) -> Option<Answer> {
-        let node = self.fleet.node(to);
+        let Some(node) = self.fleet.reached(self.ip, to) else {
+            tokio::time::sleep(patience).await;
+            return None;
+        };
         let request = match &call {
             Call::Register(request) => Some(request.clone()),
             _ => None,
--- a/system/control-node/tests/disk/main.rs
+++ b/system/control-node/tests/disk/main.rs
@@ -1,7 +1,8 @@
-//! What a disk refuses ends no node: it does not vote meanwhile, serves what needs no write, and votes again with the first
-//! write that succeeds.
+//! Control nodes in memory. What a disk refuses ends no node: it does not vote meanwhile, serves what needs no write, and
+//! votes again with the first write that succeeds.
 
 mod fleet;
+mod seeds;
 
 use control_node::{CurrentConfig, PutConfig};
 use fleet::{Fleet, Mood, seeds};
@@ -11,16 +12,16 @@
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
-fn run(story: impl Future<Output = ()>) {
+pub(crate) fn run(story: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), story);
 }
 
-fn ip(place: usize) -> Ipv4Addr {
+pub(crate) fn ip(place: usize) -> Ipv4Addr {
     seeds()[place]
 }
 
-fn seconds(seconds: u64) -> Duration {
+pub(crate) fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
 
