Test an invalid configuration on top of a version that is not in force

The order of 400 and 412 may be either; nobody tested that it is one of them. Six invalid bodies on top of six versions at each of three nodes: each is refused for its body or, where the version is not in force, for that, and what is in force stays so to the byte.

--- a/system/control-node/tests/disk/main.rs
+++ b/system/control-node/tests/disk/main.rs
@@ -2,6 +2,7 @@
 //! votes again with the first write that succeeds.
 
 mod fleet;
+mod orders;
 mod seeds;
 
 use control_node::{CurrentConfig, PutConfig};
