--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod endpoints;
 pub mod experiment;
 pub mod fleet;
-pub mod hollow;
 pub mod judge;
 pub mod model;
 pub mod peers;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,7 +3,6 @@
 use micadrum_lab::baseline::{self, BaselineError};
 use micadrum_lab::experiment::{comparison, order};
 use micadrum_lab::fleet::{FleetError, Program, built_sender};
-use micadrum_lab::hollow::{self, HollowError};
 use micadrum_lab::peers::campaign::{self, Break};
 use micadrum_lab::peers::check::check;
 use micadrum_lab::peers::history::{self, HistoryError, What};
@@ -145,45 +144,6 @@
         /// What --out named.
         folder: PathBuf,
     },
-    /// Plays the control traffic of a fleet in simulated time and in one process: load by role, times, how they grow.
-    Hollow {
-        /// Senders of each play.
-        #[arg(long, value_delimiter = ',', default_value = "30,100,340")]
-        senders: Vec<usize>,
-        /// So many endpoints for those in the target's proportion.
-        #[arg(long)]
-        endpoints: Option<usize>,
-        /// So many machines of the core.
-        #[arg(long)]
-        keepers: Option<usize>,
-        /// So many storage machines.
-        #[arg(long)]
-        stores: Option<usize>,
-        /// So many zones.
-        #[arg(long)]
-        zones: Option<usize>,
-        /// So many regions.
-        #[arg(long)]
-        regions: Option<usize>,
-        /// So many routes in the configuration.
-        #[arg(long)]
-        routes: Option<usize>,
-        /// So many versions that the register remembers.
-        #[arg(long)]
-        taken: Option<usize>,
-        /// Draws other chances.
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        /// Instead: what a storage machine's decisions cost with so many turns held.
-        #[arg(long, value_delimiter = ',')]
-        turns: Vec<usize>,
-        /// Turns of each program there.
-        #[arg(long, default_value_t = 400)]
-        chain: usize,
-        /// A file for the figures, in JSON.
-        #[arg(long)]
-        out: Option<PathBuf>,
-    },
     /// A plain sender to compare with; plays start it themselves.
     #[command(hide = true)]
     BaselineSender {
@@ -257,8 +217,6 @@
     NoPeers(PathBuf),
     #[error(transparent)]
     History(#[from] HistoryError),
-    #[error(transparent)]
-    Hollow(#[from] HollowError),
     #[error("{path} holds no schedule: {source}")]
     NoSchedule { path: PathBuf, source: serde_json::Error },
     #[error("starting: {0}")]
@@ -362,49 +320,6 @@
                 write_report(&folder, &title, &plays, &variants)?;
                 Ok(true)
             }
-            Command::Hollow {
-                senders,
-                endpoints,
-                keepers,
-                stores,
-                zones,
-                regions,
-                routes,
-                taken,
-                seed,
-                turns,
-                chain,
-                out,
-            } => {
-                if !turns.is_empty() {
-                    let sizes: Vec<_> =
-                        turns.iter().map(|turns| hollow::store_figures(*turns, chain)).collect();
-                    println!("{}", hollow::store_table(&sizes));
-                    return Ok(true);
-                }
-                let mut plays = Vec::new();
-                for senders in senders {
-                    let of = hollow::Plan::of(senders);
-                    let plan = hollow::Plan {
-                        endpoints: endpoints.unwrap_or(of.endpoints),
-                        keepers: keepers.unwrap_or(of.keepers),
-                        stores: stores.unwrap_or(of.stores),
-                        zones: zones.unwrap_or(of.zones),
-                        regions: regions.unwrap_or(of.regions),
-                        routes: routes.unwrap_or(of.routes),
-                        taken: taken.unwrap_or(of.taken),
-                        seed,
-                        ..of
-                    };
-                    plays.push(hollow::play(&plan)?);
-                }
-                println!("{}", hollow::table(&plays));
-                if let Some(out) = out {
-                    let text = serde_json::to_string_pretty(&plays).map_err(std::io::Error::from)?;
-                    std::fs::write(&out, text).map_err(|source| LabError::Out { path: out, source })?;
-                }
-                Ok(true)
-            }
             Command::BaselineSender { how } => {
                 baseline::run(how).await.map(|()| true).map_err(LabError::from)
             }
