Place shared prefixes by the fleet's demand and the engines' memory, in modules by concern

Hypothesis: where an engine's memory holds all prefixes in use, pinning buys nothing; where it does not, a prefix needs as many engines as its share of the demand. Change: PrefixDemand learns both from the newest prompts, the same in all proxies, and the least loaded of these engines is taken; routing is split into admission, placement, outlier detection, prefix demand and a policy with a switch for each mechanism, read from a file for trials. The test that every prompt of a prefix goes to one engine is replaced by tests/placement.rs, which holds how many engines a prefix has in both directions.

--- a/system/programs/src/lib.rs
+++ b/system/programs/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod operator;
 pub mod platform;
 pub mod proxy;
+pub mod routing_policy;
 pub mod staff;
 pub mod start;
 pub mod storage;
--- a/system/programs/src/proxy.rs
+++ b/system/programs/src/proxy.rs
@@ -98,11 +98,16 @@
     let front = settings.listen_addresses.front.ok_or(StartError::Lacking("listen_addresses.front"))?;
     let readiness =
         settings.listen_addresses.readiness.ok_or(StartError::Lacking("listen_addresses.readiness"))?;
+    let switched_off = process.routing_policy.switched_off();
+    if !switched_off.is_empty() {
+        log::warn!("a trial: switched off are {}", switched_off.join(", "));
+    }
     let feed = new_feed(&process);
     let turns = TurnClient::new(process.clone(), feed.clone());
     let forwarder = Forwarder::new(
         settings.zone.clone(),
         crate::start::drawn(),
+        process.routing_policy.clone(),
         Rc::new(Turns(turns)),
         settings.limits.max_file_descriptors,
     );
--- a/system/programs/src/staff/answers.rs
+++ b/system/programs/src/staff/answers.rs
@@ -139,7 +139,7 @@
     let told = views.iter().map(|view| {
         json!({
             "instance_id": &*view.instance_id, "service": view.service, "address": view.address, "zone": view.zone,
-            "out": view.out, "connections": view.connections, "slots": view.slots, "told": view.told,
+            "out": view.out, "connections": view.connections, "slots": view.slots, "told": view.reported_load,
             "unused": view.unused.as_ref().map(why),
         })
     });
--- a/system/programs/src/start.rs
+++ b/system/programs/src/start.rs
@@ -2,6 +2,7 @@
 
 use bpaf::Bpaf;
 use node_settings::Settings;
+use request_routing::RoutingPolicy;
 use std::cell::RefCell;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -24,6 +25,9 @@
     /// Lines of this level and above: error, warn, info, debug
     #[bpaf(argument("LEVEL"), fallback("info".to_owned()))]
     log: String,
+    /// For trials: decision mechanisms to switch off; otherwise what SEDGEWOOD_ROUTING_POLICY names
+    #[bpaf(argument("FILE"), optional)]
+    routing_policy: Option<PathBuf>,
     /// Check the settings, tell all findings, and end
     check: bool,
 }
@@ -58,6 +62,8 @@
     /// The settings, as last read whole.
     settings: RefCell<Rc<Settings>>,
     path: PathBuf,
+    /// Which decision mechanisms are in force.
+    pub routing_policy: RoutingPolicy,
     /// Turns true with SIGTERM.
     pub ending: watch::Receiver<bool>,
     began: Instant,
@@ -66,8 +72,18 @@
 impl Process {
     /// One that begins now, with the settings read from `path`. `ending` turns true when it is to end.
     pub fn new(settings: Settings, path: PathBuf, ending: watch::Receiver<bool>) -> Rc<Self> {
+        Self::with_routing_policy(settings, path, RoutingPolicy::default(), ending)
+    }
+
+    /// The same with another routing policy than the one in service.
+    pub fn with_routing_policy(
+        settings: Settings,
+        path: PathBuf,
+        routing_policy: RoutingPolicy,
+        ending: watch::Receiver<bool>,
+    ) -> Rc<Self> {
         let settings = RefCell::new(Rc::new(settings));
-        Rc::new(Self { settings, path, ending, began: Instant::now() })
+        Rc::new(Self { settings, path, routing_policy, ending, began: Instant::now() })
     }
 
     /// The settings now in force.
@@ -130,6 +146,13 @@
             return ExitCode::from(2);
         }
     };
+    let routing_policy = match crate::routing_policy::load(options.routing_policy.as_deref()) {
+        Ok(policy) => policy,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(2);
+        }
+    };
     if options.check {
         println!("{}: can be used", path.display());
         return ExitCode::SUCCESS;
@@ -146,7 +169,7 @@
     if let Err(e) = logger {
         eprintln!("no log: {e}");
     }
-    match whole(settings, path, run) {
+    match whole(settings, path, routing_policy, run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("ended: {e}");
@@ -158,6 +181,7 @@
 fn whole<F: Future<Output = Result<(), StartError>>>(
     settings: Settings,
     path: PathBuf,
+    routing_policy: RoutingPolicy,
     run: impl FnOnce(Rc<Process>) -> F,
 ) -> Result<(), StartError> {
     let failed = |what: &str| {
@@ -172,7 +196,7 @@
         let mut interrupt = signal(SignalKind::interrupt()).map_err(failed("SIGINT"))?;
         let mut hup = signal(SignalKind::hangup()).map_err(failed("SIGHUP"))?;
         let (end, ending) = watch::channel(false);
-        let process = Process::new(settings, path, ending);
+        let process = Process::with_routing_policy(settings, path, routing_policy, ending);
         let signals = process.clone();
         tokio::task::spawn_local(async move {
             loop {
--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -19,7 +19,7 @@
 use micadrum::{Outcome, Span, Time};
 use operator_config::{OperatorConfig, Route};
 use request_routing::{
-    Ask, EndpointView, GiveUp, Next, Pick, RouteKind, Router, SendEnd, ServiceTerms, Target, Tried,
+    Ask, EndpointView, GiveUp, Next, Pick, RouteKind, RoutingPolicy, SendEnd, ServiceTerms, Target, Tried,
     promises_not_run,
 };
 use std::cell::RefCell;
@@ -69,10 +69,16 @@
 
 impl<T: TurnKeeping> Forwarder<T> {
     /// One for a process in this zone that may hold so many descriptors. All chance comes from the seed.
-    pub fn new(zone: String, seed: u64, turns: Rc<T>, max_file_descriptors: u64) -> Rc<Self> {
+    pub fn new(
+        zone: String,
+        seed: u64,
+        policy: RoutingPolicy,
+        turns: Rc<T>,
+        max_file_descriptors: u64,
+    ) -> Rc<Self> {
         let most_clients = usize::try_from(max_file_descriptors / 3).unwrap_or(usize::MAX).max(4);
         Rc::new(Self {
-            core: Core::new(Router::new(zone, seed), MOST_WAITING),
+            core: Core::new(zone, seed, policy, MOST_WAITING),
             most_clients,
             turns,
             knowledge: RefCell::default(),
@@ -98,6 +104,7 @@
                     max_connections: service.max_connections,
                     engine: service.engine.is_some(),
                     slots: service.engine.as_ref().map(|engine| engine.capacity_slots),
+                    cache_tokens: service.engine.as_ref().map(|engine| engine.kv_cache_tokens),
                 })
                 .collect();
             router.configure(now, &terms);
@@ -211,15 +218,13 @@
         deadline: Instant,
     ) -> Ask {
         let (prompt, most) = headers::token_usage(given).unwrap_or_default();
-        let shared = headers::text(given, "prompt-prefix").and_then(|parts| {
-            let (id, _) = parts.split(',').next()?.split_once(':')?;
-            Some(id.trim().to_owned())
-        });
+        let shared = headers::first_prompt_part(given);
         Ask {
             service: service.to_owned(),
             kind: route.kind,
             session: headers::text(given, "session").map(str::to_owned),
-            shared_part: shared,
+            shared_tokens: shared.map_or(0, |part| part.tokens),
+            shared_part: shared.map(|part| part.id.to_owned()),
             size: prompt.saturating_add(most),
             priority: route.priority,
             arrived: self.core.at(arrived),
--- a/system/request-forwarding/src/headers.rs
+++ b/system/request-forwarding/src/headers.rs
@@ -72,6 +72,21 @@
     Some((prompt.trim().parse().ok()?, most.trim().parse().ok()?))
 }
 
+/// A part of a prompt that other prompts may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PromptPart<'a> {
+    pub(crate) id: &'a str,
+    /// 0 where the header does not tell them in digits.
+    pub(crate) tokens: u32,
+}
+
+/// The first part of the prompt, which it shares with most others.
+pub(crate) fn first_prompt_part(headers: &HeaderMap) -> Option<PromptPart<'_>> {
+    let first = text(headers, "prompt-prefix")?.split(',').next()?;
+    let (id, tokens) = first.split_once(':')?;
+    Some(PromptPart { id: id.trim(), tokens: tokens.trim().parse().unwrap_or(0) })
+}
+
 /// Whether the other side ends the connection after this message.
 pub(crate) fn closes(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
--- a/system/request-forwarding/src/pool.rs
+++ b/system/request-forwarding/src/pool.rs
@@ -8,7 +8,7 @@
 use micadrum::net::connection::{CallError, Connection};
 use micadrum::net::idle_trust::IdleTrust;
 use micadrum::{Outcome, Span, Time};
-use request_routing::{Ask, EndpointKey, Router, ServerLoad, Target};
+use request_routing::{Ask, EndpointKey, Router, RoutingPolicy, ServerLoad, Target};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -30,6 +30,8 @@
     start: Instant,
     last_request: Cell<u64>,
     pub(crate) router: RefCell<Router>,
+    /// Whether idle connections are passed over that may have been forgotten.
+    limits_idle_connections: bool,
     idle: RefCell<HashMap<EndpointKey, Vec<IdleLine>>>,
     /// By service: for how long its idle connections can be used.
     idle_trust: RefCell<HashMap<String, IdleTrust>>,
@@ -71,11 +73,12 @@
 }
 
 impl Core {
-    pub(crate) fn new(router: Router, most_waiting: usize) -> Rc<Self> {
+    pub(crate) fn new(zone: String, seed: u64, policy: RoutingPolicy, most_waiting: usize) -> Rc<Self> {
         Rc::new(Self {
             start: Instant::now(),
             last_request: Cell::new(0),
-            router: RefCell::new(router),
+            limits_idle_connections: policy.idle_connection_limit,
+            router: RefCell::new(Router::new(zone, seed, policy)),
             idle: RefCell::default(),
             idle_trust: RefCell::default(),
             queue: Queue::new(most_waiting),
@@ -112,7 +115,7 @@
         let now = Instant::now();
         let trusted = self.idle_trust.borrow_mut().get_mut(service).and_then(|trust| {
             trust.forget();
-            trust.limit()
+            trust.limit().filter(|_| self.limits_idle_connections)
         });
         loop {
             let mut idle = self.take_idle(target, request)?;
--- a/system/request-routing/src/lib.rs
+++ b/system/request-routing/src/lib.rs
@@ -2,9 +2,14 @@
 //! [`Router::pick`], carries out the call, tells its end with [`Router::ended`] and asks [`Router::next`] after one
 //! that did not deliver. The rule is the design's: retry the transport, not the intent.
 
+mod admission;
 mod endpoint;
 mod execution;
 mod hash;
+mod outlier;
+mod placement;
+mod policy;
+mod prefix_demand;
 mod retry;
 mod router;
 mod service;
@@ -14,5 +19,6 @@
 pub use execution::{Execution, SendEnd, promises_not_run};
 pub use micadrum::{Outcome, Span, Time};
 pub use operator_config::RouteKind;
+pub use policy::{RoutingPolicy, UnknownMechanism};
 pub use router::Router;
 pub use types::*;
--- a/system/request-routing/src/retry.rs
+++ b/system/request-routing/src/retry.rs
@@ -77,9 +77,14 @@
     (now.after(2.0 * timeout) <= last_send(ask)).then_some(Span(timeout as u64))
 }
 
+/// The first wait, before doubling and chance.
+pub(crate) fn first_backoff(ask: &Ask) -> f64 {
+    (BASE_OF_AIM * ask.aim.0 as f64).clamp(BASE.0, BASE.1)
+}
+
 /// The wait before the next try; `chance` is within 0 and 1.
 pub(crate) fn backoff(ask: &Ask, tried: &Tried, chance: f64) -> f64 {
-    let base = (BASE_OF_AIM * ask.aim.0 as f64).clamp(BASE.0, BASE.1);
+    let base = first_backoff(ask);
     let before = tried.attempts.max(tried.refused).saturating_sub(1).min(16);
     (base * f64::from(1_u32 << before)).min(CAP * base) + JITTER * base * chance
 }
--- a/system/request-routing/src/router.rs
+++ b/system/request-routing/src/router.rs
@@ -1,9 +1,13 @@
 //! The decisions: which endpoint, whether to wait, whether to go again.
 
-use crate::endpoint::{Bounds, Endpoint, Presence};
+use crate::admission::priority_of;
+use crate::endpoint::{Bounds, EndedCall, Endpoint, Presence};
 use crate::hash::{hash, mix};
+use crate::placement::Candidates;
+use crate::policy::RoutingPolicy;
+use crate::prefix_demand::Prompt;
 use crate::retry;
-use crate::service::{Service, rank_of};
+use crate::service::Service;
 use crate::sessions::Sessions;
 use crate::types::*;
 use fleet_model::EndpointList;
@@ -12,12 +16,6 @@
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::collections::BTreeMap;
 
-/// An endpoint is passed over for a prompt's sake above this multiple of its peers' mean load ...
-const BOUND: (f64, f64) = (1.25, 2.0);
-/// ... and for a session's sake above this: all of its prompt is kept there.
-const SESSION_BOUND: (f64, f64) = (1.5, 3.0);
-/// Endpoints of other zones count as having a place below this share of their slots.
-const FAR_SHARE: f64 = 0.8;
 /// Shortest and longest wait before asking again, in microseconds.
 const WAIT: (f64, f64) = (5_000.0, 50_000.0);
 /// The shortest, where the request's own time ends sooner.
@@ -30,6 +28,7 @@
 /// Decides for one proxy.
 pub struct Router {
     zone: String,
+    policy: RoutingPolicy,
     seed: u64,
     chance: ChaCha8Rng,
     proxies: u32,
@@ -43,9 +42,10 @@
 
 impl Router {
     /// A router for a proxy in this zone; all its chance comes from the seed.
-    pub fn new(zone: String, seed: u64) -> Router {
+    pub fn new(zone: String, seed: u64, policy: RoutingPolicy) -> Router {
         Router {
             zone,
+            policy,
             seed,
             chance: ChaCha8Rng::seed_from_u64(seed),
             proxies: 1,
@@ -106,15 +106,15 @@
     /// Sorts the ready endpoints by service and zone.
     fn index(&mut self) {
         for service in self.services.values_mut() {
-            service.near.clear();
-            service.far.clear();
+            service.local.clear();
+            service.remote.clear();
         }
         for (at, endpoint) in self.endpoints.iter().enumerate() {
             if endpoint.presence == Presence::Ready {
                 let service =
                     self.services.entry(endpoint.listed.service.clone()).or_insert_with(Service::new);
                 let group =
-                    if endpoint.listed.zone == self.zone { &mut service.near } else { &mut service.far };
+                    if endpoint.listed.zone == self.zone { &mut service.local } else { &mut service.remote };
                 group.push(at);
             }
         }
@@ -137,7 +137,7 @@
             return Pick::Wait(Span(tried.not_before.since(now)));
         }
         if let Some(service) = self.services.get_mut(&ask.service) {
-            service.sweep(now);
+            service.admission.sweep(now);
         }
         match self.choose(now, ask, tried) {
             Some(at) => self.send(ask, at),
@@ -147,7 +147,7 @@
 
     fn give_up(&mut self, now: Time, ask: &Ask, tried: &Tried) -> Pick {
         if let Some(service) = self.services.get_mut(&ask.service) {
-            service.leave(ask);
+            service.admission.leave(ask);
         }
         Pick::GiveUp(retry::last_answer(tried, self.retry_after(now, ask)))
     }
@@ -157,7 +157,10 @@
         let mut may_open = true;
         if let Some(service) = self.services.get_mut(&ask.service) {
             may_open = endpoint.may_open(&service.bounds(self.proxies));
-            service.send(ask);
+            service.admission.sent(ask);
+            if let Some(prompt) = prompt(ask) {
+                service.prefixes.observe(prompt);
+            }
         }
         endpoint.send();
         Pick::Send(Target {
@@ -171,7 +174,7 @@
     /// No endpoint takes it now: it waits, as long as that makes sense.
     fn hold(&mut self, now: Time, ask: &Ask, tried: &Tried) -> Pick {
         let mut until = retry::last_send(ask);
-        if tried.execution.may_promise() {
+        if tried.execution.may_promise() && self.policy.queue_patience {
             until = until.min(retry::patience(ask));
         }
         if now >= until {
@@ -184,7 +187,7 @@
         };
         let wait = opens.unwrap_or_else(|| service.gap()).clamp(WAIT.0, WAIT.1) as u64;
         let wait = wait.min(left);
-        if service.hold(ask, now.after(wait as f64)) {
+        if service.admission.hold(ask, now.after(wait as f64)) {
             Pick::Wait(Span(wait))
         } else {
             self.give_up(now, ask, tried)
@@ -194,7 +197,7 @@
     /// Time until the first of its endpoints opens, if refusals and failures keep all of them closed.
     fn opens(&self, now: Time, ask: &Ask) -> Option<f64> {
         let service = self.services.get(&ask.service)?;
-        let all = service.near.iter().chain(&service.far).map(|at| &self.endpoints[*at]);
+        let all = service.all().map(|at| &self.endpoints[at]);
         let first = all.filter(|endpoint| endpoint.in_service()).map(|endpoint| endpoint.opens(now)).min()?;
         (first > now).then(|| first.since(now) as f64)
     }
@@ -202,8 +205,7 @@
     /// When a place is expected.
     fn retry_after(&self, now: Time, ask: &Ask) -> Span {
         let Some(service) = self.services.get(&ask.service) else { return Span(NO_ENDPOINT) };
-        let mut all = service.near.iter().chain(&service.far);
-        if !all.any(|at| self.endpoints[*at].in_service()) {
+        if !service.all().any(|at| self.endpoints[at].in_service()) {
             return Span(NO_ENDPOINT);
         }
         let wait = self.opens(now, ask).unwrap_or_else(|| service.turn());
@@ -212,53 +214,30 @@
 
     fn choose(&mut self, now: Time, ask: &Ask, tried: &Tried) -> Option<usize> {
         let service = self.services.get(&ask.service)?;
-        if service.yields(rank_of(ask)) {
+        if service.admission.yields(priority_of(ask), &self.policy) {
             return None;
         }
-        let bounds = service.bounds(self.proxies);
-        if (bounds.engine || ask.shared_part.is_some())
-            && let Some(at) = self.by_prompt(now, ask, tried, service, &bounds)
-        {
-            return Some(at);
-        }
-        let service = self.services.get(&ask.service)?;
-        let choice = least_loaded(now, tried, service, &bounds, &self.endpoints, &mut self.chance);
-        choice.or_else(|| least_bad(now, service, &bounds, &self.endpoints))
-    }
-
-    /// The endpoint that has most of its prompt and is not loaded far above its peers.
-    fn by_prompt(
-        &self,
-        now: Time,
-        ask: &Ask,
-        tried: &Tried,
-        service: &Service,
-        bounds: &Bounds,
-    ) -> Option<usize> {
-        let group = if service.near.is_empty() { &service.far } else { &service.near };
-        let mut loads = (0.0, 0.0);
-        for endpoint in group.iter().map(|at| &self.endpoints[*at]).filter(|endpoint| endpoint.in_service()) {
-            loads = (loads.0 + endpoint.load(now), loads.1 + 1.0);
-        }
-        let mean = loads.0 / f64::max(loads.1, 1.0);
-        let takes = |endpoint: &Endpoint, bound: (f64, f64)| {
-            let load = endpoint.load(now);
-            usable(endpoint, now, bounds, load)
-                && load < f64::from(endpoint.slots(bounds))
-                && load <= bound.0 * mean + bound.1
-                && endpoint.penalty(now) == 0.0
-                && !tried.avoid.contains(&endpoint.key)
+        let candidates = Candidates {
+            now,
+            policy: &self.policy,
+            tried,
+            service,
+            bounds: service.bounds(self.proxies),
+            endpoints: &self.endpoints,
         };
-        let last = session_hash(ask).and_then(|session| self.sessions.get(session));
-        if let Some(at) = last.and_then(|key| self.find(key)) {
-            let endpoint = &self.endpoints[at];
-            if endpoint.listed.service == ask.service && takes(endpoint, SESSION_BOUND) {
+        if candidates.bounds.engine || ask.shared_part.is_some() {
+            let last = session_hash(ask).and_then(|session| self.sessions.get(session));
+            let last = last.and_then(|key| self.find(key));
+            if let Some(at) = candidates.by_session(last, &ask.service) {
+                return Some(at);
+            }
+            if let Some(prefix) = &ask.shared_part
+                && let Some(at) = candidates.by_prefix(prefix, &mut self.chance)
+            {
                 return Some(at);
             }
         }
-        let part = hash(ask.shared_part.as_ref()?.as_bytes());
-        let taking = group.iter().copied().filter(|at| takes(&self.endpoints[*at], BOUND));
-        taking.max_by_key(|at| mix(part ^ self.endpoints[*at].hash))
+        candidates.by_load(&mut self.chance).or_else(|| candidates.least_bad())
     }
 
     fn find(&self, key: EndpointKey) -> Option<usize> {
@@ -283,13 +262,13 @@
             }
         }
         let Some(at) = self.find(key) else { return };
-        if let Some(load) = load {
-            self.endpoints[at].tell(now, load);
+        if let Some(load) = load.filter(|_| self.policy.reported_load) {
+            self.endpoints[at].report(now, load);
         }
-        let may_eject = self.may_eject(at);
         let bounds = self.bounds(at);
         let chance = unit(self.chance.next_u64());
-        self.endpoints[at].end(now, outcome, elapsed, &bounds, may_eject, chance);
+        let call = EndedCall { outcome, elapsed, may_eject: self.may_eject(at), chance };
+        self.endpoints[at].end(now, &call, &bounds, &self.policy);
         if outcome == Outcome::Success
             && (bounds.engine || ask.shared_part.is_some())
             && let Some(session) = session_hash(ask)
@@ -301,12 +280,11 @@
     /// Whether half of its service is left without it.
     fn may_eject(&self, at: usize) -> bool {
         let Some(service) = self.services.get(&self.endpoints[at].listed.service) else { return false };
-        let all =
-            service.near.iter().chain(&service.far).filter(|other| self.endpoints[**other].in_service());
+        let all = service.all().filter(|other| self.endpoints[*other].in_service());
         let (mut ready, mut out) = (0, 0);
         for other in all {
             ready += 1;
-            out += usize::from(*other != at && self.endpoints[*other].unproven());
+            out += usize::from(other != at && self.endpoints[other].unproven());
         }
         (out + 1) * 2 <= ready
     }
@@ -318,11 +296,11 @@
         }
     }
 
-    /// An endpoint told its load.
+    /// An endpoint reported its load.
     pub fn note_load(&mut self, now: Time, key: EndpointKey, load: ServerLoad) {
         self.now = now;
-        if let Some(at) = self.find(key) {
-            self.endpoints[at].tell(now, load);
+        if let Some(at) = self.find(key).filter(|_| self.policy.reported_load) {
+            self.endpoints[at].report(now, load);
         }
     }
 
@@ -367,7 +345,11 @@
                 Outcome::Full(Some(told)) if !elsewhere => told.0 as f64,
                 _ => 0.0,
             };
-            retry::backoff(ask, tried, unit(draw)).max(told)
+            let backoff = match self.policy.retry_backoff {
+                true => retry::backoff(ask, tried, unit(draw)),
+                false => retry::first_backoff(ask),
+            };
+            backoff.max(told)
         };
         tried.not_before = now.after(wait);
         if tried.not_before > retry::last_send(ask) {
@@ -379,9 +361,9 @@
     /// How long an attempt that is about to be sent may be silent before another endpoint is tried: only what may run
     /// twice is, where there is an attempt left and another endpoint to make it. `tried` is what came before it.
     pub fn try_timeout(&self, now: Time, ask: &Ask, tried: &Tried) -> Option<Span> {
-        let service = self.services.get(&ask.service)?;
+        let service = self.services.get(&ask.service).filter(|_| self.policy.try_timeout)?;
         let timeout = retry::try_timeout(now, ask, tried, service.repeatable_pace())?;
-        let ready = service.near.iter().chain(&service.far).map(|at| &self.endpoints[*at]);
+        let ready = service.all().map(|at| &self.endpoints[at]);
         let others = ready.filter(|other| other.in_service() && !tried.avoid.contains(&other.key)).count();
         (others > 1).then_some(timeout)
     }
@@ -389,10 +371,18 @@
     /// Whether an endpoint that it has not met has a place.
     fn free_elsewhere(&self, now: Time, ask: &Ask, tried: &Tried) -> bool {
         let Some(service) = self.services.get(&ask.service) else { return false };
-        let bounds = service.bounds(self.proxies);
-        service.near.iter().chain(&service.far).map(|at| &self.endpoints[*at]).any(|endpoint| {
-            !tried.avoid.contains(&endpoint.key) && usable(endpoint, now, &bounds, endpoint.load(now))
-        })
+        let candidates = Candidates {
+            now,
+            policy: &self.policy,
+            tried,
+            service,
+            bounds: service.bounds(self.proxies),
+            endpoints: &self.endpoints,
+        };
+        service
+            .all()
+            .map(|at| &self.endpoints[at])
+            .any(|endpoint| !tried.avoid.contains(&endpoint.key) && candidates.usable(endpoint))
     }
 
     /// All endpoints as they stood at the last event.
@@ -401,76 +391,17 @@
     }
 }
 
-fn usable(endpoint: &Endpoint, now: Time, bounds: &Bounds, load: f64) -> bool {
-    endpoint.in_service()
-        && !endpoint.closed(now)
-        && !endpoint.ejected(now)
-        && endpoint.out < endpoint.limit(bounds, load)
-}
-
-/// The least loaded one: of those it has not met, before those it has; of those with a free slot in this zone, then
-/// in others, then of those that would queue it. Ties go by chance.
-fn least_loaded(
-    now: Time,
-    tried: &Tried,
-    service: &Service,
-    bounds: &Bounds,
-    endpoints: &[Endpoint],
-    chance: &mut ChaCha8Rng,
-) -> Option<usize> {
-    let mut best: Option<(u8, f64, usize)> = None;
-    let mut ties = 0;
-    let near = service.near.iter().map(|at| (*at, true));
-    for (at, near) in near.chain(service.far.iter().map(|at| (*at, false))) {
-        let endpoint = &endpoints[at];
-        let load = endpoint.load(now);
-        if !usable(endpoint, now, bounds, load) {
-            continue;
-        }
-        let slots = f64::from(endpoint.slots(bounds));
-        let tier = match near {
-            true if load < slots => 0,
-            false if load < FAR_SHARE * slots => 1,
-            true => 2,
-            false => 3,
-        };
-        let class = tier + if tried.avoid.contains(&endpoint.key) { 4 } else { 0 };
-        let score = (load + 1.0) / slots * endpoint.slowness(now, service.pace) + endpoint.penalty(now);
-        match best {
-            Some((least, lowest, _)) if (class, score) == (least, lowest) => {
-                ties += 1;
-                if chance.next_u32().is_multiple_of(ties + 1) {
-                    best = Some((class, score, at));
-                }
-            }
-            Some((least, lowest, _)) if (class, score) > (least, lowest) => {}
-            _ => {
-                best = Some((class, score, at));
-                ties = 0;
-            }
-        }
-    }
-    best.map(|(_, _, at)| at)
-}
-
-/// Where all are ejected, the one that would be back first.
-fn least_bad(now: Time, service: &Service, bounds: &Bounds, endpoints: &[Endpoint]) -> Option<usize> {
-    let all = || service.near.iter().chain(&service.far).copied().filter(|at| endpoints[*at].in_service());
-    if !all().all(|at| endpoints[at].ejected(now)) {
-        return None;
-    }
-    let free = all().filter(|at| {
-        let endpoint = &endpoints[*at];
-        !endpoint.closed(now) && endpoint.out < endpoint.limit(bounds, endpoint.load(now))
-    });
-    free.min_by_key(|at| endpoints[*at].opens(now))
-}
-
 fn session_hash(ask: &Ask) -> Option<u64> {
     let session = ask.session.as_ref()?;
     Some(mix(hash(ask.service.as_bytes()) ^ hash(session.as_bytes()).rotate_left(1)))
 }
 
+/// How much of its prompt a request shares with others, where it tells.
+fn prompt(ask: &Ask) -> Option<Prompt> {
+    let prefix = ask.shared_part.as_ref().filter(|_| ask.shared_tokens > 0)?;
+    Some(Prompt { prefix: hash(prefix.as_bytes()), prefix_tokens: ask.shared_tokens, total_tokens: ask.size })
+}
+
 /// Within 0 and 1.
 fn unit(draw: u64) -> f64 {
     (draw >> 11) as f64 / (1_u64 << 53) as f64
--- a/system/request-routing/src/types.rs
+++ b/system/request-routing/src/types.rs
@@ -21,6 +21,8 @@
     pub session: Option<String>,
     /// Id of the first part of its prompt.
     pub shared_part: Option<String>,
+    /// Tokens of that part, or 0.
+    pub shared_tokens: u32,
     /// Tokens of its prompt and the most it generates, or 0.
     pub size: u32,
     /// Its rank, 0 first.
@@ -119,6 +121,8 @@
     pub engine: bool,
     /// Slots of an endpoint, where the configuration tells them.
     pub slots: Option<u32>,
+    /// Tokens that an endpoint's memory holds, where the configuration tells them.
+    pub cache_tokens: Option<u64>,
 }
 
 /// Why an endpoint gets no new requests now.
@@ -165,8 +169,8 @@
     pub connections: u32,
     /// Its slots.
     pub slots: u32,
-    /// Load that it told, aged.
-    pub told: f64,
+    /// Calls of other proxies there, as far as it reported them, aged.
+    pub reported_load: f64,
     /// Why it is not used, if it is not.
     pub unused: Option<Unused>,
 }
--- /dev/null
+++ b/system/request-routing/tests/placement.rs
@@ -0,0 +1,263 @@
+//! Where prompts that share prefixes go: engines of small and of ample memory, few and many prefixes, proxies and slots.
+
+mod common;
+
+use common::*;
+use fleet_model::Endpoint;
+use googletest::prelude::*;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use request_routing::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const PREFIX_TOKENS: u32 = 10_000;
+const OWN_TOKENS: u32 = 1_000;
+
+fn engines(count: usize, slots: u32) -> Vec<Endpoint> {
+    (0..count).map(|n| entry(&format!("e{n}"), "model", "a", slots)).collect()
+}
+
+/// A proxy whose engines have memory for so many tokens.
+fn proxy(seed: u64, engines: &[Endpoint], cache_tokens: u64) -> Router {
+    let mut router = Router::new("a".to_owned(), seed, RoutingPolicy::default());
+    let model = ServiceTerms { cache_tokens: Some(cache_tokens), ..terms("model", 10_000, true) };
+    router.configure(ms(0), &[model]);
+    router.set_endpoints(ms(0), &list(engines));
+    router
+}
+
+/// A prompt of a session of its own.
+fn prompt(session: usize, prefix: usize, at: u64) -> Ask {
+    Ask {
+        shared_tokens: PREFIX_TOKENS,
+        size: PREFIX_TOKENS + OWN_TOKENS,
+        arrived: Time(ms(at).0 + session as u64),
+        deadline: ms(at + 3_000),
+        ..turn(&format!("s{session}"), &format!("p{prefix}"))
+    }
+}
+
+/// Sends so many prompts, each of which ends before the next begins; the engines that each prefix met after the first
+/// `warm_up` prompts.
+fn engines_by_prefix(
+    router: &mut Router,
+    prompts: usize,
+    warm_up: usize,
+    prefix_of: impl Fn(usize) -> usize,
+) -> BTreeMap<usize, BTreeSet<String>> {
+    let mut met: BTreeMap<usize, BTreeSet<String>> = BTreeMap::new();
+    for n in 0..prompts {
+        let (at, prefix) = (n as u64 * 50, prefix_of(n));
+        let ask = prompt(n, prefix, at);
+        let target = send(router, ms(at), &ask);
+        if n >= warm_up {
+            met.entry(prefix).or_default().insert(target.instance_id.to_string());
+        }
+        end(router, ms(at + 20), target.key, &ask, Outcome::Success);
+    }
+    met
+}
+
+/// Memory for one prefix and the requests of 4 slots.
+const SMALL: u64 = 14_000;
+/// Memory for hundreds.
+const AMPLE: u64 = 10_000_000;
+
+#[gtest]
+fn given_ample_memory_when_prompts_share_prefixes_then_all_engines_take_them() {
+    let mut router = proxy(1, &engines(6, 4), AMPLE);
+    let met = engines_by_prefix(&mut router, 400, 100, |n| n % 8);
+    expect_that!(met.values().map(BTreeSet::len).min(), some(eq(6)));
+}
+
+#[gtest]
+fn given_memory_for_one_prefix_when_eight_are_in_use_then_each_is_confined_and_all_proxies_agree() {
+    let engines = engines(8, 4);
+    let met: Vec<_> = (1..3)
+        .map(|seed| engines_by_prefix(&mut proxy(seed, &engines, SMALL), 400, 100, |n| n % 8))
+        .collect();
+    for (prefix, on) in &met[0] {
+        // Its share of the demand is an eighth, with headroom two of eight engines.
+        expect_that!(on.len(), le(2), "prefix {prefix}");
+        expect_that!(met[1][prefix], eq(on), "prefix {prefix}");
+    }
+    let used: BTreeSet<_> = met[0].values().flatten().collect();
+    expect_that!(used.len(), ge(4));
+}
+
+#[gtest]
+fn given_small_memory_when_one_prefix_is_hot_then_it_gets_engines_by_its_demand() {
+    let mut router = proxy(1, &engines(10, 4), SMALL);
+    let met = engines_by_prefix(&mut router, 600, 200, |n| if n % 2 == 0 { 0 } else { 1 + n % 40 });
+    expect_that!(met[&0].len(), ge(7));
+    expect_that!(met[&4].len(), le(2));
+}
+
+#[gtest]
+fn given_small_memory_when_there_is_one_prefix_then_all_engines_take_it() {
+    let mut router = proxy(1, &engines(6, 4), SMALL);
+    let met = engines_by_prefix(&mut router, 400, 100, |_| 0);
+    expect_that!(met[&0].len(), eq(6));
+}
+
+#[gtest]
+fn given_four_thousand_prefixes_when_memory_holds_a_few_then_each_has_one_engine_and_all_engines_work() {
+    let engines = engines(8, 4);
+    let mut router = proxy(1, &engines, 8 * SMALL);
+    // Each prefix twice in a row, as the turns of two programs would be.
+    let met = engines_by_prefix(&mut router, 2_000, 100, |n| n / 2 * 7_919 % 4_000);
+    let confined = met.values().filter(|on| on.len() == 1).count();
+    expect_that!(confined * 10, ge(met.len() * 9));
+    let used: BTreeSet<_> = met.values().flatten().collect();
+    expect_that!(used.len(), eq(8));
+}
+
+#[gtest]
+fn given_few_prompts_or_no_told_memory_then_nothing_is_confined() {
+    let met = engines_by_prefix(&mut proxy(1, &engines(6, 4), SMALL), 15, 0, |_| 0);
+    expect_that!(met[&0].len(), ge(4));
+    let met = engines_by_prefix(&mut proxy(1, &engines(6, 4), 0), 400, 100, |n| n % 8);
+    expect_that!(met.values().map(BTreeSet::len).min(), some(eq(6)));
+}
+
+#[gtest]
+fn given_a_loaded_home_when_more_of_its_prefix_come_then_they_are_passed_on() {
+    let mut router = proxy(1, &engines(8, 16), SMALL);
+    engines_by_prefix(&mut router, 200, 0, |n| n % 8);
+    let mut loads = BTreeMap::new();
+    for n in 0..40 {
+        let id = send(&mut router, ms(20_000), &prompt(1_000 + n, 3, 20_000)).instance_id;
+        *loads.entry(id).or_insert(0) += 1;
+    }
+    expect_that!(loads.len(), ge(4));
+    // 1.25 x the mean of 5 + 2, and the one that comes on top.
+    expect_that!(loads.values().max(), some(le(&10)));
+}
+
+/// A fleet of proxies over the same engines: each gets its share of the arrivals and knows its own calls only.
+struct Fleet {
+    proxies: Vec<Router>,
+    chance: ChaCha8Rng,
+}
+
+/// Most calls out at one engine at once, and the mean over engines and arrivals.
+#[derive(Debug)]
+struct Spread {
+    busiest: usize,
+    arrivals_over_mean: f64,
+    idle: usize,
+}
+
+impl Fleet {
+    fn new(proxies: usize, engines: &[Endpoint], cache_tokens: u64) -> Self {
+        let proxies = (0..proxies)
+            .map(|seed| {
+                let mut router = proxy(seed as u64, engines, cache_tokens);
+                router.set_proxies(ms(0), proxies as u32);
+                router
+            })
+            .collect();
+        Self { proxies, chance: ChaCha8Rng::seed_from_u64(5) }
+    }
+
+    /// Arrivals every `gap_ms`, each of which runs for `hold_ms`, with eight prefixes.
+    fn play(&mut self, engines: usize, arrivals: u64, gap_ms: u64, hold_ms: u64) -> Spread {
+        let mut out: Vec<(u64, usize, EndpointKey, String, Ask)> = Vec::new();
+        let (mut now_out, mut total) = (BTreeMap::<String, usize>::new(), BTreeMap::<String, usize>::new());
+        let mut busiest = 0;
+        for n in 0..arrivals {
+            let at = n * gap_ms;
+            for (_, proxy, key, id, ask) in out.extract_if(.., |call| call.0 <= at) {
+                end(&mut self.proxies[proxy], ms(at), key, &ask, Outcome::Success);
+                *now_out.get_mut(&id).unwrap() -= 1;
+            }
+            let proxy = self.chance.next_u32() as usize % self.proxies.len();
+            let ask = prompt(n as usize, self.chance.next_u32() as usize % 8, at);
+            let target = send(&mut self.proxies[proxy], ms(at), &ask);
+            let id = target.instance_id.to_string();
+            *total.entry(id.clone()).or_default() += 1;
+            let there = now_out.entry(id.clone()).or_default();
+            *there += 1;
+            busiest = busiest.max(*there);
+            out.push((at + hold_ms, proxy, target.key, id, ask));
+        }
+        let mean = arrivals as f64 / engines as f64;
+        let most = total.values().max().copied().unwrap_or(0) as f64;
+        Spread { busiest, arrivals_over_mean: most / mean, idle: engines - total.len() }
+    }
+}
+
+#[gtest]
+fn given_one_thirteen_or_340_proxies_when_memory_is_ample_then_no_engine_is_overrun_or_idle() {
+    for proxies in [1, 13, 340] {
+        // Eleven engines with four calls out each in the mean.
+        let spread = Fleet::new(proxies, &engines(11, 12), AMPLE).play(11, 6_000, 7, 308);
+        expect_that!(spread.arrivals_over_mean, lt(1.3), "{proxies} proxies");
+        expect_that!(spread.idle, eq(0), "{proxies} proxies");
+        expect_that!(spread.busiest, le(16), "{proxies} proxies");
+    }
+}
+
+#[gtest]
+fn given_many_proxies_when_memory_is_small_then_confinement_leaves_no_engine_overrun() {
+    for proxies in [1, 13] {
+        // Twelve engines, 1.5 calls out in the mean, long enough for each proxy to know the prefixes.
+        let spread = Fleet::new(proxies, &engines(12, 12), SMALL).play(12, 6_000, 17, 306);
+        expect_that!(spread.arrivals_over_mean, lt(2.2), "{proxies} proxies");
+        expect_that!(spread.busiest, le(12), "{proxies} proxies");
+    }
+}
+
+#[gtest]
+fn given_two_twelve_or_96_slots_when_calls_come_then_they_spread_by_slots() {
+    for slots in [2, 12, 96] {
+        let mut router = proxy(1, &engines(4, slots), AMPLE);
+        let mut loads: BTreeMap<String, u32> = BTreeMap::new();
+        for n in 0..4 * slots as usize {
+            let id = send(&mut router, ms(0), &prompt(n, n, 0)).instance_id;
+            *loads.entry(id.to_string()).or_default() += 1;
+        }
+        expect_that!(
+            loads.values().copied().collect::<Vec<_>>(),
+            elements_are![&slots, &slots, &slots, &slots]
+        );
+    }
+}
+
+#[gtest]
+fn given_a_zone_without_engines_when_prefixes_are_confined_then_other_zones_take_them() {
+    let remote: Vec<Endpoint> = (0..8).map(|n| entry(&format!("e{n}"), "model", "b", 4)).collect();
+    let met = engines_by_prefix(&mut proxy(1, &remote, SMALL), 400, 100, |n| n % 8);
+    expect_that!(met.values().map(BTreeSet::len).max(), some(le(2)));
+}
+
+#[gtest]
+fn given_skewed_zones_when_the_own_is_full_then_the_other_takes_what_is_left() {
+    let mut fleet = engines(1, 2);
+    fleet.extend((0..6).map(|n| entry(&format!("f{n}"), "model", "b", 12)));
+    let mut router = proxy(1, &fleet, SMALL);
+    let zones: Vec<bool> = (0..20)
+        .map(|n| send(&mut router, ms(0), &prompt(n, n % 8, 0)).instance_id.starts_with('e'))
+        .collect();
+    expect_that!(zones.iter().filter(|local| **local).count(), eq(2));
+}
+
+#[gtest]
+fn given_half_of_the_engines_replaced_when_prompts_come_then_the_new_ones_get_their_share() {
+    let old = engines(8, 12);
+    let mut router = proxy(1, &old, AMPLE);
+    engines_by_prefix(&mut router, 200, 0, |n| n % 8);
+    let mut replaced = old[..4].to_vec();
+    replaced.extend((0..4).map(|n| entry(&format!("n{n}"), "model", "a", 12)));
+    router.set_endpoints(ms(10_000), &list(&replaced));
+    let mut fresh = 0;
+    for n in 0..400 {
+        let at = 10_000 + n as u64 * 50;
+        let ask = prompt(10_000 + n, n % 8, at);
+        let target = send(&mut router, ms(at), &ask);
+        fresh += usize::from(target.instance_id.starts_with('n'));
+        end(&mut router, ms(at + 20), target.key, &ask, Outcome::Success);
+    }
+    expect_that!(fresh, ge(150));
+    expect_that!(fresh, le(250));
+}
