Let resumable streams go again, and go on at another endpoint after a break

Cause: a stream of a resumable route that failed was answered by 502 or broken off, and its program lost the turn: an endpoint that resets half of its answers cost it as much as one that may run once only. Change: the route's resumable counts in whether more than one endpoint may run a request; a break before the first event sends it again as it was, one after an event goes on with Last-Event-Id of the last whole event passed on, under the head of the first endpoint; events of such streams are passed on whole. Sending until an endpoint answers is a module of its own (delivery), as is the wait for a place.

--- a/system/request-forwarding/src/answer_pump.rs
+++ b/system/request-forwarding/src/answer_pump.rs
@@ -1,18 +1,42 @@
 //! An answer that is passed on as it comes.
 
 use crate::body::Piece;
+use crate::delivery::{Answered, Delivery};
 use crate::events::EventScan;
+use crate::headers::{LAST_EVENT_ID, is_event_stream};
 use crate::pool::{CallOut, Core, Line};
 use crate::turn_under_way::Turn;
 use crate::turns::TurnKeeping;
+use crate::whole_events::WholeEvents;
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use micadrum::Outcome;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
+/// An answer as an endpoint sends it.
+pub(crate) struct Upstream {
+    pub(crate) body: Incoming,
+    pub(crate) line: Line,
+    pub(crate) call: CallOut,
+}
+
+/// What a stream needs to go on at another endpoint.
+pub(crate) struct Resumption {
+    delivery: Delivery,
+    events: WholeEvents,
+}
+
+impl Resumption {
+    pub(crate) fn new(delivery: Delivery) -> Self {
+        Self { delivery, events: WholeEvents::default() }
+    }
+}
+
 /// Carries an answer from the endpoint to the client.
 pub(crate) struct Pump<T: TurnKeeping> {
     pub(crate) core: Rc<Core>,
@@ -20,18 +44,19 @@
     pub(crate) headers: HeaderMap,
     pub(crate) end: Instant,
     pub(crate) events: bool,
+    /// None for an answer that only its first endpoint can give.
+    pub(crate) resumption: Option<Resumption>,
 }
 
 impl<T: TurnKeeping> Pump<T> {
     pub(crate) async fn run(
-        self,
-        body: Incoming,
+        mut self,
+        answer: Upstream,
+        first: Option<Bytes>,
         pieces: mpsc::Sender<Piece>,
-        line: Line,
-        call: CallOut,
         turn: Turn<T>,
     ) {
-        let whole = self.carry(body, &pieces, line, call, turn).await;
+        let whole = self.carry(answer, first, &pieces, turn).await;
         self.core.count(|figures| match whole {
             true => figures.streams_ended += 1,
             false => figures.streams_broken += 1,
@@ -40,59 +65,133 @@
 
     /// True if the client has been handed all, the end included.
     async fn carry(
-        &self,
-        mut body: Incoming,
+        &mut self,
+        mut answer: Upstream,
+        mut first: Option<Bytes>,
         pieces: &mpsc::Sender<Piece>,
-        line: Line,
-        call: CallOut,
         mut turn: Turn<T>,
     ) -> bool {
         let mut scan = EventScan::new(turn.keeping.is_some());
         loop {
-            let frame = tokio::select! {
-                biased;
-                () = pieces.closed() => {
-                    call.end(Outcome::Cancelled);
-                    return false;
-                }
-                frame = timeout_at(self.end, body.frame()) => frame,
+            let read = match first.take() {
+                Some(data) => Ok(Some(data)),
+                None => self.read(&mut answer.body, pieces).await,
             };
-            let data = match frame {
-                Err(_) => {
-                    call.end(Outcome::TimedOut);
-                    return false;
-                }
-                Ok(Some(Err(_))) => {
-                    call.end(Outcome::Reset);
-                    return false;
-                }
+            let data = match read {
+                Ok(Some(data)) => self.whole_events_of(data),
                 Ok(None) => break,
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Err(outcome) => match self.resume(answer.call, outcome, pieces).await {
+                    Some(resumed) => {
+                        answer = resumed;
+                        continue;
+                    }
+                    None => return false,
+                },
             };
-            if data.is_empty() {
-                continue;
-            }
-            if self.events {
-                scan.take(&data);
-                if let Some(reservation) = &mut turn.reservation {
-                    reservation.handed = scan.handed().saturating_mul(turn.tokens_per_event);
-                }
-            }
-            match timeout_at(self.end, pieces.send(Piece::Data(data))).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => {
-                    call.end(Outcome::Cancelled);
-                    return false;
-                }
-                Err(_) => {
-                    call.end(Outcome::TimedOut);
-                    return false;
-                }
+            if let Err(outcome) = self.hand_on(data, &mut scan, &mut turn, pieces).await {
+                answer.call.end(outcome);
+                return false;
             }
         }
+        let rest = self.resumption.as_mut().map(|resumption| resumption.events.rest()).unwrap_or_default();
+        if let Err(outcome) = self.hand_on(rest, &mut scan, &mut turn, pieces).await {
+            answer.call.end(outcome);
+            return false;
+        }
+        let Upstream { body, line, call } = answer;
         drop(body);
         self.core.give_back(line, &self.headers);
         call.end(Outcome::Success);
+        self.end(scan, turn, pieces).await
+    }
+
+    /// The next bytes of the endpoint's answer; none at its end.
+    async fn read(
+        &self,
+        body: &mut Incoming,
+        pieces: &mpsc::Sender<Piece>,
+    ) -> Result<Option<Bytes>, Outcome> {
+        let frame = tokio::select! {
+            biased;
+            () = pieces.closed() => return Err(Outcome::Cancelled),
+            frame = timeout_at(self.end, body.frame()) => frame,
+        };
+        match frame {
+            Err(_) => Err(Outcome::TimedOut),
+            Ok(Some(Err(_))) => Err(Outcome::Reset),
+            Ok(None) => Ok(None),
+            Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+        }
+    }
+
+    /// Of a stream that may be resumed, only whole events are passed on.
+    fn whole_events_of(&mut self, data: Bytes) -> Bytes {
+        match &mut self.resumption {
+            Some(resumption) => resumption.events.take(&data),
+            None => data,
+        }
+    }
+
+    /// Passes bytes on to the client.
+    async fn hand_on(
+        &self,
+        data: Bytes,
+        scan: &mut EventScan,
+        turn: &mut Turn<T>,
+        pieces: &mpsc::Sender<Piece>,
+    ) -> Result<(), Outcome> {
+        if data.is_empty() {
+            return Ok(());
+        }
+        if self.events {
+            scan.take(&data);
+            if let Some(reservation) = &mut turn.reservation {
+                reservation.handed = scan.handed().saturating_mul(turn.tokens_per_event);
+            }
+        }
+        match timeout_at(self.end, pieces.send(Piece::Data(data))).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(Outcome::Cancelled),
+            Err(_) => Err(Outcome::TimedOut),
+        }
+    }
+
+    /// The answer of another endpoint, which goes on after the last event that was passed on.
+    async fn resume(
+        &mut self,
+        call: CallOut,
+        outcome: Outcome,
+        pieces: &mpsc::Sender<Piece>,
+    ) -> Option<Upstream> {
+        let resumption = self.resumption.as_mut().filter(|_| outcome == Outcome::Reset);
+        let last_id = resumption.as_ref().and_then(|resumption| resumption.events.last_id());
+        let last_id = last_id.and_then(|id| HeaderValue::from_maybe_shared(id.clone()).ok());
+        let (Some(resumption), Some(last_id)) = (resumption, last_id) else {
+            call.end(outcome);
+            return None;
+        };
+        // The other endpoint sends the event whole that broke off.
+        resumption.events.rest();
+        resumption.delivery.outgoing.headers.insert(LAST_EVENT_ID, last_id);
+        resumption.delivery.failed(call, outcome).ok()?;
+        let answered = tokio::select! {
+            biased;
+            () = pieces.closed() => return None,
+            answered = resumption.delivery.answer() => answered.ok()?,
+        };
+        let Answered { response, line, call } = answered;
+        if !response.status().is_success() || !is_event_stream(response.headers()) {
+            call.end(Outcome::Failure);
+            return None;
+        }
+        self.core.count(|figures| figures.streams_resumed += 1);
+        let (head, body) = response.into_parts();
+        self.headers = head.headers;
+        Some(Upstream { body, line, call })
+    }
+
+    /// Keeps the turn, if it is to be kept, and ends the answer.
+    async fn end(&self, scan: EventScan, mut turn: Turn<T>, pieces: &mpsc::Sender<Piece>) -> bool {
         if let Some(mut kept) = turn.keeping.take() {
             if !scan.between_events() {
                 return false;
--- a/system/request-forwarding/src/attempt.rs
+++ b/system/request-forwarding/src/attempt.rs
@@ -1,16 +1,15 @@
 //! One call of an endpoint.
 
-use crate::forwarder::Forwarder;
 use crate::headers::{self, ATTEMPT_ID, EXPECT_VERSION, NOT_EXECUTED, SERVER_SEAL};
 use crate::outgoing::Outgoing;
-use crate::pool::{CallOut, Line};
-use crate::turns::TurnKeeping;
+use crate::pool::{CallOut, Core, Line};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::{Method, Response, StatusCode};
 use micadrum::Span;
 use micadrum::net::connection::CallError;
 use request_routing::{SendEnd, ServerLoad, Target, Tried};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -33,17 +32,17 @@
     Answer(Response<Incoming>, Line),
 }
 
-impl<T: TurnKeeping> Forwarder<T> {
+impl Core {
     /// One call of an endpoint, up to the head of its answer.
     pub(crate) async fn attempt(
-        &self,
+        self: &Rc<Self>,
         outgoing: &Outgoing,
         target: &Target,
         tried: &Tried,
         call: &mut CallOut,
         sends: &mut u32,
     ) -> Attempt {
-        let core = &self.core;
+        let core = self;
         let ask = call.ask().clone();
         let patience = core.router.borrow().try_timeout(core.now(), &ask, tried);
         let whole = outgoing.deadline + GRACE;
@@ -130,7 +129,7 @@
 
     fn count_send(&self, sends: &mut u32) {
         *sends += 1;
-        self.core.count(|figures| {
+        self.count(|figures| {
             figures.sends += 1;
             figures.repeats += u64::from(*sends > 1);
         });
--- /dev/null
+++ b/system/request-forwarding/src/delivery.rs
@@ -0,0 +1,96 @@
+//! One request on its way from endpoint to endpoint, until one answers or it is given up.
+
+use crate::attempt::Attempt;
+use crate::outgoing::Outgoing;
+use crate::pool::{CallOut, Core, Line};
+use crate::queue::Rank;
+use hyper::Response;
+use hyper::body::Incoming;
+use micadrum::{Outcome, Span};
+use request_routing::{Ask, GiveUp, Next, SendEnd, Tried};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// So long does a request wait for a connection where no more may be opened.
+const CONNECTION_WAIT: Span = Span(10_000);
+
+/// A request, and what it has been through.
+pub(crate) struct Delivery {
+    core: Rc<Core>,
+    pub(crate) outgoing: Outgoing,
+    pub(crate) ask: Rc<Ask>,
+    pub(crate) tried: Tried,
+    sends: u32,
+    rank: Rank,
+}
+
+/// The head of an endpoint's answer, and the call that brought it.
+pub(crate) struct Answered {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) line: Line,
+    pub(crate) call: CallOut,
+}
+
+impl Delivery {
+    pub(crate) fn new(core: Rc<Core>, outgoing: Outgoing, ask: Rc<Ask>) -> Self {
+        let rank = core.queue.rank(ask.arrived.0, ask.priority);
+        Self { core, outgoing, ask, tried: Tried::default(), sends: 0, rank }
+    }
+
+    /// Sends until an endpoint answers.
+    pub(crate) async fn answer(&mut self) -> Result<Answered, GiveUp> {
+        loop {
+            let target = self.core.place(&self.ask, &self.tried, self.rank, self.outgoing.deadline).await?;
+            let key = target.key;
+            let mut call = CallOut::new(self.core.clone(), key, self.ask.clone());
+            let attempt = self.core.attempt(&self.outgoing, &target, &self.tried, &mut call, &mut self.sends);
+            match attempt.await {
+                Attempt::Answer(response, line) => return Ok(Answered { response, line, call }),
+                Attempt::NoConnection => {
+                    call.end(Outcome::Void);
+                    self.wait_for_connection(key).await;
+                }
+                Attempt::Ended(end) => {
+                    if end == SendEnd::Misdirected {
+                        self.core.router.borrow_mut().misdirected(self.core.now(), key);
+                        self.core.count(|figures| figures.misdirected += 1);
+                    }
+                    self.failed(call, end.outcome())?;
+                }
+            }
+        }
+    }
+
+    /// A call ended without an answer to pass on. An error says that the request does not go again.
+    pub(crate) fn failed(&mut self, call: CallOut, outcome: Outcome) -> Result<(), GiveUp> {
+        self.core.count(|figures| match outcome {
+            Outcome::Full(_) => figures.full += 1,
+            Outcome::ConnectFailed => figures.connect_failed += 1,
+            Outcome::Reset => figures.reset += 1,
+            Outcome::TimedOut => figures.timed_out += 1,
+            _ => {}
+        });
+        let key = call.key();
+        call.end(outcome);
+        let next = self.core.router.borrow().next(self.core.now(), &self.ask, &mut self.tried, key, outcome);
+        match next {
+            Next::Again => Ok(()),
+            Next::GiveUp(give_up) => Err(give_up),
+        }
+    }
+
+    async fn wait_for_connection(&mut self, key: request_routing::EndpointKey) {
+        if !self.tried.avoid.contains(&key) {
+            self.tried.avoid.push(key);
+        }
+        let wait = self.core.now().after(CONNECTION_WAIT.0 as f64);
+        self.tried.not_before = self.tried.not_before.max(wait);
+        tokio::time::sleep(Duration::from_micros(CONNECTION_WAIT.0)).await;
+    }
+
+    /// Whether there is time left.
+    pub(crate) fn has_time(&self) -> bool {
+        Instant::now() < self.outgoing.deadline
+    }
+}
--- a/system/request-forwarding/src/figures.rs
+++ b/system/request-forwarding/src/figures.rs
@@ -52,6 +52,8 @@
     streams_ended,
     /// Streams broken off, for whatever reason.
     streams_broken,
+    /// Streams that went on at another endpoint.
+    streams_resumed,
     /// Turns that could not be kept.
     turns_unkept,
     /// Connections of clients that are open now.
--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -1,27 +1,26 @@
 //! One request, from its head to its answer.
 
-use crate::answer_pump::Pump;
-use crate::attempt::{Attempt, GRACE};
+use crate::answer_pump::{Pump, Resumption, Upstream};
+use crate::attempt::GRACE;
 use crate::body::AnswerBody;
 use crate::body_reading::{read_body, read_whole};
+use crate::delivery::{Answered, Delivery};
 use crate::figures::Figures;
 use crate::headers::{self, ATTEMPT_ID, DEADLINE_REMAINING, PRIORITY};
 use crate::outgoing::Outgoing;
 use crate::own_answer::{Own, RETRY, own_end};
-use crate::pool::{CallOut, Core, Line};
+use crate::pool::Core;
 use crate::turn_under_way::{Reservation, Turn};
 use crate::turns::{Chain, NewTurn, Reserve, TurnKeeping};
 use bytes::{Bytes, BytesMut};
 use fleet_model::EndpointList;
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode, Version};
-use micadrum::{Outcome, Span, Time};
+use micadrum::{Outcome, Span};
 use operator_config::{OperatorConfig, Route};
-use request_routing::{
-    Ask, EndpointView, GiveUp, Next, Pick, RouteKind, RoutingPolicy, SendEnd, ServiceTerms, Target, Tried,
-    promises_not_run,
-};
+use request_routing::{Ask, EndpointView, RouteKind, RoutingPolicy, SendEnd, ServiceTerms, promises_not_run};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,12 +30,6 @@
 
 /// Requests that wait for a place at most.
 const MOST_WAITING: usize = 2_000;
-/// So long does a request wait for a connection where no more may be opened.
-const CONNECTION_WAIT: Span = Span(10_000);
-/// Whoever finds others waiting for its service waits so long before it looks by itself.
-const BEHIND_WAIT: Span = Span(5_000);
-/// Those far behind in the queue look at least so often, once they have waited for a quarter of their aim.
-const FAR_BEHIND_WAIT: Span = Span(50_000);
 /// Answers longer than this are passed on as they come; shorter ones are read whole first.
 const MOST_WHOLE: u64 = 1024 * 1024;
 /// Pieces of a stream between endpoint and client.
@@ -222,6 +215,9 @@
         Ask {
             service: service.to_owned(),
             kind: route.kind,
+            resumable: route.resumable
+                && route.kind == RouteKind::Streaming
+                && self.core.policy.stream_resumption,
             session: headers::text(given, "session").map(str::to_owned),
             shared_tokens: shared.map_or(0, |part| part.tokens),
             shared_part: shared.map(|part| part.id.to_owned()),
@@ -309,176 +305,117 @@
         turn: Turn<T>,
     ) -> Result<Response<AnswerBody>, Own> {
         let core = &self.core;
-        let mut tried = Tried::default();
-        let mut sends = 0;
-        let rank = core.queue.rank(ask.arrived.0, ask.priority);
+        let mut delivery = Delivery::new(core.clone(), outgoing, ask.clone());
         loop {
-            let target = match self.place(&ask, &tried, rank, outgoing.deadline).await {
-                Ok(target) => target,
-                Err(give_up) => return Err(own_end(give_up, &tried, outgoing.deadline)),
-            };
-            let key = target.key;
-            let mut call = CallOut::new(core.clone(), key, ask.clone());
-            let attempt = self.attempt(&outgoing, &target, &tried, &mut call, &mut sends).await;
-            let outcome = match attempt {
-                Attempt::NoConnection => {
-                    call.end(Outcome::Void);
-                    if !tried.avoid.contains(&key) {
-                        tried.avoid.push(key);
-                    }
-                    let wait = core.now().after(CONNECTION_WAIT.0 as f64);
-                    tried.not_before = tried.not_before.max(wait);
-                    tokio::time::sleep(Duration::from_micros(CONNECTION_WAIT.0)).await;
-                    continue;
-                }
-                Attempt::Ended(end) => {
-                    if end == SendEnd::Misdirected {
-                        core.router.borrow_mut().misdirected(core.now(), key);
-                        core.count(|figures| figures.misdirected += 1);
+            let answered = delivery.answer().await;
+            let Answered { response, line, call } =
+                answered.map_err(|give_up| own_end(give_up, &delivery.tried, delivery.outgoing.deadline))?;
+            let (head, mut body) = response.into_parts();
+            let is_events = headers::is_event_stream(&head.headers);
+            let streams = head.status.is_success() && (ask.kind == RouteKind::Streaming || is_events);
+            let length = body.size_hint().exact();
+            let bodiless = delivery.outgoing.method == Method::HEAD || body.is_end_stream();
+            let outcome = if streams {
+                let may_resume = ask.resumable && is_events && length.is_none();
+                match first_piece(may_resume, &mut body, delivery.outgoing.deadline + GRACE).await {
+                    Ok(first) => {
+                        let (method, deadline) =
+                            (delivery.outgoing.method.clone(), delivery.outgoing.deadline);
+                        let resumption = may_resume.then(|| Resumption::new(delivery));
+                        let passing = Passing { method, deadline, first, length: None, resumption, turn };
+                        return Ok(self.stream(head, Upstream { body, line, call }, passing));
                     }
-                    end.outcome()
+                    Err(outcome) => delivery.failed(call, outcome),
                 }
-                Attempt::Answer(response, line) => {
-                    let (head, body) = response.into_parts();
-                    let streams = head.status.is_success()
-                        && (ask.kind == RouteKind::Streaming || is_event_stream(&head.headers));
-                    let length = body.size_hint().exact();
-                    let bodiless = outgoing.method == Method::HEAD || body.is_end_stream();
-                    if streams {
-                        core.count(|figures| figures.passed += 1);
-                        return Ok(self.stream(head, body, None, line, call, turn, &outgoing));
-                    }
-                    if length.is_some_and(|length| length > MOST_WHOLE) && !bodiless {
-                        core.count(|figures| figures.passed += 1);
-                        return Ok(self.stream(head, body, length, line, call, turn.unkept(), &outgoing));
+            } else if length.is_some_and(|length| length > MOST_WHOLE) && !bodiless {
+                let Outgoing { method, deadline, .. } = delivery.outgoing;
+                let passing =
+                    Passing { method, deadline, first: None, length, resumption: None, turn: turn.unkept() };
+                return Ok(self.stream(head, Upstream { body, line, call }, passing));
+            } else {
+                match timeout_at(delivery.outgoing.deadline + GRACE, read_whole(body)).await {
+                    Err(_) => delivery.failed(call, SendEnd::Silent.outcome()),
+                    Ok(None) => {
+                        core.count(|figures| figures.unusable += 1);
+                        delivery.failed(call, SendEnd::Unusable.outcome())
                     }
-                    match timeout_at(outgoing.deadline + GRACE, read_whole(body)).await {
-                        Err(_) => SendEnd::Silent.outcome(),
-                        Ok(None) => {
-                            core.count(|figures| figures.unusable += 1);
-                            SendEnd::Unusable.outcome()
-                        }
-                        Ok(Some(whole)) => {
-                            core.give_back(line, &head.headers);
-                            let answer = pass_on(&head, AnswerBody::whole(whole), &outgoing);
-                            let promises = promises_not_run(head.status.as_u16(), ask.kind);
-                            if !head.status.is_server_error() && !promises {
-                                call.end(Outcome::Success);
-                                core.count(|figures| figures.passed += 1);
-                                return Ok(answer);
-                            }
-                            call.end(Outcome::Failure);
-                            let next = core.router.borrow().next(
-                                core.now(),
-                                &ask,
-                                &mut tried,
-                                key,
-                                Outcome::Failure,
-                            );
-                            if next == Next::Again && Instant::now() < outgoing.deadline {
-                                continue;
-                            }
-                            if promises {
-                                return Err(Own::new(StatusCode::BAD_GATEWAY));
-                            }
+                    Ok(Some(whole)) => {
+                        core.give_back(line, &head.headers);
+                        let answer = pass_on(&head, AnswerBody::whole(whole), &delivery.outgoing.method);
+                        let promises = promises_not_run(head.status.as_u16(), ask.kind);
+                        if !head.status.is_server_error() && !promises {
+                            call.end(Outcome::Success);
                             core.count(|figures| figures.passed += 1);
                             return Ok(answer);
                         }
+                        if delivery.failed(call, Outcome::Failure).is_ok() && delivery.has_time() {
+                            continue;
+                        }
+                        if promises {
+                            return Err(Own::new(StatusCode::BAD_GATEWAY));
+                        }
+                        core.count(|figures| figures.passed += 1);
+                        return Ok(answer);
                     }
                 }
             };
-            core.count(|figures| match outcome {
-                Outcome::Full(_) => figures.full += 1,
-                Outcome::ConnectFailed => figures.connect_failed += 1,
-                Outcome::Reset => figures.reset += 1,
-                Outcome::TimedOut => figures.timed_out += 1,
-                _ => {}
-            });
-            call.end(outcome);
-            let next = core.router.borrow().next(core.now(), &ask, &mut tried, key, outcome);
-            if let Next::GiveUp(give_up) = next {
-                return Err(own_end(give_up, &tried, outgoing.deadline));
-            }
-        }
-    }
-
-    /// Waits for a place in its turn.
-    async fn place(
-        &self,
-        ask: &Ask,
-        tried: &Tried,
-        rank: (u64, u64),
-        deadline: Instant,
-    ) -> Result<Target, GiveUp> {
-        let core = &self.core;
-        let mut behind = core.queue.is_behind(&ask.service, rank);
-        let mut waiter = None;
-        loop {
-            if Instant::now() >= deadline {
-                return Err(GiveUp::Refused { retry_after: RETRY });
-            }
-            let wait = if std::mem::take(&mut behind) {
-                BEHIND_WAIT
-            } else {
-                let pick = core.router.borrow_mut().pick(core.now(), ask, tried);
-                match pick {
-                    Pick::Send(target) => return Ok(target),
-                    Pick::GiveUp(give_up) => return Err(give_up),
-                    Pick::Wait(wait) => wait.max(Span(1_000)),
-                }
-            };
-            if waiter.is_none() {
-                waiter = core.queue.enter(&ask.service, rank);
-            }
-            let Some(waiter) = &waiter else { return Err(GiveUp::Refused { retry_after: RETRY }) };
-            let wait = if waiter.is_ahead() {
-                wait
-            } else {
-                let quarter = Time(ask.arrived.0.saturating_add(ask.aim.0 / 4)).since(core.now());
-                wait.max(Span(quarter)).max(FAR_BEHIND_WAIT)
-            };
-            let until = (Instant::now() + Duration::from_micros(wait.0)).min(deadline);
-            // Woken or not, it looks again.
-            let _ = timeout_at(until, waiter.woken()).await;
+            outcome.map_err(|give_up| own_end(give_up, &delivery.tried, delivery.outgoing.deadline))?;
         }
     }
 
     /// Passes an answer on as it comes.
-    #[expect(clippy::too_many_arguments, reason = "the parts of one answer")]
     fn stream(
         &self,
         head: hyper::http::response::Parts,
-        body: Incoming,
-        length: Option<u64>,
-        line: Line,
-        call: CallOut,
-        turn: Turn<T>,
-        outgoing: &Outgoing,
+        answer: Upstream,
+        passing: Passing<T>,
     ) -> Response<AnswerBody> {
+        self.core.count(|figures| figures.passed += 1);
         let (pieces, receiver) = mpsc::channel(PIECES);
-        let answer = pass_on(&head, AnswerBody::passed(receiver, length), outgoing);
+        let passed = pass_on(&head, AnswerBody::passed(receiver, passing.length), &passing.method);
         let pump = Pump {
             core: self.core.clone(),
             turns: self.turns.clone(),
             headers: head.headers,
-            end: outgoing.deadline + GRACE,
-            events: length.is_none(),
+            end: passing.deadline + GRACE,
+            events: passing.length.is_none(),
+            resumption: passing.resumption,
         };
-        spawn_local(pump.run(body, pieces, line, call, turn));
-        answer
+        spawn_local(pump.run(answer, passing.first, pieces, passing.turn));
+        passed
+    }
+}
+
+/// How an answer is passed on as it comes.
+struct Passing<T: TurnKeeping> {
+    method: Method,
+    deadline: Instant,
+    /// What of it has come already.
+    first: Option<Bytes>,
+    length: Option<u64>,
+    resumption: Option<Resumption>,
+    turn: Turn<T>,
+}
+
+/// The first bytes of a stream, where another endpoint may begin it anew as long as nothing of it was passed on.
+async fn first_piece(may_resume: bool, body: &mut Incoming, end: Instant) -> Result<Option<Bytes>, Outcome> {
+    if !may_resume {
+        return Ok(None);
+    }
+    match timeout_at(end, body.frame()).await {
+        Err(_) => Err(Outcome::TimedOut),
+        Ok(Some(Err(_))) => Err(Outcome::Reset),
+        Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+        Ok(None) => Ok(None),
     }
 }
 
 /// An endpoint's answer as the client gets it.
-fn pass_on(
-    head: &hyper::http::response::Parts,
-    body: AnswerBody,
-    outgoing: &Outgoing,
-) -> Response<AnswerBody> {
+fn pass_on(head: &hyper::http::response::Parts, body: AnswerBody, method: &Method) -> Response<AnswerBody> {
     let mut answer = Response::new(body);
     *answer.status_mut() = head.status;
     *answer.headers_mut() = headers::passed(&head.headers);
-    if outgoing.method == Method::HEAD
+    if *method == Method::HEAD
         && let Some(length) = head.headers.get(CONTENT_LENGTH)
     {
         answer.headers_mut().insert(CONTENT_LENGTH, length.clone());
@@ -486,11 +423,6 @@
     answer
 }
 
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    headers::text(headers, CONTENT_TYPE.as_str())
-        .is_some_and(|kind| kind.get(..17).is_some_and(|kind| kind.eq_ignore_ascii_case("text/event-stream")))
-}
-
 /// The value that `Priority` gets: 0 comes first.
 fn urgency(given: &HeaderMap, priority: u8) -> u8 {
     let urgency = priority.saturating_mul(2).saturating_add(1).min(9);
--- a/system/request-forwarding/src/headers.rs
+++ b/system/request-forwarding/src/headers.rs
@@ -11,6 +11,7 @@
 pub(crate) const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 pub(crate) const SERVER_SEAL: HeaderName = HeaderName::from_static("server-seal");
 pub(crate) const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
+pub(crate) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 pub(crate) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Whether a header is about one connection only, or about how a body is framed.
@@ -87,6 +88,12 @@
     Some(PromptPart { id: id.trim(), tokens: tokens.trim().parse().unwrap_or(0) })
 }
 
+/// Whether the body is a series of events.
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    text(headers, header::CONTENT_TYPE.as_str())
+        .is_some_and(|kind| kind.get(..17).is_some_and(|kind| kind.eq_ignore_ascii_case("text/event-stream")))
+}
+
 /// Whether the other side ends the connection after this message.
 pub(crate) fn closes(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
--- /dev/null
+++ b/system/request-forwarding/src/place.rs
@@ -0,0 +1,58 @@
+//! Waiting for a place at an endpoint, in turn.
+
+use crate::own_answer::RETRY;
+use crate::pool::Core;
+use crate::queue::Rank;
+use micadrum::{Span, Time};
+use request_routing::{Ask, GiveUp, Pick, Target, Tried};
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Whoever finds others waiting for its service waits so long before it looks by itself.
+const BEHIND_WAIT: Span = Span(5_000);
+/// Those far behind in the queue look at least so often, once they have waited for a quarter of their aim.
+const FAR_BEHIND_WAIT: Span = Span(50_000);
+/// The shortest wait between two looks.
+const LEAST_WAIT: Span = Span(1_000);
+
+impl Core {
+    /// Waits for a place in its turn.
+    pub(crate) async fn place(
+        &self,
+        ask: &Ask,
+        tried: &Tried,
+        rank: Rank,
+        deadline: Instant,
+    ) -> Result<Target, GiveUp> {
+        let mut behind = self.queue.is_behind(&ask.service, rank);
+        let mut waiter = None;
+        loop {
+            if Instant::now() >= deadline {
+                return Err(GiveUp::Refused { retry_after: RETRY });
+            }
+            let wait = if std::mem::take(&mut behind) {
+                BEHIND_WAIT
+            } else {
+                let pick = self.router.borrow_mut().pick(self.now(), ask, tried);
+                match pick {
+                    Pick::Send(target) => return Ok(target),
+                    Pick::GiveUp(give_up) => return Err(give_up),
+                    Pick::Wait(wait) => wait.max(LEAST_WAIT),
+                }
+            };
+            if waiter.is_none() {
+                waiter = self.queue.enter(&ask.service, rank);
+            }
+            let Some(waiter) = &waiter else { return Err(GiveUp::Refused { retry_after: RETRY }) };
+            let wait = if waiter.is_ahead() {
+                wait
+            } else {
+                let quarter = Time(ask.arrived.0.saturating_add(ask.aim.0 / 4)).since(self.now());
+                wait.max(Span(quarter)).max(FAR_BEHIND_WAIT)
+            };
+            let until = (Instant::now() + Duration::from_micros(wait.0)).min(deadline);
+            // Woken or not, it looks again.
+            let _ = timeout_at(until, waiter.woken()).await;
+        }
+    }
+}
--- a/system/request-forwarding/src/pool.rs
+++ b/system/request-forwarding/src/pool.rs
@@ -30,8 +30,8 @@
     start: Instant,
     last_request: Cell<u64>,
     pub(crate) router: RefCell<Router>,
-    /// Whether idle connections are passed over that may have been forgotten.
-    limits_idle_connections: bool,
+    /// Which decision mechanisms are in force.
+    pub(crate) policy: RoutingPolicy,
     idle: RefCell<HashMap<EndpointKey, Vec<IdleLine>>>,
     /// By service: for how long its idle connections can be used.
     idle_trust: RefCell<HashMap<String, IdleTrust>>,
@@ -77,8 +77,8 @@
         Rc::new(Self {
             start: Instant::now(),
             last_request: Cell::new(0),
-            limits_idle_connections: policy.idle_connection_limit,
-            router: RefCell::new(Router::new(zone, seed, policy)),
+            router: RefCell::new(Router::new(zone, seed, policy.clone())),
+            policy,
             idle: RefCell::default(),
             idle_trust: RefCell::default(),
             queue: Queue::new(most_waiting),
@@ -115,7 +115,7 @@
         let now = Instant::now();
         let trusted = self.idle_trust.borrow_mut().get_mut(service).and_then(|trust| {
             trust.forget();
-            trust.limit().filter(|_| self.limits_idle_connections)
+            trust.limit().filter(|_| self.policy.idle_connection_limit)
         });
         loop {
             let mut idle = self.take_idle(target, request)?;
@@ -259,6 +259,11 @@
         Self { core, key, ask, begun, first_byte: None, load: None, outcome: Outcome::Void }
     }
 
+    /// Its endpoint.
+    pub(crate) fn key(&self) -> EndpointKey {
+        self.key
+    }
+
     /// What it carries.
     pub(crate) fn ask(&self) -> &Rc<Ask> {
         &self.ask
--- /dev/null
+++ b/system/request-forwarding/src/whole_events.rs
@@ -0,0 +1,93 @@
+//! Cuts a stream into whole events, so that another endpoint can go on after the last one that was passed on.
+
+use bytes::{Bytes, BytesMut};
+
+/// Longest event that is held back until it is whole; a stream with a longer one cannot be resumed.
+const MOST_HELD: usize = 256 * 1024;
+
+/// Bytes of a stream that have come, up to the end of its last whole event.
+#[derive(Default)]
+pub(crate) struct WholeEvents {
+    held: BytesMut,
+    /// How much of `held` has been looked through.
+    seen: usize,
+    /// Where the line begins that has not ended.
+    line_start: usize,
+    /// The last byte seen was a carriage return, which ends a line by itself or with a line feed.
+    after_return: bool,
+    /// The id in the event that has not ended.
+    pending_id: Option<Bytes>,
+    last_id: Option<Bytes>,
+    too_long: bool,
+}
+
+impl WholeEvents {
+    /// Takes the next bytes; returns those of the events that are whole now.
+    pub(crate) fn take(&mut self, data: &[u8]) -> Bytes {
+        self.held.extend_from_slice(data);
+        let mut whole_until = 0;
+        while self.seen < self.held.len() {
+            let byte = self.held[self.seen];
+            self.seen += 1;
+            let follows_return = std::mem::replace(&mut self.after_return, byte == b'\r');
+            match byte {
+                // The second half of a line's end belongs to the event that the first half ended.
+                b'\n' if follows_return => {
+                    whole_until += usize::from(whole_until + 1 == self.seen);
+                    self.line_start = self.seen;
+                }
+                b'\n' | b'\r' => whole_until = self.end_line().unwrap_or(whole_until),
+                _ => {}
+            }
+        }
+        let whole = self.held.split_to(whole_until).freeze();
+        self.seen -= whole_until;
+        self.line_start -= whole_until;
+        if self.held.len() > MOST_HELD {
+            self.too_long = true;
+            return self.rest_after(whole);
+        }
+        whole
+    }
+
+    /// Ends a line; where it ended an event, up to where that reaches.
+    fn end_line(&mut self) -> Option<usize> {
+        let line = &self.held[self.line_start..self.seen - 1];
+        let is_blank = line.is_empty();
+        if let Some(id) = id_of(line) {
+            self.pending_id = Some(Bytes::copy_from_slice(id));
+        }
+        self.line_start = self.seen;
+        if is_blank && let Some(id) = self.pending_id.take() {
+            self.last_id = Some(id);
+        }
+        is_blank.then_some(self.seen)
+    }
+
+    fn rest_after(&mut self, whole: Bytes) -> Bytes {
+        let mut all = BytesMut::from(whole.as_ref());
+        all.extend_from_slice(&self.rest());
+        all.freeze()
+    }
+
+    /// What is held of an event that has not ended; it is held no more.
+    pub(crate) fn rest(&mut self) -> Bytes {
+        (self.seen, self.line_start, self.after_return) = (0, 0, false);
+        self.pending_id = None;
+        self.held.split().freeze()
+    }
+
+    /// The id after which another endpoint is to go on; none if no whole event told one.
+    pub(crate) fn last_id(&self) -> Option<&Bytes> {
+        self.last_id.as_ref().filter(|_| !self.too_long)
+    }
+}
+
+fn id_of(line: &[u8]) -> Option<&[u8]> {
+    let value = line.strip_prefix(b"id:")?;
+    let value = value.strip_prefix(b" ").unwrap_or(value);
+    (!value.is_empty()).then_some(value)
+}
+
+#[cfg(test)]
+mod tests;
--- a/system/request-routing/src/execution.rs
+++ b/system/request-routing/src/execution.rs
@@ -71,9 +71,9 @@
         }
     }
 
-    /// Whether a request of this kind may be sent to an endpoint.
-    pub fn may_send(self, kind: RouteKind) -> bool {
-        self == Self::NeverRan || kind == RouteKind::Idempotent
+    /// Whether a request may be sent to an endpoint; `may_run_again` is whether more than one may run it.
+    pub fn may_send(self, may_run_again: bool) -> bool {
+        self == Self::NeverRan || may_run_again
     }
 
     /// Whether the client may be promised that the request has not run and never will.
--- a/system/request-routing/src/policy.rs
+++ b/system/request-routing/src/policy.rs
@@ -69,6 +69,8 @@
     minimum_share,
     /// A request that nothing has run of is refused early rather than held.
     queue_patience,
+    /// A resumable stream that fails goes on at another endpoint.
+    stream_resumption,
     /// Waits between attempts grow and vary.
     retry_backoff,
     /// Idle connections are used only for as long as their service's are known to live.
--- a/system/request-routing/src/retry.rs
+++ b/system/request-routing/src/retry.rs
@@ -3,7 +3,6 @@
 use crate::execution::Execution;
 use crate::types::*;
 use micadrum::{Outcome, Span, Time};
-use operator_config::RouteKind;
 
 /// First wait as a share of the aim, ...
 const BASE_OF_AIM: f64 = 0.04;
@@ -26,11 +25,6 @@
 /// ... but no sooner than after this share of its aim.
 const TRY_OF_AIM: f64 = 1.0;
 
-/// Whether it must not run twice.
-pub(crate) fn runs_once(ask: &Ask) -> bool {
-    ask.kind != RouteKind::Idempotent
-}
-
 /// Whether an attempt that ended so was a send to an endpoint, which counts against the most.
 pub(crate) fn reached(outcome: Outcome) -> bool {
     match outcome {
@@ -63,14 +57,14 @@
 
 /// Whether it may not be sent again, however much time is left.
 pub(crate) fn spent(ask: &Ask, tried: &Tried) -> bool {
-    !tried.execution.may_send(ask.kind)
+    !tried.execution.may_send(ask.may_run_again())
         || tried.attempts >= ask.max_attempts.max(1)
         || tried.refused.saturating_sub(tried.attempts) >= MOST_UNSENT
 }
 
 /// How long the next attempt may be silent, if another may follow it and would still have as long itself.
 pub(crate) fn try_timeout(now: Time, ask: &Ask, tried: &Tried, pace: f64) -> Option<Span> {
-    if runs_once(ask) || tried.attempts + 1 >= ask.max_attempts {
+    if !ask.may_run_again() || tried.attempts + 1 >= ask.max_attempts {
         return None;
     }
     let timeout = (TRY_OF_PACE * pace).max(TRY_OF_AIM * ask.aim.0 as f64);
--- a/system/request-routing/src/service.rs
+++ b/system/request-routing/src/service.rs
@@ -3,7 +3,6 @@
 use crate::admission::Admission;
 use crate::endpoint::Bounds;
 use crate::prefix_demand::PrefixDemand;
-use crate::retry::runs_once;
 use crate::types::*;
 use micadrum::{Span, Time};
 
@@ -90,7 +89,7 @@
             *mean = if *mean > 0.0 { *mean + LEARN * (took - *mean) } else { took };
         };
         learn(&mut self.pace);
-        if !runs_once(ask) {
+        if ask.may_run_again() {
             learn(&mut self.repeatable_pace);
         }
     }
--- a/system/request-routing/src/types.rs
+++ b/system/request-routing/src/types.rs
@@ -17,6 +17,8 @@
     pub service: String,
     /// What a repeat would do.
     pub kind: RouteKind,
+    /// It is a stream that may be continued at another endpoint.
+    pub resumable: bool,
     /// The session that it belongs to.
     pub session: Option<String>,
     /// Id of the first part of its prompt.
@@ -37,6 +39,17 @@
     pub max_attempts: u32,
 }
 
+impl Ask {
+    /// Whether more than one endpoint may run it.
+    pub fn may_run_again(&self) -> bool {
+        match self.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::Streaming => self.resumable,
+            RouteKind::NonIdempotent => false,
+        }
+    }
+}
+
 /// What a request has been through.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Tried {
--- a/system/request-routing/tests/common/mod.rs
+++ b/system/request-routing/tests/common/mod.rs
@@ -47,6 +47,7 @@
     Ask {
         service: service.to_owned(),
         kind,
+        resumable: false,
         session: None,
         shared_part: None,
         shared_tokens: 0,
