Count an endpoint's failures for some seconds, whatever succeeded between

Hypothesis: with load to spare, an endpoint that failed lately is best left alone for some seconds. Change: failures fade by half in 2 s instead of being cleared; affinity leaves such an endpoint too; one that was ejected is still let in by its trial. Five stories in tests/outliers.rs; that they fail without the change was not tried.

--- a/system/request-routing/src/outlier.rs
+++ b/system/request-routing/src/outlier.rs
@@ -1,5 +1,6 @@
 //! Outlier detection for one endpoint: attempts that fail in a row eject it for a growing time, and single calls let it
-//! back in.
+//! back in. One that fails only part of its attempts is never ejected: what failed lately adds to its load, whatever
+//! succeeded between.
 
 use micadrum::Time;
 
@@ -11,10 +12,14 @@
 const FIRST_EJECTION: u64 = 200_000;
 /// The longest.
 const LONGEST_EJECTION: u64 = 5_000_000;
-/// A failure counts in the choice for this long, in microseconds.
-const RECENT: u64 = 1_000_000;
-/// What each recent failure adds to an endpoint's load, in shares of its slots.
+/// A failure counts half in the choice after this, in microseconds.
+const FAILURE_HALF_LIFE: f64 = 2_000_000.0;
+/// What a failure adds to an endpoint's load at first, in shares of its slots.
 const PENALTY: f64 = 0.5;
+/// A penalty below this is none.
+const LEAST_PENALTY: f64 = PENALTY / 8.0;
+/// Failures that count at most.
+const MOST_FAILURES: f64 = 4.0;
 
 /// How an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,12 +44,13 @@
 #[derive(Debug)]
 pub(crate) struct OutlierDetector {
     state: State,
-    failed_at: Option<Time>,
+    /// Failures as they counted at the last one, and when that was.
+    failures: (f64, Time),
 }
 
 impl OutlierDetector {
     pub fn new() -> Self {
-        Self { state: State::InUse { failures: 0 }, failed_at: None }
+        Self { state: State::InUse { failures: 0 }, failures: (0.0, Time(0)) }
     }
 
     /// Ejected, or its one trial is out.
@@ -73,12 +79,17 @@
         !matches!(self.state, State::InUse { .. })
     }
 
-    /// What recent failures add to the endpoint's load, in shares of its slots.
+    /// What failures add to the endpoint's load, in shares of its slots.
     pub fn penalty(&self, now: Time) -> f64 {
-        match (self.state, self.failed_at) {
-            (State::InUse { failures }, Some(at)) if now.since(at) < RECENT => PENALTY * f64::from(failures),
-            _ => 0.0,
-        }
+        let penalty = PENALTY * self.failures(now);
+        // One that was ejected is let back in by a trial, which the penalty would only put off.
+        if self.unproven() || penalty < LEAST_PENALTY { 0.0 } else { penalty }
+    }
+
+    /// Failures, each by how long ago it was.
+    fn failures(&self, now: Time) -> f64 {
+        let (failures, at) = self.failures;
+        if failures <= 0.0 { 0.0 } else { failures * (-(now.since(at) as f64) / FAILURE_HALF_LIFE).exp2() }
     }
 
     /// A call goes there.
@@ -102,7 +113,7 @@
 
     /// An attempt failed. `may_eject` is whether its service can do without it.
     pub fn failed(&mut self, now: Time, failure: Failure, may_eject: bool) {
-        self.failed_at = Some(now);
+        self.failures = ((self.failures(now) + 1.0).min(MOST_FAILURES), now);
         let weight = match failure {
             Failure::Connect => CONNECT_FAILURE_WEIGHT,
             Failure::Answer => 1,
--- a/system/request-routing/src/placement.rs
+++ b/system/request-routing/src/placement.rs
@@ -121,7 +121,7 @@
         self.usable(endpoint)
             && load < f64::from(endpoint.slots(&self.bounds))
             && (!self.policy.load_bounds || load <= bound.factor * mean + bound.slack)
-            && endpoint.penalty(self.now) == 0.0
+            && self.penalty(endpoint) == 0.0
             && !self.tried.avoid.contains(&endpoint.key)
     }
 
@@ -145,8 +145,11 @@
         let slots = f64::from(endpoint.slots(&self.bounds));
         let slowness =
             if self.policy.latency_weight { endpoint.slowness(self.now, self.service.pace) } else { 1.0 };
-        let penalty = if self.policy.failure_penalty { endpoint.penalty(self.now) } else { 0.0 };
-        (load + 1.0) / slots * slowness + penalty
+        (load + 1.0) / slots * slowness + self.penalty(endpoint)
+    }
+
+    fn penalty(&self, endpoint: &Endpoint) -> f64 {
+        if self.policy.failure_penalty { endpoint.penalty(self.now) } else { 0.0 }
     }
 
     /// The best of these endpoints with their tiers; ties go by chance.
--- /dev/null
+++ b/system/request-routing/tests/outliers.rs
@@ -0,0 +1,83 @@
+//! Endpoints that fail part of their calls while others are sound.
+
+mod common;
+
+use common::*;
+use googletest::prelude::*;
+use request_routing::*;
+use std::collections::BTreeMap;
+
+/// Calls one after the other, each of which ends at once; how many each endpoint got.
+fn calls(
+    router: &mut Router,
+    from_ms: u64,
+    count: u64,
+    outcome: impl Fn(&str, u64) -> Outcome,
+) -> BTreeMap<String, u64> {
+    let mut got = BTreeMap::new();
+    for n in 0..count {
+        let at = from_ms + n * 20;
+        let ask = Ask { arrived: ms(at), deadline: ms(at + 1_500), ..ask("tool", RouteKind::Idempotent) };
+        let target = send(router, ms(at), &ask);
+        let id = target.instance_id.to_string();
+        let nth = got.entry(id.clone()).or_insert(0);
+        *nth += 1;
+        let outcome = outcome(&id, *nth);
+        end(router, ms(at + 10), target.key, &ask, outcome);
+    }
+    got
+}
+
+fn three() -> Router {
+    router(&["grey", "x", "y"].map(|id| entry(id, "tool", "a", 8)))
+}
+
+/// Every other call fails: no two in a row, so that it is never ejected.
+fn half_fail(id: &str, nth: u64) -> Outcome {
+    if id == "grey" && nth % 2 == 1 { Outcome::Reset } else { Outcome::Success }
+}
+
+#[gtest]
+fn given_an_endpoint_that_fails_every_other_call_then_it_gets_far_fewer_than_its_peers() {
+    // For 20 seconds.
+    let got = calls(&mut three(), 0, 1_000, half_fail);
+    expect_that!(got["grey"] * 5, le(got["x"]));
+    // It is tried again now and then, or it would never be found sound.
+    expect_that!(got["grey"], ge(2));
+}
+
+#[gtest]
+fn given_an_endpoint_that_is_sound_again_then_it_gets_its_share_after_some_seconds() {
+    let mut router = three();
+    calls(&mut router, 0, 100, half_fail);
+    let got = calls(&mut router, 20_000, 300, |_, _| Outcome::Success);
+    expect_that!(got["grey"], ge(70));
+}
+
+#[gtest]
+fn given_endpoints_that_all_fail_alike_then_none_is_left_out() {
+    let got =
+        calls(&mut three(), 0, 300, |_, nth| if nth % 3 == 0 { Outcome::Reset } else { Outcome::Success });
+    expect_that!(got.values().min(), some(ge(&60)));
+}
+
+#[gtest]
+fn given_a_session_whose_endpoint_failed_when_it_goes_on_then_it_goes_elsewhere_for_a_while() {
+    let mut router = router(&["x", "y"].map(|id| entry(id, "model", "a", 8)));
+    let ask = turn("mine", "p");
+    let home = send(&mut router, ms(0), &ask);
+    end(&mut router, ms(1), home.key, &ask, Outcome::Success);
+    expect_that!(send(&mut router, ms(2), &ask).key, eq(home.key));
+    end(&mut router, ms(3), home.key, &ask, Outcome::Reset);
+    expect_that!(send(&mut router, ms(4), &ask).key, not(eq(home.key)));
+}
+
+#[gtest]
+fn given_the_failure_penalty_is_switched_off_then_a_grey_endpoint_gets_its_share() {
+    let policy = RoutingPolicy { failure_penalty: false, ..RoutingPolicy::default() };
+    let mut router = Router::new("a".to_owned(), 7, policy);
+    router.configure(ms(0), &[terms("tool", 1_000, false)]);
+    router.set_endpoints(ms(0), &list(&["grey", "x", "y"].map(|id| entry(id, "tool", "a", 8))));
+    let got = calls(&mut router, 0, 300, half_fail);
+    expect_that!(got["grey"], ge(70));
+}
