Confine shared prefixes by demand alone where memory is scarce; begin no silent stream anew

Change: all engines take a prefix only where 0.6 of the memory that running requests leave holds all prefixes in use; otherwise its share of the demand decides, corrected for those seen once, from four prompts on; the try timeout is for idempotent requests only, as before. Where memory is ample nothing changes but the timeout: tests/placement.rs passes with its assertions as they were.

--- a/system/request-routing/src/placement.rs
+++ b/system/request-routing/src/placement.rs
@@ -33,7 +33,7 @@
     pub endpoints: &'a [Endpoint],
 }
 
-/// Places that this one is better than are of no interest: lower tiers first, then lower scores.
+/// How well an endpoint suits a call: the lower tier is better, and within a tier the lower score.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Rating {
     tier: u8,
--- a/system/request-routing/src/prefix_demand.rs
+++ b/system/request-routing/src/prefix_demand.rs
@@ -2,18 +2,23 @@
 //! how many endpoints are to keep one of them.
 //!
 //! An endpoint keeps the prefixes that it has read lately. Where its memory holds all that are in use, any endpoint
-//! will do; where it does not, each prefix has to be confined to some endpoints, or all of them read all prefixes
-//! again and again. A prefix is never confined to fewer than its share of the requests needs: the bound is one for
-//! the fleet, since every proxy estimates the same shares, and not one for the calls of a single proxy.
+//! will do; where it does not, each prefix has to be confined to as few endpoints as its share of the requests needs,
+//! or all of them read all prefixes again and again. The bound is one for the fleet, since every proxy estimates the
+//! same shares, and not one for the calls of a single proxy.
 
 use std::collections::{HashMap, VecDeque};
 
 /// Prompts that are remembered.
 const SAMPLE: usize = 96;
 /// With fewer nothing is concluded.
-const LEAST_SAMPLE: usize = 16;
+const LEAST_SAMPLE: usize = 4;
+/// So much of the memory that running requests leave counts as room for shared prefixes: what sessions said before
+/// takes the rest.
+const PREFIX_ROOM: f64 = 0.6;
 /// A prefix gets this multiple of its share of the endpoints.
 const DEMAND_HEADROOM: f64 = 1.5;
+/// Taken off what was counted of a prefix: of those seen once, most are rarer than once in a sample.
+const COUNT_CORRECTION: f64 = 0.5;
 
 /// One prompt, as far as sharing goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,18 +73,21 @@
         if sample < LEAST_SAMPLE || cache_tokens == 0 {
             return 1.0;
         }
+        if self.memory_holds_all(cache_tokens, slots) {
+            return 1.0;
+        }
         let count = self.counts.get(&prefix).copied().unwrap_or(1);
-        let demand = DEMAND_HEADROOM * f64::from(count) / sample as f64;
-        demand.max(self.memory_share(cache_tokens, slots)).min(1.0)
+        let demand = (f64::from(count) - COUNT_CORRECTION) / sample as f64;
+        (DEMAND_HEADROOM * demand).min(1.0)
     }
 
-    /// The share of all prefixes in use that one endpoint can keep beside the requests that it runs.
-    fn memory_share(&self, cache_tokens: u64, slots: u32) -> f64 {
+    /// Whether one endpoint can keep all prefixes in use beside the requests that it runs.
+    fn memory_holds_all(&self, cache_tokens: u64, slots: u32) -> bool {
         let sample = self.newest.len() as f64;
         let running = self.own_tokens as f64 / sample * f64::from(slots);
-        let left = (cache_tokens as f64 - running).max(0.0);
+        let room = PREFIX_ROOM * (cache_tokens as f64 - running);
         let in_use = self.prefixes_in_use() * self.prefix_tokens as f64 / sample;
-        if in_use > 0.0 { left / in_use } else { 1.0 }
+        in_use <= room.max(0.0)
     }
 
     /// How many prefixes are in use, by how often two of the newest prompts share one.
--- a/system/request-routing/src/retry.rs
+++ b/system/request-routing/src/retry.rs
@@ -3,6 +3,7 @@
 use crate::execution::Execution;
 use crate::types::*;
 use micadrum::{Outcome, Span, Time};
+use operator_config::RouteKind;
 
 /// First wait as a share of the aim, ...
 const BASE_OF_AIM: f64 = 0.04;
@@ -64,7 +65,8 @@
 
 /// How long the next attempt may be silent, if another may follow it and would still have as long itself.
 pub(crate) fn try_timeout(now: Time, ask: &Ask, tried: &Tried, pace: f64) -> Option<Span> {
-    if !ask.may_run_again() || tried.attempts + 1 >= ask.max_attempts {
+    // A stream that is silent may be next in its endpoint's queue: under load, to begin it anew only adds to that.
+    if ask.kind != RouteKind::Idempotent || tried.attempts + 1 >= ask.max_attempts {
         return None;
     }
     let timeout = (TRY_OF_PACE * pace).max(TRY_OF_AIM * ask.aim.0 as f64);
--- a/system/request-routing/src/service.rs
+++ b/system/request-routing/src/service.rs
@@ -5,6 +5,7 @@
 use crate::prefix_demand::PrefixDemand;
 use crate::types::*;
 use micadrum::{Span, Time};
+use operator_config::RouteKind;
 
 /// Weight of one more observation in a learned mean.
 const LEARN: f64 = 0.1;
@@ -28,7 +29,7 @@
     pub remote: Vec<usize>,
     /// Mean time to the first byte, in microseconds; 0 before the first.
     pub pace: f64,
-    /// The same of requests that may run twice.
+    /// The same of idempotent requests.
     repeatable_pace: f64,
     pub admission: Admission,
     /// How its prompts share their prefixes.
@@ -89,12 +90,12 @@
             *mean = if *mean > 0.0 { *mean + LEARN * (took - *mean) } else { took };
         };
         learn(&mut self.pace);
-        if ask.may_run_again() {
+        if ask.kind == RouteKind::Idempotent {
             learn(&mut self.repeatable_pace);
         }
     }
 
-    /// Mean time to the first byte of requests that may run twice, in microseconds; 0 before the first.
+    /// Mean time to the first byte of idempotent requests, in microseconds; 0 before the first.
     pub fn repeatable_pace(&self) -> f64 {
         self.repeatable_pace
     }
