Build the candidates of a choice in one place

Cause: router.rs put the same six fields together for the choice and for whether there is a place elsewhere, and the comment of try_timeout still spoke of all that may run twice. Change: Candidates::new; the comment says idempotent. No behaviour changes.

--- a/system/request-routing/src/placement.rs
+++ b/system/request-routing/src/placement.rs
@@ -25,12 +25,12 @@
 
 /// What a choice is made from.
 pub(crate) struct Candidates<'a> {
-    pub now: Time,
-    pub policy: &'a RoutingPolicy,
-    pub tried: &'a Tried,
-    pub service: &'a Service,
+    now: Time,
+    policy: &'a RoutingPolicy,
+    tried: &'a Tried,
+    service: &'a Service,
     pub bounds: Bounds,
-    pub endpoints: &'a [Endpoint],
+    endpoints: &'a [Endpoint],
 }
 
 /// How well an endpoint suits a call: the lower tier is better, and within a tier the lower score.
@@ -40,7 +40,19 @@
     score: f64,
 }
 
-impl Candidates<'_> {
+impl<'a> Candidates<'a> {
+    /// A service's endpoints as one of `proxies` proxies may use them now.
+    pub fn new(
+        now: Time,
+        policy: &'a RoutingPolicy,
+        tried: &'a Tried,
+        service: &'a Service,
+        proxies: u32,
+        endpoints: &'a [Endpoint],
+    ) -> Self {
+        Self { now, policy, tried, service, bounds: service.bounds(proxies), endpoints }
+    }
+
     /// Whether an endpoint may get a call now.
     pub fn usable(&self, endpoint: &Endpoint) -> bool {
         let load = endpoint.load(self.now);
--- a/system/request-routing/src/router.rs
+++ b/system/request-routing/src/router.rs
@@ -217,14 +217,7 @@
         if service.admission.yields(priority_of(ask), &self.policy) {
             return None;
         }
-        let candidates = Candidates {
-            now,
-            policy: &self.policy,
-            tried,
-            service,
-            bounds: service.bounds(self.proxies),
-            endpoints: &self.endpoints,
-        };
+        let candidates = Candidates::new(now, &self.policy, tried, service, self.proxies, &self.endpoints);
         if candidates.bounds.engine || ask.shared_part.is_some() {
             let last = session_hash(ask).and_then(|session| self.sessions.get(session));
             let last = last.and_then(|key| self.find(key));
@@ -358,8 +351,8 @@
         Next::Again
     }
 
-    /// How long an attempt that is about to be sent may be silent before another endpoint is tried: only what may run
-    /// twice is, where there is an attempt left and another endpoint to make it. `tried` is what came before it.
+    /// How long an attempt that is about to be sent may be silent before another endpoint is tried: only an
+    /// idempotent one is, where there is an attempt left and another endpoint to make it. `tried` is what came before it.
     pub fn try_timeout(&self, now: Time, ask: &Ask, tried: &Tried) -> Option<Span> {
         let service = self.services.get(&ask.service).filter(|_| self.policy.try_timeout)?;
         let timeout = retry::try_timeout(now, ask, tried, service.repeatable_pace())?;
@@ -371,14 +364,7 @@
     /// Whether an endpoint that it has not met has a place.
     fn free_elsewhere(&self, now: Time, ask: &Ask, tried: &Tried) -> bool {
         let Some(service) = self.services.get(&ask.service) else { return false };
-        let candidates = Candidates {
-            now,
-            policy: &self.policy,
-            tried,
-            service,
-            bounds: service.bounds(self.proxies),
-            endpoints: &self.endpoints,
-        };
+        let candidates = Candidates::new(now, &self.policy, tried, service, self.proxies, &self.endpoints);
         service
             .all()
             .map(|at| &self.endpoints[at])
