Look at the deadline before each send on an idle connection

Cause: after an idle connection turned out stale, the next one was taken without a look at the time; only new connections were checked. A proxy that stood still there sent its request up to 50 ms (the grace for endpoints' own answers) past the deadline. Change: the deadline is checked in one place for idle and new connections. Result: the new test stops the proxy at each of 24 scheduler steps; without the change it fails at the step after the stale connection (504 in place of 503, bytes sent after the deadline), with it it passes.

--- a/system/request-forwarding/src/endpoint_attempt.rs
+++ b/system/request-forwarding/src/endpoint_attempt.rs
@@ -104,30 +104,36 @@
         AttemptResult::Answer(response, connection)
     }
 
-    /// An idle connection to the endpoint, or a new one.
+    /// An idle connection to the endpoint, or a new one, as long as the request's deadline has not passed.
     async fn connect(
         self: &Rc<Self>,
         outgoing: &OutboundRequest,
         target: &Target,
         service: &str,
     ) -> Result<EndpointConnection, AttemptResult> {
-        if let Some(connection) = self.checkout_idle(target, service, outgoing.number) {
-            return Ok(connection);
-        }
-        if !target.may_open {
-            return Err(AttemptResult::NoConnection);
+        let connection = match self.checkout_idle(target, service, outgoing.number) {
+            Some(connection) => connection,
+            None if target.may_open => self.connect_anew(outgoing, target).await?,
+            None => return Err(AttemptResult::NoConnection),
+        };
+        // The process may have been suspended while a connection was opened, or found to be stale.
+        if Instant::now() >= outgoing.deadline {
+            return Err(AttemptResult::Ended(SendOutcome::HeadUnwritten));
         }
+        Ok(connection)
+    }
+
+    async fn connect_anew(
+        self: &Rc<Self>,
+        outgoing: &OutboundRequest,
+        target: &Target,
+    ) -> Result<EndpointConnection, AttemptResult> {
         let remaining = outgoing.deadline.saturating_duration_since(Instant::now());
         let connect_timeout = CONNECT_TIMEOUT.min(remaining / 2);
-        match self.open_connection(target, connect_timeout, outgoing.number).await {
-            // The process may have been suspended meanwhile.
-            Ok(_) if Instant::now() >= outgoing.deadline => {
-                Err(AttemptResult::Ended(SendOutcome::HeadUnwritten))
-            }
-            Ok(connection) => Ok(connection),
-            Err(CallError::Connect(_)) => Err(AttemptResult::Ended(SendOutcome::ConnectFailed)),
-            Err(_) => Err(AttemptResult::Ended(SendOutcome::HeadUnwritten)),
-        }
+        self.open_connection(target, connect_timeout, outgoing.number).await.map_err(|error| match error {
+            CallError::Connect(_) => AttemptResult::Ended(SendOutcome::ConnectFailed),
+            _ => AttemptResult::Ended(SendOutcome::HeadUnwritten),
+        })
     }
 
     fn count_send(&self, sends: &mut u32) {
--- a/system/request-forwarding/tests/frozen.rs
+++ b/system/request-forwarding/tests/frozen.rs
@@ -8,6 +8,7 @@
 use operator_config::OperatorConfig;
 use request_forwarding::SystemState;
 use std::net::{SocketAddr, SocketAddrV4, TcpListener};
+use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::yield_now;
@@ -72,8 +73,12 @@
 
 /// The proxy stands still: time passes before it runs again.
 async fn stand_still() {
+    stand_still_for(STANDSTILL).await;
+}
+
+async fn stand_still_for(duration: Duration) {
     tokio::time::pause();
-    tokio::time::advance(STANDSTILL).await;
+    tokio::time::advance(duration).await;
     tokio::time::resume();
 }
 
@@ -157,3 +162,62 @@
         expect_that!((own.status(), own.header("attempt-id"), own.text()), eq((200, Some("b"), "own")));
     });
 }
+
+/// Number of scheduler steps of the proxy at each of which it is stopped once.
+const MAX_STEPS: usize = 24;
+/// A standstill that ends within the time by which a call may outlast a deadline of 300 ms.
+const JUST_PAST_DEADLINE: Duration = Duration::from_millis(320);
+
+#[gtest]
+fn at_whatever_step_it_stands_still_nothing_is_sent_after_the_deadline() {
+    for steps in 0..MAX_STEPS {
+        for duration in [JUST_PAST_DEADLINE, STANDSTILL] {
+            run_within(LONG, stand_still_after(steps, duration));
+        }
+    }
+}
+
+/// Two idle connections, of which the endpoint has closed the newer one; the proxy stands still `steps` steps after a request
+/// has come.
+async fn stand_still_after(steps: usize, duration: Duration) {
+    let endpoint = Listening::start();
+    let world = endpoint.world().await;
+    let (mut first, mut second) = (world.client().await, world.client().await);
+    first.write(post("/unsafe/", "a", "", "body").bytes()).await;
+    let mut older = endpoint.accept().await;
+    older.message().await.unwrap();
+    second.write(post("/unsafe/", "b", "", "body").bytes()).await;
+    let mut newer = endpoint.accept().await;
+    newer.message().await.unwrap();
+    older.write(answer("a", "own")).await;
+    expect_that!(first.message().await.unwrap().status(), eq(200));
+    newer.write(answer("b", "own")).await;
+    expect_that!(second.message().await.unwrap().status(), eq(200));
+    // Both answers are complete, and their connections are idle once the proxy has had its turns.
+    for _ in 0..MAX_STEPS {
+        yield_now().await;
+    }
+    drop(newer);
+    first.write(post("/unsafe/", "c", "Deadline-Remaining: 300\r\n", "body").bytes()).await;
+    for _ in 0..steps {
+        yield_now().await;
+    }
+    let has_read = world.forwarder.metrics().requests == 3;
+    let was_sent = has_bytes(&older);
+    stand_still_for(duration).await;
+    let status = first.message().await.map(|answer| answer.status());
+    if has_read {
+        expect_that!(
+            has_bytes(&older),
+            eq(was_sent),
+            "after {steps} steps, {duration:?}, answered {status:?}"
+        );
+        expect_that!(status, some(eq(if was_sent { 504 } else { 503 })), "after {steps} steps, {duration:?}");
+    }
+}
+
+/// Whether the proxy has sent anything that the endpoint has not read, asked of the system itself.
+fn has_bytes(wire: &Wire) -> bool {
+    let socket = std::net::TcpStream::from(wire.stream.as_fd().try_clone_to_owned().unwrap());
+    socket.peek(&mut [0]).is_ok_and(|count| count > 0)
+}
