Retain accounts for the longest retention in force since their last access

Cause: accounts expired 600 s after their last access whatever a route's retention_s. A program stopped at its budget that came back later, with a turn that was still stored, was granted a new budget. Change: a storage node takes the longest retention_s of the configuration in force and retains each account for the longest one in force when it was accessed or since, 600 s at least. The longest one that a stored account relies on is on disk beside the accounts, so a restart under a shorter one shortens nothing. Told as storage_node_account_bytes and storage_node_account_retention_seconds. Not covered: an account that a new replica is filled with is retained there by the retention that the replica has seen itself.

--- a/system/operator-config/src/lib.rs
+++ b/system/operator-config/src/lib.rs
@@ -201,6 +201,11 @@
         self.routes.get(self.table.find(host, path)?)
     }
 
+    /// The longest time for which turns of a route are stored, in ms.
+    pub fn longest_retention_ms(&self) -> u64 {
+        self.routes.iter().map(|route| route.retention_ms).max().unwrap_or(0)
+    }
+
     /// The service with this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/system/programs/src/storage.rs
+++ b/system/programs/src/storage.rs
@@ -14,10 +14,11 @@
 use crate::start::{StartError, listen};
 use fleet_membership::Role;
 use fleet_model::{Answer, Call};
+use operator_config::OperatorConfig;
 use peer_wire::{Handler, PeerClient, PeerServer, Pusher};
 use recovery::RecoveringReplica;
 use replica::{DirectoryAt, Machine};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -35,6 +36,8 @@
     process: Rc<Process>,
     feed: Rc<Feed>,
     replica: Rc<RecoveringReplica>,
+    /// The version of the configuration whose retention the replica goes by.
+    config_version: Cell<u64>,
     peers: RefCell<HashMap<Ipv4Addr, Rc<PeerClient>>>,
     admin: AdminEndpoint,
 }
@@ -48,6 +51,18 @@
     fn update_roster(&self) {
         self.replica.set_roster(&self.feed.state().roster);
     }
+
+    /// Goes by the retention of the newest configuration.
+    fn update_account_retention(&self) {
+        let state = self.feed.state();
+        if self.config_version.replace(state.version()) == state.version() {
+            return;
+        }
+        match OperatorConfig::read(&state.config) {
+            Ok(config) => self.replica.set_account_retention(config.longest_retention_ms()),
+            Err(findings) => log::error!("configuration in force cannot be read: {findings}"),
+        }
+    }
 }
 
 impl Handler for StorageServer {
@@ -85,6 +100,7 @@
         process: process.clone(),
         feed: feed.clone(),
         replica: replica.clone(),
+        config_version: Cell::new(0),
         peers: RefCell::default(),
     });
     let peers = listen(SocketAddrV4::new(settings.ip_address, settings.peer_port())).await?;
--- a/system/programs/src/storage/backfill.rs
+++ b/system/programs/src/storage/backfill.rs
@@ -53,7 +53,7 @@
         }
         match self.finish(&run).await {
             Ok(true) => {
-                let RecordCounts { turns, accounts, turn_bytes } =
+                let RecordCounts { turns, accounts, turn_bytes, .. } =
                     self.replica.with(|replica| replica.state.counts()).unwrap_or_default();
                 log::info!(
                     "backfill complete: epoch={} elapsed_ms={} turns={turns} accounts={accounts} bytes={turn_bytes}",
--- a/system/programs/src/storage/inspection.rs
+++ b/system/programs/src/storage/inspection.rs
@@ -26,7 +26,7 @@
         let answer = match (topic_query.name, topic_query.argument) {
             ("disk", _) => Answer::View(disk.to_string()),
             ("turns", _) => {
-                let RecordCounts { turns, accounts, turn_bytes } = replica.state.counts();
+                let RecordCounts { turns, accounts, turn_bytes, .. } = replica.state.counts();
                 self.admin.view(serde_json::json!({
                     "disk": disk, "epoch": replica.state.epoch(), "full": in_sync,
                     "turns": turns, "accounts": accounts, "bytes": turn_bytes,
@@ -61,10 +61,15 @@
         metrics.gauge("storage_node_disk_refusing", flag(self.replica.is_refusing()));
         metrics.counter("storage_node_disk_refusals", self.replica.refusals());
         self.replica.with(|replica| {
-            let RecordCounts { turns, accounts, turn_bytes } = replica.state.counts();
-            metrics.gauge("storage_node_turns", turns as f64);
-            metrics.gauge("storage_node_accounts", accounts as f64);
-            metrics.gauge("storage_node_turn_bytes", turn_bytes as f64);
+            let counts = replica.state.counts();
+            metrics.gauge("storage_node_turns", counts.turns as f64);
+            metrics.gauge("storage_node_accounts", counts.accounts as f64);
+            metrics.gauge("storage_node_account_bytes", counts.account_bytes as f64);
+            metrics.gauge(
+                "storage_node_account_retention_seconds",
+                replica.state.account_retention_ms() as f64 / 1e3,
+            );
+            metrics.gauge("storage_node_turn_bytes", counts.turn_bytes as f64);
             metrics.gauge("storage_node_damages_found", replica.damages as f64);
             metrics.gauge("storage_node_table_bytes", replica.disk.table_bytes() as f64);
             metrics.gauge("storage_node_room_scarce", flag(replica.state.capacity() != DiskCapacity::Ample));
--- a/system/programs/src/storage/placement.rs
+++ b/system/programs/src/storage/placement.rs
@@ -107,6 +107,7 @@
     async fn reconcile_placement(&self) -> u64 {
         self.update_disk_capacity();
         self.update_roster();
+        self.update_account_retention();
         if self.replica.is_refusing() {
             return BUSY_POLL_INTERVAL_MS;
         }
--- a/system/programs/src/storage/recovery.rs
+++ b/system/programs/src/storage/recovery.rs
@@ -62,6 +62,8 @@
     /// Counts replicas that were built; what was begun with one is not ended with another.
     generation: Cell<u64>,
     roster: RefCell<Roster>,
+    /// The longest retention in force, in milliseconds.
+    account_retention_ms: Cell<u64>,
     refusing: Cell<bool>,
     refusals: Cell<u64>,
     failures: mpsc::UnboundedSender<WriteFailed>,
@@ -85,6 +87,7 @@
             current: RefCell::default(),
             generation: Cell::new(0),
             roster: RefCell::default(),
+            account_retention_ms: Cell::new(0),
             refusing: Cell::new(false),
             refusals: Cell::new(0),
             failures,
@@ -165,6 +168,7 @@
         });
         let mut replica = Replica::new((self.now_ms)(), &self.machine, opened.await?)?;
         replica.set_roster(&self.roster.borrow());
+        replica.set_account_retention(self.account_retention_ms.get());
         self.generation.set(self.generation.get() + 1);
         *self.current.borrow_mut() = Some(replica);
         Ok(())
@@ -193,6 +197,12 @@
         self.with(|replica| replica.set_roster(roster));
     }
 
+    /// Retains accounts for the longest retention in force.
+    pub(super) fn set_account_retention(&self, retention_ms: u64) {
+        self.account_retention_ms.set(retention_ms);
+        self.with(|replica| replica.set_account_retention(retention_ms));
+    }
+
     /// Drops what has expired.
     pub(super) fn expire(&self) {
         let now_ms = (self.now_ms)();
--- a/system/programs/src/storage/replica.rs
+++ b/system/programs/src/storage/replica.rs
@@ -102,7 +102,7 @@
             disk: number,
         };
         let state = ReplicaState::new(now_ms, number, machine.losses, kept);
-        let RecordCounts { turns, accounts, turn_bytes } = state.counts();
+        let RecordCounts { turns, accounts, turn_bytes, .. } = state.counts();
         log::info!("replica loaded: disk={number} turns={turns} accounts={accounts} bytes={turn_bytes}");
         Ok(Self { state, disk, damages, me, durable: Durable::with_writer(writer)? })
     }
@@ -138,6 +138,12 @@
         self.durable.write_lazily(writes);
     }
 
+    /// Retains accounts for the longest retention in force.
+    pub(super) fn set_account_retention(&mut self, retention_ms: u64) {
+        let writes = self.state.set_account_retention(retention_ms);
+        self.durable.write_lazily(writes);
+    }
+
     /// Drops what has expired.
     pub(super) fn expire(&mut self, now_ms: u64) {
         if !self.has_failed() {
--- a/system/turn-store/src/disk/tests/recorded.rs
+++ b/system/turn-store/src/disk/tests/recorded.rs
@@ -81,6 +81,7 @@
             stored(&turn("attempt-3")),
         ],
         accounts: vec![account(5, 40), account(u64::MAX, 800)],
+        account_retention_ms: 0,
         backfill: full(),
     }
 }
--- a/system/turn-store/src/records.rs
+++ b/system/turn-store/src/records.rs
@@ -27,6 +27,7 @@
 ];
 
 const BACKFILL_KEY: &[u8] = b"fill";
+const ACCOUNT_RETENTION_KEY: &[u8] = b"account-retention";
 
 /// For which sets of storage nodes a replica is in sync.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,10 +78,28 @@
     pub turns: Vec<StoredTurn>,
     /// Reservations with their programs.
     pub accounts: Vec<(String, Reservation)>,
+    /// The longest retention that one of the accounts relies on, in milliseconds; 0 if none is stored.
+    pub account_retention_ms: u64,
     /// For which sets it is in sync.
     pub backfill: BackfillRecord,
 }
 
+impl Stored {
+    /// Takes a record of the keyspace [`STATE`]; those of later releases are ignored.
+    ///
+    /// # Errors
+    ///
+    /// The value of a known record cannot be decoded.
+    pub fn read_state(&mut self, key: &[u8], value: &[u8]) -> Result<(), postcard::Error> {
+        match key {
+            BACKFILL_KEY => self.backfill = decode(value)?,
+            ACCOUNT_RETENTION_KEY => self.account_retention_ms = decode(value)?,
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
 /// Why the content of a record is not valid.
 #[derive(Debug, thiserror::Error)]
 enum InvalidRecord {
@@ -128,9 +147,7 @@
         Ok::<_, InvalidRecord>(())
     })?);
     damaged.extend(disk.scan(STATE, |key, value| {
-        if key == BACKFILL_KEY {
-            stored.backfill = decode(value)?;
-        }
+        stored.read_state(key, value)?;
         Ok::<_, InvalidRecord>(())
     })?);
     stored.turns = turns.into_values().collect();
@@ -181,6 +198,11 @@
     Write::put(ACCOUNTS, account_key(program, attempt), Bytes::copy_from_slice(&tokens.to_be_bytes()))
 }
 
+/// The longest retention that a stored account relies on, in milliseconds.
+pub(crate) fn account_retention_write(retention_ms: u64) -> Write {
+    Write::put(STATE, ACCOUNT_RETENTION_KEY.to_vec(), encode(&retention_ms))
+}
+
 pub(crate) fn account_removal(program: &str, attempt: u64) -> Write {
     Write::remove(ACCOUNTS, account_key(program, attempt))
 }
--- a/system/turn-store/src/replica.rs
+++ b/system/turn-store/src/replica.rs
@@ -13,8 +13,8 @@
 
 use crate::disk::Write;
 use crate::payload::Payloads;
-use crate::records::{BackfillRecord, Stored, account_removal, turn_removal};
-use accounts::Account;
+use crate::records::{BackfillRecord, Stored, turn_removal};
+use accounts::Accounts;
 use fleet_model::{Answer, Call, Roster, StorageNode};
 use std::collections::{BTreeMap, BTreeSet};
 use turns::Entry;
@@ -29,6 +29,8 @@
     pub turns: usize,
     /// Accounts of programs.
     pub accounts: usize,
+    /// Estimated memory of the accounts, in bytes.
+    pub account_bytes: u64,
     /// Bytes of the turns' inputs and outputs.
     pub turn_bytes: u64,
 }
@@ -46,7 +48,7 @@
     backfill: BackfillRecord,
     capacity: DiskCapacity,
     turns: BTreeMap<Box<str>, Entry>,
-    accounts: BTreeMap<Box<str>, Account>,
+    accounts: Accounts,
 }
 
 impl ReplicaState {
@@ -60,13 +62,13 @@
             backfill: stored.backfill,
             capacity: DiskCapacity::default(),
             turns: BTreeMap::new(),
-            accounts: BTreeMap::new(),
+            accounts: Accounts::new(stored.account_retention_ms),
         };
         for turn in stored.turns {
             state.insert(now_ms, turn);
         }
         for (program, reservation) in stored.accounts {
-            state.account(now_ms, &program).merge(reservation);
+            state.accounts.restore(now_ms, &program, reservation);
         }
         state
     }
@@ -86,6 +88,7 @@
         RecordCounts {
             turns: self.turns.len(),
             accounts: self.accounts.len(),
+            account_bytes: self.accounts.bytes() as u64,
             turn_bytes: self.turns.values().map(|turn| u64::from(turn.length)).sum(),
         }
     }
@@ -195,13 +198,7 @@
             }
             is_retained
         });
-        self.accounts.retain(|program, account| {
-            let is_retained = account.expiry_ms > now_ms;
-            if !is_retained {
-                writes.extend(account.tokens.keys().map(|&attempt| account_removal(program, attempt)));
-            }
-            is_retained
-        });
+        writes.extend(self.accounts.expire(now_ms));
         writes
     }
 }
--- a/system/turn-store/src/replica/backfill.rs
+++ b/system/turn-store/src/replica/backfill.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use fleet_model::{Answer, QuorumSizes, Reservation, StorageNode, Turn, account_replicas, rendezvous_rank};
 use serde::{Deserialize, Serialize};
-use std::ops::Bound::{Excluded, Included, Unbounded};
+use std::ops::Bound::{Excluded, Unbounded};
 
 /// Size at which a page of backfill ends; a single larger record makes a larger page.
 const TARGET_PAGE_BYTES: usize = 256 << 10;
@@ -154,13 +154,13 @@
         first_program: &str,
         after: Option<u64>,
     ) -> Option<Bytes> {
-        for (program, account) in self.accounts.range::<str, _>((Included(first_program), Unbounded)) {
+        for (program, account) in self.accounts.starting_at(first_program) {
             if !account_replicas(target, program, self.losses).iter().any(|node| node.disk == asker) {
                 continue;
             }
             page.bytes += PAGE_ENTRY_OVERHEAD_BYTES + program.len();
             let mut reservations = Vec::new();
-            let sent = if **program == *first_program { after } else { None };
+            let sent = if program == first_program { after } else { None };
             for (&attempt, &tokens) in &account.tokens {
                 if sent.is_some_and(|sent| attempt <= sent) {
                     continue;
@@ -254,9 +254,8 @@
             if program.len() > MAX_NAME_BYTES {
                 continue;
             }
-            let account = self.account(now_ms, &program);
             for reservation in reservations {
-                let (tokens, changed) = account.merge(reservation);
+                let (tokens, changed) = self.accounts.merge(now_ms, &program, reservation);
                 writes.extend(changed.then(|| account_write(&program, reservation.attempt, tokens)));
             }
         }
--- a/system/turn-store/tests/replica/cluster.rs
+++ b/system/turn-store/tests/replica/cluster.rs
@@ -82,7 +82,11 @@
     }
 
     pub(crate) fn ask(&mut self, call: &Call) -> Answer {
-        self.outcome(0, call).answer
+        self.ask_at(0, call)
+    }
+
+    pub(crate) fn ask_at(&mut self, now_ms: u64, call: &Call) -> Answer {
+        self.outcome(now_ms, call).answer
     }
 
     pub(crate) fn reserve(&mut self, program: &str, reservation: Reservation) -> Answer {
--- a/testbed/src/system/disk.rs
+++ b/testbed/src/system/disk.rs
@@ -282,7 +282,8 @@
                     replicas: turn.replicas,
                 })),
                 ACCOUNTS => stored.accounts.extend(account(key, value)),
-                STATE => stored.backfill = postcard::from_bytes(value).unwrap_or_default(),
+                // A record that cannot be read is as good as none.
+                STATE => drop(stored.read_state(key, value)),
                 _ => {}
             }
         }
--- a/testbed/src/system/storage_node.rs
+++ b/testbed/src/system/storage_node.rs
@@ -5,6 +5,7 @@
 use super::runtime::{Feed, follow};
 use fleet_model::{Answer, Call, StorageNode, rendezvous_rank};
 use futures_util::future::{Either, join_all, select};
+use operator_config::OperatorConfig;
 use std::cell::RefCell;
 use std::net::Ipv4Addr;
 use std::pin::pin;
@@ -65,6 +66,15 @@
         self.host.disk().write_lazily(&self.host, writes);
     }
 
+    /// Retains accounts for the longest retention of the newest configuration.
+    fn apply_account_retention(&self) {
+        let state = self.feed.state();
+        if let Ok(config) = OperatorConfig::read(&state.config) {
+            let writes = self.state.borrow_mut().set_account_retention(config.longest_retention_ms());
+            self.host.disk().write_lazily(&self.host, writes);
+        }
+    }
+
     async fn notify_control_nodes(&self, call: Call) -> bool {
         let mut ips = self.feed.value().voters.clone();
         ips.extend(self.host.cluster().iter().flat_map(|cluster| cluster.seeds.clone()));
@@ -86,6 +96,7 @@
         let mut changes = self.feed.changes();
         loop {
             self.apply_roster();
+            self.apply_account_retention();
             let roster = self.feed.state().roster.clone();
             let has = |stores: &[StorageNode]| stores.contains(&self.me);
             let is_member = has(roster.next.as_ref().unwrap_or(&roster.current));
