Keep who joined and who was replaced in the roster's chosen value

Cause: each control node remembered by itself which storage machines had joined, and none counted that joined within 3 s of the founding. After a restart of the control nodes, or for a replacement right after the start, the replaced machine stayed a member for 5 to 10 s; a loss of all power with one disk in that time left nobody to fill from (schedule). Change: the roster has a turnover (who joined, who left, who replaced whom), written with each change and forgotten 30 s later by the holder of the lease. Whether a newcomer replaces a machine is decided by what it states of itself: one that was started with the fleet's first start replaces none. The payload has a third format for states with a turnover; others are encoded as before. Tests: hand-made rosters of four tests go through join, remove_node and retire now, their assertions are unchanged. The generators of random faults restart control nodes during planned replacements too, which they spared before.

--- a/system/control-node/src/membership.rs
+++ b/system/control-node/src/membership.rs
@@ -33,7 +33,7 @@
         answer(self.propose(CHANGE_TIMEOUT, wanted).await)
     }
 
-    pub(crate) async fn join_storage(&self, node: StorageNode) -> Answer {
+    pub(crate) async fn join_storage(&self, node: StorageNode, is_founder: bool) -> Answer {
         let min_storage_nodes = self.min_storage_nodes();
         let known = self.feed.state();
         let admitted = {
@@ -42,13 +42,11 @@
             storage_nodes.record_response(self.runtime.now_ms(), node.disk);
             storage_nodes.admits(&known.roster, &node)
         };
-        if !admitted || controllers::join(&known, &node, min_storage_nodes).is_none() {
+        let join = if is_founder { controllers::join_founder } else { controllers::join };
+        if !admitted || join(&known, &node, min_storage_nodes).is_none() {
             return Answer::Done;
         }
-        answer(
-            self.change(CHANGE_TIMEOUT, |state| controllers::join(state, &node, min_storage_nodes).into())
-                .await,
-        )
+        answer(self.change(CHANGE_TIMEOUT, |state| join(state, &node, min_storage_nodes).into()).await)
     }
 
     pub(crate) async fn complete_backfill_of(&self, disk: u64, epoch: u64) -> Answer {
--- a/system/control-node/src/node.rs
+++ b/system/control-node/src/node.rs
@@ -164,7 +164,7 @@
                 self.feed.subscribe(&call, false, subscriber)
             }
             (Call::JoinCore { ip }, _) => self.join_core(ip).await,
-            (Call::JoinStorage { store }, _) => self.join_storage(store).await,
+            (Call::JoinStorage { store, is_founder }, _) => self.join_storage(store, is_founder).await,
             (Call::Order(order), _) => self.answer_order(order).await,
             (Call::InSync { disk, epoch }, _) => self.complete_backfill_of(disk, epoch).await,
             _ => Answer::NotReady,
--- a/system/control-node/src/proposer.rs
+++ b/system/control-node/src/proposer.rs
@@ -17,14 +17,14 @@
     /// None: the state is as wanted, or the change is impossible.
     Keep,
     /// Replace the state.
-    State(ControlState),
+    State(Box<ControlState>),
     /// Replace the voters by a set with one node more or fewer.
     Voters(Vec<Ipv4Addr>),
 }
 
 impl From<Option<ControlState>> for ProposedChange {
     fn from(state: Option<ControlState>) -> Self {
-        state.map_or(Self::Keep, Self::State)
+        state.map_or(Self::Keep, |state| Self::State(Box::new(state)))
     }
 }
 
--- a/system/control-node/tests/cluster/main.rs
+++ b/system/control-node/tests/cluster/main.rs
@@ -3,6 +3,7 @@
 
 mod in_memory_cluster;
 mod invalid_configurations;
+mod orders;
 mod seed_discovery;
 
 use control_node::{CurrentConfig, PutConfigOutcome};
--- a/system/controllers/src/lib.rs
+++ b/system/controllers/src/lib.rs
@@ -24,6 +24,7 @@
 mod roster_step;
 mod storage_controller;
 pub mod times;
+mod turnover;
 mod voter_controller;
 
 pub use config::put_config;
@@ -33,7 +34,10 @@
 pub use lease_candidate::{LeaseCandidate, holds_lease};
 pub use loss_tolerance::{LossTolerance, min_storage_nodes};
 pub use proposer_selection::ProposerSelection;
-pub use roster::{complete_backfill, join, proposed_nodes, remove_node, retire, retire_status};
+pub use roster::{
+    complete_backfill, forget_turnover, join, join_founder, proposed_nodes, remove_node, retire,
+    retire_status,
+};
 pub use roster_step::RosterStep;
 pub use storage_controller::StorageController;
 pub use voter_controller::{UnresponsiveVoter, VoterController};
--- a/system/controllers/src/roster.rs
+++ b/system/controllers/src/roster.rs
@@ -1,5 +1,6 @@
 //! Changes of the roster: nodes join, complete their backfill, are removed and are retired.
 
+use crate::turnover;
 use fleet_model::{ControlState, RetireVerdict, Roster, StorageNode};
 
 /// The nodes of the roster once the change under way, if any, is complete.
@@ -37,6 +38,19 @@
 /// becomes current by [`complete_backfill`] like any other, once it has `min_nodes` nodes or the bootstrap has waited long
 /// enough.
 pub fn join(state: &ControlState, store: &StorageNode, min_nodes: usize) -> Option<ControlState> {
+    let mut joined = join_founder(state, store, min_nodes)?;
+    let roster = &state.roster;
+    let is_successor = |other: &StorageNode| other.name == store.name || other.ip == store.ip;
+    let takes_a_place = proposed_nodes(roster).iter().any(is_successor);
+    if !roster.current.is_empty() && !takes_a_place {
+        turnover::record_join(&mut joined.roster.turnover, &store.name);
+    }
+    Some(joined)
+}
+
+/// As [`join`], for a machine that was started with the fleet, for the fleet's first time: it replaces no other one, however
+/// late it comes.
+pub fn join_founder(state: &ControlState, store: &StorageNode, min_nodes: usize) -> Option<ControlState> {
     let roster = &state.roster;
     let former = proposed_nodes(roster);
     if former.contains(store) || roster.retiring.contains(&store.name) {
@@ -81,6 +95,7 @@
     }
     let mark_retiring = |mut state: ControlState| {
         state.roster.retiring.push(name.to_owned());
+        turnover::record_retirement(&mut state.roster.turnover, name);
         (Some(state), RetireVerdict::Active)
     };
     let Some(store) = proposed_nodes(roster).iter().find(has_name) else {
@@ -166,5 +181,19 @@
         return None;
     }
     let remaining: Vec<StorageNode> = former.iter().filter(|store| *store != removed).cloned().collect();
-    (count_not_retiring(roster, &remaining) >= min_remaining.max(1)).then(|| with_next(state, remaining))
+    (count_not_retiring(roster, &remaining) >= min_remaining.max(1)).then(|| {
+        let mut state = with_next(state, remaining);
+        if !state.roster.retiring.contains(&removed.name) {
+            turnover::record_removal(&mut state.roster.turnover, &removed.name);
+        }
+        state
+    })
+}
+
+/// Forgets that these machines joined or left: no replacement by them, or of them, is expected any more.
+pub fn forget_turnover(state: &ControlState, machines: &[String]) -> Option<ControlState> {
+    let mut state = state.clone();
+    let before = state.roster.turnover.clone();
+    turnover::forget(&mut state.roster.turnover, machines);
+    (state.roster.turnover != before).then_some(state)
 }
--- a/system/controllers/src/roster_step.rs
+++ b/system/controllers/src/roster_step.rs
@@ -1,6 +1,6 @@
 //! The changes of the roster that the storage controller decides on.
 
-use crate::roster::{complete_backfill, remove_node};
+use crate::roster::{complete_backfill, forget_turnover, remove_node};
 use fleet_model::{ControlState, StorageNode};
 
 /// The next change that the holder of the storage controller's lease makes to the roster.
@@ -21,6 +21,8 @@
     WaiveBackfill(Vec<u64>),
     /// Bootstrap the fleet with the nodes that have joined, although its tolerance needs more.
     Bootstrap,
+    /// Forget that these machines joined or left, by [`forget_turnover`](crate::forget_turnover).
+    ForgetTurnover(Vec<String>),
 }
 
 impl RosterStep {
@@ -32,6 +34,7 @@
             Self::NoChange => None,
             Self::RemoveNode { store, min_remaining, .. } => remove_node(state, store, epoch, *min_remaining),
             Self::WaiveBackfill(waived) => complete_backfill(state, None, epoch, waived, min_nodes),
+            Self::ForgetTurnover(machines) => forget_turnover(state, machines),
             Self::Bootstrap => complete_backfill(state, None, epoch, &[], 1),
         }
     }
--- a/system/controllers/src/storage_controller.rs
+++ b/system/controllers/src/storage_controller.rs
@@ -1,15 +1,15 @@
 //! Failure detection of the storage nodes, and the changes of the roster that follow from it.
 
 use crate::loss_tolerance::{LossTolerance, min_storage_nodes};
-use crate::replacement::Replacement;
 use crate::roster::{proposed_nodes, remove_node};
 use crate::roster_step::RosterStep;
 use crate::times::{
-    BACKFILL_MEMBER_TIMEOUT_MS, BLOCKING_STORAGE_TIMEOUT_MS, BOOTSTRAP_SETTLE_MS, BOOTSTRAP_WAIT_MS,
-    MAX_BACKFILL_PROTECTED_MS, MAX_PROBE_GAP_MS, MIN_BACKFILL_PROTECTED_MS, MIN_MISSED_PROBES,
-    PROBE_INTERVAL_MS, PROBE_RETRY_INTERVAL_MS, REPLACED_STORAGE_TIMEOUT_MS, REPLACEMENT_WINDOW_MS,
+    BACKFILL_MEMBER_TIMEOUT_MS, BLOCKING_STORAGE_TIMEOUT_MS, BOOTSTRAP_WAIT_MS, MAX_BACKFILL_PROTECTED_MS,
+    MAX_PROBE_GAP_MS, MIN_BACKFILL_PROTECTED_MS, MIN_MISSED_PROBES, PROBE_INTERVAL_MS,
+    PROBE_RETRY_INTERVAL_MS, REPLACED_STORAGE_TIMEOUT_MS, REPLACEMENT_WINDOW_MS,
     STORAGE_TIMEOUT_AFTER_START_MS, STORAGE_TIMEOUT_MS,
 };
+use crate::turnover;
 use fleet_model::{ControlState, QuorumSizes, Roster, StorageNode};
 use std::collections::BTreeMap;
 
@@ -44,7 +44,8 @@
     /// By disk.
     probes: BTreeMap<u64, ProbeRecord>,
     first_observed_ms: Option<u64>,
-    replacement: Replacement<String>,
+    /// When each machine of the roster's turnover was first observed there, in milliseconds.
+    turnover_since_ms: BTreeMap<String, u64>,
     epoch: ObservedEpoch,
     /// When the roster was first observed with as many nodes as the tolerance needs; 0 if it had them when this control node
     /// first observed it.
@@ -72,16 +73,12 @@
         if roster.current.len() >= min_nodes {
             self.bootstrapped_ms.get_or_insert(if is_first { 0 } else { now_ms });
         }
-        let settled = self
-            .bootstrapped_ms
-            .is_some_and(|at| at == 0 || now_ms.saturating_sub(at) >= BOOTSTRAP_SETTLE_MS);
-        let names = |stores: &[StorageNode]| stores.iter().map(|store| store.name.clone()).collect();
-        if is_first {
-            // The change under way, if any, shows which nodes joined and which leave.
-            self.replacement.observe(now_ms, names(&roster.current), settled, |_| false);
+        self.turnover_since_ms
+            .retain(|name, _| turnover::machines(&roster.turnover).any(|other| other == name));
+        for name in turnover::machines(&roster.turnover) {
+            self.turnover_since_ms.entry(name.clone()).or_insert(now_ms);
         }
         let members = proposed_nodes(roster);
-        self.replacement.observe(now_ms, names(members), settled, |name| roster.retiring.contains(name));
         let is_member = |disk: u64| members.iter().chain(&roster.current).any(|store| store.disk == disk);
         self.probes.retain(|disk, _| is_member(*disk));
         for store in members.iter().chain(&roster.current) {
@@ -153,18 +150,41 @@
     }
 
     /// Time in milliseconds after which an unresponsive node is removed.
-    fn removal_timeout_ms(&self, now_ms: u64) -> u64 {
+    fn removal_timeout_ms(&self, now_ms: u64, roster: &Roster) -> u64 {
         let started_recently = self.bootstrapped_ms == Some(0)
             && self.first_observed_ms.is_some_and(|at| now_ms.saturating_sub(at) < REPLACEMENT_WINDOW_MS);
-        match self.replacement.surplus(now_ms) {
-            0 if started_recently => STORAGE_TIMEOUT_AFTER_START_MS,
-            0 => STORAGE_TIMEOUT_MS,
-            _ => REPLACED_STORAGE_TIMEOUT_MS,
+        match roster.turnover.joined.iter().any(|name| self.is_recent(now_ms, name)) {
+            true => REPLACED_STORAGE_TIMEOUT_MS,
+            false if started_recently => STORAGE_TIMEOUT_AFTER_START_MS,
+            false => STORAGE_TIMEOUT_MS,
         }
     }
 
+    /// Whether a machine of the turnover may still replace another one, or be replaced.
+    fn is_recent(&self, now_ms: u64, name: &str) -> bool {
+        let since_ms = self.turnover_since_ms.get(name);
+        since_ms.is_none_or(|since_ms| now_ms.saturating_sub(*since_ms) < REPLACEMENT_WINDOW_MS)
+    }
+
+    /// Machines of the turnover that are no longer expected to replace another one, or to be replaced.
+    fn settled_turnover(&self, now_ms: u64, roster: &Roster) -> Vec<String> {
+        turnover::machines(&roster.turnover).filter(|name| !self.is_recent(now_ms, name)).cloned().collect()
+    }
+
     /// The change to make after a probe round; `tolerance` is the number of nodes that may be lost.
     pub fn step(&self, now_ms: u64, state: &ControlState, tolerance: usize) -> RosterStep {
+        let step = self.membership_step(now_ms, state, tolerance);
+        if step != RosterStep::NoChange || self.has_probe_gap(now_ms) {
+            return step;
+        }
+        match self.settled_turnover(now_ms, &state.roster) {
+            settled if settled.is_empty() => RosterStep::NoChange,
+            settled => RosterStep::ForgetTurnover(settled),
+        }
+    }
+
+    /// The change of the members to make.
+    fn membership_step(&self, now_ms: u64, state: &ControlState, tolerance: usize) -> RosterStep {
         let roster = &state.roster;
         if self.has_probe_gap(now_ms) {
             return RosterStep::NoChange;
@@ -204,7 +224,7 @@
     /// Fewer nodes than that, but more than the tolerated losses, still store every record through that many losses. With a
     /// permanently lost node still among them, however, the next loss could block the fleet permanently.
     fn unblocked_removal_step(&self, now_ms: u64, state: &ControlState, tolerance: usize) -> RosterStep {
-        let timeout_ms = self.removal_timeout_ms(now_ms);
+        let timeout_ms = self.removal_timeout_ms(now_ms, &state.roster);
         match self.removal_step(now_ms, state, timeout_ms, min_storage_nodes(tolerance)) {
             RosterStep::NoChange => self.removal_step(now_ms, state, STORAGE_TIMEOUT_MS, tolerance + 1),
             step => step,
--- a/system/controllers/tests/membership/cluster/mod.rs
+++ b/system/controllers/tests/membership/cluster/mod.rs
@@ -88,6 +88,8 @@
     voters: Vec<Ipv4Addr>,
     version: u64,
     disks: u64,
+    /// Number of disks, the first ones, whose machines were started with the fleet.
+    founders: u64,
     random: ChaCha8Rng,
 }
 
@@ -134,6 +136,7 @@
             voters,
             version: 1,
             disks: 0,
+            founders: storage_nodes.into(),
             random,
         };
         for at in 1..=storage_nodes {
--- a/system/controllers/tests/membership/cluster/storage_nodes.rs
+++ b/system/controllers/tests/membership/cluster/storage_nodes.rs
@@ -3,7 +3,7 @@
 use super::{
     BACKFILL_MS, BACKFILL_WITH_LOST_SOURCE_MS, Cluster, Event, Machine, STORAGE_STEP_INTERVAL_MS, disks,
 };
-use controllers::{complete_backfill, join, proposed_nodes};
+use controllers::{complete_backfill, join, join_founder, proposed_nodes};
 use fleet_model::{QuorumSizes, Roster, StorageNode};
 use std::collections::BTreeSet;
 
@@ -98,6 +98,7 @@
         let node = &mut self.control_nodes[at];
         node.storage_controller.observe(now, &node.state.roster, min_nodes);
         node.storage_controller.record_response(now, store.disk);
+        let join = if store.disk <= self.founders { join_founder } else { join };
         if node.storage_controller.admits(&node.state.roster, store)
             && join(&node.state, store, min_nodes).is_some()
         {
--- a/system/controllers/tests/membership/random_faults.rs
+++ b/system/controllers/tests/membership/random_faults.rs
@@ -28,8 +28,6 @@
     recoveries: Vec<(u64, Recovery)>,
     /// For each fault that may be active at once, when the next one may start.
     slots: Vec<u64>,
-    /// Until when a planned replacement is under way: a control node that restarts meanwhile does not know of it.
-    planned_until: u64,
     last_name: u8,
     catch_up: u64,
     faulty: Vec<u64>,
@@ -45,7 +43,6 @@
             log: Vec::new(),
             recoveries: Vec::new(),
             slots: vec![0; tolerance],
-            planned_until: 0,
             last_name: 20,
             catch_up: if tolerance == 2 { CATCH_UP_OF_TWO_MS } else { CATCH_UP_MS },
             faulty: Vec::new(),
@@ -181,7 +178,6 @@
         self.cluster.start(&name, ip);
         let ends = now + 4_000 + self.cluster.random_below(2_000);
         self.recoveries.push((ends, Recovery::Stop(disk)));
-        self.planned_until = self.planned_until.max(ends + self.catch_up);
         ends + self.catch_up + 2_000
     }
 
@@ -196,10 +192,7 @@
             return now;
         }
         let duration_ms = 500 + self.cluster.random_below(3_500);
-        let kind = match self.cluster.random_below(3) {
-            1 if now < self.planned_until => 0,
-            kind => kind,
-        };
+        let kind = self.cluster.random_below(3);
         self.log(format!(
             "node {at} {} for {duration_ms}",
             ["freezes", "dies", "is partitioned off"][kind as usize]
--- a/system/controllers/tests/membership/storage_failure_detection.rs
+++ b/system/controllers/tests/membership/storage_failure_detection.rs
@@ -1,6 +1,8 @@
 //! Failure detection of storage nodes, and the roster steps that follow from it.
 
-use controllers::{LossTolerance, RosterStep, StorageController, join, times};
+use controllers::{
+    LossTolerance, RosterStep, StorageController, join, join_founder, remove_node, retire, times,
+};
 use fleet_model::{ControlState, StorageNode};
 use googletest::prelude::*;
 use std::net::Ipv4Addr;
@@ -16,6 +18,28 @@
     state
 }
 
+/// The state with another machine as a member.
+fn joined(state: &ControlState, store: &StorageNode) -> ControlState {
+    completed(join(state, store, 3).expect("it can join"))
+}
+
+/// The state without the member with this disk, which did not respond.
+fn without(state: &ControlState, disk: u64) -> ControlState {
+    let removed = state.roster.current.iter().find(|store| store.disk == disk).expect("a member");
+    completed(remove_node(state, removed, state.roster.epoch, 1).expect("it can be removed"))
+}
+
+/// The state without this machine, which was retired.
+fn retired(state: &ControlState, name: &str) -> ControlState {
+    completed(retire(state, name, 1).0.expect("it can be retired"))
+}
+
+/// The state in which the next set has become the current one.
+fn completed(mut state: ControlState) -> ControlState {
+    state.roster.current = state.roster.next.take().expect("a change");
+    state
+}
+
 /// A storage controller with a clock; it probes whenever a round is due.
 struct ProbingController {
     inner: StorageController,
@@ -148,7 +172,7 @@
     let mut state = bootstrapped(3);
     let mut controller = ProbingController::new();
     controller.run(20_000, &state, &[1, 2, 3]);
-    state.roster.current.push(storage_node("s9", 9, 9));
+    state = joined(&state, &storage_node("s9", 9, 9));
     controller.run(25_000, &state, &[1, 2, 3, 9]);
     // when s3 ends
     controller.run(25_000 + times::REPLACED_STORAGE_TIMEOUT_MS + 1_000, &state, &[1, 2, 9]);
@@ -163,18 +187,16 @@
     let mut state = bootstrapped(4);
     let mut controller = ProbingController::new();
     controller.run(20_000, &state, &[1, 2, 3]);
-    state.roster.current[3] = storage_node("s9", 9, 9);
+    state = joined(&without(&state, 4), &storage_node("s9", 9, 9));
     controller.run(21_000, &state, &[1, 2, 3, 9]);
     // when another freezes for four seconds, then it stays
     controller.run(25_000, &state, &[1, 2, 9]);
     expect_that!(controller.step(&state), eq(&RosterStep::NoChange));
     // and where the wrong one was removed and returns, s9 is free for another
-    let mut without = state.clone();
-    without.roster.current.remove(2);
-    without.roster.current.push(storage_node("s4", 4, 4));
-    controller.run(26_000, &without, &[1, 2, 4, 9]);
-    controller.run(29_000, &without, &[1, 4, 9]);
-    expect_that!(removed_disk(&controller.step(&without)), some(eq(2)));
+    let other = joined(&without(&state, 3), &storage_node("s4", 4, 4));
+    controller.run(26_000, &other, &[1, 2, 4, 9]);
+    controller.run(29_000, &other, &[1, 4, 9]);
+    expect_that!(removed_disk(&controller.step(&other)), some(eq(2)));
     Ok(())
 }
 
@@ -184,10 +206,9 @@
     let mut state = bootstrapped(4);
     let mut controller = ProbingController::new();
     controller.run(20_000, &state, &[1, 2, 3, 4]);
-    state.roster.current.remove(3);
-    state.roster.retiring.push("s4".into());
+    state = retired(&state, "s4");
     controller.run(25_000, &state, &[1, 2, 3]);
-    state.roster.current.push(storage_node("s9", 9, 9));
+    state = joined(&state, &storage_node("s9", 9, 9));
     controller.run(28_000, &state, &[1, 2, 9]);
     expect_that!(removed_disk(&controller.step(&state)), some(eq(3)));
     Ok(())
@@ -199,14 +220,13 @@
     let mut state = bootstrapped(4);
     let mut controller = ProbingController::new();
     controller.run(20_000, &state, &[1, 2, 3]);
-    state.roster.current[3] = storage_node("s9", 9, 9);
+    state = joined(&without(&state, 4), &storage_node("s9", 9, 9));
     controller.run(21_000, &state, &[1, 2, 3, 9]);
-    state.roster.retiring.push("s9".into());
-    state.roster.current.remove(3);
+    state = retired(&state, "s9");
     controller.run(24_000, &state, &[1, 2, 3]);
     // when s3 is lost and s10 comes, then it came for s3
     controller.run(25_000, &state, &[1, 2]);
-    state.roster.current.push(storage_node("s10", 10, 10));
+    state = joined(&state, &storage_node("s10", 10, 10));
     controller.run(27_000, &state, &[1, 2, 10]);
     expect_that!(removed_disk(&controller.step(&state)), some(eq(3)));
     Ok(())
@@ -387,3 +407,62 @@
     controller.run(21_100, &state, &[1, 2]);
     expect_that!(controller.inner.admits(&state.roster, &rival), eq(true));
 }
+
+#[gtest]
+fn a_restarted_controller_knows_of_a_replacement() {
+    // given that s9 joined, and then all control nodes were restarted
+    let state = joined(&bootstrapped(3), &storage_node("s9", 9, 9));
+    let mut controller = ProbingController::new();
+    // when s3 has not responded since,
+    controller.run(10_000 + times::REPLACED_STORAGE_TIMEOUT_MS - 500, &state, &[1, 2, 9]);
+    expect_that!(controller.step(&state), eq(&RosterStep::NoChange));
+    // then it is removed as the machine that s9 replaces
+    controller.run(10_000 + times::REPLACED_STORAGE_TIMEOUT_MS + 500, &state, &[1, 2, 9]);
+    expect_that!(removed_disk(&controller.step(&state)), some(eq(3)));
+}
+
+#[gtest]
+fn a_machine_that_joins_right_after_the_bootstrap_replaces_one_unless_it_founds_the_fleet() {
+    for (join, timeout_ms) in [
+        (
+            join as fn(&ControlState, &StorageNode, usize) -> Option<ControlState>,
+            times::REPLACED_STORAGE_TIMEOUT_MS,
+        ),
+        (join_founder, times::STORAGE_TIMEOUT_MS),
+    ] {
+        // given a bootstrap that this controller has observed, and s9 that joins at once
+        let mut controller = ProbingController::new();
+        controller.run(10_500, &bootstrapping(3, &[1, 2, 3]), &[1, 2, 3]);
+        controller.run(11_000, &bootstrapped(3), &[1, 2, 3]);
+        let state = completed(join(&bootstrapped(3), &storage_node("s9", 9, 9), 3).expect("it can join"));
+        controller.run(12_000, &state, &[1, 2, 3, 9]);
+        // when s3 ends, then it is removed at once only if s9 may have come for it
+        controller.run(12_000 + timeout_ms - 1_000, &state, &[1, 2, 9]);
+        expect_that!(controller.step(&state), eq(&RosterStep::NoChange), "within {timeout_ms} ms");
+        controller.run(12_000 + timeout_ms + 600, &state, &[1, 2, 9]);
+        expect_that!(removed_disk(&controller.step(&state)), some(eq(3)), "after {timeout_ms} ms");
+    }
+}
+
+#[gtest]
+fn a_turnover_is_forgotten_after_its_window() -> Result<()> {
+    // given that s9 came for s4, and s10 for none
+    let state = joined(&without(&bootstrapped(4), 4), &storage_node("s9", 9, 9));
+    let state = joined(&state, &storage_node("s10", 10, 10));
+    let live = [1, 2, 3, 9, 10];
+    let mut controller = ProbingController::new();
+    controller.run(10_000 + times::REPLACEMENT_WINDOW_MS - 500, &state, &live);
+    expect_that!(controller.step(&state), eq(&RosterStep::NoChange));
+    // when the window is over, then both are forgotten, and the roster is otherwise unchanged
+    controller.run(10_000 + times::REPLACEMENT_WINDOW_MS + 500, &state, &live);
+    let step = controller.step(&state);
+    expect_that!(step, eq(&RosterStep::ForgetTurnover(vec!["s10".to_owned(), "s4".to_owned()])));
+    let after = step.apply_to(&state, state.roster.epoch, 3).or_fail()?;
+    expect_that!(after.roster.turnover.is_empty(), eq(true));
+    expect_that!(
+        (after.roster.epoch, &after.roster.current),
+        eq((state.roster.epoch, &state.roster.current))
+    );
+    expect_that!(step.apply_to(&after, after.roster.epoch, 3), none());
+    Ok(())
+}
--- a/system/fleet-model/src/lib.rs
+++ b/system/fleet-model/src/lib.rs
@@ -22,4 +22,4 @@
 pub use quorum::{QuorumSizes, account_replicas, rendezvous_rank};
 pub use records::{Reservation, Turn};
 pub use register::{AcceptedValue, Ballot, ChosenValue, RegisterReply, RegisterRequest, RegisterValue};
-pub use roster::{Roster, StorageNode};
+pub use roster::{Departure, Roster, StorageNode, Turnover};
--- a/system/fleet-model/src/message.rs
+++ b/system/fleet-model/src/message.rs
@@ -21,6 +21,8 @@
     JoinStorage {
         /// The storage node.
         store: StorageNode,
+        /// Whether it was started with the fleet, for the fleet's first time: then it replaces no other machine.
+        is_founder: bool,
     },
     /// A storage node reports that it is in sync: it stores every record that it replicates under this roster epoch.
     InSync {
--- a/system/fleet-model/src/payload.rs
+++ b/system/fleet-model/src/payload.rs
@@ -1,8 +1,8 @@
 //! The encoding of a [`ControlState`] on disk and on the wire: a format byte, the uncompressed length, and postcard bytes
 //! compressed with LZ4.
 
-use crate::Roster;
 use crate::control_state::{CommittedVersion, ControlState, Lease};
+use crate::{Roster, Turnover};
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -28,9 +28,13 @@
 /// Maximum uncompressed size in bytes of a control state; operators' configurations are far smaller.
 const MAX_STATE_BYTES: usize = 32 << 20;
 
-/// The current format: a [`ControlState`] encoded by postcard, compressed with LZ4, after its length. Configurations are
+/// The current format of a state with a turnover of storage machines: the state as in [`FORMAT_WITHOUT_TURNOVER`], followed by
+/// the turnover.
+const FORMAT_WITH_TURNOVER: u8 = 3;
+
+/// The current format of any other state: a [`ControlState`] encoded by postcard, compressed with LZ4, after its length. Configurations are
 /// repetitive, and a payload is sent to every voter twice and to every sender once.
-const FORMAT_CURRENT: u8 = 2;
+const FORMAT_WITHOUT_TURNOVER: u8 = 2;
 
 /// The first format, compressed in the same way, without pruned and rejected versions. It is read but no longer written.
 const FORMAT_V1: u8 = 1;
@@ -62,8 +66,13 @@
     ///
     /// [`PayloadError::Decoding`] if postcard cannot serialize the state.
     pub fn to_payload(&self) -> Result<Bytes, PayloadError> {
-        let plain = postcard::to_allocvec(self).map_err(PayloadError::Decoding)?;
-        let mut payload = vec![FORMAT_CURRENT];
+        let turnover = &self.roster.turnover;
+        let (format, plain) = match turnover.is_empty() {
+            true => (FORMAT_WITHOUT_TURNOVER, postcard::to_allocvec(self)),
+            false => (FORMAT_WITH_TURNOVER, postcard::to_allocvec(&(self, turnover))),
+        };
+        let plain = plain.map_err(PayloadError::Decoding)?;
+        let mut payload = vec![format];
         payload.extend(lz4_flex::block::compress_prepend_size(&plain));
         Ok(payload.into())
     }
@@ -76,7 +85,12 @@
     pub fn from_payload(payload: &[u8]) -> Result<Self, PayloadError> {
         match payload {
             [] => Ok(Self::default()),
-            [FORMAT_CURRENT, compressed @ ..] => decompress(compressed),
+            [FORMAT_WITH_TURNOVER, compressed @ ..] => {
+                let (mut state, turnover): (Self, Turnover) = decompress(compressed)?;
+                state.roster.turnover = turnover;
+                Ok(state)
+            }
+            [FORMAT_WITHOUT_TURNOVER, compressed @ ..] => decompress(compressed),
             [FORMAT_V1, compressed @ ..] => decompress::<ControlStateV1>(compressed).map(Self::from),
             [format, ..] => Err(PayloadError::UnknownFormat(*format)),
         }
--- a/system/fleet-model/src/roster.rs
+++ b/system/fleet-model/src/roster.rs
@@ -30,4 +30,32 @@
     pub in_sync: Vec<u64>,
     /// Names of machines that are being retired, or were.
     pub retiring: Vec<String>,
+    /// Machines that joined or left recently. It is encoded apart from the other fields, and only if it is not empty.
+    #[serde(skip)]
+    pub turnover: Turnover,
+}
+
+/// Machines that joined the roster or left it unasked, until their replacement is settled or no longer expected.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Turnover {
+    /// Names of machines that joined and replace none yet. A machine of the fleet's first start is none of them.
+    pub joined: Vec<String>,
+    /// Machines that were removed because they did not respond.
+    pub departed: Vec<Departure>,
+}
+
+impl Turnover {
+    /// Whether it has no machine.
+    pub fn is_empty(&self) -> bool {
+        self.joined.is_empty() && self.departed.is_empty()
+    }
+}
+
+/// A machine that was removed because it did not respond.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Departure {
+    /// Its name.
+    pub machine: String,
+    /// Name of the machine that replaced it, if one has.
+    pub replaced_by: Option<String>,
 }
--- a/system/fleet-model/tests/payload.rs
+++ b/system/fleet-model/tests/payload.rs
@@ -1,6 +1,6 @@
 //! The encoding of the register's payload: round trips, the older format, size, and rejection of invalid bytes.
 
-use fleet_model::{CommittedVersion, ControlState, Lease, PayloadError};
+use fleet_model::{CommittedVersion, ControlState, Departure, Lease, PayloadError, Turnover};
 use googletest::prelude::*;
 
 /// A control state whose configuration has the given number of routes.
@@ -31,6 +31,17 @@
     expect_that!(ControlState::from_payload(&[]), ok(eq(&ControlState::default())));
 }
 
+#[gtest]
+fn a_turnover_survives_and_without_one_the_format_is_the_former_one() {
+    let mut state = state(3);
+    expect_that!(state.to_payload().unwrap().first(), some(eq(&2)));
+    let departure = Departure { machine: "s4".into(), replaced_by: Some("s9".into()) };
+    state.roster.turnover = Turnover { joined: vec!["s10".into()], departed: vec![departure] };
+    let payload = state.to_payload().unwrap();
+    expect_that!(payload.first(), some(eq(&3)));
+    expect_that!(ControlState::from_payload(&payload), ok(eq(&state)));
+}
+
 /// The state as programs that write the first format encode it.
 fn encode_v1(state: &ControlState) -> Vec<u8> {
     let ControlState { config, committed, leases, roster, .. } = state;
--- a/system/fleet-model/tests/recorded.rs
+++ b/system/fleet-model/tests/recorded.rs
@@ -48,6 +48,7 @@
             next: Some(vec![store("storage-3", 33)]),
             in_sync: vec![u64::MAX - 33, 7],
             retiring: vec!["storage-1".into(), "storage-0".into()],
+            turnover: Turnover::default(),
         },
         highest_pruned: 10,
         rejected: vec![RejectedConfig {
--- a/system/peer-wire/schema/peer.capnp
+++ b/system/peer-wire/schema/peer.capnp
@@ -66,6 +66,8 @@
   ip @1 :UInt32;
   zone @2 :Text;
   disk @3 :UInt64;
+  # When it joins: whether it was started with the fleet, for the fleet's first time.
+  founder @4 :Bool;
 }
 
 struct SocketAddress {
--- a/system/peer-wire/src/codec/call.rs
+++ b/system/peer-wire/src/codec/call.rs
@@ -9,13 +9,15 @@
 };
 use crate::peer_capnp as wire;
 use bytes::Bytes;
-use fleet_model::{Call, Reservation};
+use fleet_model::{Ballot, Call, ListVersion, Reservation, StorageNode};
 
 pub(super) fn write_call(mut builder: wire::call::Builder<'_>, call: &Call) {
     match call {
         Call::Register(request) => write_register_request(builder.init_register(), request),
         Call::JoinCore { ip } => builder.init_join_core().set_ip((*ip).into()),
-        Call::JoinStorage { store } => write_storage_node(builder.init_join_storage(), store),
+        Call::JoinStorage { store, is_founder } => {
+            write_joining_node(builder.init_join_storage(), store, *is_founder);
+        }
         Call::InSync { disk, epoch } => {
             let mut builder = builder.init_filled();
             builder.set_disk(*disk);
@@ -26,8 +28,7 @@
             builder.set_ip((*ip).into());
             builder.set_zone(zone);
             builder.set_urgent(*urgent);
-            write_ballot(builder.reborrow().init_value(), value);
-            write_list_version(builder.init_list(), *list);
+            write_feed_position(builder, value, *list);
         }
         Call::Reserve { epoch, program, reservation } => {
             let mut builder = builder.init_reserve();
@@ -54,9 +55,7 @@
             write_turn(builder.init_turn(), turn);
         }
         Call::ReadChain { epoch, attempt } => {
-            let mut builder = builder.init_read_chain();
-            builder.set_epoch(*epoch);
-            builder.set_attempt(attempt);
+            write_chain_read(builder.init_read_chain(), *epoch, attempt);
         }
         Call::Backfill { epoch, disk, cursor } => {
             let mut builder = builder.init_fill();
@@ -74,12 +73,30 @@
     }
 }
 
+fn write_feed_position(mut builder: wire::call::subscribe::Builder<'_>, value: &Ballot, list: ListVersion) {
+    write_ballot(builder.reborrow().init_value(), value);
+    write_list_version(builder.init_list(), list);
+}
+
+fn write_chain_read(mut builder: wire::call::read_chain::Builder<'_>, epoch: u64, attempt: &str) {
+    builder.set_epoch(epoch);
+    builder.set_attempt(attempt);
+}
+
+fn write_joining_node(mut builder: wire::store::Builder<'_>, store: &StorageNode, is_founder: bool) {
+    builder.set_founder(is_founder);
+    write_storage_node(builder, store);
+}
+
 pub(super) fn read_call(reader: wire::call::Reader<'_>) -> Result<Call, WireError> {
     use wire::call::Which;
     Ok(match reader.which()? {
         Which::Register(request) => Call::Register(read_register_request(request?)?),
         Which::JoinCore(reader) => Call::JoinCore { ip: reader.get_ip().into() },
-        Which::JoinStorage(store) => Call::JoinStorage { store: read_storage_node(store?)? },
+        Which::JoinStorage(store) => {
+            let reader = store?;
+            Call::JoinStorage { is_founder: reader.get_founder(), store: read_storage_node(reader)? }
+        }
         Which::Filled(reader) => Call::InSync { disk: reader.get_disk(), epoch: reader.get_epoch() },
         Which::Subscribe(reader) => Call::Subscribe {
             ip: reader.get_ip().into(),
--- a/system/peer-wire/src/peer_capnp.rs
+++ b/system/peer-wire/src/peer_capnp.rs
@@ -2660,6 +2660,10 @@
     pub fn get_disk(self) -> u64 {
       self.reader.get_data_field::<u64>(1)
     }
+    #[inline]
+    pub fn get_founder(self) -> bool {
+      self.reader.get_bool_field(32)
+    }
   }
 
   pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -2762,6 +2766,14 @@
     pub fn set_disk(&mut self, value: u64)  {
       self.builder.set_data_field::<u64>(1, value);
     }
+    #[inline]
+    pub fn get_founder(self) -> bool {
+      self.builder.get_bool_field(32)
+    }
+    #[inline]
+    pub fn set_founder(&mut self, value: bool)  {
+      self.builder.set_bool_field(32, value);
+    }
   }
 
   pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2773,7 +2785,7 @@
   impl Pipeline  {
   }
   mod _private {
-    pub static ENCODED_NODE: [::capnp::Word; 77] = [
+    pub static ENCODED_NODE: [::capnp::Word; 92] = [
       ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
       ::capnp::word(131, 240, 135, 222, 23, 194, 241, 187),
       ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
@@ -2783,42 +2795,49 @@
       ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
       ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+      ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
       ::capnp::word(110, 112, 58, 83, 116, 111, 114, 101),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-      ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+      ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+      ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(101, 0, 0, 0, 26, 0, 0, 0),
+      ::capnp::word(129, 0, 0, 0, 26, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+      ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+      ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(4, 0, 0, 0, 32, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(141, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
       ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2851,6 +2870,14 @@
       ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(102, 111, 117, 110, 100, 101, 114, 0),
+      ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ];
     pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
       match index {
@@ -2858,6 +2885,7 @@
         1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
         2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
         3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+        4 => <bool as ::capnp::introspect::Introspect>::introspect(),
         _ => ::capnp::introspect::panic_invalid_field_index(index),
       }
     }
@@ -2870,9 +2898,9 @@
       members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
       members_by_name: MEMBERS_BY_NAME,
     };
-    pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+    pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
     pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-    pub static MEMBERS_BY_NAME : &[u16] = &[3,1,0,2];
+    pub static MEMBERS_BY_NAME : &[u16] = &[3,4,1,0,2];
     pub const TYPE_ID: u64 = 0xbbf1_c217_de87_f083;
   }
 }
--- a/system/peer-wire/tests/samples/mod.rs
+++ b/system/peer-wire/tests/samples/mod.rs
@@ -62,7 +62,7 @@
         Call::Register(RegisterRequest::Poll { chosen: ballot(4) }),
         Call::Register(RegisterRequest::Fetch),
         Call::JoinCore { ip: ip(255) },
-        Call::JoinStorage { store },
+        Call::JoinStorage { store, is_founder: false },
         Call::InSync { disk: 1, epoch: 2 },
         Call::Subscribe {
             ip: ip(4),
--- a/system/programs/src/storage/placement.rs
+++ b/system/programs/src/storage/placement.rs
@@ -115,7 +115,8 @@
         let placement = || self.replica.with(|replica| Placement::of(replica, roster.clone()));
         let Some(before) = placement() else { return BUSY_POLL_INTERVAL_MS };
         if self.feed.confirmed_at().is_some() && before.must_join() {
-            self.call_core(Call::JoinStorage { store: before.me }).await;
+            let is_founder = self.process.settings().first_start;
+            self.call_core(Call::JoinStorage { store: before.me, is_founder }).await;
         }
         if let Some(backfill) = self.replica.with(|replica| replica.state.backfill()).flatten() {
             self.run_backfill(backfill).await;
--- a/testbed/src/system/scenario.rs
+++ b/testbed/src/system/scenario.rs
@@ -9,6 +9,8 @@
 
 /// First fault, after the register was founded.
 const BEGIN_MS: u64 = 5_000;
+/// The first set of storage nodes has just been formed.
+const FOUNDED_MS: u64 = 4_500;
 /// Duration of a control node's isolation.
 const ISOLATED_MS: u64 = 20_000;
 /// Number of changes of a case that are sent without a pause.
@@ -239,10 +241,29 @@
         cases.push(in_turn(tolerance, Class::Store));
         cases.push(in_turn(tolerance, Class::ControlNode));
         cases.push(one_name(tolerance));
+        cases.extend([false, true].map(|restarts| replaced_at_the_start(tolerance, restarts)));
     }
     cases
 }
 
+/// A planned replacement that begins right after the founding; once it counts as caught up, all lose power and others their
+/// disks. With `restarts` no control node remembers by itself that a machine joined.
+fn replaced_at_the_start(tolerance: usize, restarts: bool) -> Case {
+    let name = format!("replaced at the start, restarts {restarts}, {tolerance} may be lost");
+    let mut builder = CaseBuilder::new(name, 7, tolerance, 2 * tolerance + 2, 3);
+    let old = builder.store(0);
+    let new = builder.add_new_machine(Class::Store, None);
+    let disks: Vec<usize> = (1..=tolerance).map(|index| builder.store(index)).collect();
+    let ends_ms = 4_700;
+    let lost_at = FOUNDED_MS + ends_ms + CAUGHT_UP_MS;
+    builder.at(FOUNDED_MS, FaultKind::Replace { old, new, starts_ms: 0, ends_ms });
+    if restarts {
+        builder.at(FOUNDED_MS + ends_ms - 400, FaultKind::KillCore { back_ms: 300 });
+    }
+    builder.at(lost_at, FaultKind::All { power: true, disks, back_ms: 1_700 });
+    builder.until(lost_at + 2 * CAUGHT_UP_MS)
+}
+
 /// Whether a change of this kind has such a member.
 fn has_victim(change: SetChange, victim: Victim) -> bool {
     match victim {
--- a/testbed/src/system/schedule.rs
+++ b/testbed/src/system/schedule.rs
@@ -225,8 +225,6 @@
     /// Index of each control node, and until when a fault affects it.
     control_nodes: Vec<(usize, u64)>,
     stores: Vec<(usize, u64)>,
-    /// End of the current planned replacement, which a restarted control node would not know of.
-    planned_until: u64,
     faults_end: u64,
 }
 
@@ -242,7 +240,6 @@
             catch_up_ms: if tolerance == 2 { CATCH_UP_OF_TWO_MS } else { CATCH_UP_MS },
             control_nodes: Vec::new(),
             stores: Vec::new(),
-            planned_until: 0,
             faults_end: 0,
         };
         generator.generate();
@@ -485,9 +482,6 @@
                 self.stores.retain(|(number, _)| *number != machine);
                 let free = faults_end + self.catch_up_ms + if is_planned { 2_000 } else { 0 };
                 self.stores.push((new, free));
-                if is_planned {
-                    self.planned_until = self.planned_until.max(faults_end + self.catch_up_ms);
-                }
                 free
             }
             9 => {
@@ -562,12 +556,7 @@
 
     fn schedule_core_fault(&mut self, now: u64) -> u64 {
         let Some(machine) = self.pick_healthy(now, false) else { return now };
-        let kind = match self.below(16) {
-            // During a planned replacement no control node may lose its memory of it.
-            1 | 2 | 3 | 7 | 13 if now < self.planned_until => 0,
-            kind => kind,
-        };
-        match kind {
+        match self.below(16) {
             9 => self.isolate_core(now, machine),
             10 => self.schedule_short(now, machine, |for_ms| FaultKind::StallDisk { machine, for_ms }, 4_000),
             11 => {
@@ -589,7 +578,7 @@
             2 => {
                 self.schedule_short(now, machine, |back_ms| FaultKind::LosePower { machine, back_ms }, 4_000)
             }
-            3 | 4 if now >= self.planned_until => {
+            3 | 4 => {
                 self.schedule_short(now, machine, |back_ms| FaultKind::LoseDisk { machine, back_ms }, 4_000)
             }
             5 => match self.pick_healthy(now, false).filter(|other| *other != machine) {
--- a/testbed/src/system/storage_node.rs
+++ b/testbed/src/system/storage_node.rs
@@ -102,7 +102,8 @@
             let is_member = has(roster.next.as_ref().unwrap_or(&roster.current));
             let has_state = self.feed.confirmed_at().is_some();
             if has_state && !is_member && !roster.retiring.contains(&self.me.name) {
-                self.notify_control_nodes(Call::JoinStorage { store: self.me.clone() }).await;
+                let is_founder = self.host.machine.first;
+                self.notify_control_nodes(Call::JoinStorage { store: self.me.clone(), is_founder }).await;
             }
             let backfill = self.state.borrow().backfill();
             if let Some(backfill) = backfill {
