Play processor quotas that are spent in each tenth of a second

Change: the simulation throttles machines so; a scenario spent-quota runs 5, 20 or 50 of each 100 ms on the core, the storage machines, the edge or all of them, alone and with a cut of the core or a restart of everything. An order is given 450 ms at the proposer instead of 300, since with 5 of 100 ms a ballot takes 399 ms (99 of 100).

--- a/system/control-node/src/orders.rs
+++ b/system/control-node/src/orders.rs
@@ -18,7 +18,7 @@
 use tokio::sync::Notify;
 
 /// How long a forwarded order may take before it goes to another proposer.
-const FORWARD_TIMEOUT: Duration = Duration::from_millis(300);
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// An order that waits for its verdict.
 pub(crate) struct PendingOrder {
--- a/testbed/src/commands/system_simulation.rs
+++ b/testbed/src/commands/system_simulation.rs
@@ -151,6 +151,9 @@
          record {} bytes, payload {} bytes",
         measured.most_missed, measured.longest_set_change, measured.record_bytes, measured.payload_bytes
     );
+    if measured.changed_while_throttled != system::ThrottledChanges::default() {
+        println!("  while quotas were spent: {:?}", measured.changed_while_throttled);
+    }
     let milliseconds = |after: Option<u64>| after.map_or("never".to_owned(), |after| format!("{after} ms"));
     for isolated in &measured.isolated {
         println!(
--- a/testbed/src/system/history.rs
+++ b/testbed/src/system/history.rs
@@ -103,6 +103,11 @@
         /// Number of the endpoint list, by the platform's count.
         list: u64,
     },
+    /// A process gets another upstream of the state feed, or loses its only one.
+    UpstreamChanged {
+        /// The process.
+        node: usize,
+    },
     /// The platform's endpoint list changes.
     Platform {
         /// Its count.
--- a/testbed/src/system/measure.rs
+++ b/testbed/src/system/measure.rs
@@ -16,6 +16,33 @@
     pub longest_order: u64,
 }
 
+/// What changed since a processor quota was first spent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ThrottledChanges {
+    /// Leases acquired.
+    pub leases: usize,
+    /// Changes of the set of storage nodes.
+    pub rosters: usize,
+    /// Changes of a process's upstream of the state feed.
+    pub upstreams: usize,
+}
+
+impl ThrottledChanges {
+    fn of(history: &History) -> Self {
+        let is_throttle =
+            |(_, fact): &&(u64, Fact)| matches!(fact, Fact::Fault(what) if what.contains("Throttle"));
+        let Some(since) = history.iter().find(is_throttle).map(|(at, _)| *at) else { return Self::default() };
+        let count = |counts: fn(&Fact) -> bool| {
+            history.iter().filter(|(at, fact)| *at >= since && counts(fact)).count()
+        };
+        Self {
+            leases: count(|fact| matches!(fact, Fact::Holds { .. })),
+            rosters: count(|fact| matches!(fact, Fact::Roster { .. })),
+            upstreams: count(|fact| matches!(fact, Fact::UpstreamChanged { .. })),
+        }
+    }
+}
+
 /// Measurements of a run. Times are milliseconds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Measured {
@@ -31,6 +58,9 @@
     pub confirmed_again: usize,
     /// 99th percentile of the time from a change's first request to its first definite answer.
     pub order_p99: u64,
+    /// Leases acquired, members of the storage set changed and upstreams of the feed changed, each since a processor quota was
+    /// first spent.
+    pub changed_while_throttled: ThrottledChanges,
     /// Longest catch-up of a returned control node, and the number of versions that it had missed.
     pub catch_up: (u64, u64),
     /// Maximum number of versions that one had missed.
@@ -88,6 +118,7 @@
         measured.confirmed = confirmed.len();
         measured.confirmed_again = confirmed.values().sum::<usize>() - confirmed.len();
         measured.order_p99 = p99(&order_latencies(history, 0, u64::MAX));
+        measured.changed_while_throttled = ThrottledChanges::of(history);
         measured.isolated = isolated(history);
         measured
     }
--- a/testbed/src/system/mod.rs
+++ b/testbed/src/system/mod.rs
@@ -29,7 +29,7 @@
 };
 pub use check::{Broken, Rule, check};
 pub use history::{Disturbance, Fact, History, LookupResult, OrderAnswer};
-pub use measure::{Isolated, Measured};
+pub use measure::{Isolated, Measured, ThrottledChanges};
 pub use run::{SETTLED_MS, simulate};
 pub use scenario::{Case, CaseResult, SCENARIOS, Scenario, thousand_changes};
 pub use schedule::{
--- a/testbed/src/system/run.rs
+++ b/testbed/src/system/run.rs
@@ -24,6 +24,8 @@
 const FRESH: Duration = Duration::from_millis(2_000);
 /// Interval between two checks for newly committed changes.
 const CHECK_INTERVAL_MS: u64 = 50;
+/// A processor quota is granted anew in each period of this length.
+const QUOTA_PERIOD_MS: u64 = 100;
 const OPERATORS: usize = 2;
 const PROGRAMS: usize = 3;
 const BRANCHES: usize = 2;
@@ -215,11 +217,37 @@
         }
     }
 
+    /// Lets a machine's processes run for `run_ms` of each quota period, from the next one on.
+    fn throttle(self: &Rc<Self>, machine: usize, run_ms: u64, for_ms: u64) {
+        let until = self.cluster.elapsed_ms() + for_ms;
+        let run = self.clone();
+        self.spawn(async move {
+            while run.cluster.elapsed_ms() < until {
+                let into_period = run.cluster.elapsed_ms() % QUOTA_PERIOD_MS;
+                if into_period < run_ms {
+                    run.sleep_ms(run_ms - into_period).await;
+                    continue;
+                }
+                let frozen: Vec<_> = run
+                    .cluster
+                    .nodes_of(machine)
+                    .into_iter()
+                    .filter_map(|node| run.cluster.freeze(node))
+                    .collect();
+                run.sleep_ms(QUOTA_PERIOD_MS - into_period).await;
+                frozen.into_iter().for_each(|process| run.cluster.executor.thaw(process));
+            }
+        });
+    }
+
     fn inject(self: &Rc<Self>, fault: Fault) {
         self.cluster.record(Fact::Fault(fault.to_string()));
         let count = self.schedule.machines.len();
         match fault.kind {
             FaultKind::Freeze { machine, for_ms } => self.freeze(machine, for_ms),
+            FaultKind::Throttle { machines, run_ms, for_ms } => {
+                machines.into_iter().for_each(|machine| self.throttle(machine, run_ms, for_ms));
+            }
             FaultKind::Kill { machine, back_ms } => self.restart_machine(machine, false, false, back_ms),
             FaultKind::KillProxy { machine, back_ms } => {
                 let Some(proxy) = self.cluster.nodes_of(machine).pop() else { return };
--- a/testbed/src/system/runtime.rs
+++ b/testbed/src/system/runtime.rs
@@ -98,6 +98,9 @@
     }
 
     fn on_feed(&self, event: FeedEvent<'_>) {
+        if let FeedEvent::UpstreamChanged(_) = event {
+            self.record(Fact::UpstreamChanged { node: self.node });
+        }
         if let FeedEvent::Changed { value, state, list } = event
             && self.is_edge()
         {
--- a/testbed/src/system/schedule.rs
+++ b/testbed/src/system/schedule.rs
@@ -121,6 +121,9 @@
 pub enum FaultKind {
     /// Its processes are frozen.
     Freeze { machine: usize, for_ms: u64 },
+    /// The processor share of these machines is a quota, spent after `run_ms` of each tenth of a second: their processes are
+    /// silent for the rest of it.
+    Throttle { machines: Vec<usize>, run_ms: u64, for_ms: u64 },
     /// Its processes are killed and restarted.
     Kill { machine: usize, back_ms: u64 },
     /// The same for its proxy alone.
--- a/testbed/tests/system_scenarios.rs
+++ b/testbed/tests/system_scenarios.rs
@@ -1,7 +1,9 @@
 //! The named scenarios: no case breaks a rule, and the mutations of each scenario are detected.
 
 use googletest::prelude::*;
-use testbed::system::{Case, Measured, Mutation, Rule, Scenario, run_until_broken, thousand_changes};
+use testbed::system::{
+    Case, Measured, Mutation, Rule, Scenario, ThrottledChanges, run_until_broken, thousand_changes,
+};
 
 /// The rules that these cases break, each with its case.
 fn broken(cases: &[Case], mutation: Option<Mutation>) -> Vec<(String, Rule)> {
@@ -80,6 +82,18 @@
     expect_that!(figures.confirmed, ge(1_200));
 }
 
+#[gtest]
+fn spent_processor_quotas_change_no_lease_member_or_upstream() {
+    let cases = Scenario::SpentQuota.cases();
+    expect_that!(broken(&cases, None), is_empty());
+    // A cut and a restart change something by themselves.
+    for case in cases.iter().filter(|case| !case.name.contains("and a")) {
+        let figures = case.run(None).measured;
+        expect_that!(figures.changed_while_throttled, eq(ThrottledChanges::default()), "{}", case.name);
+        expect_that!(figures.order_p99, lt(1_000), "{}", case.name);
+    }
+}
+
 #[gtest]
 fn answers_without_a_majority_are_detected() {
     let rule = caught(Scenario::CutControlNode, Mutation::AnsweredAlone);
