--- a/system/controllers/tests/membership/leases_and_voters.rs
+++ b/system/controllers/tests/membership/leases_and_voters.rs
@@ -207,3 +207,32 @@
     expect_that!(voter_controller.voter_to_remove(now, &[A, B, D]), none());
     expect_that!(VoterController::without_voter(&[A, B, D], D), none());
 }
+
+#[gtest]
+fn a_former_holder_makes_no_change_under_its_token_however_many_are_queued() -> Result<()> {
+    // Given a holder that froze with ten changes queued, each conditional on its token,
+    let founded = held_by(4, C);
+    let mut holder = LeaseCandidate::new(ROLE, A);
+    let from = founded.leases[ROLE].clone();
+    let held = holder.acquire(&founded, &from).or_fail()?;
+    let token = holder.change_committed(&held, &from).or_fail()?;
+    let queued = |state: &ControlState| holds_lease(state, ROLE, A, token);
+    expect_that!(queued(&held), eq(true));
+    // and a successor that acquired the lease meanwhile.
+    let mut successor = LeaseCandidate::new(ROLE, B);
+    let taken_over = successor.acquire(&held, &held.leases[ROLE].clone()).or_fail()?;
+    expect_that!(successor.change_committed(&taken_over, &held.leases[ROLE].clone()), some(eq(token + 1)));
+    // When it wakes, then none of the ten is made, it holds nothing by what it now knows,
+    for _ in 0..10 {
+        expect_that!(queued(&taken_over), eq(false));
+    }
+    expect_that!(holder.held_token(&taken_over), none());
+    // and the token stays lost when it acquires the lease again: it goes on under another one.
+    let again = holder.acquire(&taken_over, &taken_over.leases[ROLE].clone()).or_fail()?;
+    let next = holder.change_committed(&again, &taken_over.leases[ROLE].clone());
+    expect_that!(next, some(eq(token + 2)));
+    expect_that!(queued(&again), eq(false));
+    // One that finds a higher token than it has read acquires nothing.
+    expect_that!(holder.acquire(&again, &held.leases[ROLE].clone()), none());
+    Ok(())
+}
