Play herds that go twice, in every role and together

Need: many processes may go at once by a kill or a loss of power. Change: a scenario herd-twice: all control nodes, storage machines, edge machines or all of these are killed or lose power, and again 50, 300 or 1,500 ms after they have been started again.

--- a/testbed/src/system/scenario.rs
+++ b/testbed/src/system/scenario.rs
@@ -35,6 +35,8 @@
     SecondLoss,
     /// Eight changes under way at all times, undisturbed or with the node that proposes them isolated.
     ProposerLost,
+    /// All machines of a class, or all of the fleet, are killed or lose power at once, and again while they recover.
+    HerdTwice,
     /// Processor quotas that are spent in each tenth of a second, on some machines or all, alone and with a cut or a restart.
     SpentQuota,
     /// Thousands of changes with restarts, wiped disks, a long cut and replaced voters among them.
@@ -42,11 +44,12 @@
 }
 
 /// All of them.
-pub const SCENARIOS: [Scenario; 6] = [
+pub const SCENARIOS: [Scenario; 7] = [
     Scenario::CutControlNode,
     Scenario::OrdersAgain,
     Scenario::SecondLoss,
     Scenario::ProposerLost,
+    Scenario::HerdTwice,
     Scenario::SpentQuota,
     Scenario::ThousandChanges,
 ];
@@ -88,6 +91,7 @@
             Self::OrdersAgain => orders_again(),
             Self::SecondLoss => second_loss(),
             Self::ProposerLost => proposer_lost(),
+            Self::HerdTwice => herd_twice(),
             Self::SpentQuota => spent_quota(),
             Self::ThousandChanges => vec![thousand_changes(1, 1_200), thousand_changes(2, 1_200)],
         }
@@ -101,7 +105,7 @@
             }
             Self::OrdersAgain => &[Mutation::TakenForgotten, Mutation::MajorityOfLiving],
             Self::SecondLoss => &[Mutation::NextCountsUnfilled, Mutation::CompletedEarly],
-            Self::ProposerLost | Self::SpentQuota => &[],
+            Self::ProposerLost | Self::HerdTwice | Self::SpentQuota => &[],
             Self::ThousandChanges => &[Mutation::RecordOutdated, Mutation::NoAmnesiaGuard],
         }
     }
@@ -406,6 +410,34 @@
     builder.until(BEGIN_MS + 3_000 + ISOLATED_MS + CAUGHT_UP_MS)
 }
 
+/// Machines that go at once, twice: the second time `GAPS_MS` after they have been started again.
+fn herd_twice() -> Vec<Case> {
+    const BACK_MS: u64 = 500;
+    const GAPS_MS: [u64; 3] = [50, 300, 1_500];
+    let herds = [&[Class::ControlNode][..], &[Class::Store], &[Class::Agent], &ALL_CLASSES];
+    let mut cases = Vec::new();
+    for (seed, gap_ms) in (1..).zip(GAPS_MS) {
+        for (classes, power) in herds.iter().flat_map(|classes| [(*classes, false), (*classes, true)]) {
+            let name = format!("{classes:?} twice, {gap_ms} ms after, power {power}");
+            let mut builder = CaseBuilder::new(name, seed, 2, 5, 6);
+            builder.at(BEGIN_MS, FaultKind::Burst { orders: 30 });
+            let machines: Vec<usize> =
+                classes.iter().flat_map(|class| builder.schedule.machines_of(*class)).collect();
+            for at_ms in [BEGIN_MS + 500, BEGIN_MS + 500 + BACK_MS + gap_ms] {
+                for machine in machines.iter().copied() {
+                    let kind = match power {
+                        true => FaultKind::LosePower { machine, back_ms: BACK_MS },
+                        false => FaultKind::Kill { machine, back_ms: BACK_MS },
+                    };
+                    builder.at(at_ms, kind);
+                }
+            }
+            cases.push(builder.until(BEGIN_MS + 500 + 2 * BACK_MS + gap_ms + 2 * CAUGHT_UP_MS));
+        }
+    }
+    cases
+}
+
 /// Machines whose quota is spent for ten seconds. Alone, it has to change nothing; with a cut of the core or a restart of
 /// everything, the rules hold.
 fn spent_quota() -> Vec<Case> {
--- a/testbed/tests/system_scenarios.rs
+++ b/testbed/tests/system_scenarios.rs
@@ -82,6 +82,11 @@
     expect_that!(figures.confirmed, ge(1_200));
 }
 
+#[gtest]
+fn many_processes_that_go_at_once_and_again_in_their_recovery_break_no_rule() {
+    expect_that!(broken(&Scenario::HerdTwice.cases(), None), is_empty());
+}
+
 #[gtest]
 fn spent_processor_quotas_change_no_lease_member_or_upstream() {
     let cases = Scenario::SpentQuota.cases();
