--- a/system/turn-store/src/disk/tests.rs
+++ b/system/turn-store/src/disk/tests.rs
@@ -10,7 +10,9 @@
 use std::path::{Path, PathBuf};
 
 mod damaged_records;
+
 mod data_directory;
+mod file_size_limit;
 mod journal_recovery;
 mod recorded;
 
