Encode the turnover so that programs that do not know it read the state

Cause: a state with a turnover had a payload format of its own. A fleet half of the former build stopped as soon as a storage machine of that build, which does not say that it founds the fleet, joined late: its nodes could read no state for 30 s. Change: the turnover follows the state in the same format; programs that do not know it ignore what follows. Result: a test decodes such a payload as the former build does.

--- a/system/fleet-model/src/payload.rs
+++ b/system/fleet-model/src/payload.rs
@@ -1,11 +1,10 @@
 //! The encoding of a [`ControlState`] on disk and on the wire: a format byte, the uncompressed length, and postcard bytes
 //! compressed with LZ4.
 
+use crate::Roster;
 use crate::control_state::{CommittedVersion, ControlState, Lease};
-use crate::{Roster, Turnover};
 use bytes::Bytes;
 use serde::Deserialize;
-use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
 
 /// Why a payload could not be encoded or decoded.
@@ -28,13 +27,9 @@
 /// Maximum uncompressed size in bytes of a control state; operators' configurations are far smaller.
 const MAX_STATE_BYTES: usize = 32 << 20;
 
-/// The current format of a state with a turnover of storage machines: the state as in [`FORMAT_WITHOUT_TURNOVER`], followed by
-/// the turnover.
-const FORMAT_WITH_TURNOVER: u8 = 3;
-
-/// The current format of any other state: a [`ControlState`] encoded by postcard, compressed with LZ4, after its length. Configurations are
+/// The current format: a [`ControlState`] encoded by postcard, compressed with LZ4, after its length. Configurations are
 /// repetitive, and a payload is sent to every voter twice and to every sender once.
-const FORMAT_WITHOUT_TURNOVER: u8 = 2;
+const FORMAT_CURRENT: u8 = 2;
 
 /// The first format, compressed in the same way, without pruned and rejected versions. It is read but no longer written.
 const FORMAT_V1: u8 = 1;
@@ -67,12 +62,13 @@
     /// [`PayloadError::Decoding`] if postcard cannot serialize the state.
     pub fn to_payload(&self) -> Result<Bytes, PayloadError> {
         let turnover = &self.roster.turnover;
-        let (format, plain) = match turnover.is_empty() {
-            true => (FORMAT_WITHOUT_TURNOVER, postcard::to_allocvec(self)),
-            false => (FORMAT_WITH_TURNOVER, postcard::to_allocvec(&(self, turnover))),
+        let plain = match turnover.is_empty() {
+            true => postcard::to_allocvec(self),
+            // Programs that do not know the turnover ignore what follows the state.
+            false => postcard::to_allocvec(&(self, turnover)),
         };
         let plain = plain.map_err(PayloadError::Decoding)?;
-        let mut payload = vec![format];
+        let mut payload = vec![FORMAT_CURRENT];
         payload.extend(lz4_flex::block::compress_prepend_size(&plain));
         Ok(payload.into())
     }
@@ -85,24 +81,29 @@
     pub fn from_payload(payload: &[u8]) -> Result<Self, PayloadError> {
         match payload {
             [] => Ok(Self::default()),
-            [FORMAT_WITH_TURNOVER, compressed @ ..] => {
-                let (mut state, turnover): (Self, Turnover) = decompress(compressed)?;
-                state.roster.turnover = turnover;
+            [FORMAT_CURRENT, compressed @ ..] => {
+                let plain = decompress(compressed)?;
+                let (mut state, rest) =
+                    postcard::take_from_bytes::<Self>(&plain).map_err(PayloadError::Decoding)?;
+                if !rest.is_empty() {
+                    state.roster.turnover = postcard::from_bytes(rest).map_err(PayloadError::Decoding)?;
+                }
                 Ok(state)
             }
-            [FORMAT_WITHOUT_TURNOVER, compressed @ ..] => decompress(compressed),
-            [FORMAT_V1, compressed @ ..] => decompress::<ControlStateV1>(compressed).map(Self::from),
+            [FORMAT_V1, compressed @ ..] => {
+                let state = postcard::from_bytes::<ControlStateV1>(&decompress(compressed)?);
+                state.map(Self::from).map_err(PayloadError::Decoding)
+            }
             [format, ..] => Err(PayloadError::UnknownFormat(*format)),
         }
     }
 }
 
-fn decompress<T: DeserializeOwned>(compressed: &[u8]) -> Result<T, PayloadError> {
+fn decompress(compressed: &[u8]) -> Result<Vec<u8>, PayloadError> {
     let failed = |error: lz4_flex::block::DecompressError| PayloadError::Decompression(error.to_string());
     let (length, block) = lz4_flex::block::uncompressed_size(compressed).map_err(failed)?;
     if length > MAX_STATE_BYTES {
         return Err(PayloadError::TooLong(length));
     }
-    let plain = lz4_flex::block::decompress(block, length).map_err(failed)?;
-    postcard::from_bytes(&plain).map_err(PayloadError::Decoding)
+    lz4_flex::block::decompress(block, length).map_err(failed)
 }
--- a/system/fleet-model/tests/payload.rs
+++ b/system/fleet-model/tests/payload.rs
@@ -32,14 +32,17 @@
 }
 
 #[gtest]
-fn a_turnover_survives_and_without_one_the_format_is_the_former_one() {
-    let mut state = state(3);
-    expect_that!(state.to_payload().unwrap().first(), some(eq(&2)));
+fn a_turnover_survives_and_is_ignored_by_programs_that_do_not_know_it() {
+    let before = state(3);
+    let mut state = before.clone();
     let departure = Departure { machine: "s4".into(), replaced_by: Some("s9".into()) };
     state.roster.turnover = Turnover { joined: vec!["s10".into()], departed: vec![departure] };
     let payload = state.to_payload().unwrap();
-    expect_that!(payload.first(), some(eq(&3)));
+    expect_that!(payload.first(), some(eq(&2)));
     expect_that!(ControlState::from_payload(&payload), ok(eq(&state)));
+    // As programs that do not know it decode the payload.
+    let plain = lz4_flex::block::decompress_size_prepended(&payload[1..]).unwrap();
+    expect_that!(postcard::from_bytes::<ControlState>(&plain), ok(eq(&before)));
 }
 
 /// The state as programs that write the first format encode it.
