Complete a leave whose sender ended in the middle of it

Cause: a sender leaves in two steps, first that it is leaving, then that it is gone, and has 1.5 s for both before its process ends. Where only the first was agreed on by then, nobody asked for the second: it stayed a member, leaving and lost, for good. Change: the leader of the voters has the group agree on the departure of a member that is leaving and does not answer.

--- a/sender-membership/src/node/voting.rs
+++ b/sender-membership/src/node/voting.rs
@@ -259,6 +259,18 @@
         }
     }
 
+    /// Has the group agree that those are gone who were leaving and do not answer any more: they ended before they could ask
+    /// for that themselves, and nobody else would.
+    fn complete_leaves(&mut self) {
+        let Some(member_list) = &self.member_list else { return };
+        let is_gone = |folder: &u64| self.failure_detector.health_of(*folder) == Some(Health::Lost);
+        let leaving = member_list.members.iter().filter(|(folder, member)| member.leaving && is_gone(folder));
+        let gone: Vec<u64> = leaving.map(|(folder, _)| *folder).collect();
+        for folder in gone {
+            self.propose_to_voters(&Change::Departure { folder, why: Departure::Left });
+        }
+    }
+
     pub(super) fn check_group(&mut self, now: Millis) {
         if now < self.settled_at + GROUP_CHANGE_DELAY || !self.voter.as_ref().is_some_and(Voter::leads) {
             return;
@@ -273,6 +285,7 @@
                 voter.propose(Change::Departure { folder, why: Departure::Removed });
             }
         }
+        self.complete_leaves();
         let Some(wanted) = self.wanted_group(now) else { return };
         let Some(member_list) = &self.member_list else { return };
         let differs = wanted.iter().any(|folder| !member_list.voters.contains(folder))
