--- a/testbed/src/system/run.rs
+++ b/testbed/src/system/run.rs
@@ -1,31 +1,28 @@
 //! One simulation run: the machines start, clients and operators send requests, faults are injected by the schedule, and after
 //! the last fault the system has to converge.
 
+mod convergence;
+mod faults;
+
 use super::Mutation;
 use super::cluster::{Cluster, Host};
 use super::control::{ControlNodes, SimulatedControlNode};
 use super::disk::{ACCEPTOR_RECORD, ACCEPTOR_SPACE};
 use super::edge::{MAX_TURN_TOKENS, Proxy, TurnEnd, TurnRequest, start_agent};
-use super::history::{Disturbance, Fact, History, LookupResult};
+use super::history::{Fact, History};
 use super::operators::Operators;
 use super::runtime::Feed;
-use super::schedule::{Class, Fault, FaultKind, Isolation, LAST_FAULT_DELAY_MS, Schedule, Target};
+use super::schedule::{Class, Schedule};
 use super::storage_node::SimulatedStorageNode;
-use fleet_model::Ballot;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// Time limit for convergence after the last fault, in milliseconds.
 pub const SETTLED_MS: u64 = 20_000;
-/// Maximum age of a process's feed state after convergence.
-const FRESH: Duration = Duration::from_millis(2_000);
 /// Interval between two checks for newly committed changes.
 const CHECK_INTERVAL_MS: u64 = 50;
-/// A processor quota is granted anew in each period of this length.
-const QUOTA_PERIOD_MS: u64 = 100;
 const OPERATORS: usize = 2;
 const PROGRAMS: usize = 3;
 const BRANCHES: usize = 2;
@@ -187,138 +184,6 @@
         self.end(machine, true);
     }
 
-    fn record_disturbance(&self, machine: usize, for_ms: u64) {
-        let until = self.cluster.elapsed_ms() + for_ms;
-        self.cluster.record(Fact::Disturbed { machine, how: Disturbance::Lost, until });
-    }
-
-    /// Stops a machine's processes and restarts them after `back_ms`.
-    pub(super) fn restart_machine(self: &Rc<Self>, machine: usize, power: bool, wiped: bool, back_ms: u64) {
-        self.record_disturbance(machine, back_ms);
-        self.end(machine, power);
-        if wiped {
-            self.cluster.nodes_of(machine).into_iter().for_each(|node| self.cluster.wipe(node));
-        }
-        self.run_after(back_ms, move |run| run.start_and_watch(machine));
-    }
-
-    /// Starts a machine, again or for the first time, and measures its catch-up.
-    fn start_and_watch(self: &Rc<Self>, machine: usize) {
-        self.start(machine);
-        self.watch_return(machine);
-    }
-
-    fn freeze(self: &Rc<Self>, machine: usize, for_ms: u64) {
-        self.record_disturbance(machine, for_ms);
-        for node in self.cluster.nodes_of(machine) {
-            if let Some(process) = self.cluster.freeze(node) {
-                self.run_after(for_ms, move |run| run.cluster.executor.thaw(process));
-            }
-        }
-    }
-
-    /// Lets a machine's processes run for `run_ms` of each quota period, from the next one on.
-    fn throttle(self: &Rc<Self>, machine: usize, run_ms: u64, for_ms: u64) {
-        let until = self.cluster.elapsed_ms() + for_ms;
-        let run = self.clone();
-        self.spawn(async move {
-            while run.cluster.elapsed_ms() < until {
-                let into_period = run.cluster.elapsed_ms() % QUOTA_PERIOD_MS;
-                if into_period < run_ms {
-                    run.sleep_ms(run_ms - into_period).await;
-                    continue;
-                }
-                let frozen: Vec<_> = run
-                    .cluster
-                    .nodes_of(machine)
-                    .into_iter()
-                    .filter_map(|node| run.cluster.freeze(node))
-                    .collect();
-                run.sleep_ms(QUOTA_PERIOD_MS - into_period).await;
-                frozen.into_iter().for_each(|process| run.cluster.executor.thaw(process));
-            }
-        });
-    }
-
-    fn inject(self: &Rc<Self>, fault: Fault) {
-        self.cluster.record(Fact::Fault(fault.to_string()));
-        let count = self.schedule.machines.len();
-        match fault.kind {
-            FaultKind::Freeze { machine, for_ms } => self.freeze(machine, for_ms),
-            FaultKind::Throttle { machines, run_ms, for_ms } => {
-                machines.into_iter().for_each(|machine| self.throttle(machine, run_ms, for_ms));
-            }
-            FaultKind::Kill { machine, back_ms } => self.restart_machine(machine, false, false, back_ms),
-            FaultKind::KillProxy { machine, back_ms } => {
-                let Some(proxy) = self.cluster.nodes_of(machine).pop() else { return };
-                self.record_disturbance(machine, back_ms);
-                self.end_process(proxy, false);
-                self.run_after(back_ms, move |run| run.start(machine));
-            }
-            FaultKind::LosePower { machine, back_ms } => self.restart_machine(machine, true, false, back_ms),
-            FaultKind::Damage { machine, back_ms } => {
-                self.restart_machine(machine, true, false, back_ms);
-                for node in self.cluster.nodes_of(machine) {
-                    self.cluster.disk_of(node).damage(self.cluster.random_below(1 << 20));
-                }
-            }
-            FaultKind::LoseDisk { machine, back_ms } => self.restart_machine(machine, true, true, back_ms),
-            FaultKind::Cut { from, to, for_ms } => self.cluster.cut(from, to, for_ms),
-            FaultKind::CutOff { machine, for_ms } => {
-                for other in (0..count).filter(|other| *other != machine) {
-                    self.cluster.cut(machine, other, for_ms);
-                    self.cluster.cut(other, machine, for_ms);
-                }
-            }
-            FaultKind::Mislead { machine, for_ms } => {
-                let speaks = |other: &usize| self.schedule.machines[*other].class != Class::Store;
-                for other in (0..count).filter(|other| *other != machine).filter(speaks) {
-                    self.cluster.cut(other, machine, for_ms);
-                }
-            }
-            FaultKind::LoseMessages { of_thousand, for_ms } => {
-                self.cluster.lose_messages(for_ms, of_thousand)
-            }
-            FaultKind::Replace { old, new, starts_ms, ends_ms } => {
-                self.run_after(starts_ms, move |run| run.start_and_watch(new));
-                self.run_after(ends_ms, move |run| run.remove_machine(old));
-            }
-            FaultKind::Add { machine } => self.start_and_watch(machine),
-            FaultKind::Retire { machine } => {
-                self.retired.borrow_mut().push(machine);
-                let run = self.clone();
-                self.spawn(async move { run.retire(machine).await });
-            }
-            FaultKind::Isolate { target, how, for_ms } => self.isolate(target, how, for_ms),
-            FaultKind::LoseAnswers { of_thousand, for_ms } => self.cluster.lose_answers(for_ms, of_thousand),
-            FaultKind::StallDisk { machine, for_ms } => self.disturb_disk(machine, false, for_ms),
-            FaultKind::RefuseWrites { machine, for_ms } => self.disturb_disk(machine, true, for_ms),
-            FaultKind::RefuseSync { machine } => {
-                let nodes = self.cluster.nodes_of(machine);
-                nodes.into_iter().for_each(|node| self.cluster.disk_of(node).refuse_sync());
-            }
-            FaultKind::Burst { orders } => self.spawn(self.clone().burst(orders)),
-            FaultKind::KillCore { back_ms } => {
-                for machine in self.machines_of(Class::ControlNode) {
-                    if self.is_up(machine) {
-                        self.restart_machine(machine, false, false, back_ms + self.cluster.random_below(300));
-                    }
-                }
-            }
-            FaultKind::LossAtStep { step, victim, wiped, back_ms } => {
-                self.spawn(self.clone().lose_at(step, victim, wiped, back_ms));
-            }
-            FaultKind::RetireThenWipe { machine, wiped, back_ms } => {
-                self.retired.borrow_mut().push(machine);
-                self.spawn(self.clone().retire_then_wipe(machine, wiped, back_ms));
-            }
-            FaultKind::All { power, disks, back_ms } => {
-                *self.last_fault.borrow_mut() = Some((power, disks, back_ms));
-                self.run_after(LAST_FAULT_DELAY_MS, |run| run.inject_last_fault());
-            }
-        }
-    }
-
     fn is_up(&self, machine: usize) -> bool {
         self.cluster.nodes_of(machine).into_iter().any(|node| self.cluster.is_up(node))
     }
@@ -333,46 +198,6 @@
         self.cluster.executor.spawn(self.cluster.driver, work);
     }
 
-    /// Isolates a machine. If it is a control node, operators send it changes meanwhile, and one at the moment of its return.
-    fn isolate(self: &Rc<Self>, target: Target, how: Isolation, for_ms: u64) {
-        let machine = match target {
-            Target::Machine(machine) => Some(machine),
-            Target::LeaseHolder => self.lease_holder(),
-        };
-        let Some(machine) = machine else { return };
-        self.cluster.record(Fact::Isolated { machine, until: self.cluster.elapsed_ms() + for_ms });
-        self.run_after(for_ms, move |run| run.watch_return(machine));
-        let everybody: Vec<usize> = (0..self.schedule.machines.len()).collect();
-        let core = self.machines_of(Class::ControlNode);
-        match how {
-            Isolation::Cut => self.cut_paths(machine, &everybody, true, true, for_ms),
-            Isolation::CutIncoming => self.cut_paths(machine, &everybody, true, false, for_ms),
-            Isolation::CutOutgoing => self.cut_paths(machine, &everybody, false, true, for_ms),
-            Isolation::PeersCut => self.cut_paths(machine, &core, true, true, for_ms),
-            Isolation::PeersCutIncoming => self.cut_paths(machine, &core, true, false, for_ms),
-            Isolation::PeersCutOutgoing => self.cut_paths(machine, &core, false, true, for_ms),
-            Isolation::Frozen => self.freeze(machine, for_ms),
-            Isolation::Slow => self.cluster.slow_down(machine, for_ms),
-        }
-        if self.schedule.machines[machine].class == Class::ControlNode {
-            for node in self.cluster.nodes_of(machine) {
-                self.spawn(self.clone().send_during_isolation(node, for_ms));
-                self.spawn(self.clone().send_on_return(node, for_ms));
-            }
-        }
-    }
-
-    fn cut_paths(&self, machine: usize, others: &[usize], incoming: bool, outgoing: bool, for_ms: u64) {
-        for other in others.iter().filter(|other| **other != machine) {
-            if incoming {
-                self.cluster.cut(*other, machine, for_ms);
-            }
-            if outgoing {
-                self.cluster.cut(machine, *other, for_ms);
-            }
-        }
-    }
-
     /// The machine whose process holds the lease of the singleton task.
     fn lease_holder(&self) -> Option<usize> {
         let control_nodes = self.control_nodes.borrow();
@@ -392,19 +217,6 @@
         });
     }
 
-    /// Injects the last fault unless that has already happened.
-    pub(super) fn inject_last_fault(self: &Rc<Self>) {
-        let Some((power, disks, back_ms)) = self.last_fault.borrow_mut().take() else { return };
-        self.cluster.record(Fact::Fault("all go down".to_owned()));
-        for machine in 0..self.schedule.machines.len() {
-            if self.is_up(machine) {
-                let delay_ms = back_ms + self.cluster.random_below(300);
-                let wiped = disks.contains(&machine);
-                self.restart_machine(machine, power || wiped, wiped, delay_ms);
-            }
-        }
-    }
-
     // Clients.
 
     pub(super) fn pick<T: Clone>(&self, all: &RefCell<BTreeMap<usize, T>>) -> Option<T> {
@@ -474,117 +286,4 @@
     }
 
     // Convergence.
-
-    /// Waits until all conditions are met and all completed turns can be looked up.
-    fn settle(self: &Rc<Self>) -> Fact {
-        let started_at = self.cluster.elapsed_ms();
-        loop {
-            self.cluster.run_ms(200);
-            let after = self.cluster.elapsed_ms() - started_at;
-            let mut unmet = self.unmet_conditions();
-            if unmet.is_empty() {
-                unmet.extend(self.missing_turns());
-            }
-            if unmet.is_empty() || after >= SETTLED_MS {
-                return Fact::Settled { after, unmet };
-            }
-        }
-    }
-
-    /// Looks up each completed turn and reports how many were not found.
-    fn missing_turns(self: &Rc<Self>) -> Option<String> {
-        let missing = Rc::new(Cell::new(0));
-        let attempts = self.completed_turns.borrow().clone();
-        missing.set(attempts.len());
-        for attempt in attempts {
-            let (run, missing) = (self.clone(), missing.clone());
-            self.cluster.executor.spawn(self.cluster.driver, async move {
-                let Some(proxy) = run.pick(&run.proxies) else { return };
-                let host = proxy.host().clone();
-                let result =
-                    run.call_process(&host, 2_000, async move { proxy.look_up(&attempt).await }).await;
-                if !matches!(result, None | Some(LookupResult::Unavailable)) {
-                    missing.set(missing.get() - 1);
-                }
-            });
-        }
-        for _ in 0..22 {
-            if missing.get() > 0 {
-                self.cluster.run_ms(100);
-            }
-        }
-        (missing.get() > 0).then(|| format!("{} turns are not to be had", missing.get()))
-    }
-
-    /// The convergence conditions that are not met.
-    fn unmet_conditions(&self) -> Vec<String> {
-        let mut unmet = Vec::new();
-        let control_nodes = self.control_nodes.borrow();
-        let newest = control_nodes
-            .values()
-            .map(|control_node| control_node.feed.value())
-            .max_by_key(|value| value.ballot);
-        let Some(newest) = newest else { return vec!["no keeper runs".to_owned()] };
-        let state = control_nodes
-            .values()
-            .map(|control_node| control_node.feed.state())
-            .max_by_key(|state| state.version());
-        let mut behind = |what: String, feed: &Feed| {
-            if feed.value().ballot < newest.ballot || newest.ballot == Ballot::default() {
-                unmet.push(format!("{what} goes by an older value"));
-            } else if feed.age().is_none_or(|age| age > FRESH) {
-                unmet.push(format!("{what} has heard nothing of late"));
-            }
-        };
-        for (node, control_node) in &*control_nodes {
-            behind(format!("keeper {node}"), &control_node.feed);
-        }
-        for (node, store) in &*self.stores.borrow() {
-            behind(format!("store {node}"), &store.feed);
-        }
-        for (node, (_, feed)) in &*self.agents.borrow() {
-            behind(format!("agent {node}"), feed);
-        }
-        for (node, proxy) in &*self.proxies.borrow() {
-            behind(format!("proxy {node}"), &proxy.feed);
-        }
-        for (node, control_node) in &*control_nodes {
-            if !control_node.can_vote() || !newest.voters.contains(&self.cluster.machine_of(*node).ip) {
-                unmet.push(format!("keeper {node} does not vote"));
-            }
-        }
-        if !control_nodes.values().any(|control_node| control_node.discovery_token().is_some()) {
-            unmet.push("nobody holds the duty".to_owned());
-        }
-        if !self.acknowledged.get() {
-            unmet.push("no configuration was acknowledged".to_owned());
-        }
-        if let Some(state) = state {
-            unmet.extend(self.unmet_roster_condition(&state.roster));
-        }
-        unmet
-    }
-
-    fn unmet_roster_condition(&self, roster: &fleet_model::Roster) -> Option<String> {
-        let min_members = 2 * self.cluster.tolerance + 1;
-        if roster.next.is_some() {
-            return Some("a change of the roster is under way".to_owned());
-        }
-        let retired = |name: &String| roster.retiring.contains(name);
-        let live: Vec<u64> = self
-            .stores
-            .borrow()
-            .values()
-            .filter(|store| !retired(&store.me.name))
-            .map(|store| store.me.disk)
-            .collect();
-        let current: Vec<u64> = roster.current.iter().map(|store| store.disk).collect();
-        if !live.iter().all(|disk| current.contains(disk)) {
-            return Some(format!("live {live:?} are not all in {current:?}"));
-        }
-        if live.len() != current.len() && current.len() != min_members {
-            return Some(format!("{current:?} count, and only {live:?} live"));
-        }
-        roster.current.iter().any(|store| retired(&store.name)).then(|| "a retired machine counts".to_owned())
-    }
 }
