--- a/system/control-node/src/lib.rs
+++ b/system/control-node/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`ControlBackend`]. The program in service and the simulation run the same code. Nothing here does I/O, reads a clock or
 //! draws random numbers by itself. The page is `docs/control-safety.md`.
 
+mod coordination;
 mod durable_acceptor;
 mod endpoint_discovery;
 mod event;
@@ -19,6 +20,7 @@
 mod recovery;
 mod replica;
 
+pub use coordination::{ApplicationReply, ApplicationRequest};
 pub use durable_acceptor::{
     DiskState, DurableAcceptor, PendingReply, PendingWrite, WriteNumber, WriteOutcome,
 };
@@ -29,6 +31,8 @@
 use config_register::AcceptorRecord;
 use controllers::LeaseCandidate;
 use fleet_model::{ControlState, Endpoint, Lease};
+use replicated_log::JournalWrite;
+use std::time::Duration;
 
 /// The singleton task whose lease holder reads the platform's endpoint list and removes unresponsive nodes. The name is stored in
 /// the register.
@@ -58,6 +62,17 @@
     /// If the disk refused the write.
     async fn persist(&self, record: &AcceptorRecord) -> Result<(), PersistError>;
 
+    /// Writes to the journal of the coordination service's replica; the write is synced when this returns. Calls do not overlap.
+    /// After an error the next write is a checkpoint.
+    ///
+    /// # Errors
+    ///
+    /// If the disk refused the write.
+    async fn write_journal(&self, write: JournalWrite) -> Result<(), PersistError>;
+
+    /// For how long events of watched keys are retained, from the settings.
+    fn history(&self) -> Duration;
+
     /// Whether the settings name a platform from which to read endpoints.
     fn discovers_endpoints(&self) -> bool;
 
--- a/system/control-node/src/node.rs
+++ b/system/control-node/src/node.rs
@@ -9,6 +9,7 @@
     AcceptedValue, Answer, Ballot, Call, ChosenValue, RegisterReply, RegisterRequest, RegisterValue,
 };
 use node_runtime::{Feed, MAX_STATE_AGE, Runtime, run_heartbeats, timeout};
+use replicated_log::RecoveredJournal;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
@@ -99,14 +100,17 @@
 }
 
 impl<R: Runtime, B: ControlBackend> ControlNode<R, B> {
-    /// Creates a node; it is inactive until [`ControlNode::run`]. `ballots` must be new in this incarnation of the process.
+    /// Creates a node; it is inactive until [`ControlNode::run`]. `ballots` must be new in this incarnation of the process;
+    /// `journal` is that of the coordination service's replica.
     pub fn new(
         runtime: R,
         backend: B,
         feed: Rc<Feed<R>>,
         mut ballots: BallotSource,
         initial_state: InitialState,
+        journal: RecoveredJournal,
     ) -> Rc<Self> {
+        let _ = journal;
         let (me, backend) = (runtime.ip(), Rc::new(backend));
         let record = initial_state.record().cloned();
         let known = record.as_ref().and_then(|record| record.chosen_voters.clone());
--- a/system/control-node/tests/cluster/in_memory_cluster.rs
+++ b/system/control-node/tests/cluster/in_memory_cluster.rs
@@ -6,6 +6,7 @@
 };
 use fleet_model::{Answer, Call, Endpoint, Push, RegisterReply, RegisterRequest};
 use node_runtime::{Feed, FeedEvent, Runtime, Subscriber, Task, Upstream};
+use replicated_log::{JournalWrite, RecoveredJournal};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -74,7 +75,8 @@
         let machine = Machine { host: host.clone(), disk: self.disk(ip) };
         let feed = Feed::new(host.clone());
         let ballots = BallotSource::new(ip, u64::from(u32::from(ip)));
-        let node = ControlNode::new(host, machine, feed, ballots, InitialState::never_voted(ip, &seeds()));
+        let initial_state = InitialState::never_voted(ip, &seeds());
+        let node = ControlNode::new(host, machine, feed, ballots, initial_state, RecoveredJournal::Empty);
         self.nodes.borrow_mut().insert(ip, node.clone());
         node.run();
     }
@@ -284,6 +286,14 @@
         Ok(())
     }
 
+    async fn write_journal(&self, _: JournalWrite) -> Result<(), PersistError> {
+        Err(PersistError("there is no journal".to_owned()))
+    }
+
+    fn history(&self) -> Duration {
+        Duration::from_secs(20)
+    }
+
     fn discovers_endpoints(&self) -> bool {
         false
     }
--- a/system/fleet-model/src/lib.rs
+++ b/system/fleet-model/src/lib.rs
@@ -5,6 +5,7 @@
 //! `config-register` and `turn-store` store the records.
 
 mod control_state;
+mod coordination;
 mod endpoints;
 mod message;
 mod order;
@@ -15,6 +16,11 @@
 mod roster;
 
 pub use control_state::{CommittedVersion, ControlState, Lease, RejectedConfig};
+pub use coordination::{
+    AcceptedEntry, CommitPosition, CoordinationAnswer, CoordinationBatch, CoordinationCall,
+    CoordinationCommand, CoordinationOutcome, CoordinationQuery, CoordinationReading, KeyRevision, LogEntry,
+    LogLeader, LogMember, LogReply, LogRequest, LogSnapshot, ReplicaId, SlotEntry,
+};
 pub use endpoints::{Endpoint, EndpointList, EndpointState, ListVersion};
 pub use message::{Answer, Call, Frame, Push};
 pub use order::{ConfigVerdict, Order, OrderVerdict, RetireVerdict};
--- a/system/fleet-model/src/message.rs
+++ b/system/fleet-model/src/message.rs
@@ -1,8 +1,8 @@
 //! Messages between processes of the fleet: calls with their answers, and pushes of the state feed.
 
 use crate::{
-    Ballot, ChosenValue, Endpoint, EndpointList, ListVersion, Order, OrderVerdict, RegisterReply,
-    RegisterRequest, Reservation, StorageNode, Turn,
+    Ballot, ChosenValue, CoordinationAnswer, CoordinationCall, Endpoint, EndpointList, ListVersion, Order,
+    OrderVerdict, RegisterReply, RegisterRequest, Reservation, StorageNode, Turn,
 };
 use bytes::Bytes;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -101,6 +101,8 @@
     },
     /// A control node forwards an operator's order to the one that proposes.
     Order(Order),
+    /// To the coordination service of a control node.
+    Coordination(CoordinationCall),
     /// An operator requests the process's own view of a topic, as JSON.
     Inspect {
         /// The topic: `members`, `config`, `endpoints`, `turns`, `figures` or another one that the program serves.
@@ -146,6 +148,8 @@
     },
     /// The verdict on an order, in answer to [`Call::Order`].
     Verdict(OrderVerdict),
+    /// The answer to [`Call::Coordination`].
+    Coordination(CoordinationAnswer),
     /// A view for operators, as JSON.
     View(String),
 }
--- a/system/peer-wire/schema/peer.capnp
+++ b/system/peer-wire/schema/peer.capnp
@@ -201,6 +201,8 @@
     inspect @29 :Text;
     # An operator's order, forwarded to the control node that proposes.
     order @30 :Order;
+    # A call of the coordination service, encoded by postcard.
+    coordination @31 :Data;
   }
 }
 
@@ -230,6 +232,8 @@
     # JSON.
     view @12 :Text;
     verdict @13 :Verdict;
+    # An answer of the coordination service, encoded by postcard.
+    coordination @14 :Data;
   }
 }
 
--- a/system/peer-wire/src/codec.rs
+++ b/system/peer-wire/src/codec.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod call;
+mod coordination;
 mod limits;
 mod order;
 mod push;
--- a/system/peer-wire/src/codec/answer.rs
+++ b/system/peer-wire/src/codec/answer.rs
@@ -1,6 +1,7 @@
 //! Answers to calls.
 
 use super::WireError;
+use super::coordination::{decode_message, encode_message};
 use super::limits::{MessageWords, list_len};
 use super::order::{read_verdict, write_verdict};
 use super::register::{read_register_reply, write_register_reply};
@@ -52,6 +53,7 @@
             }
         }
         Answer::Verdict(verdict) => write_verdict(builder.init_verdict(), *verdict),
+        Answer::Coordination(answer) => builder.set_coordination(&encode_message(answer)),
         Answer::View(json) => builder.set_view(json),
     }
 }
@@ -95,6 +97,7 @@
                 .transpose()?,
         },
         Which::Verdict(verdict) => Answer::Verdict(read_verdict(verdict?)?),
+        Which::Coordination(bytes) => Answer::Coordination(decode_message(bytes?)?),
         Which::View(json) => Answer::View(read_text(json?)?),
     })
 }
--- a/system/peer-wire/src/codec/call.rs
+++ b/system/peer-wire/src/codec/call.rs
@@ -1,6 +1,7 @@
 //! Calls: requests of one process to another.
 
 use super::WireError;
+use super::coordination::{decode_message, encode_message};
 use super::order::{read_order, write_order};
 use super::register::{read_register_request, write_register_request};
 use super::values::{
@@ -69,6 +70,7 @@
             builder.set_disk(*disk);
         }
         Call::Order(order) => write_order(builder.init_order(), order),
+        Call::Coordination(call) => builder.set_coordination(&encode_message(call)),
         Call::Inspect { topic } => builder.set_inspect(topic),
     }
 }
@@ -131,6 +133,7 @@
         },
         Which::FillDone(reader) => Call::BackfillDone { epoch: reader.get_epoch(), disk: reader.get_disk() },
         Which::Order(order) => Call::Order(read_order(order?)?),
+        Which::Coordination(bytes) => Call::Coordination(decode_message(bytes?)?),
         Which::Inspect(topic) => Call::Inspect { topic: read_text(topic?)? },
     })
 }
--- a/system/peer-wire/src/codec/limits.rs
+++ b/system/peer-wire/src/codec/limits.rs
@@ -1,6 +1,7 @@
 //! Bounds on lengths: estimates before a frame is written, and checks while one is read.
 
 use super::WireError;
+use super::coordination::{coordination_answer_len, coordination_call_len};
 use super::malformed;
 use capnp::struct_list;
 use capnp::traits::{HasStructSize, OwnedStruct};
@@ -46,6 +47,7 @@
         Frame::Call(_, Call::Register(RegisterRequest::Accept(value))) => accepted(value),
         Frame::Call(_, Call::StoreTurn { turn: stored, .. }) => turn(stored),
         Frame::Call(_, Call::Order(Order::PutConfig { body, .. })) => body.len(),
+        Frame::Call(_, Call::Coordination(call)) => coordination_call_len(call),
         Frame::Call(..) => 0,
         Frame::Answer(_, answer) => match answer {
             Answer::Register(RegisterReply::Promised(Some(value)) | RegisterReply::Fetched(Some(value))) => {
@@ -57,6 +59,7 @@
                 let accounts: usize = accounts.iter().map(|(p, r)| 40 + p.len() + 16 * r.len()).sum();
                 turns.iter().map(turn).sum::<usize>() + accounts
             }
+            Answer::Coordination(answer) => coordination_answer_len(answer),
             Answer::View(json) => json.len(),
             _ => 0,
         },
--- a/system/peer-wire/src/peer_capnp.rs
+++ b/system/peer-wire/src/peer_capnp.rs
@@ -5725,7 +5725,7 @@
 }
 
 pub mod call {
-  pub use self::Which::{Register,JoinCore,JoinStorage,Filled,Subscribe,Reserve,Settle,ReadAccount,KeepTurn,ReadChain,Fill,FillDone,Inspect,Order};
+  pub use self::Which::{Register,JoinCore,JoinStorage,Filled,Subscribe,Reserve,Settle,ReadAccount,KeepTurn,ReadChain,Fill,FillDone,Inspect,Order,Coordination};
 
   #[derive(Copy, Clone)]
   pub struct Owned(());
@@ -5808,6 +5808,11 @@
       !self.reader.get_pointer_field(0).is_null()
     }
     #[inline]
+    pub fn has_coordination(&self) -> bool {
+      if self.reader.get_data_field::<u16>(0) != 14 { return false; }
+      !self.reader.get_pointer_field(0).is_null()
+    }
+    #[inline]
     pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
       match self.reader.get_data_field::<u16>(0) {
         0 => {
@@ -5880,6 +5885,11 @@
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
           ))
         }
+        14 => {
+          ::core::result::Result::Ok(Coordination(
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+          ))
+        }
         x => ::core::result::Result::Err(::capnp::NotInSchema(x))
       }
     }
@@ -6075,6 +6085,21 @@
       !self.builder.is_pointer_field_null(0)
     }
     #[inline]
+    pub fn set_coordination(&mut self, value: ::capnp::data::Reader<'_>)  {
+      self.builder.set_data_field::<u16>(0, 14);
+      self.builder.reborrow().get_pointer_field(0).set_data(value);
+    }
+    #[inline]
+    pub fn init_coordination(self, size: u32) -> ::capnp::data::Builder<'a> {
+      self.builder.set_data_field::<u16>(0, 14);
+      self.builder.get_pointer_field(0).init_data(size)
+    }
+    #[inline]
+    pub fn has_coordination(&self) -> bool {
+      if self.builder.get_data_field::<u16>(0) != 14 { return false; }
+      !self.builder.is_pointer_field_null(0)
+    }
+    #[inline]
     pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
       match self.builder.get_data_field::<u16>(0) {
         0 => {
@@ -6147,6 +6172,11 @@
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
           ))
         }
+        14 => {
+          ::core::result::Result::Ok(Coordination(
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+          ))
+        }
         x => ::core::result::Result::Err(::capnp::NotInSchema(x))
       }
     }
@@ -6161,121 +6191,128 @@
   impl Pipeline  {
   }
   mod _private {
-    pub static ENCODED_NODE: [::capnp::Word; 164] = [
+    pub static ENCODED_NODE: [::capnp::Word; 180] = [
       ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
       ::capnp::word(236, 105, 128, 61, 81, 220, 59, 250),
       ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
       ::capnp::word(148, 114, 91, 62, 168, 198, 240, 209),
-      ::capnp::word(3, 0, 7, 0, 0, 0, 14, 0),
+      ::capnp::word(3, 0, 7, 0, 0, 0, 15, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
       ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(21, 0, 0, 0, 23, 3, 0, 0),
+      ::capnp::word(21, 0, 0, 0, 79, 3, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
       ::capnp::word(110, 112, 58, 67, 97, 108, 108, 0),
       ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-      ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+      ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
       ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(121, 1, 0, 0, 74, 0, 0, 0),
+      ::capnp::word(149, 1, 0, 0, 74, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(187, 157, 24, 0, 177, 17, 45, 199),
-      ::capnp::word(129, 1, 0, 0, 74, 0, 0, 0),
+      ::capnp::word(157, 1, 0, 0, 74, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(109, 1, 0, 0, 98, 0, 0, 0),
+      ::capnp::word(137, 1, 0, 0, 98, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(162, 99, 237, 99, 36, 158, 17, 224),
-      ::capnp::word(117, 1, 0, 0, 58, 0, 0, 0),
+      ::capnp::word(145, 1, 0, 0, 58, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(79, 52, 254, 54, 153, 129, 14, 233),
-      ::capnp::word(93, 1, 0, 0, 82, 0, 0, 0),
+      ::capnp::word(121, 1, 0, 0, 82, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(15, 51, 21, 31, 131, 82, 87, 140),
-      ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(101, 1, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(243, 91, 226, 118, 105, 247, 165, 244),
-      ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
+      ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(189, 221, 167, 16, 74, 70, 0, 137),
-      ::capnp::word(25, 1, 0, 0, 98, 0, 0, 0),
+      ::capnp::word(53, 1, 0, 0, 98, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(130, 201, 39, 90, 36, 26, 59, 255),
-      ::capnp::word(5, 1, 0, 0, 74, 0, 0, 0),
+      ::capnp::word(33, 1, 0, 0, 74, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(233, 176, 184, 53, 135, 117, 13, 142),
-      ::capnp::word(241, 0, 0, 0, 82, 0, 0, 0),
+      ::capnp::word(13, 1, 0, 0, 82, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(117, 166, 184, 115, 113, 254, 202, 190),
-      ::capnp::word(221, 0, 0, 0, 42, 0, 0, 0),
+      ::capnp::word(249, 0, 0, 0, 42, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(11, 0, 244, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(237, 199, 121, 90, 122, 11, 226, 188),
-      ::capnp::word(197, 0, 0, 0, 74, 0, 0, 0),
+      ::capnp::word(225, 0, 0, 0, 74, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(12, 0, 243, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 29, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(177, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(13, 0, 242, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 30, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
+      ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(14, 0, 241, 255, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 31, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(213, 0, 0, 0, 106, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(114, 101, 103, 105, 115, 116, 101, 114),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -6326,6 +6363,15 @@
       ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(99, 111, 111, 114, 100, 105, 110, 97),
+      ::capnp::word(116, 105, 111, 110, 0, 0, 0, 0),
+      ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ];
     pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
       match index {
@@ -6343,6 +6389,7 @@
         11 => <crate::peer_capnp::call::fill_done::Owned as ::capnp::introspect::Introspect>::introspect(),
         12 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
         13 => <crate::peer_capnp::order::Owned as ::capnp::introspect::Introspect>::introspect(),
+        14 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
         _ => ::capnp::introspect::panic_invalid_field_index(index),
       }
     }
@@ -6356,11 +6403,11 @@
       members_by_name: MEMBERS_BY_NAME,
     };
     pub static NONUNION_MEMBERS : &[u16] = &[];
-    pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
-    pub static MEMBERS_BY_NAME : &[u16] = &[10,11,3,12,1,2,8,13,7,9,0,5,6,4];
+    pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
+    pub static MEMBERS_BY_NAME : &[u16] = &[14,10,11,3,12,1,2,8,13,7,9,0,5,6,4];
     pub const TYPE_ID: u64 = 0xfa3b_dc51_3d80_69ec;
   }
-  pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13> {
+  pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13,A14> {
     Register(A0),
     JoinCore(A1),
     JoinStorage(A2),
@@ -6375,9 +6422,10 @@
     FillDone(A11),
     Inspect(A12),
     Order(A13),
+    Coordination(A14),
   }
-  pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::register_request::Reader<'a>>,crate::peer_capnp::call::join_core::Reader<'a>,::capnp::Result<crate::peer_capnp::store::Reader<'a>>,crate::peer_capnp::call::filled::Reader<'a>,crate::peer_capnp::call::subscribe::Reader<'a>,crate::peer_capnp::call::reserve::Reader<'a>,crate::peer_capnp::call::settle::Reader<'a>,crate::peer_capnp::call::read_account::Reader<'a>,crate::peer_capnp::call::keep_turn::Reader<'a>,crate::peer_capnp::call::read_chain::Reader<'a>,crate::peer_capnp::call::fill::Reader<'a>,crate::peer_capnp::call::fill_done::Reader<'a>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<crate::peer_capnp::order::Reader<'a>>>;
-  pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::register_request::Builder<'a>>,crate::peer_capnp::call::join_core::Builder<'a>,::capnp::Result<crate::peer_capnp::store::Builder<'a>>,crate::peer_capnp::call::filled::Builder<'a>,crate::peer_capnp::call::subscribe::Builder<'a>,crate::peer_capnp::call::reserve::Builder<'a>,crate::peer_capnp::call::settle::Builder<'a>,crate::peer_capnp::call::read_account::Builder<'a>,crate::peer_capnp::call::keep_turn::Builder<'a>,crate::peer_capnp::call::read_chain::Builder<'a>,crate::peer_capnp::call::fill::Builder<'a>,crate::peer_capnp::call::fill_done::Builder<'a>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<crate::peer_capnp::order::Builder<'a>>>;
+  pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::register_request::Reader<'a>>,crate::peer_capnp::call::join_core::Reader<'a>,::capnp::Result<crate::peer_capnp::store::Reader<'a>>,crate::peer_capnp::call::filled::Reader<'a>,crate::peer_capnp::call::subscribe::Reader<'a>,crate::peer_capnp::call::reserve::Reader<'a>,crate::peer_capnp::call::settle::Reader<'a>,crate::peer_capnp::call::read_account::Reader<'a>,crate::peer_capnp::call::keep_turn::Reader<'a>,crate::peer_capnp::call::read_chain::Reader<'a>,crate::peer_capnp::call::fill::Reader<'a>,crate::peer_capnp::call::fill_done::Reader<'a>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<crate::peer_capnp::order::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>>;
+  pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::register_request::Builder<'a>>,crate::peer_capnp::call::join_core::Builder<'a>,::capnp::Result<crate::peer_capnp::store::Builder<'a>>,crate::peer_capnp::call::filled::Builder<'a>,crate::peer_capnp::call::subscribe::Builder<'a>,crate::peer_capnp::call::reserve::Builder<'a>,crate::peer_capnp::call::settle::Builder<'a>,crate::peer_capnp::call::read_account::Builder<'a>,crate::peer_capnp::call::keep_turn::Builder<'a>,crate::peer_capnp::call::read_chain::Builder<'a>,crate::peer_capnp::call::fill::Builder<'a>,crate::peer_capnp::call::fill_done::Builder<'a>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<crate::peer_capnp::order::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>>;
 
   pub mod join_core {
     #[derive(Copy, Clone)]
@@ -8910,7 +8958,7 @@
 }
 
 pub mod answer {
-  pub use self::Which::{Register,Done,Unready,Redirect,WrongEpoch,Account,Chain,Absent,Records,View,Verdict};
+  pub use self::Which::{Register,Done,Unready,Redirect,WrongEpoch,Account,Chain,Absent,Records,View,Verdict,Coordination};
 
   #[derive(Copy, Clone)]
   pub struct Owned(());
@@ -8998,6 +9046,11 @@
       !self.reader.get_pointer_field(0).is_null()
     }
     #[inline]
+    pub fn has_coordination(&self) -> bool {
+      if self.reader.get_data_field::<u16>(0) != 11 { return false; }
+      !self.reader.get_pointer_field(0).is_null()
+    }
+    #[inline]
     pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
       match self.reader.get_data_field::<u16>(0) {
         0 => {
@@ -9055,6 +9108,11 @@
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
           ))
         }
+        11 => {
+          ::core::result::Result::Ok(Coordination(
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+          ))
+        }
         x => ::core::result::Result::Err(::capnp::NotInSchema(x))
       }
     }
@@ -9222,6 +9280,21 @@
       !self.builder.is_pointer_field_null(0)
     }
     #[inline]
+    pub fn set_coordination(&mut self, value: ::capnp::data::Reader<'_>)  {
+      self.builder.set_data_field::<u16>(0, 11);
+      self.builder.reborrow().get_pointer_field(0).set_data(value);
+    }
+    #[inline]
+    pub fn init_coordination(self, size: u32) -> ::capnp::data::Builder<'a> {
+      self.builder.set_data_field::<u16>(0, 11);
+      self.builder.get_pointer_field(0).init_data(size)
+    }
+    #[inline]
+    pub fn has_coordination(&self) -> bool {
+      if self.builder.get_data_field::<u16>(0) != 11 { return false; }
+      !self.builder.is_pointer_field_null(0)
+    }
+    #[inline]
     pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
       match self.builder.get_data_field::<u16>(0) {
         0 => {
@@ -9279,6 +9352,11 @@
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
           ))
         }
+        11 => {
+          ::core::result::Result::Ok(Coordination(
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+          ))
+        }
         x => ::core::result::Result::Err(::capnp::NotInSchema(x))
       }
     }
@@ -9293,101 +9371,108 @@
   impl Pipeline  {
   }
   mod _private {
-    pub static ENCODED_NODE: [::capnp::Word; 172] = [
+    pub static ENCODED_NODE: [::capnp::Word; 188] = [
       ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
       ::capnp::word(25, 211, 154, 71, 150, 136, 51, 155),
       ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
       ::capnp::word(148, 114, 91, 62, 168, 198, 240, 209),
-      ::capnp::word(3, 0, 7, 0, 0, 0, 11, 0),
+      ::capnp::word(3, 0, 7, 0, 0, 0, 12, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
       ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+      ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
       ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
       ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-      ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+      ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
       ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
+      ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
+      ::capnp::word(73, 1, 0, 0, 42, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(49, 1, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(77, 1, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(53, 1, 0, 0, 74, 0, 0, 0),
+      ::capnp::word(81, 1, 0, 0, 74, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(4, 0, 251, 255, 1, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(77, 1, 0, 0, 90, 0, 0, 0),
+      ::capnp::word(105, 1, 0, 0, 90, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(85, 1, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(113, 1, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(30, 76, 174, 8, 182, 116, 243, 164),
-      ::capnp::word(105, 1, 0, 0, 50, 0, 0, 0),
+      ::capnp::word(133, 1, 0, 0, 50, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(144, 250, 169, 75, 194, 165, 224, 240),
-      ::capnp::word(81, 1, 0, 0, 58, 0, 0, 0),
+      ::capnp::word(109, 1, 0, 0, 58, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(125, 212, 205, 20, 82, 68, 101, 152),
-      ::capnp::word(57, 1, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(85, 1, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(33, 1, 0, 0, 42, 0, 0, 0),
+      ::capnp::word(61, 1, 0, 0, 42, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(11, 0, 244, 255, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(69, 1, 0, 0, 106, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(114, 101, 103, 105, 115, 116, 101, 114),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -9466,6 +9551,15 @@
       ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(99, 111, 111, 114, 100, 105, 110, 97),
+      ::capnp::word(116, 105, 111, 110, 0, 0, 0, 0),
+      ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ];
     pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
       match index {
@@ -9480,6 +9574,7 @@
         8 => <crate::peer_capnp::answer::records::Owned as ::capnp::introspect::Introspect>::introspect(),
         9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
         10 => <crate::peer_capnp::verdict::Owned as ::capnp::introspect::Introspect>::introspect(),
+        11 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
         _ => ::capnp::introspect::panic_invalid_field_index(index),
       }
     }
@@ -9493,11 +9588,11 @@
       members_by_name: MEMBERS_BY_NAME,
     };
     pub static NONUNION_MEMBERS : &[u16] = &[];
-    pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
-    pub static MEMBERS_BY_NAME : &[u16] = &[7,5,6,1,8,3,0,2,10,9,4];
+    pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
+    pub static MEMBERS_BY_NAME : &[u16] = &[7,5,6,11,1,8,3,0,2,10,9,4];
     pub const TYPE_ID: u64 = 0x9b33_8896_479a_d319;
   }
-  pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7> {
+  pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8> {
     Register(A0),
     Done(()),
     Unready(()),
@@ -9509,9 +9604,10 @@
     Records(A5),
     View(A6),
     Verdict(A7),
+    Coordination(A8),
   }
-  pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::register_reply::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::socket_address::Owned>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::reservation::Owned>>,crate::peer_capnp::answer::chain::Reader<'a>,crate::peer_capnp::answer::absent::Reader<'a>,crate::peer_capnp::answer::records::Reader<'a>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<crate::peer_capnp::verdict::Reader<'a>>>;
-  pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::register_reply::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::socket_address::Owned>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::reservation::Owned>>,crate::peer_capnp::answer::chain::Builder<'a>,crate::peer_capnp::answer::absent::Builder<'a>,crate::peer_capnp::answer::records::Builder<'a>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<crate::peer_capnp::verdict::Builder<'a>>>;
+  pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::register_reply::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::socket_address::Owned>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::reservation::Owned>>,crate::peer_capnp::answer::chain::Reader<'a>,crate::peer_capnp::answer::absent::Reader<'a>,crate::peer_capnp::answer::records::Reader<'a>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<crate::peer_capnp::verdict::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>>;
+  pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::register_reply::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::socket_address::Owned>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::reservation::Owned>>,crate::peer_capnp::answer::chain::Builder<'a>,crate::peer_capnp::answer::absent::Builder<'a>,crate::peer_capnp::answer::records::Builder<'a>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<crate::peer_capnp::verdict::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>>;
 
   pub mod chain {
     #[derive(Copy, Clone)]
--- a/system/peer-wire/tests/codec.rs
+++ b/system/peer-wire/tests/codec.rs
@@ -31,6 +31,7 @@
             Call::Inspect { .. } => 15,
             Call::Order(Order::PutConfig { .. }) => 35,
             Call::Order(Order::Retire { .. }) => 36,
+            Call::Coordination(_) => 39,
         },
         Frame::Answer(_, answer) => match answer {
             Answer::Register(RegisterReply::Promised(_)) => 16,
@@ -50,6 +51,7 @@
             Answer::View(_) => 30,
             Answer::Verdict(OrderVerdict::PutConfig(_)) => 37,
             Answer::Verdict(OrderVerdict::Retire(_)) => 38,
+            Answer::Coordination(_) => 40,
         },
         Frame::Push(push) => match push {
             Push::Heartbeat { .. } => 31,
@@ -60,7 +62,7 @@
     }
 }
 
-const VARIANTS: usize = 39;
+const VARIANTS: usize = 41;
 
 #[test]
 fn every_variant_survives_encoding_and_decoding() {
--- a/system/peer-wire/tests/samples/mod.rs
+++ b/system/peer-wire/tests/samples/mod.rs
@@ -172,11 +172,23 @@
     ]
 }
 
+fn coordination_frames() -> Vec<Frame> {
+    let ballot = Ballot { round: 3, proposer: 4, incarnation: 5 };
+    let command = CoordinationCommand::NextNumber { name: "n".into() };
+    let outcome = CoordinationOutcome::Number { value: 6 };
+    vec![
+        Frame::Call(1, Call::Coordination(CoordinationCall::Submit { ballot, command })),
+        Frame::Answer(1, Answer::Coordination(CoordinationAnswer::Outcome(outcome))),
+    ]
+}
+
 /// One frame or more of each variant of [`Call`], [`Answer`] and [`Push`]; those of later releases come last.
 pub(crate) fn frames() -> Vec<Frame> {
     let calls = (1..).zip(calls()).map(|(number, call)| Frame::Call(number, call));
     let answers = answers().into_iter().map(|answer| Frame::Answer(u64::MAX, answer));
     let orders = (1..).zip(orders()).map(|(number, call)| Frame::Call(number, call));
     let verdicts = verdicts().into_iter().map(|verdict| Frame::Answer(1, Answer::Verdict(verdict)));
-    calls.chain(answers).chain(pushes().into_iter().map(Frame::Push)).chain(orders).chain(verdicts).collect()
+    let frames =
+        calls.chain(answers).chain(pushes().into_iter().map(Frame::Push)).chain(orders).chain(verdicts);
+    frames.chain(coordination_frames()).collect()
 }
--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -18,6 +18,7 @@
 use fleet_membership::{MemberEvent, Role};
 use fleet_model::{Answer, Call};
 use peer_wire::{Handler, PeerServer, Pusher};
+use replicated_log::RecoveredJournal;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -107,7 +108,14 @@
     let feed = new_feed(&process);
     let backend = Backend::new(process.clone(), durable);
     let ballots = BallotSource::new(me, incarnation_nonce()?);
-    let node = ControlNode::new(feed.runtime().clone(), backend, feed.clone(), ballots, initial_state);
+    let node = ControlNode::new(
+        feed.runtime().clone(),
+        backend,
+        feed.clone(),
+        ballots,
+        initial_state,
+        RecoveredJournal::Empty,
+    );
     let members = take_part(&process, &node)?;
     let admin = AdminEndpoint::new(process.clone(), feed, Some(members), "control-node");
     let control_server = Rc::new(ControlServer { me, node: node.clone(), admin, damages });
--- a/system/programs/src/control/backend.rs
+++ b/system/programs/src/control/backend.rs
@@ -6,7 +6,9 @@
 use config_register::AcceptorRecord;
 use control_node::{ControlBackend, ControlEvent, DiscoveryError, PersistError};
 use fleet_model::Endpoint;
+use replicated_log::JournalWrite;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Mutex;
 
 /// Implements [`ControlBackend`] with the process's disk and platform.
@@ -35,6 +37,14 @@
         self.disk.put(record).await.map_err(|e| PersistError(e.to_string()))
     }
 
+    async fn write_journal(&self, _write: JournalWrite) -> Result<(), PersistError> {
+        Err(PersistError("the journal is not open".to_owned()))
+    }
+
+    fn history(&self) -> Duration {
+        Duration::from_secs(20)
+    }
+
     fn discovers_endpoints(&self) -> bool {
         self.platform.is_some()
     }
--- a/testbed/src/system/control.rs
+++ b/testbed/src/system/control.rs
@@ -14,9 +14,11 @@
 use controllers::{ConfigVerdict, LeaseCandidate, RetireVerdict};
 use fleet_model::{AcceptedValue, Call, ControlState, Endpoint, Lease, Roster, StorageNode, rendezvous_rank};
 use node_runtime::Runtime;
+use replicated_log::{JournalWrite, RecoveredJournal};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
+use std::time::Duration;
 use turn_store::Write;
 
 /// Gives the control node access to its simulated host.
@@ -55,7 +57,14 @@
         let feed = Feed::new(host.clone());
         let backend = Backend { host: host.clone() };
         let ballots = BallotSource::new(host.machine.ip, host.random_u64());
-        let node = ControlNode::new(host.clone(), backend, feed.clone(), ballots, initial_state(host, first));
+        let node = ControlNode::new(
+            host.clone(),
+            backend,
+            feed.clone(),
+            ballots,
+            initial_state(host, first),
+            RecoveredJournal::Empty,
+        );
         if let Some(cluster) = host.cluster() {
             let serving = node.clone();
             let handler = move |from: Ipv4Addr, call: Call, pusher| {
@@ -150,6 +159,14 @@
         written.map_err(|refused| PersistError(refused.0.to_owned()))
     }
 
+    async fn write_journal(&self, _write: JournalWrite) -> Result<(), PersistError> {
+        Err(PersistError("the journal is not simulated".to_owned()))
+    }
+
+    fn history(&self) -> Duration {
+        Duration::from_secs(20)
+    }
+
     fn discovers_endpoints(&self) -> bool {
         true
     }
