Build the replicated log and the coordination service of the control node

What callers saw: each call for locks, numbers, keys and watches got 404. Here is the log that orders them: `replicated-log`, Multi-Paxos with one open slot, without I/O; and in `control-node` its leader, elections, forwarding, founding through the configuration register, members that follow its voters, and watches.

--- /dev/null
+++ b/system/control-node/src/coordination/machine.rs
@@ -0,0 +1,31 @@
+//! The coordination state as the state machine of the log.
+
+use coordination::CoordinationState;
+use fleet_model::{CoordinationBatch, CoordinationOutcome};
+use replicated_log::StateMachine;
+
+/// The coordination state of a replica.
+#[derive(Debug, Default)]
+pub(crate) struct Machine {
+    /// The state after all applied slots.
+    pub(crate) state: CoordinationState,
+}
+
+impl StateMachine for Machine {
+    fn apply(&mut self, batch: &CoordinationBatch) -> Vec<CoordinationOutcome> {
+        self.state.apply(batch)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.state.snapshot()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> bool {
+        let restored = CoordinationState::restore(snapshot);
+        if let Ok(state) = restored {
+            self.state = state;
+            return true;
+        }
+        false
+    }
+}
--- a/system/control-node/src/event.rs
+++ b/system/control-node/src/event.rs
@@ -2,7 +2,7 @@
 
 use config_register::AcceptorRecord;
 use controllers::LossTolerance;
-use fleet_model::{AcceptedValue, ChosenValue, ControlState, StorageNode};
+use fleet_model::{AcceptedValue, Ballot, ChosenValue, ControlState, StorageNode};
 use std::fmt;
 use std::net::Ipv4Addr;
 
@@ -60,6 +60,11 @@
     },
     /// A replica that had lost its state may vote again.
     Recovered(&'a AcceptorRecord),
+    /// This node leads the log of the coordination service.
+    LeadsCoordination {
+        /// Its ballot.
+        ballot: Ballot,
+    },
     /// The disk has begun to refuse writes: the node does not vote.
     DiskRefuses(&'a str),
     /// The disk accepts writes again: the node votes.
@@ -94,6 +99,9 @@
                     record.promised.round, record.voter_state
                 )
             }
+            Self::LeadsCoordination { ballot } => {
+                write!(f, "leading the coordination log: round {}", ballot.round)
+            }
             Self::DiskRefuses(error) => write!(f, "disk refuses the acceptor's record, not voting: {error}"),
             Self::DiskAccepts => write!(f, "disk accepts the acceptor's record again"),
         }
--- a/system/control-node/src/node.rs
+++ b/system/control-node/src/node.rs
@@ -1,12 +1,14 @@
 //! The node: its state, and its answers to peers.
 
+use crate::coordination::CoordinationService;
 use crate::orders::OrderQueue;
 use crate::replica::Replica;
 use crate::{ControlBackend, ControlEvent, DiskState, ENDPOINT_DISCOVERY_TASK, StorageLosses};
 use config_register::{AcceptorRecord, BallotSource, ProposerBackoff, VoterState};
 use controllers::{LeaseCandidate, LossTolerance, ProposerSelection, StorageController, VoterController};
 use fleet_model::{
-    AcceptedValue, Answer, Ballot, Call, ChosenValue, RegisterReply, RegisterRequest, RegisterValue,
+    AcceptedValue, Answer, Ballot, Call, ChosenValue, RegisterReply, RegisterRequest,
+    RegisterValue, ReplicaId,
 };
 use node_runtime::{Feed, MAX_STATE_AGE, Runtime, run_heartbeats, timeout};
 use replicated_log::RecoveredJournal;
@@ -97,6 +99,8 @@
     pub(crate) polled: Notify,
     /// Observes the storage nodes.
     pub(crate) storage_nodes: RefCell<StorageController>,
+    /// Locks, numbers and keys of applications.
+    pub(crate) coordination: CoordinationService,
 }
 
 impl<R: Runtime, B: ControlBackend> ControlNode<R, B> {
@@ -110,7 +114,6 @@
         initial_state: InitialState,
         journal: RecoveredJournal,
     ) -> Rc<Self> {
-        let _ = journal;
         let (me, backend) = (runtime.ip(), Rc::new(backend));
         let record = initial_state.record().cloned();
         let known = record.as_ref().and_then(|record| record.chosen_voters.clone());
@@ -124,6 +127,8 @@
             InitialState::New(record) => (None, Some(record)),
             InitialState::Recovering => (None, None),
         };
+        let new_replica = ReplicaId(runtime.random_u64());
+        let coordination = CoordinationService::new(&journal, new_replica, ballots.clone());
         Rc::new(Self {
             me,
             feed,
@@ -142,6 +147,7 @@
             poll_now: Notify::new(),
             polled: Notify::new(),
             storage_nodes: RefCell::default(),
+            coordination,
             runtime,
             backend,
         })
@@ -155,10 +161,16 @@
         self.runtime.spawn(self.clone().run_endpoint_discovery());
         self.runtime.spawn(self.clone().run_failure_detection());
         self.runtime.spawn(self.clone().follow_endpoint_list());
+        self.runtime.spawn(self.clone().run_election());
     }
 
     /// Answers a call of a peer; `subscriber` is the call's connection, if it can receive pushes.
-    pub async fn answer(&self, from: Ipv4Addr, call: Call, subscriber: Option<R::Subscriber>) -> Answer {
+    pub async fn answer(
+        self: &Rc<Self>,
+        from: Ipv4Addr,
+        call: Call,
+        subscriber: Option<R::Subscriber>,
+    ) -> Answer {
         match (call, subscriber) {
             (Call::Register(request), _) => match self.answer_register(from, request).await {
                 Some(reply) => Answer::Register(reply),
@@ -171,6 +183,9 @@
             (Call::JoinStorage { store, is_founder }, _) => self.join_storage(store, is_founder).await,
             (Call::Order(order), _) => self.answer_order(order).await,
             (Call::InSync { disk, epoch }, _) => self.complete_backfill_of(disk, epoch).await,
+            (Call::Coordination(call), _) => {
+                self.answer_coordination(from, call).await.map_or(Answer::NotReady, Answer::Coordination)
+            }
             _ => Answer::NotReady,
         }
     }
--- a/system/fleet-model/src/coordination.rs
+++ b/system/fleet-model/src/coordination.rs
@@ -271,8 +271,11 @@
         /// The read.
         query: CoordinationQuery,
     },
-    /// Report the leader and the own replica; a node that misses a leader becomes a candidate.
-    Locate,
+    /// Report the own replica and the leader, if it is heard.
+    Locate {
+        /// Whether a node that hears no leader should become a candidate: the caller cannot.
+        needs_leader: bool,
+    },
 }
 
 /// The answer to a [`CoordinationCall`].
