--- /dev/null
+++ b/system/control-node/tests/cluster/coordination.rs
@@ -0,0 +1,269 @@
+//! The coordination service on control nodes in memory.
+
+use crate::in_memory_cluster::{Cluster, DiskBehavior, seeds};
+use crate::{ip, run, seconds};
+use control_node::{ApplicationReply, ApplicationRequest, PutConfigOutcome};
+use fleet_model::{CoordinationCommand, CoordinationOutcome, KeyRevision};
+use googletest::prelude::*;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// A hold that outlasts what is done meanwhile.
+const LONG_HOLD_MS: u64 = 60_000;
+/// The time that an application waits before it asks another node.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(1);
+
+async fn started(joined: &[Ipv4Addr]) -> Rc<Cluster> {
+    let cluster = Cluster::start(&[]);
+    expect_that!(cluster.commit(ip(0), 1).await, eq(&PutConfigOutcome::Committed(1)));
+    for ip in joined {
+        cluster.start_node(*ip);
+    }
+    sleep(seconds(3)).await;
+    cluster
+}
+
+async fn ask(cluster: &Cluster, at: Ipv4Addr, request: ApplicationRequest) -> ApplicationReply {
+    let node = cluster.node(at);
+    tokio::time::timeout(CLIENT_TIMEOUT, node.coordinate(request)).await.expect("an answer within a second")
+}
+
+fn acquire(lock: &str, holder: &str, hold_ms: u64) -> ApplicationRequest {
+    ApplicationRequest::Command(CoordinationCommand::AcquireLock {
+        lock: lock.to_owned(),
+        holder: holder.to_owned(),
+        hold_ms,
+        expired_grant: None,
+    })
+}
+
+fn next_number() -> ApplicationRequest {
+    ApplicationRequest::Command(CoordinationCommand::NextNumber { name: "n".to_owned() })
+}
+
+fn put(key: &str, value: &str, expected: Option<u64>) -> ApplicationRequest {
+    ApplicationRequest::Command(CoordinationCommand::PutKey {
+        key: key.to_owned(),
+        value: value.to_owned(),
+        expected,
+    })
+}
+
+fn read(key: &str) -> ApplicationRequest {
+    ApplicationRequest::ReadKey { key: key.to_owned() }
+}
+
+fn watch(group: &str, after: u64, wait: Duration) -> ApplicationRequest {
+    ApplicationRequest::Watch { group: group.to_owned(), after, wait }
+}
+
+fn is_granted(reply: &ApplicationReply) -> bool {
+    matches!(reply, ApplicationReply::Outcome(CoordinationOutcome::LockGranted { .. }))
+}
+
+/// The next number, asked for at one node after another for three seconds.
+async fn number_from_any(cluster: &Cluster, nodes: &[Ipv4Addr]) -> u64 {
+    let deadline = Instant::now() + seconds(3);
+    while Instant::now() < deadline {
+        for node in nodes {
+            if let ApplicationReply::Outcome(CoordinationOutcome::Number { value }) =
+                ask(cluster, *node, next_number()).await
+            {
+                return value;
+            }
+        }
+    }
+    panic!("no number within three seconds");
+}
+
+#[gtest]
+fn calls_through_any_node_see_one_state() {
+    run(async {
+        let cluster = started(&[]).await;
+        for (value, node) in (1..).zip(seeds()) {
+            let reply = ask(&cluster, node, next_number()).await;
+            expect_that!(reply, eq(&ApplicationReply::Outcome(CoordinationOutcome::Number { value })));
+        }
+        expect_that!(is_granted(&ask(&cluster, ip(0), acquire("l", "a", LONG_HOLD_MS)).await), eq(true));
+        let other = ask(&cluster, ip(1), acquire("l", "b", LONG_HOLD_MS)).await;
+        expect_that!(other, eq(&ApplicationReply::Outcome(CoordinationOutcome::LockNotHeld)));
+        let stored = ask(&cluster, ip(1), put("g.k", "v", Some(0))).await;
+        expect_that!(stored, eq(&ApplicationReply::Outcome(CoordinationOutcome::KeyStored { revision: 1 })));
+        let value = KeyRevision { value: "v".to_owned(), revision: 1 };
+        expect_that!(ask(&cluster, ip(2), read("g.k")).await, eq(&ApplicationReply::Key(Some(value))));
+        expect_that!(ask(&cluster, ip(2), read("g.none")).await, eq(&ApplicationReply::Key(None)));
+    });
+}
+
+#[gtest]
+fn a_watch_at_any_node_is_woken_by_a_put_at_another() {
+    run(async {
+        let cluster = started(&[]).await;
+        expect_that!(
+            ask(&cluster, ip(0), put("g.k", "v1", None)).await,
+            eq(&ApplicationReply::Outcome(CoordinationOutcome::KeyStored { revision: 1 }))
+        );
+        for node in seeds() {
+            let present = ask(&cluster, node, watch("g.", 0, seconds(9))).await;
+            expect_that!(present, eq(&ApplicationReply::Events { events: Vec::new(), revision: 1 }));
+        }
+        let watching: Vec<_> = seeds()
+            .into_iter()
+            .map(|node| {
+                let node = cluster.node(node);
+                tokio::task::spawn_local(async move {
+                    let reply = node.coordinate(watch("g.", 1, seconds(20))).await;
+                    (reply, Instant::now())
+                })
+            })
+            .collect();
+        sleep(seconds(1)).await;
+        let put_at = Instant::now();
+        ask(&cluster, ip(1), put("g.k", "v2", Some(1))).await;
+        for watching in watching {
+            let (reply, answered_at) = watching.await.unwrap();
+            let ApplicationReply::Events { events, revision } = reply else { panic!("{reply:?}") };
+            expect_that!(revision, eq(2));
+            expect_that!(events.len(), eq(1));
+            expect_that!(answered_at - put_at, lt(Duration::from_millis(30)));
+        }
+        let none = ask(&cluster, ip(0), watch("g.", 2, Duration::from_millis(400))).await;
+        expect_that!(none, eq(&ApplicationReply::Events { events: Vec::new(), revision: 2 }));
+    });
+}
+
+#[gtest]
+fn a_lock_passes_on_only_after_its_whole_hold() {
+    run(async {
+        let cluster = started(&[]).await;
+        let granted_at = Instant::now();
+        expect_that!(is_granted(&ask(&cluster, ip(0), acquire("l", "a", 2_000)).await), eq(true));
+        let passed_on_at = loop {
+            if is_granted(&ask(&cluster, ip(1), acquire("l", "b", LONG_HOLD_MS)).await) {
+                break Instant::now();
+            }
+            sleep(Duration::from_millis(50)).await;
+        };
+        let held = passed_on_at - granted_at;
+        expect_that!(held, all!(gt(seconds(2)), lt(Duration::from_millis(2_500))));
+    });
+}
+
+#[gtest]
+fn the_loss_of_any_node_loses_nothing_and_a_new_leader_waits_the_whole_hold() {
+    for lost in 0..3 {
+        run(async {
+            let cluster = started(&[]).await;
+            let others: Vec<Ipv4Addr> = (0..3).filter(|other| *other != lost).map(ip).collect();
+            let before = number_from_any(&cluster, &others).await;
+            let granted = is_granted(&ask(&cluster, others[0], acquire("l", "a", 4_000)).await);
+            let granted_at = Instant::now();
+            expect_that!(granted, eq(true));
+            cluster.disconnect(ip(lost));
+            expect_that!(number_from_any(&cluster, &others).await, gt(before));
+            while !is_granted(&ask(&cluster, others[1], acquire("l", "b", LONG_HOLD_MS)).await) {
+                sleep(Duration::from_millis(20)).await;
+            }
+            expect_that!(granted_at.elapsed(), all!(gt(Duration::from_millis(3_990)), lt(seconds(6))));
+            let isolated = ask(&cluster, ip(lost), next_number()).await;
+            expect_that!(
+                isolated,
+                any!(eq(&ApplicationReply::Unavailable), eq(&ApplicationReply::Indeterminate))
+            );
+            cluster.reconnect(ip(lost));
+            sleep(seconds(1)).await;
+            expect_that!(number_from_any(&cluster, &[ip(lost)]).await, gt(before));
+        });
+    }
+}
+
+#[gtest]
+fn what_was_acknowledged_survives_a_loss_of_all_processes() {
+    run(async {
+        let cluster = started(&[]).await;
+        let before = number_from_any(&cluster, &seeds()).await;
+        expect_that!(is_granted(&ask(&cluster, ip(0), acquire("l", "a", LONG_HOLD_MS)).await), eq(true));
+        let stored = ask(&cluster, ip(0), put("g.k", "v", None)).await;
+        expect_that!(stored, eq(&ApplicationReply::Outcome(CoordinationOutcome::KeyStored { revision: 1 })));
+        for node in seeds() {
+            cluster.stop_node(node);
+        }
+        for node in seeds() {
+            cluster.restart_node(node);
+        }
+        expect_that!(number_from_any(&cluster, &seeds()).await, gt(before));
+        let other = ask(&cluster, ip(1), acquire("l", "b", LONG_HOLD_MS)).await;
+        expect_that!(other, eq(&ApplicationReply::Outcome(CoordinationOutcome::LockNotHeld)));
+        let value = KeyRevision { value: "v".to_owned(), revision: 1 };
+        expect_that!(ask(&cluster, ip(2), read("g.k")).await, eq(&ApplicationReply::Key(Some(value))));
+        let resumed = ask(&cluster, ip(2), watch("g.", 1, Duration::from_millis(100))).await;
+        expect_that!(resumed, eq(&ApplicationReply::Events { events: Vec::new(), revision: 1 }));
+    });
+}
+
+#[gtest]
+fn a_node_that_lost_its_disk_takes_part_again_as_another_replica() {
+    for wiped in 0..3 {
+        run(async {
+            let cluster = started(&[]).await;
+            let mut last = number_from_any(&cluster, &seeds()).await;
+            // Each in turn: if the former replicas still counted, two of three would be gone in the end.
+            for node in [wiped, (wiped + 1) % 3, (wiped + 2) % 3].map(ip) {
+                cluster.stop_node(node);
+                cluster.wipe_disk(node);
+                cluster.restart_node(node);
+                for _ in 0..20 {
+                    let next = number_from_any(&cluster, &seeds()).await;
+                    expect_that!(next, gt(last));
+                    last = next;
+                    sleep(Duration::from_millis(200)).await;
+                }
+            }
+        });
+    }
+}
+
+#[gtest]
+fn a_disk_that_stalls_at_any_node_delays_no_call() {
+    for stalled in 0..3 {
+        run(async {
+            let cluster = started(&[]).await;
+            let last = number_from_any(&cluster, &seeds()).await;
+            cluster.set_disk_behavior(ip(stalled), DiskBehavior::Stalls(seconds(3)));
+            for _ in 0..10 {
+                for node in seeds() {
+                    let asked_at = Instant::now();
+                    let reply = ask(&cluster, node, next_number()).await;
+                    let ApplicationReply::Outcome(CoordinationOutcome::Number { value }) = reply else {
+                        panic!("{reply:?}")
+                    };
+                    expect_that!(value, gt(last));
+                    expect_that!(asked_at.elapsed(), lt(Duration::from_millis(100)));
+                }
+            }
+        });
+    }
+}
+
+#[gtest]
+fn the_log_follows_the_voters_of_the_register() {
+    run(async {
+        // Given five nodes of which two joined later, with a log founded by all,
+        let joined: Vec<Ipv4Addr> = (4..=5).map(|last| Ipv4Addr::new(10, 0, 0, last)).collect();
+        let cluster = started(&joined).await;
+        let all: Vec<Ipv4Addr> = seeds().into_iter().chain(joined).collect();
+        let last = number_from_any(&cluster, &all).await;
+        // when any two are lost, then the other three go on,
+        cluster.disconnect(ip(0));
+        cluster.disconnect(ip(1));
+        expect_that!(number_from_any(&cluster, &all[2..]).await, gt(last));
+        // and once these two have been removed from the voters, two of the three are enough.
+        sleep(seconds(40)).await;
+        let last = number_from_any(&cluster, &all[2..]).await;
+        cluster.disconnect(ip(2));
+        let first = ask(&cluster, all[3], next_number()).await;
+        println!("after the third loss: {first:?}, last {last}");
+    });
+}
--- a/system/control-node/tests/cluster/in_memory_cluster.rs
+++ b/system/control-node/tests/cluster/in_memory_cluster.rs
@@ -36,6 +36,7 @@
 #[derive(Default)]
 struct Disk {
     holds: RefCell<Option<AcceptorRecord>>,
+    journal: RefCell<RecoveredJournal>,
     behavior: Cell<DiskBehavior>,
 }
 
@@ -47,6 +48,8 @@
     events: RefCell<Vec<(Ipv4Addr, String)>>,
     /// Votes that were sent while the disk did not have them.
     premature_votes: RefCell<Vec<String>>,
+    /// Number of each node's process; those before have ended.
+    processes: RefCell<BTreeMap<Ipv4Addr, u64>>,
     /// Disconnected nodes.
     disconnected: RefCell<BTreeSet<Ipv4Addr>>,
     drawn: Cell<u64>,
@@ -71,12 +74,38 @@
     /// Starts a node that has never voted, with the seeds.
     pub(crate) fn start_node(self: &Rc<Self>, ip: Ipv4Addr) {
         self.disks.borrow_mut().entry(ip).or_default();
-        let host = Host { cluster: self.clone(), ip, began: Instant::now() };
+        self.start_process(ip, InitialState::never_voted(ip, &seeds()), RecoveredJournal::Empty);
+    }
+
+    /// Ends a node's process.
+    pub(crate) fn stop_node(&self, ip: Ipv4Addr) {
+        self.nodes.borrow_mut().remove(&ip);
+        let number = self.processes.borrow().get(&ip).copied().unwrap_or_default();
+        self.processes.borrow_mut().insert(ip, number + 1);
+    }
+
+    /// Ends a node's process and starts another with what its disk holds.
+    pub(crate) fn restart_node(self: &Rc<Self>, ip: Ipv4Addr) {
+        self.stop_node(ip);
+        let disk = self.disk(ip);
+        let record = disk.holds.borrow().clone();
+        let initial_state = record.map_or(InitialState::Recovering, InitialState::Existing);
+        let journal = disk.journal.borrow().clone();
+        self.start_process(ip, initial_state, journal);
+    }
+
+    /// Has a node's disk lose all that it holds.
+    pub(crate) fn wipe_disk(&self, ip: Ipv4Addr) {
+        self.disks.borrow_mut().insert(ip, Rc::default());
+    }
+
+    fn start_process(self: &Rc<Self>, ip: Ipv4Addr, initial_state: InitialState, journal: RecoveredJournal) {
+        let process = self.processes.borrow().get(&ip).copied().unwrap_or_default();
+        let host = Host { cluster: self.clone(), ip, process, began: Instant::now() };
         let machine = Machine { host: host.clone(), disk: self.disk(ip) };
         let feed = Feed::new(host.clone());
-        let ballots = BallotSource::new(ip, u64::from(u32::from(ip)));
-        let initial_state = InitialState::never_voted(ip, &seeds());
-        let node = ControlNode::new(host, machine, feed, ballots, initial_state, RecoveredJournal::Empty);
+        let ballots = BallotSource::new(ip, u64::from(u32::from(ip)) + (process << 32));
+        let node = ControlNode::new(host, machine, feed, ballots, initial_state, journal);
         self.nodes.borrow_mut().insert(ip, node.clone());
         node.run();
     }
@@ -86,6 +115,15 @@
         self.disconnected.borrow_mut().insert(ip);
     }
 
+    /// Connects a node again.
+    pub(crate) fn reconnect(&self, ip: Ipv4Addr) {
+        self.disconnected.borrow_mut().remove(&ip);
+    }
+
+    fn has_ended(&self, host: &Host) -> bool {
+        self.processes.borrow().get(&host.ip).is_some_and(|process| *process != host.process)
+    }
+
     /// The node at `to`, if it listens and `from` reaches it.
     fn reached(&self, from: Ipv4Addr, to: Ipv4Addr) -> Option<Rc<Node>> {
         let disconnected = self.disconnected.borrow();
@@ -149,6 +187,7 @@
 pub(crate) struct Host {
     cluster: Rc<Cluster>,
     ip: Ipv4Addr,
+    process: u64,
     began: Instant,
 }
 
@@ -191,7 +230,7 @@
     }
 
     async fn call(&self, to: Ipv4Addr, call: Call, patience: Duration) -> Option<Answer> {
-        let Some(node) = self.cluster.reached(self.ip, to) else {
+        let Some(node) = self.cluster.reached(self.ip, to).filter(|_| !self.cluster.has_ended(self)) else {
             tokio::time::sleep(patience).await;
             return None;
         };
@@ -266,12 +305,9 @@
     disk: Rc<Disk>,
 }
 
-impl ControlBackend for Machine {
-    fn tolerance(&self) -> usize {
-        1
-    }
-
-    async fn persist(&self, record: &AcceptorRecord) -> Result<(), PersistError> {
+impl Machine {
+    /// Takes the time of a write, or refuses it. Nothing is written by a process that has ended.
+    async fn write_delay(&self) -> Result<(), PersistError> {
         let behavior = self.disk.behavior.get();
         match behavior {
             DiskBehavior::Accepts => tokio::time::sleep(Duration::from_millis(2)).await,
@@ -282,12 +318,37 @@
                 return Err(PersistError("no space left".to_owned()));
             }
         }
+        match self.host.cluster.has_ended(&self.host) {
+            true => Err(PersistError("the process has ended".to_owned())),
+            false => Ok(()),
+        }
+    }
+}
+
+impl ControlBackend for Machine {
+    fn tolerance(&self) -> usize {
+        1
+    }
+
+    async fn persist(&self, record: &AcceptorRecord) -> Result<(), PersistError> {
+        self.write_delay().await?;
         *self.disk.holds.borrow_mut() = Some(record.clone());
         Ok(())
     }
 
-    async fn write_journal(&self, _: JournalWrite) -> Result<(), PersistError> {
-        Err(PersistError("there is no journal".to_owned()))
+    async fn write_journal(&self, write: JournalWrite) -> Result<(), PersistError> {
+        self.write_delay().await?;
+        let mut journal = self.disk.journal.borrow_mut();
+        match write {
+            JournalWrite::Checkpoint(checkpoint) => {
+                *journal = RecoveredJournal::Stored { checkpoint, records: Vec::new() };
+            }
+            JournalWrite::Append(appended) => match &mut *journal {
+                RecoveredJournal::Stored { records, .. } => records.extend(appended),
+                RecoveredJournal::Empty => return Err(PersistError("no checkpoint".to_owned())),
+            },
+        }
+        Ok(())
     }
 
     fn history(&self) -> Duration {
--- a/system/control-node/tests/cluster/main.rs
+++ b/system/control-node/tests/cluster/main.rs
@@ -1,6 +1,7 @@
 //! Control nodes in memory. What a disk refuses ends no node: it does not vote meanwhile, serves what needs no write, and
 //! votes again with the first write that succeeds.
 
+mod coordination;
 mod in_memory_cluster;
 mod invalid_configurations;
 mod orders;
