--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -1,14 +1,16 @@
 //! The control node: hosts the `control-node` crate with sockets, a disk, the platform's endpoint list and the log, and
-//! serves the operator API (`operator_requests`) and the admin endpoint.
+//! serves the calls of operators and applications (`control_api`) and the admin endpoint.
 
+mod application_requests;
 mod backend;
 mod operator_requests;
 mod record;
 
 use crate::admin::AdminEndpoint;
+use crate::control_api::{self, ApiLimits, ApiLoad};
 use crate::feed::{ProcessRuntime, SubscriberLink, new_feed};
 use crate::members::Members;
-use crate::operator_api;
+
 use crate::process::{Process, shutdown_requested};
 use crate::random::{incarnation_nonce, random_u64};
 use crate::start::{StartError, listen};
@@ -32,6 +34,7 @@
     me: Ipv4Addr,
     node: Rc<Node>,
     admin: AdminEndpoint,
+    api_load: Rc<ApiLoad>,
     /// Number of damaged records found at the start.
     damages: u64,
 }
@@ -70,6 +73,10 @@
             metrics.counter("control_node_runs_lost_total", rounds.lost);
             metrics.gauge("control_node_disk_refusing", f64::from(u8::from(disk.is_refusing)));
             metrics.counter("control_node_disk_refusals_total", disk.refusals);
+            let api = self.api_load.counts();
+            metrics.gauge("control_node_api_connections", api.connections as f64);
+            metrics.gauge("control_node_waiting_watches", api.waiting_watches as f64);
+            metrics.counter("control_node_api_rejected", api.rejected);
         })
     }
 }
@@ -118,13 +125,15 @@
     );
     let members = take_part(&process, &node)?;
     let admin = AdminEndpoint::new(process.clone(), feed, Some(members), "control-node");
-    let control_server = Rc::new(ControlServer { me, node: node.clone(), admin, damages });
+    let api_load = Rc::new(ApiLoad::new(ApiLimits::default()));
+    let control_server =
+        Rc::new(ControlServer { me, node: node.clone(), admin, api_load: api_load.clone(), damages });
     let peers = listen(SocketAddrV4::new(me, settings.peer_port())).await?;
     let server = PeerServer::new(process.fleet(), control_server.clone());
     spawn_local(async move { server.serve(peers).await });
     node.run();
-    let operators = listen(control).await?;
-    spawn_local(operator_api::serve(operators, control_server));
+    let callers = listen(control).await?;
+    spawn_local(control_api::serve(callers, control_server, api_load));
     shutdown_requested(&process).await;
     // What is half way ends; nothing else depends on this process.
     sleep(Duration::from_millis(300 + random_u64() % 50)).await;
--- a/system/programs/src/control/operator_requests.rs
+++ b/system/programs/src/control/operator_requests.rs
@@ -1,7 +1,7 @@
 //! The operator API of a control node: outcomes of operators' requests as HTTP replies.
 
 use super::ControlServer;
-use crate::operator_api::{Operations, Reply};
+use crate::control_api::{Operations, Reply};
 use bytes::Bytes;
 use control_node::{CurrentConfig, PutConfigOutcome, RetireOutcome};
 use controllers::RetireVerdict;
--- a/system/programs/src/lib.rs
+++ b/system/programs/src/lib.rs
@@ -1,16 +1,17 @@
 //! The programs of the serving tier: `request-proxy`, `proxy-agent`, `control-node`, `storage-node` and `fleetctl`.
 //!
 //! Decisions (voting, routing, replication, membership) live in crates without I/O. This crate is their host: it connects
-//! them to sockets, disks, clocks and signals, and serves operators ([`operator_api`], [`admin`]). Each program has one
+//! them to sockets, disks, clocks and signals, and serves operators ([`control_api`], [`admin`]). Each program has one
 //! module with a `run` function ([`agent`], [`control`], [`proxy`], [`storage`]) that [`start::run`] calls on one thread.
 
 pub mod admin;
 pub mod agent;
 pub mod control;
+pub mod control_api;
 pub mod disk;
 pub mod feed;
 pub mod members;
-pub mod operator_api;
+
 pub mod platform;
 pub mod process;
 pub mod proxy;
