--- a/system/node-settings/src/lib.rs
+++ b/system/node-settings/src/lib.rs
@@ -181,6 +181,8 @@
     pub finish_s: f64,
     /// Time until accounts are settled, in ms.
     pub settle_ms: u64,
+    /// Time for which applications' events of watched keys are retained, in seconds.
+    pub history_s: f64,
     /// Bounds with unknown names.
     pub others: BTreeMap<String, BoundValue>,
 }
@@ -204,6 +206,7 @@
             again_s: 0.0,
             finish_s: 10.0,
             settle_ms: 1_000,
+            history_s: 20.0,
             others: BTreeMap::new(),
         }
     }
--- a/system/node-settings/src/read.rs
+++ b/system/node-settings/src/read.rs
@@ -168,7 +168,8 @@
             $(if let Some(value) = value(stringify!($milliseconds)) { bounds.$milliseconds = value.ceil() as u64; })*
         };
     }
-    assign_bounds!(seconds: seed_lag_s, address_reuse_s, catch_up_s, grace_period_s, recovery_s, again_s, finish_s;
+    assign_bounds!(seconds: seed_lag_s, address_reuse_s, catch_up_s, grace_period_s, recovery_s, again_s, finish_s,
+        history_s;
         milliseconds: contact_ms, ack_ms, drain_ms, loss_slack_ms, config_apply_ms, rollback_slack_ms, max_stretch_ms,
         pass_ms, settle_ms);
     bounds.others = form
--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -2,6 +2,7 @@
 //! serves the operator API (`operator_requests`) and the admin endpoint.
 
 mod backend;
+mod journal;
 mod operator_requests;
 mod record;
 
@@ -18,7 +19,6 @@
 use fleet_membership::{MemberEvent, Role};
 use fleet_model::{Answer, Call};
 use peer_wire::{Handler, PeerServer, Pusher};
-use replicated_log::RecoveredJournal;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -105,8 +105,13 @@
     if initial_state == control_node::InitialState::Recovering {
         log::warn!("no acceptor record on disk, no vote before recovery from a majority");
     }
+    let journal = tokio::select! {
+        opened = journal::open_with_retry(&folder) => opened?,
+        () = shutdown_requested(&process) => return Ok(()),
+    };
+    let damages = damages + journal.damages;
     let feed = new_feed(&process);
-    let backend = Backend::new(process.clone(), durable);
+    let backend = Backend::new(process.clone(), durable, journal.writer);
     let ballots = BallotSource::new(me, incarnation_nonce()?);
     let node = ControlNode::new(
         feed.runtime().clone(),
@@ -114,7 +119,7 @@
         feed.clone(),
         ballots,
         initial_state,
-        RecoveredJournal::Empty,
+        journal.found,
     );
     let members = take_part(&process, &node)?;
     let admin = AdminEndpoint::new(process.clone(), feed, Some(members), "control-node");
--- a/system/programs/src/control/backend.rs
+++ b/system/programs/src/control/backend.rs
@@ -1,6 +1,6 @@
 //! The control node's backend: its disk, the platform's endpoint list and the log.
 
-use crate::disk::Durable;
+use crate::disk::{Durable, JournalWriter};
 use crate::platform::Platform;
 use crate::process::Process;
 use config_register::AcceptorRecord;
@@ -15,16 +15,17 @@
 pub(super) struct Backend {
     process: Rc<Process>,
     disk: Durable,
+    journal: JournalWriter,
     /// None where the settings name no platform.
     platform: Option<Mutex<Platform>>,
 }
 
 impl Backend {
-    /// Over the disk of the acceptor's record.
-    pub(super) fn new(process: Rc<Process>, disk: Durable) -> Self {
+    /// Over the disk of the acceptor's record and the journal of the coordination service's replica.
+    pub(super) fn new(process: Rc<Process>, disk: Durable, journal: JournalWriter) -> Self {
         let cloud = process.settings().cloud_api.clone();
         let platform = cloud.map(|cloud| Mutex::new(Platform::new(cloud.address)));
-        Self { process, disk, platform }
+        Self { process, disk, journal, platform }
     }
 }
 
@@ -37,12 +38,13 @@
         self.disk.put(record).await.map_err(|e| PersistError(e.to_string()))
     }
 
-    async fn write_journal(&self, _write: JournalWrite) -> Result<(), PersistError> {
-        Err(PersistError("the journal is not open".to_owned()))
+    async fn write_journal(&self, write: JournalWrite) -> Result<(), PersistError> {
+        self.journal.write(write).await.map_err(|e| PersistError(e.to_string()))
     }
 
     fn history(&self) -> Duration {
-        Duration::from_secs(20)
+        // Settings may name any number of seconds.
+        Duration::try_from_secs_f64(self.process.settings().bounds.history_s).unwrap_or(Duration::MAX)
     }
 
     fn discovers_endpoints(&self) -> bool {
--- a/system/programs/src/control/record.rs
+++ b/system/programs/src/control/record.rs
@@ -47,17 +47,26 @@
     me: Ipv4Addr,
     seeds: &[Ipv4Addr],
 ) -> Result<Opened, StartError> {
+    let opened = retry_while_refused("acceptor record", || RecordLog::open(folder)).await?;
+    read_initial_state(opened, folder, first_start, me, seeds)
+}
+
+/// Opens something on the disk, and tries again for as long as the disk refuses that.
+pub(super) async fn retry_while_refused<T>(
+    what: &str,
+    mut open: impl FnMut() -> Result<T, DiskError>,
+) -> Result<T, DiskError> {
     let mut is_logged = false;
     loop {
-        match RecordLog::open(folder) {
+        match open() {
             Err(refused @ DiskError::Io { .. }) => {
                 if !is_logged {
-                    log::error!("acceptor record cannot be opened, retrying: error={refused}");
+                    log::error!("{what} cannot be opened, retrying: error={refused}");
                 }
                 is_logged = true;
                 sleep(OPEN_RETRY_INTERVAL).await;
             }
-            opened => return read_initial_state(opened?, folder, first_start, me, seeds),
+            opened => return opened,
         }
     }
 }
--- a/system/programs/src/disk.rs
+++ b/system/programs/src/disk.rs
@@ -1,8 +1,11 @@
 //! Durable writes: a writer thread writes and syncs records, the program's single-threaded loop awaits the results.
 
+mod journal;
 #[cfg(test)]
 mod tests;
 
+pub use journal::JournalWriter;
+
 use crate::start::StartError;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
--- a/system/turn-store/src/disk/error.rs
+++ b/system/turn-store/src/disk/error.rs
@@ -28,6 +28,9 @@
         /// The format that this program writes.
         known: u16,
     },
+    /// A log takes no appends before it was restarted: it has no checkpoint, or an earlier write failed.
+    #[error("{}: takes no entries before a checkpoint is written", .0.display())]
+    CheckpointNeeded(PathBuf),
     /// A record of the directory about itself is damaged or missing.
     #[error("the folder's own record `{record}` is damaged: {what}")]
     Metadata {
--- a/system/turn-store/src/disk/journal.rs
+++ b/system/turn-store/src/disk/journal.rs
@@ -6,7 +6,7 @@
 //! once, and is damage.
 
 use super::{DiskError, io_error_at};
-use crate::record_log::is_fully_written;
+use crate::log_files::is_fully_written;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, BufReader, Read, Seek, SeekFrom};
 use std::os::unix::fs::FileExt;
--- a/system/turn-store/src/lib.rs
+++ b/system/turn-store/src/lib.rs
@@ -9,13 +9,16 @@
 //! - [`copy_order`], [`has_copies`], [`is_surely_absent`] and [`AccountReplicas`] are the placement and quorum rules.
 //! - [`Disk`] stores records on fjall, verified and quarantined when they are damaged; it knows nothing of turns.
 //!   [`Writer`] commits writes in groups. [`load`] reads a replica's records from a disk.
-//! - [`RecordLog`] stores a single record as an append-only log.
+//! - [`RecordLog`] stores a single record as an append-only log. [`EntryLog`] stores a checkpoint and the entries appended
+//!   to it.
 //!
 //! The host delivers calls and the roster, passes the time in, applies the writes, and sends an answer when its
 //! [`Durability`] permits.
 
 mod backfill;
 mod disk;
+mod entry_log;
+mod log_files;
 mod payload;
 mod placement;
 mod record_log;
@@ -25,6 +28,7 @@
 
 pub use backfill::Backfill;
 pub use disk::{DamageReason, DamagedRecord, Disk, DiskError, KeyspaceConfig, OpenedDisk, Write};
+pub use entry_log::{EntryLog, EntryWrite, OpenedEntryLog, RecoveredEntries};
 pub use payload::{Payload, Payloads};
 pub use placement::{
     AccountReplicas, NodePreference, copies_needed, copy_order, has_copies, is_surely_absent,
--- a/system/turn-store/src/record_log/faults/power.rs
+++ b/system/turn-store/src/log_files/faulty.rs
@@ -1,6 +1,6 @@
 //! Files over a disk that refuses operations, and what a loss of power leaves of them.
 
-use crate::record_log::files::{FileOperations, SystemFiles};
+use super::{FileOperations, SystemFiles};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fs::{self, File};
 use std::io::{Error, ErrorKind, Result, Seek as _};
@@ -10,7 +10,7 @@
 
 /// What can be refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Operation {
+pub(crate) enum Operation {
     Write,
     SyncData,
     Sync,
@@ -19,7 +19,7 @@
     SyncFolder,
 }
 
-pub(super) const OPERATIONS: [Operation; 6] = [
+pub(crate) const OPERATIONS: [Operation; 6] = [
     Operation::Write,
     Operation::SyncData,
     Operation::Sync,
@@ -56,16 +56,16 @@
 
 /// Files whose operations can be refused.
 #[derive(Clone, Debug, Default)]
-pub(super) struct FaultyFiles(Arc<Mutex<Disk>>);
+pub(crate) struct FaultyFiles(Arc<Mutex<Disk>>);
 
 impl FaultyFiles {
     /// Refuse this operation `times` times, after `let_through` more of them.
-    pub(super) fn refuse(&self, operation: Operation, let_through: usize, times: usize) {
+    pub(crate) fn refuse(&self, operation: Operation, let_through: usize, times: usize) {
         self.0.lock().unwrap().refused.insert(operation, (let_through, times));
     }
 
     /// Nothing is refused any more.
-    pub(super) fn recover(&self) {
+    pub(crate) fn recover(&self) {
         self.0.lock().unwrap().refused.clear();
     }
 
@@ -106,7 +106,7 @@
     }
 
     /// What the directory holds after a loss of power now.
-    pub(super) fn after_power_loss(&self) -> tempfile::TempDir {
+    pub(crate) fn after_power_loss(&self) -> tempfile::TempDir {
         let left = tempfile::tempdir().unwrap();
         let disk = self.0.lock().unwrap();
         for (name, named) in &disk.names {
@@ -127,9 +127,9 @@
 
 /// Faulty files in a directory.
 #[derive(Debug)]
-pub(super) struct InFolder {
-    pub files: FaultyFiles,
-    pub folder: PathBuf,
+pub(crate) struct InFolder {
+    pub(crate) files: FaultyFiles,
+    pub(crate) folder: PathBuf,
 }
 
 impl FileOperations for InFolder {
--- a/system/turn-store/src/record_log/files.rs
+++ b/system/turn-store/src/log_files/operations.rs
@@ -1,4 +1,4 @@
-//! The file operations of a [`RecordLog`](super::RecordLog), which tests replace to inject faults.
+//! The file operations of [`LogFiles`](super::LogFiles), which tests replace to inject faults.
 
 use std::fmt::Debug;
 use std::fs::{self, File};
@@ -6,7 +6,7 @@
 use std::path::Path;
 
 /// Operations on files. The provided methods are those of the operating system.
-pub(super) trait FileOperations: Debug + Send {
+pub(crate) trait FileOperations: Debug + Send {
     /// Writes bytes at the file's position.
     fn write(&mut self, file: &mut File, bytes: &[u8]) -> Result<()> {
         file.write_all(bytes)
@@ -40,6 +40,6 @@
 
 /// The operations of the system.
 #[derive(Debug)]
-pub(super) struct SystemFiles;
+pub(crate) struct SystemFiles;
 
 impl FileOperations for SystemFiles {}
--- a/system/turn-store/src/record_log/faults.rs
+++ b/system/turn-store/src/record_log/faults.rs
@@ -1,11 +1,10 @@
 //! A log over a disk that refuses operations, once or for a while, and what is found after a loss of power.
 
-mod power;
-
 use super::*;
+use crate::log_files::faulty::{FaultyFiles, InFolder, OPERATIONS, Operation};
 use crate::{Completion, Write, Writer};
 use googletest::prelude::*;
-use power::{FaultyFiles, InFolder, OPERATIONS, Operation};
+use std::fs::File;
 use std::sync::mpsc;
 
 /// A log in a directory, what was put, and what was reported as synced.
--- a/system/turn-store/src/record_log/tests.rs
+++ b/system/turn-store/src/record_log/tests.rs
@@ -1,6 +1,7 @@
-use super::encoding::{HEAD_BYTES, MIN_GAP_BYTES};
 use super::*;
+use crate::log_files::{HEAD_BYTES, MIN_GAP_BYTES, list_files};
 use googletest::prelude::*;
+use std::path::PathBuf;
 
 mod recorded;
 
@@ -43,7 +44,7 @@
 fn a_file_that_never_got_its_name_is_no_record() {
     // Given what a loss of power left before the first record was synced.
     let folder = tempfile::tempdir().unwrap();
-    fs::write(folder.path().join("record.new"), &header()[..9]).unwrap();
+    fs::write(folder.path().join("record.new"), &FORMAT.header()[..9]).unwrap();
     expect_that!(open(folder.path()).found, eq(&RecoveredRecord::NeverWritten));
 }
 
@@ -80,7 +81,7 @@
     // Given a long record in whose middle a write is missing, its end being there.
     let (folder, path, _) = persisted(2);
     let mut bytes = fs::read(&path).unwrap();
-    let mut long = encode_content(3, &vec![7; 30_000]);
+    let mut long = FORMAT.encode_content(3, &vec![7; 30_000]);
     long[8_192..16_384].fill(0);
     bytes.extend(long);
     fs::write(&path, bytes).unwrap();
@@ -188,7 +189,7 @@
     let folder = tempfile::tempdir().unwrap();
     let mut log = open(folder.path()).log;
     let long = vec![5; 300 << 10];
-    let names = || list_files(folder.path()).unwrap().0;
+    let names = || list_files(folder.path(), &FORMAT).unwrap().0;
     log.put(&long).unwrap();
     let first = fs::read(folder.path().join("record.1")).unwrap();
     for _ in 0..20 {
--- a/system/turn-store/src/writer.rs
+++ b/system/turn-store/src/writer.rs
@@ -2,9 +2,11 @@
 //!
 //! A failure has different consequences. An engine is not reliable after one: its writer fails all that follows, until the
 //! engine is opened again and gets another writer. The log of a record can still be used: each batch of its writer has its
-//! own result, and one without a record waits until the newest record is synced.
+//! own result, and one without a record waits until the newest record is synced. The log of entries takes no appends after a
+//! failure until it is restarted with a checkpoint.
 
 use crate::disk::{Disk, Write};
+use crate::entry_log::{EntryLog, EntryWrite};
 use crate::record_log::RecordLog;
 use bytes::Bytes;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -27,24 +29,28 @@
 /// Callback for the result of a request, called on the writer's thread.
 pub type Completion = Box<dyn FnOnce(Result<(), WriteFailed>) + Send>;
 
-#[derive(Default)]
-struct Queue {
-    writes: Vec<Write>,
+struct Queue<W> {
+    writes: Vec<W>,
     completions: Vec<Completion>,
     deferred_since: Option<Instant>,
     closing: bool,
 }
 
-#[derive(Default)]
-struct Shared {
-    queue: Mutex<Queue>,
+impl<W> Default for Queue<W> {
+    fn default() -> Self {
+        Self { writes: Vec::new(), completions: Vec::new(), deferred_since: None, closing: false }
+    }
+}
+
+struct Shared<W> {
+    queue: Mutex<Queue<W>>,
     wake: Condvar,
     /// Whether the last batch failed; for a log also whether its newest record is not synced.
     failing: AtomicBool,
 }
 
-impl Shared {
-    fn lock(&self) -> MutexGuard<'_, Queue> {
+impl<W> Shared<W> {
+    fn lock(&self) -> MutexGuard<'_, Queue<W>> {
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -60,8 +66,8 @@
 }
 
 /// The thread that writes to a disk. When dropped it first writes what is pending.
-pub struct Writer {
-    shared: Arc<Shared>,
+pub struct Writer<W = Write> {
+    shared: Arc<Shared<W>>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -128,12 +134,34 @@
         };
         Self::spawn(commit, has_unsynced_record)
     }
+}
 
+impl Writer<EntryWrite> {
+    /// Starts the thread over a log of entries. A failed batch may be on disk or not; the log then takes no appends until
+    /// it is restarted.
+    ///
+    /// # Errors
+    ///
+    /// The thread cannot be started.
+    pub fn start_entry_log(log: Arc<Mutex<EntryLog>>) -> std::io::Result<Self> {
+        let commit = move |writes: &[EntryWrite]| {
+            let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+            log.commit(writes).map_err(|error| WriteFailed(error.to_string()))
+        };
+        Self::spawn(commit, false)
+    }
+}
+
+impl<W: Send + 'static> Writer<W> {
     fn spawn(
-        mut commit: impl FnMut(&[Write]) -> Result<(), WriteFailed> + Send + 'static,
+        mut commit: impl FnMut(&[W]) -> Result<(), WriteFailed> + Send + 'static,
         failing: bool,
     ) -> std::io::Result<Self> {
-        let shared = Arc::new(Shared { failing: AtomicBool::new(failing), ..Shared::default() });
+        let shared = Arc::new(Shared {
+            queue: Mutex::default(),
+            wake: Condvar::new(),
+            failing: AtomicBool::new(failing),
+        });
         let thread_shared = Arc::clone(&shared);
         let run = move || {
             while let Some((writes, completions)) = next_batch(&thread_shared) {
@@ -155,7 +183,7 @@
 
     /// Submits writes; `done` is called when they and all earlier ones are synced. Without writes it waits for the earlier
     /// ones only.
-    pub fn submit(&self, writes: Vec<Write>, done: Completion) {
+    pub fn submit(&self, writes: Vec<W>, done: Completion) {
         let mut queue = self.shared.lock();
         queue.writes.extend(writes);
         queue.completions.push(done);
@@ -164,7 +192,7 @@
     }
 
     /// Submits writes that nobody waits for: they go with the next batch, after 200 ms at the latest.
-    pub fn submit_deferred(&self, writes: Vec<Write>) {
+    pub fn submit_deferred(&self, writes: Vec<W>) {
         if writes.is_empty() {
             return;
         }
@@ -176,7 +204,7 @@
     }
 }
 
-impl Drop for Writer {
+impl<W> Drop for Writer<W> {
     fn drop(&mut self) {
         self.shared.lock().closing = true;
         self.shared.wake.notify_one();
@@ -188,7 +216,7 @@
     }
 }
 
-fn next_batch(shared: &Shared) -> Option<(Vec<Write>, Vec<Completion>)> {
+fn next_batch<W>(shared: &Shared<W>) -> Option<(Vec<W>, Vec<Completion>)> {
     let mut queue = shared.lock();
     loop {
         let remaining = queue.deferred_since.map(|since| MAX_DEFERRED_DELAY.saturating_sub(since.elapsed()));
