--- a/system/programs/src/control_api/application/request.rs
+++ b/system/programs/src/control_api/application/request.rs
@@ -54,8 +54,8 @@
 #[derive(Deserialize)]
 struct PutBody {
     value: String,
-    /// The revision that the key must have.
-    enabled: u64,
+    /// The revision that the key must have; any will do without it.
+    enabled: Option<u64>,
 }
 
 /// Reads a request; `name` is the end of its path, as it was sent.
@@ -89,7 +89,7 @@
         }
         ApplicationCall::PutKey => {
             let PutBody { value, enabled } = parse_body(body)?;
-            CoordinationCommand::PutKey { key: name, value, expected: Some(enabled) }
+            CoordinationCommand::PutKey { key: name, value, expected: enabled }
         }
         ApplicationCall::ReadKey => return Ok(ApplicationRequest::ReadKey { key: name }),
         ApplicationCall::Watch => return parse_watch(name, query),
