--- /dev/null
+++ b/system/coordination/tests/coordination/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the coordination state machine.
+
+mod commands;
+mod counters;
+mod hold_tracker;
+mod keys;
+mod locks;
+mod random_batches;
+mod snapshot;
+mod two_callers;
