--- a/system/turn-store/src/log_files/faulty.rs
+++ b/system/turn-store/src/log_files/faulty.rs
@@ -120,6 +120,77 @@
     }
 }
 
+/// Size in bytes of what is written or missing as a whole: less than on a real disk, so that short writes cover several.
+const SECTOR_BYTES: usize = 64;
+
+impl FaultyFiles {
+    /// Names with their inodes that a loss of power now may leave: the synced ones, the present ones, or both.
+    fn possible_names(&self, folder: &Path) -> Vec<BTreeMap<String, Named>> {
+        let entries = fs::read_dir(folder).into_iter().flatten().map(|entry| entry.unwrap());
+        let present: BTreeMap<_, _> = entries
+            .map(|entry| {
+                let inode = entry.metadata().unwrap().ino();
+                (entry.file_name().into_string().unwrap(), Named::Inode(inode))
+            })
+            .collect();
+        let synced = self.0.lock().unwrap().names.clone();
+        let both = synced.clone().into_iter().chain(present.clone()).collect();
+        vec![synced, present, both]
+    }
+
+    /// What a loss of power now may leave of a file: of the bytes that are not synced all, none, those before a sector's
+    /// begin, or all but a sector, or those of a sector alone.
+    fn possible_contents(&self, inode: u64, folder: &Path) -> Vec<Vec<u8>> {
+        let disk = self.0.lock().unwrap();
+        let Some(content) = disk.contents.get(&inode) else { return vec![Vec::new()] };
+        let unsynced: BTreeSet<u64> = content.dirty.union(&content.cache_only).copied().collect();
+        if unsynced.is_empty() {
+            return vec![content.synced.clone()];
+        }
+        let present = fs::read(path_of(inode, folder)).unwrap();
+        let leave = |is_kept: &dyn Fn(usize) -> bool| {
+            let mut left = present.clone();
+            for position in unsynced.iter().map(|position| *position as usize).filter(|at| !is_kept(*at)) {
+                if let Some(byte) = left.get_mut(position) {
+                    *byte = content.synced.get(position).copied().unwrap_or(0);
+                }
+            }
+            left
+        };
+        let mut possible = vec![content.synced.clone(), present.clone()];
+        for sector in 0..=present.len() / SECTOR_BYTES {
+            possible.push(leave(&|at| at / SECTOR_BYTES != sector));
+            possible.push(leave(&|at| at / SECTOR_BYTES == sector));
+            possible.push(leave(&|at| at / SECTOR_BYTES < sector));
+        }
+        possible
+    }
+
+    /// The folders that a loss of power now may leave.
+    pub(crate) fn possible_power_losses(&self, folder: &Path) -> Vec<tempfile::TempDir> {
+        let mut left = Vec::new();
+        for names in self.possible_names(folder) {
+            let contents: Vec<(&String, Vec<Vec<u8>>)> = names
+                .iter()
+                .map(|(name, named)| match named {
+                    Named::Inode(inode) => (name, self.possible_contents(*inode, folder)),
+                    Named::Removed(bytes) => (name, vec![bytes.clone()]),
+                })
+                .collect();
+            let variants = contents.iter().map(|(_, possible)| possible.len()).max().unwrap_or(1);
+            for variant in 0..variants {
+                let directory = tempfile::tempdir().unwrap();
+                for (name, possible) in &contents {
+                    fs::write(directory.path().join(name), &possible[variant.min(possible.len() - 1)])
+                        .unwrap();
+                }
+                left.push(directory);
+            }
+        }
+        left
+    }
+}
+
 fn path_of(inode: u64, folder: &Path) -> PathBuf {
     let entries = fs::read_dir(folder).unwrap().map(|entry| entry.unwrap());
     entries.into_iter().find(|entry| entry.metadata().unwrap().ino() == inode).unwrap().path()
