--- a/system/control-node/src/lib.rs
+++ b/system/control-node/src/lib.rs
@@ -20,7 +20,9 @@
 mod recovery;
 mod replica;
 
-pub use coordination::{ApplicationReply, ApplicationRequest};
+pub use coordination::{
+    ApplicationReply, ApplicationRequest, CoordinationStatus, CounterStatus, GroupStatus, LockStatus,
+};
 pub use durable_acceptor::{
     DiskState, DurableAcceptor, PendingReply, PendingWrite, WriteNumber, WriteOutcome,
 };
--- a/system/programs/src/admin/commands.rs
+++ b/system/programs/src/admin/commands.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod config;
+mod coordination;
 mod endpoints;
 mod members;
 mod processes;
@@ -55,6 +56,9 @@
     /// The storage machines that count, a change under way, and those being emptied
     #[bpaf(command("roster"))]
     Roster,
+    /// The coordination service: leader, replicas, locks, counters and groups of keys
+    #[bpaf(command("coordination"))]
+    Coordination,
     /// The configuration's version in force at each process, with its age
     #[bpaf(command("versions"))]
     Versions,
@@ -155,6 +159,7 @@
         Command::Turn { attempt } => turn::turn(fleet, attempt).await,
         Command::Account { program } => account::account(fleet, program).await,
         Command::Roster => roster::roster(fleet).await,
+        Command::Coordination => coordination::coordination(fleet).await,
         Command::Versions => processes::versions(fleet).await,
         Command::Metrics { node } => processes::metrics(fleet, node.as_deref()).await,
     }
--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -3,10 +3,11 @@
 
 mod application_requests;
 mod backend;
+mod coordination_metrics;
 mod operator_requests;
 mod record;
 
-use crate::admin::AdminEndpoint;
+use crate::admin::{AdminEndpoint, Topic};
 use crate::control_api::{self, ApiLimits, ApiLoad};
 use crate::feed::{ProcessRuntime, SubscriberLink, new_feed};
 use crate::members::Members;
@@ -21,6 +22,7 @@
 use fleet_model::{Answer, Call};
 use peer_wire::{Handler, PeerServer, Pusher};
 use replicated_log::RecoveredJournal;
+use serde_json::json;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -56,6 +58,9 @@
     /// Answers an operator's query, also without a majority.
     fn inspect(&self, topic: &str) -> Answer {
         let node = &self.node;
+        if Topic::read(topic).name == "coordination" {
+            return self.admin.view(json!(node.coordination_status()));
+        }
         self.admin.answer(topic, |metrics| {
             metrics.gauge("control_node_fit_to_vote", f64::from(u8::from(node.can_vote())));
             metrics.gauge("control_node_damages_found", self.damages as f64);
@@ -77,6 +82,7 @@
             metrics.gauge("control_node_api_connections", api.connections as f64);
             metrics.gauge("control_node_waiting_watches", api.waiting_watches as f64);
             metrics.counter("control_node_api_rejected", api.rejected);
+            coordination_metrics::add(metrics, self.me, &node.coordination_status());
         })
     }
 }
--- a/system/programs/src/control_api/application/outcome.rs
+++ b/system/programs/src/control_api/application/outcome.rs
@@ -4,10 +4,19 @@
 use super::super::server::IndeterminateError;
 use super::ApplicationCall;
 use control_node::ApplicationReply;
-use fleet_model::{CoordinationOutcome, KeyRevision};
+use coordination::KeyEvent;
+use fleet_model::CoordinationOutcome;
 use hyper::StatusCode;
+use serde::Serialize;
 use serde_json::json;
 
+/// The body of the reply to a watch.
+#[derive(Serialize)]
+struct EventsBody {
+    events: Vec<KeyEvent>,
+    revision: u64,
+}
+
 /// The reply to a call.
 ///
 /// # Errors
@@ -16,13 +25,9 @@
 pub(super) fn reply(call: ApplicationCall, reply: ApplicationReply) -> Result<Reply, IndeterminateError> {
     Ok(match reply {
         ApplicationReply::Outcome(outcome) => outcome_reply(call, &outcome),
-        ApplicationReply::Key(Some(KeyRevision { value, revision })) => {
-            Reply::ok(&json!({ "value": value, "revision": revision }))
-        }
+        ApplicationReply::Key(Some(key)) => Reply::ok(&key),
         ApplicationReply::Key(None) => Reply::error(StatusCode::NOT_FOUND, "no such key"),
-        ApplicationReply::Events { events, revision } => {
-            Reply::ok(&json!({ "events": events, "revision": revision }))
-        }
+        ApplicationReply::Events { events, revision } => Reply::ok(&EventsBody { events, revision }),
         ApplicationReply::EventsPruned => Reply::error(StatusCode::GONE, "older events are not retained"),
         ApplicationReply::Overloaded => {
             Reply::error(StatusCode::TOO_MANY_REQUESTS, "too many requests are waiting")
--- a/system/programs/src/control_api/reply.rs
+++ b/system/programs/src/control_api/reply.rs
@@ -4,6 +4,7 @@
 use http_body_util::Full;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use serde::Serialize;
 use serde_json::json;
 
 /// Value of `Retry-After` with 429 and 503, in seconds.
@@ -31,9 +32,9 @@
         Self::new(StatusCode::SERVICE_UNAVAILABLE, r#"{"error":"no majority of the core answers"}"#)
     }
 
-    /// Status 200 with a JSON value.
-    pub(super) fn ok(value: &serde_json::Value) -> Self {
-        Self::new(StatusCode::OK, value.to_string())
+    /// Status 200 with a JSON value. Serialization into memory fails for no type that is sent.
+    pub(super) fn ok(value: &impl Serialize) -> Self {
+        Self::new(StatusCode::OK, serde_json::to_vec(value).unwrap_or_default())
     }
 
     /// A status with a message as the member `error`.
--- a/system/programs/tests/admin_commands/reports.rs
+++ b/system/programs/tests/admin_commands/reports.rs
@@ -1,7 +1,8 @@
 //! Each command's report on a fleet.
 
 use crate::canned_fleet::{
-    CONFIG, agent, endpoint, ip, keeper, proxy, roster, run, serve, storage_node, store, well,
+    CONFIG, Made, agent, endpoint, ip, keeper, origin, proxy, roster, run, serve, storage_node, store, view,
+    well,
 };
 use fleet_model::{Roster, account_replicas};
 use googletest::prelude::*;
@@ -62,6 +63,7 @@
         Command::Turn { attempt: "t-1".to_owned() },
         Command::Account { program: "p".to_owned() },
         Command::Roster,
+        Command::Coordination,
         Command::Versions,
         Command::Metrics { node: None },
     ] {
@@ -270,3 +272,56 @@
     let line = r#"members{node="core-1",program="control-node",zone="a"} 5"#;
     expect_that!(report.text, eq(&format!("# TYPE members gauge\n{line}\n")));
 }
+
+fn coordination_view(leader_round: Option<u64>) -> serde_json::Value {
+    let ballot = |round| json!({ "round": round, "proposer": 1, "life": 2 });
+    json!({
+        "leader": leader_round.map(|round| json!({ "ballot": ballot(round), "ip": ip(1) })),
+        "promised": ballot(5),
+        "replica": 255,
+        "applied_slot": 88,
+        "members": [{ "ip": ip(1), "replica": 255 }],
+        "locks": [
+            { "name": "l1", "holder": "a3.7", "fence": 41, "remaining_ms": 1200 },
+            { "name": "l2", "holder": null, "fence": 7, "remaining_ms": null },
+        ],
+        "counters": [{ "name": "n2", "value": 5120 }],
+        "groups": [{ "name": "g1.", "revision": 931, "keys": 3, "retained_events": 20 }],
+        "watchers": 4,
+    })
+}
+
+fn with_coordination(body: &serde_json::Value) -> Vec<Made> {
+    let mut made = well();
+    let told = view(&origin("core-1", "a", "control-node"), body.clone());
+    made[0].topics.insert("coordination".to_owned(), told);
+    made
+}
+
+#[gtest]
+fn given_a_leader_then_replicas_locks_counters_and_groups_are_told() {
+    let report = run(with_coordination(&coordination_view(Some(5))), Command::Coordination);
+    expect_that!(report.verdict, eq(Verdict::Healthy));
+    let lines = [
+        "core-1  a     00000000000000ff  127.0.0.1 (ballot 5)  88       4",
+        "members: 127.0.0.1",
+        "l1    a3.7    41     1200 ms",
+        "l2    -       7      -",
+        "n2       5120",
+        "g1.    931       3     20",
+        "slot 88, as core-1 knew it 5 ms ago",
+    ];
+    for line in lines {
+        expect_that!(report.text, contains_substring(format!("{line}\n")));
+    }
+    expect_that!(report.json["views"][0]["locks"][0]["fence"], eq(&json!(41)));
+}
+
+#[gtest]
+fn given_no_leader_or_no_answer_of_a_core_machine_then_that_is_wrong() {
+    let report = run(with_coordination(&coordination_view(None)), Command::Coordination);
+    expect_that!(report.verdict, eq(Verdict::Problem));
+    expect_that!(report.text, contains_substring("no leader\n"));
+    // A core machine of an earlier release does not know the topic.
+    expect_that!(run(well(), Command::Coordination).verdict, eq(Verdict::NoAnswer));
+}
