--- a/system/control-node/src/coordination/mod.rs
+++ b/system/control-node/src/coordination/mod.rs
@@ -22,9 +22,11 @@
 mod machine;
 mod membership;
 mod peers;
+mod status;
 mod watch;
 
 pub use application::{ApplicationReply, ApplicationRequest};
+pub use status::{CoordinationStatus, CounterStatus, GroupStatus, LockStatus};
 
 use crate::{ControlBackend, ControlNode};
 use config_register::BallotSource;
