--- a/system/node-settings/tests/settings.rs
+++ b/system/node-settings/tests/settings.rs
@@ -99,12 +99,14 @@
         .replace("ack_ms: 4000", "ack_ms: 4000.2")
         .replace("seed_lag_s: 3", "seed_lag_s: 0.5")
         .replace("again_s: 0", "again_s: true")
-        .replace("finish_s: 10", "finish_s: false");
+        .replace("finish_s: 10", "finish_s: false\n  history_s: 7.5");
     let bounds = Settings::parse(&text).unwrap().bounds;
     expect_eq!(bounds.ack_ms, 4001);
     expect_eq!(bounds.seed_lag_s, 0.5);
     expect_eq!(bounds.again_s, 1.0);
     expect_eq!(bounds.finish_s, 0.0);
+    expect_eq!(bounds.history_s, 7.5);
+    expect_eq!(node_settings::Bounds::default().history_s, 20.0);
 }
 
 #[gtest]
