--- a/system/request-forwarding/tests/resumption.rs
+++ b/system/request-forwarding/tests/resumption.rs
@@ -45,11 +45,26 @@
     }
 
     async fn client(&self, path: &str) -> Wire {
+        self.client_with(path, TURN).await
+    }
+
+    async fn client_with(&self, path: &str, headers: &str) -> Wire {
         let mut client = self.world.client().await;
-        client.write(post(path, "t1", TURN, "input").bytes()).await;
+        client.write(post(path, "t1", headers, "input").bytes()).await;
         client
     }
 
+    /// The `Last-Event-Id` of each request that came, sorted; nothing where there was none.
+    fn last_event_ids(&self) -> Vec<String> {
+        let seen = self.seen().0;
+        let mut ids: Vec<String> = seen
+            .iter()
+            .map(|request| request.header("last-event-id").unwrap_or_default().to_owned())
+            .collect();
+        ids.sort_unstable();
+        ids
+    }
+
     /// All requests that came, and how many endpoints they came to.
     fn seen(&self) -> (Vec<Message>, usize) {
         let by_server: Vec<Vec<Message>> =
@@ -108,6 +123,30 @@
     });
 }
 
+#[gtest]
+fn given_a_client_that_goes_on_after_an_event_then_each_endpoint_is_told_where_also_after_breaks() {
+    run(async {
+        let story = Story::with(vec![None, None]).await;
+        let headers = format!("{TURN}Last-Event-Id: 4\r\n");
+        story.send(0, Part::Break);
+        let mut client = story.client_with("/resumable/", &headers).await;
+        story.send(1, Part::Bytes("id: 5\ndata: five\n\n"));
+        expect_that!(client.head().await.unwrap().status(), eq(200));
+        expect_that!(client.chunk().await, some(eq(b"id: 5\ndata: five\n\n")));
+        expect_eq!(story.last_event_ids(), ["4", "4"]);
+
+        let story = Story::with(vec![None, None]).await;
+        let mut client = story.client_with("/resumable/", &headers).await;
+        story.send(0, Part::Bytes("id: 5\ndata: five\n\n"));
+        expect_that!(client.head().await.unwrap().status(), eq(200));
+        expect_that!(client.chunk().await, some(eq(b"id: 5\ndata: five\n\n")));
+        story.send(0, Part::Break);
+        story.send(1, Part::Bytes("id: 6\ndata: six\n\n"));
+        expect_that!(client.chunk().await, some(eq(b"id: 6\ndata: six\n\n")));
+        expect_eq!(story.last_event_ids(), ["4", "5"]);
+    });
+}
+
 #[gtest]
 fn given_a_connection_that_is_reset_before_the_head_then_the_request_goes_again() {
     run(async {
