--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -91,3 +91,36 @@
         assert!(lines < 300, "{} has {lines} lines", part.display());
     }
 }
+
+/// The source files below a folder, without tests, that hold one of these words.
+fn files_with(folder: &Path, words: &[&str]) -> BTreeSet<String> {
+    let mut found = BTreeSet::new();
+    for path in std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()) {
+        let name = path.file_stem().unwrap().to_str().unwrap();
+        if name == "tests" {
+            continue;
+        }
+        if path.is_dir() {
+            found.extend(files_with(&path, words));
+        } else if path.extension().is_some_and(|end| end == "rs") {
+            let text = std::fs::read_to_string(&path).unwrap();
+            if words.iter().any(|word| text.contains(word)) {
+                found.insert(path.to_str().unwrap().to_owned());
+            }
+        }
+    }
+    found
+}
+
+/// Guards against leases, holds or orders that a jump of the clock would change.
+#[test]
+fn no_program_of_the_tier_decides_by_the_time_of_day() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("system");
+    let words = ["SystemTime", "UNIX_EPOCH", "Utc::now", "Local::now", "OffsetDateTime", "Zoned::now"];
+    let folders = std::fs::read_dir(&root).unwrap().map(|entry| entry.unwrap().path().join("src"));
+    let found: BTreeSet<String> =
+        folders.filter(|folder| folder.is_dir()).flat_map(|folder| files_with(&folder, &words)).collect();
+    // A process's number, which rises also where the clock has gone back.
+    let known = root.join("programs/src/members.rs");
+    assert_eq!(found, BTreeSet::from([known.to_str().unwrap().to_owned()]));
+}
