--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -44,6 +44,9 @@
         #[arg(long, default_value_t = 12.0, value_parser = seconds)]
         seconds: f64,
     },
+    /// Runs control nodes as real processes under applications of the coordination service, with faults drawn from the
+    /// seed, and checks its rules.
+    Soak(SoakOptions),
     /// Runs a scenario, each seed once with each variant.
     Run(RunOptions),
     /// Runs a scenario's variants in turn, as often as it says, and compares them.
@@ -136,6 +139,29 @@
     pub(crate) senders: Option<usize>,
 }
 
+/// Options of a soak of the coordination service.
+#[derive(clap::Args)]
+pub(crate) struct SoakOptions {
+    /// Draws the calls of the applications and the faults.
+    #[arg(long, default_value_t = 1)]
+    pub(crate) seed: u64,
+    /// How long applications work, in seconds.
+    #[arg(long, default_value_t = 60.0, value_parser = seconds)]
+    pub(crate) seconds: f64,
+    /// Control nodes in service at once.
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u8).range(3..=9))]
+    pub(crate) processes: u8,
+    /// A folder with the tier's programs; without it, those of this project are built and used.
+    #[arg(long)]
+    pub(crate) programs: Option<PathBuf>,
+    /// No faults: the calls alone.
+    #[arg(long)]
+    pub(crate) calm: bool,
+    /// A file for the history, in JSON.
+    #[arg(long)]
+    pub(crate) history: Option<PathBuf>,
+}
+
 /// A range of seeds.
 fn seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
     let parsed = text.split_once("..").and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -6,6 +6,7 @@
 mod built;
 pub mod checker;
 pub mod clients;
+pub mod coordination;
 pub mod directory;
 pub mod endpoints;
 pub mod environment;
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -6,7 +6,7 @@
 
 use clap::Parser;
 use cli::{Cli, Command, SystemSimulation};
-use commands::{sender_membership, sender_runs, serving_tier, system_simulation};
+use commands::{coordination, sender_membership, sender_runs, serving_tier, system_simulation};
 use error::TestbedError;
 use std::process::ExitCode;
 use testbed::baseline;
@@ -53,6 +53,7 @@
             let older = older.map(|programs| Older { programs, is_first: older_first });
             serving_tier::run(programs, older, seed, seconds, stop).await
         }
+        Command::Soak(options) => coordination::soak(options, stop).await,
         Command::Run(options) => {
             let scenario = Scenario { repeats: 1, ..sender_runs::selected_scenario(&options)? };
             sender_runs::run_all(scenario, options.sender, options.seed, options.out, false, stop).await
--- a/testbed/src/serving_tier/machines.rs
+++ b/testbed/src/serving_tier/machines.rs
@@ -141,7 +141,8 @@
             if !bases.contains(&base) && is_free(&all, base).await {
                 bases.push(base);
             }
-            if bases.len() == edge.len() {
+            // Core and storage machines need ports where there are no edge machines, too.
+            if bases.len() == edge.len().max(1) {
                 return Ok(Self { base: bases[0], edge_bases: bases, core, storage, edge });
             }
         }
@@ -307,6 +308,30 @@
         Ok(())
     }
 
+    /// Replaces fields of its settings by those of `fields`, in each start from now on.
+    pub fn configure(&mut self, fields: serde_json::Map<String, Value>) {
+        for (name, value) in fields {
+            self.settings[name.as_str()] = value;
+        }
+    }
+
+    /// SIGSTOP: it keeps its memory and its connections, and does nothing.
+    pub fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// SIGCONT.
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.pid().and_then(|id| i32::try_from(id).ok()) {
+            // One that has just ended hears nothing.
+            let _ = kill(Pid::from_raw(pid), signal);
+        }
+    }
+
     /// Whether it was started and has ended by itself.
     pub fn crashed(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
--- a/testbed/src/serving_tier/operator.rs
+++ b/testbed/src/serving_tier/operator.rs
@@ -100,7 +100,11 @@
                     self.recorder.event(format!("configuration {version} refused: {status} {text}"));
                     return false;
                 }
-                _ => {}
+                Some((status, _)) => {
+                    self.recorder
+                        .event(format!("configuration {version}: {status} from {}", control_node.ip()));
+                }
+                None => {}
             }
             if Instant::now() >= until {
                 break;
