--- a/testbed/src/coordination/schedule.rs
+++ b/testbed/src/coordination/schedule.rs
@@ -12,7 +12,7 @@
 /// No fault later than this before the end of the work.
 const CALM_END_MS: u64 = 1_000;
 /// Time between two faults, in milliseconds.
-const GAP_MS: Range<u64> = 200..3_500;
+const GAP_MS: Range<u64> = 100..2_500;
 /// How long a process is away, in milliseconds.
 const DOWN_MS: Range<u64> = 50..3_000;
 /// How long a process is frozen, in milliseconds.
@@ -24,7 +24,7 @@
 /// How often the configuration changes, in milliseconds.
 const CONFIGURATION_GAP_MS: Range<u64> = 1_500..4_000;
 /// The share of faults that hit all machines at once.
-const HERD_SHARE: f64 = 0.04;
+const HERD_SHARE: f64 = 0.08;
 
 /// What happens to a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -168,9 +168,9 @@
         let has_spare = self.next_spare < usize::from(self.plan.control_nodes + self.plan.spares);
         match self.rng.random_range(0..100) {
             0..25 => (Fault::Restart { down }, down_ms + CATCH_UP_MS),
-            25..55 => (Fault::Kill { down }, down_ms + CATCH_UP_MS),
-            55..75 => (Fault::Wipe { down }, down_ms + CATCH_UP_MS),
-            75..85 if has_spare => (Fault::Replace { by: self.next_spare, down }, down_ms + REPLACEMENT_MS),
+            25..52 => (Fault::Kill { down }, down_ms + CATCH_UP_MS),
+            52..64 => (Fault::Wipe { down }, down_ms + CATCH_UP_MS),
+            64..70 if has_spare => (Fault::Replace { by: self.next_spare, down }, down_ms + REPLACEMENT_MS),
             _ => {
                 let time_ms = self.rng.random_range(FREEZE_MS);
                 (Fault::Freeze { time: Duration::from_millis(time_ms) }, time_ms + CATCH_UP_MS)
