--- a/system/control-node/src/coordination/mod.rs
+++ b/system/control-node/src/coordination/mod.rs
@@ -39,7 +39,7 @@
 use leadership::Leadership;
 use machine::Machine;
 use node_runtime::Runtime;
-use replicated_log::{RecoveredJournal, Replica, is_vote};
+use replicated_log::{JournalError, RecoveredJournal, Replica, is_vote};
 use std::cell::{Cell, RefCell};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -78,6 +78,21 @@
     is_shutting_down: Cell<bool>,
 }
 
+/// Checks that this program can read a journal. One that it cannot read was written by another program; the node must not start
+/// over it as a new replica.
+///
+/// # Errors
+///
+/// [`JournalError`] if a part of it cannot be decoded.
+pub fn check_journal(journal: &RecoveredJournal) -> Result<(), JournalError> {
+    match journal {
+        RecoveredJournal::Empty => Ok(()),
+        RecoveredJournal::Stored { checkpoint, records } => {
+            Replica::<Machine>::recover(checkpoint, records).map(drop)
+        }
+    }
+}
+
 impl CoordinationService {
     /// The service with the journal that was found, or as a new replica.
     pub(crate) fn new(journal: &RecoveredJournal, new_replica: ReplicaId, ballots: BallotSource) -> Self {
--- a/system/control-node/src/lib.rs
+++ b/system/control-node/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub use coordination::{
     ApplicationReply, ApplicationRequest, CoordinationStatus, CounterStatus, GroupStatus, LockStatus,
+    check_journal,
 };
 pub use durable_acceptor::{
     DiskState, DurableAcceptor, PendingReply, PendingWrite, WriteNumber, WriteOutcome,
--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -125,6 +125,7 @@
         opened = journal::open_with_retry(&folder) => opened?,
         () = shutdown_requested(&process) => return Ok(()),
     };
+    journal::check(&journal.found)?;
     let damages = damages + journal.damages;
     let feed = new_feed(&process);
     let backend = Backend::new(process.clone(), durable, journal.writer);
--- a/system/programs/src/control/journal.rs
+++ b/system/programs/src/control/journal.rs
@@ -29,6 +29,11 @@
     Ok(into_journal(retry_while_refused("journal", || EntryLog::open(&folder)).await?))
 }
 
+/// Refuses a journal that another program has written: the node must not start over it as a new replica.
+pub(super) fn check(found: &RecoveredJournal) -> Result<(), StartError> {
+    control_node::check_journal(found).map_err(|error| StartError::Disk(error.to_string()))
+}
+
 fn into_journal(opened: OpenedEntryLog) -> OpenedJournal {
     for damage in &opened.damages {
         log::error!("damaged journal set aside: {damage}");
--- a/system/programs/src/control/journal/tests.rs
+++ b/system/programs/src/control/journal/tests.rs
@@ -73,3 +73,16 @@
     });
     expect_that!(opened.found, eq(&RecoveredJournal::Empty));
 }
+
+#[googletest::test]
+fn a_journal_of_another_format_is_not_started_over() {
+    let data_directory = tempfile::tempdir().unwrap();
+    let journal = open(data_directory.path());
+    let foreign = JournalWrite::Checkpoint(vec![250, 1, 2, 3].into());
+    expect_that!(wait(journal.writer.write(foreign)), ok(anything()));
+    drop(journal);
+    let found = open(data_directory.path()).found;
+    let refusal = check(&found).expect_err("a refusal");
+    expect_that!(refusal.to_string(), contains_substring("unknown format 250"));
+    expect_that!(check(&RecoveredJournal::Empty), ok(anything()));
+}
