--- a/system/peer-wire/src/codec/coordination.rs
+++ b/system/peer-wire/src/codec/coordination.rs
@@ -2,7 +2,8 @@
 
 use super::WireError;
 use super::malformed;
-use fleet_model::{CoordinationAnswer, CoordinationCall, LogReply, LogRequest};
+use fleet_model::{CoordinationAnswer, CoordinationCall};
+use postcard::ser_flavors::Size;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -21,18 +22,17 @@
     }
 }
 
-/// Estimated number of bytes of the variable-length fields of a call.
+/// Number of bytes that a message takes when it is encoded.
+fn encoded_len<T: Serialize>(message: &T) -> usize {
+    postcard::serialize_with_flavor(message, Size::default()).unwrap_or_default()
+}
+
+/// Number of bytes of the variable-length fields of a call.
 pub(super) fn coordination_call_len(call: &CoordinationCall) -> usize {
-    match call {
-        CoordinationCall::Log(LogRequest::Install(snapshot)) => snapshot.state.len(),
-        _ => 0,
-    }
+    encoded_len(call)
 }
 
-/// Estimated number of bytes of the variable-length fields of an answer.
+/// Number of bytes of the variable-length fields of an answer.
 pub(super) fn coordination_answer_len(answer: &CoordinationAnswer) -> usize {
-    match answer {
-        CoordinationAnswer::Log { reply: LogReply::Fetched(snapshot), .. } => snapshot.state.len(),
-        _ => 0,
-    }
+    encoded_len(answer)
 }
--- a/system/peer-wire/tests/codec.rs
+++ b/system/peer-wire/tests/codec.rs
@@ -64,11 +64,73 @@
 
 const VARIANTS: usize = 41;
 
+/// One number for each variant of the coordination service's messages, with those of what they carry.
+fn coordination_variant(frame: &Frame) -> Option<usize> {
+    let command = |command: &CoordinationCommand| match command {
+        CoordinationCommand::AcquireLock { .. } => 0,
+        CoordinationCommand::RenewLock { .. } => 1,
+        CoordinationCommand::ReleaseLock { .. } => 2,
+        CoordinationCommand::NextNumber { .. } => 3,
+        CoordinationCommand::PutKey { .. } => 4,
+    };
+    let entry = |entry: &LogEntry| match entry {
+        LogEntry::Empty => 0,
+        LogEntry::Batch(_) => 1,
+        LogEntry::Members(_) => 2,
+    };
+    Some(match frame {
+        Frame::Call(_, Call::Coordination(call)) => match call {
+            CoordinationCall::Log(LogRequest::Prepare(_)) => 0,
+            CoordinationCall::Log(LogRequest::Heartbeat { .. }) => 1,
+            CoordinationCall::Log(LogRequest::Learn { .. }) => 2,
+            CoordinationCall::Log(LogRequest::Install(_)) => 3,
+            CoordinationCall::Log(LogRequest::Fetch) => 4,
+            CoordinationCall::Log(LogRequest::Accept { accepted, .. }) => 5 + entry(&accepted.entry.entry),
+            CoordinationCall::Submit { command: submitted, .. } => 8 + command(submitted),
+            CoordinationCall::Read { query: CoordinationQuery::Key(_), .. } => 13,
+            CoordinationCall::Read { query: CoordinationQuery::CommitIndex, .. } => 14,
+            CoordinationCall::Locate => 15,
+        },
+        Frame::Answer(_, Answer::Coordination(answer)) => match answer {
+            CoordinationAnswer::Log { reply, .. } => match reply {
+                LogReply::Promised { pending: None, .. } => 16,
+                LogReply::Promised { pending: Some(accepted), .. } => 17 + entry(&accepted.entry.entry),
+                LogReply::Accepted => 20,
+                LogReply::Confirmed => 21,
+                LogReply::Rejected(_) => 22,
+                LogReply::Behind(_) => 23,
+                LogReply::Learned(_) => 24,
+                LogReply::Fetched(_) => 25,
+            },
+            CoordinationAnswer::Outcome(outcome) => match outcome {
+                CoordinationOutcome::LockGranted { .. } => 26,
+                CoordinationOutcome::LockNotHeld => 27,
+                CoordinationOutcome::LockReleased => 28,
+                CoordinationOutcome::Number { .. } => 29,
+                CoordinationOutcome::KeyStored { .. } => 30,
+                CoordinationOutcome::RevisionMismatch { .. } => 31,
+                CoordinationOutcome::LimitReached => 32,
+            },
+            CoordinationAnswer::Reading(CoordinationReading::Key(_)) => 33,
+            CoordinationAnswer::Reading(CoordinationReading::CommitIndex(_)) => 34,
+            CoordinationAnswer::NotExecuted { .. } => 35,
+            CoordinationAnswer::Overloaded => 36,
+            CoordinationAnswer::Indeterminate => 37,
+            CoordinationAnswer::Located { .. } => 38,
+        },
+        _ => return None,
+    })
+}
+
+const COORDINATION_VARIANTS: usize = 39;
+
 #[test]
 fn every_variant_survives_encoding_and_decoding() {
     let frames = frames();
     let seen: BTreeSet<_> = frames.iter().map(variant).collect();
     assert_that!(seen, eq(&(0..VARIANTS).collect::<BTreeSet<_>>()));
+    let seen: BTreeSet<_> = frames.iter().filter_map(coordination_variant).collect();
+    assert_that!(seen, eq(&(0..COORDINATION_VARIANTS).collect::<BTreeSet<_>>()));
 
     for frame in frames {
         assert_that!(decode(&encode(&frame).unwrap()).unwrap(), eq(&frame));
@@ -99,6 +161,38 @@
     assert!(decode(&encode(&fits).unwrap()).unwrap() == fits);
 }
 
+#[test]
+fn a_coordination_message_that_is_too_long_is_rejected_by_the_encoder() {
+    let entry = |len| {
+        let command = CoordinationCommand::NextNumber { name: "n".repeat(len) };
+        let batch = CoordinationBatch { commands: vec![command], ..CoordinationBatch::default() };
+        SlotEntry { slot: 1, entry: LogEntry::Batch(batch) }
+    };
+    let accepted = |len| AcceptedEntry { ballot: Ballot::default(), entry: entry(len) };
+    let snapshot = |len| LogSnapshot { slot: 1, members: vec![], state: vec![1; len].into() };
+    let call = |request| Frame::Call(1, Call::Coordination(CoordinationCall::Log(request)));
+    let answer = |reply| {
+        let answer = CoordinationAnswer::Log { replica: ReplicaId(1), has_watchers: false, reply };
+        Frame::Answer(1, Answer::Coordination(answer))
+    };
+    let committed = CommitPosition::default();
+    let all = |len| {
+        [
+            call(LogRequest::Learn { entries: vec![entry(len / 2), entry(len / 2)] }),
+            call(LogRequest::Accept { accepted: accepted(len), committed }),
+            call(LogRequest::Install(snapshot(len))),
+            answer(LogReply::Promised { applied: 0, pending: Some(accepted(len)) }),
+            answer(LogReply::Fetched(snapshot(len))),
+        ]
+    };
+    for frame in all(MAX_FRAME_LEN) {
+        assert!(matches!(encode(&frame), Err(WireError::TooLong(len)) if len > MAX_FRAME_LEN));
+    }
+    for frame in all(MAX_FRAME_LEN - (32 << 10)) {
+        assert!(decode(&encode(&frame).unwrap()).unwrap() == frame);
+    }
+}
+
 #[test]
 fn bytes_that_unpack_beyond_the_limit_are_rejected() {
     // One segment of 2^28 words, all zero: two packed bytes for each 256 words.
--- a/system/peer-wire/tests/samples/mod.rs
+++ b/system/peer-wire/tests/samples/mod.rs
@@ -1,5 +1,7 @@
 //! Sample frames of each variant.
 
+pub(crate) mod coordination;
+
 use bytes::Bytes;
 use fleet_model::*;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -172,16 +174,6 @@
     ]
 }
 
-fn coordination_frames() -> Vec<Frame> {
-    let ballot = Ballot { round: 3, proposer: 4, incarnation: 5 };
-    let command = CoordinationCommand::NextNumber { name: "n".into() };
-    let outcome = CoordinationOutcome::Number { value: 6 };
-    vec![
-        Frame::Call(1, Call::Coordination(CoordinationCall::Submit { ballot, command })),
-        Frame::Answer(1, Answer::Coordination(CoordinationAnswer::Outcome(outcome))),
-    ]
-}
-
 /// One frame or more of each variant of [`Call`], [`Answer`] and [`Push`]; those of later releases come last.
 pub(crate) fn frames() -> Vec<Frame> {
     let calls = (1..).zip(calls()).map(|(number, call)| Frame::Call(number, call));
@@ -190,5 +182,5 @@
     let verdicts = verdicts().into_iter().map(|verdict| Frame::Answer(1, Answer::Verdict(verdict)));
     let frames =
         calls.chain(answers).chain(pushes().into_iter().map(Frame::Push)).chain(orders).chain(verdicts);
-    frames.chain(coordination_frames()).collect()
+    frames.chain(coordination::frames()).collect()
 }
