--- a/system/replicated-log/src/membership.rs
+++ b/system/replicated-log/src/membership.rs
@@ -23,11 +23,13 @@
     voters: &[Ipv4Addr],
     known: &BTreeMap<Ipv4Addr, KnownReplica>,
 ) -> Option<Vec<LogMember>> {
-    let responsive = |ip: &Ipv4Addr| known.get(ip).filter(|known| known.is_responsive).map(|known| known.replica);
+    let responsive =
+        |ip: &Ipv4Addr| known.get(ip).filter(|known| known.is_responsive).map(|known| known.replica);
     let replaced = members.iter().position(|member| {
         voters.contains(&member.ip) && responsive(&member.ip).is_some_and(|replica| replica != member.replica)
     });
-    let added = voters.iter().find(|ip| members.iter().all(|member| member.ip != **ip) && responsive(ip).is_some());
+    let added =
+        voters.iter().find(|ip| members.iter().all(|member| member.ip != **ip) && responsive(ip).is_some());
     let removed = members.iter().position(|member| !voters.contains(&member.ip));
     let mut next = members.to_vec();
     if let Some(index) = replaced {
--- a/system/replicated-log/src/replica.rs
+++ b/system/replicated-log/src/replica.rs
@@ -190,9 +190,9 @@
     /// Applies the entry that this replica has accepted as a part of its own leader's round, once that is chosen. Returns the
     /// outcomes of its commands; `None` if another entry is accepted meanwhile.
     pub fn commit_own(&mut self, committed: CommitPosition) -> Option<Vec<CoordinationOutcome>> {
-        let pending = self.pending.take_if(|pending| {
-            pending.ballot == committed.ballot && pending.entry.slot == committed.slot
-        })?;
+        let pending = self
+            .pending
+            .take_if(|pending| pending.ballot == committed.ballot && pending.entry.slot == committed.slot)?;
         self.records.push(Record::Committed(committed).encode());
         Some(self.apply(pending.entry))
     }
