Campaign anew after a change of members that was found pending

A candidate that found a change of members pending had it chosen and went on to the next slot without a first phase among the new members. With a replaced member the two majorities need not intersect: a chosen entry could be replaced by another.

A leader whose replica has learnt the slot of its first entry before it proposes it steps down, rather than propose that entry once more for the slot after it.

--- a/system/control-node/src/coordination/election.rs
+++ b/system/control-node/src/coordination/election.rs
@@ -160,7 +160,7 @@
                     let replica = self.coordination.replica.borrow();
                     if replica.applied() == applied && replica.promised() == ballot {
                         drop(replica);
-                        self.begin_leadership(ballot, self.first_entry(applied, entry, members));
+                        self.begin_leadership(ballot, applied, self.first_entry(applied, entry, members));
                     }
                     return;
                 }
@@ -178,10 +178,15 @@
         pending.or_else(|| (applied == 0).then(|| LogEntry::Members(members.to_vec())))
     }
 
-    fn begin_leadership(self: &Rc<Self>, ballot: fleet_model::Ballot, first: Option<LogEntry>) {
+    fn begin_leadership(
+        self: &Rc<Self>,
+        ballot: fleet_model::Ballot,
+        applied: u64,
+        first: Option<LogEntry>,
+    ) {
         let leadership = Rc::new(Leadership::new(ballot, self.runtime.now()));
         *self.coordination.leadership.borrow_mut() = Some(leadership.clone());
-        self.runtime.spawn(self.clone().lead(leadership, first));
+        self.runtime.spawn(self.clone().lead(leadership, applied, first));
     }
 
     async fn fetch_state(self: &Rc<Self>, from: Ipv4Addr) {
--- a/system/control-node/src/coordination/leader.rs
+++ b/system/control-node/src/coordination/leader.rs
@@ -40,14 +40,25 @@
 }
 
 impl<R: Runtime, B: ControlBackend> ControlNode<R, B> {
-    /// Leads until a higher ballot is seen, no quorum responds, or nobody needs a leader.
-    pub(super) async fn lead(self: Rc<Self>, leadership: Rc<Leadership>, first: Option<LogEntry>) {
+    /// Leads until a higher ballot is seen, no quorum responds, or nobody needs a leader. The first entry is for the slot after
+    /// `applied`: a replica that has learnt that slot since the campaign ends the leadership.
+    pub(super) async fn lead(
+        self: Rc<Self>,
+        leadership: Rc<Leadership>,
+        applied: u64,
+        first: Option<LogEntry>,
+    ) {
+        let members = self.log_members();
         let is_established = match first {
+            _ if self.coordination.replica.borrow().applied() != applied => false,
             Some(entry) => self.choose(&leadership, entry).await.is_some(),
             None => true,
         };
         let mut outcome = RoundOutcome::StepDown;
-        if is_established && !leadership.is_deposed() {
+        if is_established && self.log_members() != members {
+            // The pending entry was a change of members: phase 1 was done among the former ones.
+            outcome = RoundOutcome::CampaignAgain;
+        } else if is_established && !leadership.is_deposed() {
             leadership.set_ready();
             self.backend.on_event(&crate::ControlEvent::LeadsCoordination { ballot: leadership.ballot });
             self.coordination.leader_found.notify_waiters();
--- a/system/replicated-log/src/lib.rs
+++ b/system/replicated-log/src/lib.rs
@@ -24,9 +24,9 @@
 //! - **All slots.** A promise holds for all later slots. A leader proposes slot n + 1 only after slot n is chosen, so a replica
 //!   that accepts n + 1 learns with it that n is chosen, and under which ballot ([`fleet_model::CommitPosition`]); if it has
 //!   accepted n under that ballot it applies it, otherwise it asks for the entries that it lacks.
-//! - **Members.** The members of slot n + 1 are those after slot n. After a change of members the leader campaigns anew, so that
-//!   each slot's first phase is done at a majority of that slot's members. Old and new majorities need not intersect: whoever
-//!   proposes at slot n + 1 knows slot n.
+//! - **Members.** The members of slot n + 1 are those after slot n. After a change of members, also one that its campaign found
+//!   pending, the leader campaigns anew, so that each slot's first phase is done at a majority of that slot's members. Old and
+//!   new majorities need not intersect: whoever proposes at slot n + 1 knows slot n.
 //! - **Lost disks.** Members are identified by replica, not by address. A node without its journal is no member until the others
 //!   have chosen so; what it promised before binds the former replica, which never answers again.
 //! - **Reads.** A leader answers a read from its state once a majority has confirmed, after the read arrived, that it has promised
