--- a/system/control-node/src/coordination/election.rs
+++ b/system/control-node/src/coordination/election.rs
@@ -178,12 +178,7 @@
         pending.or_else(|| (applied == 0).then(|| LogEntry::Members(members.to_vec())))
     }
 
-    fn begin_leadership(
-        self: &Rc<Self>,
-        ballot: fleet_model::Ballot,
-        applied: u64,
-        first: Option<LogEntry>,
-    ) {
+    fn begin_leadership(self: &Rc<Self>, ballot: fleet_model::Ballot, applied: u64, first: Option<LogEntry>) {
         let leadership = Rc::new(Leadership::new(ballot, self.runtime.now()));
         *self.coordination.leadership.borrow_mut() = Some(leadership.clone());
         self.runtime.spawn(self.clone().lead(leadership, applied, first));
--- a/system/control-node/src/coordination/forwarding.rs
+++ b/system/control-node/src/coordination/forwarding.rs
@@ -38,7 +38,9 @@
             };
             match answer {
                 Some(CoordinationAnswer::Outcome(outcome)) => return ApplicationReply::Outcome(outcome),
-                Some(CoordinationAnswer::Overloaded) if !may_be_executed => return ApplicationReply::Overloaded,
+                Some(CoordinationAnswer::Overloaded) if !may_be_executed => {
+                    return ApplicationReply::Overloaded;
+                }
                 Some(CoordinationAnswer::NotExecuted { .. } | CoordinationAnswer::Overloaded) => {
                     self.on_rejected(leader).await;
                 }
--- a/system/control-node/src/node.rs
+++ b/system/control-node/src/node.rs
@@ -7,8 +7,8 @@
 use config_register::{AcceptorRecord, BallotSource, ProposerBackoff, VoterState};
 use controllers::{LeaseCandidate, LossTolerance, ProposerSelection, StorageController, VoterController};
 use fleet_model::{
-    AcceptedValue, Answer, Ballot, Call, ChosenValue, RegisterReply, RegisterRequest,
-    RegisterValue, ReplicaId,
+    AcceptedValue, Answer, Ballot, Call, ChosenValue, RegisterReply, RegisterRequest, RegisterValue,
+    ReplicaId,
 };
 use node_runtime::{Feed, MAX_STATE_AGE, Runtime, run_heartbeats, timeout};
 use replicated_log::RecoveredJournal;
