Add a test that fails: a turn that its client resumed is kept as its tail alone

On a route with retained and resumable. The kept output lacks the events before Last-Event-Id, so the next turn's body would not be the whole chain. No site file has such a route.

--- a/system/request-forwarding/tests/resumption.rs
+++ b/system/request-forwarding/tests/resumption.rs
@@ -147,6 +147,23 @@
     });
 }
 
+#[gtest]
+fn given_a_client_that_goes_on_after_an_event_then_the_turn_is_not_kept_as_its_tail() {
+    run(async {
+        let story = Story::with(vec![None]).await;
+        let mut client = story.client_with("/resumable/", &format!("{TURN}Last-Event-Id: 4\r\n")).await;
+        story.send(0, Part::Bytes("id: 5\ndata: five\n\n"));
+        client.head().await.unwrap();
+        expect_that!(client.chunk().await, some(eq(b"id: 5\ndata: five\n\n")));
+        story.world.turns.keep.send_replace(Some(true));
+        story.send(0, Part::End);
+        client.chunk().await;
+        // Events 1 to 4 belong to the turn's output as well.
+        let kept = story.world.turns.kept.borrow();
+        expect_that!(kept.iter().any(|turn| turn.output == Bytes::from_static(b"five\n")), eq(false));
+    });
+}
+
 #[gtest]
 fn given_a_connection_that_is_reset_before_the_head_then_the_request_goes_again() {
     run(async {
