Break off the answer to a client that resumes a retained turn, and store no tail

What callers saw: on a route with `retained`, a client that sent `Last-Event-Id` got an answer that ended as complete, and the turn was stored under its attempt with the events after that id alone. The next turn, whose `Previous` names it, would have reached an endpoint with a body that lacks the earlier events (rule UNASKED), and so would every later turn of the chain.

Cause: the output that is stored is what passes through this one answer. That holds for a break that the proxy itself bridges, as the answer is the same; a client that goes on by itself starts a new answer, and preparation did not look at the header.

Change: what is to be stored of a stream is an explicit state: nothing, the whole turn, or a tail that cannot be stored. A retained stream whose request carries `Last-Event-Id` is a tail: its events are passed on, its tokens settled, and its answer breaks off at the end, counted in `turns_unkept`. It is so without `resumable` too, since the header is passed along there as well.

Why so: - Every try carries an Attempt-Id of its own and nothing names the one that broke off, which may have gone through another proxy. Session, `Previous` and input may be the same for two attempts with different outputs, so joining by them may mix two runs. - An answer that ends as complete promises a stored turn (LOST), so it may not end so without one; a broken one promises nothing, and a client whose tries have failed sends the turn again from its start. - To ask the endpoint for the whole stream and skip what the client has would join pieces of two runs: ORDER allows only a run that continues at `Last-Event-Id`, and that the endpoints are told the id is tested. - A refusal (503) before anything is sent would save the endpoint the run, but the test of this fault and the one before it expect the events to be passed on. Open: whether LOST (a connection that ends without a complete answer) counts such a break in a calm time (`docs/questions.md`).

--- a/system/request-forwarding/src/active_turn.rs
+++ b/system/request-forwarding/src/active_turn.rs
@@ -6,7 +6,7 @@
 /// What hangs on a stream.
 pub(crate) struct ActiveTurn<T: TurnStorage> {
     pub(crate) reservation: Option<Reservation<T>>,
-    pub(crate) to_store: Option<CompletedTurn>,
+    pub(crate) record: TurnRecord,
     pub(crate) tokens_per_event: u32,
 }
 
@@ -19,11 +19,21 @@
 
     /// For an answer that is no turn.
     pub(crate) fn without_storage(mut self) -> Self {
-        self.to_store = None;
+        self.record = TurnRecord::NotRetained;
         self
     }
 }
 
+/// What is to be stored of a stream.
+pub(crate) enum TurnRecord {
+    /// Nothing: its route retains no turns, or its answer is no turn.
+    NotRetained,
+    /// A turn whose output is all that the endpoint sends.
+    Whole(CompletedTurn),
+    /// A turn that cannot be stored: its client goes on after an event, and the output up to there is not known here.
+    TailOnly,
+}
+
 /// Tokens reserved for an attempt; settled with what was handed out when it is dropped.
 pub(crate) struct Reservation<T: TurnStorage> {
     pub(crate) turns: Rc<T>,
--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -1,6 +1,6 @@
 //! The forwarder: the data plane's state, and the preparation of each request: its route, deadline, body and headers.
 
-use crate::active_turn::ActiveTurn;
+use crate::active_turn::{ActiveTurn, TurnRecord};
 use crate::body_collection::read_body;
 use crate::headers::{self, ATTEMPT_ID, DEADLINE_REMAINING, PRIORITY};
 use crate::local_response::{DEFAULT_RETRY_AFTER, LocalResponse};
@@ -172,7 +172,7 @@
         let urgency = urgency(&head.headers, route.priority);
         let routing_request = Rc::new(self.routing_request(&head.headers, route, service, arrived, deadline));
 
-        let mut turn = ActiveTurn { reservation: None, to_store: None, tokens_per_event: 1 };
+        let mut turn = ActiveTurn { reservation: None, record: TurnRecord::NotRetained, tokens_per_event: 1 };
         let mut complete_input = input.clone();
         if routing_request.kind == RouteKind::Streaming {
             let engine = config.services.iter().find(|known| known.name == service);
--- a/system/request-forwarding/src/response_forwarding.rs
+++ b/system/request-forwarding/src/response_forwarding.rs
@@ -1,13 +1,13 @@
 //! Forwarding of a response body as it arrives, with resumption of event streams at another endpoint.
 
-use crate::active_turn::ActiveTurn;
+use crate::active_turn::{ActiveTurn, TurnRecord};
 use crate::complete_events::CompleteEvents;
 use crate::delivery::{Delivery, EndpointResponse};
 use crate::event_scan::EventScan;
 use crate::headers::{LAST_EVENT_ID, is_event_stream};
 use crate::pool::{CallInFlight, EndpointConnection, SharedState};
 use crate::response_body::BodyChunk;
-use crate::turn_storage::TurnStorage;
+use crate::turn_storage::{CompletedTurn, TurnStorage};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
@@ -71,7 +71,7 @@
         chunks: &mpsc::Sender<BodyChunk>,
         mut turn: ActiveTurn<T>,
     ) -> bool {
-        let mut scan = EventScan::new(turn.to_store.is_some());
+        let mut scan = EventScan::new(matches!(turn.record, TurnRecord::Whole(_)));
         loop {
             let read = match first.take() {
                 Some(data) => Ok(Some(data)),
@@ -190,26 +190,43 @@
         Some(UpstreamResponse { body, connection, call })
     }
 
-    /// Keeps the turn, if it is to be kept, and ends the answer.
+    /// Ends the answer, once its turn is stored if it is to be; breaks it off if that cannot be.
     async fn end(&self, scan: EventScan, mut turn: ActiveTurn<T>, chunks: &mpsc::Sender<BodyChunk>) -> bool {
-        if let Some(mut kept) = turn.to_store.take() {
-            if !scan.between_events() {
-                return false;
-            }
-            kept.tokens = scan.handed().saturating_mul(turn.tokens_per_event);
-            kept.output = scan.into_output().into();
-            let keep = timeout_at(self.end, self.turns.store_turn(kept));
-            let is_kept = tokio::select! {
-                biased;
-                kept = keep => kept.unwrap_or(false),
-                () = chunks.closed() => return false,
-            };
-            if !is_kept {
+        let may_end = match std::mem::replace(&mut turn.record, TurnRecord::NotRetained) {
+            TurnRecord::NotRetained => true,
+            TurnRecord::Whole(completed) => self.store(completed, scan, &mut turn, chunks).await,
+            TurnRecord::TailOnly => {
                 self.core.count(|metrics| metrics.turns_unkept += 1);
-                return false;
+                false
             }
-            turn.forget_reservation();
+        };
+        may_end && matches!(timeout_at(self.end, chunks.send(BodyChunk::End)).await, Ok(Ok(())))
+    }
+
+    /// Stores a turn whose answer has come to its end; false if that cannot be.
+    async fn store(
+        &self,
+        mut completed: CompletedTurn,
+        scan: EventScan,
+        turn: &mut ActiveTurn<T>,
+        chunks: &mpsc::Sender<BodyChunk>,
+    ) -> bool {
+        if !scan.between_events() {
+            return false;
+        }
+        completed.tokens = scan.handed().saturating_mul(turn.tokens_per_event);
+        completed.output = scan.into_output().into();
+        let store = timeout_at(self.end, self.turns.store_turn(completed));
+        let is_stored = tokio::select! {
+            biased;
+            stored = store => stored.unwrap_or(false),
+            () = chunks.closed() => return false,
+        };
+        if !is_stored {
+            self.core.count(|metrics| metrics.turns_unkept += 1);
+            return false;
         }
-        matches!(timeout_at(self.end, chunks.send(BodyChunk::End)).await, Ok(Ok(())))
+        turn.forget_reservation();
+        true
     }
 }
--- a/system/request-forwarding/src/stream_preparation.rs
+++ b/system/request-forwarding/src/stream_preparation.rs
@@ -1,8 +1,8 @@
 //! What a stream needs before it is sent: a reservation of tokens, and the text that precedes its input.
 
-use crate::active_turn::{ActiveTurn, Reservation};
+use crate::active_turn::{ActiveTurn, Reservation, TurnRecord};
 use crate::forwarder::Forwarder;
-use crate::headers;
+use crate::headers::{self, LAST_EVENT_ID};
 use crate::local_response::{DEFAULT_RETRY_AFTER, LocalResponse};
 use crate::turn_storage::{ChainLookup, CompletedTurn, ReserveOutcome, TurnStorage};
 use bytes::{Bytes, BytesMut};
@@ -64,17 +64,7 @@
             ChainLookup::NotFound => return Err(LocalResponse::new(StatusCode::NOT_FOUND)),
             ChainLookup::Unavailable => return Err(LocalResponse::refused(DEFAULT_RETRY_AFTER)),
         };
-        if route.retained {
-            turn.to_store = Some(CompletedTurn {
-                attempt: attempt.to_owned(),
-                previous: previous.map(str::to_owned),
-                program: program.unwrap_or_default().to_owned(),
-                input: input.clone(),
-                output: Bytes::new(),
-                retention_ms: route.retention_ms,
-                tokens: 0,
-            });
-        }
+        turn.record = turn_record(request_headers, route, attempt, &input);
         if text.is_empty() {
             return Ok(input);
         }
@@ -84,3 +74,24 @@
         Ok(complete.freeze())
     }
 }
+
+/// What is to be stored of a stream. The events before `Last-Event-Id` were the answer to another attempt, and nothing
+/// in the request names that attempt. Whether an endpoint heeds the header does not show, so the route's `resumable`
+/// makes no difference.
+fn turn_record(request_headers: &HeaderMap, route: &Route, attempt: &str, input: &Bytes) -> TurnRecord {
+    if !route.retained {
+        return TurnRecord::NotRetained;
+    }
+    if request_headers.contains_key(LAST_EVENT_ID) {
+        return TurnRecord::TailOnly;
+    }
+    TurnRecord::Whole(CompletedTurn {
+        attempt: attempt.to_owned(),
+        previous: headers::text(request_headers, "previous").map(str::to_owned),
+        program: headers::text(request_headers, "program").unwrap_or_default().to_owned(),
+        input: input.clone(),
+        output: Bytes::new(),
+        retention_ms: route.retention_ms,
+        tokens: 0,
+    })
+}
--- a/system/request-forwarding/tests/resumption.rs
+++ b/system/request-forwarding/tests/resumption.rs
@@ -164,6 +164,62 @@
     });
 }
 
+#[gtest]
+fn given_a_client_that_goes_on_after_an_event_then_its_turn_has_no_end_and_its_tokens_are_settled() {
+    run(async {
+        // Whether the endpoint heeds the header does not show, so the route need not be resumable.
+        for path in ["/resumable/", "/turns/"] {
+            let story = Story::with(vec![None]).await;
+            let headers = format!("{TURN}Previous: t0\r\nLast-Event-Id: 4\r\n");
+            let mut client = story.client_with(path, &headers).await;
+            story.send(0, Part::Bytes("id: 5\ndata: five\n\n"));
+            expect_that!(client.head().await.unwrap().status(), eq(200));
+            expect_that!(client.chunk().await, some(eq(b"id: 5\ndata: five\n\n")));
+            story.world.turns.keep.send_replace(Some(true));
+            story.send(0, Part::End);
+            // An end would promise a turn that the next one may name.
+            expect_that!(client.chunk().await, none());
+            expect_that!(story.world.turns.kept.borrow().len(), eq(0));
+            story.world.turns.settles.subscribe().wait_for(|count| *count > 0).await.unwrap();
+            expect_that!(*story.world.turns.settled.borrow(), eq(&vec![("p".into(), "t1".into(), 2)]));
+            expect_that!(story.world.forwarder.metrics().turns_unkept, eq(1));
+        }
+    });
+}
+
+#[gtest]
+fn given_a_break_after_a_client_went_on_after_an_event_then_the_joined_tail_is_not_kept_either() {
+    run(async {
+        let story = Story::with(vec![None, None]).await;
+        let headers = format!("{TURN}Last-Event-Id: 4\r\n");
+        let mut client = story.client_with("/resumable/", &headers).await;
+        story.send(0, Part::Bytes("id: 5\ndata: five\n\n"));
+        client.head().await.unwrap();
+        expect_that!(client.chunk().await, some(eq(b"id: 5\ndata: five\n\n")));
+        story.send(0, Part::Break);
+        story.send(1, Part::Bytes("id: 6\ndata: six\n\n"));
+        expect_that!(client.chunk().await, some(eq(b"id: 6\ndata: six\n\n")));
+        story.world.turns.keep.send_replace(Some(true));
+        story.send(1, Part::End);
+        expect_that!(client.chunk().await, none());
+        expect_that!(story.world.turns.kept.borrow().len(), eq(0));
+    });
+}
+
+#[gtest]
+fn given_a_route_that_retains_no_turns_then_what_a_client_goes_on_with_ends_as_complete() {
+    run(async {
+        let story = Story::with(vec![None]).await;
+        let mut client = story.client_with("/events/", "Last-Event-Id: 4\r\n").await;
+        story.send(0, Part::Bytes("id: 5\ndata: five\n\n"));
+        expect_that!(client.head().await.unwrap().status(), eq(200));
+        expect_that!(client.chunk().await, some(eq(b"id: 5\ndata: five\n\n")));
+        story.send(0, Part::End);
+        expect_that!(client.chunk().await, some(eq(b"")));
+        expect_eq!(story.last_event_ids(), ["4"]);
+    });
+}
+
 #[gtest]
 fn given_a_connection_that_is_reset_before_the_head_then_the_request_goes_again() {
     run(async {
