Pause before a command or read that had no answer is sent again

A call to a peer fails at once while its connection is in backoff; the loop then kept the thread from all other work for up to 480 ms, other nodes' time-outs ran out, and the leader changed. Guarded by applications_get_answers_from_the_coordination_service.

--- a/system/control-node/src/coordination/forwarding.rs
+++ b/system/control-node/src/coordination/forwarding.rs
@@ -16,7 +16,8 @@
 const LEADER_WAIT: Duration = Duration::from_millis(650);
 /// Interval between checks whether the leader to which a request was sent is still heard.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Pause before a request that a leader has rejected is sent again.
+/// Pause before a request that a leader has rejected, or that had no answer, is sent again. A call to a peer fails at once
+/// while its connection is in backoff: without a pause the loop would keep the thread from all other work.
 const RESUBMIT_DELAY: Duration = Duration::from_millis(5);
 
 impl<R: Runtime, B: ControlBackend> ControlNode<R, B> {
@@ -44,7 +45,10 @@
                 Some(CoordinationAnswer::NotExecuted { .. } | CoordinationAnswer::Overloaded) => {
                     self.on_rejected(leader).await;
                 }
-                _ => may_be_executed = true,
+                _ => {
+                    may_be_executed = true;
+                    self.runtime.sleep(RESUBMIT_DELAY).await;
+                }
             }
         }
         match may_be_executed {
@@ -74,7 +78,7 @@
                 Some(CoordinationAnswer::Reading(reading)) => return Some(reading),
                 Some(CoordinationAnswer::Overloaded) => return None,
                 Some(_) => self.on_rejected(leader).await,
-                None => {}
+                None => self.runtime.sleep(RESUBMIT_DELAY).await,
             }
         }
         None
