Take a log leader's address from its ballot, not from its connection

On loopback connections come from 127.0.0.1: commands and reads went there, and each node but the leader's answered 503 after 850 ms.

--- a/system/control-node/src/coordination/mod.rs
+++ b/system/control-node/src/coordination/mod.rs
@@ -142,7 +142,7 @@
         call: CoordinationCall,
     ) -> Option<CoordinationAnswer> {
         match call {
-            CoordinationCall::Log(request) => self.answer_log(from, request).await,
+            CoordinationCall::Log(request) => self.answer_log(request).await,
             CoordinationCall::Submit { ballot, command } => Some(self.execute(ballot, command).await),
             CoordinationCall::Read { ballot, query } => {
                 if query == CoordinationQuery::CommitIndex
@@ -164,16 +164,16 @@
     }
 
     /// Answers a leader or candidate. A vote is on disk before the answer is given, as is the replica's identity.
-    async fn answer_log(self: &Rc<Self>, from: Ipv4Addr, request: LogRequest) -> Option<CoordinationAnswer> {
+    async fn answer_log(self: &Rc<Self>, request: LogRequest) -> Option<CoordinationAnswer> {
         self.create_journal().await.then_some(())?;
-        let reply = self.handle_log_request(from, request).await?;
+        let reply = self.handle_log_request(request).await?;
         let has_watchers = self.coordination.watchers.get() > 0;
         Some(CoordinationAnswer::Log { replica: self.replica_id(), has_watchers, reply })
     }
 
     /// Has the own replica handle a request; `None` if the disk refused its vote.
-    async fn handle_log_request(self: &Rc<Self>, from: Ipv4Addr, request: LogRequest) -> Option<LogReply> {
-        self.note_sender(from, &request);
+    async fn handle_log_request(self: &Rc<Self>, request: LogRequest) -> Option<LogReply> {
+        self.note_sender(&request);
         let reply = self.coordination.replica.borrow_mut().handle(request);
         self.after_log_change();
         if is_vote(&reply) && !self.sync_journal().await {
@@ -182,8 +182,9 @@
         Some(reply)
     }
 
-    /// Notes the ballot of a request: its sender leads, or an own leadership is over.
-    fn note_sender(&self, from: Ipv4Addr, request: &LogRequest) {
+    /// Notes the ballot of a request: its proposer leads, or an own leadership is over. The address that a connection comes
+    /// from tells nothing: it need not be the one that the sender listens at.
+    fn note_sender(&self, request: &LogRequest) {
         let (ballot, is_leader) = match request {
             LogRequest::Prepare(ballot) => (*ballot, false),
             LogRequest::Accept { accepted, .. } => (accepted.ballot, true),
@@ -197,14 +198,15 @@
         {
             leadership.depose();
         }
-        if from == self.me || ballot < self.coordination.replica.borrow().promised() {
+        let proposer = Ipv4Addr::from(ballot.proposer);
+        if proposer == self.me || ballot < self.coordination.replica.borrow().promised() {
             return;
         }
         let heard = &self.coordination.heard_leader;
         match is_leader {
             true => {
                 let was_live = self.first_hand_leader().is_some_and(|leader| leader.ballot == ballot);
-                heard.set(Some((LogLeader { ballot, ip: from }, self.runtime.now())));
+                heard.set(Some((LogLeader { ballot, ip: proposer }, self.runtime.now())));
                 if !was_live {
                     self.coordination.leader_found.notify_waiters();
                 }
--- a/system/control-node/src/coordination/peers.rs
+++ b/system/control-node/src/coordination/peers.rs
@@ -44,7 +44,7 @@
         timeout: Duration,
     ) -> Option<PeerReply> {
         let answer = match ip == self.me {
-            true => self.answer_log(ip, request).await,
+            true => self.answer_log(request).await,
             false => self.call_coordination(ip, CoordinationCall::Log(request), timeout).await,
         };
         match answer? {
