Add failing tests of a new leader that has nothing to propose

A leader that wins without an entry to complete tells its members slot 0 as committed, so that a member or a new replica that lacks the last slot is not brought up to date before the next command; and after each change of members calls wait until the others have forgotten the former ballot.

--- a/system/control-node/tests/cluster/coordination.rs
+++ b/system/control-node/tests/cluster/coordination.rs
@@ -293,3 +293,76 @@
         }
     });
 }
+
+#[gtest]
+fn a_node_that_missed_the_last_slot_serves_watches_under_a_leader_that_has_nothing_to_propose() {
+    run(async {
+        // Given a put that one of three nodes missed, and a later leader that found no entry to complete,
+        let cluster = started(&[]).await;
+        number_from_any(&cluster, &seeds()).await;
+        cluster.disconnect(ip(2));
+        number_from_any(&cluster, &[ip(0), ip(1)]).await;
+        let stored = ask(&cluster, ip(0), put("g.k", "v", None)).await;
+        expect_that!(stored, eq(&ApplicationReply::Outcome(CoordinationOutcome::KeyStored { revision: 1 })));
+        sleep(seconds(32)).await;
+        let value = KeyRevision { value: "v".to_owned(), revision: 1 };
+        let read_back = ask(&cluster, ip(0), read("g.k")).await;
+        expect_that!(read_back, eq(&ApplicationReply::Key(Some(value))));
+        // when the node is back, then it learns of the put although no other command is called.
+        cluster.reconnect(ip(2));
+        sleep(seconds(3)).await;
+        let present = ask(&cluster, ip(2), watch("g.", 0, seconds(1))).await;
+        expect_that!(present, eq(&ApplicationReply::Events { events: Vec::new(), revision: 1 }));
+    });
+}
+
+#[gtest]
+fn a_change_of_members_holds_up_no_call_for_long() {
+    run(async {
+        // Given three nodes of which one that does not lead came back with an empty disk,
+        let cluster = started(&[]).await;
+        number_from_any(&cluster, &seeds()).await;
+        let leader = cluster.node(ip(0)).coordination_status().leader.expect("a leader").ip;
+        let wiped = seeds().into_iter().find(|node| *node != leader).expect("another node");
+        cluster.stop_node(wiped);
+        cluster.wipe_disk(wiped);
+        cluster.restart_node(wiped);
+        // when calls are made while its new replica becomes a member, then each is answered soon.
+        let until = Instant::now() + seconds(4);
+        while Instant::now() < until {
+            let asked_at = Instant::now();
+            let reply = ask(&cluster, leader, next_number()).await;
+            expect_that!(matches!(reply, ApplicationReply::Outcome(_)), eq(true));
+            expect_that!(asked_at.elapsed(), lt(Duration::from_millis(150)));
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+#[gtest]
+fn a_replica_that_replaced_a_lost_one_counts_before_the_next_command() {
+    run(async {
+        // Given three nodes of which one that does not lead lost its disk, and reads, but no commands, for 5 s after that,
+        let cluster = started(&[]).await;
+        let last = number_from_any(&cluster, &seeds()).await;
+        let leader = cluster.node(ip(0)).coordination_status().leader.expect("a leader").ip;
+        let wiped = seeds().into_iter().find(|node| *node != leader).expect("another node");
+        cluster.stop_node(wiped);
+        cluster.wipe_disk(wiped);
+        cluster.restart_node(wiped);
+        for _ in 0..50 {
+            sleep(Duration::from_millis(100)).await;
+            ask(&cluster, leader, read("g.none")).await;
+        }
+        let status = cluster.node(leader).coordination_status();
+        let new_replica = cluster.node(wiped).coordination_status().replica;
+        expect_that!(status.members.iter().any(|member| Some(member.replica) == new_replica), eq(true));
+        // when the leader loses its disk too, then the other two go on.
+        let leader = status.leader.expect("a leader").ip;
+        cluster.stop_node(leader);
+        cluster.wipe_disk(leader);
+        cluster.restart_node(leader);
+        sleep(seconds(10)).await;
+        expect_that!(number_from_any(&cluster, &seeds()).await, gt(last));
+    });
+}
