--- a/system/control-node/tests/cluster/coordination.rs
+++ b/system/control-node/tests/cluster/coordination.rs
@@ -366,3 +366,31 @@
         expect_that!(number_from_any(&cluster, &seeds()).await, gt(last));
     });
 }
+
+#[gtest]
+fn a_replica_that_replaced_a_lost_one_counts_after_a_loss_of_power() {
+    run(async {
+        // Given three nodes of which one that does not lead lost its disk and became a member again,
+        let cluster = started(&[]).await;
+        let last = number_from_any(&cluster, &seeds()).await;
+        let leader = cluster.node(ip(0)).coordination_status().leader.expect("a leader").ip;
+        let wiped = seeds().into_iter().find(|node| *node != leader).expect("another node");
+        cluster.stop_node(wiped);
+        cluster.wipe_disk(wiped);
+        cluster.restart_node(wiped);
+        sleep(seconds(10)).await;
+        let status = cluster.node(leader).coordination_status();
+        let new_replica = cluster.node(wiped).coordination_status().replica;
+        expect_that!(status.members.iter().any(|member| Some(member.replica) == new_replica), eq(true));
+        // when the leader loses its disk while all lose power, then the other two go on.
+        for node in seeds() {
+            cluster.stop_node(node);
+        }
+        cluster.wipe_disk(leader);
+        for node in seeds() {
+            cluster.restart_node(node);
+        }
+        sleep(seconds(10)).await;
+        expect_that!(number_from_any(&cluster, &seeds()).await, gt(last));
+    });
+}
