Have each new leader of the coordination log choose an entry among the present members

What would be seen: after a core machine lost its disk and was replaced in the log, a second loss - within what is to be borne - left the log without a majority for ever, if no command had been called in between; a node that had missed the last slot answered each watch 503; and each change of members held up all calls for 342 ms (in simulated time). Cause: a leader with nothing to complete proposed nothing. The slot that had made a replica a member was accepted, but nobody had on disk that it was chosen, and heartbeats named slot 0 as committed. After its own change of members the former leader also took its own former ballot, which others still heard, for a live leader. Now a new leader has an empty entry chosen, a leader whose replica learnt slots from elsewhere steps down before it proposes, a node's own former ballot is not believed, members hear the leader while a round lasts, and a limit that is reached after an unclear try is no refusal. Founders kept as leases are no longer taken for holders of singleton roles.

--- a/system/control-node/src/coordination/election.rs
+++ b/system/control-node/src/coordination/election.rs
@@ -145,6 +145,8 @@
         let mut survey = Survey { has_majority: votes.is_quorum(), ..Survey::default() };
         while let Some(answer) = received.recv().await {
             let Some(CoordinationAnswer::Located { replica, leader }) = answer else { continue };
+            // A leadership of this node that others still hear is over.
+            let leader = leader.filter(|leader| leader.ip != self.me);
             survey.leader = survey.leader.into_iter().chain(leader).max_by_key(|leader| leader.ballot);
             survey.has_majority = votes.record(replica);
             if survey.leader.is_some() || survey.has_majority {
@@ -178,20 +180,19 @@
         }
     }
 
-    /// What a new leader proposes: an entry that may be chosen already, or the first members.
-    fn first_entry(
-        &self,
-        applied: u64,
-        pending: Option<LogEntry>,
-        members: &[LogMember],
-    ) -> Option<LogEntry> {
-        pending.or_else(|| (applied == 0).then(|| LogEntry::Members(members.to_vec())))
+    /// What a new leader proposes first: an entry that may be chosen already, the first members, or nothing. Once that is chosen,
+    /// a majority of the present members has on disk that they are the members.
+    fn first_entry(&self, applied: u64, pending: Option<LogEntry>, members: &[LogMember]) -> LogEntry {
+        pending.unwrap_or_else(|| match applied {
+            0 => LogEntry::Members(members.to_vec()),
+            _ => LogEntry::Empty,
+        })
     }
 
-    fn begin_leadership(self: &Rc<Self>, ballot: fleet_model::Ballot, applied: u64, first: Option<LogEntry>) {
-        let leadership = Rc::new(Leadership::new(ballot, self.runtime.now()));
+    fn begin_leadership(self: &Rc<Self>, ballot: fleet_model::Ballot, applied: u64, first: LogEntry) {
+        let leadership = Rc::new(Leadership::new(ballot, applied, self.runtime.now()));
         *self.coordination.leadership.borrow_mut() = Some(leadership.clone());
-        self.runtime.spawn(self.clone().lead(leadership, applied, first));
+        self.runtime.spawn(self.clone().lead(leadership, first));
     }
 
     async fn fetch_state(self: &Rc<Self>, from: Ipv4Addr) {
--- a/system/control-node/src/coordination/forwarding.rs
+++ b/system/control-node/src/coordination/forwarding.rs
@@ -3,8 +3,8 @@
 use super::{APPLICATION_TIMEOUT, ApplicationReply, LEADER_TIMEOUT};
 use crate::{ControlBackend, ControlNode};
 use fleet_model::{
-    Ballot, CoordinationAnswer, CoordinationCall, CoordinationCommand, CoordinationQuery,
-    CoordinationReading, LogLeader,
+    Ballot, CoordinationAnswer, CoordinationCall, CoordinationCommand, CoordinationOutcome,
+    CoordinationQuery, CoordinationReading, LogLeader,
 };
 use futures_util::future::{Either, select};
 use node_runtime::{Runtime, timeout_at};
@@ -38,6 +38,9 @@
                 }
             };
             match answer {
+                Some(CoordinationAnswer::Outcome(CoordinationOutcome::LimitReached)) if may_be_executed => {
+                    return ApplicationReply::Indeterminate;
+                }
                 Some(CoordinationAnswer::Outcome(outcome)) => return ApplicationReply::Outcome(outcome),
                 Some(CoordinationAnswer::Overloaded) if !may_be_executed => {
                     return ApplicationReply::Overloaded;
--- a/system/control-node/src/coordination/founding.rs
+++ b/system/control-node/src/coordination/founding.rs
@@ -1,25 +1,25 @@
-//! The first members of the log. They are agreed once through the configuration register, which keeps them as leases: under a
-//! name that begins with [`FOUNDER_PREFIX`], the holder is the member's address and the token its replica. So programs that do
-//! not know the service keep them too.
+//! The first members of the log. They are agreed once through the configuration register, which keeps them as leases, under names
+//! that begin with [`COORDINATION_FOUNDER_PREFIX`]. So programs that do not know the service keep them too.
 
 use super::election::LOCATE_TIMEOUT;
 use crate::proposer::ProposedChange;
 use crate::{ControlBackend, ControlNode};
-use fleet_model::{ControlState, CoordinationAnswer, CoordinationCall, Lease, LogMember, ReplicaId};
+use fleet_model::{
+    COORDINATION_FOUNDER_PREFIX, ControlState, CoordinationAnswer, CoordinationCall, Lease, LogMember,
+    ReplicaId,
+};
 use futures_util::future::join_all;
 use node_runtime::Runtime;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Beginning of the names of the leases that keep the first members.
-pub(crate) const FOUNDER_PREFIX: &str = "coordination/";
 /// How long to try to have the first members chosen.
 const FOUNDING_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// The first members of the log, if they are chosen.
 pub(super) fn founders(state: &ControlState) -> Vec<LogMember> {
-    let leases = state.leases.iter().filter(|(name, _)| name.starts_with(FOUNDER_PREFIX));
+    let leases = state.leases.iter().filter(|(name, _)| name.starts_with(COORDINATION_FOUNDER_PREFIX));
     leases
         .filter_map(|(_, lease)| Some(LogMember { ip: lease.holder?, replica: ReplicaId(lease.token) }))
         .collect()
@@ -33,7 +33,7 @@
     let mut state = state.clone();
     state.leases.extend(members.iter().map(|member| {
         let lease = Lease { token: member.replica.0, holder: Some(member.ip) };
-        (format!("{FOUNDER_PREFIX}{}", member.ip), lease)
+        (format!("{COORDINATION_FOUNDER_PREFIX}{}", member.ip), lease)
     }));
     Some(state)
 }
--- a/system/control-node/src/coordination/leader.rs
+++ b/system/control-node/src/coordination/leader.rs
@@ -42,20 +42,10 @@
 }
 
 impl<R: Runtime, B: ControlBackend> ControlNode<R, B> {
-    /// Leads until a higher ballot is seen, no quorum responds, or nobody needs a leader. The first entry is for the slot after
-    /// `applied`: a replica that has learnt that slot since the campaign ends the leadership.
-    pub(super) async fn lead(
-        self: Rc<Self>,
-        leadership: Rc<Leadership>,
-        applied: u64,
-        first: Option<LogEntry>,
-    ) {
+    /// Leads until a higher ballot is seen, no quorum responds, or nobody needs a leader.
+    pub(super) async fn lead(self: Rc<Self>, leadership: Rc<Leadership>, first: LogEntry) {
         let members = self.log_members();
-        let is_established = match first {
-            _ if self.coordination.replica.borrow().applied() != applied => false,
-            Some(entry) => self.choose(&leadership, entry).await.is_some(),
-            None => true,
-        };
+        let is_established = self.choose(&leadership, first).await.is_some();
         let mut outcome = RoundOutcome::StepDown;
         if is_established && self.log_members() != members {
             // The pending entry was a change of members: phase 1 was done among the former ones.
@@ -226,8 +216,13 @@
         leadership: &Rc<Leadership>,
         entry: LogEntry,
     ) -> Option<Vec<CoordinationOutcome>> {
-        let members = self.log_members();
-        let slot = self.coordination.replica.borrow().applied() + 1;
+        let applied = self.coordination.replica.borrow().applied();
+        if applied != leadership.applied.get() {
+            // Another leader has had slots chosen: this one's first phase says nothing of the next one.
+            leadership.depose();
+            return None;
+        }
+        let (members, slot) = (self.log_members(), applied + 1);
         let position = CommitPosition { slot, ballot: leadership.ballot };
         let has_puts = matches!(&entry, LogEntry::Batch(batch)
             if batch.commands.iter().any(|command| matches!(command, CoordinationCommand::PutKey { .. })));
@@ -247,14 +242,22 @@
         let mut count = VoteCount::new(&members);
         let deadline = self.runtime.now() + QUORUM_TIMEOUT;
         while !count.is_quorum() {
-            let vote = timeout_at(&self.runtime, deadline, voted.recv()).await??;
-            count.record(vote);
+            let heartbeat_due = leadership.broadcast_at.get() + HEARTBEAT_INTERVAL;
+            match timeout_at(&self.runtime, deadline.min(heartbeat_due), voted.recv()).await {
+                Some(vote) => {
+                    count.record(vote?);
+                }
+                None if self.runtime.now() >= deadline => return None,
+                // Members that have voted hear the leader while it waits for the others.
+                None => self.send_heartbeat(leadership, self.heartbeat_targets()),
+            }
             if leadership.is_deposed() {
                 return None;
             }
         }
         let outcomes = self.coordination.replica.borrow_mut().commit_own(position)?;
         leadership.committed.set(position);
+        leadership.applied.set(slot);
         self.after_log_change();
         if has_puts {
             self.send_heartbeat(leadership, leadership.watching_nodes());
--- a/system/control-node/src/coordination/leadership.rs
+++ b/system/control-node/src/coordination/leadership.rs
@@ -66,6 +66,8 @@
     peers: RefCell<BTreeMap<Ipv4Addr, Peer>>,
     /// The last slot that this leader has had chosen.
     pub(super) committed: Cell<CommitPosition>,
+    /// The last slot that the own replica has applied, unless another leader is at work.
+    pub(super) applied: Cell<u64>,
     /// When the last request went to all members.
     pub(super) broadcast_at: Cell<Duration>,
     /// When the last command or read arrived.
@@ -76,7 +78,8 @@
 
 impl Leadership {
     /// The leadership of this ballot.
-    pub(super) fn new(ballot: Ballot, now: Duration) -> Self {
+    /// `applied` is the last slot before those that it decides.
+    pub(super) fn new(ballot: Ballot, applied: u64, now: Duration) -> Self {
         Self {
             ballot,
             began_at: now,
@@ -87,6 +90,7 @@
             reads: RefCell::default(),
             peers: RefCell::default(),
             committed: Cell::default(),
+            applied: Cell::new(applied),
             broadcast_at: Cell::new(now),
             used_at: Cell::new(now),
             wake: Notify::new(),
--- a/system/control-node/src/coordination/watch.rs
+++ b/system/control-node/src/coordination/watch.rs
@@ -8,6 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// How long a watch may wait before its node has to confirm that it has missed no event.
+const MAX_UNCONFIRMED_WAIT: Duration = Duration::from_secs(5);
+
 /// Counts an application that waits, until it is dropped.
 struct CountedWatcher<'a>(&'a Cell<usize>);
 
@@ -37,6 +40,7 @@
             let revision = self.coordination.replica.borrow().machine().state.group_revision(group);
             return ApplicationReply::Events { events: Vec::new(), revision };
         }
+        let mut is_last = false;
         loop {
             let applied = self.coordination.applied.notified();
             let events = self.coordination.replica.borrow().machine().state.events(group, after);
@@ -48,9 +52,16 @@
                 }
                 Ok(_) => {}
             }
-            if timeout_at(&self.runtime, until, applied).await.is_none() {
+            if is_last {
                 return ApplicationReply::Events { events: Vec::new(), revision: after };
             }
+            if timeout_at(&self.runtime, until, applied).await.is_none() {
+                is_last = true;
+                // A revision that is given after long waiting must not be older than the history by then.
+                if wait > MAX_UNCONFIRMED_WAIT && !self.apply_committed().await {
+                    return ApplicationReply::Unavailable;
+                }
+            }
         }
     }
 
--- a/system/fleet-model/src/control_state.rs
+++ b/system/fleet-model/src/control_state.rs
@@ -56,7 +56,17 @@
     pub rejected: Vec<RejectedConfig>,
 }
 
+/// Beginning of the names under which `leases` keeps the first members of the coordination log: the holder is the member's address
+/// and the token its replica.
+pub const COORDINATION_FOUNDER_PREFIX: &str = "coordination/";
+
 impl ControlState {
+    /// The holders of singleton roles.
+    pub fn lease_holders(&self) -> impl Iterator<Item = Ipv4Addr> {
+        let leases = self.leases.iter().filter(|(name, _)| !name.starts_with(COORDINATION_FOUNDER_PREFIX));
+        leases.filter_map(|(_, lease)| lease.holder)
+    }
+
     /// Version of the current configuration; 0 before the first one.
     pub fn version(&self) -> u64 {
         self.committed.last().map_or(0, |current| current.version)
--- a/system/fleet-model/src/lib.rs
+++ b/system/fleet-model/src/lib.rs
@@ -15,7 +15,7 @@
 mod register;
 mod roster;
 
-pub use control_state::{CommittedVersion, ControlState, Lease, RejectedConfig};
+pub use control_state::{COORDINATION_FOUNDER_PREFIX, CommittedVersion, ControlState, Lease, RejectedConfig};
 pub use coordination::{
     AcceptedEntry, CommitPosition, CoordinationAnswer, CoordinationBatch, CoordinationCall,
     CoordinationCommand, CoordinationOutcome, CoordinationQuery, CoordinationReading, KeyRevision, LogEntry,
--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -70,7 +70,7 @@
             metrics.gauge("control_node_fresh", f64::from(u8::from(node.is_fresh())));
             metrics.gauge("control_node_core_machines_heard", node.known_core_nodes() as f64);
             let state = node.feed.state();
-            let held_leases = state.leases.values().filter(|lease| lease.holder == Some(self.me)).count();
+            let held_leases = state.lease_holders().filter(|holder| *holder == self.me).count();
             metrics.gauge("control_node_duties", held_leases as f64);
             let storage_losses = node.storage_losses();
             metrics.gauge("control_node_storage_losses_to_bear", storage_losses.configured as f64);
--- a/system/programs/src/storage/placement.rs
+++ b/system/programs/src/storage/placement.rs
@@ -82,8 +82,7 @@
         ips.dedup();
         let seed = random_u64();
         // Lease holders come first: with one proposer of roster changes there are no duelling proposals.
-        let holders: Vec<Ipv4Addr> =
-            self.feed.state().leases.values().filter_map(|fence| fence.holder).collect();
+        let holders: Vec<Ipv4Addr> = self.feed.state().lease_holders().collect();
         ips.sort_by_key(|ip| (!holders.contains(ip), fleet_model::rendezvous_rank(&ip.octets(), seed)));
         for ip in ips {
             if let Ok(Answer::Done) = self.peer(ip).call(call.clone(), CORE_CALL_TIMEOUT).await {
--- a/testbed/src/system/storage_node.rs
+++ b/testbed/src/system/storage_node.rs
@@ -81,8 +81,7 @@
         ips.sort();
         ips.dedup();
         let random = self.host.random_u64();
-        let lease_holders: Vec<Ipv4Addr> =
-            self.feed.state().leases.values().filter_map(|lease| lease.holder).collect();
+        let lease_holders: Vec<Ipv4Addr> = self.feed.state().lease_holders().collect();
         ips.sort_by_key(|ip| (!lease_holders.contains(ip), rendezvous_rank(&ip.octets(), random)));
         for ip in ips {
             if let Some(Answer::Done) = self.host.call(ip, call.clone(), 700).await {
