--- a/system/peer-wire/tests/codec.rs
+++ b/system/peer-wire/tests/codec.rs
@@ -82,6 +82,7 @@
         Frame::Call(_, Call::Coordination(call)) => match call {
             CoordinationCall::Log(LogRequest::Prepare(_)) => 0,
             CoordinationCall::Log(LogRequest::Heartbeat { .. }) => 1,
+            CoordinationCall::Log(LogRequest::Resign(_)) => 39,
             CoordinationCall::Log(LogRequest::Learn { .. }) => 2,
             CoordinationCall::Log(LogRequest::Install(_)) => 3,
             CoordinationCall::Log(LogRequest::Fetch) => 4,
@@ -89,7 +90,7 @@
             CoordinationCall::Submit { command: submitted, .. } => 8 + command(submitted),
             CoordinationCall::Read { query: CoordinationQuery::Key(_), .. } => 13,
             CoordinationCall::Read { query: CoordinationQuery::CommitIndex, .. } => 14,
-            CoordinationCall::Locate => 15,
+            CoordinationCall::Locate { .. } => 15,
         },
         Frame::Answer(_, Answer::Coordination(answer)) => match answer {
             CoordinationAnswer::Log { reply, .. } => match reply {
@@ -122,7 +123,7 @@
     })
 }
 
-const COORDINATION_VARIANTS: usize = 39;
+const COORDINATION_VARIANTS: usize = 40;
 
 #[test]
 fn every_variant_survives_encoding_and_decoding() {
--- a/system/peer-wire/tests/samples/coordination.rs
+++ b/system/peer-wire/tests/samples/coordination.rs
@@ -74,6 +74,7 @@
         LogRequest::Prepare(ballot(u64::MAX)),
         LogRequest::Heartbeat { ballot: ballot(2), committed },
         LogRequest::Heartbeat { ballot: ballot(2), committed: CommitPosition::default() },
+        LogRequest::Resign(ballot(2)),
         LogRequest::Learn { entries: vec![] },
         LogRequest::Learn { entries: slot_entries() },
         LogRequest::Install(snapshot("")),
@@ -107,7 +108,7 @@
     let mut calls = vec![
         read(CoordinationQuery::Key("g1.2d".to_owned())),
         read(CoordinationQuery::CommitIndex),
-        CoordinationCall::Locate,
+        CoordinationCall::Locate { needs_leader: true },
     ];
     calls.extend(commands().into_iter().map(submit));
     calls.extend(log_requests().into_iter().map(CoordinationCall::Log));
