--- a/testbed/src/coordination/schedule.rs
+++ b/testbed/src/coordination/schedule.rs
@@ -23,7 +23,9 @@
 const REPLACEMENT_MS: u64 = 12_000;
 /// How often the configuration changes, in milliseconds.
 const CONFIGURATION_GAP_MS: Range<u64> = 1_500..4_000;
-/// The share of faults that hit all machines at once.
+/// For this long, machines lose their disks with few others away; for as long after it any number stops and starts.
+const PHASE_MS: u64 = 12_000;
+/// The share of faults, outside the times of lost disks, that hit all machines at once.
 const HERD_SHARE: f64 = 0.08;
 
 /// What happens to a machine.
@@ -112,10 +114,11 @@
             steps: Vec::new(),
         };
         for at_ms in faults {
-            if draw.rng.random_bool(HERD_SHARE) {
+            let loses_disks = (at_ms / PHASE_MS).is_multiple_of(2);
+            if !loses_disks && draw.rng.random_bool(HERD_SHARE) {
                 draw.add_herd(at_ms);
             } else {
-                draw.add(at_ms);
+                draw.add(at_ms, loses_disks);
             }
         }
         let configurations = configurations.into_iter().map(Duration::from_millis).collect();
@@ -135,21 +138,21 @@
 
 impl Draw<'_> {
     /// One fault of a machine that has none at this time.
-    fn add(&mut self, at_ms: u64) {
+    fn add(&mut self, at_ms: u64, loses_disks: bool) {
         let free: Vec<usize> =
             self.in_service.iter().copied().filter(|node| !self.is_lost(*node, at_ms)).collect();
         if free.is_empty() {
             return;
         }
         let node = free[self.rng.random_range(0..free.len())];
-        let (fault, lost_ms) = self.draw_fault();
+        let (fault, lost_ms) = self.draw_fault(loses_disks);
         let has_lost_disk = matches!(fault, Fault::Wipe { .. } | Fault::Replace { .. });
         let until_ms = at_ms + lost_ms;
         // While a disk is lost, no more machines are than may be; otherwise, any number may stop and start.
         let overlapping = self.losses.iter().filter(|loss| loss.until_ms > at_ms);
         let (count, is_disk_lost) = overlapping
             .fold((0, has_lost_disk), |(count, lost), loss| (count + 1, lost || loss.has_lost_disk));
-        if is_disk_lost && count >= self.plan.tolerated_losses {
+        if (is_disk_lost || loses_disks) && count >= self.plan.tolerated_losses {
             return;
         }
         if let Fault::Replace { by, .. } = fault {
@@ -162,15 +165,17 @@
         self.steps.push(Step { at: Duration::from_millis(at_ms), node, fault });
     }
 
-    fn draw_fault(&mut self) -> (Fault, u64) {
+    fn draw_fault(&mut self, loses_disks: bool) -> (Fault, u64) {
         let down_ms = self.rng.random_range(DOWN_MS);
         let down = Duration::from_millis(down_ms);
         let has_spare = self.next_spare < usize::from(self.plan.control_nodes + self.plan.spares);
         match self.rng.random_range(0..100) {
-            0..25 => (Fault::Restart { down }, down_ms + CATCH_UP_MS),
-            25..52 => (Fault::Kill { down }, down_ms + CATCH_UP_MS),
-            52..64 => (Fault::Wipe { down }, down_ms + CATCH_UP_MS),
-            64..70 if has_spare => (Fault::Replace { by: self.next_spare, down }, down_ms + REPLACEMENT_MS),
+            0..40 if loses_disks => (Fault::Wipe { down }, down_ms + CATCH_UP_MS),
+            40..60 if loses_disks && has_spare => {
+                (Fault::Replace { by: self.next_spare, down }, down_ms + REPLACEMENT_MS)
+            }
+            0..35 => (Fault::Restart { down }, down_ms + CATCH_UP_MS),
+            35..75 => (Fault::Kill { down }, down_ms + CATCH_UP_MS),
             _ => {
                 let time_ms = self.rng.random_range(FREEZE_MS);
                 (Fault::Freeze { time: Duration::from_millis(time_ms) }, time_ms + CATCH_UP_MS)
--- a/testbed/src/serving_tier/machines.rs
+++ b/testbed/src/serving_tier/machines.rs
@@ -1,4 +1,5 @@
 //! The tier's machines: real processes on loopback addresses, each with a settings file and, where it has a disk, a folder.
+use super::endpoints::mixed;
 use crate::built::build_folder;
 use crate::fleet::{FleetError, io};
 use nix::sys::signal::{Signal, kill};
@@ -134,7 +135,7 @@
         let (core, storage, edge) = (ips(10, core), ips(20, storage), ips(30, edge));
         let all: Vec<Ipv4Addr> =
             core.iter().chain(&storage).chain(&edge).copied().chain([Ipv4Addr::LOCALHOST]).collect();
-        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ u64::from(std::process::id()));
+        let mut rng = ChaCha8Rng::seed_from_u64(mixed(seed) ^ u64::from(std::process::id()));
         let mut bases: Vec<u16> = Vec::new();
         for _ in 0..MAX_PORT_SEARCHES {
             let base = rng.random_range(PORT_RANGE) / PORTS * PORTS;
