Leave another candidate time before campaigning, and draw candidates apart

Cause: a node that heard of another's campaign stopped believing the former leader and campaigned at once, over the other's ballot, and so in turn: each lost its promise before its first entry was chosen. Nothing made them draw apart. An election was also not taken up again after a leadership that never got ready. Now a campaign is left 250 ms, failed attempts are repeated after random delays that grow, and an election goes on after a leadership that failed.

--- a/system/control-node/src/coordination/election.rs
+++ b/system/control-node/src/coordination/election.rs
@@ -26,6 +26,12 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay of a candidate for each live member of a higher rank.
 const CANDIDATE_RANK_DELAY: Duration = Duration::from_millis(30);
+/// Time that another candidate is left to gather promises and have its first entry chosen.
+const RIVAL_CAMPAIGN_DURATION: Duration = Duration::from_millis(250);
+/// Maximum of the random delay after the first failed attempt, in milliseconds; it doubles with each further one.
+const MIN_RETRY_DELAY_MS: u64 = 20;
+/// Number of times that the maximum doubles.
+const MAX_RETRY_DOUBLINGS: u32 = 4;
 /// A leader is needed for this long after the last request that missed one.
 const NEED_DURATION: Duration = Duration::from_millis(1_500);
 /// Interval between checks, while there is no leader, whether the members have to change.
@@ -49,6 +55,27 @@
         }
     }
 
+    /// The delay before the next attempt: random and growing, so that candidates that disturb each other draw apart.
+    fn retry_delay(&self) -> Duration {
+        let failures = self.coordination.failed_elections.get();
+        self.coordination.failed_elections.set(failures + 1);
+        let max_ms = MIN_RETRY_DELAY_MS << failures.min(MAX_RETRY_DOUBLINGS);
+        Duration::from_millis(1 + self.runtime.random_u64() % max_ms)
+    }
+
+    /// Whether another candidate may be about to lead.
+    fn has_rival(&self) -> bool {
+        let asked_at = self.coordination.rival_campaign_at.get();
+        asked_at.is_some_and(|at| self.runtime.now() < at + RIVAL_CAMPAIGN_DURATION)
+    }
+
+    /// Looks for a leader again if one is still needed after an own leadership is over.
+    pub(super) fn resume_election(&self) {
+        if self.lacks_leader() {
+            self.coordination.leader_needed.notify_one();
+        }
+    }
+
     fn lacks_leader(&self) -> bool {
         let is_needed =
             self.coordination.needed_at.get().is_some_and(|at| self.runtime.now() < at + NEED_DURATION);
@@ -69,9 +96,10 @@
             }
             while self.lacks_leader() {
                 self.elect().await;
-                let pause = Duration::from_millis(5 + self.runtime.random_u64() % 20);
-                let _ = timeout(&self.runtime, pause, self.coordination.leader_found.notified()).await;
+                let _ = timeout(&self.runtime, self.retry_delay(), self.coordination.leader_found.notified())
+                    .await;
             }
+            self.coordination.failed_elections.set(0);
         }
     }
 
@@ -105,7 +133,7 @@
             self.use_reported_leader(survey.leader);
         } else if survey.has_majority {
             self.runtime.sleep(self.candidate_delay(&members)).await;
-            if self.lacks_leader() {
+            if self.lacks_leader() && !self.has_rival() {
                 self.campaign(&members).await;
             }
         }
--- a/system/control-node/src/coordination/leader.rs
+++ b/system/control-node/src/coordination/leader.rs
@@ -63,6 +63,7 @@
             _ if !was_deposed => self.announce_resignation(&leadership),
             _ => {}
         }
+        self.resume_election();
     }
 
     /// Has the other nodes look for another leader at once rather than after a time-out.
--- a/system/control-node/src/coordination/mod.rs
+++ b/system/control-node/src/coordination/mod.rs
@@ -72,6 +72,10 @@
     leader_needed: Notify,
     /// When a leader was last needed.
     needed_at: Cell<Option<Duration>>,
+    /// When another candidate last asked for a promise.
+    rival_campaign_at: Cell<Option<Duration>>,
+    /// Number of attempts to find a leader or to become one, since there was one.
+    failed_elections: Cell<u32>,
     /// Number of applications that wait for events here.
     watchers: Cell<usize>,
     /// Whether the process is about to end, so that it must not lead.
@@ -115,6 +119,8 @@
             leader_found: Notify::new(),
             leader_needed: Notify::new(),
             needed_at: Cell::new(None),
+            rival_campaign_at: Cell::new(None),
+            failed_elections: Cell::new(0),
             watchers: Cell::new(0),
             is_shutting_down: Cell::new(false),
         }
@@ -202,6 +208,9 @@
         if proposer == self.me || ballot < self.coordination.replica.borrow().promised() {
             return;
         }
+        if !is_leader {
+            self.coordination.rival_campaign_at.set(Some(self.runtime.now()));
+        }
         let heard = &self.coordination.heard_leader;
         match is_leader {
             true => {
