--- a/system/programs/tests/control_api/calls.rs
+++ b/system/programs/tests/control_api/calls.rs
@@ -16,6 +16,7 @@
 const RELEASE: (&str, &str, &str) = ("DELETE", "/sedgewood/locks/l1f", r#"{"holder":"a3.7","fence":41}"#);
 const NUMBER: (&str, &str, &str) = ("POST", "/sedgewood/numbers/n2", "{}");
 const PUT: (&str, &str, &str) = ("PUT", "/sedgewood/cells/g1.2d", r#"{"value":"5c0e","enabled":907}"#);
+const PUT_ANYWAY: (&str, &str, &str) = ("PUT", "/sedgewood/cells/g1.2d", r#"{"value":"5c0e"}"#);
 const READ: (&str, &str, &str) = ("GET", "/sedgewood/cells/g1.2d", "");
 const WATCH: (&str, &str, &str) = ("GET", "/sedgewood/watch/g1.?after=930&wait_ms=2000", "");
 const ALL: [(&str, &str, &str); 7] = [ACQUIRE, RENEW, RELEASE, NUMBER, PUT, READ, WATCH];
@@ -44,9 +45,9 @@
     ApplicationRequest::Command(CoordinationCommand::NextNumber { name: "n2".to_owned() })
 }
 
-fn put(expected: u64) -> ApplicationRequest {
+fn put(expected: impl Into<Option<u64>>) -> ApplicationRequest {
     let (key, value) = ("g1.2d".to_owned(), "5c0e".to_owned());
-    ApplicationRequest::Command(CoordinationCommand::PutKey { key, value, expected: Some(expected) })
+    ApplicationRequest::Command(CoordinationCommand::PutKey { key, value, expected: expected.into() })
 }
 
 fn read(key: &str) -> ApplicationRequest {
@@ -83,6 +84,7 @@
             r#"{"value":18446744073709551615}"#,
         ),
         (PUT, put(907), Outcome(Out::KeyStored { revision: 931 }), 200, r#"{"revision":931}"#),
+        (PUT_ANYWAY, put(None), Outcome(Out::KeyStored { revision: 931 }), 200, r#"{"revision":931}"#),
         (PUT, put(907), Outcome(Out::RevisionMismatch { revision: 922 }), 412, r#"{"revision":922}"#),
         (PUT, put(907), Outcome(Out::RevisionMismatch { revision: 0 }), 412, r#"{"revision":0}"#),
         (PUT, put(907), Outcome(Out::LimitReached), 429, r#"{"error":"a limit on names is reached"}"#),
