--- a/system/control-node/src/coordination/leader.rs
+++ b/system/control-node/src/coordination/leader.rs
@@ -1,13 +1,13 @@
 //! The rounds of a leader: all that waits when a round ends goes in the next one.
 
-use super::leadership::{Leadership, WaitingRead, resolve_commands};
+use super::leadership::{Leadership, Waiting, resolve_commands};
 use super::peers::PeerReply;
 use crate::{ControlBackend, ControlNode};
 use fleet_model::{
     AcceptedEntry, CommitPosition, CoordinationAnswer, CoordinationBatch, CoordinationCommand,
     CoordinationOutcome, CoordinationQuery, CoordinationReading, LogEntry, LogReply, LogRequest, SlotEntry,
 };
-use node_runtime::{Runtime, timeout, timeout_at};
+use node_runtime::{Runtime, timeout_at};
 use replicated_log::VoteCount;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -157,7 +157,7 @@
         let is_confirmed = if commands.is_empty() {
             reads.is_empty() || self.confirm_leadership(leadership).await
         } else {
-            let batch = self.batch(commands.iter().map(|waiting| waiting.command.clone()).collect());
+            let batch = self.batch(commands.iter().map(|waiting| waiting.work.clone()).collect());
             let outcomes = self.choose(leadership, LogEntry::Batch(batch)).await;
             let is_chosen = outcomes.is_some();
             match outcomes {
@@ -198,12 +198,12 @@
         }
     }
 
-    fn answer_read(&self, read: WaitingRead, is_confirmed: bool) {
+    fn answer_read(&self, read: Waiting<CoordinationQuery>, is_confirmed: bool) {
         if !is_confirmed {
             return read.resolve(CoordinationAnswer::NotExecuted { leader: None });
         }
         let replica = self.coordination.replica.borrow();
-        let reading = match &read.query {
+        let reading = match &read.work {
             CoordinationQuery::Key(key) => CoordinationReading::Key(replica.machine().state.key(key)),
             CoordinationQuery::CommitIndex => CoordinationReading::CommitIndex(replica.applied()),
         };
@@ -313,8 +313,7 @@
     /// Sends a heartbeat and handles the replies in the background.
     fn send_heartbeat(self: &Rc<Self>, leadership: &Rc<Leadership>, targets: Vec<Ipv4Addr>) {
         leadership.broadcast_at.set(self.runtime.now());
-        let request =
-            LogRequest::Heartbeat { ballot: leadership.ballot, committed: leadership.committed.get() };
+        let request = leadership.heartbeat();
         for ip in targets.into_iter().filter(|ip| *ip != self.me) {
             let (node, leadership, request) = (self.clone(), leadership.clone(), request.clone());
             self.runtime.spawn(async move {
@@ -335,8 +334,11 @@
     /// The members, and the voters of the configuration register, which may become members.
     fn heartbeat_targets(&self) -> Vec<Ipv4Addr> {
         let mut targets: Vec<Ipv4Addr> = self.log_members().iter().map(|member| member.ip).collect();
-        let voters = self.feed.value().voters.clone();
-        targets.extend(voters.into_iter().filter(|ip| !targets.contains(ip)).collect::<Vec<_>>());
+        for voter in &self.feed.value().voters {
+            if !targets.contains(voter) {
+                targets.push(*voter);
+            }
+        }
         targets
     }
 
@@ -346,10 +348,8 @@
         let deadline = self.runtime.now() + QUORUM_TIMEOUT;
         while self.runtime.now() < deadline && !leadership.is_deposed() {
             leadership.broadcast_at.set(self.runtime.now());
-            let request =
-                LogRequest::Heartbeat { ballot: leadership.ballot, committed: leadership.committed.get() };
             let targets = members.iter().map(|member| member.ip);
-            let mut replies = self.call_replicas(targets, &request, HEARTBEAT_TIMEOUT);
+            let mut replies = self.call_replicas(targets, &leadership.heartbeat(), HEARTBEAT_TIMEOUT);
             let mut count = VoteCount::new(&members);
             while let Some((ip, reply)) = replies.recv().await {
                 let Some(reply) = reply else { continue };
@@ -360,7 +360,7 @@
                     return !leadership.is_deposed();
                 }
             }
-            let _ = timeout(&self.runtime, ACCEPT_RETRY_DELAY, std::future::pending::<()>()).await;
+            self.runtime.sleep(ACCEPT_RETRY_DELAY).await;
         }
         false
     }
--- a/system/control-node/src/coordination/leadership.rs
+++ b/system/control-node/src/coordination/leadership.rs
@@ -2,7 +2,7 @@
 
 use fleet_model::{
     Ballot, CommitPosition, CoordinationAnswer, CoordinationCommand, CoordinationOutcome, CoordinationQuery,
-    ReplicaId,
+    LogRequest, ReplicaId,
 };
 use replicated_log::KnownReplica;
 use std::cell::{Cell, RefCell};
@@ -20,27 +20,20 @@
 /// A replica that has replied within this time is responsive.
 const RESPONSIVE_DURATION: Duration = Duration::from_millis(1_000);
 
-/// A command that waits for its outcome.
-pub(super) struct WaitingCommand {
-    pub(super) command: CoordinationCommand,
+/// A command that waits for its outcome, or a read that waits for a quorum to confirm the leader.
+pub(super) struct Waiting<T> {
+    pub(super) work: T,
     answer: oneshot::Sender<CoordinationAnswer>,
 }
 
-impl WaitingCommand {
-    pub(super) fn resolve(self, answer: CoordinationAnswer) {
-        // The caller may have gone.
-        let _ = self.answer.send(answer);
+impl<T> Waiting<T> {
+    fn new(work: T) -> (Self, oneshot::Receiver<CoordinationAnswer>) {
+        let (answer, received) = oneshot::channel();
+        (Self { work, answer }, received)
     }
-}
 
-/// A read that waits for a quorum to confirm the leader.
-pub(super) struct WaitingRead {
-    pub(super) query: CoordinationQuery,
-    answer: oneshot::Sender<CoordinationAnswer>,
-}
-
-impl WaitingRead {
     pub(super) fn resolve(self, answer: CoordinationAnswer) {
+        // The caller may have gone.
         let _ = self.answer.send(answer);
     }
 }
@@ -61,8 +54,8 @@
     is_ready: Cell<bool>,
     is_deposed: Cell<bool>,
     is_resigning: Cell<bool>,
-    commands: RefCell<VecDeque<WaitingCommand>>,
-    reads: RefCell<Vec<WaitingRead>>,
+    commands: RefCell<VecDeque<Waiting<CoordinationCommand>>>,
+    reads: RefCell<Vec<Waiting<CoordinationQuery>>>,
     peers: RefCell<BTreeMap<Ipv4Addr, Peer>>,
     /// The last slot that this leader has had chosen.
     pub(super) committed: Cell<CommitPosition>,
@@ -126,17 +119,22 @@
         self.is_resigning.get()
     }
 
+    /// A heartbeat with what is chosen by now.
+    pub(super) fn heartbeat(&self) -> LogRequest {
+        LogRequest::Heartbeat { ballot: self.ballot, committed: self.committed.get() }
+    }
+
     /// Queues a command for the next round; `None` if too many wait.
     pub(super) fn push_command(
         &self,
         command: CoordinationCommand,
     ) -> Option<oneshot::Receiver<CoordinationAnswer>> {
-        let (answer, received) = oneshot::channel();
         let mut commands = self.commands.borrow_mut();
         if commands.len() >= MAX_WAITING_COMMANDS {
             return None;
         }
-        commands.push_back(WaitingCommand { command, answer });
+        let (waiting, received) = Waiting::new(command);
+        commands.push_back(waiting);
         self.wake.notify_one();
         Some(received)
     }
@@ -146,25 +144,25 @@
         &self,
         query: CoordinationQuery,
     ) -> Option<oneshot::Receiver<CoordinationAnswer>> {
-        let (answer, received) = oneshot::channel();
         let mut reads = self.reads.borrow_mut();
         if reads.len() >= MAX_WAITING_READS {
             return None;
         }
-        reads.push(WaitingRead { query, answer });
+        let (waiting, received) = Waiting::new(query);
+        reads.push(waiting);
         self.wake.notify_one();
         Some(received)
     }
 
     /// The commands of the next slot. Those whose callers have gone are left out.
-    pub(super) fn take_commands(&self) -> Vec<WaitingCommand> {
+    pub(super) fn take_commands(&self) -> Vec<Waiting<CoordinationCommand>> {
         let mut commands = self.commands.borrow_mut();
         commands.retain(|waiting| !waiting.answer.is_closed());
         let count = commands.len().min(MAX_BATCH_COMMANDS);
         commands.drain(..count).collect()
     }
 
-    pub(super) fn take_reads(&self) -> Vec<WaitingRead> {
+    pub(super) fn take_reads(&self) -> Vec<Waiting<CoordinationQuery>> {
         self.reads.take()
     }
 
@@ -220,7 +218,10 @@
 }
 
 /// Pairs the commands of a slot with their outcomes.
-pub(super) fn resolve_commands(commands: Vec<WaitingCommand>, outcomes: Vec<CoordinationOutcome>) {
+pub(super) fn resolve_commands(
+    commands: Vec<Waiting<CoordinationCommand>>,
+    outcomes: Vec<CoordinationOutcome>,
+) {
     for (waiting, outcome) in commands.into_iter().zip(outcomes) {
         waiting.resolve(CoordinationAnswer::Outcome(outcome));
     }
--- a/system/control-node/src/coordination/mod.rs
+++ b/system/control-node/src/coordination/mod.rs
@@ -89,23 +89,22 @@
 ///
 /// [`JournalError`] if a part of it cannot be decoded.
 pub fn check_journal(journal: &RecoveredJournal) -> Result<(), JournalError> {
+    recover_replica(journal).map(drop)
+}
+
+/// The replica that a journal describes, if there is one.
+fn recover_replica(journal: &RecoveredJournal) -> Result<Option<Replica<Machine>>, JournalError> {
     match journal {
-        RecoveredJournal::Empty => Ok(()),
-        RecoveredJournal::Stored { checkpoint, records } => {
-            Replica::<Machine>::recover(checkpoint, records).map(drop)
-        }
+        RecoveredJournal::Empty => Ok(None),
+        RecoveredJournal::Stored { checkpoint, records } => Replica::recover(checkpoint, records).map(Some),
     }
 }
 
 impl CoordinationService {
     /// The service with the journal that was found, or as a new replica.
-    pub(crate) fn new(journal: &RecoveredJournal, new_replica: ReplicaId, ballots: BallotSource) -> Self {
-        let recovered = match journal {
-            RecoveredJournal::Stored { checkpoint, records } => Replica::recover(checkpoint, records).ok(),
-            RecoveredJournal::Empty => None,
-        };
+    pub(crate) fn new(journal: &RecoveredJournal, new_replica: ReplicaId, mut ballots: BallotSource) -> Self {
+        let recovered = recover_replica(journal).ok().flatten();
         let replica = recovered.unwrap_or_else(|| Replica::new(new_replica));
-        let mut ballots = ballots;
         ballots.observe(replica.promised());
         Self {
             replica: RefCell::new(replica),
@@ -208,21 +207,19 @@
         if proposer == self.me || ballot < self.coordination.replica.borrow().promised() {
             return;
         }
-        if !is_leader {
-            self.coordination.rival_campaign_at.set(Some(self.runtime.now()));
-        }
         let heard = &self.coordination.heard_leader;
-        match is_leader {
-            true => {
-                let was_live = self.first_hand_leader().is_some_and(|leader| leader.ballot == ballot);
-                heard.set(Some((LogLeader { ballot, ip: proposer }, self.runtime.now())));
-                if !was_live {
-                    self.coordination.leader_found.notify_waiters();
-                }
+        if is_leader {
+            let was_live = self.first_hand_leader().is_some_and(|leader| leader.ballot == ballot);
+            heard.set(Some((LogLeader { ballot, ip: proposer }, self.runtime.now())));
+            if !was_live {
+                self.coordination.leader_found.notify_waiters();
             }
+        } else {
+            self.coordination.rival_campaign_at.set(Some(self.runtime.now()));
             // The candidate may be elected by now: the former leader is not asked any more.
-            false if heard.get().is_some_and(|(leader, _)| leader.ballot < ballot) => heard.set(None),
-            false => {}
+            if heard.get().is_some_and(|(leader, _)| leader.ballot < ballot) {
+                heard.set(None);
+            }
         }
     }
 
