Count why each call was placed where it was

Whether a conversation left its engine because the proxy did not know it, found it unusable, or found it above the load bound could not be told apart. Counters of placement are in the proxy's figures, and in its last log line. Decisions are unchanged.

--- a/system/programs/src/proxy.rs
+++ b/system/programs/src/proxy.rs
@@ -61,6 +61,9 @@
         match Topic::read(&topic).name {
             "endpoints" => self.admin.view(views::endpoints(&self.forwarder.endpoints())),
             _ => self.admin.answer(&topic, |figures| {
+                for (name, value) in self.forwarder.placement_metrics().entries() {
+                    figures.counter(&format!("request_proxy_{name}"), value);
+                }
                 // One figure a line; what is open or waits now is no counter.
                 for (name, value) in parse_forwarder_metrics(&self.forwarder.metrics().to_string()) {
                     match name.as_str() {
@@ -84,6 +87,12 @@
     text.lines().filter_map(line).collect()
 }
 
+/// The counters of placement, on one line.
+fn placement_line(forwarder: &Forwarder<Turns>) -> String {
+    let entries = forwarder.placement_metrics().entries();
+    entries.map(|(name, value)| format!("{name}={value}")).join(" ")
+}
+
 /// Serves the admin endpoint; the proxy continues without it if its port cannot be bound.
 async fn serve_admin(process: Rc<Process>, admin: ProxyAdmin) {
     let settings = process.settings();
@@ -144,5 +153,6 @@
     let _ = timeout(grace.mul_f64(0.95).saturating_sub(Duration::from_millis(2_900).min(grace / 2)), serving)
         .await;
     log::info!("{}", forwarder.metrics());
+    log::info!("placement: {}", placement_line(&forwarder));
     Ok(())
 }
--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -15,7 +15,9 @@
 use hyper::{Method, Request, Response, StatusCode, Version};
 use message_sender::Span;
 use operator_config::{OperatorConfig, Route};
-use request_routing::{EndpointView, RouteKind, RoutingPolicy, RoutingRequest, ServiceSettings};
+use request_routing::{
+    EndpointView, PlacementMetrics, RouteKind, RoutingPolicy, RoutingRequest, ServiceSettings,
+};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -106,6 +108,11 @@
         ForwardingMetrics { waiting: self.core.queue.len() as u64, ..self.core.metrics.get() }
     }
 
+    /// Counters of placement since the start.
+    pub fn placement_metrics(&self) -> PlacementMetrics {
+        self.core.router.borrow().placement_metrics()
+    }
+
     /// Snapshot of all endpoints, for the admin endpoint.
     pub fn endpoints(&self) -> Vec<EndpointView> {
         self.core.router.borrow().endpoint_views()
@@ -218,6 +225,7 @@
                 && route.kind == RouteKind::Streaming
                 && self.core.policy.stream_resumption,
             session: headers::text(request_headers, "session").map(str::to_owned),
+            continues: headers::text(request_headers, "previous").is_some(),
             prefix_tokens: prefix.map_or(0, |part| part.tokens),
             prefix_id: prefix.map(|part| part.id.to_owned()),
             total_tokens: prompt.saturating_add(max_tokens),
--- a/system/request-routing/src/lib.rs
+++ b/system/request-routing/src/lib.rs
@@ -20,6 +20,7 @@
 mod hash;
 mod outlier;
 mod placement;
+mod placement_metrics;
 mod policy;
 mod prefix_demand;
 mod retry;
@@ -31,6 +32,7 @@
 pub use execution::{Execution, SendOutcome, status_promises_not_executed};
 pub use message_sender::{Outcome, Span, Time};
 pub use operator_config::RouteKind;
+pub use placement_metrics::PlacementMetrics;
 pub use policy::{RoutingPolicy, UnknownMechanism};
 pub use router::Router;
 pub use types::{
--- a/system/request-routing/src/placement.rs
+++ b/system/request-routing/src/placement.rs
@@ -3,6 +3,7 @@
 
 use crate::endpoint::{Endpoint, EndpointLimits};
 use crate::hash::{hash, mix};
+use crate::placement_metrics::{AffinityMiss, PlacementReason};
 use crate::policy::RoutingPolicy;
 use crate::service::Service;
 use crate::types::AttemptHistory;
@@ -64,12 +65,20 @@
     }
 
     /// The endpoint that last served the session, unless it is not usable or its load exceeds the bound.
-    pub(crate) fn by_session(&self, last_endpoint: Option<usize>, service: &str) -> Option<usize> {
-        let index = last_endpoint.filter(|_| self.policy.session_affinity)?;
+    pub(crate) fn by_session(
+        &self,
+        last_endpoint: Option<usize>,
+        service: &str,
+    ) -> Result<usize, AffinityMiss> {
+        let index = last_endpoint.filter(|_| self.policy.session_affinity).ok_or(AffinityMiss::Unknown)?;
         let endpoint = &self.endpoints[index];
-        (endpoint.listed.service == service
-            && self.may_use_for_affinity(endpoint, SESSION_AFFINITY_BOUND, self.mean_load()))
-        .then_some(index)
+        if endpoint.listed.service != service || !self.is_fit_for_affinity(endpoint) {
+            return Err(AffinityMiss::Unusable);
+        }
+        if !self.is_within(endpoint, SESSION_AFFINITY_BOUND, self.mean_load()) {
+            return Err(AffinityMiss::Overloaded);
+        }
+        Ok(index)
     }
 
     /// The least loaded of the endpoints that cache this prefix; none if every endpoint is to cache it.
@@ -89,19 +98,27 @@
         ranked.sort_unstable_by_key(|index| std::cmp::Reverse(mix(prefix ^ self.endpoints[*index].hash)));
         ranked.truncate(replicas);
         let mean = self.mean_load();
-        ranked
-            .retain(|index| self.may_use_for_affinity(&self.endpoints[*index], PREFIX_AFFINITY_BOUND, mean));
+        ranked.retain(|index| {
+            let endpoint = &self.endpoints[*index];
+            self.is_fit_for_affinity(endpoint) && self.is_within(endpoint, PREFIX_AFFINITY_BOUND, mean)
+        });
         self.least_loaded(ranked.into_iter().map(|index| (index, 0)), rng)
     }
 
     /// The least loaded usable endpoint. Endpoints that the request has not tried come before those that it has; within
     /// either group those with a free slot in this zone, then in other zones, then those that would queue the call.
     /// Ties are broken at random.
-    pub(crate) fn by_load(&self, rng: &mut ChaCha8Rng) -> Option<usize> {
+    pub(crate) fn by_load(&self, rng: &mut ChaCha8Rng) -> Option<(usize, PlacementReason)> {
         let local = self.service.local.iter().map(|index| (*index, true));
         let all = local.chain(self.service.remote.iter().map(|index| (*index, false)));
         let usable = all.filter(|(index, _)| self.is_usable(&self.endpoints[*index]));
-        self.least_loaded(usable.map(|(index, is_local)| (index, self.tier(index, is_local))), rng)
+        let index =
+            self.least_loaded(usable.map(|(index, is_local)| (index, self.tier(index, is_local))), rng)?;
+        let reason = match self.service.local.contains(&index) {
+            true => PlacementReason::LocalLoad,
+            false => PlacementReason::RemoteLoad,
+        };
+        Some((index, reason))
     }
 
     /// If all endpoints are ejected, the one that becomes usable first.
@@ -132,16 +149,19 @@
         sum / f64::max(count, 1.0)
     }
 
-    /// Whether affinity may select the endpoint, at a mean load `mean` of its peers.
-    fn may_use_for_affinity(&self, endpoint: &Endpoint, bound: LoadBound, mean: f64) -> bool {
-        let load = endpoint.load(self.now);
+    /// Whether affinity may select the endpoint, its load among its peers aside.
+    fn is_fit_for_affinity(&self, endpoint: &Endpoint) -> bool {
         self.is_usable(endpoint)
-            && load < f64::from(endpoint.slots(&self.limits))
-            && (!self.policy.load_bounds || load <= bound.factor * mean + bound.slack)
+            && endpoint.load(self.now) < f64::from(endpoint.slots(&self.limits))
             && self.penalty(endpoint) == 0.0
             && !self.history.avoided.contains(&endpoint.key)
     }
 
+    /// Whether the endpoint's load is within the bound, at a mean load `mean` of its peers.
+    fn is_within(&self, endpoint: &Endpoint, bound: LoadBound, mean: f64) -> bool {
+        !self.policy.load_bounds || endpoint.load(self.now) <= bound.factor * mean + bound.slack
+    }
+
     /// The tier of an endpoint; the lower is better.
     fn tier(&self, index: usize, is_local: bool) -> u8 {
         let endpoint = &self.endpoints[index];
--- a/system/request-routing/src/router.rs
+++ b/system/request-routing/src/router.rs
@@ -5,6 +5,7 @@
 use crate::endpoint::{CompletedCall, Endpoint, EndpointLimits, Presence};
 use crate::hash::{hash, mix};
 use crate::placement::Candidates;
+use crate::placement_metrics::{Placement, PlacementMetrics, PlacementReason};
 use crate::policy::RoutingPolicy;
 use crate::prefix_demand::Prompt;
 use crate::retry;
@@ -48,6 +49,7 @@
     endpoints: Vec<Endpoint>,
     services: BTreeMap<String, Service>,
     sessions: SessionTable,
+    placement_metrics: PlacementMetrics,
 }
 
 impl Router {
@@ -64,6 +66,7 @@
             endpoints: Vec::new(),
             services: BTreeMap::new(),
             sessions: SessionTable::default(),
+            placement_metrics: PlacementMetrics::default(),
         }
     }
 
@@ -155,7 +158,7 @@
             service.admission.sweep(now);
         }
         match self.choose_endpoint(now, request, history) {
-            Some(index) => self.send(request, index),
+            Some(placement) => self.send(request, &placement),
             None => self.wait_or_give_up(now, request, history),
         }
     }
@@ -167,8 +170,10 @@
         RoutingDecision::GiveUp(retry::give_up(history, self.retry_after(now, request)))
     }
 
-    fn send(&mut self, request: &RoutingRequest, index: usize) -> RoutingDecision {
-        let endpoint = &mut self.endpoints[index];
+    fn send(&mut self, request: &RoutingRequest, placement: &Placement) -> RoutingDecision {
+        let own_tokens = request.total_tokens.saturating_sub(request.prefix_tokens);
+        self.placement_metrics.record(placement, request.continues, own_tokens);
+        let endpoint = &mut self.endpoints[placement.index];
         let mut may_open = true;
         if let Some(service) = self.services.get_mut(&request.service) {
             may_open = endpoint.may_open(&service.endpoint_limits(self.proxies));
@@ -242,25 +247,33 @@
         now: Time,
         request: &RoutingRequest,
         history: &AttemptHistory,
-    ) -> Option<usize> {
+    ) -> Option<Placement> {
         let service = self.services.get(&request.service)?;
         if service.admission.yields(priority_of(request), &self.policy) {
             return None;
         }
         let candidates = Candidates::new(now, &self.policy, history, service, self.proxies, &self.endpoints);
+        let mut affinity_miss = None;
         if candidates.limits.engine || request.prefix_id.is_some() {
             let last = session_hash(request).and_then(|session| self.sessions.endpoint_of(session));
             let last = last.and_then(|key| self.find_endpoint(key));
-            if let Some(index) = candidates.by_session(last, &request.service) {
-                return Some(index);
+            match candidates.by_session(last, &request.service) {
+                Ok(index) => {
+                    return Some(Placement { index, reason: PlacementReason::Session, affinity_miss: None });
+                }
+                Err(miss) => affinity_miss = Some(miss),
             }
             if let Some(prefix) = &request.prefix_id
                 && let Some(index) = candidates.by_prefix(prefix, &mut self.rng)
             {
-                return Some(index);
+                return Some(Placement { index, reason: PlacementReason::Prefix, affinity_miss });
             }
         }
-        candidates.by_load(&mut self.rng).or_else(|| candidates.first_to_recover())
+        if let Some((index, reason)) = candidates.by_load(&mut self.rng) {
+            return Some(Placement { index, reason, affinity_miss });
+        }
+        let index = candidates.first_to_recover()?;
+        Some(Placement { index, reason: PlacementReason::FirstToRecover, affinity_miss })
     }
 
     fn find_endpoint(&self, key: EndpointKey) -> Option<usize> {
@@ -421,6 +434,11 @@
             .any(|endpoint| !history.avoided.contains(&endpoint.key) && candidates.is_usable(endpoint))
     }
 
+    /// Counters of placement since the start.
+    pub fn placement_metrics(&self) -> PlacementMetrics {
+        self.placement_metrics
+    }
+
     /// Snapshot of all endpoints as of the last event, for the admin endpoint.
     pub fn endpoint_views(&self) -> Vec<EndpointView> {
         (0..self.endpoints.len())
--- a/system/request-routing/src/types.rs
+++ b/system/request-routing/src/types.rs
@@ -21,6 +21,8 @@
     pub resumable: bool,
     /// The session it belongs to, for session affinity.
     pub session: Option<String>,
+    /// Whether it continues an earlier turn of its conversation.
+    pub continues: bool,
     /// Id of its shared prompt prefix, for prefix affinity.
     pub prefix_id: Option<String>,
     /// Tokens of that prefix; 0 if unknown.
--- a/system/request-routing/tests/choice.rs
+++ b/system/request-routing/tests/choice.rs
@@ -190,6 +190,32 @@
     expect_that!(send(&mut router, ms(9_001), &later).key, not(eq(home.key)));
 }
 
+#[gtest]
+fn the_placement_metrics_tell_why_a_conversation_left_its_endpoint() {
+    let engines = engines(3);
+    let mut router = router(&engines);
+    let first = turn("mine", "p");
+    let home = send(&mut router, ms(0), &first);
+    end(&mut router, ms(1), home.key, &first, Outcome::Success);
+    let next = RoutingRequest { continues: true, ..first };
+    send(&mut router, ms(2), &next);
+    let foreign = RoutingRequest { continues: true, ..turn("other", "p") };
+    send(&mut router, ms(2), &foreign);
+    router.record_load(ms(3), home.key, ServerLoad { running: 12, waiting: 0, slots: 16 });
+    send(&mut router, ms(3), &next);
+    let left: Vec<_> = engines.into_iter().filter(|engine| engine.instance_id != *home.instance_id).collect();
+    router.update_endpoints(ms(4), &list(&left));
+    send(&mut router, ms(4), &next);
+    let metrics = router.placement_metrics();
+    expect_that!(metrics.by_session, eq(1));
+    expect_that!(metrics.by_local_load, eq(4));
+    expect_that!(metrics.continued, eq(4));
+    expect_that!(metrics.continued_unknown, eq(1));
+    expect_that!(metrics.continued_overloaded, eq(1));
+    expect_that!(metrics.continued_unusable, eq(1));
+    expect_that!(metrics.continued_tokens_elsewhere, eq(3_000));
+}
+
 #[gtest]
 fn a_request_waits_while_all_engine_slots_are_occupied() {
     let mut router = router(&[entry("e", "model", "a", 3)]);
--- a/system/request-routing/tests/common/mod.rs
+++ b/system/request-routing/tests/common/mod.rs
@@ -55,6 +55,7 @@
         kind,
         resumable: false,
         session: None,
+        continues: false,
         prefix_id: None,
         prefix_tokens: 0,
         total_tokens: 0,
