--- a/system/fleet-model/src/message.rs
+++ b/system/fleet-model/src/message.rs
@@ -75,6 +75,8 @@
         epoch: u64,
         /// The turn to store.
         turn: Turn,
+        /// Instance id of the endpoint that served it, which caches its chain; a hint that is not stored on disk.
+        served_by: Option<String>,
     },
     /// Read the inputs and outputs of a turn and of its predecessors.
     ReadChain {
@@ -131,6 +133,8 @@
         text: Bytes,
         /// `Attempt-Id` of the preceding turn, if the callee does not store it.
         missing: Option<String>,
+        /// Instance id of the endpoint that served the requested turn, if the callee knows it.
+        served_by: Option<String>,
     },
     /// The callee does not store the turn.
     Absent {
--- a/system/peer-wire/schema/peer.capnp
+++ b/system/peer-wire/schema/peer.capnp
@@ -183,6 +183,8 @@
     keepTurn :group {
       epoch @20 :UInt64;
       turn @21 :Turn;
+      # The endpoint that served the turn; null: not known.
+      servedBy @32 :Text;
     }
     readChain :group {
       epoch @22 :UInt64;
@@ -219,6 +221,8 @@
       text @6 :Data;
       # Null: nothing is missing.
       missing @7 :Text;
+      # The endpoint that served the turn asked for; null: not known.
+      servedBy @15 :Text;
     }
     absent :group {
       complete @8 :Bool;
--- a/system/peer-wire/src/codec/answer.rs
+++ b/system/peer-wire/src/codec/answer.rs
@@ -28,12 +28,15 @@
         Answer::Account(reservations) => {
             write_reservations(builder.init_account(list_len(reservations.len())), reservations);
         }
-        Answer::Chain { text, missing } => {
+        Answer::Chain { text, missing, served_by } => {
             let mut builder = builder.init_chain();
             builder.set_text(text);
             if let Some(missing) = missing {
                 builder.set_missing(missing);
             }
+            if let Some(served_by) = served_by {
+                builder.set_served_by(served_by);
+            }
         }
         Answer::Absent { complete } => builder.init_absent().set_complete(*complete),
         Answer::Records { turns, accounts, cursor } => {
@@ -79,6 +82,7 @@
         Which::Chain(reader) => Answer::Chain {
             text: Bytes::copy_from_slice(reader.get_text()?),
             missing: reader.has_missing().then(|| read_text(reader.get_missing()?)).transpose()?,
+            served_by: reader.has_served_by().then(|| read_text(reader.get_served_by()?)).transpose()?,
         },
         Which::Absent(reader) => Answer::Absent { complete: reader.get_complete() },
         Which::Records(reader) => Answer::Records {
--- a/system/peer-wire/src/codec/call.rs
+++ b/system/peer-wire/src/codec/call.rs
@@ -50,9 +50,12 @@
             builder.set_epoch(*epoch);
             builder.set_program(program);
         }
-        Call::StoreTurn { epoch, turn } => {
+        Call::StoreTurn { epoch, turn, served_by } => {
             let mut builder = builder.init_keep_turn();
             builder.set_epoch(*epoch);
+            if let Some(served_by) = served_by {
+                builder.set_served_by(served_by);
+            }
             write_turn(builder.init_turn(), turn);
         }
         Call::ReadChain { epoch, attempt } => {
@@ -120,9 +123,11 @@
         Which::ReadAccount(reader) => {
             Call::ReadAccount { epoch: reader.get_epoch(), program: read_text(reader.get_program()?)? }
         }
-        Which::KeepTurn(reader) => {
-            Call::StoreTurn { epoch: reader.get_epoch(), turn: read_turn(reader.get_turn()?)? }
-        }
+        Which::KeepTurn(reader) => Call::StoreTurn {
+            epoch: reader.get_epoch(),
+            turn: read_turn(reader.get_turn()?)?,
+            served_by: reader.has_served_by().then(|| read_text(reader.get_served_by()?)).transpose()?,
+        },
         Which::ReadChain(reader) => {
             Call::ReadChain { epoch: reader.get_epoch(), attempt: read_text(reader.get_attempt()?)? }
         }
--- a/system/peer-wire/src/peer_capnp.rs
+++ b/system/peer-wire/src/peer_capnp.rs
@@ -6030,6 +6030,7 @@
       self.builder.set_data_field::<u16>(0, 8);
       self.builder.set_data_field::<u64>(1, 0u64);
       self.builder.reborrow().get_pointer_field(0).clear();
+      self.builder.reborrow().get_pointer_field(1).clear();
       self.builder.into()
     }
     #[inline]
@@ -8075,6 +8076,14 @@
       pub fn has_turn(&self) -> bool {
         !self.reader.get_pointer_field(0).is_null()
       }
+      #[inline]
+      pub fn get_served_by(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_served_by(&self) -> bool {
+        !self.reader.get_pointer_field(1).is_null()
+      }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -8153,6 +8162,22 @@
       pub fn has_turn(&self) -> bool {
         !self.builder.is_pointer_field_null(0)
       }
+      #[inline]
+      pub fn get_served_by(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn set_served_by(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+      }
+      #[inline]
+      pub fn init_served_by(self, size: u32) -> ::capnp::text::Builder<'a> {
+        self.builder.get_pointer_field(1).init_text(size)
+      }
+      #[inline]
+      pub fn has_served_by(&self) -> bool {
+        !self.builder.is_pointer_field_null(1)
+      }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8167,7 +8192,7 @@
       }
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 47] = [
+      pub static ENCODED_NODE: [::capnp::Word; 63] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(130, 201, 39, 90, 36, 26, 59, 255),
         ::capnp::word(16, 0, 0, 0, 1, 0, 3, 0),
@@ -8177,28 +8202,35 @@
         ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 67, 97, 108, 108, 46),
         ::capnp::word(107, 101, 101, 112, 84, 117, 114, 110),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+        ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 32, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
         ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8215,11 +8247,21 @@
         ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(115, 101, 114, 118, 101, 100, 66, 121),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
           0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
           1 => <crate::peer_capnp::turn::Owned as ::capnp::introspect::Introspect>::introspect(),
+          2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -8232,9 +8274,9 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[0,1];
+      pub static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
       pub const TYPE_ID: u64 = 0xff3b_1a24_5a27_c982;
     }
   }
@@ -9233,6 +9275,7 @@
       self.builder.set_data_field::<u16>(0, 6);
       self.builder.reborrow().get_pointer_field(0).clear();
       self.builder.reborrow().get_pointer_field(1).clear();
+      self.builder.reborrow().get_pointer_field(2).clear();
       self.builder.into()
     }
     #[inline]
@@ -9686,6 +9729,14 @@
       pub fn has_missing(&self) -> bool {
         !self.reader.get_pointer_field(1).is_null()
       }
+      #[inline]
+      pub fn get_served_by(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_served_by(&self) -> bool {
+        !self.reader.get_pointer_field(2).is_null()
+      }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -9772,6 +9823,22 @@
       pub fn has_missing(&self) -> bool {
         !self.builder.is_pointer_field_null(1)
       }
+      #[inline]
+      pub fn get_served_by(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn set_served_by(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+      }
+      #[inline]
+      pub fn init_served_by(self, size: u32) -> ::capnp::text::Builder<'a> {
+        self.builder.get_pointer_field(2).init_text(size)
+      }
+      #[inline]
+      pub fn has_served_by(&self) -> bool {
+        !self.builder.is_pointer_field_null(2)
+      }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9783,7 +9850,7 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 46] = [
+      pub static ENCODED_NODE: [::capnp::Word; 62] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(30, 76, 174, 8, 182, 116, 243, 164),
         ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
@@ -9793,27 +9860,34 @@
         ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(21, 0, 0, 0, 119, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 175, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
         ::capnp::word(114, 46, 99, 104, 97, 105, 110, 0),
-        ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(116, 101, 120, 116, 0, 0, 0, 0),
         ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9830,11 +9904,21 @@
         ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(115, 101, 114, 118, 101, 100, 66, 121),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
           0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
           1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+          2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -9847,9 +9931,9 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[1,0];
+      pub static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
       pub const TYPE_ID: u64 = 0xa4f3_74b6_08ae_4c1e;
     }
   }
--- a/system/peer-wire/tests/calls.rs
+++ b/system/peer-wire/tests/calls.rs
@@ -51,7 +51,9 @@
                 self.pushers.borrow_mut().push(pusher);
                 Answer::Done
             }
-            Call::ReadChain { .. } => Answer::Chain { text: vec![1; 17 << 20].into(), missing: None },
+            Call::ReadChain { .. } => {
+                Answer::Chain { text: vec![1; 17 << 20].into(), missing: None, served_by: None }
+            }
             _ => Answer::NotReady,
         }
     }
--- a/system/peer-wire/tests/codec.rs
+++ b/system/peer-wire/tests/codec.rs
@@ -153,7 +153,8 @@
 
 #[test]
 fn a_frame_that_is_too_long_is_rejected_by_the_encoder() {
-    let frame = |len| Frame::Answer(1, Answer::Chain { text: vec![1; len].into(), missing: None });
+    let frame =
+        |len| Frame::Answer(1, Answer::Chain { text: vec![1; len].into(), missing: None, served_by: None });
 
     assert!(matches!(encode(&frame(MAX_FRAME_LEN + 1)), Err(WireError::TooLong(_))));
     assert!(matches!(decode(&vec![0; MAX_FRAME_LEN + 1]), Err(WireError::TooLong(_))));
@@ -250,6 +251,7 @@
         blobs in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..300), 2),
         holders in proptest::collection::vec(any::<u64>(), 0..5),
         previous in proptest::option::of(".{0,20}"),
+        served_by in proptest::option::of(".{0,20}"),
     ) {
         let turn = Turn {
             attempt: texts[0].clone(),
@@ -259,8 +261,11 @@
             retention_ms: epoch,
             replicas: holders,
         };
-        let call = Frame::Call(number, Call::StoreTurn { epoch, turn: turn.clone() });
+        let call = Frame::Call(number, Call::StoreTurn { epoch, turn: turn.clone(), served_by: served_by.clone() });
         prop_assert_eq!(&decode(&encode(&call).unwrap()).unwrap(), &call);
+        let chain = Answer::Chain { text: blobs[0].clone().into(), missing: None, served_by };
+        let answer = Frame::Answer(number, chain);
+        prop_assert_eq!(&decode(&encode(&answer).unwrap()).unwrap(), &answer);
         let accounts = vec![(texts[1].clone(), vec![Reservation { attempt: epoch, tokens: 1 }])];
         let answer = Frame::Answer(number, Answer::Records { turns: vec![turn], accounts, cursor: None });
         prop_assert_eq!(&decode(&encode(&answer).unwrap()).unwrap(), &answer);
--- a/system/peer-wire/tests/samples/mod.rs
+++ b/system/peer-wire/tests/samples/mod.rs
@@ -83,9 +83,9 @@
         reserve(),
         Call::Settle { epoch: 5, program: "".into(), reservation },
         Call::ReadAccount { epoch: 6, program: "p\0q".into() },
-        Call::StoreTurn { epoch: 7, turn: turn(Some("before")) },
-        Call::StoreTurn { epoch: 7, turn: turn(Some("")) },
-        Call::StoreTurn { epoch: 7, turn: turn(None) },
+        Call::StoreTurn { epoch: 7, turn: turn(Some("before")), served_by: None },
+        Call::StoreTurn { epoch: 7, turn: turn(Some("")), served_by: None },
+        Call::StoreTurn { epoch: 7, turn: turn(None), served_by: None },
         Call::ReadChain { epoch: 8, attempt: "a".into() },
         Call::Backfill { epoch: 9, disk: 10, cursor: Bytes::new() },
         Call::Backfill { epoch: 9, disk: 10, cursor: Bytes::from_static(b"next") },
@@ -98,6 +98,7 @@
     let chain = |missing: Option<&str>| Answer::Chain {
         text: Bytes::from_static(b"in\nout\n"),
         missing: missing.map(Into::into),
+        served_by: None,
     };
     let records = |cursor| Answer::Records {
         turns: vec![turn(None), turn(Some("x"))],
--- a/system/programs/src/storage/recovery/tests.rs
+++ b/system/programs/src/storage/recovery/tests.rs
@@ -150,7 +150,7 @@
             retention_ms: 600_000,
             replicas: vec![],
         };
-        self.replica.answer(&Call::StoreTurn { epoch: FOUNDED, turn }).await
+        self.replica.answer(&Call::StoreTurn { epoch: FOUNDED, turn, served_by: None }).await
     }
 
     async fn chain(&self, attempt: &str) -> Answer {
@@ -173,7 +173,7 @@
 }
 
 fn chain_of_t1() -> Answer {
-    Answer::Chain { text: Bytes::from("inout"), missing: None }
+    Answer::Chain { text: Bytes::from("inout"), missing: None, served_by: None }
 }
 
 fn played(story: impl Future<Output = ()>) {
--- a/system/programs/src/turns.rs
+++ b/system/programs/src/turns.rs
@@ -12,11 +12,12 @@
 use chain_cache::ChainCache;
 use fleet_model::{Answer, Call, Reservation, StorageNode, rendezvous_rank};
 use peer_wire::{CallFailure, PeerClient};
-use request_forwarding::{ChainLookup, CompletedTurn, ReserveOutcome, TurnStorage};
+use request_forwarding::{Chain, ChainLookup, CompletedTurn, ReserveOutcome, TurnStorage};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
@@ -71,8 +72,17 @@
     Retry,
 }
 
+/// The part of a chain that one storage node has.
+struct ChainSegment {
+    text: Bytes,
+    /// The turn before it, if there is one that the node does not store.
+    missing: Option<String>,
+    /// The endpoint that served its last turn.
+    served_by: Option<Arc<str>>,
+}
+
 enum ChainRead {
-    Segment(Bytes, Option<String>),
+    Segment(ChainSegment),
     Absent,
 }
 
@@ -164,19 +174,26 @@
 
     async fn chain(&self, previous: &str) -> ChainLookup {
         let mut segments: Vec<Bytes> = Vec::new();
+        let mut served_by = None;
         let mut wanted = previous.to_owned();
         loop {
             let known = self.0.cache.borrow_mut().get(&wanted);
-            if let Some(text) = known {
+            if let Some(chain) = known {
                 increment(&self.0.metrics.cached_chains);
-                segments.push(text);
+                if segments.is_empty() {
+                    return ChainLookup::Found(chain);
+                }
+                segments.push(chain.text);
                 break;
             }
             increment(&self.0.metrics.read);
             match self.0.retry_until(RESERVE_DEADLINE, async || self.0.try_read_chain(&wanted).await).await {
-                Some(ChainRead::Segment(text, missing)) => {
-                    segments.push(text);
-                    match missing {
+                Some(ChainRead::Segment(segment)) => {
+                    if segments.is_empty() {
+                        served_by = segment.served_by;
+                    }
+                    segments.push(segment.text);
+                    match segment.missing {
                         Some(missing) => wanted = missing,
                         None => break,
                     }
@@ -193,8 +210,9 @@
                 text.freeze()
             }
         };
-        self.0.cache.borrow_mut().put(previous, text.clone());
-        ChainLookup::Text(text)
+        let chain = Chain { text, served_by };
+        self.0.cache.borrow_mut().put(previous, chain.clone());
+        ChainLookup::Found(chain)
     }
 
     async fn store_turn(&self, turn: CompletedTurn) -> bool {
@@ -206,14 +224,14 @@
             let mut cache = self.0.cache.borrow_mut();
             let before = match &turn.previous {
                 Some(previous) => cache.get(previous),
-                None => Some(Bytes::new()),
+                None => Some(Chain::default()),
             };
-            if let Some(before) = before {
+            if let Some(Chain { text: before, .. }) = before {
                 let mut text = BytesMut::with_capacity(before.len() + turn.input.len() + turn.output.len());
                 text.extend_from_slice(&before);
                 text.extend_from_slice(&turn.input);
                 text.extend_from_slice(&turn.output);
-                cache.put(&turn.attempt, text.freeze());
+                cache.put(&turn.attempt, Chain { text: text.freeze(), served_by: turn.served_by });
             }
         }
         stored
--- a/system/programs/src/turns/hedged_read.rs
+++ b/system/programs/src/turns/hedged_read.rs
@@ -1,6 +1,6 @@
 //! Chain reads: nodes of the own zone first, then all others.
 
-use super::{CALL_TIMEOUT, ChainRead, HEDGE_DELAY, Round, TurnClient};
+use super::{CALL_TIMEOUT, ChainRead, ChainSegment, HEDGE_DELAY, Round, TurnClient};
 use fleet_model::{Answer, Call, StorageNode};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::collections::BTreeSet;
@@ -24,8 +24,9 @@
                 .collect();
             while let Some((disk, answer)) = calls.next().await {
                 match answer {
-                    Ok(Answer::Chain { text, missing }) => {
-                        return Round::Done(ChainRead::Segment(text, missing));
+                    Ok(Answer::Chain { text, missing, served_by }) => {
+                        let served_by = served_by.map(Into::into);
+                        return Round::Done(ChainRead::Segment(ChainSegment { text, missing, served_by }));
                     }
                     Ok(Answer::Absent { complete: true }) => drop(absent_at.insert(disk)),
                     _ => {}
--- a/system/programs/src/turns/store.rs
+++ b/system/programs/src/turns/store.rs
@@ -29,7 +29,11 @@
             replicas,
         };
         let keep = async |store: &StorageNode, replicas: Vec<u64>| {
-            let call = Call::StoreTurn { epoch: roster.epoch, turn: record(replicas) };
+            let call = Call::StoreTurn {
+                epoch: roster.epoch,
+                turn: record(replicas),
+                served_by: turn.served_by.as_deref().map(str::to_owned),
+            };
             (store.disk, self.call_node(store, call, CALL_TIMEOUT).await)
         };
         let mut remaining = stores.iter().copied();
--- a/system/programs/tests/loopback/chains_and_budgets.rs
+++ b/system/programs/tests/loopback/chains_and_budgets.rs
@@ -43,6 +43,7 @@
         output: Bytes::from(format!("out-{attempt};")),
         retention_ms: 60_000,
         tokens: 1,
+        served_by: Some(format!("endpoint-of-{attempt}").into()),
     }
 }
 
@@ -69,7 +70,7 @@
 }
 
 fn is_text(chain: &ChainLookup, expected: &str) -> bool {
-    matches!(chain, ChainLookup::Text(text) if text == expected)
+    matches!(chain, ChainLookup::Found(chain) if chain.text == expected)
 }
 
 #[gtest]
@@ -109,6 +110,22 @@
     });
 }
 
+#[gtest]
+fn proxies_of_every_zone_learn_the_endpoint_that_served_a_turn() {
+    run(async {
+        let (storage, port) = storage().await;
+        let first = proxy("a", &storage, port);
+        expect_true!(first.store_turn(turn("t0", None)).await);
+        expect_true!(first.store_turn(turn("t1", Some("t0"))).await);
+        for zone in ZONES {
+            let ChainLookup::Found(found) = chain(&proxy(zone, &storage, port), "t1").await else {
+                panic!("no chain from {zone}");
+            };
+            expect_that!(found.served_by.as_deref(), some(eq("endpoint-of-t1")), "from {zone}");
+        }
+    });
+}
+
 #[gtest]
 fn a_program_stopped_at_its_budget_stays_so_when_it_comes_back_after_all_storage_restarted() {
     run(async {
--- a/system/request-forwarding/src/delivery.rs
+++ b/system/request-forwarding/src/delivery.rs
@@ -50,7 +50,7 @@
                 .wait_for_slot(&self.routing_request, &self.history, self.rank, self.outgoing.deadline)
                 .await?;
             let key = target.key;
-            let mut call = CallInFlight::new(self.core.clone(), key, self.routing_request.clone());
+            let mut call = CallInFlight::new(self.core.clone(), &target, self.routing_request.clone());
             let attempt =
                 self.core.attempt(&self.outgoing, &target, &self.history, &mut call, &mut self.sends);
             match attempt.await {
--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -177,7 +177,7 @@
         let route = route.ok_or(LocalResponse::new(StatusCode::NOT_FOUND))?;
         let service = route.pick_service(draw(attempt));
         let urgency = urgency(&head.headers, route.priority);
-        let routing_request = Rc::new(self.routing_request(&head.headers, route, service, arrived, deadline));
+        let mut routing_request = self.routing_request(&head.headers, route, service, arrived, deadline);
 
         let mut turn = ActiveTurn { reservation: None, record: TurnRecord::NotRetained, tokens_per_event: 1 };
         let mut complete_input = input.clone();
@@ -185,8 +185,10 @@
             let engine = config.services.iter().find(|known| known.name == service);
             let engine = engine.and_then(|service| service.engine.as_ref());
             turn.tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event);
-            complete_input =
+            let prepared =
                 self.prepare_stream(&head.headers, route, attempt, input, deadline, &mut turn).await?;
+            complete_input = prepared.complete_input;
+            routing_request.previous_endpoint = prepared.previous_endpoint;
         }
         let mut forwarded = headers::forwarded(&head.headers);
         forwarded.insert(PRIORITY, headers::value(urgency.into()));
@@ -205,7 +207,7 @@
             attempt: attempt.to_owned(),
             deadline,
         };
-        self.forward(outgoing, routing_request, turn).await
+        self.forward(outgoing, Rc::new(routing_request), turn).await
     }
 
     fn routing_request(
@@ -226,6 +228,7 @@
                 && self.core.policy.stream_resumption,
             session: headers::text(request_headers, "session").map(str::to_owned),
             continues: headers::text(request_headers, "previous").is_some(),
+            previous_endpoint: None,
             prefix_tokens: prefix.map_or(0, |part| part.tokens),
             prefix_id: prefix.map(|part| part.id.to_owned()),
             total_tokens: prompt.saturating_add(max_tokens),
--- a/system/request-forwarding/src/lib.rs
+++ b/system/request-forwarding/src/lib.rs
@@ -35,4 +35,4 @@
 pub use metrics::ForwardingMetrics;
 pub use readiness::serve_readiness;
 pub use server::ShutdownPhase;
-pub use turn_storage::{ChainLookup, CompletedTurn, ReserveOutcome, TurnStorage};
+pub use turn_storage::{Chain, ChainLookup, CompletedTurn, ReserveOutcome, TurnStorage};
--- a/system/request-forwarding/src/pool.rs
+++ b/system/request-forwarding/src/pool.rs
@@ -13,6 +13,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
@@ -269,6 +270,7 @@
 pub(crate) struct CallInFlight {
     core: Rc<SharedState>,
     key: EndpointKey,
+    instance_id: Arc<str>,
     routing_request: Rc<RoutingRequest>,
     started_at: Instant,
     first_byte_at: Option<Instant>,
@@ -277,11 +279,12 @@
 }
 
 impl CallInFlight {
-    pub(crate) fn new(core: Rc<SharedState>, key: EndpointKey, routing_request: Rc<RoutingRequest>) -> Self {
+    pub(crate) fn new(core: Rc<SharedState>, target: &Target, routing_request: Rc<RoutingRequest>) -> Self {
         let started_at = Instant::now();
         Self {
             core,
-            key,
+            key: target.key,
+            instance_id: target.instance_id.clone(),
             routing_request,
             started_at,
             first_byte_at: None,
@@ -295,6 +298,11 @@
         self.key
     }
 
+    /// Instance id of the endpoint.
+    pub(crate) fn instance_id(&self) -> &Arc<str> {
+        &self.instance_id
+    }
+
     /// The request that it carries.
     pub(crate) fn routing_request(&self) -> &Rc<RoutingRequest> {
         &self.routing_request
--- a/system/request-forwarding/src/response_forwarding.rs
+++ b/system/request-forwarding/src/response_forwarding.rs
@@ -101,6 +101,9 @@
         let UpstreamResponse { body, connection, call } = answer;
         drop(body);
         self.core.check_in(connection, &self.headers);
+        if let TurnRecord::Whole(completed) = &mut turn.record {
+            completed.served_by = Some(call.instance_id().clone());
+        }
         call.complete(Outcome::Success);
         self.end(scan, turn, chunks).await
     }
--- a/system/request-forwarding/src/stream_preparation.rs
+++ b/system/request-forwarding/src/stream_preparation.rs
@@ -4,15 +4,24 @@
 use crate::forwarder::Forwarder;
 use crate::headers::{self, LAST_EVENT_ID};
 use crate::local_response::{DEFAULT_RETRY_AFTER, LocalResponse};
-use crate::turn_storage::{ChainLookup, CompletedTurn, ReserveOutcome, TurnStorage};
+use crate::turn_storage::{Chain, ChainLookup, CompletedTurn, ReserveOutcome, TurnStorage};
 use bytes::{Bytes, BytesMut};
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use operator_config::Route;
+use std::sync::Arc;
 use tokio::time::{Instant, timeout_at};
 
+/// A stream that can be sent.
+pub(crate) struct PreparedStream {
+    /// The text of the chain that it continues, and its own input.
+    pub(crate) complete_input: Bytes,
+    /// Instance id of the endpoint that served the turn that it continues, if it is known.
+    pub(crate) previous_endpoint: Option<Arc<str>>,
+}
+
 impl<T: TurnStorage> Forwarder<T> {
-    /// Prepares a stream: reserves tokens of the program's budget, and returns the input with the text of the chain that
+    /// Prepares a stream: reserves tokens of the program's budget, and completes the input with the text of the chain that
     /// it continues.
     pub(crate) async fn prepare_stream(
         &self,
@@ -22,7 +31,7 @@
         input: Bytes,
         deadline: Instant,
         turn: &mut ActiveTurn<T>,
-    ) -> Result<Bytes, LocalResponse> {
+    ) -> Result<PreparedStream, LocalResponse> {
         let program = headers::text(request_headers, "program");
         let budget = headers::number(request_headers, "budget")
             .map(|budget| u32::try_from(budget).unwrap_or(u32::MAX));
@@ -44,7 +53,7 @@
         let chain = async {
             match previous {
                 Some(previous) => self.turns.chain(previous).await,
-                None => ChainLookup::Text(Bytes::new()),
+                None => ChainLookup::Found(Chain::default()),
             }
         };
         let reservation_and_chain = async { tokio::join!(reserve, chain) };
@@ -59,19 +68,19 @@
             }
             ReserveOutcome::Unavailable => return Err(LocalResponse::refused(DEFAULT_RETRY_AFTER)),
         }
-        let text = match chain {
-            ChainLookup::Text(text) => text,
+        let Chain { text, served_by } = match chain {
+            ChainLookup::Found(chain) => chain,
             ChainLookup::NotFound => return Err(LocalResponse::new(StatusCode::NOT_FOUND)),
             ChainLookup::Unavailable => return Err(LocalResponse::refused(DEFAULT_RETRY_AFTER)),
         };
         turn.record = turn_record(request_headers, route, attempt, &input);
         if text.is_empty() {
-            return Ok(input);
+            return Ok(PreparedStream { complete_input: input, previous_endpoint: served_by });
         }
         let mut complete = BytesMut::with_capacity(text.len() + input.len());
         complete.extend_from_slice(&text);
         complete.extend_from_slice(&input);
-        Ok(complete.freeze())
+        Ok(PreparedStream { complete_input: complete.freeze(), previous_endpoint: served_by })
     }
 }
 
@@ -93,5 +102,6 @@
         output: Bytes::new(),
         retention_ms: route.retention_ms,
         tokens: 0,
+        served_by: None,
     })
 }
--- a/system/request-forwarding/src/turn_storage.rs
+++ b/system/request-forwarding/src/turn_storage.rs
@@ -1,6 +1,7 @@
 //! What the forwarder asks of those who keep turns and budgets.
 
 use bytes::Bytes;
+use std::sync::Arc;
 
 /// What became of a reservation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,11 +14,20 @@
     Unavailable,
 }
 
+/// A chain of turns.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Chain {
+    /// Inputs and outputs of all its turns, oldest first.
+    pub text: Bytes,
+    /// Instance id of the endpoint that served the last turn, if it is known.
+    pub served_by: Option<Arc<str>>,
+}
+
 /// What came of asking for a chain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ChainLookup {
-    /// Inputs and outputs of all turns of the chain, oldest first.
-    Text(Bytes),
+    /// The chain.
+    Found(Chain),
     /// It is certain that there is no such turn.
     NotFound,
     /// Nobody can tell now.
@@ -41,6 +51,8 @@
     pub retention_ms: u64,
     /// The tokens that it handed out.
     pub tokens: u32,
+    /// Instance id of the endpoint that served it, if it is known.
+    pub served_by: Option<Arc<str>>,
 }
 
 /// Storage of turns and budgets.
@@ -53,7 +65,7 @@
     async fn reserve(&self, program: &str, attempt: &str, most: u32, budget: u32) -> ReserveOutcome;
     /// Tells what an attempt has handed out at last; in the background.
     fn settle(&self, program: &str, attempt: &str, tokens: u32);
-    /// The text of the chain that ends with `previous`.
+    /// The chain that ends with `previous`.
     async fn chain(&self, previous: &str) -> ChainLookup;
     /// Keeps a turn, and settles its tokens; true once it is synced on enough machines.
     async fn store_turn(&self, turn: CompletedTurn) -> bool;
--- a/system/request-forwarding/tests/connection_and_time_rules.rs
+++ b/system/request-forwarding/tests/connection_and_time_rules.rs
@@ -8,7 +8,7 @@
 use fleet_model::EndpointList;
 use googletest::prelude::*;
 use operator_config::OperatorConfig;
-use request_forwarding::{ChainLookup, ReserveOutcome, SystemState};
+use request_forwarding::{Chain, ChainLookup, ReserveOutcome, SystemState};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -276,7 +276,7 @@
         let server = Server::start("i-1", |_| unreachable!("nothing is sent")).await;
         let world = TestProxy::start(&[(&server, "m")]).await;
         world.turns.reserve.set(ReserveOutcome::BudgetExhausted);
-        *world.turns.chain.borrow_mut() = ChainLookup::Text(Bytes::new());
+        *world.turns.chain.borrow_mut() = ChainLookup::Found(Chain::default());
         for id in ["t1", "t2", "t3"] {
             let headers = "Program: p\r\nBudget: 50\r\nToken-Usage: 4,6\r\n";
             let answer = world.send_request(&post("/turns/", id, headers, "in")).await;
--- a/system/request-forwarding/tests/streams.rs
+++ b/system/request-forwarding/tests/streams.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use fixtures::{Message, Part, Reply, Server, TestProxy, Wire, post, run};
 use googletest::prelude::*;
-use request_forwarding::{ChainLookup, ReserveOutcome};
+use request_forwarding::{Chain, ChainLookup, ReserveOutcome};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -39,7 +39,8 @@
         let (server, parts) = streaming().await;
         let world = TestProxy::start(&[(&server, "m")]).await;
         world.turns.keep.send_replace(None);
-        *world.turns.chain.borrow_mut() = ChainLookup::Text(Bytes::from_static(b"earlier\n"));
+        *world.turns.chain.borrow_mut() =
+            ChainLookup::Found(Chain { text: Bytes::from_static(b"earlier\n"), served_by: None });
         let headers = format!("{TURN}Previous: t0\r\n");
         let (mut client, head) = begun(&world, "/turns/", &headers).await;
         expect_that!((head.status(), head.header("server-seal")), eq((200, Some("seal-t1"))));
@@ -146,7 +147,7 @@
 
 #[gtest]
 fn what_the_keepers_do_not_allow_reaches_no_endpoint() {
-    let text = ChainLookup::Text(Bytes::new());
+    let text = ChainLookup::Found(Chain::default());
     let stories = [
         (ReserveOutcome::BudgetExhausted, text.clone(), 402, 0),
         (ReserveOutcome::Unavailable, text, 503, 1),
--- a/system/request-routing/src/placement.rs
+++ b/system/request-routing/src/placement.rs
@@ -1,4 +1,4 @@
-//! Endpoint selection within a service: session affinity, then prefix affinity by bounded rendezvous hashing, then least
+//! Endpoint selection within a service: the endpoint of the conversation, then prefix affinity by bounded rendezvous hashing, then least
 //! load.
 
 use crate::endpoint::{Endpoint, EndpointLimits};
@@ -6,7 +6,8 @@
 use crate::placement_metrics::{AffinityMiss, PlacementReason};
 use crate::policy::RoutingPolicy;
 use crate::service::Service;
-use crate::types::AttemptHistory;
+use crate::sessions::{SessionTable, session_hash};
+use crate::types::{AttemptHistory, RoutingRequest};
 use message_sender::Time;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::RngCore;
@@ -64,15 +65,22 @@
             && endpoint.in_flight < endpoint.max_in_flight(&self.limits, load)
     }
 
-    /// The endpoint that last served the session, unless it is not usable or its load exceeds the bound.
-    pub(crate) fn by_session(
+    /// The endpoint that served the conversation so far, unless it is not usable or its load exceeds the bound.
+    pub(crate) fn by_conversation(
         &self,
-        last_endpoint: Option<usize>,
-        service: &str,
+        request: &RoutingRequest,
+        sessions: &SessionTable,
     ) -> Result<usize, AffinityMiss> {
-        let index = last_endpoint.filter(|_| self.policy.session_affinity).ok_or(AffinityMiss::Unknown)?;
+        if !self.policy.session_affinity {
+            return Err(AffinityMiss::Unknown);
+        }
+        // The endpoint of the turn before is known whatever proxy sent that; the table knows this proxy's own calls.
+        let index = match &request.previous_endpoint {
+            Some(instance_id) => self.ready_instance(instance_id).ok_or(AffinityMiss::Unusable)?,
+            None => self.endpoint_of_session(request, sessions).ok_or(AffinityMiss::Unknown)?,
+        };
         let endpoint = &self.endpoints[index];
-        if endpoint.listed.service != service || !self.is_fit_for_affinity(endpoint) {
+        if endpoint.listed.service != request.service || !self.is_fit_for_affinity(endpoint) {
             return Err(AffinityMiss::Unusable);
         }
         if !self.is_within(endpoint, SESSION_AFFINITY_BOUND, self.mean_load()) {
@@ -81,6 +89,15 @@
         Ok(index)
     }
 
+    fn ready_instance(&self, instance_id: &str) -> Option<usize> {
+        self.service.ready_endpoints().find(|index| &*self.endpoints[*index].instance_id == instance_id)
+    }
+
+    fn endpoint_of_session(&self, request: &RoutingRequest, sessions: &SessionTable) -> Option<usize> {
+        let key = sessions.endpoint_of(session_hash(request)?)?;
+        self.endpoints.binary_search_by_key(&key, |endpoint| endpoint.key).ok()
+    }
+
     /// The least loaded of the endpoints that cache this prefix; none if every endpoint is to cache it.
     pub(crate) fn by_prefix(&self, prefix: &str, rng: &mut ChaCha8Rng) -> Option<usize> {
         if !self.policy.prefix_affinity {
--- a/system/request-routing/src/router.rs
+++ b/system/request-routing/src/router.rs
@@ -10,7 +10,7 @@
 use crate::prefix_demand::Prompt;
 use crate::retry;
 use crate::service::Service;
-use crate::sessions::SessionTable;
+use crate::sessions::{SessionTable, session_hash};
 use crate::types::{
     AttemptHistory, EndpointKey, EndpointView, RetryDecision, RoutingDecision, RoutingRequest, ServerLoad,
     ServiceSettings, Target,
@@ -255,9 +255,7 @@
         let candidates = Candidates::new(now, &self.policy, history, service, self.proxies, &self.endpoints);
         let mut affinity_miss = None;
         if candidates.limits.engine || request.prefix_id.is_some() {
-            let last = session_hash(request).and_then(|session| self.sessions.endpoint_of(session));
-            let last = last.and_then(|key| self.find_endpoint(key));
-            match candidates.by_session(last, &request.service) {
+            match candidates.by_conversation(request, &self.sessions) {
                 Ok(index) => {
                     return Some(Placement { index, reason: PlacementReason::Session, affinity_miss: None });
                 }
@@ -447,12 +445,6 @@
     }
 }
 
-/// Hash of the request's service and session.
-fn session_hash(request: &RoutingRequest) -> Option<u64> {
-    let session = request.session.as_ref()?;
-    Some(mix(hash(request.service.as_bytes()) ^ hash(session.as_bytes()).rotate_left(1)))
-}
-
 /// The request's shared prefix, if it states one.
 fn shared_prompt(request: &RoutingRequest) -> Option<Prompt> {
     let prefix = request.prefix_id.as_ref().filter(|_| request.prefix_tokens > 0)?;
--- a/system/request-routing/src/sessions.rs
+++ b/system/request-routing/src/sessions.rs
@@ -1,6 +1,7 @@
 //! Session affinity table: the endpoint that last served each session, bounded by recency.
 
-use crate::types::EndpointKey;
+use crate::hash::{hash, mix};
+use crate::types::{EndpointKey, RoutingRequest};
 use std::collections::HashMap;
 
 /// Upper bound on remembered sessions.
@@ -39,3 +40,9 @@
         }
     }
 }
+
+/// Hash of the request's service and session.
+pub(crate) fn session_hash(request: &RoutingRequest) -> Option<u64> {
+    let session = request.session.as_ref()?;
+    Some(mix(hash(request.service.as_bytes()) ^ hash(session.as_bytes()).rotate_left(1)))
+}
--- a/system/request-routing/src/types.rs
+++ b/system/request-routing/src/types.rs
@@ -23,6 +23,8 @@
     pub session: Option<String>,
     /// Whether it continues an earlier turn of its conversation.
     pub continues: bool,
+    /// Instance id of the endpoint that served that turn, if it is known.
+    pub previous_endpoint: Option<Arc<str>>,
     /// Id of its shared prompt prefix, for prefix affinity.
     pub prefix_id: Option<String>,
     /// Tokens of that prefix; 0 if unknown.
--- a/system/request-routing/tests/choice.rs
+++ b/system/request-routing/tests/choice.rs
@@ -190,6 +190,27 @@
     expect_that!(send(&mut router, ms(9_001), &later).key, not(eq(home.key)));
 }
 
+#[gtest]
+fn a_turn_goes_to_the_endpoint_of_the_turn_before_whatever_this_proxy_sent_last() {
+    let engines = engines(6);
+    let mut router = router(&engines);
+    let first = turn("mine", "p");
+    let own = send(&mut router, ms(0), &first);
+    end(&mut router, ms(1), own.key, &first, Outcome::Success);
+    for (n, engine) in engines.iter().enumerate() {
+        let previous_endpoint = Some(engine.instance_id.as_str().into());
+        let next = RoutingRequest { continues: true, previous_endpoint, ..turn("mine", "p") };
+        let at = ms(10 + n as u64);
+        let target = send(&mut router, at, &next);
+        expect_that!(*target.instance_id, eq(&engine.instance_id));
+        end(&mut router, at, target.key, &next, Outcome::Success);
+    }
+    let gone =
+        RoutingRequest { previous_endpoint: Some("gone".into()), continues: true, ..turn("mine", "p") };
+    send(&mut router, ms(20), &gone);
+    expect_that!(router.placement_metrics().continued_unusable, eq(1));
+}
+
 #[gtest]
 fn the_placement_metrics_tell_why_a_conversation_left_its_endpoint() {
     let engines = engines(3);
--- a/system/request-routing/tests/common/mod.rs
+++ b/system/request-routing/tests/common/mod.rs
@@ -56,6 +56,7 @@
         resumable: false,
         session: None,
         continues: false,
+        previous_endpoint: None,
         prefix_id: None,
         prefix_tokens: 0,
         total_tokens: 0,
--- a/system/turn-store/src/replica.rs
+++ b/system/turn-store/src/replica.rs
@@ -178,7 +178,7 @@
             Call::Reserve { program, reservation, .. } => self.reserve(now_ms, program, *reservation),
             Call::Settle { program, reservation, .. } => self.settle(now_ms, program, *reservation),
             Call::ReadAccount { program, .. } => self.read_account(now_ms, program),
-            Call::StoreTurn { turn, .. } => self.store_turn(now_ms, turn),
+            Call::StoreTurn { turn, served_by, .. } => self.store_turn(now_ms, turn, served_by.as_deref()),
             Call::ReadChain { attempt, .. } => self.read_chain(now_ms, attempt, payloads),
             Call::Backfill { disk, cursor, .. } => self.backfill_page(*disk, cursor, payloads),
             Call::BackfillDone { disk, .. } => self.backfill_done(*disk),
--- a/system/turn-store/src/replica/turns.rs
+++ b/system/turn-store/src/replica/turns.rs
@@ -19,6 +19,8 @@
     pub(super) expiry_ms: u64,
     pub(super) length: u32,
     pub(super) replicas: Vec<u64>,
+    /// The endpoint that served the turn, as long as this process runs.
+    pub(super) served_by: Option<Box<str>>,
 }
 
 impl Entry {
@@ -30,12 +32,20 @@
 }
 
 impl ReplicaState {
-    /// Stores a turn, or updates the replicas of one that is stored.
-    pub(super) fn store_turn(&mut self, now_ms: u64, turn: &Turn) -> Outcome {
+    /// Stores a turn, or updates the replicas of one that is stored. `served_by`: the endpoint that served it.
+    pub(super) fn store_turn(&mut self, now_ms: u64, turn: &Turn, served_by: Option<&str>) -> Outcome {
         let is_valid_name = (1..=MAX_NAME_BYTES).contains(&turn.attempt.len());
         if !self.accepts_writes() || !is_valid_name {
             return Outcome::without_writes(Answer::NotReady);
         }
+        let outcome = self.store_record(now_ms, turn);
+        if let Some(entry) = self.turns.get_mut(turn.attempt.as_str()) {
+            entry.served_by = served_by.map(Into::into);
+        }
+        outcome
+    }
+
+    fn store_record(&mut self, now_ms: u64, turn: &Turn) -> Outcome {
         // A stored record is not rewritten; the answer still waits until its first write is synced.
         let writes = match self.turns.get_mut(turn.attempt.as_str()) {
             None if self.capacity == DiskCapacity::Full => return Outcome::without_writes(Answer::NotReady),
@@ -62,6 +72,7 @@
             expiry_ms: 0,
             length: turn.length,
             replicas: turn.replicas,
+            served_by: None,
         };
         entry.touch(now_ms);
         self.turns.insert(turn.attempt.into(), entry);
@@ -73,6 +84,8 @@
         let mut seen = HashSet::new();
         let mut writes = Vec::new();
         let mut next = Some(attempt.to_owned());
+        let served_by =
+            self.turns.get(attempt).and_then(|entry| entry.served_by.as_deref().map(str::to_owned));
         while let Some(requested) = next.take() {
             if !seen.insert(requested.clone()) {
                 break;
@@ -101,7 +114,7 @@
         } else {
             let mut text = BytesMut::with_capacity(parts.iter().map(Bytes::len).sum());
             parts.iter().rev().for_each(|part| text.extend_from_slice(part));
-            Answer::Chain { text: text.freeze(), missing: next }
+            Answer::Chain { text: text.freeze(), missing: next, served_by }
         };
         Outcome::deferred(answer, writes)
     }
--- a/system/turn-store/tests/membership_changes/client_operations.rs
+++ b/system/turn-store/tests/membership_changes/client_operations.rs
@@ -96,7 +96,8 @@
             retention_ms: 600_000,
             replicas: replicas.clone(),
         };
-        let answer = self.call(disk, &Call::StoreTurn { epoch: operation.roster.epoch, turn });
+        let answer =
+            self.call(disk, &Call::StoreTurn { epoch: operation.roster.epoch, turn, served_by: None });
         if answer != Some(Answer::Done) {
             return if *naming { Progress::Ends } else { Progress::GoesOn };
         }
--- a/system/turn-store/tests/replica/cluster.rs
+++ b/system/turn-store/tests/replica/cluster.rs
@@ -101,7 +101,7 @@
 
     pub(crate) fn run_controller(&mut self, turn: Turn) -> Answer {
         let epoch = self.state.epoch();
-        self.ask(&Call::StoreTurn { epoch, turn })
+        self.ask(&Call::StoreTurn { epoch, turn, served_by: None })
     }
 
     pub(crate) fn read_chain(&mut self, attempt: &str) -> Answer {
--- a/system/turn-store/tests/replica/membership.rs
+++ b/system/turn-store/tests/replica/membership.rs
@@ -14,7 +14,7 @@
             Call::Reserve { epoch, program: "p".into(), reservation: reservation(1, 1) },
             Call::Settle { epoch, program: "p".into(), reservation: reservation(1, 1) },
             Call::ReadAccount { epoch, program: "p".into() },
-            Call::StoreTurn { epoch, turn: turn("a", None, &[1]) },
+            Call::StoreTurn { epoch, turn: turn("a", None, &[1]), served_by: None },
             Call::ReadChain { epoch, attempt: "a".into() },
             Call::Backfill { epoch, disk: 2, cursor: Bytes::new() },
             Call::BackfillDone { epoch, disk: 2 },
--- a/testbed/src/system/edge.rs
+++ b/testbed/src/system/edge.rs
@@ -351,7 +351,7 @@
                 .collect();
             while let Some((disk, answer)) = calls.next().await {
                 match answer {
-                    Some(Answer::Chain { text, missing }) => return Round::Done(Some((text, missing))),
+                    Some(Answer::Chain { text, missing, .. }) => return Round::Done(Some((text, missing))),
                     Some(Answer::Absent { complete: true }) => drop(surely_absent.insert(disk)),
                     _ => {}
                 }
@@ -377,7 +377,8 @@
         });
         let Some(preferred) = copies_needed(roster, &stores, copies) else { return Round::Retry };
         let store_copy = async |store: &StorageNode, replicas: Vec<u64>| {
-            let call = Call::StoreTurn { epoch: roster.epoch, turn: Turn { replicas, ..turn.clone() } };
+            let turn = Turn { replicas, ..turn.clone() };
+            let call = Call::StoreTurn { epoch: roster.epoch, turn, served_by: None };
             (store.disk, self.call_store(store, call, CALL_TIMEOUT_MS).await)
         };
         let mut waiting = stores.iter().copied();
