--- a/system/peer-wire/src/codec/call.rs
+++ b/system/peer-wire/src/codec/call.rs
@@ -10,7 +10,7 @@
 };
 use crate::peer_capnp as wire;
 use bytes::Bytes;
-use fleet_model::{Ballot, Call, ListVersion, Reservation, StorageNode};
+use fleet_model::{Ballot, Call, ListVersion, Reservation, StorageNode, Turn};
 
 pub(super) fn write_call(mut builder: wire::call::Builder<'_>, call: &Call) {
     match call {
@@ -51,12 +51,7 @@
             builder.set_program(program);
         }
         Call::StoreTurn { epoch, turn, served_by } => {
-            let mut builder = builder.init_keep_turn();
-            builder.set_epoch(*epoch);
-            if let Some(served_by) = served_by {
-                builder.set_served_by(served_by);
-            }
-            write_turn(builder.init_turn(), turn);
+            write_turn_storage(builder.init_keep_turn(), *epoch, turn, served_by.as_deref());
         }
         Call::ReadChain { epoch, attempt } => {
             write_chain_read(builder.init_read_chain(), *epoch, attempt);
@@ -83,6 +78,19 @@
     write_list_version(builder.init_list(), list);
 }
 
+fn write_turn_storage(
+    mut builder: wire::call::keep_turn::Builder<'_>,
+    epoch: u64,
+    turn: &Turn,
+    served_by: Option<&str>,
+) {
+    builder.set_epoch(epoch);
+    if let Some(served_by) = served_by {
+        builder.set_served_by(served_by);
+    }
+    write_turn(builder.init_turn(), turn);
+}
+
 fn write_chain_read(mut builder: wire::call::read_chain::Builder<'_>, epoch: u64, attempt: &str) {
     builder.set_epoch(epoch);
     builder.set_attempt(attempt);
--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -192,9 +192,7 @@
         }
         let mut forwarded = headers::forwarded(&head.headers);
         forwarded.insert(PRIORITY, headers::value(urgency.into()));
-        let needs_length =
-            !matches!(head.method, Method::GET | Method::HEAD | Method::DELETE | Method::OPTIONS);
-        if needs_length || !complete_input.is_empty() {
+        if states_length(&head.method) || !complete_input.is_empty() {
             forwarded.insert(CONTENT_LENGTH, headers::value(complete_input.len() as u64));
         }
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
@@ -241,6 +239,11 @@
     }
 }
 
+/// Whether a request with this method states the length of its body even if it has none.
+fn states_length(method: &Method) -> bool {
+    !matches!(*method, Method::GET | Method::HEAD | Method::DELETE | Method::OPTIONS)
+}
+
 /// The value that `Priority` gets: 0 comes first.
 fn urgency(request_headers: &HeaderMap, priority: u8) -> u8 {
     let urgency = priority.saturating_mul(2).saturating_add(1).min(9);
