Add soaks of the tier: series of signals, restarts, failures and changes that overlap

Runs of the tier had one fault of each kind. A soak draws a series for each process from its seed; clients keep their connections until the process is gone. A request that a sender passed on and then dropped counts against it unless it was killed or stopped around that time (four break the rule: more than three times). Programs that start 12 s (recovery_s) after the last fault have to finish.

--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use testbed::peers::campaign::Break;
 use testbed::scenario::Baseline;
+use testbed::serving_tier::soak::Trouble;
 use testbed::system::{self, Mutation};
 
 /// Runs the real sender against stand-in partners, directory and clients on loopback, and judges what it does.
@@ -43,6 +44,18 @@
         /// How long programs are started and troubles come.
         #[arg(long, default_value_t = 12.0, value_parser = seconds)]
         seconds: f64,
+        /// In place of one fault of each kind, series of faults drawn from the seed.
+        #[arg(long)]
+        soak: Option<Trouble>,
+        /// Core machines.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(3..=9))]
+        core: u8,
+        /// Storage machines.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(3..=40))]
+        storage: u8,
+        /// Edge machines, with two processes each.
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u8).range(2..=120))]
+        edge: u8,
     },
     /// Runs control nodes as real processes under applications of the coordination service, with faults drawn from the
     /// seed, and checks its rules.
--- a/testbed/src/commands/serving_tier.rs
+++ b/testbed/src/commands/serving_tier.rs
@@ -3,7 +3,7 @@
 use crate::error::TestbedError;
 use std::path::PathBuf;
 use testbed::serving_tier::machines::{Older, built_programs};
-use testbed::serving_tier::run::{Plan, run_tier};
+use testbed::serving_tier::run::{Faults, Plan, TierSize, run_tier};
 use testbed::serving_tier::table::table;
 use tokio::sync::watch;
 
@@ -16,6 +16,8 @@
     older: Option<Older>,
     seed: u64,
     seconds: f64,
+    faults: Faults,
+    size: TierSize,
     stop: watch::Receiver<u32>,
 ) -> Result<bool, TestbedError> {
     let programs = programs.map_or_else(built_programs, Ok)?;
@@ -24,7 +26,7 @@
         let which = if older.is_first { "first" } else { "second" };
         println!("every other machine, from the {which} on, starts from {}", older.programs.display());
     }
-    let plan = Plan { seconds, seed, grace_s: GRACE_S, verbose: true, older };
+    let plan = Plan { seconds, seed, grace_s: GRACE_S, verbose: true, older, size, faults };
     let result = run_tier(plan, &programs, stop).await?;
     println!("\n{}", table(&result));
     println!("{}", if result.is_good() { "all rules kept" } else { "NOT clean" });
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -12,6 +12,7 @@
 use testbed::baseline;
 use testbed::scenario::Scenario;
 use testbed::serving_tier::machines::Older;
+use testbed::serving_tier::run::{Faults, TierSize};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
@@ -49,9 +50,11 @@
             let scenario = Scenario::parse(include_str!("../scenarios/demo.toml"))?;
             sender_runs::run_all(scenario, sender, seed, None, false, stop).await
         }
-        Command::Tier { programs, older, older_first, seed, seconds } => {
+        Command::Tier { programs, older, older_first, seed, seconds, soak, core, storage, edge } => {
             let older = older.map(|programs| Older { programs, is_first: older_first });
-            serving_tier::run(programs, older, seed, seconds, stop).await
+            let size = TierSize { core, storage, edge };
+            let faults = soak.map_or(Faults::OneOfEach, Faults::Soak);
+            serving_tier::run(programs, older, seed, seconds, faults, size, stop).await
         }
         Command::Soak(options) => coordination::soak(options, stop).await,
         Command::Run(options) => {
--- a/testbed/src/serving_tier/checker.rs
+++ b/testbed/src/serving_tier/checker.rs
@@ -2,6 +2,7 @@
 use super::history::{Attempt, End, History, Kind, Run, TOKENS_PER_EVENT};
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 /// A rule of the tier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -20,6 +21,8 @@
     Lost,
     /// A program's tokens stay within its budget and one turn's most.
     Budget,
+    /// A request that a sender passed on is answered, unless the sender fails.
+    Dropped,
     /// The configuration read back is the newest that was acknowledged.
     Configuration,
 }
@@ -27,6 +30,11 @@
 /// Each rule that was broken, with what was seen.
 pub type Breaches = BTreeMap<Rule, Vec<String>>;
 
+/// So many requests may be dropped before the rule counts as broken.
+const MAX_DROPPED: usize = 3;
+/// A sender that failed counts as disturbed for so long after it is back: `contact_ms`.
+const DISTURBED_AFTERWARDS: Duration = Duration::from_secs(5);
+
 /// Of the programs, this many in a hundred have to finish.
 pub const MIN_FINISHED_PERCENT: usize = 90;
 
@@ -83,12 +91,15 @@
     let mut check_history = HistoryChecker { history, attempts, runs, breaches: Breaches::new() };
     history.runs.iter().for_each(|run| check_history.run(run));
     history.attempts.iter().for_each(|t| check_history.check_attempt(t));
+    check_history.dropped();
     check_history.budgets();
     check_history.configurations();
+    let judged = history.programs.iter().filter(|program| program.number >= history.judged_from);
+    let started = if history.judged_from == 0 { history.started } else { judged.clone().count() };
     Verdict {
         breaches: check_history.breaches,
-        started: history.started,
-        finished: history.programs.iter().filter(|program| program.end.is_ok()).count(),
+        started,
+        finished: judged.filter(|program| program.end.is_ok()).count(),
     }
 }
 
@@ -172,6 +183,33 @@
         }
     }
 
+    /// Connections that ended without an answer after the request had been passed on.
+    fn dropped(&mut self) {
+        let is_dropped = |sent: &&Attempt| {
+            sent.end == End::Broken
+                && self.runs.contains_key(sent.attempt.as_str())
+                && !self.is_disturbed(sent)
+        };
+        let dropped: Vec<_> = self.history.attempts.iter().filter(is_dropped).collect();
+        if dropped.len() <= MAX_DROPPED {
+            return;
+        }
+        for sent in dropped {
+            let (to, began) = (sent.route.to, sent.route.began.as_secs_f64());
+            self.breach(Rule::Dropped, format!("{} to {to:?} at {began:.3} s", sent.attempt));
+        }
+    }
+
+    /// Whether the sender of an attempt failed while it was under way, or shortly before.
+    fn is_disturbed(&self, sent: &Attempt) -> bool {
+        let ended_at = sent.route.ended_at.unwrap_or(Duration::MAX);
+        self.history.disturbances.iter().any(|disturbance| {
+            Some(disturbance.of) == sent.route.to
+                && disturbance.from <= ended_at
+                && sent.route.began <= disturbance.until + DISTURBED_AFTERWARDS
+        })
+    }
+
     fn budgets(&mut self) {
         for program in &self.history.programs {
             let of =
--- a/testbed/src/serving_tier/clients.rs
+++ b/testbed/src/serving_tier/clients.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Where clients call a sender.
+    pub fn address(&self, number: usize) -> SocketAddrV4 {
+        self.senders[number].0
+    }
+
     /// Senders that are in.
     pub fn ready(&self) -> usize {
         self.senders.iter().filter(|sender| sender.2.load(Ordering::Relaxed) < MAX_MISSED_POLLS).count()
--- a/testbed/src/serving_tier/history.rs
+++ b/testbed/src/serving_tier/history.rs
@@ -113,6 +113,17 @@
     pub read: Option<Bytes>,
 }
 
+/// A time in which a sender was killed or stood still.
+#[derive(Clone, Copy, Debug)]
+pub struct Disturbance {
+    /// The sender.
+    pub of: SocketAddr,
+    /// When it began.
+    pub from: Duration,
+    /// When the process was back.
+    pub until: Duration,
+}
+
 /// Everything that the checker receives.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -126,6 +137,10 @@
     pub started: usize,
     /// Configurations.
     pub configurations: Configurations,
+    /// Times in which senders were killed or stood still.
+    pub disturbances: Vec<Disturbance>,
+    /// Only programs from this number on have to finish.
+    pub judged_from: usize,
     /// What happened, for the reader: the time in the run and a line.
     pub events: Vec<(Duration, String)>,
 }
--- a/testbed/src/serving_tier/machines.rs
+++ b/testbed/src/serving_tier/machines.rs
@@ -316,6 +316,11 @@
         }
     }
 
+    /// SIGHUP.
+    pub fn reload(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// SIGSTOP: it keeps its memory and its connections, and does nothing.
     pub fn pause(&self) {
         self.signal(Signal::SIGSTOP);
--- a/testbed/src/serving_tier/mod.rs
+++ b/testbed/src/serving_tier/mod.rs
@@ -7,4 +7,5 @@
 pub mod machines;
 pub mod operator;
 pub mod run;
+pub mod soak;
 pub mod table;
--- a/testbed/src/serving_tier/run.rs
+++ b/testbed/src/serving_tier/run.rs
@@ -2,9 +2,10 @@
 use super::checker::{Verdict, check_history};
 use super::clients::{Clients, Front};
 use super::endpoints::{self, Endpoint, Platform};
-use super::history::{History, Kind, Recorder};
+use super::history::{Disturbance, History, Kind, Recorder};
 use super::machines::{Addresses, Machine, Older, Programs, Role};
 use super::operator::{Operator, configuration};
+use super::soak::{Fault, Schedule, Step, Trouble};
 use crate::fleet::{FleetError, io};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
@@ -29,6 +30,8 @@
 const QUIET_TAIL_SHARE: f64 = 0.15;
 /// From an acknowledgement until a configuration must be in force.
 const CONFIGURATION_APPLY_DELAY: Duration = Duration::from_secs(2);
+/// The version of the first configuration.
+const FIRST_VERSION: u64 = 4;
 /// How long the operator retries.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long the platform refuses to serve the list.
@@ -36,6 +39,42 @@
 /// How long a killed storage machine is away.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// After a start a process is given this long until it gets a signal: before that none is handled.
+const SIGNAL_READY_DELAY: Duration = Duration::from_millis(1_500);
+/// From the last fault of a soak until programs have to finish: `recovery_s`.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// The number of the first program after a soak's faults.
+const FIRST_FINAL_PROGRAM: usize = 1_000_000;
+/// Programs after a soak's faults.
+const FINAL_PROGRAMS: usize = 20;
+
+/// How many machines of each class a tier has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TierSize {
+    /// Core machines.
+    pub core: u8,
+    /// Storage machines.
+    pub storage: u8,
+    /// Edge machines, with two processes each.
+    pub edge: u8,
+}
+
+impl Default for TierSize {
+    fn default() -> Self {
+        Self { core: 3, storage: 3, edge: 2 }
+    }
+}
+
+/// What happens to the tier during a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Faults {
+    /// One of each kind: a lost disk, a restarted proxy, a new configuration, an endpoint that begins anew.
+    #[default]
+    OneOfEach,
+    /// Series drawn from the seed.
+    Soak(Trouble),
+}
+
 /// What is run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -49,6 +88,10 @@
     pub verbose: bool,
     /// The earlier build whose programs are on half of the machines.
     pub older: Option<Older>,
+    /// Its machines.
+    pub size: TierSize,
+    /// What happens to them.
+    pub faults: Faults,
 }
 
 /// The outcome of a run.
@@ -143,12 +186,23 @@
         for (_, machine) in &self.machines {
             let mut machine = machine.lock().await;
             if machine.crashed() {
-                let crash = format!("{} ended by itself:\n{}", machine.name, machine.last_lines(5));
-                self.crashes.lock().await.push(crash);
+                self.note_crash(&machine).await;
             }
         }
     }
 
+    async fn note_crash(&self, machine: &Machine) {
+        let crash = format!("{} ended by itself:\n{}", machine.name, machine.last_lines(5));
+        self.crashes.lock().await.push(crash);
+    }
+
+    /// Role and number of every process.
+    fn processes(&self) -> Vec<(Role, usize)> {
+        let roles = [Role::ControlNode, Role::StorageNode, Role::ProxyAgent, Role::RequestProxy];
+        let count = |role| self.machines.iter().filter(|(other, _)| *other == role).count();
+        roles.into_iter().flat_map(|role| (0..count(role)).map(move |number| (role, number))).collect()
+    }
+
     async fn logs(&self) -> String {
         let mut logs = String::new();
         for (_, machine) in &self.machines {
@@ -200,7 +254,7 @@
     let platform = Arc::new(Platform::new(endpoints.clone()));
     parties.spawn(platform.clone().serve(listener));
 
-    let addresses = Addresses::find(3, 3, 2, plan.seed).await?;
+    let addresses = Addresses::find(plan.size.core, plan.size.storage, plan.size.edge, plan.seed).await?;
     addresses.carry(&mut parties).await?;
     let programs = Programs { present: programs, older: plan.older.as_ref() };
     let tier = Tier::new(programs, &addresses, list, plan.grace_s)?;
@@ -268,40 +322,152 @@
             while programs.join_next().await.is_some() {}
         };
         let faults = async {
-            tokio::try_join!(
-                async {
-                    sleep_until(at(0.2)).await;
-                    if self.operator.put(9, 4, configuration(9, true), OPERATOR_TIMEOUT).await {
-                        sleep(CONFIGURATION_APPLY_DELAY).await;
-                        self.clients.lookups.store(true, Ordering::Relaxed);
-                    }
-                    Ok::<_, FleetError>(())
-                },
-                self.lose_a_disk(at(0.35)),
-                self.restart_a_proxy(at(0.5)),
-                async {
-                    sleep_until(at(0.6)).await;
-                    self.recorder.event("an endpoint begins anew at its address");
-                    self.endpoints[0].restart_as_new_incarnation().await;
-                    self.recorder.event("the platform tells no list for a while");
-                    self.platform.limited.store(true, Ordering::Relaxed);
-                    sleep(LIST_LIMITED_TIME).await;
-                    self.platform.limited.store(false, Ordering::Relaxed);
-                    Ok(())
-                },
-            )
+            match self.plan.faults {
+                Faults::OneOfEach => self.one_of_each(began).await,
+                Faults::Soak(trouble) => self.soak(trouble).await,
+            }
         };
         let ((), faults) = tokio::join!(traffic, faults);
         faults?;
+        if matches!(self.plan.faults, Faults::Soak(_)) {
+            self.run_final_programs().await;
+        }
         self.operator.read(OPERATOR_TIMEOUT).await;
         Ok(())
     }
 
+    /// A fault of each kind, in its time.
+    async fn one_of_each(&self, began: Instant) -> Result<(), FleetError> {
+        let at = |share: f64| began + Duration::from_secs_f64(self.plan.seconds * share);
+        tokio::try_join!(
+            async {
+                sleep_until(at(0.2)).await;
+                if self.operator.put(9, FIRST_VERSION, configuration(9, true), OPERATOR_TIMEOUT).await {
+                    sleep(CONFIGURATION_APPLY_DELAY).await;
+                    self.clients.lookups.store(true, Ordering::Relaxed);
+                }
+                Ok::<_, FleetError>(())
+            },
+            self.lose_a_disk(at(0.35)),
+            self.restart_a_proxy(at(0.5)),
+            async {
+                sleep_until(at(0.6)).await;
+                self.recorder.event("an endpoint begins anew at its address");
+                self.endpoints[0].restart_as_new_incarnation().await;
+                self.recorder.event("the platform tells no list for a while");
+                self.platform.limited.store(true, Ordering::Relaxed);
+                sleep(LIST_LIMITED_TIME).await;
+                self.platform.limited.store(false, Ordering::Relaxed);
+                Ok(())
+            },
+        )?;
+        Ok(())
+    }
+
+    /// Series of faults on all processes side by side, changes of the configuration and new incarnations of endpoints.
+    async fn soak(&self, trouble: Trouble) -> Result<(), FleetError> {
+        let processes = self.tier.processes();
+        let length = Duration::from_secs_f64(self.plan.seconds * (1.0 - QUIET_TAIL_SHARE));
+        let schedule = Schedule::draw(self.plan.seed, trouble, &processes, length);
+        let series =
+            schedule.series.iter().map(|(role, number, steps)| self.run_series(*role, *number, steps));
+        let series = futures_util::future::try_join_all(series);
+        let (series, (), ()) = tokio::join!(
+            series,
+            self.change_configurations(&schedule.configurations),
+            self.restart_endpoints(&schedule.incarnations),
+        );
+        series.map(drop)
+    }
+
+    /// The faults of one process, one after another.
+    async fn run_series(&self, role: Role, number: usize, steps: &[Step]) -> Result<(), FleetError> {
+        let machine = self.tier.machine(role, number);
+        for step in steps {
+            sleep(step.gap).await;
+            let mut machine = machine.lock().await;
+            if machine.crashed() {
+                self.tier.note_crash(&machine).await;
+                self.tier.start(&mut machine).await?;
+            }
+            let from = self.recorder.now();
+            self.recorder.event(format!("{}: {:?}", machine.name, step.fault));
+            self.apply(&mut machine, step.fault).await?;
+            let is_failure = matches!(step.fault, Fault::Kill { .. } | Fault::Pause { .. });
+            if is_failure && role == Role::RequestProxy {
+                let (of, until) = (self.front.address(number).into(), self.recorder.now());
+                self.recorder.lock().disturbances.push(Disturbance { of, from, until });
+            }
+        }
+        Ok(())
+    }
+
+    async fn apply(&self, machine: &mut Machine, fault: Fault) -> Result<(), FleetError> {
+        match fault {
+            Fault::Reload => machine.reload(),
+            Fault::Restart { down } => {
+                self.terminate(machine).await;
+                sleep(down).await;
+                self.tier.start(machine).await?;
+                sleep(SIGNAL_READY_DELAY).await;
+            }
+            Fault::Kill { down } => {
+                machine.kill().await;
+                sleep(down).await;
+                self.tier.start(machine).await?;
+                sleep(SIGNAL_READY_DELAY).await;
+            }
+            Fault::Pause { time } => {
+                machine.pause();
+                sleep(time).await;
+                machine.resume();
+            }
+        }
+        Ok(())
+    }
+
+    async fn change_configurations(&self, gaps: &[Duration]) {
+        let mut current = FIRST_VERSION;
+        for gap in gaps {
+            sleep(*gap).await;
+            let next = current + 1;
+            // A change without a clear answer is sent again unchanged.
+            if self.operator.put(next, current, configuration(next, true), OPERATOR_TIMEOUT).await {
+                current = next;
+            }
+        }
+    }
+
+    async fn restart_endpoints(&self, gaps: &[Duration]) {
+        for (index, gap) in gaps.iter().enumerate() {
+            sleep(*gap).await;
+            let endpoint = &self.endpoints[index % self.endpoints.len()];
+            self.recorder.event(format!("{} begins anew at its address", endpoint.instance()));
+            endpoint.restart_as_new_incarnation().await;
+        }
+    }
+
+    /// Programs that have to finish, as nothing fails any more.
+    async fn run_final_programs(&self) {
+        sleep(RECOVERY).await;
+        self.recorder.event("the final programs start");
+        self.recorder.lock().judged_from = FIRST_FINAL_PROGRAM;
+        let mut programs = JoinSet::new();
+        for number in FIRST_FINAL_PROGRAM..FIRST_FINAL_PROGRAM + FINAL_PROGRAMS {
+            programs.spawn(self.clients.clone().run(number, false, PROGRAM_TIMEOUT));
+            sleep(PROGRAM_START_INTERVAL).await;
+        }
+        while programs.join_next().await.is_some() {}
+    }
+
     /// Starts the tier, gives it a configuration, and waits until a first program has gone through.
     async fn start_up(&self) -> Result<(), FleetError> {
         self.tier.start_all().await?;
         let ready = async {
-            while !self.operator.put(4, 0, configuration(4, false), START_TIMEOUT).await {}
+            let has_lookups = matches!(self.plan.faults, Faults::Soak(_));
+            let first = configuration(FIRST_VERSION, has_lookups);
+            while !self.operator.put(FIRST_VERSION, 0, first.clone(), START_TIMEOUT).await {}
+            self.clients.lookups.store(has_lookups, Ordering::Relaxed);
             while self.front.ready() < 2 {
                 sleep(Duration::from_millis(50)).await;
             }
@@ -314,6 +480,14 @@
         Ok(())
     }
 
+    /// SIGTERM, and a note if the process does not end within its time.
+    async fn terminate(&self, machine: &mut Machine) {
+        if !machine.terminate(Duration::from_secs_f64(self.plan.grace_s)).await {
+            let late = format!("{} did not end in its time:\n{}", machine.name, machine.last_lines(5));
+            self.tier.late_ends.lock().await.push(late);
+        }
+    }
+
     async fn lose_a_disk(&self, at: Instant) -> Result<(), FleetError> {
         sleep_until(at).await;
         let mut machine = self.tier.machine(Role::StorageNode, 1).lock().await;
@@ -330,10 +504,7 @@
         sleep_until(at).await;
         let mut machine = self.tier.machine(Role::RequestProxy, 0).lock().await;
         self.recorder.event(format!("{} gets SIGTERM", machine.name));
-        if !machine.terminate(Duration::from_secs_f64(self.plan.grace_s)).await {
-            let late = format!("{} did not end in its time:\n{}", machine.name, machine.last_lines(5));
-            self.tier.late_ends.lock().await.push(late);
-        }
+        self.terminate(&mut machine).await;
         self.tier.start(&mut machine).await?;
         self.recorder.event(format!("{} starts again", machine.name));
         Ok(())
--- a/testbed/tests/serving_tier.rs
+++ b/testbed/tests/serving_tier.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 use testbed::fleet::FleetError;
 use testbed::serving_tier::checker::{Rule, check_history, output};
-use testbed::serving_tier::history::{Attempt, AttemptRoute, End, History, Kind, Program, Run};
-use testbed::serving_tier::machines::{Older, Programs, built_programs};
-use testbed::serving_tier::run::{Plan, RunResult, run_tier};
+use testbed::serving_tier::history::{Attempt, AttemptRoute, Disturbance, End, History, Kind, Program, Run};
+use testbed::serving_tier::machines::{Older, Programs, Role, built_programs};
+use testbed::serving_tier::run::{Faults, Plan, RunResult, TierSize, run_tier};
+use testbed::serving_tier::soak::{Fault, Schedule, Trouble};
+use testbed::serving_tier::table::table;
 use tokio::sync::watch;
 
 /// Two events.
@@ -245,7 +247,15 @@
 async fn a_tier_that_loses_a_disk_and_restarts_a_proxy_keeps_its_rules() {
     let programs = built_programs().unwrap();
     let (_stop, stopped) = watch::channel(0);
-    let plan = Plan { seconds: 6.0, seed: 3, grace_s: 4.0, verbose: false, older: None };
+    let plan = Plan {
+        seconds: 6.0,
+        seed: 3,
+        grace_s: 4.0,
+        verbose: false,
+        older: None,
+        size: TierSize::default(),
+        faults: Faults::OneOfEach,
+    };
     let result = run_tier(plan, &programs, stopped).await.unwrap();
     assert!(result.verdict.breaches.is_empty(), "{:?}", result.verdict.breaches);
     assert!(result.crashes.is_empty() && !result.cut_short, "{:?}", result.crashes);
@@ -263,7 +273,15 @@
 async fn a_stopped_run_leaves_no_process() {
     let programs = built_programs().unwrap();
     let (stop, stopped) = watch::channel(0);
-    let plan = Plan { seconds: 600.0, seed: 4, grace_s: 4.0, verbose: false, older: None };
+    let plan = Plan {
+        seconds: 600.0,
+        seed: 4,
+        grace_s: 4.0,
+        verbose: false,
+        older: None,
+        size: TierSize::default(),
+        faults: Faults::OneOfEach,
+    };
     let stopping = async {
         tokio::time::sleep(Duration::from_secs(2)).await;
         stop.send_replace(1);
@@ -277,7 +295,72 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_folder_without_the_programs_is_an_error() {
     let (_stop, stopped) = watch::channel(0);
-    let plan = Plan { seconds: 6.0, seed: 5, grace_s: 4.0, verbose: false, older: None };
+    let plan = Plan {
+        seconds: 6.0,
+        seed: 5,
+        grace_s: 4.0,
+        verbose: false,
+        older: None,
+        size: TierSize::default(),
+        faults: Faults::OneOfEach,
+    };
     let error = run_tier(plan, Path::new("/nowhere"), stopped).await.unwrap_err();
     assert!(matches!(error, FleetError::Io { .. }), "{error}");
 }
+
+/// A short soak; programs that start after its faults have to finish.
+async fn soak(seed: u64, trouble: Trouble) -> RunResult {
+    let programs = built_programs().unwrap();
+    let (_stop, stopped) = watch::channel(0);
+    let (size, faults) = (TierSize::default(), Faults::Soak(trouble));
+    let plan = Plan { seconds: 15.0, seed, grace_s: 6.0, verbose: false, older: None, size, faults };
+    run_tier(plan, &programs, stopped).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_soak_of_signals_restarts_and_changes_drops_no_request() {
+    let result = soak(1, Trouble::Planned).await;
+    assert!(result.is_good(), "{}", table(&result));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_soak_with_failures_of_every_role_keeps_the_rules() {
+    let result = soak(2, Trouble::Failures).await;
+    assert!(result.is_good(), "{}", table(&result));
+}
+
+#[test]
+fn a_request_dropped_by_a_sender_that_did_not_fail_breaks_a_rule() {
+    let drop_all = |history: &mut History, disturbance: Option<Disturbance>| {
+        let to = Some("127.0.0.1:80".parse().unwrap());
+        for number in 0..4 {
+            let (attempt, began) = (format!("dropped-{number}"), Duration::from_secs(10));
+            history.runs.push(run(&attempt, &format!("in-{attempt}\n"), "done"));
+            let route = AttemptRoute { to, began, ended_at: Some(began) };
+            history
+                .attempts
+                .push(Attempt { route, ..sent(&attempt, Kind::NonIdempotent, None, End::Broken) });
+        }
+        history.disturbances.extend(disturbance);
+    };
+    assert_eq!(broken(|history| drop_all(history, None)), [Rule::Dropped]);
+    let at = |seconds| Duration::from_secs(seconds);
+    let failure = Disturbance { of: "127.0.0.1:80".parse().unwrap(), from: at(7), until: at(8) };
+    assert_eq!(broken(|history| drop_all(history, Some(failure))), []);
+    let earlier = Disturbance { from: at(1), until: at(2), ..failure };
+    assert_eq!(broken(|history| drop_all(history, Some(earlier))), [Rule::Dropped]);
+}
+
+#[test]
+fn a_soak_of_planned_work_ends_no_core_or_storage_machine() {
+    let processes = [(Role::ControlNode, 0), (Role::StorageNode, 0), (Role::RequestProxy, 0)];
+    let length = Duration::from_secs(600);
+    let schedule = Schedule::draw(7, Trouble::Planned, &processes, length);
+    assert_eq!(schedule, Schedule::draw(7, Trouble::Planned, &processes, length));
+    for (role, _, steps) in &schedule.series {
+        let ends = steps.iter().any(|step| step.fault != Fault::Reload);
+        assert_eq!(ends, *role == Role::RequestProxy);
+        assert!(steps.iter().all(|step| !matches!(step.fault, Fault::Kill { .. } | Fault::Pause { .. })));
+    }
+    assert!(!schedule.configurations.is_empty() && !schedule.incarnations.is_empty());
+}
