Compare the load of a conversation's endpoint with what its peers reported lately, not with forgotten reports

Cause: the bound of affinity is a multiple of the mean load of the endpoint's peers.

Change: reports count in the mean by the weight that they have left, the endpoint's own excepted; peers of which nothing was heard lately count neither as idle nor as loaded. With less than one fresh report's weight in all the mean fades as before.

--- a/system/request-routing/src/endpoint.rs
+++ b/system/request-routing/src/endpoint.rs
@@ -125,10 +125,19 @@
         f64::from(self.in_flight) + self.load_of_other_proxies(now)
     }
 
-    fn load_of_other_proxies(&self, now: Time) -> f64 {
+    /// The decayed report of other proxies' calls.
+    pub(crate) fn load_of_other_proxies(&self, now: Time) -> f64 {
         self.reported_load.decayed(now, REPORTED_LOAD_HALF_LIFE_MICROS)
     }
 
+    /// Weight of its load report, which halves with each half-life; 0 without a report.
+    pub(crate) fn report_weight(&self, now: Time) -> f64 {
+        if self.reported_load.updated_at == Time(0) {
+            return 0.0;
+        }
+        self.reported_load.remaining_share(now, REPORTED_LOAD_HALF_LIFE_MICROS)
+    }
+
     /// Upper bound on this proxy's calls in flight there.
     pub(crate) fn max_in_flight(&self, limits: &EndpointLimits, load: f64) -> u32 {
         let slots = self.slots(limits);
--- a/system/request-routing/src/placement.rs
+++ b/system/request-routing/src/placement.rs
@@ -23,9 +23,50 @@
 const PREFIX_AFFINITY_BOUND: LoadBound = LoadBound { factor: 1.25, slack: 2.0 };
 /// Bound for session affinity: the endpoint has the complete prompt in its cache.
 const SESSION_AFFINITY_BOUND: LoadBound = LoadBound { factor: 1.5, slack: 3.0 };
+/// Reports of less weight together, in fresh reports, count as partly forgotten.
+const MIN_REPORT_WEIGHT: f64 = 1.0;
 /// An endpoint of another zone counts as having a free slot below this share of its slots.
 const REMOTE_FREE_SHARE: f64 = 0.8;
 
+/// Sums over endpoints.
+#[derive(Clone, Copy, Debug, Default)]
+struct GroupLoad {
+    endpoints: f64,
+    /// Calls of this proxy.
+    in_flight: f64,
+    /// Decayed reports of other proxies' calls.
+    reported: f64,
+    /// Weights that these reports have left.
+    report_weight: f64,
+}
+
+impl GroupLoad {
+    fn of(endpoint: &Endpoint, now: Time) -> Self {
+        Self {
+            endpoints: 1.0,
+            in_flight: f64::from(endpoint.in_flight),
+            reported: endpoint.load_of_other_proxies(now),
+            report_weight: endpoint.report_weight(now),
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.endpoints += other.endpoints;
+        self.in_flight += other.in_flight;
+        self.reported += other.reported;
+        self.report_weight += other.report_weight;
+    }
+
+    /// Estimated mean load of the other endpoints. Reports count by their freshness, so that an endpoint without a recent
+    /// one does not count as idle: the load that is compared with this mean was reported a moment ago.
+    fn mean_of_peers(&self, endpoint: &Endpoint, now: Time) -> f64 {
+        let own = Self::of(endpoint, now);
+        let peers = f64::max(self.endpoints - own.endpoints, 1.0);
+        let weight = f64::max(self.report_weight - own.report_weight, MIN_REPORT_WEIGHT);
+        (self.in_flight - own.in_flight).max(0.0) / peers + (self.reported - own.reported).max(0.0) / weight
+    }
+}
+
 /// The endpoints of a service and the state that a choice among them depends on.
 pub(crate) struct Candidates<'a> {
     now: Time,
@@ -83,7 +124,7 @@
         if endpoint.listed.service != request.service || !self.is_fit_for_affinity(endpoint) {
             return Err(AffinityMiss::Unusable);
         }
-        if !self.is_within(endpoint, SESSION_AFFINITY_BOUND, self.mean_load()) {
+        if !self.is_within(endpoint, SESSION_AFFINITY_BOUND, &self.group_load()) {
             return Err(AffinityMiss::Overloaded);
         }
         Ok(index)
@@ -114,10 +155,10 @@
         let mut ranked = group.to_vec();
         ranked.sort_unstable_by_key(|index| std::cmp::Reverse(mix(prefix ^ self.endpoints[*index].hash)));
         ranked.truncate(replicas);
-        let mean = self.mean_load();
+        let group_load = self.group_load();
         ranked.retain(|index| {
             let endpoint = &self.endpoints[*index];
-            self.is_fit_for_affinity(endpoint) && self.is_within(endpoint, PREFIX_AFFINITY_BOUND, mean)
+            self.is_fit_for_affinity(endpoint) && self.is_within(endpoint, PREFIX_AFFINITY_BOUND, &group_load)
         });
         self.least_loaded(ranked.into_iter().map(|index| (index, 0)), rng)
     }
@@ -157,13 +198,14 @@
         if self.service.local.is_empty() { &self.service.remote } else { &self.service.local }
     }
 
-    /// Mean load of the endpoints of the affinity group that are in service.
-    fn mean_load(&self) -> f64 {
+    /// Loads of the endpoints of the affinity group that are in service.
+    fn group_load(&self) -> GroupLoad {
         let group = self.affinity_group().iter().map(|index| &self.endpoints[*index]);
-        let (sum, count) = group
-            .filter(|endpoint| endpoint.is_in_service())
-            .fold((0.0, 0.0), |(sum, count), endpoint| (sum + endpoint.load(self.now), count + 1.0));
-        sum / f64::max(count, 1.0)
+        let mut sum = GroupLoad::default();
+        for endpoint in group.filter(|endpoint| endpoint.is_in_service()) {
+            sum.add(&GroupLoad::of(endpoint, self.now));
+        }
+        sum
     }
 
     /// Whether affinity may select the endpoint, its load among its peers aside.
@@ -174,9 +216,13 @@
             && !self.history.avoided.contains(&endpoint.key)
     }
 
-    /// Whether the endpoint's load is within the bound, at a mean load `mean` of its peers.
-    fn is_within(&self, endpoint: &Endpoint, bound: LoadBound, mean: f64) -> bool {
-        !self.policy.load_bounds || endpoint.load(self.now) <= bound.factor * mean + bound.slack
+    /// Whether the endpoint's load is within the bound, among the endpoints of `group`.
+    fn is_within(&self, endpoint: &Endpoint, bound: LoadBound, group: &GroupLoad) -> bool {
+        if !self.policy.load_bounds {
+            return true;
+        }
+        let mean = group.mean_of_peers(endpoint, self.now);
+        endpoint.load(self.now) <= bound.factor * mean + bound.slack
     }
 
     /// The tier of an endpoint; the lower is better.
--- a/system/request-routing/tests/choice.rs
+++ b/system/request-routing/tests/choice.rs
@@ -211,6 +211,26 @@
     expect_that!(router.placement_metrics().continued_unusable, eq(1));
 }
 
+#[gtest]
+fn a_conversation_stays_at_an_endpoint_that_is_as_loaded_as_its_peers_were_when_they_last_reported() {
+    let engines: Vec<_> = (0..17).map(|n| entry(&format!("e{n}"), "model", "a", 24)).collect();
+    let mut router = router(&engines);
+    let keys: Vec<_> = router.endpoint_views().iter().map(|view| view.key).collect();
+    let load = ServerLoad { running: 8, waiting: 0, slots: 24 };
+    // Each of many proxies hears of an endpoint every second or two.
+    for (n, key) in keys.iter().enumerate() {
+        router.record_load(ms(100 * n as u64), *key, load);
+    }
+    let home = &engines[16].instance_id;
+    let previous_endpoint = Some(home.as_str().into());
+    let (arrived_at, deadline) = (ms(1_650), ms(7_650));
+    let next = RoutingRequest { previous_endpoint, arrived_at, deadline, ..turn("mine", "p") };
+    expect_that!(*send(&mut router, ms(1_650), &next).instance_id, eq(home));
+    let overloaded = ServerLoad { running: 18, ..load };
+    router.record_load(ms(1_700), keys[16], overloaded);
+    expect_that!(*send(&mut router, ms(1_700), &next).instance_id, not(eq(home)));
+}
+
 #[gtest]
 fn the_placement_metrics_tell_why_a_conversation_left_its_endpoint() {
     let engines = engines(3);
