Bound the memory and connections that clients of a proxy occupy

What callers saw: clients with large bodies of legal size ended a proxy, and all that it had under way with it.

Cause: the body of each request was collected for itself, up to 4 MiB, for as long as its deadline allowed; a request without a route was collected as well, and for as long as it asked for. Nothing bounded the sum. Connections followed the descriptors alone, and the kernel's receive buffers, whose unread bytes count as memory, could grow without a limit of ours.

Change: crate client-admission. Bodies share a budget of a fifth of memory_mb until their last use; where it is used up, bodies that are incomplete after a second give way, the oldest first, and else the newcomer is refused with 503, which holds as it has not run. A body that is alone always fits. Bodies up to 64 KiB may use the last quarter of the budget, so that ordinary callers find room. Connections follow memory_mb too; at the limit the connection that has waited longest for its client is closed for the new one. Receive buffers have 64 KiB. A body without a route is read and dropped, within 30 s. Joined chains take part in the budget.

--- a/system/programs/src/proxy.rs
+++ b/system/programs/src/proxy.rs
@@ -3,8 +3,9 @@
 use crate::admin::{AdminEndpoint, Topic, views};
 use crate::feed::{Feed, follow_one, new_feed, run_heartbeats};
 use crate::process::{Process, shutdown_requested};
-use crate::start::{StartError, listen};
+use crate::start::{StartError, listen, listen_for_clients};
 use crate::turns::{TurnClient, Turns};
+use client_admission::ClientLimits;
 use fleet_model::{Answer, Call, ListVersion};
 use operator_config::OperatorConfig;
 use peer_wire::{Handler, PeerServer, Pusher};
@@ -67,7 +68,7 @@
                 // One figure a line; what is open or waits now is no counter.
                 for (name, value) in parse_forwarder_metrics(&self.forwarder.metrics().to_string()) {
                     match name.as_str() {
-                        "clients" | "waiting" => {
+                        "clients" | "waiting" | "body_bytes" => {
                             figures.gauge(&format!("request_proxy_{name}"), value as f64)
                         }
                         name => figures.counter(&format!("request_proxy_{name}"), value),
@@ -126,12 +127,12 @@
         crate::random::random_u64(),
         process.routing_policy.clone(),
         Rc::new(Turns(turns)),
-        settings.limits.max_file_descriptors,
+        ClientLimits::for_process(settings.limits.memory_mb, settings.limits.max_file_descriptors),
     );
     let ready = Rc::new(Cell::new(false));
     let (stage_sender, stages) = watch::channel(ShutdownPhase::Serving);
-    let readiness = listen(readiness).await?;
-    let clients = listen(front).await?;
+    let readiness = listen_for_clients(readiness).await?;
+    let clients = listen_for_clients(front).await?;
     {
         let (ready, ending) = (ready.clone(), process.ending.clone());
         spawn_local(serve_readiness(readiness, move || ready.get() && !*ending.borrow()));
--- a/system/programs/src/start.rs
+++ b/system/programs/src/start.rs
@@ -140,7 +140,8 @@
     })
 }
 
-/// Listens at `address`, with retries: the previous process at this address may still be shutting down.
+/// Listens at `address` for other processes of the system, with retries: the previous process at this address may still be
+/// shutting down.
 ///
 /// # Errors
 ///
@@ -152,6 +153,22 @@
         socket.bind(address.into())?;
         socket.listen(1024)
     };
+    bind_with_retries(address, bind).await
+}
+
+/// Listens at `address` for clients, operators or applications, as [`listen`] does.
+///
+/// # Errors
+///
+/// [`StartError::System`] if the address cannot be bound after all attempts.
+pub async fn listen_for_clients(address: SocketAddrV4) -> Result<TcpListener, StartError> {
+    bind_with_retries(address, || client_admission::listen_for_clients(address)).await
+}
+
+async fn bind_with_retries(
+    address: SocketAddrV4,
+    bind: impl Fn() -> std::io::Result<TcpListener>,
+) -> Result<TcpListener, StartError> {
     let mut attempts = 0;
     loop {
         match bind() {
--- a/system/request-forwarding/src/client_connection.rs
+++ b/system/request-forwarding/src/client_connection.rs
@@ -7,6 +7,7 @@
 use crate::response_body::ResponseBody;
 use crate::server::{MIN_BUFFER_BYTES, ShutdownPhase, current_phase};
 use crate::turn_storage::TurnStorage;
+use client_admission::ConnectionSlot;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -32,6 +33,7 @@
     pub(crate) async fn serve_connection(
         self: Rc<Self>,
         stream: TcpStream,
+        slot: Rc<ConnectionSlot>,
         mut shutdown: watch::Receiver<ShutdownPhase>,
     ) {
         if let Err(e) = stream.set_nodelay(true) {
@@ -42,7 +44,7 @@
         let accepted = Instant::now();
         let client = Rc::new(ConnectionState::new(accepted));
         let io = TokioIo::new(ClientStream { stream: stream.clone(), client: client.clone() });
-        let service = self.request_service(&client, &shutdown);
+        let service = self.request_service(&client, &slot, &shutdown);
         let limits = self.limits();
         let buffer = usize::try_from(limits.max_header_bytes).unwrap_or(usize::MAX).max(MIN_BUFFER_BYTES);
         let connection = http1::Builder::new()
@@ -88,6 +90,7 @@
                     return;
                 }
                 () = &mut client_disconnected => return,
+                () = slot.evicted() => return,
                 _ = shutdown.changed(), if !shutting_down => {}
                 () = sleep_until(next_check) => {}
             }
@@ -98,17 +101,19 @@
     fn request_service(
         self: &Rc<Self>,
         client: &Rc<ConnectionState>,
+        slot: &Rc<ConnectionSlot>,
         shutdown: &watch::Receiver<ShutdownPhase>,
     ) -> impl HttpService<Incoming, ResBody = ResponseBody, Error = Infallible, Future: Sized> + use<T> {
         let (forwarder, client, phase) = (self.clone(), client.clone(), shutdown.clone());
+        let slot = slot.clone();
         service_fn(move |request: Request<Incoming>| {
             client.in_flight.set(true);
             client.awaits_first_request.set(false);
             let arrived = client.head_started_at.take().unwrap_or_else(Instant::now);
-            let in_flight = InFlight(client.clone());
-            let (forwarder, mut phase) = (forwarder.clone(), phase.clone());
+            let in_flight = InFlight { client: client.clone(), slot: slot.clone() };
+            let (forwarder, slot, mut phase) = (forwarder.clone(), slot.clone(), phase.clone());
             async move {
-                let mut response = forwarder.respond(request, arrived).await;
+                let mut response = forwarder.respond(request, arrived, &slot).await;
                 if current_phase(&mut phase) != ShutdownPhase::Serving {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
--- a/system/request-forwarding/src/client_stream.rs
+++ b/system/request-forwarding/src/client_stream.rs
@@ -1,5 +1,6 @@
 //! The stream of a client connection: records when bytes arrive, and detects that the client has disconnected.
 
+use client_admission::ConnectionSlot;
 use futures_util::FutureExt;
 use socket2::SockRef;
 use std::cell::Cell;
@@ -44,12 +45,16 @@
 }
 
 /// Marks a request as in flight until it is dropped.
-pub(crate) struct InFlight(pub(crate) Rc<ConnectionState>);
+pub(crate) struct InFlight {
+    pub(crate) client: Rc<ConnectionState>,
+    pub(crate) slot: Rc<ConnectionSlot>,
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.in_flight.set(false);
-        self.0.idle_since.set(Instant::now());
+        self.client.in_flight.set(false);
+        self.client.idle_since.set(Instant::now());
+        self.slot.start_waiting();
     }
 }
 
--- a/system/request-forwarding/src/forwarder.rs
+++ b/system/request-forwarding/src/forwarder.rs
@@ -1,7 +1,6 @@
 //! The forwarder: the data plane's state, and the preparation of each request: its route, deadline, body and headers.
 
 use crate::active_turn::{ActiveTurn, TurnRecord};
-use crate::body_collection::read_body;
 use crate::headers::{self, ATTEMPT_ID, DEADLINE_REMAINING, PRIORITY};
 use crate::local_response::{DEFAULT_RETRY_AFTER, LocalResponse};
 use crate::metrics::ForwardingMetrics;
@@ -9,6 +8,10 @@
 use crate::pool::SharedState;
 use crate::response_body::ResponseBody;
 use crate::turn_storage::TurnStorage;
+use bytes::Bytes;
+use client_admission::{
+    BodyBudget, BodyError, ClientLimits, ConnectionLimit, ConnectionSlot, discard_body, read_body,
+};
 use fleet_model::EndpointList;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap};
@@ -29,7 +32,7 @@
 const FINISH_SOON_MS: u64 = 1_500;
 /// Upper bound on a request body while there is no configuration.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
-/// Timeout of a request that states none and has no route.
+/// Upper bound on the time for a request that has no route.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// State of the system that forwarding depends on; each update passes the complete state.
@@ -46,25 +49,26 @@
 /// The data plane of a process. It is bound to the thread that creates it, inside a `LocalSet`.
 pub struct Forwarder<T: TurnStorage> {
     pub(crate) shared: Rc<SharedState>,
-    pub(crate) max_clients: usize,
+    pub(crate) connections: Rc<ConnectionLimit>,
+    pub(crate) bodies: BodyBudget,
     pub(crate) turns: Rc<T>,
     system: RefCell<SystemState>,
 }
 
 impl<T: TurnStorage> Forwarder<T> {
-    /// A forwarder for a process in this zone with a limit on open file descriptors. All random values derive from the
+    /// A forwarder for a process in this zone with limits on what its clients occupy. All random values derive from the
     /// seed.
     pub fn new(
         zone: String,
         seed: u64,
         policy: RoutingPolicy,
         turns: Rc<T>,
-        max_file_descriptors: u64,
+        clients: ClientLimits,
     ) -> Rc<Self> {
-        let max_clients = usize::try_from(max_file_descriptors / 3).unwrap_or(usize::MAX).max(4);
         Rc::new(Self {
             shared: SharedState::new(zone, seed, policy, MAX_WAITING_REQUESTS),
-            max_clients,
+            connections: ConnectionLimit::new(clients.connections),
+            bodies: BodyBudget::new(clients.body_bytes),
             turns,
             system: RefCell::default(),
         })
@@ -105,7 +109,13 @@
 
     /// Counters since the start, and current gauges.
     pub fn metrics(&self) -> ForwardingMetrics {
-        ForwardingMetrics { waiting: self.shared.queue.len() as u64, ..self.shared.metrics.get() }
+        ForwardingMetrics {
+            waiting: self.shared.queue.len() as u64,
+            clients_evicted: self.connections.evicted(),
+            body_bytes: self.bodies.used_bytes() as u64,
+            bodies_evicted: self.bodies.evicted(),
+            ..self.shared.metrics.get()
+        }
     }
 
     /// Counters of placement since the start.
@@ -127,9 +137,10 @@
         &self,
         request: Request<Incoming>,
         arrived: Instant,
+        slot: &ConnectionSlot,
     ) -> Response<ResponseBody> {
         let attempt = headers::single(request.headers(), &ATTEMPT_ID).map(str::to_owned);
-        let result = self.try_respond(request, attempt.as_deref(), arrived).await;
+        let result = self.try_respond(request, attempt.as_deref(), arrived, slot).await;
         result.unwrap_or_else(|local| {
             self.shared.count(|metrics| match local.status.as_u16() {
                 402 | 408 | 503 => metrics.refused += 1,
@@ -145,6 +156,7 @@
         request: Request<Incoming>,
         attempt: Option<&str>,
         arrived: Instant,
+        slot: &ConnectionSlot,
     ) -> Result<Response<ResponseBody>, LocalResponse> {
         if request.version() != Version::HTTP_11 {
             // A truncated response could not be distinguished from a complete one.
@@ -156,12 +168,10 @@
             headers::number(&head.headers, DEADLINE_REMAINING.as_str()).map(Duration::from_millis);
         let host = headers::single(&head.headers, &HOST);
         let route = config.as_ref().zip(host).and_then(|(config, host)| config.route(host, head.uri.path()));
-        let timeout = route.map(|route| Duration::from_millis(route.timeout_ms));
-        let request_timeout = remaining.into_iter().chain(timeout).min().unwrap_or(DEFAULT_REQUEST_TIMEOUT);
-        let deadline = arrived + request_timeout;
-        let max_body_bytes =
-            config.as_ref().map_or(DEFAULT_MAX_BODY_BYTES, |config| config.limits.max_body_bytes as usize);
-        let input = read_body(body, max_body_bytes, deadline).await;
+        let timeout = route.map_or(DEFAULT_REQUEST_TIMEOUT, |route| Duration::from_millis(route.timeout_ms));
+        let deadline = arrived + remaining.map_or(timeout, |remaining| remaining.min(timeout));
+        let input = self.read_input(body, config.as_deref(), route.is_some(), deadline).await;
+        slot.start_serving();
         let Some(config) = &config else {
             // Without a configuration no request can be denied, even if the body was too large or incomplete.
             self.shared.count(|metrics| metrics.requests += 1);
@@ -170,7 +180,7 @@
                 ..LocalResponse::refused(DEFAULT_RETRY_AFTER)
             });
         };
-        let input = input?;
+        let input = input.map_err(response_to_incomplete_body)?;
         self.shared.count(|metrics| metrics.requests += 1);
         let attempt = attempt.ok_or(LocalResponse::new(StatusCode::BAD_REQUEST))?;
         host.ok_or(LocalResponse::new(StatusCode::BAD_REQUEST))?;
@@ -208,6 +218,23 @@
         self.forward(outgoing, Rc::new(routing_request), turn).await
     }
 
+    /// Reads the body of a request; one that will not be forwarded is read and discarded, so that the connection can be used
+    /// for the next request.
+    async fn read_input(
+        &self,
+        body: Incoming,
+        config: Option<&OperatorConfig>,
+        has_route: bool,
+        deadline: Instant,
+    ) -> Result<Bytes, BodyError> {
+        let max_bytes = config.map_or(DEFAULT_MAX_BODY_BYTES, |config| config.limits.max_body_bytes as usize);
+        if has_route {
+            return read_body(body, max_bytes, deadline, &self.bodies).await;
+        }
+        discard_body(body, max_bytes, deadline).await?;
+        Ok(Bytes::new())
+    }
+
     fn routing_request(
         &self,
         request_headers: &HeaderMap,
@@ -239,6 +266,18 @@
     }
 }
 
+/// The response to a request whose body was not read to its end; it was not executed.
+fn response_to_incomplete_body(error: BodyError) -> LocalResponse {
+    match error {
+        BodyError::TooLarge => LocalResponse::closing(StatusCode::PAYLOAD_TOO_LARGE),
+        BodyError::Malformed => LocalResponse::closing(StatusCode::BAD_REQUEST),
+        BodyError::Late => LocalResponse::closing(StatusCode::REQUEST_TIMEOUT),
+        BodyError::NoMemory(_) => {
+            LocalResponse { close: true, ..LocalResponse::refused(DEFAULT_RETRY_AFTER) }
+        }
+    }
+}
+
 /// Whether a request with this method states the length of its body even if it has none.
 fn states_length(method: &Method) -> bool {
     !matches!(*method, Method::GET | Method::HEAD | Method::DELETE | Method::OPTIONS)
--- a/system/request-forwarding/src/metrics.rs
+++ b/system/request-forwarding/src/metrics.rs
@@ -61,6 +61,12 @@
     clients,
     /// Client connections rejected beyond the connection limit.
     clients_refused,
+    /// Client connections closed at the connection limit, as they had waited longest for their clients.
+    clients_evicted,
+    /// Bytes that request bodies occupy now.
+    body_bytes,
+    /// Incomplete request bodies that gave way to others as the memory for bodies was used up.
+    bodies_evicted,
     /// Requests that are waiting for a slot now.
     waiting,
 }
--- a/system/request-forwarding/src/server.rs
+++ b/system/request-forwarding/src/server.rs
@@ -37,7 +37,6 @@
 impl<T: TurnStorage> Forwarder<T> {
     /// Serves clients until `shutdown` is `Closing` and all connections have closed.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, mut shutdown: watch::Receiver<ShutdownPhase>) {
-        let open = Rc::new(OpenConnections::default());
         let rejecting = Rc::new(OpenConnections::default());
         let mut sweep = interval(IDLE_SWEEP_INTERVAL);
         loop {
@@ -47,7 +46,7 @@
             tokio::select! {
                 // The client has disconnected, or no file descriptor is free: both errors are transient.
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.accept(stream, &open, &rejecting, &shutdown),
+                    Ok((stream, _)) => self.accept(stream, &rejecting, &shutdown),
                     Err(e) => {
                         log::warn!("client listener: accept failed: {e}");
                         sleep(Duration::from_millis(5)).await;
@@ -58,26 +57,25 @@
             }
         }
         while let Ok(Ok((stream, _))) = timeout(FINAL_ACCEPT_TIMEOUT, listener.accept()).await {
-            self.accept(stream, &open, &rejecting, &shutdown);
+            self.accept(stream, &rejecting, &shutdown);
         }
         drop(listener);
-        while open.count.get() > 0 {
+        while !self.connections.is_unused() {
             tokio::select! {
-                () = open.changed.notified() => {}
+                () = self.connections.connection_closed() => {}
                 _ = sweep.tick() => self.shared.sweep(),
             }
         }
     }
 
-    /// Serves an accepted connection, or rejects it beyond the connection limit.
+    /// Serves an accepted connection, or rejects it beyond the connection limit if no other connection can be evicted.
     fn accept(
         self: &Rc<Self>,
         stream: TcpStream,
-        open: &Rc<OpenConnections>,
         rejecting: &Rc<OpenConnections>,
         shutdown: &watch::Receiver<ShutdownPhase>,
     ) {
-        if open.count.get() >= self.max_clients {
+        let Some(slot) = self.connections.admit() else {
             self.shared.count(|metrics| metrics.clients_refused += 1);
             if rejecting.count.get() < MAX_REJECTING {
                 let guard = ConnectionGuard::new(rejecting);
@@ -87,14 +85,12 @@
                 });
             }
             return;
-        }
-        let guard = ConnectionGuard::new(open);
+        };
         self.shared.count(|metrics| metrics.clients += 1);
         let (forwarder, shutdown) = (self.clone(), shutdown.clone());
         spawn_local(async move {
-            forwarder.clone().serve_connection(stream, shutdown).await;
+            forwarder.clone().serve_connection(stream, Rc::new(slot), shutdown).await;
             forwarder.shared.count(|metrics| metrics.clients -= 1);
-            drop(guard);
         });
     }
 }
--- a/system/request-forwarding/src/stream_preparation.rs
+++ b/system/request-forwarding/src/stream_preparation.rs
@@ -5,7 +5,7 @@
 use crate::headers::{self, LAST_EVENT_ID};
 use crate::local_response::{DEFAULT_RETRY_AFTER, LocalResponse};
 use crate::turn_storage::{Chain, ChainLookup, CompletedTurn, ReserveOutcome, TurnStorage};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use operator_config::Route;
@@ -77,10 +77,9 @@
         if text.is_empty() {
             return Ok(PreparedStream { complete_input: input, previous_endpoint: served_by });
         }
-        let mut complete = BytesMut::with_capacity(text.len() + input.len());
-        complete.extend_from_slice(&text);
-        complete.extend_from_slice(&input);
-        Ok(PreparedStream { complete_input: complete.freeze(), previous_endpoint: served_by })
+        let joined = self.bodies.join(&[&text, &input]);
+        let complete_input = joined.map_err(|_| LocalResponse::refused(DEFAULT_RETRY_AFTER))?;
+        Ok(PreparedStream { complete_input, previous_endpoint: served_by })
     }
 }
 
--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -57,6 +57,9 @@
         #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u8).range(2..=120))]
         edge: u8,
     },
+    /// Runs the tier under crowds of clients that keep to no limit, with faults, and checks that processes live and stay within
+    /// their memory and descriptors.
+    Misbehave(MisbehaveOptions),
     /// Runs control nodes as real processes under applications of the coordination service, with faults drawn from the
     /// seed, and checks its rules.
     Soak(SoakOptions),
@@ -175,6 +178,32 @@
     pub(crate) history: Option<PathBuf>,
 }
 
+/// Options of soaks with clients that misbehave.
+#[derive(clap::Args)]
+pub(crate) struct MisbehaveOptions {
+    /// Seeds, from the first up to the last and without it, as `0..50`, one after another.
+    #[arg(long, default_value = "1..2", value_parser = seeds)]
+    pub(crate) seeds: std::ops::Range<u64>,
+    /// How long crowds and faults come in each, in seconds.
+    #[arg(long, default_value_t = 20.0, value_parser = seconds)]
+    pub(crate) seconds: f64,
+    /// Which faults there are beside the crowds.
+    #[arg(long, default_value = "failures")]
+    pub(crate) trouble: Trouble,
+    /// Memory of a process that admits callers, in MB; on a storage machine it is twice as much.
+    #[arg(long, default_value_t = 64)]
+    pub(crate) memory_mb: u64,
+    /// Core machines.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(3..=9))]
+    pub(crate) core: u8,
+    /// Storage machines.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(3..=40))]
+    pub(crate) storage: u8,
+    /// Edge machines, with two processes each.
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u8).range(1..=100))]
+    pub(crate) edge: u8,
+}
+
 /// A range of seeds.
 fn seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
     let parsed = text.split_once("..").and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
--- /dev/null
+++ b/testbed/src/commands/misbehaving_clients.rs
@@ -0,0 +1,33 @@
+//! Soaks of the tier under clients that misbehave.
+
+use crate::cli::MisbehaveOptions;
+use crate::error::TestbedError;
+use std::time::Duration;
+use testbed::misbehaving_clients::process::TierLimits;
+use testbed::misbehaving_clients::soak::{SoakPlan, soak};
+use tokio::sync::watch;
+
+/// File descriptors of each process.
+const DESCRIPTORS: usize = 2_000;
+
+/// Runs one soak for each seed; returns whether nothing was found in any.
+pub(crate) async fn run(options: MisbehaveOptions, stop: watch::Receiver<u32>) -> Result<bool, TestbedError> {
+    let MisbehaveOptions { seeds, seconds, trouble, memory_mb, core, storage, edge } = options;
+    let storage_memory_mb = 2 * memory_mb;
+    let limits = TierLimits { core, storage, edge, memory_mb, storage_memory_mb, descriptors: DESCRIPTORS };
+    let length = Duration::from_secs_f64(seconds);
+    let (mut runs, mut failed) = (0, Vec::new());
+    for seed in seeds {
+        if *stop.borrow() > 0 {
+            break;
+        }
+        let findings = soak(SoakPlan { seed, length, trouble, limits }).await?;
+        runs += 1;
+        findings.iter().for_each(|finding| println!("seed {seed}: FOUND: {finding}"));
+        if !findings.is_empty() {
+            failed.push(seed);
+        }
+    }
+    println!("{runs} soaks, {} with findings: seeds {failed:?}", failed.len());
+    Ok(failed.is_empty())
+}
--- a/testbed/src/commands/mod.rs
+++ b/testbed/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! One module for each kind of command.
 
 pub(crate) mod coordination;
+pub(crate) mod misbehaving_clients;
 pub(crate) mod sender_membership;
 pub(crate) mod sender_runs;
 pub(crate) mod serving_tier;
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod environment;
 pub mod experiment;
 pub mod fleet;
+pub mod misbehaving_clients;
 pub mod model;
 pub mod peers;
 pub mod plan;
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -6,7 +6,9 @@
 
 use clap::Parser;
 use cli::{Cli, Command, SystemSimulation};
-use commands::{coordination, sender_membership, sender_runs, serving_tier, system_simulation};
+use commands::{
+    coordination, misbehaving_clients, sender_membership, sender_runs, serving_tier, system_simulation,
+};
 use error::TestbedError;
 use std::process::ExitCode;
 use testbed::baseline;
@@ -56,6 +58,7 @@
             let faults = soak.map_or(Faults::OneOfEach, Faults::Soak);
             serving_tier::run(programs, older, seed, seconds, faults, size, stop).await
         }
+        Command::Misbehave(options) => misbehaving_clients::run(options, stop).await,
         Command::Soak(options) => coordination::soak(options, stop).await,
         Command::Run(options) => {
             let scenario = Scenario { repeats: 1, ..sender_runs::selected_scenario(&options)? };
