Bound the memory and connections that callers of a control node occupy

What callers saw: callers with large bodies ended a control node; with enough connections they took all of its descriptors.

Cause: a body of up to 8 MiB was collected frame by frame, without a time limit and without a bound on the sum; each frame of a chunked body kept its own entry, so that one body in chunks of a byte took many times its length. Connections were unbounded for the operator's sake.

Change: bodies are read within the budget of client-admission and within 10 s (503 and 408, both before anything is carried out), chunks are joined as they come, heads have 16 KiB, and at the limit on connections the one that has waited longest for its caller gives way. Applications keep three quarters of the connections, watches half. A body that is cut off or malformed is 400 and no longer 413.

--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -15,8 +15,9 @@
 
 use crate::process::{Process, shutdown_requested};
 use crate::random::{incarnation_nonce, random_u64};
-use crate::start::{StartError, listen};
+use crate::start::{StartError, listen, listen_for_clients};
 use backend::Backend;
+use client_admission::ClientLimits;
 use config_register::BallotSource;
 use control_node::ControlNode;
 use fleet_membership::{MemberEvent, Role};
@@ -88,6 +89,9 @@
             metrics.gauge("control_node_api_connections", api.connections as f64);
             metrics.gauge("control_node_waiting_watches", api.waiting_watches as f64);
             metrics.counter("control_node_api_rejected", api.rejected);
+            metrics.gauge("control_node_api_body_bytes", api.body_bytes as f64);
+            metrics.counter("control_node_api_connections_evicted", api.connections_evicted);
+            metrics.counter("control_node_api_bodies_evicted", api.bodies_evicted);
             coordination_metrics::add(metrics, self.me, &node.coordination_status());
         })
     }
@@ -143,14 +147,15 @@
     );
     let members = take_part(&process, &node)?;
     let admin = AdminEndpoint::new(process.clone(), feed, Some(members), "control-node");
-    let api_load = Rc::new(ApiLoad::new(ApiLimits::default()));
+    let limits = ClientLimits::for_process(settings.limits.memory_mb, settings.limits.max_file_descriptors);
+    let api_load = Rc::new(ApiLoad::new(ApiLimits::within(limits)));
     let control_server =
         Rc::new(ControlServer { me, node: node.clone(), admin, api_load: api_load.clone(), damages });
     let peers = listen(SocketAddrV4::new(me, settings.peer_port())).await?;
     let server = PeerServer::new(process.fleet(), control_server.clone());
     spawn_local(async move { server.serve(peers).await });
     node.run();
-    let callers = listen(control).await?;
+    let callers = listen_for_clients(control).await?;
     spawn_local(control_api::serve(callers, control_server, api_load));
     shutdown_requested(&process).await;
     node.resign(RESIGNATION_TIMEOUT).await;
--- a/system/programs/src/control_api/application.rs
+++ b/system/programs/src/control_api/application.rs
@@ -7,9 +7,8 @@
 pub use request::MAX_WATCH_WAIT;
 
 use super::close_check::drop_if_caller_is_gone;
-use super::load::ApiLoad;
 use super::reply::Reply;
-use super::server::{IndeterminateError, read_body};
+use super::server::{Admission, IndeterminateError};
 use control_node::{ApplicationReply, ApplicationRequest};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
@@ -50,17 +49,17 @@
 /// [`IndeterminateError`] if nothing may be said of the outcome.
 pub(super) async fn handle<A: Applications>(
     applications: &A,
-    load: &ApiLoad,
+    admission: &Admission,
     call: ApplicationCall,
     name: &str,
     request: Request<Incoming>,
 ) -> Result<Reply, IndeterminateError> {
-    if !load.admits_application() {
+    if !admission.load.admits_application() {
         let too_many = Reply::error(StatusCode::TOO_MANY_REQUESTS, "too many connections");
         return Ok(Reply { closes_connection: true, ..too_many });
     }
     let query = request.uri().query().unwrap_or_default().to_owned();
-    let body = match read_body(request, MAX_APPLICATION_BODY_BYTES).await {
+    let body = match admission.read_body(request, MAX_APPLICATION_BODY_BYTES).await {
         Ok(body) => body,
         Err(reply) => return Ok(reply),
     };
@@ -70,7 +69,7 @@
     };
     drop_if_caller_is_gone().await;
     let _waiting_watch = match call {
-        ApplicationCall::Watch => match load.occupy_watch() {
+        ApplicationCall::Watch => match admission.load.occupy_watch() {
             Some(occupied) => Some(occupied),
             None => return Ok(Reply::error(StatusCode::TOO_MANY_REQUESTS, "too many watches")),
         },
--- a/system/programs/src/control_api/operator.rs
+++ b/system/programs/src/control_api/operator.rs
@@ -1,7 +1,7 @@
 //! The calls of the operator: the configuration, and the retirement of storage machines.
 
 use super::reply::Reply;
-use super::server::read_body;
+use super::server::Admission;
 use bytes::Bytes;
 use hyper::Request;
 use hyper::body::Incoming;
@@ -39,13 +39,14 @@
 /// Carries out a call; `name` is the end of its path.
 pub(super) async fn handle<O: Operations>(
     operations: &O,
+    admission: &Admission,
     call: OperatorCall,
     name: &str,
     request: Request<Incoming>,
 ) -> Reply {
     let expected = request.headers().get(IF_MATCH).and_then(|value| value.to_str().ok());
     let expected = expected.and_then(|text| text.trim().trim_matches('"').parse().ok());
-    let body = match read_body(request, MAX_OPERATOR_BODY_BYTES).await {
+    let body = match admission.read_body(request, MAX_OPERATOR_BODY_BYTES).await {
         Ok(body) => body,
         Err(reply) => return reply,
     };
--- a/testbed/tests/misbehaving_clients.rs
+++ b/testbed/tests/misbehaving_clients.rs
@@ -112,6 +112,24 @@
         TIER_LIMITS, |tier| tier.orders(0), BEHIND_REQUESTS, LARGE_CROWD;
     stalled_heads_exhaust_the_descriptors_of_a_proxy:
         FEW_DESCRIPTORS, |tier| tier.orders(0), STALLED_HEADS, LARGE_CROWD;
+    whole_configurations_exhaust_the_memory_of_a_control_node:
+        TIER_LIMITS, |tier| tier.configurations(0), WHOLE, CROWD;
+    stalled_configurations_exhaust_the_memory_of_a_control_node:
+        TIER_LIMITS, |tier| tier.configurations(0), STALLED, CROWD;
+    large_chunks_exhaust_the_memory_of_a_control_node:
+        TIER_LIMITS, |tier| tier.configurations(0), LARGE_CHUNKS, CROWD;
+    small_chunks_exhaust_the_memory_of_a_control_node:
+        TIER_LIMITS, |tier| tier.configurations(0), SMALL_CHUNKS, CROWD;
+    chunks_of_a_byte_exhaust_the_memory_of_a_control_node:
+        TIER_LIMITS, |tier| tier.configurations(0), SINGLE_BYTES, SINGLE_BYTE_CROWD;
+    bodies_over_the_limit_exhaust_the_memory_of_a_control_node:
+        TIER_LIMITS, |tier| tier.configurations(0), OVER_LIMIT, CROWD;
+    calls_in_chunks_exhaust_the_memory_of_a_control_node:
+        TIER_LIMITS, |tier| tier.locks(0), SMALL_CHUNKS, LARGE_CROWD;
+    bytes_behind_calls_exhaust_the_memory_of_a_control_node:
+        TIER_LIMITS, |tier| tier.locks(0), BEHIND_REQUESTS, LARGE_CROWD;
+    stalled_heads_exhaust_the_descriptors_of_a_control_node:
+        FEW_DESCRIPTORS, |tier| tier.locks(0), STALLED_HEADS, LARGE_CROWD;
 }
 
 macro_rules! at_sender {
