Bound the memory of large turns and chains between proxies and storage nodes

What callers saw: clients with large turns ended a proxy, also where their bodies alone would have fitted.

Cause: each turn is sent to several storage nodes, each send encodes it anew, and a call that times out leaves its frame in the queue; chains come back from several nodes at once, whole. None of it was bounded by bytes, at either end.

Change: in peer-wire, frames over 64 KiB take part in a shared memory: at a client calls until they are written and answers while they are read, at a server calls until they are answered and answers whose length is known before until they are written. Frames are written without another copy. A proxy also sends one large turn at a time where its memory is small. Small frames never wait.

--- a/system/peer-wire/src/client.rs
+++ b/system/peer-wire/src/client.rs
@@ -5,8 +5,9 @@
 
 pub use push_stream::PushStream;
 
-use self::connection::{Connection, PendingCall, connect};
-use crate::codec::encode;
+use self::connection::{Connection, PendingCall, QueuedCall, connect};
+use crate::codec::{encode, estimated_len};
+use crate::frame_memory::FrameMemory;
 use crate::framing::framing;
 use fleet_model::{Answer, Call, Frame};
 use futures_util::SinkExt;
@@ -60,6 +61,27 @@
     }
 }
 
+/// Memory for large frames of clients, which may share it.
+#[derive(Clone, Debug)]
+pub struct ClientFrameMemory {
+    /// For calls until they are written.
+    pub calls: FrameMemory,
+    /// For answers while they are read.
+    pub answers: FrameMemory,
+}
+
+impl ClientFrameMemory {
+    /// Memory without a limit.
+    pub fn unlimited() -> Self {
+        Self { calls: FrameMemory::unlimited(), answers: FrameMemory::unlimited() }
+    }
+
+    /// This many bytes for calls, and as many for answers.
+    pub fn limited(bytes: usize) -> Self {
+        Self { calls: FrameMemory::limited(bytes), answers: FrameMemory::limited(bytes) }
+    }
+}
+
 /// Client of one peer, with one connection that is opened on demand. Clones share it. Must be used within a
 /// [`tokio::task::LocalSet`].
 #[derive(Clone, Debug)]
@@ -73,6 +95,7 @@
     fleet: u16,
     local: Option<Ipv4Addr>,
     limits: CallLimits,
+    frame_memory: ClientFrameMemory,
     state: RefCell<State>,
     /// Id of the last call. Ids increase across connections, so that an answer to a call on an earlier connection never
     /// matches a call on this one.
@@ -111,10 +134,23 @@
         fleet: u16,
         local: Option<Ipv4Addr>,
         limits: CallLimits,
+    ) -> Self {
+        Self::with_frame_memory(address, fleet, local, limits, ClientFrameMemory::unlimited())
+    }
+
+    /// As [`PeerClient::with_limits`], with memory for large frames: a call waits for it and occupies it until it is written, an
+    /// answer occupies it while it is read. Calls and answers have memory of their own, so that none waits for the other.
+    pub fn with_frame_memory(
+        address: SocketAddrV4,
+        fleet: u16,
+        local: Option<Ipv4Addr>,
+        limits: CallLimits,
+        frame_memory: ClientFrameMemory,
     ) -> Self {
         let (state, failures) = (RefCell::new(State::Closed(None)), Cell::new(0));
         let last_call_id = Cell::new(0);
-        Self { shared: Rc::new(Shared { address, fleet, local, limits, state, last_call_id, failures }) }
+        let shared = Shared { address, fleet, local, limits, frame_memory, state, last_call_id, failures };
+        Self { shared: Rc::new(shared) }
     }
 
     /// Address of the peer.
@@ -132,10 +168,14 @@
         let connection = self.open_or_reuse(deadline).await?;
         let call_id = self.shared.last_call_id.get() + 1;
         self.shared.last_call_id.set(call_id);
-        let frame = encode(&Frame::Call(call_id, call)).map_err(|error| {
+        let call = Frame::Call(call_id, call);
+        let memory = self.shared.frame_memory.calls.reserve(estimated_len(&call));
+        let memory = timeout_at(deadline, memory).await.map_err(|_| CallFailure::Unreachable)?;
+        let frame = encode(&call).map_err(|error| {
             log::error!("failed to encode a call: {error}");
             CallFailure::Unreachable
         })?;
+        drop(call);
         let permit = match timeout_at(deadline, connection.queue.reserve()).await {
             Ok(Ok(permit)) => permit,
             Ok(Err(_)) | Err(_) => return Err(CallFailure::Unreachable),
@@ -147,7 +187,7 @@
         connection.pending.borrow_mut().insert(call_id, sender);
         let _pending = PendingCall { connection: &connection, call_id };
         let sent = Instant::now();
-        permit.send(frame);
+        permit.send(QueuedCall { frame, _memory: memory });
         match timeout_at(deadline, answer).await {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(_)) => Err(CallFailure::Lost),
@@ -270,7 +310,7 @@
     let stream = connect(address, fleet, local, connect_timeout).await;
     let Some(shared) = shared.upgrade() else { return };
     let next = match stream {
-        Ok(stream) => State::Open(Connection::start(stream)),
+        Ok(stream) => State::Open(Connection::start(stream, shared.frame_memory.answers.clone())),
         Err(error) => {
             log::debug!("failed to connect to {address}: {error}");
             State::Closed(shared.next_backoff_end())
--- a/system/peer-wire/src/client/connection.rs
+++ b/system/peer-wire/src/client/connection.rs
@@ -1,10 +1,11 @@
 //! One connection of a client: writing calls, matching answers to them, and closing when the peer stays silent.
 
 use crate::codec::decode;
-use crate::framing::{configure_socket, framing, hello, read_hello, write_frames};
+use crate::frame_memory::FrameMemory;
+use crate::frame_reader::FrameReader;
+use crate::framing::{configure_socket, hello, read_hello, write_frames};
 use bytes::Bytes;
 use fleet_model::{Answer, Frame};
-use futures_util::StreamExt;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -16,10 +17,9 @@
 use tokio::io::{AsyncRead, AsyncWriteExt, ReadBuf};
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout};
-use tokio_util::codec::FramedRead;
 use tokio_util::sync::CancellationToken;
 
 /// Maximum number of frames queued for writing; further calls wait until their time-out.
@@ -28,7 +28,7 @@
 /// One open connection.
 #[derive(Debug)]
 pub(super) struct Connection {
-    pub(super) queue: mpsc::Sender<Bytes>,
+    pub(super) queue: mpsc::Sender<QueuedCall>,
     pub(super) pending: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
     pub(super) last_received: Cell<Option<Instant>>,
     /// When the earliest timed-out call was sent since which nothing was received.
@@ -36,6 +36,13 @@
     pub(super) closed: CancellationToken,
 }
 
+/// An encoded call, and the memory that it occupies until it is written.
+#[derive(Debug)]
+pub(super) struct QueuedCall {
+    pub(super) frame: Bytes,
+    pub(super) _memory: Option<OwnedSemaphorePermit>,
+}
+
 /// Removes a call from the pending ones when its caller drops it.
 pub(super) struct PendingCall<'a> {
     pub(super) connection: &'a Connection,
@@ -49,7 +56,7 @@
 }
 
 impl Connection {
-    pub(super) fn start(stream: TcpStream) -> Rc<Self> {
+    pub(super) fn start(stream: TcpStream, frame_memory: FrameMemory) -> Rc<Self> {
         let (reader, writer) = stream.into_split();
         let (queue, outgoing) = mpsc::channel(MAX_QUEUED_FRAMES);
         let connection = Rc::new(Self {
@@ -63,8 +70,8 @@
         spawn_local(async move {
             tokio::select! {
                 () = running.closed.cancelled() => {}
-                () = running.read_answers(reader) => {}
-                _ = write_frames(writer, outgoing, |frame| frame) => {}
+                () = running.read_answers(reader, frame_memory) => {}
+                _ = write_frames(writer, outgoing, |call: &QueuedCall| call.frame.clone()) => {}
             }
             running.close();
         });
@@ -77,10 +84,10 @@
         self.pending.borrow_mut().clear();
     }
 
-    async fn read_answers(&self, reader: OwnedReadHalf) {
-        let mut frames = FramedRead::new(ActivityReader { reader, connection: self }, framing());
-        while let Some(Ok(bytes)) = frames.next().await {
-            match decode(&bytes) {
+    async fn read_answers(&self, reader: OwnedReadHalf, frame_memory: FrameMemory) {
+        let mut frames = FrameReader::new(ActivityReader { reader, connection: self }, frame_memory);
+        while let Ok(Some(frame)) = frames.next().await {
+            match decode(&frame.bytes) {
                 Ok(Frame::Answer(call_id, answer)) => {
                     let caller = self.pending.borrow_mut().remove(&call_id);
                     if let Some(caller) = caller {
--- a/system/peer-wire/src/codec.rs
+++ b/system/peer-wire/src/codec.rs
@@ -11,7 +11,8 @@
 
 use self::answer::{read_answer, write_answer};
 use self::call::{read_call, write_call};
-use self::limits::{MessageWords, estimated_len};
+use self::limits::MessageWords;
+pub(crate) use self::limits::estimated_len;
 use self::push::{read_push, write_push};
 use crate::framing::MAX_FRAME_LEN;
 use crate::peer_capnp as wire;
--- a/system/peer-wire/src/codec/limits.rs
+++ b/system/peer-wire/src/codec/limits.rs
@@ -32,7 +32,7 @@
 }
 
 /// Estimated number of bytes of the variable-length fields of a frame.
-pub(super) fn estimated_len(frame: &Frame) -> usize {
+pub(crate) fn estimated_len(frame: &Frame) -> usize {
     fn endpoints(list: &[Endpoint]) -> usize {
         list.iter().map(|e| 72 + e.instance_id.len() + e.service.len() + e.zone.len()).sum()
     }
--- a/system/peer-wire/src/framing.rs
+++ b/system/peer-wire/src/framing.rs
@@ -1,15 +1,14 @@
 //! Framing on a connection: the hello, length-prefixed frames, and socket options.
 
-use bytes::Bytes;
-use futures_util::SinkExt;
+use bytes::{BufMut, Bytes, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
-use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
+use tokio_util::codec::LengthDelimitedCodec;
 
 /// Maximum length of a frame in bytes, both packed and unpacked.
 pub const MAX_FRAME_LEN: usize = 16 << 20;
@@ -63,26 +62,41 @@
     SockRef::from(stream).set_tcp_keepalive(&TcpKeepalive::new().with_time(TCP_KEEPALIVE_IDLE))
 }
 
-/// Maximum number of bytes in one write, unless a single frame is longer.
+/// Frames up to this length, in bytes, are copied to be written together.
 const WRITE_BUFFER_BYTES: usize = 64 << 10;
 
-/// Writes queued frames; those queued at one time are batched into one flush. `into_frame` converts a queued item.
+/// Writes queued frames; small ones that are queued at one time are written together. `frame_of` returns the frame of a queued
+/// item, which is dropped once its frame was passed to the kernel or copied.
 pub(crate) async fn write_frames<T>(
-    writer: OwnedWriteHalf,
+    mut writer: OwnedWriteHalf,
     mut queue: mpsc::Receiver<T>,
-    mut into_frame: impl FnMut(T) -> Bytes,
+    mut frame_of: impl FnMut(&T) -> Bytes,
 ) -> io::Result<()> {
-    let mut sink = FramedWrite::new(writer, framing());
-    sink.set_backpressure_boundary(WRITE_BUFFER_BYTES);
+    let mut buffer = BytesMut::new();
     while let Some(mut item) = queue.recv().await {
         loop {
-            SinkExt::<Bytes>::feed(&mut sink, into_frame(item)).await?;
+            let frame = frame_of(&item);
+            let length = u32::try_from(frame.len()).map_err(io::Error::other)?;
+            buffer.put_u32(length);
+            if buffer.len() + frame.len() <= WRITE_BUFFER_BYTES {
+                buffer.extend_from_slice(&frame);
+            } else {
+                write_buffer(&mut writer, &mut buffer).await?;
+                writer.write_all(&frame).await?;
+            }
+            drop((frame, item));
             match queue.try_recv() {
                 Ok(next) => item = next,
                 Err(_) => break,
             }
         }
-        SinkExt::<Bytes>::flush(&mut sink).await?;
+        write_buffer(&mut writer, &mut buffer).await?;
     }
     Ok(())
 }
+
+async fn write_buffer(writer: &mut OwnedWriteHalf, buffer: &mut BytesMut) -> io::Result<()> {
+    writer.write_all(buffer).await?;
+    buffer.clear();
+    Ok(())
+}
--- a/system/peer-wire/src/lib.rs
+++ b/system/peer-wire/src/lib.rs
@@ -33,10 +33,13 @@
 
 mod client;
 mod codec;
+mod frame_memory;
+mod frame_reader;
 mod framing;
 mod server;
 
-pub use client::{CallFailure, CallLimits, PeerClient, PushStream};
+pub use client::{CallFailure, CallLimits, ClientFrameMemory, PeerClient, PushStream};
 pub use codec::{WireError, decode, encode};
+pub use frame_memory::FrameMemory;
 pub use framing::{HELLO_LEN, MAX_FRAME_LEN, PROTOCOL_VERSION};
 pub use server::{Handler, PeerServer, PreparedPush, Pusher};
--- a/system/peer-wire/src/server.rs
+++ b/system/peer-wire/src/server.rs
@@ -1,10 +1,11 @@
 //! Server side: accepting connections, running calls, and pushing to subscribers.
 
 use crate::codec::{WireError, decode, encode};
-use crate::framing::{configure_socket, enable_keepalive, framing, hello, read_hello, write_frames};
+use crate::frame_memory::FrameMemory;
+use crate::frame_reader::FrameReader;
+use crate::framing::{configure_socket, enable_keepalive, hello, read_hello, write_frames};
 use bytes::Bytes;
 use fleet_model::{Answer, Call, Frame, Push};
-use futures_util::{Stream, StreamExt};
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
@@ -12,10 +13,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::{JoinSet, spawn_local};
-use tokio_util::codec::FramedRead;
 
 /// Time-out for the client's hello.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
@@ -36,6 +37,13 @@
 pub trait Handler: 'static {
     /// Answers a call; `pusher` sends pushes on the call's connection. Runs to completion even if the caller disconnects.
     fn call(&self, from: SocketAddr, call: Call, pusher: Pusher) -> impl Future<Output = Answer>;
+
+    /// Length in bytes of the variable part of the answer to a call, as far as it is known before: a long answer waits for
+    /// memory before its call runs.
+    fn expected_answer_len(&self, call: &Call) -> usize {
+        let _ = call;
+        0
+    }
 }
 
 /// An encoded push, so that it is encoded only once for many subscribers.
@@ -71,6 +79,8 @@
 struct Outgoing {
     frame: Bytes,
     push_bytes: usize,
+    /// What the frame occupies until it is written.
+    _memory: Option<OwnedSemaphorePermit>,
 }
 
 impl Pusher {
@@ -92,7 +102,8 @@
         if queued_push_bytes > 0 && queued_push_bytes + push_bytes > MAX_QUEUED_PUSH_BYTES {
             return false;
         }
-        let queued = self.queue.try_send(Outgoing { frame: push.0.clone(), push_bytes }).is_ok();
+        let queued =
+            self.queue.try_send(Outgoing { frame: push.0.clone(), push_bytes, _memory: None }).is_ok();
         if queued {
             self.queued_push_bytes.set(queued_push_bytes + push_bytes);
         }
@@ -117,6 +128,7 @@
     fleet: u16,
     handler: Rc<H>,
     rejected_connections: Rc<Cell<u64>>,
+    frame_memory: FrameMemory,
 }
 
 impl<H> Clone for PeerServer<H> {
@@ -125,6 +137,7 @@
             fleet: self.fleet,
             handler: self.handler.clone(),
             rejected_connections: self.rejected_connections.clone(),
+            frame_memory: self.frame_memory.clone(),
         }
     }
 }
@@ -150,7 +163,15 @@
 impl<H: Handler> PeerServer<H> {
     /// Creates a server for processes of this fleet.
     pub fn new(fleet: u16, handler: Rc<H>) -> Self {
-        Self { fleet, handler, rejected_connections: Rc::default() }
+        let frame_memory = FrameMemory::unlimited();
+        Self { fleet, handler, rejected_connections: Rc::default(), frame_memory }
+    }
+
+    /// Limits the memory of large frames, on all connections together: of calls from their first byte until they are answered,
+    /// and of answers whose length is known before until they are written. A frame that is alone always finds room. Not for a server whose calls make calls to servers with such a limit.
+    #[must_use]
+    pub fn with_frame_memory(self, bytes: usize) -> Self {
+        Self { frame_memory: FrameMemory::limited(bytes), ..self }
     }
 
     /// Number of connections rejected because they are not of this fleet: a different hello, none within 2 s, or bytes that
@@ -204,30 +225,32 @@
         let pusher = Pusher { queue, queued_push_bytes: Rc::default() };
         let queued_push_bytes = pusher.queued_push_bytes.clone();
         tokio::select! {
-            end = self.read_calls(FramedRead::new(reader, framing()), from, pusher) => end,
-            written = write_frames(writer, outgoing, |next: Outgoing| {
+            end = self.read_calls(FrameReader::new(reader, self.frame_memory.clone()), from, pusher) => end,
+            written = write_frames(writer, outgoing, |next: &Outgoing| {
                 queued_push_bytes.set(queued_push_bytes.get() - next.push_bytes);
-                next.frame
+                next.frame.clone()
             }) => Ok(written?),
         }
     }
 
     async fn read_calls(
         &self,
-        mut frames: impl Stream<Item = io::Result<bytes::BytesMut>> + Unpin,
+        mut frames: FrameReader<OwnedReadHalf>,
         from: SocketAddr,
         pusher: Pusher,
     ) -> Result<(), ConnectionEnd> {
         let permits = Arc::new(Semaphore::new(MAX_CONCURRENT_CALLS));
-        while let Some(bytes) = frames.next().await {
-            let (call_id, call) = match decode(&bytes?) {
+        while let Some(frame) = frames.next().await? {
+            let (call_id, call) = match decode(&frame.bytes) {
                 Ok(Frame::Call(call_id, call)) => (call_id, call),
                 Ok(_) => return Err(ConnectionEnd::Rejected("the frame is not a call".into())),
                 Err(error) => return Err(ConnectionEnd::Rejected(error.to_string())),
             };
             let permit = permits.clone().acquire_owned().await.expect("never closed");
-            let (handler, pusher) = (self.handler.clone(), pusher.clone());
+            let (handler, pusher, call_memory) = (self.handler.clone(), pusher.clone(), frame.memory);
+            let frame_memory = self.frame_memory.clone();
             spawn_local(async move {
+                let memory = frame_memory.reserve(handler.expected_answer_len(&call)).await;
                 let answer = handler.call(from, call, pusher.clone()).await;
                 let frame = encode(&Frame::Answer(call_id, answer)).or_else(|error| {
                     log::error!("failed to encode an answer: {error}");
@@ -235,9 +258,9 @@
                 });
                 if let Ok(frame) = frame {
                     // Fails if the caller has disconnected.
-                    let _ = pusher.queue.send(Outgoing { frame, push_bytes: 0 }).await;
+                    let _ = pusher.queue.send(Outgoing { frame, push_bytes: 0, _memory: memory }).await;
                 }
-                drop(permit);
+                drop((permit, call_memory));
             });
         }
         Ok(())
--- a/system/programs/src/storage.rs
+++ b/system/programs/src/storage.rs
@@ -29,6 +29,9 @@
 
 /// Interval of the removal of expired records.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(30);
+/// Share of the process's memory for large calls as they arrive. Until it is synced a turn stands in memory several times over:
+/// as a frame, decoded, encoded for the disk, and in the engine's tables.
+const LARGE_CALL_MEMORY_SHARE: f64 = 0.0625;
 /// How long a shutdown waits for the final sync.
 const FINAL_SYNC_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -73,6 +76,13 @@
         self.update_roster();
         self.replica.answer(&call).await
     }
+
+    fn expected_answer_len(&self, call: &Call) -> usize {
+        match call {
+            Call::ReadChain { attempt, .. } => self.replica.chain_bytes(attempt),
+            _ => 0,
+        }
+    }
 }
 
 /// Runs until the process is to end.
@@ -104,7 +114,8 @@
         peers: RefCell::default(),
     });
     let peers = listen(SocketAddrV4::new(settings.ip_address, settings.peer_port())).await?;
-    let server = PeerServer::new(process.fleet(), storage_server.clone());
+    let frame_memory = (settings.limits.memory_mb * 1e6 * LARGE_CALL_MEMORY_SHARE) as usize;
+    let server = PeerServer::new(process.fleet(), storage_server.clone()).with_frame_memory(frame_memory);
     spawn_local(async move { server.serve(peers).await });
     spawn_local(follow(feed, true));
     spawn_local(replica.clone().supervise(failures));
--- a/system/programs/src/storage/recovery.rs
+++ b/system/programs/src/storage/recovery.rs
@@ -235,6 +235,11 @@
         self.generation.get()
     }
 
+    /// Length in bytes of the chain that ends with this turn, as far as it is stored here.
+    pub(super) fn chain_bytes(&self, attempt: &str) -> usize {
+        self.with(|replica| replica.state.chain_bytes(attempt)).unwrap_or(0)
+    }
+
     /// Whether what would have to be synced is refused.
     pub(super) fn is_refusing(&self) -> bool {
         self.refusing.get() || self.with(|replica| replica.has_failed()).unwrap_or(true)
--- a/system/programs/src/turns.rs
+++ b/system/programs/src/turns.rs
@@ -11,14 +11,15 @@
 use bytes::{Bytes, BytesMut};
 use chain_cache::ChainCache;
 use fleet_model::{Answer, Call, Reservation, StorageNode, rendezvous_rank};
-use peer_wire::{CallFailure, PeerClient};
+use peer_wire::{CallFailure, CallLimits, ClientFrameMemory, FrameMemory, PeerClient};
 use request_forwarding::{Chain, ChainLookup, CompletedTurn, ReserveOutcome, TurnStorage};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::sleep;
 
 /// Timeout of one call.
@@ -51,6 +52,11 @@
     pub read: Cell<u64>,
 }
 
+/// Turns over this length, in bytes, wait for memory before they are sent to storage nodes.
+const LARGE_TURN_BYTES: usize = 64 * 1024;
+/// Share of the process's memory for the copies of large turns that are being sent.
+const LARGE_TURN_MEMORY_SHARE: f64 = 0.0625;
+
 fn increment(count: &Cell<u64>) {
     count.set(count.get() + 1);
 }
@@ -62,6 +68,10 @@
     peers: RefCell<HashMap<Ipv4Addr, Rc<PeerClient>>>,
     unresponsive_since: RefCell<HashMap<u64, Instant>>,
     cache: RefCell<ChainCache>,
+    /// Memory for the copies of large turns until they are stored.
+    large_turns: FrameMemory,
+    /// Memory for large calls to storage nodes, and for large answers.
+    large_frames: ClientFrameMemory,
     /// Counters of its requests.
     pub metrics: TurnMetrics,
 }
@@ -89,12 +99,15 @@
 impl TurnClient {
     /// Creates a client that follows the roster of `feed`.
     pub fn new(process: Rc<Process>, feed: Rc<Feed>) -> Rc<Self> {
+        let large_turn_bytes = (process.settings().limits.memory_mb * 1e6 * LARGE_TURN_MEMORY_SHARE) as usize;
         Rc::new(Self {
             process,
             feed,
             peers: RefCell::default(),
             unresponsive_since: RefCell::default(),
             cache: RefCell::default(),
+            large_turns: FrameMemory::limited(large_turn_bytes),
+            large_frames: ClientFrameMemory::limited(large_turn_bytes),
             metrics: TurnMetrics::default(),
         })
     }
@@ -114,7 +127,7 @@
             .peers
             .borrow_mut()
             .entry(store.ip)
-            .or_insert_with(|| Rc::new(PeerClient::new(address, self.process.fleet(), None)))
+            .or_insert_with(|| Rc::new(self.new_peer(address)))
             .clone();
         let answer = peer.call(call, timeout).await;
         let mut unresponsive_since = self.unresponsive_since.borrow_mut();
@@ -132,6 +145,18 @@
             .is_some_and(|at| at.elapsed() < UNRESPONSIVE_PENALTY)
     }
 
+    /// Waits for the memory that sending a turn takes: a copy for each storage node. Small turns take none.
+    async fn reserve_memory(&self, turn: &CompletedTurn) -> Option<OwnedSemaphorePermit> {
+        let length = turn.input.len() + turn.output.len();
+        let copies = if length <= LARGE_TURN_BYTES { 0 } else { self.losses() + 1 };
+        self.large_turns.reserve(length.saturating_mul(copies)).await
+    }
+
+    fn new_peer(&self, address: SocketAddrV4) -> PeerClient {
+        let (fleet, limits) = (self.process.fleet(), CallLimits::default());
+        PeerClient::with_frame_memory(address, fleet, None, limits, self.large_frames.clone())
+    }
+
     /// Repeats an attempt until it completes or the deadline has passed.
     async fn retry_until<T>(&self, time: Duration, mut round: impl AsyncFnMut() -> Round<T>) -> Option<T> {
         let began = Instant::now();
@@ -216,6 +241,7 @@
     }
 
     async fn store_turn(&self, turn: CompletedTurn) -> bool {
+        let _memory = self.0.reserve_memory(&turn).await;
         let stored =
             self.0.retry_until(STORE_DEADLINE, async || self.0.try_store_turn(&turn).await).await.is_some();
         increment(if stored { &self.0.metrics.stored } else { &self.0.metrics.failed_stores });
--- a/system/turn-store/src/replica/turns.rs
+++ b/system/turn-store/src/replica/turns.rs
@@ -119,6 +119,19 @@
         Outcome::deferred(answer, writes)
     }
 
+    /// Length in bytes of the text of the chain that ends with this turn, as far as it is stored here.
+    pub fn chain_bytes(&self, attempt: &str) -> usize {
+        let mut bytes = 0;
+        let mut next = self.turns.get(attempt);
+        // A chain is no longer than the index, unless it is circular.
+        for _ in 0..self.turns.len() {
+            let Some(entry) = next else { break };
+            bytes += entry.length as usize;
+            next = entry.previous.as_deref().and_then(|previous| self.turns.get(previous));
+        }
+        bytes
+    }
+
     /// Removes an unreadable turn from the index; the replica then needs another backfill. The record itself stays on
     /// disk until it is replaced, or quarantined at the next start.
     pub(super) fn mark_lost(&mut self, attempt: &str) -> Vec<Write> {
--- a/testbed/tests/misbehaving_clients.rs
+++ b/testbed/tests/misbehaving_clients.rs
@@ -99,6 +99,8 @@
 
 at_tier! {
     whole_bodies_exhaust_the_memory_of_a_proxy: TIER_LIMITS, |tier| tier.orders(0), WHOLE, CROWD;
+    whole_turns_exhaust_the_memory_of_a_tier: TIER_LIMITS, |tier| tier.turns(0), WHOLE, CROWD;
+    chains_of_whole_turns_exhaust_the_memory_of_a_tier: TIER_LIMITS, |tier| tier.continued_turns(0), WHOLE, CROWD;
     stalled_bodies_exhaust_the_memory_of_a_proxy: TIER_LIMITS, |tier| tier.orders(0), STALLED, CROWD;
     stalled_bodies_without_a_route_exhaust_the_memory_of_a_proxy:
         TIER_LIMITS, |tier| tier.no_route(0), STALLED, CROWD;
