Add soaks of crowds that misbehave, with faults that overlap

Crowds of drawn behaviors come and go at drawn listeners while processes get signals, are restarted, killed and stopped, and the configuration changes; each life of each process is watched. Checked: no process ends by itself or outlives SIGTERM's time, memory and descriptors stay within the settings, no refused request runs, and every proxy and control node answers an ordinary request while the last crowds stay.

--- a/testbed/tests/misbehaving_clients.rs
+++ b/testbed/tests/misbehaving_clients.rs
@@ -5,7 +5,9 @@
 use testbed::misbehaving_clients::crowd::{Behavior, Crowd, Target};
 use testbed::misbehaving_clients::process::TierLimits;
 use testbed::misbehaving_clients::sender::{SenderLimits, SmallSender};
+use testbed::misbehaving_clients::soak::{SoakPlan, soak};
 use testbed::misbehaving_clients::tier::SmallTier;
+use testbed::serving_tier::soak::Trouble;
 use tokio::sync::{Mutex, MutexGuard};
 use tokio::time::{sleep, timeout};
 
@@ -160,3 +162,21 @@
     let sender = SmallSender::start(SENDER_LIMITS).await.unwrap();
     assert!(sender.greatest_message_accepted().await);
 }
+
+/// Runs a short soak of crowds and faults.
+async fn soak_with(seed: u64, trouble: Trouble) {
+    let _alone = alone().await;
+    let limits = TierLimits { edge: 2, ..TIER_LIMITS };
+    let plan = SoakPlan { seed, length: Duration::from_secs(20), trouble, limits };
+    assert_eq!(soak(plan).await.unwrap(), [] as [String; 0]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_soak_of_crowds_and_planned_work_ends_or_chokes_a_process() {
+    soak_with(1, Trouble::Planned).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_soak_of_crowds_and_failures_ends_or_chokes_a_process() {
+    soak_with(2, Trouble::Failures).await;
+}
