Answer the platform's readiness probes also while others hold all probe connections

What the platform saw: a proxy that could serve got no new clients, while somebody held the 32 connections of its readiness address open with unfinished heads.

Cause: over the limit a new connection was closed without an answer; one without a request kept its place for 10 s.

Change: at the limit the connection that has waited longest for its request gives way, once it has waited 50 ms.

Unfinished heads of the crowds have 4 KiB now: with 8 KiB the probe's listener answered 431 and nobody stayed.

--- a/system/client-admission/src/connection_limit.rs
+++ b/system/client-admission/src/connection_limit.rs
@@ -11,13 +11,14 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// A connection gives way once it has waited for its client for this long.
+/// A connection gives way once it has waited for its client for this long, unless the limit states another time.
 const EVICTION_AGE: Duration = Duration::from_secs(1);
 
 /// The open connections of a listener. Bound to one thread.
 #[derive(Debug)]
 pub struct ConnectionLimit {
     max: usize,
+    eviction_age: Duration,
     open: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     next_id: Cell<u64>,
     /// Connections that were evicted and are still open.
@@ -35,10 +36,16 @@
 }
 
 impl ConnectionLimit {
-    /// A limit of `max` connections.
+    /// A limit of `max` connections, of which one gives way after a second of waiting for its client.
     pub fn new(max: usize) -> Rc<Self> {
+        Self::with_eviction_age(max, EVICTION_AGE)
+    }
+
+    /// A limit of `max` connections, of which one gives way after it has waited for its client for `eviction_age`.
+    pub fn with_eviction_age(max: usize, eviction_age: Duration) -> Rc<Self> {
         Rc::new(Self {
             max,
+            eviction_age,
             open: RefCell::default(),
             next_id: Cell::new(0),
             evicted_open: Cell::new(0),
@@ -88,7 +95,7 @@
         let waiting = open.values().filter(|state| !state.is_evicted.get());
         let waiting = waiting.filter_map(|state| Some((state.waiting_since.get()?, state)));
         let Some((since, state)) = waiting.min_by_key(|(since, _)| *since) else { return false };
-        if since.elapsed() < EVICTION_AGE {
+        if since.elapsed() < self.eviction_age {
             return false;
         }
         state.is_evicted.set(true);
--- a/system/request-forwarding/src/open_connections.rs
+++ b/system/request-forwarding/src/open_connections.rs
@@ -1,14 +1,12 @@
-//! Count of open connections.
+//! Count of connections.
 
 use std::cell::Cell;
 use std::rc::Rc;
-use tokio::sync::Notify;
 
-/// Number of open connections, with notification of each end.
+/// Number of open connections.
 #[derive(Default)]
 pub(crate) struct OpenConnections {
     pub(crate) count: Cell<usize>,
-    pub(crate) changed: Notify,
 }
 
 /// Counts one connection as open until it is dropped.
@@ -24,6 +22,5 @@
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         self.0.count.set(self.0.count.get() - 1);
-        self.0.changed.notify_one();
     }
 }
--- a/system/request-forwarding/src/readiness.rs
+++ b/system/request-forwarding/src/readiness.rs
@@ -1,9 +1,8 @@
 //! The readiness probe's server.
 
-use crate::open_connections::{ConnectionGuard, OpenConnections};
 use crate::response_body::ResponseBody;
 use crate::server::MIN_BUFFER_BYTES;
-use futures_util::FutureExt;
+use client_admission::ConnectionLimit;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -18,14 +17,16 @@
 
 /// Upper bound on the connections to the readiness address.
 const MAX_PROBE_CONNECTIONS: usize = 32;
+/// A connection that has sent no request for this long gives way to a new one at the limit: a prober sends its request at once.
+const PROBE_EVICTION_AGE: Duration = Duration::from_millis(50);
 /// Idle timeout of a connection to the readiness address.
 const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Responds to `GET /sedgewood/readiness` with 200 while `is_ready` returns true, otherwise with 503. Connections
-/// beyond the limit are closed without a response.
+/// Responds to `GET /sedgewood/readiness` with 200 while `is_ready` returns true, otherwise with 503. At the
+/// limit the connection that has waited longest for its request is closed without a response.
 pub async fn serve_readiness(listener: TcpListener, is_ready: impl Fn() -> bool + 'static) {
     let is_ready = Rc::new(is_ready);
-    let open = Rc::new(OpenConnections::default());
+    let connections = ConnectionLimit::with_eviction_age(MAX_PROBE_CONNECTIONS, PROBE_EVICTION_AGE);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -35,10 +36,8 @@
                 continue;
             }
         };
-        if open.count.get() >= MAX_PROBE_CONNECTIONS {
-            continue;
-        }
-        let (is_ready, guard) = (is_ready.clone(), ConnectionGuard::new(&open));
+        let Some(slot) = connections.admit() else { continue };
+        let is_ready = is_ready.clone();
         spawn_local(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let status = match request.uri().path() {
@@ -57,8 +56,10 @@
                 .header_read_timeout(PROBE_IDLE_TIMEOUT)
                 .serve_connection(TokioIo::new(stream), service);
             // A failed probe connection needs no handling here: the prober notices it.
-            served.map(drop).await;
-            drop(guard);
+            tokio::select! {
+                _ = served => {}
+                () = slot.evicted() => {}
+            }
         });
     }
 }
--- a/testbed/src/misbehaving_clients/crowd.rs
+++ b/testbed/src/misbehaving_clients/crowd.rs
@@ -22,6 +22,8 @@
 const WRITE_BYTES: usize = 64 * 1024;
 /// The most that a client reads of an answer's head.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Length of a head that is not finished, in bytes: legal at every listener.
+const STALLED_HEAD_BYTES: usize = 4 * 1024;
 /// A body over the limit is so many times as long as the limit.
 const OVER_LIMIT_FACTOR: usize = 16;
 
@@ -253,7 +255,7 @@
         }
         Behavior::StalledHead => {
             writer.write_all(head.as_bytes()).await?;
-            writer.write_all(format!("X-Filler: {}", "x".repeat(MAX_HEAD_BYTES / 2)).as_bytes()).await
+            writer.write_all(format!("X-Filler: {}", "x".repeat(STALLED_HEAD_BYTES)).as_bytes()).await
         }
     }
 }
--- a/testbed/src/misbehaving_clients/soak.rs
+++ b/testbed/src/misbehaving_clients/soak.rs
@@ -100,12 +100,13 @@
 fn draw_target(tier: &SmallTier, rng: &mut ChaCha8Rng) -> Target {
     let edge = rng.random_range(0..tier.addresses.edge.len());
     let core = rng.random_range(0..tier.addresses.core.len());
-    match rng.random_range(0..6) {
+    match rng.random_range(0..7) {
         0 => tier.orders(edge),
         1 => tier.turns(edge),
         2 => tier.continued_turns(edge),
         3 => tier.no_route(edge),
         4 => tier.configurations(core),
+        5 => tier.readiness(edge),
         _ => tier.locks(core),
     }
 }
@@ -117,6 +118,9 @@
         if !tier.ordinary_request_answered(edge).await {
             findings.push(format!("request-proxy-{edge} answers no ordinary request"));
         }
+        if !tier.ready(edge).await {
+            findings.push(format!("request-proxy-{edge} does not tell that it is ready"));
+        }
     }
     for core in 0..tier.addresses.core.len() {
         if !tier.operator_answered(core).await {
--- a/testbed/src/misbehaving_clients/tier.rs
+++ b/testbed/src/misbehaving_clients/tier.rs
@@ -189,6 +189,23 @@
         Target { continues: true, headers: "Token-Usage: 10,4\r\nConnection: close\r\n", ..self.turns(edge) }
     }
 
+    /// Where the platform asks a proxy whether it is ready.
+    pub fn readiness(&self, edge: usize) -> Target {
+        let address = self.addresses.readiness(edge);
+        Target { address, ..self.route(edge, "GET /sedgewood/readiness") }
+    }
+
+    /// Asks a proxy whether it is ready until it says so or time is over; whether it did.
+    pub async fn ready(&self, edge: usize) -> bool {
+        let head = format!("GET /sedgewood/readiness HTTP/1.1\r\nHost: {HOST}\r\n");
+        let ready = async {
+            while exchange(self.addresses.readiness(edge), &head, 0).await != Some(200) {
+                sleep(ORDINARY_RETRY_INTERVAL).await;
+            }
+        };
+        timeout(ORDINARY_TIMEOUT, ready).await.is_ok()
+    }
+
     /// Where clients send requests that have no route at a proxy.
     pub fn no_route(&self, edge: usize) -> Target {
         self.route(edge, "POST /nowhere/x")
--- a/testbed/tests/misbehaving_clients.rs
+++ b/testbed/tests/misbehaving_clients.rs
@@ -55,6 +55,7 @@
     let crowd = Crowd::start(&target(&tier), behaviors, clients, &tier.report);
     settle(&crowd).await;
     let client_answered = tier.ordinary_request_answered(0).await;
+    let ready = tier.ready(0).await;
     let operator_answered = tier.operator_answered(0).await;
     let excesses = tier.excesses().await;
     println!("{}", tier.report.summary());
@@ -62,6 +63,7 @@
     assert_eq!(excesses, [] as [String; 0]);
     assert_eq!(tier.report.broken_promises(), [] as [String; 0]);
     assert!(client_answered, "no answer to an ordinary request");
+    assert!(ready, "no answer to the platform");
     assert!(operator_answered, "no answer to the operator");
 }
 
@@ -116,6 +118,8 @@
         TIER_LIMITS, |tier| tier.orders(0), BEHIND_REQUESTS, LARGE_CROWD;
     stalled_heads_exhaust_the_descriptors_of_a_proxy:
         FEW_DESCRIPTORS, |tier| tier.orders(0), STALLED_HEADS, LARGE_CROWD;
+    stalled_heads_keep_a_proxy_from_new_clients:
+        TIER_LIMITS, |tier| tier.readiness(0), STALLED_HEADS, LARGE_CROWD;
     whole_configurations_exhaust_the_memory_of_a_control_node:
         TIER_LIMITS, |tier| tier.configurations(0), WHOLE, CROWD;
     stalled_configurations_exhaust_the_memory_of_a_control_node:
