--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -202,6 +202,9 @@
     /// Edge machines, with two processes each.
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u8).range(1..=100))]
     pub(crate) edge: u8,
+    /// After each soak of the tier, one of the message sender.
+    #[arg(long)]
+    pub(crate) sender: bool,
 }
 
 /// A range of seeds.
--- a/testbed/src/misbehaving_clients/process.rs
+++ b/testbed/src/misbehaving_clients/process.rs
@@ -11,7 +11,7 @@
 /// From SIGTERM to SIGKILL, in seconds.
 pub(super) const GRACE_PERIOD_S: f64 = 6.0;
 /// After a start a process is given this long until it gets a signal: before that none is handled.
-const SIGNAL_READY_DELAY: Duration = Duration::from_millis(1_500);
+pub(super) const SIGNAL_READY_DELAY: Duration = Duration::from_millis(1_500);
 /// Lines of a log that are shown.
 const LOG_LINES: usize = 5;
 
--- a/testbed/src/misbehaving_clients/sender.rs
+++ b/testbed/src/misbehaving_clients/sender.rs
@@ -1,13 +1,18 @@
 //! One message sender with little memory: started, watched, and handed an ordinary message.
 use super::crowd::Target;
+use super::process::SIGNAL_READY_DELAY;
 use super::report::Report;
 use super::stand_in;
 use super::tier::exchange;
 use super::usage::UsageWatch;
 use crate::fleet::{FleetError, built_sender, free_address, io};
+use crate::serving_tier::soak::Fault;
 use message_sender::wire::{HAND_IN, READY};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 use serde_json::{Value, json};
 use std::net::{SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -15,6 +20,7 @@
 use tempfile::TempDir;
 use tokio::net::TcpListener;
 use tokio::process::{Child, Command};
+use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -24,6 +30,8 @@
 const MESSAGE_HEADERS: &str = "X-Lane: unsafe\r\nX-Remaining: 20\r\nX-Envelope: dest=7\r\n";
 /// Request line of a message, up to the version.
 const SUBMIT: &str = "POST /api";
+/// After SIGTERM a process has so long until SIGKILL.
+const TERMINATION_TIMEOUT: Duration = Duration::from_millis(3_700);
 /// It is ready within this, or it does not start.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// An ordinary message is tried again for so long.
@@ -47,10 +55,19 @@
     /// What crowds were told.
     pub report: Arc<Report>,
     limits: SenderLimits,
-    process: Child,
+    program: PathBuf,
+    life: Mutex<Life>,
     messages: AtomicU64,
     _parties: JoinSet<()>,
-    _folder: TempDir,
+    folder: TempDir,
+}
+
+/// The present process with the watch over it, and what was found in all lives.
+#[derive(Default)]
+struct Life {
+    process: Option<Child>,
+    watch: Option<UsageWatch>,
+    excesses: Vec<String>,
 }
 
 impl SmallSender {
@@ -73,21 +90,54 @@
         std::fs::write(&file, config.to_string()).map_err(io("writing a file"))?;
         let state = folder.path().join("state");
         std::fs::create_dir_all(&state).map_err(io("making a folder"))?;
-        let log = std::fs::File::create(folder.path().join("log")).map_err(io("making a log"))?;
-        let process = Command::new(program)
-            .env("PROXY_CONFIG", &file)
-            .env("PROXY_STATE", &state)
+        let messages = AtomicU64::new(0);
+        let life = Mutex::default();
+        let sender = Self { address, report, limits, program, life, messages, _parties: parties, folder };
+        sender.start_process(&mut *sender.life.lock().await)?;
+        sender.get_ready().await?;
+        Ok(sender)
+    }
+
+    fn start_process(&self, life: &mut Life) -> Result<(), FleetError> {
+        let path = |name| self.folder.path().join(name);
+        let log = std::fs::File::options().create(true).append(true).open(path("log"));
+        let process = Command::new(&self.program)
+            .env("PROXY_CONFIG", path("config.json"))
+            .env("PROXY_STATE", path("state"))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log)
+            .stderr(log.map_err(io("making a log"))?)
             .process_group(0)
             .kill_on_drop(true)
             .spawn()
             .map_err(io("starting a sender"))?;
-        let messages = AtomicU64::new(0);
-        let sender = Self { address, report, limits, process, messages, _parties: parties, _folder: folder };
-        sender.get_ready().await?;
-        Ok(sender)
+        life.watch = process.id().map(UsageWatch::start);
+        life.process = Some(process);
+        Ok(())
+    }
+
+    /// Goes through a fault, the new start included.
+    pub(super) async fn apply(&self, fault: Fault) -> Result<(), FleetError> {
+        let mut life = self.life.lock().await;
+        match fault {
+            Fault::Reload => life.signal(Signal::SIGHUP),
+            Fault::Pause { time } => {
+                life.signal(Signal::SIGSTOP);
+                sleep(time).await;
+                life.signal(Signal::SIGCONT);
+            }
+            Fault::Kill { down } => self.start_again(&mut life, Signal::SIGKILL, down).await?,
+            Fault::Restart { down } => self.start_again(&mut life, Signal::SIGTERM, down).await?,
+        }
+        Ok(())
+    }
+
+    async fn start_again(&self, life: &mut Life, signal: Signal, down: Duration) -> Result<(), FleetError> {
+        life.end(signal, self.limits).await;
+        sleep(down).await;
+        self.start_process(life)?;
+        sleep(SIGNAL_READY_DELAY).await;
+        Ok(())
     }
 
     async fn get_ready(&self) -> Result<(), FleetError> {
@@ -97,29 +147,18 @@
                 sleep(RETRY_INTERVAL).await;
             }
         };
-        let log = || std::fs::read_to_string(self._folder.path().join("log")).unwrap_or_default();
+        let log = || std::fs::read_to_string(self.folder.path().join("log")).unwrap_or_default();
         let ready = timeout(START_TIMEOUT, ready).await;
         ready.map_err(|_| FleetError::NotReady { sender: 0, log: log() })
     }
 
-    /// Watches its memory and descriptors.
-    pub fn watch(&self) -> Option<UsageWatch> {
-        self.process.id().map(UsageWatch::start)
-    }
-
-    /// What of the greatest usage lies over the limits, and whether the process has ended: nothing if all is well.
-    pub fn excesses(&mut self, watch: Option<UsageWatch>) -> Vec<String> {
-        let mut excesses = Vec::new();
-        let peak = watch.map(UsageWatch::stop).unwrap_or_default();
-        println!("message-sender: at most {peak:?}");
-        if peak.memory_bytes > self.limits.memory_mb * 1_000_000 || peak.descriptors > self.limits.descriptors
-        {
-            excesses.push(format!("the sender used {peak:?} of {:?}", self.limits));
-        }
-        if !matches!(self.process.try_wait(), Ok(None)) {
-            excesses.push("the sender ended by itself".to_owned());
-        }
-        excesses
+    /// What of the greatest usage lay over the limits, and whether a process ended by itself or not in its time: nothing if
+    /// all is well. Nothing is watched any more after it.
+    pub async fn excesses(&self) -> Vec<String> {
+        let mut life = self.life.lock().await;
+        life.note_crash();
+        life.end_watch(self.limits);
+        std::mem::take(&mut life.excesses)
     }
 
     /// Hands in a small message, again until it is accepted or time is over; whether it was.
@@ -156,6 +195,43 @@
     }
 }
 
+impl Life {
+    fn signal(&self, signal: Signal) {
+        let pid = self.process.as_ref().and_then(Child::id).and_then(|id| i32::try_from(id).ok());
+        // One that has just ended hears nothing.
+        let _ = pid.map(|pid| kill(Pid::from_raw(pid), signal));
+    }
+
+    /// Ends the process by a signal, and notes if that takes too long.
+    async fn end(&mut self, signal: Signal, limits: SenderLimits) {
+        self.note_crash();
+        self.signal(signal);
+        if let Some(mut process) = self.process.take()
+            && timeout(TERMINATION_TIMEOUT, process.wait()).await.is_err()
+        {
+            self.excesses.push(format!("the sender did not end in its time after {signal}"));
+            let _ = process.kill().await;
+        }
+        self.end_watch(limits);
+    }
+
+    fn note_crash(&mut self) {
+        if !self.process.as_mut().is_some_and(|process| matches!(process.try_wait(), Ok(None))) {
+            self.excesses.push("the sender ended by itself".to_owned());
+        }
+    }
+
+    /// Compares the greatest usage of the life that ends with the limits.
+    fn end_watch(&mut self, limits: SenderLimits) {
+        let Some(watch) = self.watch.take() else { return };
+        let peak = watch.stop();
+        println!("message-sender: at most {peak:?}");
+        if peak.memory_bytes > limits.memory_mb * 1_000_000 || peak.descriptors > limits.descriptors {
+            self.excesses.push(format!("the sender used {peak:?} of {limits:?}"));
+        }
+    }
+}
+
 fn configuration(
     limits: SenderLimits,
     listen: SocketAddrV4,
--- a/testbed/src/misbehaving_clients/soak.rs
+++ b/testbed/src/misbehaving_clients/soak.rs
@@ -2,7 +2,9 @@
 //! and stopped for a while, and the configuration changes. All of it overlaps. Connections stay open until the process that
 //! serves them is gone. Afterwards, with the last crowds still there, ordinary requests have to be answered.
 use super::crowd::{Behavior, Crowd, Target};
-use super::process::TierLimits;
+use super::process::{TierLimits, WatchedProcess};
+use super::report::Report;
+use super::sender::{SenderLimits, SmallSender};
 use super::tier::{FIRST_VERSION, SmallTier};
 use crate::fleet::FleetError;
 use crate::serving_tier::endpoints::mixed;
@@ -11,6 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::ops::Range;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -44,7 +47,10 @@
     let schedule = Schedule::draw(plan.seed, plan.trouble, &processes, plan.length);
     let series = tier.processes().iter().zip(&schedule.series);
     let series = series.map(|(process, (_, _, steps))| run_series(process, steps));
-    let crowds = (0..CROWDS).map(|number| run_crowds(&tier, mixed(plan.seed) ^ number, plan.length));
+    let crowds = (0..CROWDS).map(|number| {
+        let draw_target = |rng: &mut ChaCha8Rng| draw_target(&tier, rng);
+        run_crowds(draw_target, &tier.report, mixed(plan.seed) ^ number, plan.length)
+    });
     let (failed, _, last_crowds) = tokio::join!(
         futures_util::future::join_all(series),
         change_configurations(&tier, &schedule.configurations),
@@ -60,7 +66,37 @@
     Ok(findings)
 }
 
-async fn run_series(process: &super::process::WatchedProcess, steps: &[Step]) -> Result<(), FleetError> {
+/// Runs a soak of a sender; returns all that was not as it should be.
+pub async fn soak_sender(
+    seed: u64,
+    length: Duration,
+    limits: SenderLimits,
+) -> Result<Vec<String>, FleetError> {
+    let sender = SmallSender::start(limits).await?;
+    // A sender gets the faults that a proxy gets.
+    let schedule = Schedule::draw(seed, Trouble::Failures, &[(Role::RequestProxy, 0)], length);
+    let series = async {
+        for step in schedule.series.iter().flat_map(|(_, _, steps)| steps) {
+            sleep(step.gap).await;
+            sender.apply(step.fault).await?;
+        }
+        Ok::<_, FleetError>(())
+    };
+    let crowds = (0..CROWDS)
+        .map(|number| run_crowds(|_| sender.submissions(), &sender.report, mixed(seed) ^ number, length));
+    let (failed, last_crowds) = tokio::join!(series, futures_util::future::join_all(crowds));
+    failed?;
+    let mut findings = Vec::new();
+    if !sender.ordinary_message_accepted().await {
+        findings.push("the sender accepts no ordinary message".to_owned());
+    }
+    drop(last_crowds);
+    findings.extend(sender.excesses().await);
+    println!("sender, seed {seed}: {}", sender.report.summary());
+    Ok(findings)
+}
+
+async fn run_series(process: &WatchedProcess, steps: &[Step]) -> Result<(), FleetError> {
     for step in steps {
         sleep(step.gap).await;
         process.apply(step.fault).await?;
@@ -80,16 +116,21 @@
 }
 
 /// One crowd after another; the last one is returned, still there.
-async fn run_crowds(tier: &SmallTier, seed: u64, length: Duration) -> Crowd {
+async fn run_crowds(
+    draw_target: impl Fn(&mut ChaCha8Rng) -> Target,
+    report: &Arc<Report>,
+    seed: u64,
+    length: Duration,
+) -> Crowd {
     let end = Instant::now() + length;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     loop {
-        let target = draw_target(tier, &mut rng);
+        let target = draw_target(&mut rng);
         let count = rng.random_range(CROWD_BEHAVIORS);
         let behaviors: Vec<Behavior> =
             (0..count).map(|_| Behavior::ALL[rng.random_range(0..Behavior::ALL.len())]).collect();
         let clients = rng.random_range(CROWD_CLIENTS);
-        let crowd = Crowd::start(&target, &behaviors, clients, &tier.report);
+        let crowd = Crowd::start(&target, &behaviors, clients, report);
         sleep(Duration::from_millis(rng.random_range(CROWD_STAY_MS))).await;
         if Instant::now() >= end {
             return crowd;
--- a/testbed/src/misbehaving_clients/tier.rs
+++ b/testbed/src/misbehaving_clients/tier.rs
@@ -166,12 +166,7 @@
     /// Reads the configuration from a control node until it answers with it or time is over; whether it did.
     pub async fn operator_answered(&self, core: usize) -> bool {
         let head = format!("GET /sedgewood/config HTTP/1.1\r\nHost: {HOST}\r\n");
-        let answered = async {
-            while exchange(self.addresses.control(core), &head, 0).await != Some(200) {
-                sleep(ORDINARY_RETRY_INTERVAL).await;
-            }
-        };
-        timeout(ORDINARY_TIMEOUT, answered).await.is_ok()
+        answered_in_time(self.addresses.control(core), &head).await
     }
 
     /// Where clients send orders at a proxy.
@@ -198,12 +193,7 @@
     /// Asks a proxy whether it is ready until it says so or time is over; whether it did.
     pub async fn ready(&self, edge: usize) -> bool {
         let head = format!("GET /sedgewood/readiness HTTP/1.1\r\nHost: {HOST}\r\n");
-        let ready = async {
-            while exchange(self.addresses.readiness(edge), &head, 0).await != Some(200) {
-                sleep(ORDINARY_RETRY_INTERVAL).await;
-            }
-        };
-        timeout(ORDINARY_TIMEOUT, ready).await.is_ok()
+        answered_in_time(self.addresses.readiness(edge), &head).await
     }
 
     /// Where clients send requests that have no route at a proxy.
@@ -245,6 +235,16 @@
     }
 }
 
+/// Sends a request without a body until it is answered with 200 or time is over; whether it was.
+async fn answered_in_time(to: SocketAddrV4, head: &str) -> bool {
+    let answered = async {
+        while exchange(to, head, 0).await != Some(200) {
+            sleep(ORDINARY_RETRY_INTERVAL).await;
+        }
+    };
+    timeout(ORDINARY_TIMEOUT, answered).await.is_ok()
+}
+
 /// Sends one request on a connection of its own; the status of a complete answer.
 pub(super) async fn exchange(to: SocketAddrV4, head: &str, length: usize) -> Option<u16> {
     let exchange = async {
--- a/testbed/tests/misbehaving_clients.rs
+++ b/testbed/tests/misbehaving_clients.rs
@@ -5,7 +5,7 @@
 use testbed::misbehaving_clients::crowd::{Behavior, Crowd, Target};
 use testbed::misbehaving_clients::process::TierLimits;
 use testbed::misbehaving_clients::sender::{SenderLimits, SmallSender};
-use testbed::misbehaving_clients::soak::{SoakPlan, soak};
+use testbed::misbehaving_clients::soak::{SoakPlan, soak, soak_sender};
 use testbed::misbehaving_clients::tier::SmallTier;
 use testbed::serving_tier::soak::Trouble;
 use tokio::sync::{Mutex, MutexGuard};
@@ -70,12 +70,11 @@
 /// Has a crowd misbehave at a sender.
 async fn crowd_at_sender(behaviors: &[Behavior]) {
     let _alone = alone().await;
-    let mut sender = SmallSender::start(SENDER_LIMITS).await.unwrap();
-    let watch = sender.watch();
+    let sender = SmallSender::start(SENDER_LIMITS).await.unwrap();
     let crowd = Crowd::start(&sender.submissions(), behaviors, SENDER_CROWD, &sender.report);
     settle(&crowd).await;
     let accepted = sender.ordinary_message_accepted().await;
-    let excesses = sender.excesses(watch);
+    let excesses = sender.excesses().await;
     println!("{}", sender.report.summary());
     drop(crowd);
     assert_eq!(excesses, [] as [String; 0]);
@@ -184,3 +183,10 @@
 async fn a_soak_of_crowds_and_failures_ends_or_chokes_a_process() {
     soak_with(2, Trouble::Failures).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_soak_of_crowds_and_failures_ends_or_chokes_a_sender() {
+    let _alone = alone().await;
+    let findings = soak_sender(3, Duration::from_secs(20), SENDER_LIMITS).await.unwrap();
+    assert_eq!(findings, [] as [String; 0]);
+}
