Bound the unread bytes and the connections of the message sender by its memory

What callers saw: with many clients that send bodies far over the limit a sender could pass the limit on its memory, and be killed.

Cause: connections followed the descriptors alone, and the kernel kept up to a hundred KB of unread bytes for each of them: it accepts while the sender is busy answering others.

Change: the receive buffer of a client connection has 64 KiB, and clients get no more connections than three eighths of memory_mb have room for at 96 KiB each, by the function of client-admission that bounds the tier's. At 192 MB and 1,024 descriptors the number stays as it was.

--- a/src/main.rs
+++ b/src/main.rs
@@ -118,6 +118,8 @@
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
         let socket = socket.map_err(to_error)?;
         socket.set_reuseaddr(true).map_err(to_error)?;
+        // Unread bytes count as memory. A kernel that does not know the option has bounds of its own.
+        let _ = socket.set_recv_buffer_size(client_admission::RECEIVE_BUFFER_BYTES);
         match socket.bind(address).and_then(|()| socket.listen(BACKLOG)) {
             Ok(listener) => return listener.into_std().map_err(to_error),
             Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && Instant::now() < deadline => {
@@ -162,7 +164,8 @@
     let (notice_sender, notice_receiver) = mpsc::unbounded_channel();
     let (doors, doors_receiver) = watch::channel(Doors::Open);
     let (discovery_address, discovery_address_receiver) = watch::channel(config.discovery);
-    let descriptors = Descriptors::share(config.limits.sockets);
+    let memory = config.limits.memory_mb.map(|mb| mb * 1e6);
+    let descriptors = Descriptors::share(config.limits.sockets, memory.map(|bytes| bytes as usize));
     let (listener, origin, revision, inherited_clients) = match inherited {
         None => {
             let revision = config.initial_endpoints.revision;
@@ -176,7 +179,6 @@
             (listener, Origin::Inherited(state, to_old_process), revision, clients)
         }
     };
-    let memory = config.limits.memory_mb.map(|mb| mb * 1e6);
     // The memory limit also bounds the journal: accepted messages are held in memory too, and the next start reads the
     // whole journal.
     let fleet_disk = if config.fleet.is_some() { fleet::DISK as f64 } else { 0.0 };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -32,9 +32,10 @@
 }
 
 impl Descriptors {
-    /// Divides `all` descriptors.
-    pub fn share(all: usize) -> Self {
+    /// Divides `all` descriptors. Clients get no more than the memory has room for, in bytes, if it is limited.
+    pub fn share(all: usize, memory_bytes: Option<usize>) -> Self {
         let available = all.saturating_sub(RESERVED).max(2);
-        Self { clients: available / 2, endpoints: available - available / 2 }
+        let within_memory = memory_bytes.map_or(usize::MAX, client_admission::connections_within);
+        Self { clients: (available / 2).min(within_memory).max(1), endpoints: available - available / 2 }
     }
 }
--- a/system/client-admission/src/lib.rs
+++ b/system/client-admission/src/lib.rs
@@ -17,5 +17,5 @@
 pub use body_budget::{BodyBudget, BodyBuffer, BudgetExceeded};
 pub use body_reading::{BodyError, discard_body, read_body};
 pub use connection_limit::{ConnectionLimit, ConnectionSlot};
-pub use limits::ClientLimits;
+pub use limits::{ClientLimits, connections_within};
 pub use listener::{RECEIVE_BUFFER_BYTES, listen_for_clients};
--- a/system/client-admission/src/limits.rs
+++ b/system/client-admission/src/limits.rs
@@ -22,15 +22,21 @@
     pub body_bytes: usize,
 }
 
+/// Number of client connections that three eighths of this much memory, in bytes, have room for.
+pub fn connections_within(memory_bytes: usize) -> usize {
+    let connection_bytes = RECEIVE_BUFFER_BYTES as usize + CONNECTION_OVERHEAD_BYTES;
+    memory_bytes / 8 * CONNECTION_MEMORY_EIGHTHS / connection_bytes
+}
+
 impl ClientLimits {
     /// Limits for a process with this much memory, in MB (10^6 bytes), and this many file descriptors.
     pub fn for_process(memory_mb: f64, max_file_descriptors: u64) -> Self {
         let memory_bytes = (memory_mb.max(0.0) * 1e6) as usize;
         let descriptors = usize::try_from(max_file_descriptors).unwrap_or(usize::MAX);
-        let connection_bytes = RECEIVE_BUFFER_BYTES as usize + CONNECTION_OVERHEAD_BYTES;
-        let within_memory = memory_bytes / 8 * CONNECTION_MEMORY_EIGHTHS / connection_bytes;
         Self {
-            connections: within_memory.min(descriptors / DESCRIPTOR_DIVISOR).max(MIN_CONNECTIONS),
+            connections: connections_within(memory_bytes)
+                .min(descriptors / DESCRIPTOR_DIVISOR)
+                .max(MIN_CONNECTIONS),
             body_bytes: memory_bytes / BODY_MEMORY_DIVISOR,
         }
     }
