--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -22,6 +22,9 @@
 /// two files, discovery, notices, the configuration during a reload, and admin connections.
 const RESERVED: usize = 32 + admin_endpoint::MAX_CONNECTIONS;
 
+/// Client connections that a sender has however little its memory is, so that callers in turn find room.
+const MIN_CLIENTS: usize = 32;
+
 /// The division of the process's file descriptors.
 #[derive(Clone, Copy, Debug)]
 pub struct Descriptors {
@@ -36,6 +39,7 @@
     pub fn share(all: usize, memory_bytes: Option<usize>) -> Self {
         let available = all.saturating_sub(RESERVED).max(2);
         let within_memory = memory_bytes.map_or(usize::MAX, client_admission::connections_within);
-        Self { clients: (available / 2).min(within_memory).max(1), endpoints: available - available / 2 }
+        let within_memory = within_memory.max(MIN_CLIENTS);
+        Self { clients: (available / 2).min(within_memory), endpoints: available - available / 2 }
     }
 }
