--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod model;
 pub mod peers;
 pub mod plan;
+pub mod process_ends;
 pub mod report;
 pub mod run;
 pub mod scenario;
