--- a/system/node-settings/src/lib.rs
+++ b/system/node-settings/src/lib.rs
@@ -253,12 +253,25 @@
     }
 }
 
+/// What is wrong with a settings file as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SettingsProblem {
+    /// The file cannot be read.
+    Unreadable,
+    /// The file is empty.
+    Empty,
+    /// The content cannot be used.
+    Invalid,
+}
+
 /// Invalid settings, with all findings.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{}: {}", self.source_name(), self.joined_findings())]
 pub struct SettingsError {
     /// The file, if they were read from one.
     pub path: Option<PathBuf>,
+    /// What is wrong with the file.
+    pub problem: SettingsProblem,
     /// The findings, at least one.
     pub findings: Vec<Finding>,
 }
@@ -282,10 +295,14 @@
     pub fn read(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
         let path = path.as_ref();
         let text = std::fs::read_to_string(path).map_err(|error| {
-            vec![Finding { field: String::new(), problem: format!("cannot be read: {error}") }]
-        });
-        let settings = text.and_then(|text| read::read(&text));
-        settings.map_err(|findings| SettingsError { path: Some(path.to_owned()), findings })
+            let problem = format!("cannot be read: {error}");
+            SettingsError {
+                path: Some(path.to_owned()),
+                problem: SettingsProblem::Unreadable,
+                findings: vec![Finding { field: String::new(), problem }],
+            }
+        })?;
+        Self::parse(&text).map_err(|error| SettingsError { path: Some(path.to_owned()), ..error })
     }
 
     /// Parses the text of a settings file, in YAML. Unknown fields are ignored.
@@ -294,7 +311,9 @@
     ///
     /// With every finding in the text.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        read::read(text).map_err(|findings| SettingsError { path: None, findings })
+        let is_empty = text.trim().is_empty();
+        let problem = if is_empty { SettingsProblem::Empty } else { SettingsProblem::Invalid };
+        read::read(text).map_err(|findings| SettingsError { path: None, problem, findings })
     }
 
     /// Port for calls between processes: the first of the range.
--- a/system/programs/src/admin/views.rs
+++ b/system/programs/src/admin/views.rs
@@ -7,6 +7,8 @@
 use crate::process::Process;
 use fleet_membership::{MemberState, Role};
 use fleet_model::{Answer, Reservation, Turn};
+use process_lifecycle::log_output::LogOutput;
+use process_lifecycle::panics;
 use request_routing::{EndpointView, UnavailableReason};
 use serde_json::{Value, json};
 use std::rc::Rc;
@@ -107,11 +109,24 @@
         self.aged_view(members.age_ms(), json!({ "members": told }))
     }
 
+    /// What the process waits for, and what has failed in it.
+    fn lifecycle_metrics(&self, metrics: &mut Metrics) {
+        let waits = self.process.waits();
+        metrics.gauge("process_waits", waits.current() as f64);
+        metrics.gauge("process_longest_wait_seconds", waits.longest().as_secs_f64());
+        metrics.counter("process_waits_begun", waits.begun());
+        metrics.counter("process_restarts", self.process.restarts());
+        metrics.counter("process_panics", panics::count());
+        metrics.counter("process_log_lines_dropped", LogOutput::stderr().dropped());
+        metrics.counter("process_settings_reload_failures", self.process.reload_failures());
+    }
+
     fn common_metrics(&self, metrics: &mut Metrics) {
         if let Some(age) = self.feed.age() {
             metrics.gauge("knowledge_age_seconds", age.as_secs_f64());
         }
         metrics.gauge("uptime_seconds", self.process.now_ms() as f64 / 1_000.0);
+        self.lifecycle_metrics(metrics);
         metrics.gauge("configuration_version", self.feed.state().version() as f64);
         metrics.gauge("register_round", self.feed.value().ballot.round as f64);
         metrics.gauge("register_voters", self.feed.value().voters.len() as f64);
--- a/system/programs/src/agent.rs
+++ b/system/programs/src/agent.rs
@@ -1,18 +1,20 @@
-//! The proxy agent, one beside each proxy: it follows the state feed and forwards it to the proxy over loopback and to the
+//! The proxy agent, one beside each proxy: it follows the state feed and forwards it to the proxy of its machine and to the
 //! agents below it in the distribution tree.
 
 use crate::admin::AdminEndpoint;
 use crate::feed::{Feed, SubscriberLink, follow, new_feed, run_heartbeats};
+use crate::listeners::listen;
 use crate::members::Members;
 use crate::process::{Process, shutdown_requested};
-use crate::start::{StartError, listen};
+use crate::settings_file::MissingSetting;
+use crate::start::StartError;
 use fleet_membership::Role;
 use fleet_model::{Answer, Call};
+use node_settings::Settings;
 use peer_wire::{Handler, PeerServer, Pusher};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 struct Agent {
@@ -30,25 +32,35 @@
     }
 }
 
+/// All settings are optional for an agent.
+///
+/// # Errors
+///
+/// None.
+pub fn check(_: &Settings) -> Result<(), MissingSetting> {
+    Ok(())
+}
+
 /// Runs until the process is to end, and for a while more: the proxy's last answers need it.
 ///
 /// # Errors
 ///
-/// [`StartError`] if a socket cannot be bound or the membership cannot be joined.
+/// [`StartError`] if the membership cannot be joined.
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
     let feed = new_feed(&process);
+    let peers = listen(&process, SocketAddrV4::new(settings.ip_address, settings.peer_port())).await;
     let members = Members::start(process.clone(), feed.clone(), Role::Edge, |_| ())?;
     let admin = AdminEndpoint::new(process.clone(), feed.clone(), Some(members), "proxy-agent");
     let agent = Rc::new(Agent { feed: feed.clone(), admin });
-    let peers = listen(SocketAddrV4::new(settings.ip_address, settings.peer_port())).await?;
-    let loopback = listen(SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port())).await?;
+    let loopback = listen(&process, SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port())).await;
     for listener in [peers, loopback] {
         let server = PeerServer::new(process.fleet(), agent.clone());
-        spawn_local(async move { server.serve(listener).await });
+        process.spawn_part("peer server", async move { server.serve(listener).await });
     }
-    spawn_local(run_heartbeats(feed.clone()));
-    spawn_local(follow(feed, false));
+    process.spawn_part("heartbeats", run_heartbeats(feed.clone()));
+    process.spawn_part("state feed", follow(feed, false));
+    process.set_started();
     shutdown_requested(&process).await;
     sleep(Duration::from_secs_f64((settings.bounds.grace_period_s - 0.6).clamp(0.0, 30.0))).await;
     Ok(())
--- a/system/programs/src/bin/control-node.rs
+++ b/system/programs/src/bin/control-node.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    system_programs::start::run(system_programs::control::run)
+    system_programs::start::run(system_programs::control::check, system_programs::control::run)
 }
--- a/system/programs/src/bin/proxy-agent.rs
+++ b/system/programs/src/bin/proxy-agent.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    system_programs::start::run(system_programs::agent::run)
+    system_programs::start::run(system_programs::agent::check, system_programs::agent::run)
 }
--- a/system/programs/src/bin/request-proxy.rs
+++ b/system/programs/src/bin/request-proxy.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    system_programs::start::run(system_programs::proxy::run)
+    system_programs::start::run(system_programs::proxy::check, system_programs::proxy::run)
 }
--- a/system/programs/src/bin/storage-node.rs
+++ b/system/programs/src/bin/storage-node.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    system_programs::start::run(system_programs::storage::run)
+    system_programs::start::run(system_programs::storage::check, system_programs::storage::run)
 }
--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -11,23 +11,27 @@
 use crate::admin::{AdminEndpoint, Topic};
 use crate::control_api::{self, ApiLimits, ApiLoad};
 use crate::feed::{ProcessRuntime, SubscriberLink, new_feed};
+use crate::late_handler::LateHandler;
+use crate::listeners::{listen, listen_for_clients};
 use crate::members::Members;
-
 use crate::process::{Process, shutdown_requested};
 use crate::random::{incarnation_nonce, random_u64};
-use crate::start::{StartError, listen, listen_for_clients};
+use crate::settings_file::MissingSetting;
+use crate::start::StartError;
 use backend::Backend;
 use client_admission::ClientLimits;
 use config_register::BallotSource;
 use control_node::ControlNode;
 use fleet_membership::{MemberEvent, Role};
 use fleet_model::{Answer, Call};
+use node_settings::Settings;
 use peer_wire::{Handler, PeerServer, Pusher};
 use serde_json::json;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::spawn_local;
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 /// Time for a leader of the coordination log to complete its round before the process ends.
@@ -107,34 +111,69 @@
     }
 }
 
+/// A control node needs an address for callers and a data directory.
+///
+/// # Errors
+///
+/// [`MissingSetting`] if one of them is not there.
+pub fn check(settings: &Settings) -> Result<(), MissingSetting> {
+    needed_settings(settings).map(drop)
+}
+
+/// The address for callers and the data directory.
+fn needed_settings(settings: &Settings) -> Result<(SocketAddrV4, PathBuf), MissingSetting> {
+    let control_plane = settings.listen_addresses.control_plane;
+    let control_plane = control_plane.ok_or(MissingSetting("listen_addresses.control_plane"))?;
+    let folder = settings.data_directory.clone().ok_or(MissingSetting("data_directory"))?;
+    Ok((control_plane, folder))
+}
+
+/// Answers peers, once their address can be had, and notifies `listening` then.
+async fn answer_peers(
+    process: Rc<Process>,
+    handler: Rc<LateHandler<ControlServer>>,
+    listening: oneshot::Sender<()>,
+) {
+    let address = process.peer(process.settings().ip_address);
+    let listener = listen(&process, address).await;
+    // The body may have ended meanwhile.
+    let _ = listening.send(());
+    PeerServer::new(process.fleet(), handler).serve(listener).await;
+}
+
+/// Answers operators and applications, once their address can be had.
+async fn answer_callers(
+    process: Rc<Process>,
+    address: SocketAddrV4,
+    server: Rc<ControlServer>,
+    load: Rc<ApiLoad>,
+) {
+    let listener = listen_for_clients(&process, address).await;
+    control_api::serve(listener, server, load).await;
+}
+
 /// Runs until the process is to end.
 ///
 /// # Errors
 ///
-/// [`StartError`] if a setting is missing, the record on disk cannot be used, or a socket cannot be bound.
+/// [`StartError`] if a setting is missing, or random bits or a thread cannot be had.
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
-    let control = settings
-        .listen_addresses
-        .control_plane
-        .ok_or(StartError::MissingSetting("listen_addresses.control_plane"))?;
-    let folder = settings.data_directory.clone().ok_or(StartError::MissingSetting("data_directory"))?;
+    let (control_plane, folder) = needed_settings(&settings)?;
     let me = settings.ip_address;
     let seeds = process.seeds();
-    let record::Opened { durable, initial_state, damages } = tokio::select! {
-        opened = record::open_with_retry(&folder, settings.first_start, me, &seeds) => opened?,
-        () = shutdown_requested(&process) => return Ok(()),
-    };
+    let feed = new_feed(&process);
+    let admin = AdminEndpoint::new(process.clone(), feed.clone(), None, "control-node");
+    let handler = LateHandler::new(admin);
+    let (listening_sender, listening) = oneshot::channel();
+    process.spawn_part("peer server", answer_peers(process.clone(), handler.clone(), listening_sender));
+    let record::Opened { durable, initial_state, damages } =
+        record::open_with_retry(process.waits(), &folder, settings.first_start, me, &seeds).await;
     if initial_state == control_node::InitialState::Recovering {
         log::warn!("no acceptor record on disk, no vote before recovery from a majority");
     }
-    let journal = tokio::select! {
-        opened = journal::open_with_retry(&folder) => opened?,
-        () = shutdown_requested(&process) => return Ok(()),
-    };
-    journal::check(&journal.found)?;
+    let journal = journal::open_with_retry(process.waits(), &folder).await;
     let damages = damages + journal.damages;
-    let feed = new_feed(&process);
     let backend = Backend::new(process.clone(), durable, journal.writer);
     let ballots = BallotSource::new(me, incarnation_nonce()?);
     let node = ControlNode::new(
@@ -151,12 +190,13 @@
     let api_load = Rc::new(ApiLoad::new(ApiLimits::within(limits)));
     let control_server =
         Rc::new(ControlServer { me, node: node.clone(), admin, api_load: api_load.clone(), damages });
-    let peers = listen(SocketAddrV4::new(me, settings.peer_port())).await?;
-    let server = PeerServer::new(process.fleet(), control_server.clone());
-    spawn_local(async move { server.serve(peers).await });
+    handler.set(control_server.clone());
+    // A node that peers cannot reach must not take over tasks of the fleet. The part ends only with this body.
+    let _ = listening.await;
     node.run();
-    let callers = listen_for_clients(control).await?;
-    spawn_local(control_api::serve(callers, control_server, api_load));
+    let callers = answer_callers(process.clone(), control_plane, control_server, api_load);
+    process.spawn_part("caller server", callers);
+    process.set_started();
     shutdown_requested(&process).await;
     node.resign(RESIGNATION_TIMEOUT).await;
     // What is half way ends; nothing else depends on this process.
--- a/system/programs/src/control/journal.rs
+++ b/system/programs/src/control/journal.rs
@@ -1,10 +1,13 @@
 //! The journal of the coordination service's replica on disk, and what a replica finds there at its start.
 
-use super::record::retry_while_refused;
+use super::record::OPEN_RETRY_INTERVAL;
 use crate::disk::JournalWriter;
 use crate::start::StartError;
+use process_lifecycle::blocking::run_on_thread;
+use process_lifecycle::waits::Waits;
 use replicated_log::RecoveredJournal;
 use std::path::Path;
+use std::rc::Rc;
 use turn_store::{EntryLog, OpenedEntryLog, RecoveredEntries};
 
 #[cfg(test)]
@@ -23,14 +26,25 @@
     pub damages: u64,
 }
 
-/// Opens the journal in the data directory, and tries again for as long as the disk refuses that.
-pub(super) async fn open_with_retry(data_directory: &Path) -> Result<OpenedJournal, StartError> {
+/// Opens the journal in the data directory, and tries again for as long as it cannot be used.
+pub(super) async fn open_with_retry(waits: &Rc<Waits>, data_directory: &Path) -> OpenedJournal {
+    let open_checked = async || {
+        let journal = open(data_directory).await?;
+        check(&journal.found)?;
+        Ok::<_, StartError>(journal)
+    };
+    waits.retry("the coordination journal", OPEN_RETRY_INTERVAL, open_checked).await
+}
+
+/// Opens the journal in the data directory, whatever program has written it.
+async fn open(data_directory: &Path) -> Result<OpenedJournal, StartError> {
     let folder = data_directory.join(JOURNAL_FOLDER);
-    Ok(into_journal(retry_while_refused("journal", || EntryLog::open(&folder)).await?))
+    let opened = run_on_thread("open journal", move || EntryLog::open(&folder)).await??;
+    Ok(into_journal(opened))
 }
 
 /// Refuses a journal that another program has written: the node must not start over it as a new replica.
-pub(super) fn check(found: &RecoveredJournal) -> Result<(), StartError> {
+fn check(found: &RecoveredJournal) -> Result<(), StartError> {
     control_node::check_journal(found).map_err(|error| StartError::Disk(error.to_string()))
 }
 
--- a/system/programs/src/control/journal/tests.rs
+++ b/system/programs/src/control/journal/tests.rs
@@ -9,7 +9,7 @@
 }
 
 fn open(data_directory: &Path) -> OpenedJournal {
-    wait(open_with_retry(data_directory)).unwrap()
+    wait(super::open(data_directory)).unwrap()
 }
 
 fn stored(checkpoint: &'static str, records: &[&'static str]) -> RecoveredJournal {
@@ -64,12 +64,13 @@
     let path = data_directory.path().join(JOURNAL_FOLDER);
     fs::write(&path, "").unwrap();
     let opened = wait(async {
-        let mut opening = Box::pin(open_with_retry(data_directory.path()));
+        let waits = Rc::default();
+        let mut opening = Box::pin(open_with_retry(&waits, data_directory.path()));
         let refused = tokio::time::timeout(std::time::Duration::from_secs(10), &mut opening).await;
         expect_that!(refused.is_err(), eq(true));
         // When it is out of the way, then the journal is opened.
         fs::remove_file(&path).unwrap();
-        opening.await.unwrap()
+        opening.await
     });
     expect_that!(opened.found, eq(&RecoveredJournal::Empty));
 }
--- a/system/programs/src/control/record.rs
+++ b/system/programs/src/control/record.rs
@@ -4,17 +4,19 @@
 use crate::start::StartError;
 use config_register::{AcceptorRecord, RecordFormat, RecordV1};
 use control_node::InitialState;
+use process_lifecycle::blocking::run_on_thread;
+use process_lifecycle::waits::Waits;
 use std::net::Ipv4Addr;
 use std::path::Path;
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
-use turn_store::{DiskError, RecordLog, RecoveredRecord};
+use turn_store::{RecordLog, RecoveredRecord};
 
 #[cfg(test)]
 mod tests;
 
-/// Delay between two attempts to open a folder that the disk refuses.
-const OPEN_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Delay between two attempts to open a folder that cannot be used.
+pub(super) const OPEN_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The disk of an acceptor.
 pub(super) struct Opened {
@@ -40,35 +42,20 @@
     }
 }
 
-/// Opens the folder, and tries again for as long as the disk refuses that.
+/// Opens the folder, and tries again for as long as it cannot be used.
 pub(super) async fn open_with_retry(
+    waits: &Rc<Waits>,
     folder: &Path,
     first_start: bool,
     me: Ipv4Addr,
     seeds: &[Ipv4Addr],
-) -> Result<Opened, StartError> {
-    let opened = retry_while_refused("acceptor record", || RecordLog::open(folder)).await?;
-    read_initial_state(opened, folder, first_start, me, seeds)
-}
-
-/// Opens something on the disk, and tries again for as long as the disk refuses that.
-pub(super) async fn retry_while_refused<T>(
-    what: &str,
-    mut open: impl FnMut() -> Result<T, DiskError>,
-) -> Result<T, DiskError> {
-    let mut is_logged = false;
-    loop {
-        match open() {
-            Err(refused @ DiskError::Io { .. }) => {
-                if !is_logged {
-                    log::error!("{what} cannot be opened, retrying: error={refused}");
-                }
-                is_logged = true;
-                sleep(OPEN_RETRY_INTERVAL).await;
-            }
-            opened => return opened,
-        }
-    }
+) -> Opened {
+    let open = async || {
+        let path = folder.to_owned();
+        let opened = run_on_thread("open record", move || RecordLog::open(&path)).await??;
+        read_initial_state(opened, folder, first_start, me, seeds)
+    };
+    waits.retry("the acceptor's record", OPEN_RETRY_INTERVAL, open).await
 }
 
 /// What the folder holds, and how a node begins with it.
--- a/system/programs/src/control/record/tests.rs
+++ b/system/programs/src/control/record/tests.rs
@@ -247,14 +247,14 @@
         let place = tempfile::tempdir().unwrap();
         let folder = place.path().join("data");
         fs::write(&folder, "no folder").unwrap();
-        let seeds = seeds();
-        let opening = open_with_retry(&folder, true, ip(1), &seeds);
+        let (seeds, waits) = (seeds(), Rc::default());
+        let opening = open_with_retry(&waits, &folder, true, ip(1), &seeds);
         let mut opening = std::pin::pin!(opening);
         let early = tokio::time::timeout(Duration::from_secs(60), &mut opening).await;
         expect_that!(early.is_err(), eq(true));
         // when it can, then the node begins as if it could from the start.
         fs::remove_file(&folder).unwrap();
-        let opened = opening.await.unwrap();
+        let opened = opening.await;
         expect_that!(opened.initial_state, eq(&InitialState::New(founding_record(seeds.clone()))));
     });
 }
--- a/system/programs/src/disk.rs
+++ b/system/programs/src/disk.rs
@@ -7,6 +7,7 @@
 pub use journal::JournalWriter;
 
 use crate::start::StartError;
+use process_lifecycle::blocking::BlockingError;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::path::Path;
@@ -46,6 +47,12 @@
     pending: Pending,
 }
 
+impl From<BlockingError> for StartError {
+    fn from(e: BlockingError) -> Self {
+        StartError::Disk(e.to_string())
+    }
+}
+
 impl From<turn_store::DiskError> for StartError {
     fn from(e: turn_store::DiskError) -> Self {
         StartError::Disk(e.to_string())
--- a/system/programs/src/feed.rs
+++ b/system/programs/src/feed.rs
@@ -10,7 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::AbortHandle;
 
 pub use node_runtime::{MAX_STATE_AGE, follow, follow_lists, follow_one, run_heartbeats};
 
@@ -77,7 +77,7 @@
     }
 
     fn spawn(&self, work: impl Future<Output = ()> + 'static) -> LocalTask {
-        LocalTask(spawn_local(work).abort_handle())
+        LocalTask(self.process.spawn_task("node", work))
     }
 
     async fn call(&self, to: Ipv4Addr, call: Call, timeout: Duration) -> Option<Answer> {
--- a/system/programs/src/lib.rs
+++ b/system/programs/src/lib.rs
@@ -10,13 +10,16 @@
 pub mod control_api;
 pub mod disk;
 pub mod feed;
+pub mod late_handler;
+pub mod listeners;
+mod log_lines;
 pub mod members;
-
 pub mod platform;
 pub mod process;
 pub mod proxy;
 pub mod random;
 pub mod routing_policy;
+pub mod settings_file;
 pub mod start;
 pub mod storage;
 pub mod turns;
--- a/system/programs/src/members.rs
+++ b/system/programs/src/members.rs
@@ -18,7 +18,6 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
-use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 /// Between two probes of one process.
@@ -99,7 +98,7 @@
             last_seen_ms: Cell::new(None),
             on_change: Box::new(on_change),
         });
-        spawn_local(members.clone().run());
+        members.process.spawn_part("membership", members.clone().run());
         Ok(members)
     }
 
--- a/system/programs/src/process.rs
+++ b/system/programs/src/process.rs
@@ -1,44 +1,91 @@
-//! The running process: its settings, clock, shutdown signal and addresses.
+//! The running process: its settings, clock, shutdown signal, addresses and parts.
 
+use crate::settings_file::{self, SettingsCheck};
 use node_settings::Settings;
+use process_lifecycle::signals::SignalRequests;
+use process_lifecycle::supervisor::{Parts, Restarts};
+use process_lifecycle::waits::Waits;
 use request_routing::RoutingPolicy;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 
 /// Offset of the process clock at its start, so that ages can be subtracted from it.
 const CLOCK_OFFSET: Duration = Duration::from_secs(100 * 24 * 3_600);
 
+/// What outlives a restart of the program's body within the process.
+#[derive(Clone)]
+pub struct Lifecycle {
+    /// What the process waits for.
+    pub waits: Rc<Waits>,
+    /// How often the body was started again.
+    pub restarts: Rc<Restarts>,
+    /// What signals have asked for.
+    pub requests: SignalRequests,
+}
+
+/// The settings of a process, and where they are from.
+#[derive(Clone)]
+pub struct SettingsSource {
+    /// The settings as they were read.
+    pub settings: Settings,
+    /// The file.
+    pub path: PathBuf,
+    /// What the program needs of them.
+    pub check: SettingsCheck,
+}
+
 /// The running process, shared by all its parts.
 pub struct Process {
     /// The settings, as last read whole.
     settings: RefCell<Rc<Settings>>,
     path: PathBuf,
+    check: SettingsCheck,
+    reload_failures: Cell<u64>,
     /// Which decision mechanisms are in force.
     pub routing_policy: RoutingPolicy,
     /// Turns true with SIGTERM.
     pub ending: watch::Receiver<bool>,
+    lifecycle: Lifecycle,
+    parts: Parts,
     started: Instant,
 }
 
 impl Process {
-    /// One that begins now, with the settings read from `path`. `ending` turns true when it is to end.
+    /// One that begins now, with the settings read from `path`, and whose parts nobody supervises. `ending` turns true when it
+    /// is to end.
     pub fn new(settings: Settings, path: PathBuf, ending: watch::Receiver<bool>) -> Rc<Self> {
-        Self::with_routing_policy(settings, path, RoutingPolicy::default(), ending)
+        let source = SettingsSource { settings, path, check: |_| Ok(()) };
+        let lifecycle = Lifecycle {
+            waits: Rc::default(),
+            restarts: Rc::default(),
+            requests: SignalRequests { shutdown: ending, reloads: watch::channel(0).1 },
+        };
+        Self::supervised(source, RoutingPolicy::default(), lifecycle, Parts::unsupervised())
     }
 
-    /// The same with another routing policy than the one in service.
-    pub fn with_routing_policy(
-        settings: Settings,
-        path: PathBuf,
+    /// One whose parts are supervised.
+    pub fn supervised(
+        source: SettingsSource,
         routing_policy: RoutingPolicy,
-        ending: watch::Receiver<bool>,
+        lifecycle: Lifecycle,
+        parts: Parts,
     ) -> Rc<Self> {
-        let settings = RefCell::new(Rc::new(settings));
-        Rc::new(Self { settings, path, routing_policy, ending, started: Instant::now() })
+        Rc::new(Self {
+            settings: RefCell::new(Rc::new(source.settings)),
+            path: source.path,
+            check: source.check,
+            reload_failures: Cell::new(0),
+            routing_policy,
+            ending: lifecycle.requests.shutdown.clone(),
+            lifecycle,
+            parts,
+            started: Instant::now(),
+        })
     }
 
     /// The settings now in force.
@@ -46,6 +93,36 @@
         self.settings.borrow().clone()
     }
 
+    /// What the process waits for.
+    pub fn waits(&self) -> &Rc<Waits> {
+        &self.lifecycle.waits
+    }
+
+    /// How often the body of the program was started again.
+    pub fn restarts(&self) -> u64 {
+        self.lifecycle.restarts.count()
+    }
+
+    /// How often new settings could not be used.
+    pub fn reload_failures(&self) -> u64 {
+        self.reload_failures.get()
+    }
+
+    /// Spawns a part that works for as long as the process. If it ends or panics, all parts are started again.
+    pub fn spawn_part(&self, part: &'static str, work: impl Future<Output = ()> + 'static) -> AbortHandle {
+        self.parts.spawn(part, work)
+    }
+
+    /// Spawns a task whose panic is the failure of a part.
+    pub fn spawn_task(&self, part: &'static str, work: impl Future<Output = ()> + 'static) -> AbortHandle {
+        self.parts.spawn_task(part, work)
+    }
+
+    /// Notes that the process has all that it needs, and ends in order from now on.
+    pub fn set_started(&self) {
+        self.parts.set_started();
+    }
+
     /// Milliseconds since the process began.
     pub fn now_ms(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
@@ -71,11 +148,24 @@
         self.settings().seed_nodes.iter().map(|seed| *seed.ip()).collect()
     }
 
-    /// Reads the settings again; those in force stay where the file cannot be used.
-    pub fn reload(&self) {
-        match Settings::read(&self.path) {
+    /// Reads the settings again whenever that is requested, also if that was before this call; never returns.
+    pub async fn reload_on_request(self: Rc<Self>) {
+        let mut reloads = self.lifecycle.requests.reloads.clone();
+        while reloads.changed().await.is_ok() {
+            self.reload().await;
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// Reads the settings again, once they are complete; those in force stay where they can never be used.
+    pub async fn reload(&self) {
+        let (waits, requests) = (self.waits(), &self.lifecycle.requests);
+        match settings_file::wait_for_settings(&self.path, self.check, waits, requests).await {
             Ok(settings) => *self.settings.borrow_mut() = Rc::new(settings),
-            Err(e) => log::error!("settings not reloaded: error={e}"),
+            Err(e) => {
+                self.reload_failures.set(self.reload_failures.get() + 1);
+                log::error!("settings not reloaded: error={e}");
+            }
         }
     }
 }
@@ -89,7 +179,5 @@
 
 /// Waits until a shutdown is requested (SIGTERM or SIGINT).
 pub async fn shutdown_requested(process: &Process) {
-    let mut ending = process.ending.clone();
-    // The sender lives as long as the process.
-    let _ = ending.wait_for(|ending| *ending).await;
+    process.lifecycle.requests.shutdown_requested().await;
 }
--- a/system/programs/src/proxy.rs
+++ b/system/programs/src/proxy.rs
@@ -2,11 +2,14 @@
 
 use crate::admin::{AdminEndpoint, Topic, views};
 use crate::feed::{Feed, follow_one, new_feed, run_heartbeats};
+use crate::listeners::{listen, listen_for_clients};
 use crate::process::{Process, shutdown_requested};
-use crate::start::{StartError, listen, listen_for_clients};
+use crate::settings_file::MissingSetting;
+use crate::start::StartError;
 use crate::turns::{TurnClient, Turns};
 use client_admission::ClientLimits;
 use fleet_model::{Answer, Call, ListVersion};
+use node_settings::Settings;
 use operator_config::OperatorConfig;
 use peer_wire::{Handler, PeerServer, Pusher};
 use request_forwarding::{Forwarder, ShutdownPhase, SystemState, serve_readiness};
@@ -14,8 +17,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout};
 
 /// Number of proxies assumed until the feed announces it: connections to endpoints are divided by it.
@@ -94,28 +96,46 @@
     entries.map(|(name, value)| format!("{name}={value}")).join(" ")
 }
 
-/// Serves the admin endpoint; the proxy continues without it if its port cannot be bound.
+/// Answers the platform's readiness checks, once their address can be had.
+async fn answer_readiness(process: Rc<Process>, address: SocketAddrV4, ready: Rc<Cell<bool>>) {
+    let listener = listen_for_clients(&process, address).await;
+    let ending = process.ending.clone();
+    serve_readiness(listener, move || ready.get() && !*ending.borrow()).await;
+}
+
+/// Serves the admin endpoint, once its port can be had.
 async fn serve_admin(process: Rc<Process>, admin: ProxyAdmin) {
     let settings = process.settings();
-    match listen(SocketAddrV4::new(settings.ip_address, settings.admin_port())).await {
-        Ok(listener) => PeerServer::new(process.fleet(), Rc::new(admin)).serve(listener).await,
-        Err(e) => log::warn!("admin endpoint not available: error={e}"),
-    }
+    let address = SocketAddrV4::new(settings.ip_address, settings.admin_port());
+    let listener = listen(&process, address).await;
+    PeerServer::new(process.fleet(), Rc::new(admin)).serve(listener).await;
+}
+
+/// A proxy needs its addresses for clients and for readiness checks.
+///
+/// # Errors
+///
+/// [`MissingSetting`] if one of them is not there.
+pub fn check(settings: &Settings) -> Result<(), MissingSetting> {
+    addresses(settings).map(drop)
+}
+
+/// The addresses for clients and for readiness checks.
+fn addresses(settings: &Settings) -> Result<(SocketAddrV4, SocketAddrV4), MissingSetting> {
+    let addresses = settings.listen_addresses;
+    let front = addresses.front.ok_or(MissingSetting("listen_addresses.front"))?;
+    let readiness = addresses.readiness.ok_or(MissingSetting("listen_addresses.readiness"))?;
+    Ok((front, readiness))
 }
 
 /// Runs until the process has ended its clients' requests.
 ///
 /// # Errors
 ///
-/// [`StartError`] if a setting is missing or a socket cannot be bound.
+/// [`StartError`] if a setting is missing.
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
-    let front =
-        settings.listen_addresses.front.ok_or(StartError::MissingSetting("listen_addresses.front"))?;
-    let readiness = settings
-        .listen_addresses
-        .readiness
-        .ok_or(StartError::MissingSetting("listen_addresses.readiness"))?;
+    let (front, readiness) = addresses(&settings)?;
     let switched_off = process.routing_policy.switched_off();
     if !switched_off.is_empty() {
         log::warn!("a trial: switched off are {}", switched_off.join(", "));
@@ -131,19 +151,22 @@
     );
     let ready = Rc::new(Cell::new(false));
     let (stage_sender, stages) = watch::channel(ShutdownPhase::Serving);
-    let readiness = listen_for_clients(readiness).await?;
-    let clients = listen_for_clients(front).await?;
-    {
-        let (ready, ending) = (ready.clone(), process.ending.clone());
-        spawn_local(serve_readiness(readiness, move || ready.get() && !*ending.borrow()));
-    }
-    spawn_local(run_heartbeats(feed.clone()));
-    let agent = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
-    spawn_local(follow_one(feed.clone(), agent));
     let admin = AdminEndpoint::new(process.clone(), feed.clone(), None, "request-proxy");
-    spawn_local(serve_admin(process.clone(), ProxyAdmin { admin, forwarder: forwarder.clone() }));
-    spawn_local(follow_configuration(feed, forwarder.clone(), ready));
-    let serving = spawn_local(forwarder.clone().serve(clients, stages));
+    let admin = ProxyAdmin { admin, forwarder: forwarder.clone() };
+    process.spawn_part("admin endpoint", serve_admin(process.clone(), admin));
+    process.spawn_part("readiness", answer_readiness(process.clone(), readiness, ready.clone()));
+    let clients = listen_for_clients(&process, front).await;
+    process.spawn_part("heartbeats", run_heartbeats(feed.clone()));
+    let agent = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
+    process.spawn_part("state feed", follow_one(feed.clone(), agent));
+    process.spawn_part("configuration", follow_configuration(feed, forwarder.clone(), ready));
+    let (served_sender, served) = oneshot::channel();
+    let serving = forwarder.clone();
+    process.spawn_part("client server", async move {
+        serving.serve(clients, stages).await;
+        let _ = served_sender.send(());
+    });
+    process.set_started();
     shutdown_requested(&process).await;
     log::info!("graceful shutdown started");
     stage_sender.send_replace(ShutdownPhase::Draining);
@@ -151,7 +174,7 @@
     let grace = Duration::from_secs_f64(settings.bounds.grace_period_s.max(1.0));
     sleep(Duration::from_millis(2_600).min(grace / 2)).await;
     stage_sender.send_replace(ShutdownPhase::Closing);
-    let _ = timeout(grace.mul_f64(0.95).saturating_sub(Duration::from_millis(2_900).min(grace / 2)), serving)
+    let _ = timeout(grace.mul_f64(0.95).saturating_sub(Duration::from_millis(2_900).min(grace / 2)), served)
         .await;
     log::info!("{}", forwarder.metrics());
     log::info!("placement: {}", placement_line(&forwarder));
--- a/system/programs/src/start.rs
+++ b/system/programs/src/start.rs
@@ -1,18 +1,20 @@
-//! Startup common to all programs: command line, settings, log, the single-threaded runtime and signals.
+//! Startup common to all programs: signals, log, command line, settings, and the supervision of the program's body.
 
-use crate::process::Process;
+use crate::process::{Lifecycle, Process, SettingsSource};
+use crate::settings_file::{self, MissingSetting, SettingsCheck};
 use bpaf::Bpaf;
-use node_settings::Settings;
+use process_lifecycle::log_output::LogOutput;
+use process_lifecycle::signals::SignalRequests;
+use process_lifecycle::supervisor::{Restarts, supervise};
+use process_lifecycle::waits::Waits;
+use process_lifecycle::{panics, runtime, shutdown};
 use request_routing::RoutingPolicy;
 use std::future::Future;
-use std::net::SocketAddrV4;
-use std::path::PathBuf;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
-use tokio::time::{Duration, sleep};
+use std::time::Duration;
 
 /// The command line of every program.
 #[derive(Clone, Debug, Bpaf)]
@@ -32,21 +34,18 @@
     check: bool,
 }
 
-/// Retries of binding an address that is in use.
-const MAX_BIND_RETRIES: usize = 40;
-/// Delay between two of them.
-const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// The exit code of a process whose command line or settings can never be used.
+const EXIT_UNUSABLE: u8 = 2;
+/// Time for a process to close its files once its work has ended.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Why a process could not start or had to stop.
+/// Why the body of a program could not start. It is started again after a while.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
-    /// The settings cannot be used.
-    #[error("{0}")]
-    Settings(#[from] node_settings::SettingsError),
     /// A setting that this program needs is not there.
-    #[error("the settings lack {0}")]
-    MissingSetting(&'static str),
-    /// A socket, a thread or a signal could not be had.
+    #[error(transparent)]
+    MissingSetting(#[from] MissingSetting),
+    /// A thread or random bits could not be had.
     #[error("{what}: {source}")]
     System {
         /// What was tried.
@@ -59,125 +58,103 @@
     Disk(String),
 }
 
-/// Reads the command line and the settings, starts the log and the runtime, then runs `run` until it returns.
-pub fn run<F: Future<Output = Result<(), StartError>>>(run: impl FnOnce(Rc<Process>) -> F) -> ExitCode {
-    let options = options().run();
-    let path = options
-        .settings
-        .or_else(|| std::env::var_os("SEDGEWOOD_BOOT").map(PathBuf::from))
-        .unwrap_or_else(|| PathBuf::from("/etc/sedgewood/node.yaml"));
-    let settings = match Settings::read(&path) {
-        Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("{e}");
-            return ExitCode::from(2);
-        }
+/// Runs a program until it is told to end. `check` finds a setting that the program needs and does not have.
+pub fn run<F: Future<Output = Result<(), StartError>>>(
+    check: SettingsCheck,
+    body: impl Fn(Rc<Process>) -> F,
+) -> ExitCode {
+    panics::log_and_count();
+    // Before anything that takes time: a signal that has no handler yet ends the process.
+    let (runtime, signals) = runtime::start();
+    let options = match options().run_inner(bpaf::Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => return print_failure(failure),
     };
+    let path = options.settings.clone().or_else(|| std::env::var_os("SEDGEWOOD_BOOT").map(PathBuf::from));
+    let path = path.unwrap_or_else(|| PathBuf::from("/etc/sedgewood/node.yaml"));
+    if options.check {
+        return print_check(&path, check);
+    }
+    crate::log_lines::start(&options.log);
     let routing_policy = match crate::routing_policy::load(options.routing_policy.as_deref()) {
         Ok(policy) => policy,
         Err(e) => {
-            eprintln!("{e}");
-            return ExitCode::from(2);
+            log::error!("routing policy cannot be used: error={e}");
+            return ExitCode::from(EXIT_UNUSABLE);
         }
     };
-    if options.check {
-        println!("{}: can be used", path.display());
-        return ExitCode::SUCCESS;
-    }
-    let logger = flexi_logger::Logger::try_with_str(format!("{}, fjall=warn, lsm_tree=warn", options.log))
-        .and_then(|logger| {
-            logger
-                .log_to_stderr()
-                .format(|w, now, record| {
-                    write!(w, "{} {} {}", now.format("%H:%M:%S%.3f"), record.level(), record.args())
-                })
-                .start()
-        });
-    if let Err(e) = logger {
-        eprintln!("no log: {e}");
-    }
-    match run_to_completion(settings, path, routing_policy, run) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            log::error!("process failed: error={e}");
-            ExitCode::FAILURE
-        }
-    }
+    let exit_code = runtime.block_on(async move {
+        let requests = signals.forward();
+        run_program(&path, routing_policy, &requests, check, body).await
+    });
+    // Threads that wait for a disk are not waited for.
+    shutdown::exit_within(CLOSE_TIMEOUT);
+    drop(runtime);
+    exit_code
 }
 
-fn run_to_completion<F: Future<Output = Result<(), StartError>>>(
-    settings: Settings,
-    path: PathBuf,
+async fn run_program<F: Future<Output = Result<(), StartError>>>(
+    path: &Path,
     routing_policy: RoutingPolicy,
-    run: impl FnOnce(Rc<Process>) -> F,
-) -> Result<(), StartError> {
-    let system_error = |what: &str| {
-        let what = what.to_owned();
-        move |source| StartError::System { what, source }
+    requests: &SignalRequests,
+    check: SettingsCheck,
+    body: impl Fn(Rc<Process>) -> F,
+) -> ExitCode {
+    let waits = Rc::new(Waits::default());
+    let first_settings = tokio::select! {
+        settings = settings_file::wait_for_settings(path, check, &waits, requests) => settings,
+        () = requests.shutdown_requested() => return ExitCode::SUCCESS,
     };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(system_error("the runtime"))?;
-    let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, async move {
-        let mut term = signal(SignalKind::terminate()).map_err(system_error("SIGTERM"))?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(system_error("SIGINT"))?;
-        let mut hup = signal(SignalKind::hangup()).map_err(system_error("SIGHUP"))?;
-        let (end, ending) = watch::channel(false);
-        let process = Process::with_routing_policy(settings, path, routing_policy, ending);
-        let signals = process.clone();
-        tokio::task::spawn_local(async move {
-            loop {
-                tokio::select! {
-                    _ = hup.recv() => signals.reload(),
-                    _ = term.recv() => { end.send_replace(true); }
-                    _ = interrupt.recv() => { end.send_replace(true); }
-                }
-            }
-        });
-        run(process).await
-    })
-}
-
-/// Listens at `address` for other processes of the system, with retries: the previous process at this address may still be
-/// shutting down.
-///
-/// # Errors
-///
-/// [`StartError::System`] if the address cannot be bound after all attempts.
-pub async fn listen(address: SocketAddrV4) -> Result<TcpListener, StartError> {
-    let bind = || {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(address.into())?;
-        socket.listen(1024)
+    let mut settings = match first_settings {
+        Ok(settings) => settings,
+        Err(e) => {
+            log::error!("settings cannot be used: {e}");
+            return ExitCode::from(EXIT_UNUSABLE);
+        }
     };
-    bind_with_retries(address, bind).await
+    let restarts = Rc::new(Restarts::default());
+    supervise(requests, &restarts, |parts| {
+        // A restart takes the settings of its moment, if they can be used.
+        if restarts.count() > 0
+            && let Ok(newer) = settings_file::read(path, check)
+        {
+            settings = newer;
+        }
+        let source = SettingsSource { settings: settings.clone(), path: path.to_owned(), check };
+        let lifecycle =
+            Lifecycle { waits: waits.clone(), restarts: restarts.clone(), requests: requests.clone() };
+        let process = Process::supervised(source, routing_policy.clone(), lifecycle, parts);
+        let running = body(process.clone());
+        async move {
+            process.spawn_part("settings", process.clone().reload_on_request());
+            running.await
+        }
+    })
+    .await;
+    ExitCode::SUCCESS
 }
 
-/// Listens at `address` for clients, operators or applications, as [`listen`] does.
-///
-/// # Errors
-///
-/// [`StartError::System`] if the address cannot be bound after all attempts.
-pub async fn listen_for_clients(address: SocketAddrV4) -> Result<TcpListener, StartError> {
-    bind_with_retries(address, || client_admission::listen_for_clients(address)).await
+/// Prints the help, the version, or what is wrong with the command line.
+fn print_failure(failure: bpaf::ParseFailure) -> ExitCode {
+    if matches!(failure, bpaf::ParseFailure::Stderr(_)) {
+        LogOutput::stderr().write_line(failure.unwrap_stderr().as_bytes());
+        return ExitCode::from(EXIT_UNUSABLE);
+    }
+    // A reader that has gone is no failure.
+    let _ = writeln!(io::stdout(), "{}", failure.unwrap_stdout());
+    ExitCode::SUCCESS
 }
 
-async fn bind_with_retries(
-    address: SocketAddrV4,
-    bind: impl Fn() -> std::io::Result<TcpListener>,
-) -> Result<TcpListener, StartError> {
-    let mut attempts = 0;
-    loop {
-        match bind() {
-            Ok(listener) => return Ok(listener),
-            Err(source) if attempts >= MAX_BIND_RETRIES => {
-                return Err(StartError::System { what: format!("listening at {address}"), source });
-            }
-            Err(_) => attempts += 1,
+/// Prints whether settings can be used.
+fn print_check(path: &Path, check: SettingsCheck) -> ExitCode {
+    match settings_file::read(path, check) {
+        Ok(_) => {
+            let _ = writeln!(io::stdout(), "{}: can be used", path.display());
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            LogOutput::stderr().write_line(e.to_string().as_bytes());
+            ExitCode::from(EXIT_UNUSABLE)
         }
-        sleep(BIND_RETRY_INTERVAL).await;
     }
 }
--- a/system/programs/src/storage.rs
+++ b/system/programs/src/storage.rs
@@ -9,22 +9,27 @@
 
 use crate::admin::AdminEndpoint;
 use crate::feed::{Feed, follow, new_feed};
+use crate::late_handler::LateHandler;
+use crate::listeners::listen;
 use crate::members::Members;
 use crate::process::{Process, shutdown_requested};
-use crate::start::{StartError, listen};
+use crate::settings_file::MissingSetting;
+use crate::start::StartError;
 use fleet_membership::Role;
 use fleet_model::{Answer, Call};
+use node_settings::Settings;
 use operator_config::OperatorConfig;
 use peer_wire::{Handler, PeerClient, PeerServer, Pusher};
 use recovery::RecoveringReplica;
 use replica::{DirectoryAt, Machine};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::task::spawn_local;
+use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
 /// Interval of the removal of expired records.
@@ -85,14 +90,50 @@
     }
 }
 
+/// A storage node needs a data directory.
+///
+/// # Errors
+///
+/// [`MissingSetting`] if it is not there.
+pub fn check(settings: &Settings) -> Result<(), MissingSetting> {
+    data_directory(settings).map(drop)
+}
+
+fn data_directory(settings: &Settings) -> Result<PathBuf, MissingSetting> {
+    settings.data_directory.clone().ok_or(MissingSetting("data_directory"))
+}
+
+/// Answers peers, once their address can be had, and notifies `listening` then.
+async fn answer_peers(
+    process: Rc<Process>,
+    handler: Rc<LateHandler<StorageServer>>,
+    listening: oneshot::Sender<()>,
+) {
+    let settings = process.settings();
+    let listener = listen(&process, process.peer(settings.ip_address)).await;
+    // The body may have ended meanwhile.
+    let _ = listening.send(());
+    let frame_memory = (settings.limits.memory_mb * 1e6 * LARGE_CALL_MEMORY_SHARE) as usize;
+    let server = PeerServer::new(process.fleet(), handler).with_frame_memory(frame_memory);
+    server.serve(listener).await;
+}
+
+/// Removes expired records now and then; never returns.
+async fn remove_expired(replica: Rc<RecoveringReplica>) {
+    loop {
+        sleep(EXPIRY_INTERVAL).await;
+        replica.expire();
+    }
+}
+
 /// Runs until the process is to end.
 ///
 /// # Errors
 ///
-/// [`StartError`] if a setting is missing, the data directory cannot be used, or a socket cannot be bound.
+/// [`StartError`] if a setting is missing, or the membership cannot be joined.
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
-    let folder = settings.data_directory.clone().ok_or(StartError::MissingSetting("data_directory"))?;
+    let folder = data_directory(&settings)?;
     let machine = Machine {
         name: settings.node_name.clone(),
         ip: settings.ip_address,
@@ -100,10 +141,17 @@
         losses: settings.fault_tolerance.machines,
     };
     let clock = process.clone();
-    let (replica, failures) =
-        RecoveringReplica::new(Arc::new(DirectoryAt(folder)), machine, Box::new(move || clock.now_ms()));
-    replica.start().await?;
     let feed = new_feed(&process);
+    let admin = AdminEndpoint::new(process.clone(), feed.clone(), None, "storage-node");
+    let handler = LateHandler::new(admin);
+    let (listening_sender, listening) = oneshot::channel();
+    process.spawn_part("peer server", answer_peers(process.clone(), handler.clone(), listening_sender));
+    let directory = Arc::new(DirectoryAt(folder));
+    let (replica, failures) =
+        RecoveringReplica::new(directory, machine, Box::new(move || clock.now_ms()), process.waits().clone());
+    replica.start().await;
+    // A node that peers cannot reach must not join. The part ends only with this body.
+    let _ = listening.await;
     let members = Members::start(process.clone(), feed.clone(), Role::Storage, |_| ())?;
     let storage_server = Rc::new(StorageServer {
         admin: AdminEndpoint::new(process.clone(), feed.clone(), Some(members), "storage-node"),
@@ -113,20 +161,12 @@
         config_version: Cell::new(0),
         peers: RefCell::default(),
     });
-    let peers = listen(SocketAddrV4::new(settings.ip_address, settings.peer_port())).await?;
-    let frame_memory = (settings.limits.memory_mb * 1e6 * LARGE_CALL_MEMORY_SHARE) as usize;
-    let server = PeerServer::new(process.fleet(), storage_server.clone()).with_frame_memory(frame_memory);
-    spawn_local(async move { server.serve(peers).await });
-    spawn_local(follow(feed, true));
-    spawn_local(replica.clone().supervise(failures));
-    spawn_local(storage_server.maintain_placement());
-    let expiring = replica.clone();
-    spawn_local(async move {
-        loop {
-            sleep(EXPIRY_INTERVAL).await;
-            expiring.expire();
-        }
-    });
+    handler.set(storage_server.clone());
+    process.spawn_part("state feed", follow(feed, true));
+    process.spawn_part("disk", replica.clone().supervise(failures));
+    process.spawn_part("placement", storage_server.maintain_placement());
+    process.spawn_part("expiry", remove_expired(replica.clone()));
+    process.set_started();
     shutdown_requested(&process).await;
     sleep(Duration::from_millis(200)).await;
     if !matches!(
--- a/system/programs/src/storage/recovery.rs
+++ b/system/programs/src/storage/recovery.rs
@@ -7,12 +7,13 @@
 use super::replica::{DataDirectory, Machine, Progress, Replica};
 use crate::start::StartError;
 use fleet_model::{Answer, Call, Roster};
+use process_lifecycle::blocking::{BlockingError, run_on_thread};
+use process_lifecycle::waits::{Wait, Waits};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
-use tokio::task::spawn_blocking;
 use tokio::time::sleep;
 use turn_store::{DiskError, Write, WriteFailed};
 
@@ -64,7 +65,9 @@
     roster: RefCell<Roster>,
     /// The longest retention in force, in milliseconds.
     account_retention_ms: Cell<u64>,
-    refusing: Cell<bool>,
+    /// The wait for a disk that refuses.
+    refusing: RefCell<Option<Wait>>,
+    waits: Rc<Waits>,
     refusals: Cell<u64>,
     failures: mpsc::UnboundedSender<WriteFailed>,
 }
@@ -78,6 +81,7 @@
         directory: Arc<dyn DataDirectory>,
         machine: Machine,
         now_ms: Clock,
+        waits: Rc<Waits>,
     ) -> (Rc<Self>, Failures) {
         let (failures, told) = mpsc::unbounded_channel();
         let replica = Self {
@@ -88,22 +92,18 @@
             generation: Cell::new(0),
             roster: RefCell::default(),
             account_retention_ms: Cell::new(0),
-            refusing: Cell::new(false),
+            refusing: RefCell::default(),
+            waits,
             refusals: Cell::new(0),
             failures,
         };
         (Rc::new(replica), told)
     }
 
-    /// Opens the directory for the first time. An error that may pass is left to [`RecoveringReplica::supervise`].
-    pub(super) async fn start(&self) -> Result<(), StartError> {
-        match self.reopen().await {
-            Ok(()) => Ok(()),
-            Err(OpenError::Disk(error)) if error.is_transient() => {
-                self.mark_refusing(&error.to_string());
-                Ok(())
-            }
-            Err(error) => Err(error.into()),
+    /// Opens the directory for the first time. An error is left to [`RecoveringReplica::supervise`].
+    pub(super) async fn start(&self) {
+        if let Err(error) = self.reopen().await {
+            self.mark_refusing(&error.to_string());
         }
     }
 
@@ -116,7 +116,7 @@
         let mut backoff = Backoff::from(min_backoff);
         let mut told = None;
         loop {
-            if !self.refusing.get() {
+            if self.refusing.borrow().is_none() {
                 let opened = Instant::now();
                 let Some(failure) = failures.recv().await else { return };
                 self.mark_refusing(&failure.0);
@@ -144,13 +144,13 @@
         blocking(move || directory.probe()).await?;
         self.reopen().await?;
         log::warn!("disk accepts writes again, replica reloaded");
-        self.refusing.set(false);
+        self.refusing.take();
         Ok(())
     }
 
     fn mark_refusing(&self, why: &str) {
         log::error!("disk refuses writes, durable requests are rejected: error={why}");
-        self.refusing.set(true);
+        self.refusing.replace(Some(self.waits.begin("the data directory", &why)));
         self.refusals.set(self.refusals.get() + 1);
     }
 
@@ -242,7 +242,7 @@
 
     /// Whether what would have to be synced is refused.
     pub(super) fn is_refusing(&self) -> bool {
-        self.refusing.get() || self.with(|replica| replica.has_failed()).unwrap_or(true)
+        self.refusing.borrow().is_some() || self.with(|replica| replica.has_failed()).unwrap_or(true)
     }
 
     /// How often the disk began to refuse.
@@ -258,25 +258,12 @@
     Disk(#[from] DiskError),
     #[error("{0}")]
     Start(#[from] StartError),
-    #[error("the thread that was to open it panicked")]
-    ThreadPanicked,
-}
-
-impl From<OpenError> for StartError {
-    fn from(error: OpenError) -> Self {
-        match error {
-            OpenError::Disk(error) => error.into(),
-            OpenError::Start(error) => error,
-            OpenError::ThreadPanicked => StartError::Disk(error.to_string()),
-        }
-    }
+    #[error("{0}")]
+    Thread(#[from] BlockingError),
 }
 
 async fn blocking<T: Send + 'static>(
     act: impl FnOnce() -> Result<T, DiskError> + Send + 'static,
 ) -> Result<T, OpenError> {
-    match spawn_blocking(act).await {
-        Ok(done) => Ok(done?),
-        Err(_) => Err(OpenError::ThreadPanicked),
-    }
+    Ok(run_on_thread("disk", act).await??)
 }
--- a/system/programs/src/storage/recovery/tests.rs
+++ b/system/programs/src/storage/recovery/tests.rs
@@ -100,8 +100,8 @@
         directory.behave(behaviour);
         let machine = Machine { name: "s1".into(), ip: Ipv4Addr::LOCALHOST, zone: "a".into(), losses: 0 };
         let (replica, failures) =
-            RecoveringReplica::new(Arc::new(directory.clone()), machine, Box::new(|| 1_000));
-        replica.start().await.unwrap();
+            RecoveringReplica::new(Arc::new(directory.clone()), machine, Box::new(|| 1_000), Rc::default());
+        replica.start().await;
         spawn_local(replica.clone().supervise_with(failures, Duration::from_millis(1)));
         Self { _folder: folder, directory, replica }
     }
--- a/testbed/src/process_ends/lone_process.rs
+++ b/testbed/src/process_ends/lone_process.rs
@@ -36,6 +36,11 @@
 /// Longest time for one answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Stack of a thread in a process that is to start none.
+const THREAD_STACK_BYTES: u64 = 1 << 30;
+/// Address space, in KiB, in which such a stack has no room.
+pub const NO_ROOM_FOR_THREADS_KIB: u64 = 700 << 10;
+
 /// All roles of the tier.
 pub const ROLES: [Role; 4] = [Role::ControlNode, Role::StorageNode, Role::ProxyAgent, Role::RequestProxy];
 
@@ -151,7 +156,7 @@
             shell
         };
         if limits.no_threads_within_kib.is_some() {
-            command.env("RUST_MIN_STACK", (1u64 << 36).to_string());
+            command.env("RUST_MIN_STACK", THREAD_STACK_BYTES.to_string());
         }
         let child = command
             .env("SEDGEWOOD_BOOT", self.settings_file())
--- a/testbed/tests/process_ends.rs
+++ b/testbed/tests/process_ends.rs
@@ -6,12 +6,16 @@
 use serde_json::json;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
 use std::time::Duration;
 use testbed::process_ends::log_target::LogTarget;
 use testbed::process_ends::lone_process::{
-    CONTROL_PORT, LoneProcess, PEER_PORT, ROLES, StartLimits, http_status, own_address,
+    CONTROL_PORT, LoneProcess, NO_ROOM_FOR_THREADS_KIB, PEER_PORT, ROLES, StartLimits, http_status,
+    own_address,
 };
+use testbed::serving_tier::history::Recorder;
 use testbed::serving_tier::machines::Role;
+use testbed::serving_tier::operator::{Operator, configuration};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
@@ -214,7 +218,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn threads_that_cannot_be_started_end_a_process() {
     for_each(&DISK_ROLES, |mut process| async move {
-        let limits = StartLimits { no_threads_within_kib: Some(4 << 20), ..StartLimits::default() };
+        let limits =
+            StartLimits { no_threads_within_kib: Some(NO_ROOM_FOR_THREADS_KIB), ..StartLimits::default() };
         process.start_with(LogTarget::File, limits).unwrap();
         sleep(LACK).await;
         assert_lives(&mut process, "as it could start no thread");
@@ -242,13 +247,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_data_directory_that_cannot_be_used_ends_a_process() {
     for_each(&DISK_ROLES, |mut process| async move {
-        // Records of a later program: no byte of them may be changed, and nothing is served from them.
+        // Not of a form that either program knows: no byte of it may be changed, and nothing is served from it.
         let data = process.data_directory();
         std::fs::create_dir_all(&data).unwrap();
-        let (file, text) = match process.role {
-            Role::ControlNode => ("record.1", &b"MDrecord\x63\x00 of a later form"[..]),
-            _ => ("records", &b"no folder"[..]),
-        };
+        let (file, text) = ("records", b"another form");
         std::fs::write(data.join(file), text).unwrap();
         process.start().unwrap();
         sleep(LACK).await;
@@ -347,11 +349,17 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_second_edge_machine_on_one_host_ends_its_agent() {
+    let seeds: Vec<Ipv4Addr> = (0..3).map(|_| own_address()).collect();
+    let _core = start_core(&seeds);
+    // A core without a configuration tells nothing.
+    let control_nodes = seeds.iter().map(|ip| SocketAddrV4::new(*ip, CONTROL_PORT)).collect();
+    let operator = Operator::new(control_nodes, Arc::new(Recorder::new(false)));
+    assert!(operator.put(1, 0, configuration(1, true), SERVES_WITHIN).await);
     let mut machines = Vec::new();
     for _ in 0..2 {
         let ip = own_address();
-        let mut edge = [Role::ProxyAgent, Role::RequestProxy]
-            .map(|role| LoneProcess::at(role, ip, &[Ipv4Addr::new(127, 0, 0, 9)]).unwrap());
+        let mut edge =
+            [Role::ProxyAgent, Role::RequestProxy].map(|role| LoneProcess::at(role, ip, &seeds).unwrap());
         edge.iter_mut().for_each(|process| process.start().unwrap());
         machines.push(edge);
     }
@@ -372,6 +380,16 @@
     }
 }
 
+/// Starts the control nodes of a core.
+fn start_core(seeds: &[Ipv4Addr]) -> Vec<LoneProcess> {
+    let start = |ip: &Ipv4Addr| {
+        let mut process = LoneProcess::at(Role::ControlNode, *ip, seeds).unwrap();
+        process.start().unwrap();
+        process
+    };
+    seeds.iter().map(start).collect()
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_start_in_any_order_with_long_gaps_is_never_founded() {
     let seeds: Vec<Ipv4Addr> = (0..3).map(|_| own_address()).collect();
