Write the initial record of a control node before anything else at its first start

Callers saw a system that never started: every core machine answered 503 for good. Cause: first_start is true once. A seed that ended before its first write came back with an empty disk and first_start false, like one that has lost its disk, and does not vote before others tell it what it may have forgotten. With two of three seeds like that nobody can. The record was written only after the seed had its address for peers, for which it may wait at a first start.

Now it is written as soon as the data directory is open. A seed that is killed earlier than that, in its first milliseconds, is still taken for one without its disk.

--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -167,8 +167,8 @@
     let handler = LateHandler::new(admin);
     let (listening_sender, listening) = oneshot::channel();
     process.spawn_part("peer server", answer_peers(process.clone(), handler.clone(), listening_sender));
-    let record::Opened { durable, initial_state, damages } =
-        record::open_with_retry(process.waits(), &folder, settings.first_start, me, &seeds).await;
+    let opened = record::open_with_retry(process.waits(), &folder, settings.first_start, me, &seeds).await;
+    let record::Opened { durable, initial_state, damages } = record::write_initial_record(opened).await;
     if initial_state == control_node::InitialState::Recovering {
         log::warn!("no acceptor record on disk, no vote before recovery from a majority");
     }
--- a/system/programs/src/control/record.rs
+++ b/system/programs/src/control/record.rs
@@ -58,6 +58,17 @@
     waits.retry("the acceptor's record", OPEN_RETRY_INTERVAL, open).await
 }
 
+/// Writes the initial record of a node that has never voted, at once: without it the next start, which is no first start, would
+/// take the node for one that has lost its disk. While the disk refuses, the node itself goes on trying.
+pub(super) async fn write_initial_record(opened: Opened) -> Opened {
+    match opened.initial_state {
+        InitialState::New(record) if opened.durable.put(&record).await.is_ok() => {
+            Opened { initial_state: InitialState::Existing(record), ..opened }
+        }
+        _ => opened,
+    }
+}
+
 /// What the folder holds, and how a node begins with it.
 fn read_initial_state(
     opened: turn_store::Opened,
