Have a proxy follow the agent at its machine's address

Callers saw the agents of a second and third edge machine on one host end, and a proxy there follow the agent of another machine. Cause: the agent fed its proxy at 127.0.0.1, which all machines of a host share. Processes of one machine reach each other at the machine's address as well.

Now the proxy subscribes at its agent's address for peers, and the agent has no other address; 127.0.0.1 is not used any more. The test of graceful shutdown has its stand-in agent at that address.

--- a/system/programs/src/agent.rs
+++ b/system/programs/src/agent.rs
@@ -12,7 +12,7 @@
 use fleet_model::{Answer, Call};
 use node_settings::Settings;
 use peer_wire::{Handler, PeerServer, Pusher};
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -52,12 +52,8 @@
     let peers = listen(&process, SocketAddrV4::new(settings.ip_address, settings.peer_port())).await;
     let members = Members::start(process.clone(), feed.clone(), Role::Edge, |_| ())?;
     let admin = AdminEndpoint::new(process.clone(), feed.clone(), Some(members), "proxy-agent");
-    let agent = Rc::new(Agent { feed: feed.clone(), admin });
-    let loopback = listen(&process, SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port())).await;
-    for listener in [peers, loopback] {
-        let server = PeerServer::new(process.fleet(), agent.clone());
-        process.spawn_part("peer server", async move { server.serve(listener).await });
-    }
+    let server = PeerServer::new(process.fleet(), Rc::new(Agent { feed: feed.clone(), admin }));
+    process.spawn_part("peer server", async move { server.serve(peers).await });
     process.spawn_part("heartbeats", run_heartbeats(feed.clone()));
     process.spawn_part("state feed", follow(feed, false));
     process.set_started();
--- a/system/programs/src/proxy.rs
+++ b/system/programs/src/proxy.rs
@@ -14,7 +14,7 @@
 use peer_wire::{Handler, PeerServer, Pusher};
 use request_forwarding::{Forwarder, ShutdownPhase, SystemState, serve_readiness};
 use std::cell::{Cell, RefCell};
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
@@ -157,7 +157,8 @@
     process.spawn_part("readiness", answer_readiness(process.clone(), readiness, ready.clone()));
     let clients = listen_for_clients(&process, front).await;
     process.spawn_part("heartbeats", run_heartbeats(feed.clone()));
-    let agent = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.feed_port());
+    // The machine's address, as several machines of one host share the loopback address.
+    let agent = process.peer(settings.ip_address);
     process.spawn_part("state feed", follow_one(feed.clone(), agent));
     process.spawn_part("configuration", follow_configuration(feed, forwarder.clone(), ready));
     let (served_sender, served) = oneshot::channel();
--- a/system/programs/tests/loopback/graceful_shutdown.rs
+++ b/system/programs/tests/loopback/graceful_shutdown.rs
@@ -121,9 +121,10 @@
 
 impl Scene {
     async fn start() -> Self {
-        let feed_listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-        let feed_port = feed_listener.local_addr().unwrap().port();
-        let machine = Machine::new(own_address(), "a", feed_port - 1);
+        let ip = own_address();
+        let feed_listener = TcpListener::bind((ip, 0)).await.unwrap();
+        let peer_port = feed_listener.local_addr().unwrap().port();
+        let machine = Machine::new(ip, "a", peer_port);
         let feed = Source::start(&machine.process, feed_listener);
         let endpoint = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
         let SocketAddr::V4(address) = endpoint.local_addr().unwrap() else { unreachable!() };
