Have fleetctl figures ask processes that are no members yet

A process that waits for its disk or for an address of its own takes no part in the membership, and figures asked members only: what the process waits for was told by a metric that nobody could read. Processes that are named by --at, or by the settings as seeds, are asked as well.

Evidence: a_data_directory_that_cannot_be_used_ends_a_process failed for want of the metric process_waits, and passes.

--- a/system/programs/src/admin/commands/processes.rs
+++ b/system/programs/src/admin/commands/processes.rs
@@ -116,14 +116,29 @@
     row
 }
 
+/// What processes tell that are no members, such as one that waits for its disk, as far as they are asked by address.
+async fn metrics_of_waiting(
+    fleet: &Fleet,
+    members: &[SocketAddrV4],
+    node: Option<&str>,
+) -> Vec<View<Metrics>> {
+    let others = fleet.entries.iter().filter(|entry| !members.contains(entry)).copied();
+    let others: Vec<SocketAddrV4> = others.collect();
+    let mut views: Vec<View<Metrics>> = fleet.responses(&others, "figures").await;
+    views.retain(|view| node.is_none_or(|node| view.origin.node == node));
+    views
+}
+
 pub(super) async fn metrics(fleet: &Fleet, node: Option<&str>) -> Report {
     let mut places = places(&fleet.members().await);
     places.retain(|summary| node.is_none_or(|node| summary.member.name == node));
     let targets: Vec<SocketAddrV4> =
         processes(fleet, &places).iter().map(|process| process.address).collect();
-    let views: Vec<View<Metrics>> = fleet.responses(&targets, "figures").await;
+    let mut views: Vec<View<Metrics>> = fleet.responses(&targets, "figures").await;
+    let is_incomplete = views.len() < targets.len();
+    views.extend(metrics_of_waiting(fleet, &targets, node).await);
     if views.is_empty() {
         return Report::silent();
     }
-    Report::new(Verdict::problem_if(views.len() < targets.len()), exposition(&views), views)
+    Report::new(Verdict::problem_if(is_incomplete), exposition(&views), views)
 }
