Leave ports of outgoing connections to listeners of the same host

Callers would see a process that cannot come back: where its address lies in the range from which the kernel draws ports, a connection that another of our processes has made may hold the port for as long as it is kept, and the listener is refused (address in use).

A connection of a program that is not ours holds a port as before: the process waits for it.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -16,7 +16,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -141,10 +141,18 @@
     }
 }
 
+/// Connects from a port that a listener of this host may take while the connection lasts: without that a process could not
+/// get back an address of its own from the range of outgoing ports.
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.connect(address).await
+}
+
 impl Connection {
     /// Connects within `time_limit`.
     pub async fn open(address: SocketAddr, time_limit: Duration) -> Result<Self, CallError> {
-        let stream = match timeout(time_limit, TcpStream::connect(address)).await {
+        let stream = match timeout(time_limit, connect(address)).await {
             Ok(stream) => stream.map_err(CallError::Connect)?,
             Err(_) => return Err(CallError::Connect(io::ErrorKind::TimedOut.into())),
         };
--- a/system/peer-wire/src/client/connection.rs
+++ b/system/peer-wire/src/client/connection.rs
@@ -167,8 +167,10 @@
 ) -> io::Result<TcpStream> {
     timeout(connect_timeout, async {
         let socket = TcpSocket::new_v4()?;
-        if let Some(local) = local {
-            socket.bind(SocketAddrV4::new(local, 0).into())?;
+        match local {
+            Some(local) => socket.bind(SocketAddrV4::new(local, 0).into())?,
+            // A listener of this host may take the port while the connection lasts.
+            None => socket.set_reuseaddr(true)?,
         }
         let mut stream = socket.connect(address.into()).await?;
         configure_socket(&stream)?;
--- a/system/peer-wire/tests/calls.rs
+++ b/system/peer-wire/tests/calls.rs
@@ -404,3 +404,15 @@
         pusher.closed().await;
     });
 }
+
+#[test]
+fn a_connection_to_a_peer_holds_the_port_of_a_listener_that_is_away() {
+    local(async {
+        let peer = serve().await;
+        let client = peer.client();
+        assert_that!(client.call(inspect("a"), LONG_TIMEOUT).await, ok(eq(&view("a"))));
+        let from = peer.echo.callers.borrow()[0];
+        assert_that!(TcpListener::bind(from).await, ok(anything()));
+        assert_that!(client.call(inspect("b"), LONG_TIMEOUT).await, ok(eq(&view("b"))));
+    });
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod cost;
 mod harness;
 mod metrics;
+mod outgoing_connections;
 mod restarts;
 mod shutdown;
 mod upgrade;
