--- a/system/process-lifecycle/src/lib.rs
+++ b/system/process-lifecycle/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod log_output;
 pub mod panics;
 pub mod runtime;
+pub mod settings_file;
 pub mod shutdown;
 pub mod signals;
 pub mod supervisor;
--- a/system/process-lifecycle/src/supervisor.rs
+++ b/system/process-lifecycle/src/supervisor.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, LocalSet, spawn_local};
+use tokio::task::{AbortHandle, JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
 /// Pause after the first failure.
@@ -33,48 +33,90 @@
     reason: String,
 }
 
+/// How far one run of a program's body has come.
+#[derive(Debug, Default)]
+struct Progress {
+    /// It has all that it needs, and ends in order.
+    is_started: Cell<bool>,
+    /// Another process does the program's work: this run is the last one of this process.
+    is_superseded: Cell<bool>,
+}
+
+/// Reports the failure of a part that runs on a thread of its own.
+#[derive(Clone, Debug)]
+pub struct FailureReporter {
+    failures: mpsc::UnboundedSender<Failure>,
+    part: &'static str,
+}
+
+impl FailureReporter {
+    /// Reports that the part has failed.
+    pub fn report(&self, reason: impl Into<String>) {
+        // Nobody listens any more when the run has ended.
+        let _ = self.failures.send(Failure { part: self.part, reason: reason.into() });
+    }
+}
+
 /// The parts of one run of a program's body.
 #[derive(Clone, Debug)]
 pub struct Parts {
     failures: mpsc::UnboundedSender<Failure>,
-    is_started: Rc<Cell<bool>>,
+    progress: Rc<Progress>,
 }
 
 impl Parts {
     /// Parts whose failures nobody handles, for tests of a single part.
     pub fn unsupervised() -> Self {
-        Self { failures: mpsc::unbounded_channel().0, is_started: Rc::default() }
+        Self { failures: mpsc::unbounded_channel().0, progress: Rc::default() }
     }
 
     /// Spawns a part that works for as long as the process: it fails if it panics or returns.
     pub fn spawn(&self, part: &'static str, work: impl Future<Output = ()> + 'static) -> AbortHandle {
-        let failures = self.failures.clone();
+        let reporter = self.reporter(part);
         let watched = async move {
-            let reason = match AssertUnwindSafe(work).catch_unwind().await {
-                Ok(()) => "it returned".to_owned(),
-                Err(payload) => panics::message(&*payload),
-            };
-            // Nobody listens any more when the run has ended.
-            let _ = failures.send(Failure { part, reason });
+            match AssertUnwindSafe(work).catch_unwind().await {
+                Ok(()) => reporter.report("it returned"),
+                Err(payload) => reporter.report(panics::message(&*payload)),
+            }
         };
         spawn_local(watched).abort_handle()
     }
 
     /// Spawns a task that may return: it fails if it panics.
     pub fn spawn_task(&self, part: &'static str, work: impl Future<Output = ()> + 'static) -> AbortHandle {
-        let failures = self.failures.clone();
-        let watched = async move {
-            if let Err(payload) = AssertUnwindSafe(work).catch_unwind().await {
-                let _ = failures.send(Failure { part, reason: panics::message(&*payload) });
-            }
-        };
-        spawn_local(watched).abort_handle()
+        let reporter = self.reporter(part);
+        spawn_local(report_panic(reporter, work)).abort_handle()
+    }
+
+    /// The same for a task of the runtime. It is not dropped with the run: it ends when what it works for does.
+    pub fn spawn_send_task(
+        &self,
+        part: &'static str,
+        work: impl Future<Output = ()> + Send + 'static,
+    ) -> JoinHandle<()> {
+        tokio::spawn(report_panic(self.reporter(part), work))
+    }
+
+    /// A reporter of the failure of this part.
+    pub fn reporter(&self, part: &'static str) -> FailureReporter {
+        FailureReporter { failures: self.failures.clone(), part }
     }
 
     /// Notes that the body has all that it needs. Until then a request to end the process drops the body at once; from then
     /// on the body ends by itself.
     pub fn set_started(&self) {
-        self.is_started.set(true);
+        self.progress.is_started.set(true);
+    }
+
+    /// Notes that another process does the program's work from now on: a failure is no reason to start the body again.
+    pub fn set_superseded(&self) {
+        self.progress.is_superseded.set(true);
+    }
+}
+
+async fn report_panic(reporter: FailureReporter, work: impl Future<Output = ()>) {
+    if let Err(payload) = AssertUnwindSafe(work).catch_unwind().await {
+        reporter.report(panics::message(&*payload));
     }
 }
 
@@ -122,32 +164,41 @@
     body: &mut impl FnMut(Parts) -> F,
 ) -> Option<Failure> {
     let (failure_sender, mut failures) = mpsc::unbounded_channel();
-    let parts = Parts { failures: failure_sender.clone(), is_started: Rc::default() };
-    let is_started = parts.is_started.clone();
+    let parts = Parts { failures: failure_sender.clone(), progress: Rc::default() };
+    let progress = parts.progress.clone();
     let tasks = LocalSet::new();
     let mut run = pin!(tasks.run_until(AssertUnwindSafe(body(parts)).catch_unwind()));
-    loop {
+    let failure = loop {
         tokio::select! {
             biased;
-            outcome = &mut run => return match outcome {
-                Ok(Ok(())) => None,
-                Ok(Err(error)) => Some(Failure { part: "start", reason: error.to_string() }),
-                Err(payload) => Some(Failure { part: "body", reason: panics::message(&*payload) }),
+            outcome = &mut run => break match outcome {
+                Ok(Ok(())) => return None,
+                Ok(Err(error)) => Failure { part: "start", reason: error.to_string() },
+                Err(payload) => Failure { part: "body", reason: panics::message(&*payload) },
             },
-            () = shutdown_before_start(requests, &is_started) => return None,
+            () = shutdown_before_start(requests, &progress) => return None,
             // Parts end one after the other in a shutdown, which the body sees to its end.
             failure = failures.recv() => match failure {
-                Some(failure) if !*requests.shutdown.borrow() => return Some(failure),
+                Some(failure) if !*requests.shutdown.borrow() => break failure,
                 _ => {}
             },
         }
+    };
+    if progress.is_superseded.get() {
+        log::error!(
+            "part failed, ending as another process has taken over: part={} error={}",
+            failure.part,
+            failure.reason
+        );
+        return None;
     }
+    Some(failure)
 }
 
 /// Completes when a shutdown is requested before the body has started; never once it has.
-async fn shutdown_before_start(requests: &SignalRequests, is_started: &Cell<bool>) {
+async fn shutdown_before_start(requests: &SignalRequests, progress: &Progress) {
     requests.shutdown_requested().await;
-    if is_started.get() {
+    if progress.is_started.get() {
         std::future::pending::<()>().await;
     }
 }
