--- a/src/main.rs
+++ b/src/main.rs
@@ -321,9 +321,9 @@
         notices::run(discovery_address_receiver, notice_receiver, !seed, inputs.clone(), shared.clone());
     parts.spawn_send_task("notices", noticing);
     let takeover_inputs = inputs.clone();
-    if let Err(e) = handover::listen(&state_directory, move |stream| {
-        takeover_inputs.send(Input::TakeOver(stream)).is_ok()
-    }) {
+    if let Err(e) =
+        handover::listen(state_directory, move |stream| takeover_inputs.send(Input::TakeOver(stream)).is_ok())
+    {
         tracing::warn!("handover is unavailable, no new process can take over from this one: {e}");
     }
     let signal_inputs = inputs.clone();
