Let one process at a time use the data directory of a control node

Callers could see acknowledged changes lost: a control node that was started while its predecessor still ended read a record to which that one went on writing, and then voted as if it had not given its last promises and votes.

The directory has a lock now, taken before anything in it is read and held until the last write. It ends with the process, however that ends. A process that does not get it waits, told by log and metric.

Evidence: a_start_beside_a_process_that_is_ending_reads_a_record_that_is_still_written fails without the lock and passes with it.

--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -168,13 +168,13 @@
     let (listening_sender, listening) = oneshot::channel();
     process.spawn_part("peer server", answer_peers(process.clone(), handler.clone(), listening_sender));
     let opened = record::open_with_retry(process.waits(), &folder, settings.first_start, me, &seeds).await;
-    let record::Opened { durable, initial_state, damages } = record::write_initial_record(opened).await;
+    let record::Opened { durable, initial_state, damages, lock } = record::write_initial_record(opened).await;
     if initial_state == control_node::InitialState::Recovering {
         log::warn!("no acceptor record on disk, no vote before recovery from a majority");
     }
     let journal = journal::open_with_retry(process.waits(), &folder).await;
     let damages = damages + journal.damages;
-    let backend = Backend::new(process.clone(), durable, journal.writer);
+    let backend = Backend::new(process.clone(), durable, journal.writer, lock);
     let ballots = BallotSource::new(me, incarnation_nonce()?);
     let node = ControlNode::new(
         feed.runtime().clone(),
--- a/system/programs/src/control/backend.rs
+++ b/system/programs/src/control/backend.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Mutex;
+use turn_store::DirectoryLock;
 
 /// Implements [`ControlBackend`] with the process's disk and platform.
 pub(super) struct Backend {
@@ -18,14 +19,21 @@
     journal: JournalWriter,
     /// None where the settings name no platform.
     platform: Option<Mutex<Platform>>,
+    /// Dropped last: until then the disk is written to.
+    _lock: Option<DirectoryLock>,
 }
 
 impl Backend {
     /// Over the disk of the acceptor's record and the journal of the coordination service's replica.
-    pub(super) fn new(process: Rc<Process>, disk: Durable, journal: JournalWriter) -> Self {
+    pub(super) fn new(
+        process: Rc<Process>,
+        disk: Durable,
+        journal: JournalWriter,
+        lock: Option<DirectoryLock>,
+    ) -> Self {
         let cloud = process.settings().cloud_api.clone();
         let platform = cloud.map(|cloud| Mutex::new(Platform::new(cloud.address)));
-        Self { process, disk, journal, platform }
+        Self { process, disk, journal, platform, _lock: lock }
     }
 }
 
--- a/system/programs/src/control/record.rs
+++ b/system/programs/src/control/record.rs
@@ -10,7 +10,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
-use turn_store::{RecordLog, RecoveredRecord};
+use turn_store::{DirectoryLock, DiskError, RecordLog, RecoveredRecord};
 
 #[cfg(test)]
 mod tests;
@@ -26,6 +26,8 @@
     pub initial_state: InitialState,
     /// Damages that were found and set aside.
     pub damages: u64,
+    /// Held for as long as the record is written to.
+    pub lock: Option<DirectoryLock>,
 }
 
 /// Reads a record of a form that this program knows.
@@ -52,8 +54,14 @@
 ) -> Opened {
     let open = async || {
         let path = folder.to_owned();
-        let opened = run_on_thread("open record", move || RecordLog::open(&path)).await??;
-        read_initial_state(opened, folder, first_start, me, seeds)
+        let open_locked = move || {
+            // A former process that is still ending may write on: what is read before its end could be outdated.
+            let lock = DirectoryLock::acquire(&path)?;
+            Ok::<_, DiskError>((lock, RecordLog::open(&path)?))
+        };
+        let (lock, opened) = run_on_thread("open record", open_locked).await??;
+        let opened = read_initial_state(opened, folder, first_start, me, seeds)?;
+        Ok::<_, StartError>(Opened { lock: Some(lock), ..opened })
     };
     waits.retry("the acceptor's record", OPEN_RETRY_INTERVAL, open).await
 }
@@ -88,5 +96,5 @@
         RecoveredRecord::NeverWritten | RecoveredRecord::Lost => InitialState::Recovering,
     };
     let damages = opened.damages.len() as u64;
-    Ok(Opened { durable: Durable::with_log(opened.log)?, initial_state, damages })
+    Ok(Opened { durable: Durable::with_log(opened.log)?, initial_state, damages, lock: None })
 }
--- a/system/programs/src/control/record/tests.rs
+++ b/system/programs/src/control/record/tests.rs
@@ -259,6 +259,35 @@
     });
 }
 
+#[googletest::test]
+fn a_start_beside_a_process_that_is_ending_reads_a_record_that_is_still_written() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.unwrap().block_on(async {
+        // Given a process that has voted,
+        let folder = tempfile::tempdir().unwrap();
+        let (seeds, waits) = (seeds(), Rc::<Waits>::default());
+        let former = open_with_retry(&waits, folder.path(), true, ip(1), &seeds).await;
+        former.durable.put(&voted(1)).await.unwrap();
+        // when another one starts, and the former votes once more before its end,
+        let opening = open_with_retry(&waits, folder.path(), false, ip(1), &seeds);
+        let mut opening = std::pin::pin!(opening);
+        let waited = async {
+            while waits.begun() == 0 {
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::select! {
+            _ = &mut opening => panic!("opened beside the former process"),
+            () = waited => {}
+        }
+        former.durable.put(&voted(2)).await.unwrap();
+        drop(former);
+        // then the new one begins with the last vote.
+        let opened = opening.await;
+        expect_that!(opened.initial_state, eq(&InitialState::Existing(voted(2))));
+    });
+}
+
 fn size(folder: &Path) -> u64 {
     let entries = fs::read_dir(folder).unwrap().filter_map(|entry| entry.ok()?.metadata().ok());
     entries.map(|metadata| metadata.len()).sum()
--- a/system/turn-store/src/lib.rs
+++ b/system/turn-store/src/lib.rs
@@ -16,6 +16,7 @@
 //! [`Durability`] permits.
 
 mod backfill;
+mod directory_lock;
 mod disk;
 mod entry_log;
 mod log_files;
@@ -27,6 +28,7 @@
 mod writer;
 
 pub use backfill::Backfill;
+pub use directory_lock::DirectoryLock;
 pub use disk::{DamageReason, DamagedRecord, Disk, DiskError, KeyspaceConfig, OpenedDisk, Write};
 pub use entry_log::{EntryLog, EntryWrite, OpenedEntryLog, RecoveredEntries};
 pub use payload::{Payload, Payloads};
