Soak the starts of processes: signals in the first milliseconds, late settings, overlaps

The wait of 1.5 s is gone from the other soaks as well; SIGHUP is sent only once /proc shows that the process handles it.

--- a/testbed/src/misbehaving_clients/process.rs
+++ b/testbed/src/misbehaving_clients/process.rs
@@ -10,8 +10,6 @@
 
 /// From SIGTERM to SIGKILL, in seconds.
 pub(super) const GRACE_PERIOD_S: f64 = 6.0;
-/// After a start a process is given this long until it gets a signal: before that none is handled.
-pub(super) const SIGNAL_READY_DELAY: Duration = Duration::from_millis(1_500);
 /// Lines of a log that are shown.
 const LOG_LINES: usize = 5;
 
@@ -101,6 +99,12 @@
                 }
                 life.start_again(self, down).await?;
             }
+            Fault::Start(fault) => {
+                let late = life.machine.go_through(fault, Duration::from_secs_f64(GRACE_PERIOD_S)).await?;
+                life.excesses.extend(late);
+                life.end_watch(self.role, self.limits);
+                life.watch = life.machine.pid().map(UsageWatch::start);
+            }
         }
         Ok(())
     }
@@ -130,9 +134,7 @@
     async fn start_again(&mut self, process: &WatchedProcess, down: Duration) -> Result<(), FleetError> {
         self.end_watch(process.role, process.limits);
         sleep(down).await;
-        self.start()?;
-        sleep(SIGNAL_READY_DELAY).await;
-        Ok(())
+        self.start()
     }
 
     /// Notes that the process has ended by itself, if it has.
--- a/testbed/src/misbehaving_clients/sender.rs
+++ b/testbed/src/misbehaving_clients/sender.rs
@@ -1,11 +1,11 @@
 //! One message sender with little memory: started, watched, and handed an ordinary message.
 use super::crowd::Target;
-use super::process::SIGNAL_READY_DELAY;
 use super::report::Report;
 use super::stand_in;
 use super::tier::exchange;
 use super::usage::UsageWatch;
 use crate::fleet::{FleetError, built_sender, free_address, io};
+use crate::process_ends::process_status;
 use crate::serving_tier::soak::Fault;
 use message_sender::wire::{HAND_IN, READY};
 use nix::sys::signal::{Signal, kill};
@@ -128,6 +128,8 @@
             }
             Fault::Kill { down } => self.start_again(&mut life, Signal::SIGKILL, down).await?,
             Fault::Restart { down } => self.start_again(&mut life, Signal::SIGTERM, down).await?,
+            // Those of a sender are the schedules of `Trouble::Failures`, which has none of these.
+            Fault::Start(_) => {}
         }
         Ok(())
     }
@@ -135,9 +137,7 @@
     async fn start_again(&self, life: &mut Life, signal: Signal, down: Duration) -> Result<(), FleetError> {
         life.end(signal, self.limits).await;
         sleep(down).await;
-        self.start_process(life)?;
-        sleep(SIGNAL_READY_DELAY).await;
-        Ok(())
+        self.start_process(life)
     }
 
     async fn get_ready(&self) -> Result<(), FleetError> {
@@ -197,7 +197,12 @@
 
 impl Life {
     fn signal(&self, signal: Signal) {
-        let pid = self.process.as_ref().and_then(Child::id).and_then(|id| i32::try_from(id).ok());
+        let id = self.process.as_ref().and_then(Child::id);
+        // Before its first instruction the kernel ends a process.
+        if signal == Signal::SIGHUP && !id.is_some_and(|id| process_status::catches(id, signal)) {
+            return;
+        }
+        let pid = id.and_then(|id| i32::try_from(id).ok());
         // One that has just ended hears nothing.
         let _ = pid.map(|pid| kill(Pid::from_raw(pid), signal));
     }
--- a/testbed/src/process_ends/lone_process.rs
+++ b/testbed/src/process_ends/lone_process.rs
@@ -1,6 +1,7 @@
 //! A single process on an address of its own, whose settings, log and limits are in the hands of a test.
 
 use super::log_target::LogTarget;
+use super::process_status;
 use crate::fleet::{FleetError, built_sender, io};
 use crate::misbehaving_clients::sender::{SenderLimits, configuration};
 use crate::serving_tier::machines::{Role, built_programs};
@@ -233,8 +234,12 @@
         std::fs::read_to_string(self.log_file()).unwrap_or_default()
     }
 
+    fn id(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
     fn pid(&self) -> Option<i32> {
-        self.child.as_ref().and_then(Child::id).and_then(|id| i32::try_from(id).ok())
+        self.id().and_then(|id| i32::try_from(id).ok())
     }
 
     /// Sends a signal.
@@ -276,29 +281,14 @@
         set.map(drop).map_err(|e| io("setting a limit")(e.into()))
     }
 
-    fn status_field(&self, field: &str) -> Option<String> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()?)).ok()?;
-        status.lines().find_map(|line| line.strip_prefix(field)).map(|value| value.trim().to_owned())
-    }
-
     /// Whether it handles a signal now, rather than being ended by it.
     pub fn catches(&self, signal: Signal) -> bool {
-        let caught = self.status_field("SigCgt:").and_then(|mask| u64::from_str_radix(&mask, 16).ok());
-        caught.is_some_and(|mask| mask & (1 << (signal as u32 - 1)) != 0)
-    }
-
-    /// Whether it runs the tier's program already, rather than what started it.
-    pub fn has_begun(&self) -> bool {
-        let executable = self.pid().and_then(|pid| std::fs::read_link(format!("/proc/{pid}/exe")).ok());
-        executable.is_some_and(|path| path.ends_with(self.program.name()))
+        self.id().is_some_and(|pid| process_status::catches(pid, signal))
     }
 
     /// Processor time that it has used.
     pub fn processor_time(&self) -> Option<Duration> {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.pid()?)).ok()?;
-        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_ascii_whitespace().collect();
-        let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
-        Some(Duration::from_millis(ticks * 1_000 / rustix::param::clock_ticks_per_second()))
+        process_status::processor_time(self.id()?)
     }
 
     /// The addresses at which a process of its role accepts connections.
--- a/testbed/src/process_ends/mod.rs
+++ b/testbed/src/process_ends/mod.rs
@@ -6,3 +6,4 @@
 
 pub mod log_target;
 pub mod lone_process;
+pub mod process_status;
--- a/testbed/src/serving_tier/machines.rs
+++ b/testbed/src/serving_tier/machines.rs
@@ -2,6 +2,7 @@
 use super::endpoints::mixed;
 use crate::built::build_folder;
 use crate::fleet::{FleetError, io};
+use crate::process_ends::process_status;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
@@ -212,6 +213,8 @@
     folder: PathBuf,
     settings: Value,
     starts: u32,
+    /// Numbers of all its processes.
+    pub pids: Vec<u32>,
     child: Option<Child>,
 }
 
@@ -238,19 +241,61 @@
         if role.has_disk() {
             settings["data_directory"] = json!(data);
         }
-        Ok(Self { name, program: programs.join(program), folder, settings, starts: 0, child: None })
+        Ok(Self {
+            name,
+            program: programs.join(program),
+            folder,
+            settings,
+            starts: 0,
+            pids: Vec::new(),
+            child: None,
+        })
     }
 
     /// Starts the process with its settings, and with what its folder holds.
     pub fn start(&mut self) -> Result<(), FleetError> {
-        let file = self.folder.join("node.yaml");
+        self.write_settings()?;
+        self.start_with_present_settings()
+    }
+
+    /// Starts the process while its settings file is empty.
+    pub fn start_without_settings(&mut self) -> Result<(), FleetError> {
+        self.write_text("")?;
+        self.start_with_present_settings()
+    }
+
+    /// Writes its settings.
+    pub fn write_settings(&mut self) -> Result<(), FleetError> {
         // JSON is YAML.
-        std::fs::write(&file, self.settings.to_string()).map_err(io("writing a file"))?;
+        self.write_text(&self.settings.to_string())?;
         // Whatever comes after this is no first start.
+        self.set_restarted();
+        Ok(())
+    }
+
+    /// No start from now on is a first start.
+    pub(super) fn set_restarted(&mut self) {
         self.settings["first_start"] = json!(false);
+    }
+
+    /// Writes the first half of its settings.
+    pub fn write_half_of_the_settings(&self) -> Result<(), FleetError> {
+        let text = self.settings.to_string();
+        self.write_text(&text[..text.len() / 2])
+    }
+
+    fn settings_file(&self) -> PathBuf {
+        self.folder.join("node.yaml")
+    }
+
+    fn write_text(&self, text: &str) -> Result<(), FleetError> {
+        std::fs::write(self.settings_file(), text).map_err(io("writing a file"))
+    }
+
+    fn start_with_present_settings(&mut self) -> Result<(), FleetError> {
         let log = std::fs::File::options().create(true).append(true).open(self.folder.join("log"));
         let child = Command::new(&self.program)
-            .env("SEDGEWOOD_BOOT", &file)
+            .env("SEDGEWOOD_BOOT", self.settings_file())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log.map_err(io("making a log"))?)
@@ -260,6 +305,7 @@
             .spawn()
             .map_err(io("starting a program"))?;
         self.starts += 1;
+        self.pids.extend(child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -271,9 +317,11 @@
         }
     }
 
-    /// SIGHUP.
+    /// SIGHUP, unless the process does not handle it yet: before its first instruction the kernel ends it.
     pub fn reload(&self) {
-        self.signal(Signal::SIGHUP);
+        if self.catches(Signal::SIGHUP) {
+            self.signal(Signal::SIGHUP);
+        }
     }
 
     /// SIGSTOP: it keeps its memory and its connections, and does nothing.
@@ -305,6 +353,24 @@
         }
     }
 
+    /// SIGTERM, and a new process while the former is still ending; true if that ended within `max_wait`.
+    pub async fn start_beside_the_former(&mut self, max_wait: Duration) -> Result<bool, FleetError> {
+        self.signal(Signal::SIGTERM);
+        let former = self.child.take();
+        self.start()?;
+        let Some(mut former) = former else { return Ok(true) };
+        let exited = timeout(max_wait, former.wait()).await.is_ok();
+        if !exited {
+            let _ = former.kill().await;
+        }
+        Ok(exited)
+    }
+
+    /// Whether the process handles a signal now, rather than being ended by it.
+    pub fn catches(&self, signal: Signal) -> bool {
+        self.pid().is_some_and(|pid| process_status::catches(pid, signal))
+    }
+
     /// SIGTERM, waits for the end, and SIGKILL where it does not come within `max_wait`; true if it came.
     pub async fn terminate(&mut self, max_wait: Duration) -> bool {
         let Some(mut child) = self.child.take() else { return false };
--- a/testbed/src/serving_tier/mod.rs
+++ b/testbed/src/serving_tier/mod.rs
@@ -8,4 +8,5 @@
 pub mod operator;
 pub mod run;
 pub mod soak;
+pub mod start_faults;
 pub mod table;
--- a/testbed/src/serving_tier/run.rs
+++ b/testbed/src/serving_tier/run.rs
@@ -6,6 +6,7 @@
 use super::machines::{Addresses, Machine, Older, Programs, Role};
 use super::operator::{Operator, configuration};
 use super::soak::{Fault, Schedule, Step, Trouble};
+use super::start_faults::FirstStart;
 use crate::fleet::{FleetError, io};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
@@ -39,8 +40,6 @@
 /// How long a killed storage machine is away.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
-/// After a start a process is given this long until it gets a signal: before that none is handled.
-const SIGNAL_READY_DELAY: Duration = Duration::from_millis(1_500);
 /// From the last fault of a soak until programs have to finish: `recovery_s`.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// The number of the first program after a soak's faults.
@@ -126,7 +125,6 @@
 struct Tier {
     /// With the proxies last: they need the others.
     machines: Vec<(Role, Mutex<Machine>)>,
-    pids: Mutex<Vec<u32>>,
     crashes: Mutex<Vec<String>>,
     late_ends: Mutex<Vec<String>>,
     /// Deleted with the tier.
@@ -155,13 +153,7 @@
                 machines.push((role, Mutex::new(machine)));
             }
         }
-        Ok(Self {
-            machines,
-            pids: Mutex::default(),
-            crashes: Mutex::default(),
-            late_ends: Mutex::default(),
-            _folder: folder,
-        })
+        Ok(Self { machines, crashes: Mutex::default(), late_ends: Mutex::default(), _folder: folder })
     }
 
     fn machine(&self, role: Role, number: usize) -> &Mutex<Machine> {
@@ -169,17 +161,20 @@
         &machines_of_role.nth(number).expect("a machine of the play").1
     }
 
-    async fn start(&self, machine: &mut Machine) -> Result<(), FleetError> {
-        machine.start()?;
-        self.pids.lock().await.extend(machine.pid());
-        Ok(())
+    /// Starts all processes, each in its own way.
+    async fn start_all(&self, starts: &[FirstStart]) -> Result<(), FleetError> {
+        let start = async |machine: &Mutex<Machine>, start| machine.lock().await.start_first(start).await;
+        let starting = self.machines.iter().zip(starts).map(|((_, machine), first)| start(machine, *first));
+        futures_util::future::try_join_all(starting).await.map(drop)
     }
 
-    async fn start_all(&self) -> Result<(), FleetError> {
+    /// Numbers of all processes that were started.
+    async fn pids(&self) -> Vec<u32> {
+        let mut pids = Vec::new();
         for (_, machine) in &self.machines {
-            self.start(&mut *machine.lock().await).await?;
+            pids.extend(&machine.lock().await.pids);
         }
-        Ok(())
+        pids
     }
 
     async fn note_crashes(&self) {
@@ -288,7 +283,7 @@
     let [answered, limited] = &stage.platform.calls;
     let crashes = std::mem::take(&mut *stage.tier.crashes.lock().await);
     let late_ends = std::mem::take(&mut *stage.tier.late_ends.lock().await);
-    let pids = std::mem::take(&mut *stage.tier.pids.lock().await);
+    let pids = stage.tier.pids().await;
     Ok(RunResult {
         verdict: check_history(&history),
         history,
@@ -363,11 +358,22 @@
         Ok(())
     }
 
+    fn schedule(&self, trouble: Trouble) -> Schedule {
+        let length = Duration::from_secs_f64(self.plan.seconds * (1.0 - QUIET_TAIL_SHARE));
+        Schedule::draw(self.plan.seed, trouble, &self.tier.processes(), length)
+    }
+
+    async fn start_all(&self) -> Result<(), FleetError> {
+        let starts = match self.plan.faults {
+            Faults::OneOfEach => vec![FirstStart::default(); self.tier.machines.len()],
+            Faults::Soak(trouble) => self.schedule(trouble).first_starts,
+        };
+        self.tier.start_all(&starts).await
+    }
+
     /// Series of faults on all processes side by side, changes of the configuration and new incarnations of endpoints.
     async fn soak(&self, trouble: Trouble) -> Result<(), FleetError> {
-        let processes = self.tier.processes();
-        let length = Duration::from_secs_f64(self.plan.seconds * (1.0 - QUIET_TAIL_SHARE));
-        let schedule = Schedule::draw(self.plan.seed, trouble, &processes, length);
+        let schedule = self.schedule(trouble);
         let series =
             schedule.series.iter().map(|(role, number, steps)| self.run_series(*role, *number, steps));
         let series = futures_util::future::try_join_all(series);
@@ -387,7 +393,7 @@
             let mut machine = machine.lock().await;
             if machine.crashed() {
                 self.tier.note_crash(&machine).await;
-                self.tier.start(&mut machine).await?;
+                machine.start()?;
             }
             let from = self.recorder.now();
             self.recorder.event(format!("{}: {:?}", machine.name, step.fault));
@@ -407,20 +413,23 @@
             Fault::Restart { down } => {
                 self.terminate(machine).await;
                 sleep(down).await;
-                self.tier.start(machine).await?;
-                sleep(SIGNAL_READY_DELAY).await;
+                machine.start()?;
             }
             Fault::Kill { down } => {
                 machine.kill().await;
                 sleep(down).await;
-                self.tier.start(machine).await?;
-                sleep(SIGNAL_READY_DELAY).await;
+                machine.start()?;
             }
             Fault::Pause { time } => {
                 machine.pause();
                 sleep(time).await;
                 machine.resume();
             }
+            Fault::Start(fault) => {
+                let grace = Duration::from_secs_f64(self.plan.grace_s);
+                let late = machine.go_through(fault, grace).await?;
+                self.tier.late_ends.lock().await.extend(late);
+            }
         }
         Ok(())
     }
@@ -461,7 +470,7 @@
 
     /// Starts the tier, gives it a configuration, and waits until a first program has gone through.
     async fn start_up(&self) -> Result<(), FleetError> {
-        self.tier.start_all().await?;
+        self.start_all().await?;
         let ready = async {
             let has_lookups = matches!(self.plan.faults, Faults::Soak(_));
             let first = configuration(FIRST_VERSION, has_lookups);
@@ -494,7 +503,7 @@
         machine.wipe().await?;
         self.recorder.event(format!("{} was killed and lost its disk", machine.name));
         sleep(RESTART_DELAY).await;
-        self.tier.start(&mut machine).await?;
+        machine.start()?;
         self.recorder.event(format!("{} starts on an empty disk", machine.name));
         Ok(())
     }
@@ -504,7 +513,7 @@
         let mut machine = self.tier.machine(Role::RequestProxy, 0).lock().await;
         self.recorder.event(format!("{} gets SIGTERM", machine.name));
         self.terminate(&mut machine).await;
-        self.tier.start(&mut machine).await?;
+        machine.start()?;
         self.recorder.event(format!("{} starts again", machine.name));
         Ok(())
     }
--- a/testbed/src/serving_tier/soak.rs
+++ b/testbed/src/serving_tier/soak.rs
@@ -5,6 +5,7 @@
 //! processes of every role killed and stopped, whose requests are excepted. No disk is lost in either.
 use super::endpoints::mixed;
 use super::machines::Role;
+use super::start_faults::{FirstStart, StartFault};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::ops::Range;
@@ -32,6 +33,9 @@
     Planned,
     /// The same, and processes of every role are killed, stopped and restarted.
     Failures,
+    /// The first start and all later ones are disturbed: by signals within their first milliseconds, by processes that
+    /// are still ending, and by settings that are being written. Some processes are killed or stopped.
+    Starts,
 }
 
 /// What happens to a process.
@@ -54,6 +58,8 @@
         /// Time between the two.
         time: Duration,
     },
+    /// A fault around a start.
+    Start(StartFault),
 }
 
 /// A fault of a series: it follows the one before by `gap`.
@@ -70,6 +76,8 @@
 pub struct Schedule {
     /// The series of each process.
     pub series: Vec<(Role, usize, Vec<Step>)>,
+    /// How each process goes through the first start.
+    pub first_starts: Vec<FirstStart>,
     /// Gaps between changes of the configuration.
     pub configurations: Vec<Duration>,
     /// Gaps between new incarnations of endpoints.
@@ -92,7 +100,11 @@
         let series = series.collect();
         let configurations = gaps(&mut rng, &CONFIGURATION_GAP_MS, 1, length);
         let incarnations = gaps(&mut rng, &INCARNATION_GAP_MS, 1, length);
-        Self { series, configurations, incarnations }
+        let first_starts = match trouble {
+            Trouble::Starts => FirstStart::draw_all(&mut rng, processes),
+            Trouble::Planned | Trouble::Failures => vec![FirstStart::default(); processes.len()],
+        };
+        Self { series, first_starts, configurations, incarnations }
     }
 }
 
@@ -114,8 +126,13 @@
     let down = Duration::from_millis(rng.random_range(DOWN_MS));
     let time = Duration::from_millis(rng.random_range(PAUSE_MS));
     let kind = rng.random_range(0..4);
+    if trouble == Trouble::Starts && kind > 0 {
+        return Some(Fault::Start(StartFault::draw(rng)));
+    }
     let is_edge = matches!(role, Role::RequestProxy | Role::ProxyAgent);
     match (trouble, kind) {
+        (Trouble::Starts, _) if rng.random() => Some(Fault::Kill { down }),
+        (Trouble::Starts, _) => Some(Fault::Pause { time }),
         (_, 0) => Some(Fault::Reload),
         (Trouble::Planned, 1) => Some(Fault::Reload),
         (Trouble::Planned, _) => is_edge.then_some(Fault::Restart { down }),
--- a/testbed/tests/serving_tier.rs
+++ b/testbed/tests/serving_tier.rs
@@ -329,6 +329,28 @@
     assert!(result.is_good(), "{}", table(&result));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_and_late_settings_around_starts_end_processes() {
+    let result = soak(3, Trouble::Starts).await;
+    assert!(result.is_good(), "{}", table(&result));
+}
+
+#[test]
+fn a_soak_of_disturbed_starts_kills_one_core_machine_at_most_at_the_first_start() {
+    let mut processes: Vec<_> = (0..7).map(|number| (Role::ControlNode, number)).collect();
+    processes.extend((0..7).map(|number| (Role::RequestProxy, number)));
+    let mut killed_edges = 0;
+    for seed in 0..50 {
+        let schedule = Schedule::draw(seed, Trouble::Starts, &processes, Duration::from_secs(60));
+        assert_eq!(schedule, Schedule::draw(seed, Trouble::Starts, &processes, Duration::from_secs(60)));
+        let killed: Vec<bool> = schedule.first_starts.iter().map(|start| start.killed.is_some()).collect();
+        let [core, edge] = [&killed[..7], &killed[7..]].map(|killed| killed.iter().filter(|is| **is).count());
+        assert!(core <= 1, "seed {seed}");
+        killed_edges += edge;
+    }
+    assert!(killed_edges > 0);
+}
+
 #[test]
 fn a_request_dropped_by_a_sender_that_did_not_fail_breaks_a_rule() {
     let drop_all = |history: &mut History, disturbance: Option<Disturbance>| {
