Found seeds again that were killed before the first write of their first start

Callers saw: if two of three seeds were killed in the first moment of the fleet's first start, every control node answered 503 for good.

Cause: their next start is no first start, so an empty disk counts as a lost one; a recovery needs records at more seeds than are left.

Change: a seed that has run without interruption since the first start, and knows of no chosen value, polls the other seeds. If each replies, none has accepted anything but the initial value, too few have a record for a recovery, and all of this lasts for 3 s, it sends them that value under the lowest ballot. A value that was ever chosen is known to it, or more machines were lost at once than a register tolerates: the module documentation has the argument. After a restart of that seed nothing is founded.

Cluster tests cover a chosen value, a restarted founder, a seed that cannot be asked and a disk that refuses; they pass.

--- a/system/config-register/src/lib.rs
+++ b/system/config-register/src/lib.rs
@@ -14,7 +14,8 @@
 //!   after its request was given up is dropped. Replies carry no ballot, so they are matched to their calls.
 //! - The `known` value that an attempt starts with is chosen: the founding value, a proposer's `Done`, a fetched value that
 //!   [`Learner::confirms`], or [`AcceptorRecord::chosen_voters`].
-//! - A voter without a record is [`Acceptor::recovering`] until a [`Recovery`] is done.
+//! - A voter without a record is [`Acceptor::recovering`] until a [`Recovery`] is done, or a [`Founder`] found that nothing was
+//!   ever chosen.
 //!
 //! # Example
 //!
@@ -84,6 +85,7 @@
 mod backoff;
 mod ballot;
 mod ballot_run;
+mod founding;
 mod learner;
 mod proposer;
 mod quorum;
@@ -93,6 +95,7 @@
 pub use acceptor::{Acceptor, AcceptorRecord, AcceptorResponse, VoterState, founding_record};
 pub use backoff::ProposerBackoff;
 pub use ballot::BallotSource;
+pub use founding::{FOUNDING_DELAY_MS, Founder, founded_record};
 pub use learner::{Learner, PollOutcome, completion_rank, known_chosen_value};
 pub use proposer::{Change, Proposer, ProposerStep};
 pub use record_format::{RecordFormat, RecordV1};
--- a/system/control-node/src/event.rs
+++ b/system/control-node/src/event.rs
@@ -60,6 +60,8 @@
     },
     /// The node has recovered its lost record from its peers and may vote again.
     Recovered(&'a AcceptorRecord),
+    /// The register's initial value is sent to a seed without a record, because nothing was ever chosen.
+    SeedFounded(Ipv4Addr),
     /// This node has become the leader of the coordination log.
     LeadsCoordination {
         /// The ballot under which it leads.
@@ -99,6 +101,9 @@
                     record.promised.round, record.voter_state
                 )
             }
+            Self::SeedFounded(seed) => {
+                write!(f, "founding seed {seed}: it has no record, and nothing was ever chosen")
+            }
             Self::LeadsCoordination { ballot } => {
                 write!(f, "leading the coordination log: round {}", ballot.round)
             }
--- a/system/control-node/src/lib.rs
+++ b/system/control-node/src/lib.rs
@@ -12,6 +12,7 @@
 mod endpoint_discovery;
 mod event;
 mod failure_detection;
+mod founding;
 mod learner;
 mod membership;
 mod node;
--- a/system/control-node/src/node.rs
+++ b/system/control-node/src/node.rs
@@ -4,7 +4,7 @@
 use crate::orders::OrderQueue;
 use crate::replica::Replica;
 use crate::{ControlBackend, ControlEvent, DiskState, ENDPOINT_DISCOVERY_TASK, StorageLosses};
-use config_register::{AcceptorRecord, BallotSource, ProposerBackoff, VoterState};
+use config_register::{AcceptorRecord, BallotSource, Founder, ProposerBackoff, VoterState};
 use controllers::{LeaseCandidate, LossTolerance, ProposerSelection, StorageController, VoterController};
 use fleet_model::{
     AcceptedValue, Answer, Ballot, Call, ChosenValue, RegisterReply, RegisterRequest, RegisterValue,
@@ -29,6 +29,8 @@
     Existing(AcceptorRecord),
     /// The node has never voted; this record is written before it does.
     New(AcceptorRecord),
+    /// The same, but this start has already written the record.
+    NewOnDisk(AcceptorRecord),
     /// The record was lost. The node may have voted, so it must not vote before it has recovered its record from its peers.
     Recovering,
 }
@@ -49,10 +51,18 @@
 
     fn record(&self) -> Option<&AcceptorRecord> {
         match self {
-            Self::Existing(record) | Self::New(record) => Some(record),
+            Self::Existing(record) | Self::New(record) | Self::NewOnDisk(record) => Some(record),
             Self::Recovering => None,
         }
     }
+
+    /// The node as a founder, if it starts for the first time.
+    fn founder(&self, me: Ipv4Addr) -> Option<Founder> {
+        match self {
+            Self::New(record) | Self::NewOnDisk(record) => Founder::new(me, record),
+            Self::Existing(_) | Self::Recovering => None,
+        }
+    }
 }
 
 /// The number of ballots that this incarnation of the node has started, and of those that were lost.
@@ -74,6 +84,8 @@
     pub(crate) replica: Rc<Replica<R, B>>,
     /// The record that a new node writes before its first vote; `None` once it is written.
     pub(crate) initial_record: RefCell<Option<AcceptorRecord>>,
+    /// Founds seeds that lost their initial record; `None` unless this incarnation has run since the first start.
+    pub(crate) founder: RefCell<Option<Founder>>,
     /// Tracks which voters respond.
     pub(crate) voter_controller: RefCell<VoterController>,
     /// All known control nodes, whether or not they are voters.
@@ -115,6 +127,7 @@
     ) -> Rc<Self> {
         let (me, backend) = (runtime.ip(), Rc::new(backend));
         let record = initial_state.record().cloned();
+        let founder = initial_state.founder(me);
         let known_value = record.as_ref().and_then(|record| record.chosen_voters.clone());
         let known_core_nodes = known_value.iter().flat_map(|known| known.voters.clone());
         let known_core_nodes = known_core_nodes.chain(runtime.seeds()).chain([me]).collect();
@@ -122,7 +135,7 @@
             ballots.observe(record.promised);
         }
         let (existing, initial_record) = match initial_state {
-            InitialState::Existing(record) => (Some(record), None),
+            InitialState::Existing(record) | InitialState::NewOnDisk(record) => (Some(record), None),
             InitialState::New(record) => (None, Some(record)),
             InitialState::Recovering => (None, None),
         };
@@ -133,6 +146,7 @@
             feed,
             replica: Replica::new(runtime.clone(), backend.clone(), existing),
             initial_record: RefCell::new(initial_record),
+            founder: RefCell::new(founder),
             voter_controller: RefCell::new(VoterController::new(me)),
             known_core_nodes: RefCell::new(known_core_nodes),
             known_value: RefCell::new(known_value),
@@ -255,6 +269,7 @@
 
     /// Answers a register request as an acceptor. Promised and accepted ballots are synced before the reply is sent.
     async fn answer_register(&self, from: Ipv4Addr, request: RegisterRequest) -> Option<RegisterReply> {
+        self.accept_founding(&request);
         if let RegisterRequest::Prepare(ballot) = &request {
             self.observe_ballot(*ballot);
         }
--- a/system/control-node/src/recovery.rs
+++ b/system/control-node/src/recovery.rs
@@ -26,6 +26,7 @@
             } else if !self.feed.value().voters.contains(&self.me) {
                 self.request_voter_membership().await;
             }
+            self.found_empty_seeds().await;
             self.replica.probe_disk();
             self.runtime.sleep(Duration::from_millis(250 + self.runtime.random_u64() % 100)).await;
         }
@@ -35,8 +36,10 @@
         let initial_record = self.initial_record.borrow().clone();
         match initial_record {
             Some(record) => {
+                let initial_value = record.chosen_voters.clone();
                 if self.replica.recover(record).await {
                     self.initial_record.take();
+                    self.set_initial_value(initial_value);
                     self.poll_requested.notify_one();
                 }
             }
--- a/system/control-node/tests/cluster/main.rs
+++ b/system/control-node/tests/cluster/main.rs
@@ -2,6 +2,7 @@
 //! serves requests that need no write, does not vote meanwhile, and votes again after the first write that succeeds.
 
 mod coordination;
+mod founding;
 mod in_memory_cluster;
 mod invalid_configurations;
 mod orders;
--- a/system/programs/src/control/backend.rs
+++ b/system/programs/src/control/backend.rs
@@ -71,7 +71,7 @@
             ControlEvent::Chosen(_) | ControlEvent::Adopted { is_changed: false, .. } => {}
             ControlEvent::DiscoveryFailed(_) => log::debug!("{event}"),
             ControlEvent::UndecodableValue(_) | ControlEvent::DiskFailing(_) => log::error!("{event}"),
-            ControlEvent::StorageLosses(_) => log::warn!("{event}"),
+            ControlEvent::StorageLosses(_) | ControlEvent::SeedFounded(_) => log::warn!("{event}"),
             _ => log::info!("{event}"),
         }
     }
--- a/system/programs/src/control/record.rs
+++ b/system/programs/src/control/record.rs
@@ -71,7 +71,7 @@
 pub(super) async fn write_initial_record(opened: Opened) -> Opened {
     match opened.initial_state {
         InitialState::New(record) if opened.durable.put(&record).await.is_ok() => {
-            Opened { initial_state: InitialState::Existing(record), ..opened }
+            Opened { initial_state: InitialState::NewOnDisk(record), ..opened }
         }
         _ => opened,
     }
