--- a/system/control-node/src/founding.rs
+++ b/system/control-node/src/founding.rs
@@ -19,7 +19,7 @@
             self.founder.take();
             return;
         }
-        let polls = self.founder.borrow().iter().flat_map(|founder| founder.outbox()).collect::<Vec<_>>();
+        let polls = self.founder.borrow().iter().flat_map(Founder::outbox).collect::<Vec<_>>();
         let replies = join_all(polls.into_iter().map(|poll| self.send(poll))).await;
         // A value may have been chosen while the polls were under way.
         if !self.is_register_unused() {
