Restart a sender with the configuration in force while its file cannot be used

Callers saw: a sender whose start or part had failed did not serve again until its configuration file was whole, though it had read a usable one.

Cause: each run after the first one read the file and failed with it.

Change: a restart reads the file, and takes the document in force if that fails, with a warning. A reload that was taken is in force.

Evidence: a_configuration_that_breaks_while_a_sender_restarts_keeps_it_from_serving failed on the code before (no answer in 60 s, the log repeats the error of the file) and passes now.

--- a/src/config.rs
+++ b/src/config.rs
@@ -260,17 +260,27 @@
 /// reports all.
 pub fn read(path: &Path) -> Result<(Value, Config), ConfigError> {
     let document = load(path)?;
+    let config = from_document(path, &document)?;
+    Ok((document, config))
+}
+
+/// The typed form of a document that was read from `path`.
+///
+/// # Errors
+///
+/// The first error that is found.
+pub fn from_document(path: &Path, document: &Value) -> Result<Config, ConfigError> {
     let to_error = |source| ConfigError::Invalid { path: path.to_owned(), source };
     let mut config: Config = if is_toml(path) {
         let mut keys = Vec::new();
         let config =
-            serde_ignored::deserialize(&document, |key| keys.push(key.to_string())).map_err(to_error)?;
+            serde_ignored::deserialize(document, |key| keys.push(key.to_string())).map_err(to_error)?;
         if !keys.is_empty() {
             return Err(ConfigError::UnknownKeys { path: path.to_owned(), keys });
         }
         config
     } else {
-        Config::deserialize(&document).map_err(to_error)?
+        Config::deserialize(document).map_err(to_error)?
     };
     if let Some(fleet) = &config.fleet {
         let errors = fleet.settings(config.settings.zone()).faults();
@@ -284,7 +294,7 @@
         let parsed = address.to_str().and_then(|address| address.parse().ok());
         config.admin_address = Some(parsed.ok_or(ConfigError::AdminAddress(address))?);
     }
-    Ok((document, config))
+    Ok(config)
 }
 
 /// Everything that [`check`] found in a configuration.
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,6 +21,7 @@
 use process_lifecycle::waits::Waits;
 use process_lifecycle::{panics, runtime, shutdown};
 use serde_json::{Map, Value};
+use std::cell::RefCell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
@@ -108,6 +109,20 @@
 /// Reads the configuration and checks all of it.
 fn read_configuration(path: &Path) -> Result<Configuration, StartError> {
     let (document, config) = config::read(path)?;
+    check_configuration(document, config)
+}
+
+/// The configuration for a restart: that of the file, or the one in force while the file cannot be used.
+fn configuration_for_restart(lifecycle: &Lifecycle) -> Result<Configuration, StartError> {
+    read_configuration(&lifecycle.path).or_else(|error| {
+        tracing::warn!("restarting with the configuration in force, as the file cannot be used: {error}");
+        let document = lifecycle.document.borrow().clone();
+        let config = config::from_document(&lifecycle.path, &document)?;
+        check_configuration(document, config)
+    })
+}
+
+fn check_configuration(document: Value, config: config::Config) -> Result<Configuration, StartError> {
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
     let tuning = Tuning::new(config.settings.clone()).map_err(StartError::Settings)?;
     Ok(Configuration { document, config, tuning, seed })
@@ -206,6 +221,8 @@
 /// What outlives a restart of the sender within its process.
 struct Lifecycle {
     path: PathBuf,
+    /// The document of the configuration in force.
+    document: Rc<RefCell<Value>>,
     state_directory: PathBuf,
     log: log::Handle,
     waits: Rc<Waits>,
@@ -220,6 +237,7 @@
     parts: Parts,
 ) -> Result<(), StartError> {
     let Configuration { document, config, tuning, seed } = configuration;
+    lifecycle.document.replace(document);
     let (waits, state_directory) = (&lifecycle.waits, &lifecycle.state_directory);
     let (service_state, service_state_receiver) = watch::channel(ServiceState::Starting);
     let (admin_commands, mut admin_command_receiver) = mpsc::channel(admin_endpoint::MAX_CONNECTIONS);
@@ -335,7 +353,7 @@
     let reloading = Reloading {
         reloads: requests.reloads.clone(),
         path: lifecycle.path.clone(),
-        running: document,
+        running: lifecycle.document.clone(),
         discovery_address,
         host: inputs.clone(),
         shared: shared.clone(),
@@ -394,7 +412,7 @@
 struct Reloading {
     reloads: watch::Receiver<u64>,
     path: PathBuf,
-    running: Value,
+    running: Rc<RefCell<Value>>,
     discovery_address: watch::Sender<SocketAddr>,
     host: UnboundedSender<Input>,
     shared: Arc<Shared>,
@@ -404,13 +422,14 @@
 impl Reloading {
     async fn run(mut self) {
         while self.reloads.changed().await.is_ok() {
-            let result = apply_configuration(&self.path, &self.running, &self.host).await;
+            let running = self.running.borrow().clone();
+            let result = apply_configuration(&self.path, &running, &self.host).await;
             self.shared.reloads.count(result.is_ok());
             match result {
                 Ok((document, address, level)) => {
                     self.log.set(level);
                     tracing::info!("reloaded: settings applied, discovery address is {address}");
-                    self.running = document;
+                    self.running.replace(document);
                     self.discovery_address.send_replace(address);
                 }
                 Err(e) => tracing::warn!("not reloaded, keeping the running configuration: {e}"),
@@ -468,11 +487,11 @@
     };
     let log_config = configuration.config.log.clone().unwrap_or_else(config::Log::unconfigured);
     let log = log::begin(&log_config, &sender_name(&configuration.config))?;
-    let lifecycle = Lifecycle { path, state_directory, log, waits, restarts: Restarts::default() };
+    let document = Rc::new(RefCell::new(configuration.document.clone()));
+    let lifecycle = Lifecycle { path, document, state_directory, log, waits, restarts: Restarts::default() };
     let mut first = Some(configuration);
     supervise(requests, &lifecycle.restarts, |parts| {
-        // A restart takes the configuration of its moment.
-        let configuration = first.take().map_or_else(|| read_configuration(&lifecycle.path), Ok);
+        let configuration = first.take().map_or_else(|| configuration_for_restart(&lifecycle), Ok);
         let lifecycle = &lifecycle;
         async move { run(configuration?, lifecycle, requests, parts).await }
     })
--- a/testbed/tests/process_ends.rs
+++ b/testbed/tests/process_ends.rs
@@ -295,6 +295,20 @@
     waits_until(process, async |_| std::fs::remove_dir(journal).unwrap()).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_that_breaks_while_a_sender_restarts_keeps_it_from_serving() {
+    let mut process = LoneProcess::new(Program::MessageSender).unwrap();
+    let journal = process.data_directory().join("messages.wal");
+    std::fs::create_dir(&journal).unwrap();
+    process.start().unwrap();
+    sleep(LACK).await;
+    process.write_settings_text("listen = [").unwrap();
+    sleep(LACK).await;
+    std::fs::remove_dir(journal).unwrap();
+    assert!(process.serves_within(SERVES_WITHIN).await, "{}", process.log());
+    ends_when_told(process).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_data_directory_that_hangs_keeps_a_process_from_ending() {
     for_each(&DISK_ROLES, |mut process| async move {
