--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -108,6 +108,43 @@
     _file: File,
 }
 
+/// The file beside the journal whose lock is the right to write it.
+struct LockFile {
+    path: PathBuf,
+    file: File,
+}
+
+impl LockFile {
+    fn open(folder: &Path) -> Result<Self, HandoverError> {
+        let path = folder.join("journal.lock");
+        match File::options().write(true).create(true).truncate(false).open(&path) {
+            Ok(file) => Ok(Self { path, file }),
+            Err(source) => Err(HandoverError::Folder { doing: "opening", path, source }),
+        }
+    }
+
+    /// Takes the lock; gives the file back if another process holds it.
+    fn try_lock(self) -> Result<Result<Lock, Self>, HandoverError> {
+        match self.file.try_lock() {
+            Ok(()) => Ok(Ok(Lock { _file: self.file })),
+            Err(TryLockError::WouldBlock) => Ok(Err(self)),
+            Err(TryLockError::Error(source)) => Err(self.locking_error(source)),
+        }
+    }
+
+    /// Waits for the lock.
+    fn lock(self) -> Result<Lock, HandoverError> {
+        match self.file.lock() {
+            Ok(()) => Ok(Lock { _file: self.file }),
+            Err(source) => Err(self.locking_error(source)),
+        }
+    }
+
+    fn locking_error(self, source: io::Error) -> HandoverError {
+        HandoverError::Folder { doing: "locking", path: self.path, source }
+    }
+}
+
 /// What a running process handed over.
 pub struct Inherited {
     pub state: Box<Known>,
@@ -123,26 +160,15 @@
     folder: &Path,
     numbering: &[Vec<String>],
 ) -> Result<(Lock, Option<Inherited>), HandoverError> {
-    let path = folder.join("journal.lock");
-    let error = |doing| {
-        let path = path.clone();
-        move |source| HandoverError::Folder { doing, path, source }
-    };
     let mut logged = String::new();
     loop {
-        let file = File::options().write(true).create(true).truncate(false).open(&path);
-        let file = file.map_err(error("opening"))?;
-        match file.try_lock() {
-            Ok(()) => return Ok((Lock { _file: file }, None)),
-            Err(TryLockError::WouldBlock) => {}
-            Err(TryLockError::Error(source)) => return Err(error("locking")(source)),
-        }
+        let held = match LockFile::open(folder)?.try_lock()? {
+            Ok(lock) => return Ok((lock, None)),
+            Err(held) => held,
+        };
         match request_handover(folder, numbering).await {
-            Ok(inherited) => {
-                // The old process released the lock before its last message.
-                file.lock().map_err(error("locking"))?;
-                return Ok((Lock { _file: file }, Some(inherited)));
-            }
+            // The old process released the lock before its last message.
+            Ok(inherited) => return Ok((held.lock()?, Some(inherited))),
             Err(e) => {
                 // Log each reason once, not each attempt.
                 let text = e.to_string();
@@ -171,15 +197,10 @@
 /// # Errors
 /// The lock file cannot be opened or locked.
 pub fn claim_again(folder: &Path) -> Result<Claim, HandoverError> {
-    let path = folder.join("journal.lock");
-    let error = |doing| move |source| HandoverError::Folder { doing, path: path.clone(), source };
-    let file = File::options().write(true).create(true).truncate(false).open(folder.join("journal.lock"));
-    let file = file.map_err(error.clone()("opening"))?;
-    match file.try_lock() {
-        Ok(()) => Ok(Claim::Locked(Lock { _file: file })),
-        Err(TryLockError::WouldBlock) => Ok(Claim::HeldByAnother),
-        Err(TryLockError::Error(source)) => Err(error("locking")(source)),
-    }
+    Ok(match LockFile::open(folder)?.try_lock()? {
+        Ok(lock) => Claim::Locked(lock),
+        Err(_) => Claim::HeldByAnother,
+    })
 }
 
 /// The path of the handover socket, through the folder's descriptor if the plain path is too long for a socket address.
