Try a new peer for each port in the tests of ports that connections hold

Cause: closed connections keep their ports for a minute. One peer's connections get neighbouring ports, so all 50 tries fell among ports that others had used one after the other.

Change: each try has a new peer, whose port the kernel's search begins from, and tries go on for 90 s, longer than a closed connection keeps its port. What is checked is the same.

--- a/system/peer-wire/tests/calls.rs
+++ b/system/peer-wire/tests/calls.rs
@@ -18,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::Instant;
 
 const FLEET: u16 = 12;
 
@@ -405,6 +406,9 @@
     });
 }
 
+/// How long ports are tried: longer than a closed connection keeps its port.
+const OWN_PORT_TIMEOUT: Duration = Duration::from_secs(90);
+
 /// The sockets of this host that have the port, by the kernel's table.
 fn sockets_with_port(port: u16) -> usize {
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
@@ -419,9 +423,11 @@
 #[test]
 fn a_connection_to_a_peer_holds_the_port_of_a_listener_that_is_away() {
     local(async {
-        let peer = serve().await;
+        let until = Instant::now() + OWN_PORT_TIMEOUT;
         // The kernel may give a connection of another program the same port: that one would hold it.
-        for _ in 0..50 {
+        while Instant::now() < until {
+            // It begins its search at a port that depends on the peer's.
+            let peer = serve().await;
             let client = peer.client();
             assert_that!(client.call(inspect("a"), LONG_TIMEOUT).await, ok(eq(&view("a"))));
             let from = *peer.echo.callers.borrow().last().unwrap();
--- a/tests/sockets/outgoing_connections.rs
+++ b/tests/sockets/outgoing_connections.rs
@@ -2,8 +2,11 @@
 use message_sender::net::connection::Connection;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 const TIME_LIMIT: Duration = Duration::from_secs(20);
+/// How long ports are tried: longer than a closed connection keeps its port.
+const OWN_PORT_TIMEOUT: Duration = Duration::from_secs(90);
 
 /// The sockets of this host that have the port, by the kernel's table.
 fn sockets_with_port(port: u16) -> usize {
@@ -18,9 +21,11 @@
 
 #[tokio::test]
 async fn a_connection_to_an_endpoint_holds_the_port_of_a_listener_that_is_away() {
-    let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let until = Instant::now() + OWN_PORT_TIMEOUT;
     // The kernel may give a connection of another program the same port: that one would hold it.
-    for _ in 0..50 {
+    while Instant::now() < until {
+        // It begins its search at a port that depends on the endpoint's.
+        let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let connection = Connection::open(endpoint.local_addr().unwrap(), TIME_LIMIT).await;
         let (_call, from) = endpoint.accept().await.unwrap();
         if sockets_with_port(from.port()) > 1 {
