--- a/testbed/src/serving_tier/start_faults.rs
+++ b/testbed/src/serving_tier/start_faults.rs
@@ -26,8 +26,6 @@
 const LATE_START_MS: Range<u64> = 300..4_000;
 /// One process in so many starts late, and one in so many has its settings late.
 const LATE_STRIDE: u32 = 4;
-/// Core machines that may be killed at the first start: one fewer than the seeds.
-const MAX_KILLED_CORE: usize = 2;
 /// Hang-ups at an early moment of a start.
 const EARLY_HANGUPS: usize = 3;
 /// A process that has not begun by then is not waited for with a hang-up.
@@ -114,17 +112,17 @@
 }
 
 impl FirstStart {
-    /// Draws the first start of each of these processes. At most [`MAX_KILLED_CORE`] core machines are killed: a seed that runs
-    /// on since then founds those that are killed before their first write.
+    /// Draws the first start of each of these processes. At most one core machine is killed: one that is killed before its
+    /// first write counts as one that has lost its disk, and the tier bears the loss of one.
     pub(super) fn draw_all(rng: &mut ChaCha8Rng, processes: &[(Role, usize)]) -> Vec<Self> {
-        let mut killed_core = 0;
+        let mut has_killed_core = false;
         let mut starts = Vec::new();
         for (role, _) in processes {
             let is_late = rng.random_ratio(1, LATE_STRIDE);
             let delay = if is_late { LATE_START_MS } else { FIRST_START_MS };
             let is_core = *role == Role::ControlNode;
-            let is_killed = rng.random_ratio(1, LATE_STRIDE) && !(is_core && killed_core == MAX_KILLED_CORE);
-            killed_core += usize::from(is_core && is_killed);
+            let is_killed = rng.random_ratio(1, LATE_STRIDE) && !(is_core && has_killed_core);
+            has_killed_core |= is_core && is_killed;
             starts.push(Self {
                 delay: draw(rng, delay, Duration::from_millis),
                 hangups: Some(draw_hangups(rng)),
