Serve peers by a late handler in one place

The control node and the storage node each listened at their address for peers, told their body and served the same handler. Behavior is unchanged.

--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -11,8 +11,8 @@
 use crate::admin::{AdminEndpoint, Topic};
 use crate::control_api::{self, ApiLimits, ApiLoad};
 use crate::feed::{ProcessRuntime, SubscriberLink, new_feed};
-use crate::late_handler::LateHandler;
-use crate::listeners::{listen, listen_for_clients};
+use crate::late_handler::{LateHandler, serve_peers};
+use crate::listeners::listen_for_clients;
 use crate::members::Members;
 use crate::process::{Process, shutdown_requested};
 use crate::random::{incarnation_nonce, random_u64};
@@ -31,7 +31,6 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 /// Time for a leader of the coordination log to complete its round before the process ends.
@@ -128,19 +127,6 @@
     Ok((control_plane, folder))
 }
 
-/// Answers peers, once their address can be had, and notifies `listening` then.
-async fn answer_peers(
-    process: Rc<Process>,
-    handler: Rc<LateHandler<ControlServer>>,
-    listening: oneshot::Sender<()>,
-) {
-    let address = process.peer(process.settings().ip_address);
-    let listener = listen(&process, address).await;
-    // The body may have ended meanwhile.
-    let _ = listening.send(());
-    PeerServer::new(process.fleet(), handler).serve(listener).await;
-}
-
 /// Answers operators and applications, once their address can be had.
 async fn answer_callers(
     process: Rc<Process>,
@@ -165,8 +151,7 @@
     let feed = new_feed(&process);
     let admin = AdminEndpoint::new(process.clone(), feed.clone(), None, "control-node");
     let handler = LateHandler::new(admin);
-    let (listening_sender, listening) = oneshot::channel();
-    process.spawn_part("peer server", answer_peers(process.clone(), handler.clone(), listening_sender));
+    let listening = serve_peers(&process, PeerServer::new(process.fleet(), handler.clone()));
     let opened = record::open_with_retry(process.waits(), &folder, settings.first_start, me, &seeds).await;
     let record::Opened { durable, initial_state, damages, lock } = record::write_initial_record(opened).await;
     if initial_state == control_node::InitialState::Recovering {
--- a/system/programs/src/late_handler.rs
+++ b/system/programs/src/late_handler.rs
@@ -2,11 +2,14 @@
 //! what the program waits for; all other calls are answered once it is ready.
 
 use crate::admin::AdminEndpoint;
+use crate::listeners::listen;
+use crate::process::Process;
 use fleet_model::{Answer, Call};
-use peer_wire::{Handler, Pusher};
+use peer_wire::{Handler, PeerServer, Pusher};
 use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::sync::oneshot;
 
 /// Answers by the program's handler, once there is one.
 pub struct LateHandler<H> {
@@ -40,3 +43,19 @@
         self.handler.get().map_or(0, |handler| handler.expected_answer_len(call))
     }
 }
+
+/// Answers peers in a part of the process, once their address can be had. The receiver is notified then.
+pub fn serve_peers<H: Handler>(
+    process: &Rc<Process>,
+    server: PeerServer<LateHandler<H>>,
+) -> oneshot::Receiver<()> {
+    let (listening_sender, listening) = oneshot::channel();
+    let serving = process.clone();
+    process.spawn_part("peer server", async move {
+        let listener = listen(&serving, serving.peer(serving.settings().ip_address)).await;
+        // The body may have ended meanwhile.
+        let _ = listening_sender.send(());
+        server.serve(listener).await;
+    });
+    listening
+}
--- a/system/programs/src/storage.rs
+++ b/system/programs/src/storage.rs
@@ -9,8 +9,7 @@
 
 use crate::admin::AdminEndpoint;
 use crate::feed::{Feed, follow, new_feed};
-use crate::late_handler::LateHandler;
-use crate::listeners::listen;
+use crate::late_handler::{LateHandler, serve_peers};
 use crate::members::Members;
 use crate::process::{Process, shutdown_requested};
 use crate::settings_file::MissingSetting;
@@ -29,7 +28,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
 /// Interval of the removal of expired records.
@@ -103,21 +101,6 @@
     settings.data_directory.clone().ok_or(MissingSetting("data_directory"))
 }
 
-/// Answers peers, once their address can be had, and notifies `listening` then.
-async fn answer_peers(
-    process: Rc<Process>,
-    handler: Rc<LateHandler<StorageServer>>,
-    listening: oneshot::Sender<()>,
-) {
-    let settings = process.settings();
-    let listener = listen(&process, process.peer(settings.ip_address)).await;
-    // The body may have ended meanwhile.
-    let _ = listening.send(());
-    let frame_memory = (settings.limits.memory_mb * 1e6 * LARGE_CALL_MEMORY_SHARE) as usize;
-    let server = PeerServer::new(process.fleet(), handler).with_frame_memory(frame_memory);
-    server.serve(listener).await;
-}
-
 /// Removes expired records now and then; never returns.
 async fn remove_expired(replica: Rc<RecoveringReplica>) {
     loop {
@@ -144,8 +127,9 @@
     let feed = new_feed(&process);
     let admin = AdminEndpoint::new(process.clone(), feed.clone(), None, "storage-node");
     let handler = LateHandler::new(admin);
-    let (listening_sender, listening) = oneshot::channel();
-    process.spawn_part("peer server", answer_peers(process.clone(), handler.clone(), listening_sender));
+    let frame_memory = (settings.limits.memory_mb * 1e6 * LARGE_CALL_MEMORY_SHARE) as usize;
+    let server = PeerServer::new(process.fleet(), handler.clone()).with_frame_memory(frame_memory);
+    let listening = serve_peers(&process, server);
     let directory = Arc::new(DirectoryAt(folder));
     let (replica, failures) =
         RecoveringReplica::new(directory, machine, Box::new(move || clock.now_ms()), process.waits().clone());
