--- a/system/programs/src/agent.rs
+++ b/system/programs/src/agent.rs
@@ -12,7 +12,7 @@
 use fleet_model::{Answer, Call};
 use node_settings::Settings;
 use peer_wire::{Handler, PeerServer, Pusher};
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -49,7 +49,7 @@
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
     let feed = new_feed(&process);
-    let peers = listen(&process, SocketAddrV4::new(settings.ip_address, settings.peer_port())).await;
+    let peers = listen(&process, process.peer(settings.ip_address)).await;
     let members = Members::start(process.clone(), feed.clone(), Role::Edge, |_| ())?;
     let admin = AdminEndpoint::new(process.clone(), feed.clone(), Some(members), "proxy-agent");
     let server = PeerServer::new(process.fleet(), Rc::new(Agent { feed: feed.clone(), admin }));
--- a/system/programs/src/members.rs
+++ b/system/programs/src/members.rs
@@ -123,7 +123,7 @@
     }
 
     async fn run(self: Rc<Self>) {
-        let mut ending = self.process.ending.clone();
+        let mut ending = self.process.ending();
         let settings = self.process.settings();
         let port = settings.probe_port();
         let socket = tokio::select! {
--- a/system/programs/src/process.rs
+++ b/system/programs/src/process.rs
@@ -48,8 +48,6 @@
     reload_failures: Cell<u64>,
     /// Which decision mechanisms are in force.
     pub routing_policy: RoutingPolicy,
-    /// Turns true with SIGTERM.
-    pub ending: watch::Receiver<bool>,
     lifecycle: Lifecycle,
     parts: Parts,
     started: Instant,
@@ -81,7 +79,6 @@
             check: source.check,
             reload_failures: Cell::new(0),
             routing_policy,
-            ending: lifecycle.requests.shutdown.clone(),
             lifecycle,
             parts,
             started: Instant::now(),
@@ -98,6 +95,11 @@
         &self.lifecycle.waits
     }
 
+    /// Turns true with SIGTERM.
+    pub fn ending(&self) -> watch::Receiver<bool> {
+        self.lifecycle.requests.shutdown.clone()
+    }
+
     /// How often the body of the program was started again.
     pub fn restarts(&self) -> u64 {
         self.lifecycle.restarts.count()
--- a/system/programs/src/proxy.rs
+++ b/system/programs/src/proxy.rs
@@ -99,7 +99,7 @@
 /// Answers the platform's readiness checks, once their address can be had.
 async fn answer_readiness(process: Rc<Process>, address: SocketAddrV4, ready: Rc<Cell<bool>>) {
     let listener = listen_for_clients(&process, address).await;
-    let ending = process.ending.clone();
+    let ending = process.ending();
     serve_readiness(listener, move || ready.get() && !*ending.borrow()).await;
 }
 
