--- a/system/control-node/src/founding.rs
+++ b/system/control-node/src/founding.rs
@@ -12,23 +12,17 @@
     /// On a node that has run since the first start: sends the initial value to seeds without a record, if nothing was ever chosen
     /// and they cannot recover.
     pub(crate) async fn found_empty_seeds(&self) {
-        if self.founder.borrow().is_none() || !self.can_vote() {
+        if !self.can_vote() {
             return;
         }
-        if !self.is_register_unused() {
-            self.founder.take();
-            return;
-        }
-        let polls = self.founder.borrow().iter().flat_map(Founder::outbox).collect::<Vec<_>>();
-        let replies = join_all(polls.into_iter().map(|poll| self.send(poll))).await;
+        // Without it, nothing is founded by this node any more.
+        let Some(mut founder) = self.founder.take().filter(|founder| self.is_unused(founder)) else { return };
+        let replies = join_all(founder.outbox().into_iter().map(|poll| self.send(poll))).await;
         // A value may have been chosen while the polls were under way.
-        if !self.is_register_unused() {
-            return;
-        }
-        let requests = match self.founder.borrow_mut().as_mut() {
-            Some(founder) => founder.on_polled(self.runtime.now_ms(), &replies),
-            None => return,
-        };
+        let is_unused = self.is_unused(&founder);
+        let requests =
+            if is_unused { founder.on_polled(self.runtime.now_ms(), &replies) } else { Vec::new() };
+        self.founder.replace(Some(founder));
         for request in &requests {
             self.backend.on_event(&ControlEvent::SeedFounded(request.to));
         }
@@ -36,10 +30,8 @@
     }
 
     /// Whether this node has accepted and learned nothing but the register's initial value.
-    fn is_register_unused(&self) -> bool {
-        let accepted = self.replica.accepted();
-        let is_unused = |founder: &Founder| founder.is_unused(accepted.as_ref());
-        self.feed.value().ballot == Ballot::default() && self.founder.borrow().as_ref().is_some_and(is_unused)
+    fn is_unused(&self, founder: &Founder) -> bool {
+        self.feed.value().ballot == Ballot::default() && founder.is_unused(self.replica.accepted().as_ref())
     }
 
     async fn send(&self, request: OutgoingRequest) -> (Ipv4Addr, Option<RegisterReply>) {
--- a/system/control-node/tests/cluster/founding.rs
+++ b/system/control-node/tests/cluster/founding.rs
@@ -16,6 +16,15 @@
     seeds.iter().for_each(|index| cluster.restart_node(ip(*index)));
 }
 
+/// Ends two of the three seeds, starts them again with empty disks, and checks that they do not vote.
+async fn expect_never_founded(cluster: &Rc<Cluster>) {
+    restart_empty(cluster, &[1, 2]);
+    sleep(seconds(30)).await;
+    for index in [1, 2] {
+        expect_that!(cluster.node(ip(index)).can_vote(), eq(false));
+    }
+}
+
 #[gtest]
 fn two_seeds_that_end_before_their_first_write_leave_the_register_unfounded() {
     run(async {
@@ -51,11 +60,7 @@
     run(async {
         let cluster = Cluster::start(&[]);
         expect_that!(cluster.commit(ip(0), 1).await, eq(&PutConfigOutcome::Committed(1)));
-        restart_empty(&cluster, &[1, 2]);
-        sleep(seconds(30)).await;
-        for index in [1, 2] {
-            expect_that!(cluster.node(ip(index)).can_vote(), eq(false));
-        }
+        expect_never_founded(&cluster).await;
     });
 }
 
@@ -65,11 +70,7 @@
         let cluster = Cluster::start(&[]);
         sleep(seconds(1)).await;
         cluster.restart_node(ip(0));
-        restart_empty(&cluster, &[1, 2]);
-        sleep(seconds(30)).await;
-        for index in [1, 2] {
-            expect_that!(cluster.node(ip(index)).can_vote(), eq(false));
-        }
+        expect_never_founded(&cluster).await;
     });
 }
 
