--- a/src/main.rs
+++ b/src/main.rs
@@ -122,6 +122,7 @@
     })
 }
 
+/// Checks what the typed form of a configuration leaves open.
 fn check_configuration(document: Value, config: config::Config) -> Result<Configuration, StartError> {
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
     let tuning = Tuning::new(config.settings.clone()).map_err(StartError::Settings)?;
@@ -487,7 +488,8 @@
     };
     let log_config = configuration.config.log.clone().unwrap_or_else(config::Log::unconfigured);
     let log = log::begin(&log_config, &sender_name(&configuration.config))?;
-    let document = Rc::new(RefCell::new(configuration.document.clone()));
+    // Each run puts its own document there.
+    let document = Rc::default();
     let lifecycle = Lifecycle { path, document, state_directory, log, waits, restarts: Restarts::default() };
     let mut first = Some(configuration);
     supervise(requests, &lifecycle.restarts, |parts| {
