--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -30,6 +30,18 @@
 /// Pause between questions whether a sender is ready.
 const ADMIN_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Starts a process without input and output that is killed when the result is dropped. It has a group of its own: ctrl-C is for
+/// the test bed, which then ends its processes.
+pub(crate) fn spawn_detached(command: &mut Command, stderr: impl Into<Stdio>) -> std::io::Result<Child> {
+    command
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(stderr)
+        .process_group(0)
+        .kill_on_drop(true)
+        .spawn()
+}
+
 /// Why a fleet cannot be had.
 #[derive(Debug, thiserror::Error)]
 pub enum FleetError {
@@ -255,17 +267,10 @@
             Some(_) => Stdio::piped(),
             None => log.take().map_or_else(Stdio::null, Stdio::from),
         };
-        let mut child = command
+        command
             .env("PROXY_CONFIG", self.folder.path().join("config.json"))
-            .env("PROXY_STATE", self.folder.path().join("state"))
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(stderr)
-            // ctrl-C is for the test bed, which then ends its senders.
-            .process_group(0)
-            .kill_on_drop(true)
-            .spawn()
-            .map_err(io("starting a sender"))?;
+            .env("PROXY_STATE", self.folder.path().join("state"));
+        let mut child = spawn_detached(&mut command, stderr).map_err(io("starting a sender"))?;
         if let (Some(sink), Some(stderr), Some(mut log)) = (&self.sink, child.stderr.take(), log) {
             let (sink, number) = (sink.clone(), self.number);
             tokio::spawn(async move {
--- a/testbed/src/misbehaving_clients/sender.rs
+++ b/testbed/src/misbehaving_clients/sender.rs
@@ -4,7 +4,7 @@
 use super::stand_in;
 use super::tier::exchange;
 use super::usage::UsageWatch;
-use crate::fleet::{FleetError, built_sender, free_address, io};
+use crate::fleet::{FleetError, built_sender, free_address, io, spawn_detached};
 use crate::process_ends::process_status;
 use crate::serving_tier::soak::Fault;
 use message_sender::wire::{HAND_IN, READY};
@@ -13,7 +13,6 @@
 use serde_json::{Value, json};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -101,16 +100,10 @@
     fn start_process(&self, life: &mut Life) -> Result<(), FleetError> {
         let path = |name| self.folder.path().join(name);
         let log = std::fs::File::options().create(true).append(true).open(path("log"));
-        let process = Command::new(&self.program)
-            .env("PROXY_CONFIG", path("config.json"))
-            .env("PROXY_STATE", path("state"))
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log.map_err(io("making a log"))?)
-            .process_group(0)
-            .kill_on_drop(true)
-            .spawn()
-            .map_err(io("starting a sender"))?;
+        let mut command = Command::new(&self.program);
+        command.env("PROXY_CONFIG", path("config.json")).env("PROXY_STATE", path("state"));
+        let log = log.map_err(io("making a log"))?;
+        let process = spawn_detached(&mut command, log).map_err(io("starting a sender"))?;
         life.watch = process.id().map(UsageWatch::start);
         life.process = Some(process);
         Ok(())
--- a/testbed/src/process_ends/lone_process.rs
+++ b/testbed/src/process_ends/lone_process.rs
@@ -2,7 +2,7 @@
 
 use super::log_target::LogTarget;
 use super::process_status;
-use crate::fleet::{FleetError, built_sender, io};
+use crate::fleet::{FleetError, built_sender, io, spawn_detached};
 use crate::misbehaving_clients::sender::{SenderLimits, configuration};
 use crate::serving_tier::machines::{Role, built_programs};
 use message_sender::wire::READY;
@@ -13,7 +13,7 @@
 use std::io::PipeReader;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
-use std::process::{ExitStatus, Stdio};
+use std::process::ExitStatus;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tempfile::TempDir;
@@ -198,7 +198,7 @@
     /// Starts the process.
     pub fn start_with(&mut self, log: LogTarget, limits: StartLimits) -> Result<(), FleetError> {
         let (stderr, log_reader) = log.open(&self.log_file())?;
-        let program = self.programs.join(self.program.name());
+        let program = self.program(self.program.name());
         let mut command = if limits == StartLimits::default() {
             Command::new(program)
         } else {
@@ -209,17 +209,11 @@
         if limits.no_threads_within_kib.is_some() {
             command.env("RUST_MIN_STACK", THREAD_STACK_BYTES.to_string());
         }
-        let child = command
+        command
             .env("SEDGEWOOD_BOOT", self.settings_file())
             .env("PROXY_CONFIG", self.settings_file())
-            .env("PROXY_STATE", self.data_directory())
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(stderr)
-            .process_group(0)
-            .kill_on_drop(true)
-            .spawn()
-            .map_err(io("starting a program"))?;
+            .env("PROXY_STATE", self.data_directory());
+        let child = spawn_detached(&mut command, stderr).map_err(io("starting a program"))?;
         self.child = Some(child);
         self.log_reader = log_reader;
         Ok(())
@@ -351,7 +345,7 @@
         if std::fs::write(&settings, self.settings_text()).is_err() {
             return String::new();
         }
-        let mut fleetctl = Command::new(self.programs.join("fleetctl"));
+        let mut fleetctl = Command::new(self.program("fleetctl"));
         fleetctl.arg("--settings").arg(&settings).arg("--at");
         fleetctl.arg(SocketAddrV4::new(self.ip, PEER_PORT).to_string()).args(command);
         let output = timeout(ANSWER_TIMEOUT * 5, fleetctl.kill_on_drop(true).output()).await;
@@ -369,7 +363,7 @@
 
     /// The path of a program of the tier.
     pub fn program(&self, name: &str) -> PathBuf {
-        Path::new(&self.programs).join(name)
+        self.programs.join(name)
     }
 }
 
--- a/testbed/src/serving_tier/machines.rs
+++ b/testbed/src/serving_tier/machines.rs
@@ -1,14 +1,13 @@
 //! The tier's machines: real processes on loopback addresses, each with a settings file and, where it has a disk, a folder.
 use super::endpoints::mixed;
 use crate::built::build_folder;
-use crate::fleet::{FleetError, io};
+use crate::fleet::{FleetError, io, spawn_detached};
 use crate::process_ends::process_status;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -294,16 +293,10 @@
 
     fn start_with_present_settings(&mut self) -> Result<(), FleetError> {
         let log = std::fs::File::options().create(true).append(true).open(self.folder.join("log"));
-        let child = Command::new(&self.program)
-            .env("SEDGEWOOD_BOOT", self.settings_file())
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log.map_err(io("making a log"))?)
-            // ctrl-C is for the test bed, which then ends its processes.
-            .process_group(0)
-            .kill_on_drop(true)
-            .spawn()
-            .map_err(io("starting a program"))?;
+        let mut command = Command::new(&self.program);
+        command.env("SEDGEWOOD_BOOT", self.settings_file());
+        let log = log.map_err(io("making a log"))?;
+        let child = spawn_detached(&mut command, log).map_err(io("starting a program"))?;
         self.starts += 1;
         self.pids.extend(child.id());
         self.child = Some(child);
--- a/testbed/tests/process_ends.rs
+++ b/testbed/tests/process_ends.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use testbed::process_ends::log_target::LogTarget;
@@ -286,21 +287,24 @@
     waits_until(process, async |_| std::fs::create_dir(state).unwrap()).await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_journal_that_cannot_be_opened_ends_a_sender() {
+/// Starts a sender whose journal cannot be opened until the returned directory is removed.
+fn start_sender_without_journal() -> (LoneProcess, PathBuf) {
     let mut process = LoneProcess::new(Program::MessageSender).unwrap();
     let journal = process.data_directory().join("messages.wal");
     std::fs::create_dir(&journal).unwrap();
     process.start().unwrap();
+    (process, journal)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_journal_that_cannot_be_opened_ends_a_sender() {
+    let (process, journal) = start_sender_without_journal();
     waits_until(process, async |_| std::fs::remove_dir(journal).unwrap()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_configuration_that_breaks_while_a_sender_restarts_keeps_it_from_serving() {
-    let mut process = LoneProcess::new(Program::MessageSender).unwrap();
-    let journal = process.data_directory().join("messages.wal");
-    std::fs::create_dir(&journal).unwrap();
-    process.start().unwrap();
+    let (process, journal) = start_sender_without_journal();
     sleep(LACK).await;
     process.write_settings_text("listen = [").unwrap();
     sleep(LACK).await;
