--- a/system/peer-wire/tests/calls.rs
+++ b/system/peer-wire/tests/calls.rs
@@ -1,10 +1,13 @@
 //! Calls and pushes over loopback sockets.
 
+#[path = "../../../tests/common/outgoing_ports.rs"]
+mod outgoing_ports;
 mod samples;
 
 use byte_mutation::mutated;
 use fleet_model::{Answer, Ballot, Call, Frame, ListVersion, Push};
 use googletest::prelude::*;
+use outgoing_ports::{OWN_PORT_TIMEOUT, sockets_with_port};
 use peer_wire::{
     CallFailure, CallLimits, HELLO_LEN, Handler, PeerClient, PeerServer, Pusher, decode, encode,
 };
@@ -406,20 +409,6 @@
     });
 }
 
-/// How long ports are tried: longer than a closed connection keeps its port.
-const OWN_PORT_TIMEOUT: Duration = Duration::from_secs(90);
-
-/// The sockets of this host that have the port, by the kernel's table.
-fn sockets_with_port(port: u16) -> usize {
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let port = format!(":{port:04X}");
-    table
-        .lines()
-        .filter_map(|line| line.split_whitespace().nth(1))
-        .filter(|local| local.ends_with(&port))
-        .count()
-}
-
 #[test]
 fn a_connection_to_a_peer_holds_the_port_of_a_listener_that_is_away() {
     local(async {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -6,6 +6,8 @@
 mod harness;
 mod metrics;
 mod outgoing_connections;
+#[path = "../common/outgoing_ports.rs"]
+mod outgoing_ports;
 mod restarts;
 mod shutdown;
 mod upgrade;
--- a/tests/sockets/outgoing_connections.rs
+++ b/tests/sockets/outgoing_connections.rs
@@ -1,23 +1,11 @@
 //! The ports of connections that the sender makes.
+use crate::outgoing_ports::{OWN_PORT_TIMEOUT, sockets_with_port};
 use message_sender::net::connection::Connection;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
 const TIME_LIMIT: Duration = Duration::from_secs(20);
-/// How long ports are tried: longer than a closed connection keeps its port.
-const OWN_PORT_TIMEOUT: Duration = Duration::from_secs(90);
-
-/// The sockets of this host that have the port, by the kernel's table.
-fn sockets_with_port(port: u16) -> usize {
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let port = format!(":{port:04X}");
-    table
-        .lines()
-        .filter_map(|line| line.split_whitespace().nth(1))
-        .filter(|local| local.ends_with(&port))
-        .count()
-}
 
 #[tokio::test]
 async fn a_connection_to_an_endpoint_holds_the_port_of_a_listener_that_is_away() {
