--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use testbed::peers::campaign::Break;
 use testbed::scenario::Baseline;
+use testbed::serving_tier::load::LoadName;
 use testbed::serving_tier::soak::Trouble;
 use testbed::system::{self, Mutation};
 
@@ -47,6 +48,9 @@
         /// In place of one fault of each kind, series of faults drawn from the seed.
         #[arg(long)]
         soak: Option<Trouble>,
+        /// What clients ask for.
+        #[arg(long, default_value = "light")]
+        load: LoadName,
         /// Core machines.
         #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(3..=9))]
         core: u8,
--- a/testbed/src/coordination/cluster.rs
+++ b/testbed/src/coordination/cluster.rs
@@ -4,6 +4,7 @@
 use super::plan::{HISTORY, Plan, RELEASE_MS};
 use crate::fleet::{FleetError, io};
 use crate::serving_tier::endpoints::Platform;
+use crate::serving_tier::load::Load;
 use crate::serving_tier::machines::{Addresses, Machine, Programs, Role};
 use serde_json::{Value, json};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -43,7 +44,7 @@
         let listener = TcpListener::bind((PLATFORM_IP, 0)).await.map_err(io("listening"))?;
         let port = listener.local_addr().map_err(io("listening"))?.port();
         let mut platform = JoinSet::new();
-        platform.spawn(std::sync::Arc::new(Platform::new(Vec::new())).serve(listener));
+        platform.spawn(std::sync::Arc::new(Platform::new(Vec::new(), &Load::LIGHT)).serve(listener));
         let platform_address = SocketAddrV4::new(PLATFORM_IP, port);
         let programs = Programs { present: programs, older: None };
         let mut machines = Vec::new();
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -14,7 +14,7 @@
 use testbed::baseline;
 use testbed::scenario::Scenario;
 use testbed::serving_tier::machines::Older;
-use testbed::serving_tier::run::{Faults, TierSize};
+use testbed::serving_tier::run::{Faults, Plan, TierSize};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
@@ -52,11 +52,13 @@
             let scenario = Scenario::parse(include_str!("../scenarios/demo.toml"))?;
             sender_runs::run_all(scenario, sender, seed, None, false, stop).await
         }
-        Command::Tier { programs, older, older_first, seed, seconds, soak, core, storage, edge } => {
+        Command::Tier { programs, older, older_first, seed, seconds, soak, load, core, storage, edge } => {
             let older = older.map(|programs| Older { programs, is_first: older_first });
             let size = TierSize { core, storage, edge };
             let faults = soak.map_or(Faults::OneOfEach, Faults::Soak);
-            serving_tier::run(programs, older, seed, seconds, faults, size, stop).await
+            let plan =
+                Plan { older, size, faults, load: load.into(), ..serving_tier::base_plan(seed, seconds) };
+            serving_tier::run(programs, plan, stop).await
         }
         Command::Misbehave(options) => misbehaving_clients::run(options, stop).await,
         Command::Soak(options) => coordination::soak(options, stop).await,
--- a/testbed/src/misbehaving_clients/stand_in.rs
+++ b/testbed/src/misbehaving_clients/stand_in.rs
@@ -3,6 +3,7 @@
 use crate::fleet::{FleetError, io};
 use crate::serving_tier::endpoints::{Endpoint, Platform};
 use crate::serving_tier::history::Kind;
+use crate::serving_tier::load::Load;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -38,7 +39,7 @@
     let ip = Ipv4Addr::new(127, 0, 40, 1);
     let listener = TcpListener::bind((ip, 0)).await.map_err(io("listening"))?;
     let address = SocketAddrV4::new(ip, listener.local_addr().map_err(io("listening"))?.port());
-    parties.spawn(Arc::new(Platform::new(endpoints)).serve(listener));
+    parties.spawn(Arc::new(Platform::new(endpoints, &Load::LIGHT)).serve(listener));
     Ok(address)
 }
 
--- a/testbed/src/misbehaving_clients/usage.rs
+++ b/testbed/src/misbehaving_clients/usage.rs
@@ -21,6 +21,10 @@
     pub unread_bytes: u64,
     /// Open file descriptors.
     pub descriptors: usize,
+    /// Size of the address space.
+    pub address_space_bytes: u64,
+    /// Threads.
+    pub threads: u64,
 }
 
 impl Usage {
@@ -33,15 +37,19 @@
             memory_bytes: kilobytes(&status, "VmRSS:")? * 1024 + unread_bytes,
             unread_bytes,
             descriptors: sockets.count,
+            address_space_bytes: kilobytes(&status, "VmSize:")? * 1024,
+            threads: field(&status, "Threads:")?.parse().ok()?,
         })
     }
 
     /// The greater of both, field by field.
-    fn max(self, other: Self) -> Self {
+    pub fn max(self, other: Self) -> Self {
         Self {
             memory_bytes: self.memory_bytes.max(other.memory_bytes),
             unread_bytes: self.unread_bytes.max(other.unread_bytes),
             descriptors: self.descriptors.max(other.descriptors),
+            address_space_bytes: self.address_space_bytes.max(other.address_space_bytes),
+            threads: self.threads.max(other.threads),
         }
     }
 }
@@ -52,9 +60,12 @@
     Some(kilobytes(&status, "VmHWM:")? * 1024)
 }
 
-fn kilobytes(status: &str, field: &str) -> Option<u64> {
-    let line = status.lines().find_map(|line| line.strip_prefix(field))?;
-    line.trim().strip_suffix(" kB")?.parse().ok()
+fn field<'a>(status: &'a str, name: &str) -> Option<&'a str> {
+    status.lines().find_map(|line| line.strip_prefix(name)).map(str::trim)
+}
+
+fn kilobytes(status: &str, name: &str) -> Option<u64> {
+    field(status, name)?.strip_suffix(" kB")?.parse().ok()
 }
 
 /// The open descriptors of a process, and the inodes of those that are sockets.
--- a/testbed/src/serving_tier/clients.rs
+++ b/testbed/src/serving_tier/clients.rs
@@ -1,6 +1,7 @@
 //! Stand-in clients behind the platform's front: agent programs of turns, with tools between them.
 use super::endpoints::mixed;
 use super::history::{Attempt, AttemptRoute, End, Kind, Program, Recorder};
+use super::load::Load;
 use super::operator::HOST;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -26,8 +27,6 @@
 const READINESS_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// A sender that missed this many has no new connections.
 const MAX_MISSED_POLLS: usize = 2;
-/// The most tokens that a turn of a program generates.
-const MAX_TOKENS_PER_TURN: u64 = 24;
 /// The budget of a program that loops.
 const LOOP_BUDGET: u64 = 120;
 /// A program that loops is ended by the test bed after this many rounds.
@@ -94,6 +93,7 @@
     front: Arc<Front>,
     recorder: Arc<Recorder>,
     seed: u64,
+    load: Load,
     ids: AtomicU64,
     /// Whether lookups may be asked for: their route is in force.
     pub lookups: AtomicBool,
@@ -143,8 +143,8 @@
 
 impl Clients {
     /// Clients that come by this front.
-    pub fn new(front: Arc<Front>, recorder: Arc<Recorder>, seed: u64) -> Self {
-        Self { front, recorder, seed, ids: AtomicU64::new(0), lookups: AtomicBool::new(false) }
+    pub fn new(front: Arc<Front>, recorder: Arc<Recorder>, seed: u64, load: Load) -> Self {
+        Self { front, recorder, seed, load, ids: AtomicU64::new(0), lookups: AtomicBool::new(false) }
     }
 
     fn draw(&self) -> u64 {
@@ -200,7 +200,7 @@
             head = head.header("Finish-Ms", ms(planned.program.finish));
             if planned.kind == Kind::Turn {
                 head = head.header("Model", "m").header("Budget", planned.program.budget);
-                head = head.header("Token-Usage", format!("200,{MAX_TOKENS_PER_TURN}"));
+                head = head.header("Token-Usage", format!("200,{}", self.load.max_tokens_per_turn));
                 head = head.header("Prompt-Prefix", format!("{:x}:200", planned.program.session));
             }
             match planned.previous {
@@ -324,12 +324,22 @@
         Ok(())
     }
 
+    /// The input of a turn, which differs from those of all others.
+    fn input(&self, turn: u64, program: usize) -> String {
+        let mut input = format!("turn {turn} of {program}: {:x} ", self.draw());
+        while input.len() + 1 < self.load.input_bytes {
+            input.push('x');
+        }
+        input.push('\n');
+        input
+    }
+
     /// A program of several turns.
     async fn work(self: &Arc<Self>, line: &Arc<ProgramLine>, draw: u64) -> Result<(), String> {
         let mut idle_connection = None;
         let mut previous: Option<String> = None;
-        for turn in 0..3 + draw % 3 {
-            let input = format!("turn {turn} of {}: {:x}\n", line.number, self.draw());
+        for turn in 0..self.load.turns_of(draw) {
+            let input = self.input(turn, line.number);
             previous = match self.turn(line, previous.as_deref(), input, &mut idle_connection).await {
                 RequestOutcome::Done(attempt) => Some(attempt),
                 RequestOutcome::Denied(status) => return Err(format!("turn {turn} got {status}")),
@@ -338,7 +348,7 @@
             if turn == 1 && draw.is_multiple_of(4) {
                 self.side_by_side(line, previous.as_deref()).await?;
             } else {
-                self.tools(line, 1 + self.draw() % 3).await?;
+                self.tools(line, self.load.tools_of(self.draw())).await?;
             }
         }
         Ok(())
@@ -390,7 +400,7 @@
     pub async fn run(self: Arc<Self>, number: usize, loops: bool, finish: Duration) {
         self.recorder.lock().started += 1;
         let draw = self.draw();
-        let budget = if loops { LOOP_BUDGET } else { MAX_TOKENS_PER_TURN * 40 };
+        let budget = if loops { LOOP_BUDGET } else { self.load.budget() };
         let line = Arc::new(ProgramLine { number, budget, session: draw, finish: Instant::now() + finish });
         let running = async {
             match loops {
@@ -402,7 +412,7 @@
         self.recorder.lock().programs.push(Program {
             number,
             budget,
-            max_tokens_per_turn: MAX_TOKENS_PER_TURN,
+            max_tokens_per_turn: self.load.max_tokens_per_turn,
             end,
         });
     }
--- a/testbed/src/serving_tier/endpoints.rs
+++ b/testbed/src/serving_tier/endpoints.rs
@@ -1,5 +1,6 @@
 //! Stand-in endpoints and the platform's list of them.
 use super::history::{Kind, Recorder, Run, TOKENS_PER_EVENT};
+use super::load::Load;
 use crate::endpoints::Cut;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -28,10 +29,6 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 /// One in this many streams, and idempotent tools, breaks off.
 const BROKEN_STREAM_STRIDE: u64 = 25;
-/// Endpoints on a page of the list.
-const PAGE: usize = 4;
-/// Calls a second that the platform takes.
-const MAX_LIST_CALLS_PER_SECOND: usize = 10;
 /// How far the list runs behind.
 pub const LIST_UPDATE_LAG: Duration = Duration::from_millis(400);
 
@@ -269,6 +266,8 @@
 /// The platform's list.
 pub struct Platform {
     endpoints: Vec<Arc<Endpoint>>,
+    page: usize,
+    calls_per_second: usize,
     /// While true, every call is one over the rate.
     pub limited: AtomicBool,
     /// Calls answered, and calls over the rate.
@@ -278,9 +277,11 @@
 
 impl Platform {
     /// A list of these.
-    pub fn new(endpoints: Vec<Arc<Endpoint>>) -> Self {
+    pub fn new(endpoints: Vec<Arc<Endpoint>>, load: &Load) -> Self {
         Self {
             endpoints,
+            page: load.list_page,
+            calls_per_second: load.list_calls_per_second,
             limited: AtomicBool::new(false),
             calls: Default::default(),
             lately: Mutex::default(),
@@ -291,13 +292,13 @@
         let mut lately = self.lately.lock().unwrap_or_else(PoisonError::into_inner);
         lately.retain(|at| at.elapsed() < Duration::from_secs(1));
         lately.push(Instant::now());
-        self.limited.load(Ordering::Relaxed) || lately.len() > MAX_LIST_CALLS_PER_SECOND
+        self.limited.load(Ordering::Relaxed) || lately.len() > self.calls_per_second
     }
 
     fn page(&self, query: &str) -> String {
         let token = query.split('&').find_map(|pair| pair.strip_prefix("page_token=p-"));
         let from = token.and_then(|token| token.parse().ok()).unwrap_or(0).min(self.endpoints.len());
-        let to = (from + PAGE).min(self.endpoints.len());
+        let to = (from + self.page).min(self.endpoints.len());
         let line = |endpoint: &Arc<Endpoint>| {
             json!({
                 "instance_id": *endpoint.listed.lock().unwrap_or_else(PoisonError::into_inner),
--- a/testbed/src/serving_tier/machines.rs
+++ b/testbed/src/serving_tier/machines.rs
@@ -9,6 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::process::{Child, Command};
@@ -214,9 +215,16 @@
     starts: u32,
     /// Numbers of all its processes.
     pub pids: Vec<u32>,
+    latest_pid: LatestPid,
     child: Option<Child>,
 }
 
+/// The number of a machine's latest process, readable while the machine goes through a fault; 0 before the first.
+pub type LatestPid = Arc<AtomicU32>;
+
+/// How a log line begins that tells of a panic or of a failed part, after its time and level.
+const FAILED_PART_MARKS: [&str; 2] = ["ERROR panic:", "ERROR part failed"];
+
 impl Machine {
     /// One in a folder of its own below `folder`, not yet started.
     pub fn new(
@@ -247,6 +255,7 @@
             settings,
             starts: 0,
             pids: Vec::new(),
+            latest_pid: LatestPid::default(),
             child: None,
         })
     }
@@ -299,6 +308,7 @@
         let child = spawn_detached(&mut command, log).map_err(io("starting a program"))?;
         self.starts += 1;
         self.pids.extend(child.id());
+        self.latest_pid.store(child.id().unwrap_or_default(), Ordering::Relaxed);
         self.child = Some(child);
         Ok(())
     }
@@ -392,6 +402,19 @@
         self.child.as_ref().and_then(Child::id)
     }
 
+    /// The number of its latest process, kept up to date.
+    pub fn latest_pid(&self) -> LatestPid {
+        self.latest_pid.clone()
+    }
+
+    /// Lines of its log that tell of a panic, or of a part that failed.
+    pub fn failed_parts(&self) -> Vec<String> {
+        let text = std::fs::read(self.folder.join("log")).unwrap_or_default();
+        let is_failure = |line: &&str| FAILED_PART_MARKS.iter().any(|mark| line.contains(mark));
+        let lines = String::from_utf8_lossy(&text);
+        lines.lines().filter(is_failure).map(|line| format!("{}: {line}", self.name)).collect()
+    }
+
     /// The end of its log.
     pub fn last_lines(&self, count: usize) -> String {
         let text = std::fs::read(self.folder.join("log")).unwrap_or_default();
--- a/testbed/src/serving_tier/mod.rs
+++ b/testbed/src/serving_tier/mod.rs
@@ -4,6 +4,7 @@
 pub mod clients;
 pub mod endpoints;
 pub mod history;
+pub mod load;
 pub mod machines;
 pub mod operator;
 pub mod run;
--- a/testbed/src/serving_tier/run.rs
+++ b/testbed/src/serving_tier/run.rs
@@ -2,16 +2,18 @@
 use super::checker::{Verdict, check_history};
 use super::clients::{Clients, Front};
 use super::endpoints::{self, Endpoint, Platform};
-use super::history::{Disturbance, History, Kind, Recorder};
-use super::machines::{Addresses, Machine, Older, Programs, Role};
+use super::history::{Disturbance, History, Recorder};
+use super::load::Load;
+use super::machines::{Addresses, LatestPid, Machine, Older, Programs, Role};
 use super::operator::{Operator, configuration};
 use super::soak::{Fault, Schedule, Step, Trouble};
 use super::start_faults::FirstStart;
 use crate::fleet::{FleetError, io};
+use crate::misbehaving_clients::usage::{Usage, peak_resident_bytes};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
@@ -21,8 +23,10 @@
 
 /// The tier is ready within this, or it does not start.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
-/// Between two programs that start.
-const PROGRAM_START_INTERVAL: Duration = Duration::from_millis(120);
+/// Between two programs that start after the faults.
+const FINAL_PROGRAM_INTERVAL: Duration = Duration::from_millis(120);
+/// Between two samples of what processes use.
+const USAGE_SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
 /// One program in this many loops until its budget is spent.
 const LOOPING_PROGRAM_STRIDE: usize = 12;
 /// How long a program has.
@@ -40,6 +44,8 @@
 /// How long a killed storage machine is away.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// From the kill of all processes until they are started again.
+const CLOSING_DOWN_TIME: Duration = Duration::from_millis(600);
 /// From the last fault of a soak until programs have to finish: `recovery_s`.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// The number of the first program after a soak's faults.
@@ -91,6 +97,8 @@
     pub size: TierSize,
     /// What happens to them.
     pub faults: Faults,
+    /// What clients ask for.
+    pub load: Load,
 }
 
 /// The outcome of a run.
@@ -104,6 +112,10 @@
     pub crashes: Vec<String>,
     /// Processes that did not end within their time after SIGTERM, with the same.
     pub late_ends: Vec<String>,
+    /// Panics and failed parts of processes that live on, from their logs.
+    pub failed_parts: Vec<String>,
+    /// The most that a process of each role has used.
+    pub usage: Vec<(Role, Usage)>,
     /// Calls that endpoints refused as full, and as meant for another incarnation.
     pub rejected_calls: (u64, u64),
     /// Calls for the list that were answered, and that were over the rate.
@@ -115,9 +127,11 @@
 }
 
 impl RunResult {
-    /// Whether the rules were kept, enough programs finished, and no process failed, in a complete run.
+    /// Whether the rules were kept, enough programs finished, and no process or part of one failed, in a complete run.
     pub fn is_good(&self) -> bool {
-        self.verdict.is_good() && self.crashes.is_empty() && self.late_ends.is_empty() && !self.cut_short
+        let has_failed_process =
+            !(self.crashes.is_empty() && self.late_ends.is_empty() && self.failed_parts.is_empty());
+        self.verdict.is_good() && !has_failed_process && !self.cut_short
     }
 }
 
@@ -127,6 +141,8 @@
     machines: Vec<(Role, Mutex<Machine>)>,
     crashes: Mutex<Vec<String>>,
     late_ends: Mutex<Vec<String>>,
+    usage: std::sync::Mutex<Vec<(Role, Usage)>>,
+    latest_pids: Vec<(Role, LatestPid)>,
     /// Deleted with the tier.
     _folder: TempDir,
 }
@@ -145,15 +161,59 @@
             (Role::ProxyAgent, addresses.edge.len()),
             (Role::RequestProxy, addresses.edge.len()),
         ];
-        let mut machines = Vec::new();
+        let (mut machines, mut latest_pids) = (Vec::new(), Vec::new());
         for (role, count) in roles {
             for number in 0..count {
                 let position = (role, number);
                 let machine = Machine::new(programs, folder.path(), addresses, position, platform, grace_s)?;
+                latest_pids.push((role, machine.latest_pid()));
                 machines.push((role, Mutex::new(machine)));
             }
         }
-        Ok(Self { machines, crashes: Mutex::default(), late_ends: Mutex::default(), _folder: folder })
+        Ok(Self {
+            machines,
+            crashes: Mutex::default(),
+            late_ends: Mutex::default(),
+            usage: std::sync::Mutex::new(roles.map(|(role, _)| (role, Usage::default())).into()),
+            latest_pids,
+            _folder: folder,
+        })
+    }
+
+    /// Samples what the processes use until cancelled.
+    async fn watch_usage(&self) {
+        loop {
+            for (role, pid) in &self.latest_pids {
+                let pid = pid.load(Ordering::Relaxed);
+                let Some(mut sample) = Usage::of(pid) else { continue };
+                sample.memory_bytes = sample.memory_bytes.max(peak_resident_bytes(pid).unwrap_or_default());
+                let mut usage = self.usage.lock().unwrap_or_else(PoisonError::into_inner);
+                for (_, peak) in usage.iter_mut().filter(|(other, _)| other == role) {
+                    *peak = peak.max(sample);
+                }
+            }
+            sleep(USAGE_SAMPLE_INTERVAL).await;
+        }
+    }
+
+    /// Kills all processes, and starts them after a pause.
+    async fn kill_all(&self, down: Duration) -> Result<(), FleetError> {
+        for (_, machine) in &self.machines {
+            machine.lock().await.kill().await;
+        }
+        sleep(down).await;
+        for (_, machine) in &self.machines {
+            machine.lock().await.start()?;
+        }
+        Ok(())
+    }
+
+    async fn failed_parts(&self) -> Vec<String> {
+        let mut failed = Vec::new();
+        for (_, machine) in &self.machines {
+            failed.extend(machine.lock().await.failed_parts());
+        }
+        failed
     }
 
     fn machine(&self, role: Role, number: usize) -> &Mutex<Machine> {
@@ -234,19 +294,18 @@
     let recorder = Arc::new(Recorder::new(plan.verbose));
     let mut parties = JoinSet::new();
     let mut endpoints = Vec::new();
-    let services =
-        [("engine", Kind::Turn, 8), ("orders", Kind::NonIdempotent, 3), ("lookups", Kind::Idempotent, 3)];
-    for number in 1..=7 {
-        let (service, kind, slots) = services[usize::from(number - 1) % services.len()];
-        let (endpoint, listener) =
-            Endpoint::bind(number, service, kind, slots).await.map_err(io("listening"))?;
+    let services = plan.load.endpoints.iter();
+    let services = services.flat_map(|service| (0..service.endpoints).map(move |_| service));
+    for (service, number) in services.zip(1..) {
+        let bound = Endpoint::bind(number, service.name, service.kind, service.slots).await;
+        let (endpoint, listener) = bound.map_err(io("listening"))?;
         parties.spawn(endpoints::serve(endpoint.clone(), recorder.clone(), listener));
         endpoints.push(endpoint);
     }
     let ip = Ipv4Addr::new(127, 0, 40, 1);
     let listener = TcpListener::bind((ip, 0)).await.map_err(io("listening"))?;
     let list = SocketAddrV4::new(ip, listener.local_addr().map_err(io("listening"))?.port());
-    let platform = Arc::new(Platform::new(endpoints.clone()));
+    let platform = Arc::new(Platform::new(endpoints.clone(), &plan.load));
     parties.spawn(platform.clone().serve(listener));
 
     let addresses = Addresses::reserve(plan.size.core, plan.size.storage, plan.size.edge, plan.seed).await?;
@@ -257,7 +316,7 @@
         (0..addresses.edge.len()).map(|number| (addresses.front(number), addresses.readiness(number)));
     let front = Arc::new(Front::new(senders.collect()));
     parties.spawn(front.clone().poll_readiness());
-    let clients = Arc::new(Clients::new(front.clone(), recorder.clone(), plan.seed));
+    let clients = Arc::new(Clients::new(front.clone(), recorder.clone(), plan.seed, plan.load.clone()));
     let operator = Operator::new(control_nodes, recorder.clone());
     let stage = Stage { tier, recorder, operator, front, clients, platform, endpoints, plan };
 
@@ -270,8 +329,10 @@
             false
         }
         _ = stop.wait_for(|count| *count > 0) => true,
+        () = stage.tier.watch_usage() => true,
     };
     stage.tier.note_crashes().await;
+    let failed_parts = stage.tier.failed_parts().await;
     stage.tier.end().await;
     parties.shutdown().await;
     let history = stage.recorder.lock().clone();
@@ -284,11 +345,14 @@
     let crashes = std::mem::take(&mut *stage.tier.crashes.lock().await);
     let late_ends = std::mem::take(&mut *stage.tier.late_ends.lock().await);
     let pids = stage.tier.pids().await;
+    let usage = stage.tier.usage.lock().unwrap_or_else(PoisonError::into_inner).clone();
     Ok(RunResult {
         verdict: check_history(&history),
         history,
         crashes,
         late_ends,
+        failed_parts,
+        usage,
         rejected_calls: (full, misdirected),
         list_calls: (answered.load(Ordering::Relaxed), limited.load(Ordering::Relaxed)),
         pids,
@@ -311,18 +375,25 @@
                     PROGRAM_TIMEOUT,
                 ));
                 number += 1;
-                sleep(PROGRAM_START_INTERVAL).await;
+                sleep(self.plan.load.program_interval).await;
             }
             while programs.join_next().await.is_some() {}
         };
         let faults = async {
             match self.plan.faults {
                 Faults::OneOfEach => self.one_of_each(began).await,
+                Faults::Soak(Trouble::Day) => {
+                    tokio::try_join!(self.soak(Trouble::Day), self.lose_a_disk(at(0.35))).map(drop)
+                }
                 Faults::Soak(trouble) => self.soak(trouble).await,
             }
         };
         let ((), faults) = tokio::join!(traffic, faults);
         faults?;
+        if self.plan.faults == Faults::Soak(Trouble::Day) {
+            self.recorder.event("all processes are killed");
+            self.tier.kill_all(CLOSING_DOWN_TIME).await?;
+        }
         if matches!(self.plan.faults, Faults::Soak(_)) {
             self.run_final_programs().await;
         }
@@ -463,7 +534,7 @@
         let mut programs = JoinSet::new();
         for number in FIRST_FINAL_PROGRAM..FIRST_FINAL_PROGRAM + FINAL_PROGRAMS {
             programs.spawn(self.clients.clone().run(number, false, PROGRAM_TIMEOUT));
-            sleep(PROGRAM_START_INTERVAL).await;
+            sleep(FINAL_PROGRAM_INTERVAL).await;
         }
         while programs.join_next().await.is_some() {}
     }
--- a/testbed/src/serving_tier/soak.rs
+++ b/testbed/src/serving_tier/soak.rs
@@ -36,6 +36,8 @@
     /// The first start and all later ones are disturbed: by signals within their first milliseconds, by processes that
     /// are still ending, and by settings that are being written. Some processes are killed or stopped.
     Starts,
+    /// A whole day: failures, a storage machine that loses its disk, and at the end a kill of all processes at once.
+    Day,
 }
 
 /// What happens to a process.
@@ -102,7 +104,9 @@
         let incarnations = gaps(&mut rng, &INCARNATION_GAP_MS, 1, length);
         let first_starts = match trouble {
             Trouble::Starts => FirstStart::draw_all(&mut rng, processes),
-            Trouble::Planned | Trouble::Failures => vec![FirstStart::default(); processes.len()],
+            Trouble::Planned | Trouble::Failures | Trouble::Day => {
+                vec![FirstStart::default(); processes.len()]
+            }
         };
         Self { series, first_starts, configurations, incarnations }
     }
@@ -136,8 +140,8 @@
         (_, 0) => Some(Fault::Reload),
         (Trouble::Planned, 1) => Some(Fault::Reload),
         (Trouble::Planned, _) => is_edge.then_some(Fault::Restart { down }),
-        (Trouble::Failures, 1) => Some(Fault::Restart { down }),
-        (Trouble::Failures, 2) => Some(Fault::Kill { down }),
-        (Trouble::Failures, _) => Some(Fault::Pause { time }),
+        (Trouble::Failures | Trouble::Day, 1) => Some(Fault::Restart { down }),
+        (Trouble::Failures | Trouble::Day, 2) => Some(Fault::Kill { down }),
+        (Trouble::Failures | Trouble::Day, _) => Some(Fault::Pause { time }),
     }
 }
--- a/testbed/src/serving_tier/table.rs
+++ b/testbed/src/serving_tier/table.rs
@@ -55,6 +55,12 @@
     let versions: Vec<_> = history.configurations.acknowledged.iter().map(u64::to_string).collect();
     row("configurations acknowledged", versions.join(", "));
     row("rules broken", verdict.breaches.len().to_string());
+    for (role, usage) in &result.usage {
+        let megabytes = |bytes: u64| bytes.div_ceil(1_000_000);
+        let (memory, space) = (megabytes(usage.memory_bytes), megabytes(usage.address_space_bytes));
+        let value = format!("{memory}, {space}, {}, {}", usage.descriptors, usage.threads);
+        row(&format!("{}: MB, MB of addresses, files, threads", role.program()), value);
+    }
     let unfinished = history.programs.iter().filter_map(|p| Some((p.number, p.end.as_ref().err()?)));
     for (number, why) in unfinished.take(MAX_REPORTED_BREACHES) {
         let ends: Vec<_> =
@@ -68,7 +74,7 @@
             let _ = writeln!(text, "  {what}");
         }
     }
-    for fault in result.crashes.iter().chain(&result.late_ends) {
+    for fault in result.crashes.iter().chain(&result.late_ends).chain(&result.failed_parts) {
         let _ = writeln!(text, "\nPROCESS FAILED: {fault}");
     }
     if result.cut_short {
--- a/testbed/tests/serving_tier.rs
+++ b/testbed/tests/serving_tier.rs
@@ -6,6 +6,7 @@
 use testbed::fleet::FleetError;
 use testbed::serving_tier::checker::{Rule, check_history, output};
 use testbed::serving_tier::history::{Attempt, AttemptRoute, Disturbance, End, History, Kind, Program, Run};
+use testbed::serving_tier::load::Load;
 use testbed::serving_tier::machines::{Older, Programs, Role, built_programs};
 use testbed::serving_tier::run::{Faults, Plan, RunResult, TierSize, run_tier};
 use testbed::serving_tier::soak::{Fault, Schedule, Trouble};
@@ -255,6 +256,7 @@
         older: None,
         size: TierSize::default(),
         faults: Faults::OneOfEach,
+        load: Load::LIGHT,
     };
     let result = run_tier(plan, &programs, stopped).await.unwrap();
     assert!(result.verdict.breaches.is_empty(), "{:?}", result.verdict.breaches);
@@ -281,6 +283,7 @@
         older: None,
         size: TierSize::default(),
         faults: Faults::OneOfEach,
+        load: Load::LIGHT,
     };
     let stopping = async {
         tokio::time::sleep(Duration::from_secs(2)).await;
@@ -303,6 +306,7 @@
         older: None,
         size: TierSize::default(),
         faults: Faults::OneOfEach,
+        load: Load::LIGHT,
     };
     let error = run_tier(plan, Path::new("/nowhere"), stopped).await.unwrap_err();
     assert!(matches!(error, FleetError::Io { .. }), "{error}");
@@ -313,7 +317,16 @@
     let programs = built_programs().unwrap();
     let (_stop, stopped) = watch::channel(0);
     let (size, faults) = (TierSize::default(), Faults::Soak(trouble));
-    let plan = Plan { seconds: 15.0, seed, grace_s: 6.0, verbose: false, older: None, size, faults };
+    let plan = Plan {
+        seconds: 15.0,
+        seed,
+        grace_s: 6.0,
+        verbose: false,
+        older: None,
+        size,
+        faults,
+        load: Load::LIGHT,
+    };
     run_tier(plan, &programs, stopped).await.unwrap()
 }
 
