Unblock the signals that a process handles when it starts

Callers saw a process that SIGTERM never ended. Cause: a process inherits its blocked signals from whoever starts it, and only the handlers were set. All programs now unblock the signals that they handle once the handlers are there, before any thread starts.

Evidence: signals_blocked_by_whoever_starts_a_process_keep_it_from_ending, which starts each of the five programs with all signals blocked, failed before (no end within the grace period) and passes. Whether the operators' supervisor blocks any is not known.

--- a/system/process-lifecycle/src/signals.rs
+++ b/system/process-lifecycle/src/signals.rs
@@ -1,5 +1,6 @@
 //! The signals of a process: which end it, which have its settings read again, and which do nothing.
 
+use nix::sys::signal::{SigSet, Signal as BlockableSignal};
 use rustix::process::Signal as SignalName;
 use std::io;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -37,7 +38,7 @@
 }
 
 impl Signals {
-    /// Handles the signals. Must be called within a runtime.
+    /// Handles the signals, and unblocks them. Must be called within a runtime, before any thread is started.
     ///
     /// # Errors
     ///
@@ -50,6 +51,7 @@
             // The handler stays when this is dropped.
             drop(signal(SignalKind::from_raw(ignored.as_raw()))?);
         }
+        unblock([SignalName::HUP, SignalName::TERM, SignalName::INT].into_iter().chain(IGNORED))?;
         Ok(Self { terminate, interrupt, hangup })
     }
 
@@ -70,6 +72,15 @@
     }
 }
 
+/// Unblocks signals that have a handler: a process inherits its blocked signals from whoever starts it, and so do its threads.
+fn unblock(signals: impl Iterator<Item = SignalName>) -> io::Result<()> {
+    let mut set = SigSet::empty();
+    for signal in signals {
+        set.add(BlockableSignal::try_from(signal.as_raw())?);
+    }
+    Ok(set.thread_unblock()?)
+}
+
 impl SignalRequests {
     /// Waits until the process is to end.
     pub async fn shutdown_requested(&self) {
--- a/testbed/src/process_ends/lone_process.rs
+++ b/testbed/src/process_ends/lone_process.rs
@@ -92,23 +92,33 @@
     }
 }
 
-/// Limits of the kernel under which a process starts.
+/// What a process inherits from whoever starts it: limits of the kernel, blocked signals, its working directory.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct StartLimits {
+pub struct Inherited {
     /// Greatest length of a file, in blocks of 512 bytes.
     pub file_blocks: Option<u64>,
     /// Greatest number of descriptors.
     pub descriptors: Option<u64>,
     /// Address space in KiB, with stacks so large that no thread can be started.
     pub no_threads_within_kib: Option<u64>,
+    /// Whether all signals are blocked.
+    pub blocks_signals: bool,
+    /// Whether its working directory has been removed.
+    pub in_removed_directory: bool,
 }
 
-impl StartLimits {
-    fn shell_commands(self) -> String {
+impl Inherited {
+    /// A command of the shell that starts the program `$0` so.
+    fn shell_command(self) -> String {
         let limits = [('f', self.file_blocks), ('n', self.descriptors), ('v', self.no_threads_within_kib)];
         let commands =
             limits.into_iter().filter_map(|(name, limit)| Some(format!("ulimit -S -{name} {}; ", limit?)));
-        commands.collect()
+        let mut command: String = commands.collect();
+        if self.in_removed_directory {
+            command += "folder=$(mktemp -d) && cd \"$folder\" && rmdir \"$folder\"; ";
+        }
+        command += if self.blocks_signals { "exec env --block-signal \"$0\"" } else { "exec \"$0\"" };
+        command
     }
 }
 
@@ -192,21 +202,21 @@
 
     /// Starts the process, with its log in a file and without limits.
     pub fn start(&mut self) -> Result<(), FleetError> {
-        self.start_with(LogTarget::File, StartLimits::default())
+        self.start_with(LogTarget::File, Inherited::default())
     }
 
     /// Starts the process.
-    pub fn start_with(&mut self, log: LogTarget, limits: StartLimits) -> Result<(), FleetError> {
+    pub fn start_with(&mut self, log: LogTarget, inherited: Inherited) -> Result<(), FleetError> {
         let (stderr, log_reader) = log.open(&self.log_file())?;
         let program = self.program(self.program.name());
-        let mut command = if limits == StartLimits::default() {
+        let mut command = if inherited == Inherited::default() {
             Command::new(program)
         } else {
             let mut shell = Command::new("/bin/sh");
-            shell.arg("-c").arg(format!("{}exec \"$0\"", limits.shell_commands())).arg(program);
+            shell.arg("-c").arg(inherited.shell_command()).arg(program);
             shell
         };
-        if limits.no_threads_within_kib.is_some() {
+        if inherited.no_threads_within_kib.is_some() {
             command.env("RUST_MIN_STACK", THREAD_STACK_BYTES.to_string());
         }
         command
--- a/testbed/tests/process_ends.rs
+++ b/testbed/tests/process_ends.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use testbed::process_ends::log_target::LogTarget;
 use testbed::process_ends::lone_process::{
-    CONTROL_PORT, LoneProcess, NO_ROOM_FOR_THREADS_KIB, PEER_PORT, Program, StartLimits, http_status,
+    CONTROL_PORT, Inherited, LoneProcess, NO_ROOM_FOR_THREADS_KIB, PEER_PORT, Program, http_status,
     own_address,
 };
 use testbed::serving_tier::history::Recorder;
@@ -184,7 +184,7 @@
 async fn a_log_that_takes_no_line_ends_or_silences_a_process() {
     for log in LogTarget::FAILING {
         for_each(&Program::ALL, move |mut process| async move {
-            process.start_with(log, StartLimits::default()).unwrap();
+            process.start_with(log, Inherited::default()).unwrap();
             sleep(LACK).await;
             assert_lives(&mut process, "as its log took no line");
             let serves = process.serves_within(Duration::from_secs(10)).await;
@@ -201,7 +201,7 @@
     let mut core = Vec::new();
     for (ip, log) in seeds.iter().zip(LogTarget::FAILING) {
         let mut process = LoneProcess::at(Program::Tier(Role::ControlNode), *ip, &seeds).unwrap();
-        process.start_with(log, StartLimits::default()).unwrap();
+        process.start_with(log, Inherited::default()).unwrap();
         core.push(process);
     }
     assert!(is_founded(&seeds, SERVES_WITHIN).await);
@@ -217,7 +217,7 @@
 async fn a_limit_on_the_length_of_files_ends_a_process() {
     for blocks in [0, 8] {
         for_each(&Program::WITH_DISK, move |mut process| async move {
-            let limits = StartLimits { file_blocks: Some(blocks), ..StartLimits::default() };
+            let limits = Inherited { file_blocks: Some(blocks), ..Inherited::default() };
             process.start_with(LogTarget::ClosedPipe, limits).unwrap();
             sleep(LACK).await;
             assert_lives(&mut process, "under a limit on files");
@@ -233,7 +233,7 @@
 async fn threads_that_cannot_be_started_end_a_process() {
     for_each(&DISK_ROLES, |mut process| async move {
         let limits =
-            StartLimits { no_threads_within_kib: Some(NO_ROOM_FOR_THREADS_KIB), ..StartLimits::default() };
+            Inherited { no_threads_within_kib: Some(NO_ROOM_FOR_THREADS_KIB), ..Inherited::default() };
         process.start_with(LogTarget::File, limits).unwrap();
         sleep(LACK).await;
         assert_lives(&mut process, "as it could start no thread");
@@ -247,7 +247,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn descriptors_that_cannot_be_had_end_a_process() {
     for_each(&Program::ALL, |mut process| async move {
-        let limits = StartLimits { descriptors: Some(7), ..StartLimits::default() };
+        let limits = Inherited { descriptors: Some(7), ..Inherited::default() };
         process.start_with(LogTarget::File, limits).unwrap();
         sleep(LACK).await;
         assert_lives(&mut process, "as it had no descriptors");
@@ -258,6 +258,17 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_blocked_by_whoever_starts_a_process_keep_it_from_ending() {
+    for_each(&Program::ALL, |mut process| async move {
+        let inherited = Inherited { blocks_signals: true, ..Inherited::default() };
+        process.start_with(LogTarget::File, inherited).unwrap();
+        assert!(process.serves_within(SERVES_WITHIN).await, "{}", process.log());
+        ends_when_told(process).await;
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_data_directory_that_cannot_be_used_ends_a_process() {
     for_each(&DISK_ROLES, |mut process| async move {
