Leave a working directory that was removed

Callers saw a storage node that never served: its index resolves a relative path and panics where the working directory is gone, restart after restart. The programs of the tier now move to / in that case, before each run of their body.

Evidence: a_working_directory_that_was_removed_keeps_a_process_from_serving, on each of the five programs, failed before at the storage node and passes.

--- a/system/process-lifecycle/src/lib.rs
+++ b/system/process-lifecycle/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod signals;
 pub mod supervisor;
 pub mod waits;
+pub mod working_directory;
--- a/system/programs/src/start.rs
+++ b/system/programs/src/start.rs
@@ -7,7 +7,7 @@
 use process_lifecycle::signals::SignalRequests;
 use process_lifecycle::supervisor::{Restarts, supervise};
 use process_lifecycle::waits::Waits;
-use process_lifecycle::{panics, runtime, shutdown};
+use process_lifecycle::{panics, runtime, shutdown, working_directory};
 use request_routing::RoutingPolicy;
 use std::future::Future;
 use std::io::{self, Write};
@@ -114,6 +114,7 @@
     };
     let restarts = Rc::new(Restarts::default());
     supervise(requests, &restarts, |parts| {
+        working_directory::leave_if_removed();
         // A restart takes the settings of its moment, if they can be used.
         if restarts.count() > 0
             && let Ok(newer) = settings_file::read(path, check)
--- a/testbed/tests/process_ends.rs
+++ b/testbed/tests/process_ends.rs
@@ -269,6 +269,18 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_working_directory_that_was_removed_keeps_a_process_from_serving() {
+    for_each(&Program::ALL, |mut process| async move {
+        let inherited = Inherited { in_removed_directory: true, ..Inherited::default() };
+        process.start_with(LogTarget::File, inherited).unwrap();
+        assert!(process.serves_within(SERVES_WITHIN).await, "{}", process.log());
+        assert!(!process.log().contains("panic"), "{}", process.log());
+        ends_when_told(process).await;
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_data_directory_that_cannot_be_used_ends_a_process() {
     for_each(&DISK_ROLES, |mut process| async move {
