Read settings that begin with a byte order mark

Callers saw a process that waited for complete settings and ended with 2 after five seconds: the mark made the file two YAML documents. It is skipped now. Evidence: a_byte_order_mark_makes_settings_unreadable failed before and passes.

--- a/system/node-settings/src/lib.rs
+++ b/system/node-settings/src/lib.rs
@@ -30,6 +30,9 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 
+/// What some editors and tools begin a text file in UTF-8 with.
+const BYTE_ORDER_MARK: char = '\u{feff}';
+
 /// Settings of a process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -305,12 +308,13 @@
         Self::parse(&text).map_err(|error| SettingsError { path: Some(path.to_owned()), ..error })
     }
 
-    /// Parses the text of a settings file, in YAML. Unknown fields are ignored.
+    /// Parses the text of a settings file, in YAML, with or without a byte order mark. Unknown fields are ignored.
     ///
     /// # Errors
     ///
     /// With every finding in the text.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let text = text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(text);
         let is_empty = text.trim().is_empty();
         let problem = if is_empty { SettingsProblem::Empty } else { SettingsProblem::Invalid };
         read::read(text).map_err(|findings| SettingsError { path: None, problem, findings })
--- a/system/node-settings/tests/settings.rs
+++ b/system/node-settings/tests/settings.rs
@@ -11,6 +11,11 @@
     error.findings.iter().map(|finding| finding.field.as_str()).collect()
 }
 
+#[gtest]
+fn a_byte_order_mark_makes_settings_unreadable() {
+    expect_eq!(Settings::parse(&format!("\u{feff}{EDGE}")), Settings::parse(EDGE));
+}
+
 #[gtest]
 fn every_field_of_an_edge_machines_settings_is_read() {
     let settings = Settings::parse(EDGE).unwrap();
