Replace a record directory that has lost the mark of its completeness

Cause: without the mark the index takes its directory for a new one and fails at the first file that is there already, which counted as a refusal of the disk and not as damage. It counts as damage now: the directory is set aside and the machine starts as one that has lost its disk.

Evidence: a_file_that_is_missing_or_empty_keeps_a_storage_machine_from_starting removes and empties each file of a directory; before, two failed (records/version and keyspaces/0/current missing), now none.

--- a/system/turn-store/src/disk/error.rs
+++ b/system/turn-store/src/disk/error.rs
@@ -113,8 +113,9 @@
 fn is_damage(error: &fjall::Error) -> bool {
     use fjall::Error;
     let is_content_error = |error: &std::io::Error| {
-        use std::io::ErrorKind::{InvalidData, InvalidInput, NotFound, UnexpectedEof};
-        matches!(error.kind(), InvalidData | InvalidInput | NotFound | UnexpectedEof)
+        use std::io::ErrorKind::{AlreadyExists, InvalidData, InvalidInput, NotFound, UnexpectedEof};
+        // The engine creates what it has no mark of: a file that is there already has lost its mark.
+        matches!(error.kind(), AlreadyExists | InvalidData | InvalidInput | NotFound | UnexpectedEof)
     };
     match error {
         Error::Io(error) | Error::Storage(fjall::LsmError::Io(error)) => is_content_error(error),
--- a/system/turn-store/src/disk/tests/damaged_records.rs
+++ b/system/turn-store/src/disk/tests/damaged_records.rs
@@ -183,6 +183,33 @@
     expect_that!(reported, gt(0));
 }
 
+#[gtest]
+fn a_file_that_is_missing_or_empty_keeps_a_storage_machine_from_starting() {
+    let dir = tempfile::tempdir().unwrap();
+    {
+        let disk = open(dir.path());
+        disk.write(&[put_turn("a")]).unwrap();
+        disk.keyspace(TURNS).unwrap().rotate_memtable_and_wait().unwrap();
+        disk.write(&[put_turn("late")]).unwrap();
+    }
+    let mut files = Vec::new();
+    list_files(dir.path(), dir.path(), &mut files);
+    for file in &files {
+        for is_missing in [true, false] {
+            let copy = copied(dir.path());
+            let path = copy.path().join(file);
+            if is_missing {
+                fs::remove_file(path).unwrap()
+            } else {
+                fs::write(path, b"").unwrap()
+            }
+            let opened = open_or_replace(copy.path()).map(|_| ());
+            expect_that!(opened, ok(anything()), "{} missing: {is_missing}", file.display());
+        }
+    }
+    expect_that!(files.len(), gt(5));
+}
+
 #[gtest]
 fn a_record_of_another_version_is_refused_by_its_path_and_stays() {
     // Given a record that a later program wrote, with the checksum of its version.
