Sample the resources of many processes with less work

A run of 239 processes read each process's memory, descriptors and threads, and looked up every socket of the host once per process.

--- a/testbed/src/misbehaving_clients/usage.rs
+++ b/testbed/src/misbehaving_clients/usage.rs
@@ -30,13 +30,18 @@
 impl Usage {
     /// What the process with this number uses now; `None` if there is none.
     pub fn of(pid: u32) -> Option<Self> {
+        let unread_bytes = unread_bytes(pid, &socket_inodes(pid)?);
+        let resident = Self::without_unread(pid)?;
+        Some(Self { memory_bytes: resident.memory_bytes + unread_bytes, unread_bytes, ..resident })
+    }
+
+    /// The same without the unread bytes, which take a look at all connections of the host: for many processes.
+    pub fn without_unread(pid: u32) -> Option<Self> {
         let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-        let sockets = descriptor_targets(pid)?;
-        let unread_bytes = unread_bytes(pid, &sockets.inodes);
         Some(Self {
-            memory_bytes: kilobytes(&status, "VmRSS:")? * 1024 + unread_bytes,
-            unread_bytes,
-            descriptors: sockets.count,
+            memory_bytes: kilobytes(&status, "VmRSS:")? * 1024,
+            unread_bytes: 0,
+            descriptors: fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count(),
             address_space_bytes: kilobytes(&status, "VmSize:")? * 1024,
             threads: field(&status, "Threads:")?.parse().ok()?,
         })
@@ -68,21 +73,15 @@
     field(status, name)?.strip_suffix(" kB")?.parse().ok()
 }
 
-/// The open descriptors of a process, and the inodes of those that are sockets.
-struct Descriptors {
-    count: usize,
-    inodes: HashSet<String>,
-}
-
-fn descriptor_targets(pid: u32) -> Option<Descriptors> {
-    let mut descriptors = Descriptors { count: 0, inodes: HashSet::new() };
+/// The inodes of the sockets of a process.
+fn socket_inodes(pid: u32) -> Option<HashSet<String>> {
+    let mut inodes = HashSet::new();
     for entry in fs::read_dir(format!("/proc/{pid}/fd")).ok()?.flatten() {
-        descriptors.count += 1;
         let Ok(target) = fs::read_link(entry.path()) else { continue };
         let inode = target.to_str().and_then(|target| target.strip_prefix("socket:["));
-        descriptors.inodes.extend(inode.and_then(|inode| inode.strip_suffix(']')).map(str::to_owned));
+        inodes.extend(inode.and_then(|inode| inode.strip_suffix(']')).map(str::to_owned));
     }
-    Some(descriptors)
+    Some(inodes)
 }
 
 /// Bytes in the receive queues of these sockets.
--- a/testbed/src/serving_tier/run.rs
+++ b/testbed/src/serving_tier/run.rs
@@ -185,7 +185,7 @@
         loop {
             for (role, pid) in &self.latest_pids {
                 let pid = pid.load(Ordering::Relaxed);
-                let Some(mut sample) = Usage::of(pid) else { continue };
+                let Some(mut sample) = Usage::without_unread(pid) else { continue };
                 sample.memory_bytes = sample.memory_bytes.max(peak_resident_bytes(pid).unwrap_or_default());
                 let mut usage = self.usage.lock().unwrap_or_else(PoisonError::into_inner);
                 for (_, peak) in usage.iter_mut().filter(|(other, _)| other == role) {
