Log and count what a start waits for: a silent disk, readiness, the membership's port

Three waits at a start were told by no line of the log and no metric:

- a disk that neither answers nor refuses (`Waits::observe`: a wait from the first second on).
On a machine whose disk stalled, 3 or 4 of about 75 first starts were acknowledged only after 11 to 15 s, and no log said why;
- the membership's UDP port, which had a retry loop of its own outside of `process_waits`.

--- a/system/process-lifecycle/src/waits.rs
+++ b/system/process-lifecycle/src/waits.rs
@@ -4,12 +4,17 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Display;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Between two lines of the log about the same wait.
 const REMINDER_INTERVAL: Duration = Duration::from_secs(30);
+/// Work that takes longer counts as a wait.
+const SLOW_WORK_THRESHOLD: Duration = Duration::from_secs(1);
+/// The error of a wait for work that has neither succeeded nor failed.
+const NO_RESULT_YET: &str = "no result yet";
 
 /// The waits of a process. Bound to one thread.
 #[derive(Debug, Default)]
@@ -54,13 +59,33 @@
     ) -> T {
         let mut wait: Option<Wait> = None;
         loop {
-            match attempt().await {
+            let result = match &wait {
+                None => self.observe(what, attempt()).await,
+                Some(_) => attempt().await,
+            };
+            match result {
                 Ok(value) => return value,
                 Err(error) => wait.get_or_insert_with(|| self.begin(what, &error)).remind(&error),
             }
             sleep(interval).await;
         }
     }
+
+    /// Awaits work that neither fails nor has a time limit, such as a write to a disk that may stall. It counts as a wait
+    /// once it has taken a second.
+    pub async fn observe<T>(self: &Rc<Self>, what: &str, work: impl Future<Output = T>) -> T {
+        let mut work = pin!(work);
+        if let Ok(result) = timeout(SLOW_WORK_THRESHOLD, work.as_mut()).await {
+            return result;
+        }
+        let wait = self.begin(what, &NO_RESULT_YET);
+        loop {
+            match timeout(REMINDER_INTERVAL, work.as_mut()).await {
+                Ok(result) => return result,
+                Err(_) => wait.remind(&NO_RESULT_YET),
+            }
+        }
+    }
 }
 
 /// A wait, which ends when this is dropped.
--- a/system/process-lifecycle/tests/waits.rs
+++ b/system/process-lifecycle/tests/waits.rs
@@ -50,3 +50,28 @@
     expect_that!(wait(waits.retry("a thing", INTERVAL, async || Ok::<_, String>(1))), eq(1));
     expect_that!(waits.begun(), eq(0));
 }
+
+#[gtest]
+fn work_that_hangs_is_told_by_no_metric() {
+    let waits = Rc::new(Waits::default());
+    let slow = async || {
+        sleep(Duration::from_secs(12)).await;
+        Ok::<_, String>(1)
+    };
+    wait(async {
+        let (one, other, ()) =
+            tokio::join!(waits.observe("one", slow()), waits.retry("another", INTERVAL, slow), async {
+                sleep(Duration::from_secs(5)).await;
+                expect_that!((waits.current(), waits.begun()), eq((2, 2)));
+            });
+        expect_that!((one.unwrap(), other), eq((1, 1)));
+    });
+    expect_that!(waits.current(), eq(0));
+}
+
+#[gtest]
+fn work_that_is_soon_done_counts_as_a_wait() {
+    let waits = Rc::new(Waits::default());
+    wait(async { waits.observe("a thing", sleep(Duration::from_millis(500))).await });
+    expect_that!(waits.begun(), eq(0));
+}
--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -153,7 +153,8 @@
     let handler = LateHandler::new(admin);
     let listening = serve_peers(&process, PeerServer::new(process.fleet(), handler.clone()));
     let opened = record::open_with_retry(process.waits(), &folder, settings.first_start, me, &seeds).await;
-    let record::Opened { durable, initial_state, damages, lock } = record::write_initial_record(opened).await;
+    let record::Opened { durable, initial_state, damages, lock } =
+        record::write_initial_record(process.waits(), opened).await;
     if initial_state == control_node::InitialState::Recovering {
         log::warn!("no acceptor record on disk, no vote before recovery from a majority");
     }
--- a/system/programs/src/control/record.rs
+++ b/system/programs/src/control/record.rs
@@ -18,6 +18,9 @@
 /// Delay between two attempts to open a folder that cannot be used.
 pub(super) const OPEN_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// What a control node waits for while its disk stalls.
+const RECORD_WAIT: &str = "the acceptor's record";
+
 /// The disk of an acceptor.
 pub(super) struct Opened {
     /// Where its record is kept.
@@ -63,18 +66,19 @@
         let opened = read_initial_state(opened, folder, first_start, me, seeds)?;
         Ok::<_, StartError>(Opened { lock: Some(lock), ..opened })
     };
-    waits.retry("the acceptor's record", OPEN_RETRY_INTERVAL, open).await
+    waits.retry(RECORD_WAIT, OPEN_RETRY_INTERVAL, open).await
 }
 
 /// Writes the initial record of a node that has never voted, at once: without it the next start, which is no first start, would
 /// take the node for one that has lost its disk. While the disk refuses, the node itself goes on trying.
-pub(super) async fn write_initial_record(opened: Opened) -> Opened {
-    match opened.initial_state {
-        InitialState::New(record) if opened.durable.put(&record).await.is_ok() => {
-            Opened { initial_state: InitialState::NewOnDisk(record), ..opened }
-        }
-        _ => opened,
-    }
+pub(super) async fn write_initial_record(waits: &Rc<Waits>, opened: Opened) -> Opened {
+    let InitialState::New(record) = opened.initial_state else { return opened };
+    let written = waits.observe(RECORD_WAIT, opened.durable.put(&record)).await;
+    let initial_state = match written {
+        Ok(()) => InitialState::NewOnDisk(record),
+        Err(_) => InitialState::New(record),
+    };
+    Opened { initial_state, ..opened }
 }
 
 /// What the folder holds, and how a node begins with it.
--- a/system/programs/src/lib.rs
+++ b/system/programs/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod process;
 pub mod proxy;
 pub mod random;
+pub mod readiness;
 pub mod routing_policy;
 pub mod settings_file;
 pub mod start;
--- a/system/programs/src/members.rs
+++ b/system/programs/src/members.rs
@@ -127,7 +127,7 @@
         let settings = self.process.settings();
         let port = settings.probe_port();
         let socket = tokio::select! {
-            socket = bind(SocketAddrV4::new(settings.ip_address, port)) => socket,
+            socket = self.bind(SocketAddrV4::new(settings.ip_address, port)) => socket,
             _ = ending.wait_for(|ending| *ending) => return,
         };
         // Sends do not wait: the socket has to be known as writable before the first one.
@@ -162,6 +162,12 @@
         }
     }
 
+    /// The socket, once it can be had: the former process of this machine may still have it.
+    async fn bind(&self, address: SocketAddrV4) -> UdpSocket {
+        let what = format!("membership address {address}");
+        self.process.waits().retry(&what, BIND_RETRY_INTERVAL, async || UdpSocket::bind(address).await).await
+    }
+
     fn received(&self, socket: &UdpSocket, port: u16, from: Ipv4Addr, bytes: &[u8]) {
         let now = self.process.now_ms();
         let before = self.counters();
@@ -226,20 +232,6 @@
     }
 }
 
-/// The socket; the former process of this place may still have it.
-async fn bind(address: SocketAddrV4) -> UdpSocket {
-    let mut failed = false;
-    loop {
-        match UdpSocket::bind(address).await {
-            Ok(socket) => return socket,
-            Err(e) if !failed => log::warn!("membership socket not bound yet: address={address} error={e}"),
-            Err(_) => {}
-        }
-        failed = true;
-        sleep(BIND_RETRY_INTERVAL).await;
-    }
-}
-
 /// One line for all changes of a kind.
 fn event_summaries(changes: &[MemberEvent]) -> Vec<String> {
     let mut kinds: [(&str, Vec<String>); 5] = [
--- a/system/programs/src/proxy.rs
+++ b/system/programs/src/proxy.rs
@@ -4,6 +4,7 @@
 use crate::feed::{Feed, follow_one, new_feed, run_heartbeats};
 use crate::listeners::{listen, listen_for_clients};
 use crate::process::{Process, shutdown_requested};
+use crate::readiness::{Readiness, Received};
 use crate::settings_file::MissingSetting;
 use crate::start::StartError;
 use crate::turns::{TurnClient, Turns};
@@ -13,7 +14,7 @@
 use operator_config::OperatorConfig;
 use peer_wire::{Handler, PeerServer, Pusher};
 use request_forwarding::{Forwarder, ShutdownPhase, SystemState, serve_readiness};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,8 +24,13 @@
 /// Number of proxies assumed until the feed announces it: connections to endpoints are divided by it.
 const DEFAULT_PROXY_COUNT: u32 = 16;
 
+/// Longest time between two updates of a ready proxy.
+const UPDATE_INTERVAL: Duration = Duration::from_secs(5);
+/// Longest time between two updates of a proxy that is not ready.
+const STARTING_UPDATE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Passes each update of the feed to the forwarder.
-async fn follow_configuration(feed: Rc<Feed>, forwarder: Rc<Forwarder<Turns>>, ready: Rc<Cell<bool>>) {
+async fn follow_configuration(feed: Rc<Feed>, forwarder: Rc<Forwarder<Turns>>, readiness: Rc<Readiness>) {
     let mut changes = feed.changes();
     let last: RefCell<(u64, Option<Rc<OperatorConfig>>)> = RefCell::new((0, None));
     loop {
@@ -41,14 +47,18 @@
         let announced_proxies = feed.proxies();
         let proxies = if announced_proxies == 0 { DEFAULT_PROXY_COUNT } else { announced_proxies };
         let config = last.borrow().1.clone();
-        let complete = config.is_some() && list.as_ref().is_some_and(|list| !list.endpoints.is_empty());
+        let received = Received {
+            configuration: config.is_some(),
+            endpoints: list.as_ref().map(|list| list.endpoints.len()),
+            confirmed: feed.confirmed_at().is_some(),
+        };
         forwarder.update(SystemState { config, list, proxies });
-        // What is there was confirmed since this process began: nothing is kept from an earlier life.
-        if complete && feed.confirmed_at().is_some() && !ready.replace(true) {
+        if readiness.update(received) {
             log::info!("ready: version={version}");
         }
-        // Beats change neither value nor list: the first one is looked for now and then.
-        let _ = timeout(Duration::from_millis(if ready.get() { 5_000 } else { 50 }), changes.changed()).await;
+        // Heartbeats change neither value nor list: the first one is looked for now and then.
+        let interval = if readiness.is_ready() { UPDATE_INTERVAL } else { STARTING_UPDATE_INTERVAL };
+        let _ = timeout(interval, changes.changed()).await;
     }
 }
 
@@ -97,10 +107,10 @@
 }
 
 /// Answers the platform's readiness checks, once their address can be had.
-async fn answer_readiness(process: Rc<Process>, address: SocketAddrV4, ready: Rc<Cell<bool>>) {
+async fn answer_readiness(process: Rc<Process>, address: SocketAddrV4, readiness: Rc<Readiness>) {
     let listener = listen_for_clients(&process, address).await;
     let ending = process.ending();
-    serve_readiness(listener, move || ready.get() && !*ending.borrow()).await;
+    serve_readiness(listener, move || readiness.is_ready() && !*ending.borrow()).await;
 }
 
 /// Serves the admin endpoint, once its port can be had.
@@ -135,7 +145,7 @@
 /// [`StartError`] if a setting is missing.
 pub async fn run(process: Rc<Process>) -> Result<(), StartError> {
     let settings = process.settings();
-    let (front, readiness) = addresses(&settings)?;
+    let (front, readiness_address) = addresses(&settings)?;
     let switched_off = process.routing_policy.switched_off();
     if !switched_off.is_empty() {
         log::warn!("a trial: switched off are {}", switched_off.join(", "));
@@ -149,18 +159,18 @@
         Rc::new(Turns(turns)),
         ClientLimits::for_process(settings.limits.memory_mb, settings.limits.max_file_descriptors),
     );
-    let ready = Rc::new(Cell::new(false));
+    let readiness = Readiness::new(process.waits().clone());
     let (stage_sender, stages) = watch::channel(ShutdownPhase::Serving);
     let admin = AdminEndpoint::new(process.clone(), feed.clone(), None, "request-proxy");
     let admin = ProxyAdmin { admin, forwarder: forwarder.clone() };
     process.spawn_part("admin endpoint", serve_admin(process.clone(), admin));
-    process.spawn_part("readiness", answer_readiness(process.clone(), readiness, ready.clone()));
+    process.spawn_part("readiness", answer_readiness(process.clone(), readiness_address, readiness.clone()));
     let clients = listen_for_clients(&process, front).await;
     process.spawn_part("heartbeats", run_heartbeats(feed.clone()));
     // The machine's address, as several machines of one host share the loopback address.
     let agent = process.peer(settings.ip_address);
     process.spawn_part("state feed", follow_one(feed.clone(), agent));
-    process.spawn_part("configuration", follow_configuration(feed, forwarder.clone(), ready));
+    process.spawn_part("configuration", follow_configuration(feed, forwarder.clone(), readiness));
     let (served_sender, served) = oneshot::channel();
     let serving = forwarder.clone();
     process.spawn_part("client server", async move {
--- a/system/programs/src/storage/recovery.rs
+++ b/system/programs/src/storage/recovery.rs
@@ -27,6 +27,9 @@
 /// An engine that failed sooner after its opening was opened too early: the pause goes on growing.
 const STABLE_AFTER: Duration = Duration::from_secs(10);
 
+/// What a storage node waits for while its disk stalls or refuses.
+const DIRECTORY_WAIT: &str = "the data directory";
+
 /// Pauses between probes: each is twice the one before.
 #[derive(Debug)]
 struct Backoff {
@@ -102,7 +105,7 @@
 
     /// Opens the directory for the first time. An error is left to [`RecoveringReplica::supervise`].
     pub(super) async fn start(&self) {
-        if let Err(error) = self.reopen().await {
+        if let Err(error) = self.waits.observe(DIRECTORY_WAIT, self.reopen()).await {
             self.mark_refusing(&error.to_string());
         }
     }
@@ -150,7 +153,7 @@
 
     fn mark_refusing(&self, why: &str) {
         log::error!("disk refuses writes, durable requests are rejected: error={why}");
-        self.refusing.replace(Some(self.waits.begin("the data directory", &why)));
+        self.refusing.replace(Some(self.waits.begin(DIRECTORY_WAIT, &why)));
         self.refusals.set(self.refusals.get() + 1);
     }
 
