--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -67,6 +67,16 @@
         /// The end of its log.
         log: String,
     },
+    /// Not all proxies of a serving tier got ready.
+    #[error("{ready} of {all} proxies got ready; the logs end with:\n{logs}")]
+    TierNotReady {
+        /// Proxies that did.
+        ready: usize,
+        /// All proxies.
+        all: usize,
+        /// The end of all logs.
+        logs: String,
+    },
     /// A variant sets a key that is no place in a configuration.
     #[error("variant {variant:?}: {key:?} is no key of a configuration")]
     NoKey {
--- a/testbed/src/serving_tier/clients.rs
+++ b/testbed/src/serving_tier/clients.rs
@@ -62,6 +62,11 @@
         self.senders[number].0
     }
 
+    /// All senders.
+    pub fn all(&self) -> usize {
+        self.senders.len()
+    }
+
     /// Senders that are in.
     pub fn ready(&self) -> usize {
         self.senders.iter().filter(|sender| sender.2.load(Ordering::Relaxed) < MAX_MISSED_POLLS).count()
--- a/testbed/src/serving_tier/load.rs
+++ b/testbed/src/serving_tier/load.rs
@@ -29,9 +29,9 @@
 /// The name of a load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
 pub enum LoadName {
-    /// [`Load::LIGHT`].
+    /// A few programs at a time.
     Light,
-    /// [`Load::BUSY`].
+    /// Hundreds of programs in half a minute, with long chains.
     Busy,
 }
 
--- a/testbed/src/serving_tier/mod.rs
+++ b/testbed/src/serving_tier/mod.rs
@@ -3,6 +3,7 @@
 pub mod checker;
 pub mod clients;
 pub mod endpoints;
+mod faults;
 pub mod history;
 pub mod load;
 pub mod machines;
@@ -11,3 +12,4 @@
 pub mod soak;
 pub mod start_faults;
 pub mod table;
+mod tier;
--- a/testbed/src/serving_tier/soak.rs
+++ b/testbed/src/serving_tier/soak.rs
@@ -36,7 +36,8 @@
     /// The first start and all later ones are disturbed: by signals within their first milliseconds, by processes that
     /// are still ending, and by settings that are being written. Some processes are killed or stopped.
     Starts,
-    /// A whole day: failures, a storage machine that loses its disk, and at the end a kill of all processes at once.
+    /// A whole day: failures, a storage machine that loses its disk, and in the end a disk that is lost as all machines lose
+    /// their power.
     Day,
 }
 
--- a/testbed/src/serving_tier/table.rs
+++ b/testbed/src/serving_tier/table.rs
@@ -61,6 +61,7 @@
         let value = format!("{memory}, {space}, {}, {}", usage.descriptors, usage.threads);
         row(&format!("{}: MB, MB of addresses, files, threads", role.program()), value);
     }
+    row("proxies not ready after the faults", result.unready_proxies.to_string());
     let unfinished = history.programs.iter().filter_map(|p| Some((p.number, p.end.as_ref().err()?)));
     for (number, why) in unfinished.take(MAX_REPORTED_BREACHES) {
         let ends: Vec<_> =
--- a/testbed/tests/serving_tier.rs
+++ b/testbed/tests/serving_tier.rs
@@ -314,19 +314,14 @@
 
 /// A short soak; programs that start after its faults have to finish.
 async fn soak(seed: u64, trouble: Trouble) -> RunResult {
+    soak_under(Load::LIGHT, 15.0, seed, trouble).await
+}
+
+async fn soak_under(load: Load, seconds: f64, seed: u64, trouble: Trouble) -> RunResult {
     let programs = built_programs().unwrap();
     let (_stop, stopped) = watch::channel(0);
     let (size, faults) = (TierSize::default(), Faults::Soak(trouble));
-    let plan = Plan {
-        seconds: 15.0,
-        seed,
-        grace_s: 6.0,
-        verbose: false,
-        older: None,
-        size,
-        faults,
-        load: Load::LIGHT,
-    };
+    let plan = Plan { seconds, seed, grace_s: 6.0, verbose: false, older: None, size, faults, load };
     run_tier(plan, &programs, stopped).await.unwrap()
 }
 
@@ -348,6 +343,14 @@
     assert!(result.is_good(), "{}", table(&result));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_busy_day_ends_a_process_or_leaves_one_that_does_not_start() {
+    let result = soak_under(Load::BUSY, 12.0, 4, Trouble::Day).await;
+    assert!(result.is_good(), "{}", table(&result));
+    let reported = |what: &str| result.history.events.iter().any(|(_, event)| event.contains(what));
+    assert!(reported("starts on an empty disk") && reported("all machines lost their power"));
+}
+
 #[test]
 fn a_soak_of_disturbed_starts_kills_one_core_machine_at_most_at_the_first_start() {
     let mut processes: Vec<_> = (0..7).map(|number| (Role::ControlNode, number)).collect();
