Let ballots take as long as the disk needs for their votes

What callers saw: a tier that does not start. No process ended and no log told why.

Cause: a livelock of the register's proposers. A vote took 210 ms, behind the syncs of seven other processes. A request to an acceptor was given up after 300 ms, a competing ballot was deferred to for 200 ms and a change was given up after 600 or 850 ms, so that each ballot was ended, or overtaken by another node's, before its second phase. Each core machine synced four to five votes a second for nothing.

Change: the acceptor measures its writes. The shortest of the latest three (at most 500 ms) lengthens the limits of requests, of deferral, of the random backoff and of changes; on a disk that syncs within 50 ms all of them stay as they were, and one stall changes nothing. `control_node_vote_seconds` tells it.

--- a/system/config-register/src/backoff.rs
+++ b/system/config-register/src/backoff.rs
@@ -13,6 +13,10 @@
 const INITIAL_BACKOFF_RANGE_MS: u64 = 16;
 /// Highest bound of the random part, in milliseconds.
 const MAX_BACKOFF_RANGE_MS: u64 = 320;
+/// How many vote delays to defer to a competing ballot after each message of it: two phases, and one that was under way.
+const COMPETING_BALLOT_VOTES: u64 = 3;
+/// Bound of the random part of a backoff, in vote delays: a ballot that starts first has time for both phases.
+const BACKOFF_RANGE_VOTES: u64 = 4;
 /// Number of doublings after which the exponent stops rising, so that the shift cannot overflow.
 const MAX_BACKOFF_EXPONENT: u32 = 8;
 
@@ -37,13 +41,22 @@
     consecutive_losses: u32,
     /// End of the current backoff, in milliseconds.
     backoff_until_ms: u64,
+    /// How long an acceptor takes for a vote at present, in milliseconds.
+    vote_delay_ms: u64,
 }
 
 impl ProposerBackoff {
+    /// Sets how long an acceptor takes for a vote at present, in milliseconds. Where the disk is slow, a ballot is longer than
+    /// the usual times, and proposers that went by those would overlap indefinitely.
+    pub fn set_vote_delay(&mut self, vote_delay_ms: u64) {
+        self.vote_delay_ms = vote_delay_ms;
+    }
+
     /// Notes that the local acceptor has promised or accepted under another proposer's ballot.
     pub fn on_competing_ballot(&mut self, now_ms: u64, ballot: Ballot) {
         if self.competing.is_none_or(|competing| competing.ballot <= ballot) {
-            let until_ms = now_ms + COMPETING_BALLOT_TIMEOUT_MS;
+            let until_ms =
+                now_ms + COMPETING_BALLOT_TIMEOUT_MS.max(COMPETING_BALLOT_VOTES * self.vote_delay_ms);
             self.competing = Some(CompetingBallot { ballot, until_ms });
         }
     }
@@ -57,6 +70,7 @@
     pub fn on_lost(&mut self, now_ms: u64, random: u64) {
         let exponent = self.consecutive_losses.min(MAX_BACKOFF_EXPONENT);
         let range_ms = MAX_BACKOFF_RANGE_MS.min(INITIAL_BACKOFF_RANGE_MS << exponent);
+        let range_ms = range_ms.max(BACKOFF_RANGE_VOTES * self.vote_delay_ms);
         self.consecutive_losses += 1;
         self.backoff_until_ms = now_ms + MIN_BACKOFF_MS + random % range_ms;
     }
--- a/system/config-register/tests/proposer_contention.rs
+++ b/system/config-register/tests/proposer_contention.rs
@@ -85,6 +85,8 @@
     seen: Ballot,
     /// When its link has carried all it was given.
     link_free: u64,
+    /// When its disk has synced all votes.
+    disk_free: u64,
     done: bool,
 }
 
@@ -95,6 +97,8 @@
     now: u64,
     random: ChaCha8Rng,
     chosen: RegisterValue,
+    /// How long the disk takes for a vote.
+    vote_ms: u64,
 }
 
 impl Fleet {
@@ -108,13 +112,20 @@
                 run: None,
                 seen: Ballot::default(),
                 link_free: 0,
+                disk_free: 0,
                 done: false,
             };
             (number, machine)
         };
         let machines = (1..=count).map(new).collect();
         let random = ChaCha8Rng::seed_from_u64(seed);
-        Self { machines, events: BTreeMap::new(), events_made: 0, now: 0, random, chosen }
+        Self { machines, events: BTreeMap::new(), events_made: 0, now: 0, random, chosen, vote_ms: 0 }
+    }
+
+    fn with_slow_disks(mut self, vote_ms: u64) -> Self {
+        self.vote_ms = vote_ms;
+        self.machines.values_mut().for_each(|machine| machine.backoff.set_vote_delay(vote_ms));
+        self
     }
 
     fn schedule(&mut self, at: u64, event: Event) {
@@ -162,7 +173,12 @@
             machine.backoff.on_competing_ballot(self.now, run);
         }
         machine.seen = machine.seen.max(run);
-        let at = self.arrival_time(to, matches!(reply, RegisterReply::Promised(_)));
+        let mut at = self.arrival_time(to, matches!(reply, RegisterReply::Promised(_)));
+        if is_granted {
+            let machine = self.machines.get_mut(&to).unwrap();
+            machine.disk_free = machine.disk_free.max(self.now) + self.vote_ms;
+            at += machine.disk_free - self.now;
+        }
         self.schedule(at, Event::Reply { to: from, from: to, run, reply });
     }
 
@@ -221,3 +237,15 @@
         expect_that!(fleet.run_until(4_000), eq(8), "seed {}", seed);
     }
 }
+
+#[gtest]
+fn ballots_on_slow_disks_overlap_for_ever() {
+    for seed in 0..50 {
+        let mut fleet = Fleet::new(4, seed).with_slow_disks(250);
+        for number in 1..=4 {
+            let at = u64::from(fleet.random.next_u32()) % 20;
+            fleet.schedule(at, Event::Wake(number));
+        }
+        expect_that!(fleet.run_until(15_000), eq(4), "seed {}", seed);
+    }
+}
--- a/system/control-node/src/founding.rs
+++ b/system/control-node/src/founding.rs
@@ -1,6 +1,5 @@
 //! Founds seeds that ended before their initial record was on disk, and accepts being founded; see [`config_register::Founder`].
 
-use crate::proposer::REGISTER_CALL_TIMEOUT;
 use crate::{ControlBackend, ControlEvent, ControlNode};
 use config_register::{Founder, OutgoingRequest, founded_record};
 use fleet_model::{Ballot, RegisterReply, RegisterRequest, RegisterValue};
@@ -35,7 +34,7 @@
     }
 
     async fn send(&self, request: OutgoingRequest) -> (Ipv4Addr, Option<RegisterReply>) {
-        let reply = self.call_register(request.to, request.request, REGISTER_CALL_TIMEOUT).await;
+        let reply = self.call_register(request.to, request.request, self.register_call_timeout()).await;
         (request.to, reply)
     }
 
--- a/system/control-node/src/learner.rs
+++ b/system/control-node/src/learner.rs
@@ -1,7 +1,7 @@
 //! The learner role: quorum reads (polls) confirm that the node's state is current, and find values that their proposers left
 //! undecided, which are then completed.
 
-use crate::proposer::{ProposedChange, REGISTER_CALL_TIMEOUT};
+use crate::proposer::ProposedChange;
 use crate::{ControlBackend, ControlNode};
 use config_register::{Learner, Outbox, OutgoingRequest, PollOutcome, completion_rank};
 use fleet_model::{Ballot, RegisterReply, RegisterRequest};
@@ -72,7 +72,7 @@
             PollOutcome::Behind { from, .. } => {
                 for ip in from {
                     if let Some(RegisterReply::Fetched(Some(value))) =
-                        self.call_register(ip, RegisterRequest::Fetch, REGISTER_CALL_TIMEOUT).await
+                        self.call_register(ip, RegisterRequest::Fetch, self.register_call_timeout()).await
                         && learner.confirms(&known, &value)
                     {
                         self.adopt(value);
@@ -96,7 +96,7 @@
         for OutgoingRequest { to: ip, request } in requests {
             let (node, reply_sender) = (self.clone(), reply_sender.clone());
             self.runtime.spawn(async move {
-                let reply = node.call_register(ip, request, REGISTER_CALL_TIMEOUT).await;
+                let reply = node.call_register(ip, request, node.register_call_timeout()).await;
                 let _ = reply_sender.send((ip, reply));
             });
         }
@@ -126,7 +126,7 @@
             *undecided = Some(pending);
             self.runtime.sleep(Duration::from_millis(25 + self.runtime.random_u64() % 20)).await;
         } else {
-            let deadline = self.runtime.now() + COMPLETION_TIMEOUT;
+            let deadline = self.runtime.now() + self.change_timeout(COMPLETION_TIMEOUT);
             // A single ballot; the next poll shows whether another is needed.
             if let Some(_proposal_guard) =
                 timeout_at(&self.runtime, deadline, self.proposal_lock.lock()).await
--- a/system/control-node/src/lib.rs
+++ b/system/control-node/src/lib.rs
@@ -21,6 +21,7 @@
 mod proposer;
 mod recovery;
 mod replica;
+mod vote_delay;
 
 pub use coordination::{
     ApplicationReply, ApplicationRequest, CoordinationStatus, CounterStatus, GroupStatus, LockStatus,
--- a/system/control-node/src/node.rs
+++ b/system/control-node/src/node.rs
@@ -223,6 +223,11 @@
         self.replica.disk()
     }
 
+    /// How long its acceptor takes for a vote at present, which is the time of a synced write.
+    pub fn vote_delay(&self) -> Duration {
+        self.replica.vote_delay().get()
+    }
+
     /// The number of storage node losses to tolerate, and the number that the current members can tolerate.
     pub fn storage_losses(&self) -> StorageLosses {
         let configured = self.backend.tolerance();
@@ -290,7 +295,9 @@
             _ => return,
         };
         if from != self.me && !matches!(reply, RegisterReply::Rejected(_)) {
-            self.backoff.borrow_mut().on_competing_ballot(self.runtime.now_ms(), ballot);
+            let mut backoff = self.backoff.borrow_mut();
+            backoff.set_vote_delay(self.vote_delay_ms());
+            backoff.on_competing_ballot(self.runtime.now_ms(), ballot);
         }
     }
 
--- a/system/control-node/src/orders.rs
+++ b/system/control-node/src/orders.rs
@@ -78,15 +78,16 @@
     /// Has the distinguished proposer execute an order, or the next proposer if that one does not answer; `None` if the order's
     /// outcome is unknown.
     pub(crate) async fn submit(&self, order: Order, max_wait: Duration) -> Option<OrderVerdict> {
-        let deadline = self.runtime.now() + max_wait;
+        let deadline = self.runtime.now() + self.change_timeout(max_wait);
+        let forward_timeout = self.change_timeout(FORWARD_TIMEOUT);
         loop {
             let remaining = deadline.saturating_sub(self.runtime.now());
             let proposer = self.distinguished_proposer();
-            if proposer == self.me || remaining < FORWARD_TIMEOUT {
+            if proposer == self.me || remaining < forward_timeout {
                 return self.propose_order(order, remaining).await;
             }
             let call = Call::Order(order.clone());
-            if let Some(Answer::Verdict(verdict)) = self.runtime.call(proposer, call, FORWARD_TIMEOUT).await {
+            if let Some(Answer::Verdict(verdict)) = self.runtime.call(proposer, call, forward_timeout).await {
                 return Some(verdict);
             }
             self.proposers.borrow_mut().record_failure(self.runtime.now_ms(), proposer);
@@ -95,7 +96,7 @@
 
     /// Answers a node that has forwarded an order, which this node does not forward again.
     pub(crate) async fn answer_order(&self, order: Order) -> Answer {
-        let verdict = self.propose_order(order, FORWARD_TIMEOUT).await;
+        let verdict = self.propose_order(order, self.change_timeout(FORWARD_TIMEOUT)).await;
         verdict.map_or(Answer::NotReady, Answer::Verdict)
     }
 
--- a/system/control-node/src/proposer.rs
+++ b/system/control-node/src/proposer.rs
@@ -9,8 +9,8 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-/// Timeout of a request to an acceptor.
-pub(crate) const REGISTER_CALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of a request to an acceptor on a fast disk; see [`VoteDelay`](crate::vote_delay::VoteDelay).
+const REGISTER_CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The change to propose on top of the state that phase 1 has read.
 pub(crate) enum ProposedChange {
@@ -58,6 +58,21 @@
 }
 
 impl<R: Runtime, B: ControlBackend> ControlNode<R, B> {
+    /// How long a vote takes at present, in milliseconds.
+    pub(crate) fn vote_delay_ms(&self) -> u64 {
+        u64::try_from(self.replica.vote_delay().get().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// The timeout of a request to an acceptor.
+    pub(crate) fn register_call_timeout(&self) -> Duration {
+        self.replica.vote_delay().call_timeout(REGISTER_CALL_TIMEOUT)
+    }
+
+    /// The time limit of a change that may take `usual` on a fast disk.
+    pub(crate) fn change_timeout(&self, usual: Duration) -> Duration {
+        self.replica.vote_delay().change_timeout(usual)
+    }
+
     /// Counts an attempt and returns a new ballot for it.
     pub(crate) fn next_ballot(&self) -> Ballot {
         self.count_attempt();
@@ -96,7 +111,7 @@
         max_wait: Duration,
         mut make_change: impl FnMut(&ControlState, &[Ipv4Addr]) -> ProposedChange,
     ) -> bool {
-        let deadline = self.runtime.now() + max_wait;
+        let deadline = self.runtime.now() + self.change_timeout(max_wait);
         let Some(_proposal_guard) = timeout_at(&self.runtime, deadline, self.proposal_lock.lock()).await
         else {
             return false;
@@ -144,7 +159,9 @@
         let mut counts = self.ballot_counts.get();
         counts.lost += 1;
         self.ballot_counts.set(counts);
-        self.backoff.borrow_mut().on_lost(self.runtime.now_ms(), self.runtime.random_u64());
+        let mut backoff = self.backoff.borrow_mut();
+        backoff.set_vote_delay(self.vote_delay_ms());
+        backoff.on_lost(self.runtime.now_ms(), self.runtime.random_u64());
     }
 
     /// The change to propose on top of `read`, and what the chosen value must then contain; no expectation if the change could
@@ -191,9 +208,10 @@
             }
             change
         };
+        let call_timeout = self.register_call_timeout();
         let mut calls = FuturesUnordered::new();
         let call = |OutgoingRequest { to, request }: OutgoingRequest| async move {
-            (to, self.call_register(to, request, REGISTER_CALL_TIMEOUT).await)
+            (to, self.call_register(to, request, call_timeout).await)
         };
         calls.extend(proposer.outbox().into_iter().map(call));
         while let Some((ip, reply)) = calls.next().await {
--- a/system/control-node/src/recovery.rs
+++ b/system/control-node/src/recovery.rs
@@ -1,7 +1,6 @@
 //! Keeps the node able to vote: a new node writes its initial record, a node that lost its record recovers it from its peers, a
 //! node that is not a voter requests to become one, and a failing disk is probed.
 
-use crate::proposer::REGISTER_CALL_TIMEOUT;
 use crate::{ControlBackend, ControlEvent, ControlNode};
 use config_register::{AcceptorRecord, OutgoingRequest, Recovery, RecoveryStep};
 use fleet_model::{Answer, Ballot, Call, RegisterReply, RegisterRequest, RegisterValue};
@@ -66,11 +65,12 @@
     async fn newest_chosen_value(&self, peers: &[Ipv4Addr]) -> Option<RegisterValue> {
         let calls = peers.iter().map(|ip| async move {
             let poll = RegisterRequest::Poll { chosen: Ballot::default() };
-            let polled = self.call_register(*ip, poll, REGISTER_CALL_TIMEOUT).await?;
+            let polled = self.call_register(*ip, poll, self.register_call_timeout()).await?;
             if let RegisterReply::Polled { accepted, chosen } = &polled {
                 self.observe_ballot(accepted.unwrap_or_default().max(*chosen));
             }
-            let fetched = self.call_register(*ip, RegisterRequest::Fetch, REGISTER_CALL_TIMEOUT).await?;
+            let fetched =
+                self.call_register(*ip, RegisterRequest::Fetch, self.register_call_timeout()).await?;
             config_register::known_chosen_value(&polled, &fetched)
         });
         join_all(calls).await.into_iter().flatten().max_by_key(|known| known.epoch)
@@ -88,7 +88,7 @@
         };
         let mut calls = FuturesUnordered::new();
         let call = |OutgoingRequest { to, request }: OutgoingRequest| async move {
-            (to, self.call_register(to, request, REGISTER_CALL_TIMEOUT).await)
+            (to, self.call_register(to, request, self.register_call_timeout()).await)
         };
         calls.extend(recovery.outbox().into_iter().map(call));
         while let Some((ip, reply)) = calls.next().await {
--- a/system/control-node/src/replica.rs
+++ b/system/control-node/src/replica.rs
@@ -3,6 +3,7 @@
 use crate::durable_acceptor::{
     DiskState, DurableAcceptor, PendingReply, PendingWrite, WriteNumber, WriteOutcome,
 };
+use crate::vote_delay::VoteDelay;
 use crate::{ControlBackend, ControlEvent};
 use config_register::AcceptorRecord;
 use fleet_model::{AcceptedValue, RegisterReply, RegisterRequest};
@@ -22,6 +23,7 @@
     /// Notified when a write completes. It wakes waiters in the order in which they wait; a `watch` channel wakes them in any
     /// order, which would make simulation runs irreproducible.
     write_completed: Notify,
+    vote_delay: VoteDelay,
 }
 
 impl<R: Runtime, B: ControlBackend> Replica<R, B> {
@@ -34,6 +36,7 @@
             queued: RefCell::default(),
             is_writing: Cell::new(false),
             write_completed: Notify::new(),
+            vote_delay: VoteDelay::default(),
         })
     }
 
@@ -52,6 +55,11 @@
         self.acceptor.borrow_mut().learn_value(chosen);
     }
 
+    /// How long a vote takes at present.
+    pub(crate) fn vote_delay(&self) -> &VoteDelay {
+        &self.vote_delay
+    }
+
     /// Whether the disk accepts writes.
     pub(crate) fn disk(&self) -> DiskState {
         self.acceptor.borrow().disk()
@@ -108,7 +116,9 @@
     async fn write_queued(self: Rc<Self>) {
         loop {
             let Some(write) = self.queued.take() else { break };
+            let started_at = self.runtime.now();
             let result = self.backend.persist(&write.record).await;
+            self.vote_delay.record(self.runtime.now().saturating_sub(started_at));
             let disk_state_changed =
                 self.acceptor.borrow_mut().on_write_completed(write.number, result.is_ok());
             if disk_state_changed {
--- a/system/programs/src/control.rs
+++ b/system/programs/src/control.rs
@@ -88,6 +88,7 @@
             metrics.counter("control_node_runs_lost_total", rounds.lost);
             metrics.gauge("control_node_disk_refusing", f64::from(u8::from(disk.is_failing)));
             metrics.counter("control_node_disk_refusals_total", disk.failed_writes);
+            metrics.gauge("control_node_vote_seconds", node.vote_delay().as_secs_f64());
             let api = self.api_load.counts();
             metrics.gauge("control_node_api_connections", api.connections as f64);
             metrics.gauge("control_node_waiting_watches", api.waiting_watches as f64);
--- a/testbed/src/system/disk.rs
+++ b/testbed/src/system/disk.rs
@@ -30,6 +30,8 @@
     damaged: Cell<bool>,
     /// Writes and syncs block until this time, in microseconds.
     stalled_until: Cell<u64>,
+    /// How much longer each sync takes, in milliseconds, and until when, in microseconds.
+    slow_sync: Cell<(u64, u64)>,
     /// Writes fail until this time, in microseconds.
     full_until: Cell<u64>,
     /// The next sync fails.
@@ -96,6 +98,11 @@
         self.stalled_until.set(until.max(self.stalled_until.get()));
     }
 
+    /// Each sync takes `sync_ms` longer until this time, in microseconds.
+    pub fn slow_down(&self, sync_ms: u64, until: u64) {
+        self.slow_sync.set((sync_ms, until));
+    }
+
     /// Writes fail until this time, in microseconds.
     pub fn fill_up(&self, until: u64) {
         self.full_until.set(until.max(self.full_until.get()));
@@ -119,6 +126,13 @@
         host.now().as_micros() < u128::from(self.full_until.get())
     }
 
+    async fn wait_for_slow_sync(&self, host: &Host) {
+        let (sync_ms, until) = self.slow_sync.get();
+        if host.now().as_micros() < u128::from(until) {
+            host.sleep(sync_ms).await;
+        }
+    }
+
     async fn wait_while_stalled(&self, host: &Host) {
         while self.is_stalled(host) {
             host.sleep(RETRY_INTERVAL_MS).await;
@@ -227,6 +241,7 @@
         self.flush();
         let (written, _) = self.counts.get();
         host.sleep_us(host.random_between(500, 6_000)).await;
+        self.wait_for_slow_sync(host).await;
         self.wait_while_unwritable(host).await;
         while self.refuses_sync.take() {
             host.sleep(RETRY_INTERVAL_MS).await;
@@ -247,6 +262,7 @@
         self.flush();
         let (written, _) = self.counts.get();
         host.sleep_us(host.random_between(500, 6_000)).await;
+        self.wait_for_slow_sync(host).await;
         self.wait_while_stalled(host).await;
         if self.refuses_sync.take() {
             return Err(Refused("a sync failed"));
--- a/testbed/src/system/run/faults.rs
+++ b/testbed/src/system/run/faults.rs
@@ -67,6 +67,16 @@
         });
     }
 
+    /// Makes each sync of a machine's disk take `sync_ms` longer.
+    fn slow_disk(&self, machine: usize, sync_ms: u64, for_ms: u64) {
+        let until = self.cluster.elapsed_ms() + for_ms;
+        self.cluster.record(Fact::Disturbed { machine, how: Disturbance::Disk, until });
+        let until_us = self.cluster.executor.now() + for_ms * 1_000;
+        for node in self.cluster.nodes_of(machine) {
+            self.cluster.disk_of(node).slow_down(sync_ms, until_us);
+        }
+    }
+
     pub(in crate::system) fn inject(self: &Rc<Self>, fault: Fault) {
         self.cluster.record(Fact::Fault(fault.to_string()));
         let count = self.schedule.machines.len();
@@ -118,6 +128,7 @@
             }
             FaultKind::Isolate { target, how, for_ms } => self.isolate(target, how, for_ms),
             FaultKind::LoseAnswers { of_thousand, for_ms } => self.cluster.lose_answers(for_ms, of_thousand),
+            FaultKind::SlowDisk { machine, sync_ms, for_ms } => self.slow_disk(machine, sync_ms, for_ms),
             FaultKind::StallDisk { machine, for_ms } => self.disturb_disk(machine, false, for_ms),
             FaultKind::RefuseWrites { machine, for_ms } => self.disturb_disk(machine, true, for_ms),
             FaultKind::RefuseSync { machine } => {
--- a/testbed/src/system/scenario.rs
+++ b/testbed/src/system/scenario.rs
@@ -11,7 +11,7 @@
 use super::schedule::{Class, Fault, FaultKind, Schedule};
 use membership::second_loss;
 use orders::{cut_control_node, orders_again, proposer_lost};
-use processes::{herd_twice, spent_quota};
+use processes::{herd_twice, slow_disks, spent_quota};
 use serde::{Deserialize, Serialize};
 
 /// First fault, after the register was founded.
@@ -39,18 +39,21 @@
     HerdTwice,
     /// Processor quotas that are spent in each tenth of a second, on some machines or all, alone and with a cut or a restart.
     SpentQuota,
+    /// The disks of all core machines sync slowly, from the first start on.
+    SlowDisks,
     /// Thousands of changes with restarts, wiped disks, a long cut and replaced voters among them.
     ThousandChanges,
 }
 
 /// All of them.
-pub const SCENARIOS: [Scenario; 7] = [
+pub const SCENARIOS: [Scenario; 8] = [
     Scenario::CutControlNode,
     Scenario::OrdersAgain,
     Scenario::SecondLoss,
     Scenario::ProposerLost,
     Scenario::HerdTwice,
     Scenario::SpentQuota,
+    Scenario::SlowDisks,
     Scenario::ThousandChanges,
 ];
 
@@ -93,6 +96,7 @@
             Self::ProposerLost => proposer_lost(),
             Self::HerdTwice => herd_twice(),
             Self::SpentQuota => spent_quota(),
+            Self::SlowDisks => slow_disks(),
             Self::ThousandChanges => vec![thousand_changes(1, 1_200), thousand_changes(2, 1_200)],
         }
     }
@@ -105,7 +109,7 @@
             }
             Self::OrdersAgain => &[Mutation::TakenForgotten, Mutation::MajorityOfLiving],
             Self::SecondLoss => &[Mutation::NextCountsUnfilled, Mutation::CompletedEarly],
-            Self::ProposerLost | Self::HerdTwice | Self::SpentQuota => &[],
+            Self::ProposerLost | Self::HerdTwice | Self::SpentQuota | Self::SlowDisks => &[],
             Self::ThousandChanges => &[Mutation::RecordOutdated, Mutation::NoAmnesiaGuard],
         }
     }
--- a/testbed/src/system/scenario/processes.rs
+++ b/testbed/src/system/scenario/processes.rs
@@ -56,6 +56,21 @@
     cases
 }
 
+/// Core machines whose disks sync slowly, as one disk does that many processes sync to.
+pub(super) fn slow_disks() -> Vec<Case> {
+    const SLOW_MS: u64 = 25_000;
+    let mut cases = Vec::new();
+    for (seed, sync_ms) in [(1, 210), (2, 210), (3, 300), (4, 300)] {
+        let mut builder = CaseBuilder::new(format!("{sync_ms} ms, {seed}"), seed, 1, 4, 9);
+        for machine in builder.schedule.machines_of(Class::ControlNode) {
+            builder.at(0, FaultKind::SlowDisk { machine, sync_ms, for_ms: SLOW_MS });
+        }
+        builder.at(BEGIN_MS, FaultKind::Burst { orders: 20 });
+        cases.push(builder.until(SLOW_MS + CAUGHT_UP_MS));
+    }
+    cases
+}
+
 fn throttled(name: String, seed: u64, run_ms: u64, classes: &[Class]) -> CaseBuilder {
     let mut builder = CaseBuilder::new(name, seed, 2, 5, 6);
     let machines = classes.iter().flat_map(|class| builder.schedule.machines_of(*class)).collect();
--- a/testbed/src/system/schedule.rs
+++ b/testbed/src/system/schedule.rs
@@ -157,6 +157,8 @@
     LoseAnswers { of_thousand: u64, for_ms: u64 },
     /// Writes to its disk block.
     StallDisk { machine: usize, for_ms: u64 },
+    /// Each sync of its disk takes this much longer.
+    SlowDisk { machine: usize, sync_ms: u64, for_ms: u64 },
     /// Its disk is full: writes fail.
     RefuseWrites { machine: usize, for_ms: u64 },
     /// The next sync of its disk fails.
--- a/testbed/tests/system_scenarios.rs
+++ b/testbed/tests/system_scenarios.rs
@@ -99,6 +99,18 @@
     }
 }
 
+#[gtest]
+fn control_nodes_on_slow_disks_lose_each_others_ballots_for_ever() {
+    let cases = Scenario::SlowDisks.cases();
+    expect_that!(broken(&cases, None), is_empty());
+    for case in &cases {
+        let figures = case.run(None).measured;
+        expect_that!(figures.confirmed, ge(20), "{}", case.name);
+        // The time after which a system without further failures serves again.
+        expect_that!(figures.order_p99, lt(12_000), "{}", case.name);
+    }
+}
+
 #[gtest]
 fn answers_without_a_majority_are_detected() {
     let rule = caught(Scenario::CutControlNode, Mutation::AnsweredAlone);
